Serve a request from caller to minion through entry and guard

Cause: the repository was empty; the whole path had to exist before its parts. Ruled out: grpc, httpx, pydantic and cappa in the guard. Resident memory after import, Python 3.11: asyncio, msgspec, loguru 23.6 MB; with uvicorn and aioprometheus 28.1 MB; with httpx 33.0 MB; grpc.aio, msgspec, loguru 39.7 MB. The limit for a node is 32 MB.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: run test install format lint types model tests share
+
+run: install
+	$(BIN)/python -m dragonflynotch local
+
+test: install lint types model share tests
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $(STAMP)
+
+format:
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint:
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 dragonflynotch benchmarks model
+
+types:
+	$(BIN)/mypy
+
+model:
+	$(BIN)/python -m model.check
+
+share:
+	$(BIN)/python -m model.share
+
+tests:
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that are run by hand."""
--- /dev/null
+++ b/dragonflynotch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/dragonflynotch/core/jobs.py
@@ -0,0 +1,138 @@
+"""Jobs, their states and the attempts to run them as a gang."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import Enum
+
+from dragonflynotch.core.shapes import Shape
+
+__all__ = ('Job', 'JobSpec', 'JobState', 'Member', 'PriorityClass')
+
+
+class JobState(Enum):
+    """State of a job in its record."""
+
+    waiting = 'waiting'
+    starting = 'starting'
+    running = 'running'
+    stopping = 'stopping'
+    finished = 'finished'
+    failed = 'failed'
+    cancelled = 'cancelled'
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job will not change any more."""
+        return self in _FINAL_STATES
+
+
+_FINAL_STATES = frozenset(
+    (JobState.finished, JobState.failed, JobState.cancelled)
+)
+
+
+class PriorityClass(Enum):
+    """Scheduling class of a job, most important first."""
+
+    urgent = 'urgent'
+    normal = 'normal'
+    batch = 'batch'
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """What a caller asks for.
+
+    Parameters
+    ----------
+    workspace : str
+        Workspace that submits the job.
+    kind : str
+        Kind of work, for example ``'profile-recut'``; run times are learned
+        per workspace and kind.
+    shape : Shape
+        Accelerators and proximity.
+    cores_per_accelerator : float
+        Cores for each accelerator, or for the job if it has none.
+    memory_mb_per_accelerator : int
+        Memory for each accelerator, or for the job if it has none.
+    declared_run_time : timedelta
+        Run time stated by the caller; often far off.
+    priority : PriorityClass
+        Scheduling class.
+    is_checkpointable : bool
+        Whether the job can be checkpointed and resumed.
+    deadline : datetime or None
+        When the caller needs the result.
+    command : str
+        What the worker runs.
+    """
+
+    workspace: str
+    kind: str
+    shape: Shape
+    cores_per_accelerator: float = 1
+    memory_mb_per_accelerator: int = 1024
+    declared_run_time: timedelta = timedelta(hours=1)
+    priority: PriorityClass = PriorityClass.normal
+    is_checkpointable: bool = True
+    deadline: datetime | None = None
+    command: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """The part of a gang on one worker.
+
+    Parameters
+    ----------
+    worker_id : str
+        Worker that runs the member.
+    accelerators : tuple of int
+        Indexes of the accelerators on the worker.
+    """
+
+    worker_id: str
+    accelerators: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """An accepted job as its record holds it.
+
+    Parameters
+    ----------
+    job_id : str
+        Unique name.
+    spec : JobSpec
+        What was asked for.
+    submitted_at : datetime
+        When the job was accepted.
+    state : JobState
+        Current state.
+    attempt : int
+        Number of the latest gang attempt; 0 before the first.
+    members : tuple of Member
+        Placement of the latest attempt.
+    started_at : datetime or None
+        When the latest attempt started.
+    checkpoint : str
+        Object-store key of the last checkpoint, or ``''``.
+    work_done : timedelta
+        Run time preserved in the last checkpoint.
+    detail : str
+        Why the job ended or waits, in one sentence.
+    """
+
+    job_id: str
+    spec: JobSpec
+    submitted_at: datetime
+    state: JobState = JobState.waiting
+    attempt: int = 0
+    members: tuple[Member, ...] = ()
+    started_at: datetime | None = None
+    ended_at: datetime | None = None
+    checkpoint: str = ''
+    work_done: timedelta = timedelta()
+    detail: str = ''
+    failed_workers: tuple[str, ...] = field(default=())
--- /dev/null
+++ b/dragonflynotch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: callers, operators, routing, scheduling ownership."""
--- /dev/null
+++ b/dragonflynotch/guard/__init__.py
@@ -0,0 +1,1 @@
+"""The guard daemon, one beside each target."""
--- /dev/null
+++ b/dragonflynotch/guard/announcer.py
@@ -0,0 +1,73 @@
+"""Announces the guard to the entries of its data centre."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from dragonflynotch.links.datagrams import DatagramEndpoint
+from dragonflynotch.links.messages import (
+    Announcement,
+    decode_acknowledgement,
+    encode_message,
+)
+from dragonflynotch.observability.logs import part_logger
+
+__all__ = ('ANNOUNCEMENT_INTERVAL', 'Announcer')
+
+# Three announcements fit in the membership time to live of 2.2 s, so two
+# lost datagrams in a row do not remove a guard.
+ANNOUNCEMENT_INTERVAL = timedelta(seconds=0.7)
+
+_log = part_logger('guard.announcer')
+
+
+class Announcer:
+    """Owns the announcement socket.
+
+    Parameters
+    ----------
+    entries : tuple of (str, int)
+        Announcement addresses of the entries.
+    describe : callable
+        Returns the announcement for a sequence number.
+    """
+
+    def __init__(
+        self,
+        entries: tuple[tuple[str, int], ...],
+        describe: Callable[[int], Announcement],
+    ) -> None:
+        """Create the announcer; ``run`` starts it."""
+        self._entries = entries
+        self._describe = describe
+        self._endpoint = DatagramEndpoint()
+        self._sequence = 0
+
+    async def run(self) -> None:
+        """Announce until cancelled."""
+        await self._endpoint.open('0.0.0.0', 0)
+        receiver = asyncio.create_task(self._receive())
+        try:
+            while True:
+                self.announce()
+                await asyncio.sleep(ANNOUNCEMENT_INTERVAL.total_seconds())
+        finally:
+            receiver.cancel()
+            self._endpoint.close()
+
+    def announce(self) -> None:
+        """Send one announcement now, for example on a change of state."""
+        self._sequence += 1
+        payload = encode_message(self._describe(self._sequence))
+        for entry in self._entries:
+            self._endpoint.send(payload, entry)
+
+    async def _receive(self) -> None:
+        while True:
+            datagram = await self._endpoint.receive()
+            try:
+                decode_acknowledgement(datagram.payload)
+            except msgspec.DecodeError:
+                _log.warning('dropped a malformed acknowledgement')
--- /dev/null
+++ b/dragonflynotch/guard/daemon.py
@@ -0,0 +1,124 @@
+"""The guard process: start, announcements, graceful stop."""
+
+import asyncio
+import secrets
+from contextlib import suppress
+from datetime import timedelta
+
+import uvicorn
+
+from dragonflynotch.guard.announcer import Announcer
+from dragonflynotch.guard.app import GuardApp
+from dragonflynotch.guard.requests import RequestRunner
+from dragonflynotch.links.messages import (
+    Announcement,
+    GuardState,
+    MinionState,
+    WorkerState,
+)
+from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.platform.minion import HttpMinionClient
+from dragonflynotch.records.settings import GuardSettings
+
+__all__ = ('Guard',)
+
+_INCARNATION_BITS = 53
+_READABLE_SCHEMA_VERSIONS = (1, 2)
+
+_log = part_logger('guard')
+
+
+class Guard:
+    """One guard with its server and its announcer."""
+
+    def __init__(self, settings: GuardSettings) -> None:
+        """Create the guard from validated settings."""
+        self._settings = settings
+        self._incarnation = secrets.randbits(_INCARNATION_BITS)
+        minion = settings.minion
+        self._runner = RequestRunner(
+            HttpMinionClient(*(minion.address.pair if minion else ('', 0))),
+            slots=minion.slots if minion else 0,
+            incarnation=self._incarnation,
+        )
+        self._announcer = Announcer(
+            tuple(entry.pair for entry in settings.entries), self._describe
+        )
+        self._state = GuardState.ready
+        self._server = uvicorn.Server(
+            uvicorn.Config(
+                GuardApp(self._runner),
+                host=settings.listen.host,
+                port=settings.listen.port,
+                http='h11',
+                ws='none',
+                lifespan='off',
+                log_config=None,
+                access_log=False,
+            )
+        )
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set, then drain and return."""
+        server = asyncio.create_task(self._server._serve())
+        announcer = asyncio.create_task(self._announcer.run())
+        _log.info('started guard {}', self._settings.guard_id)
+        await stop.wait()
+        await self._drain()
+        announcer.cancel()
+        self._server.should_exit = True
+        with suppress(asyncio.CancelledError):
+            await asyncio.gather(server, announcer)
+        _log.info('stopped guard {}', self._settings.guard_id)
+
+    async def _drain(self) -> None:
+        self._state = GuardState.draining
+        self._announcer.announce()
+        limit = timedelta(milliseconds=self._settings.drain_limit_ms)
+        if not await self._runner.drain(limit):
+            _log.warning('requests still in flight at the drain limit')
+        self._state = GuardState.leaving
+        self._announcer.announce()
+
+    def _describe(self, sequence: int) -> Announcement:
+        settings = self._settings
+        return Announcement(
+            guard_id=settings.guard_id,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            data_centre=settings.data_centre,
+            http_host=settings.listen.host,
+            http_port=settings.listen.port,
+            state=self._state,
+            minion=self._minion_state(),
+            worker=self._worker_state(),
+            configuration_revision=0,
+            schema_versions=_READABLE_SCHEMA_VERSIONS,
+            highest_fence=0,
+            task_digest=0,
+        )
+
+    def _minion_state(self) -> MinionState | None:
+        minion = self._settings.minion
+        if minion is None:
+            return None
+        return MinionState(
+            minion.minion_id,
+            minion.slots,
+            self._runner.free_slots,
+            minion.connections,
+        )
+
+    def _worker_state(self) -> WorkerState | None:
+        worker = self._settings.worker
+        if worker is None:
+            return None
+        return WorkerState(
+            worker.worker_id,
+            worker.rack,
+            worker.rack_position,
+            worker.accelerators,
+            worker.accelerators,
+            worker.cores,
+            worker.memory_mb,
+        )
--- /dev/null
+++ b/dragonflynotch/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the processes of the system."""
--- /dev/null
+++ b/dragonflynotch/links/http11.py
@@ -0,0 +1,165 @@
+"""HTTP/1.1 exchange over asyncio streams with h11.
+
+The guard uses this instead of ``httpx``, which would take it over its memory
+limit of 32 MB (see docs/design.md, section 4).
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+import h11
+
+from dragonflynotch.core.errors import LinkError, LinkTimeoutError
+
+__all__ = ('HttpReply', 'exchange')
+
+_READ_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A whole HTTP answer; header names are lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+async def exchange(
+    address: tuple[str, int],
+    method: str,
+    target: str,
+    *,
+    headers: Sequence[tuple[str, str]] = (),
+    body: bytes = b'',
+    timeout: timedelta,
+    max_body_bytes: int,
+) -> HttpReply:
+    """Send one request on a new connection and return the whole answer.
+
+    A connection carries one exchange, so a late answer cannot reach another
+    request.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        IP address and port of the peer.
+    method, target : str
+        Request line.
+    headers : sequence of (str, str)
+        Additional headers.
+    body : bytes
+        Request body.
+    timeout : timedelta
+        Limit for the whole exchange.
+    max_body_bytes : int
+        Largest accepted answer body.
+
+    Returns
+    -------
+    HttpReply
+        The answer, complete according to its framing.
+
+    Raises
+    ------
+    LinkTimeoutError
+        If the exchange is not complete within ``timeout``.
+    LinkError
+        If the connection fails, or the answer is truncated or too large.
+    """
+    peer = f'{address[0]}:{address[1]}'
+    step = f'{method} {target}'
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            return await _exchange(
+                address, method, target, headers, body, max_body_bytes
+            )
+    except TimeoutError as error:
+        raise LinkTimeoutError(
+            f'no complete answer within {timeout.total_seconds()} s',
+            step=step,
+            peer=peer,
+        ) from error
+    except (OSError, h11.ProtocolError, EOFError) as error:
+        raise LinkError(
+            f'exchange failed: {error}', step=step, peer=peer
+        ) from error
+
+
+async def _exchange(
+    address: tuple[str, int],
+    method: str,
+    target: str,
+    headers: Sequence[tuple[str, str]],
+    body: bytes,
+    max_body_bytes: int,
+) -> HttpReply:
+    reader, writer = await asyncio.open_connection(*address)
+    connection = h11.Connection(our_role=h11.CLIENT)
+    all_headers = [
+        ('Host', f'{address[0]}:{address[1]}'),
+        ('Content-Length', str(len(body))),
+        ('Connection', 'close'),
+        *headers,
+    ]
+    try:
+        for event in (
+            h11.Request(method=method, target=target, headers=all_headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        ):
+            writer.write(connection.send(event) or b'')
+        await writer.drain()
+        return await _read_reply(reader, connection, max_body_bytes)
+    finally:
+        writer.transport.abort()
+
+
+async def _read_reply(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+    max_body_bytes: int,
+) -> HttpReply:
+    partial = _PartialReply(max_body_bytes)
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(_READ_BYTES))
+            continue
+        reply = partial.add(event)
+        if reply is not None:
+            return reply
+
+
+class _PartialReply:
+    """Collects the events of one answer."""
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+
+    def add(self, event: object) -> HttpReply | None:
+        """Return the whole answer once the last event was added."""
+        match event:
+            case h11.Response():
+                self._status = event.status_code
+                self._headers = {
+                    name.decode('latin-1').lower(): text.decode('latin-1')
+                    for name, text in event.headers
+                }
+            case h11.Data():
+                self._add_chunk(event.data)
+            case h11.EndOfMessage():
+                return HttpReply(self._status, self._headers, bytes(self._body))
+            case h11.ConnectionClosed():
+                raise EOFError('connection closed before the answer')
+        return None
+
+    def _add_chunk(self, chunk: bytes) -> None:
+        self._body += chunk
+        if len(self._body) > self._max_body_bytes:
+            raise EOFError(f'answer exceeds {self._max_body_bytes} bytes')
--- /dev/null
+++ b/dragonflynotch/links/messages.py
@@ -0,0 +1,109 @@
+"""Messages between guards and entries, encoded as MessagePack."""
+
+from enum import Enum
+
+import msgspec
+
+__all__ = (
+    'Acknowledgement',
+    'Announcement',
+    'GuardState',
+    'MinionState',
+    'WorkerState',
+    'decode_acknowledgement',
+    'decode_announcement',
+    'encode_message',
+)
+
+
+class GuardState(Enum):
+    """Whether a guard takes new work."""
+
+    ready = 'ready'
+    draining = 'draining'
+    leaving = 'leaving'
+
+
+class MinionState(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a minion as its guard sees it."""
+
+    minion_id: str
+    slots: int
+    free_slots: int
+    connections: int
+
+
+class WorkerState(msgspec.Struct, frozen=True, array_like=True):
+    """Size and free capacity of a worker."""
+
+    worker_id: str
+    rack: str
+    rack_position: int
+    accelerators: int
+    free_accelerators: int
+    cores: int
+    memory_mb: int
+
+
+class Announcement(msgspec.Struct, frozen=True, array_like=True):
+    """Periodic datagram of a guard to each entry of its data centre.
+
+    Later versions append fields with defaults; decoders ignore extra ones.
+    """
+
+    guard_id: str
+    incarnation: int
+    sequence: int
+    data_centre: str
+    http_host: str
+    http_port: int
+    state: GuardState
+    minion: MinionState | None
+    worker: WorkerState | None
+    configuration_revision: int
+    schema_versions: tuple[int, ...]
+    highest_fence: int
+    task_digest: int
+
+
+class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
+    """Answer of an entry to an announcement."""
+
+    entry_id: str
+    guard_id: str
+    sequence: int
+    configuration_revision: int
+    owned_fence: int = 0
+    """Fence of the partition that the entry owns; 0 if it owns none."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_announcements = msgspec.msgpack.Decoder(Announcement)
+_acknowledgements = msgspec.msgpack.Decoder(Acknowledgement)
+
+
+def encode_message(message: Announcement | Acknowledgement) -> bytes:
+    """Return the MessagePack form of a message."""
+    return _encoder.encode(message)
+
+
+def decode_announcement(datagram: bytes) -> Announcement:
+    """Return the announcement in a datagram.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the datagram does not hold an announcement.
+    """
+    return _announcements.decode(datagram)
+
+
+def decode_acknowledgement(datagram: bytes) -> Acknowledgement:
+    """Return the acknowledgement in a datagram.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the datagram does not hold an acknowledgement.
+    """
+    return _acknowledgements.decode(datagram)
--- /dev/null
+++ b/dragonflynotch/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/dragonflynotch/platform/http_table.py
@@ -0,0 +1,153 @@
+"""Client of the table service over HTTP."""
+
+import base64
+from collections.abc import Sequence
+from datetime import timedelta
+
+import httpx
+import msgspec
+
+from dragonflynotch.core.errors import (
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.platform.table import (
+    ConditionalWrite,
+    Row,
+    TableService,
+    WriteConflict,
+    Written,
+)
+
+__all__ = ('HttpTableService', 'RowBody', 'WriteBody', 'WritesBody')
+
+_PEER = 'table service'
+
+
+class RowBody(msgspec.Struct):
+    """JSON form of a row; ``content`` is base64."""
+
+    key: str
+    content: str
+    version: int
+    writer_token: str
+
+
+class WriteBody(msgspec.Struct):
+    """JSON form of a conditional write; ``content`` is base64 or null."""
+
+    key: str
+    content: str | None
+    expected_version: int
+
+
+class WritesBody(msgspec.Struct):
+    """JSON form of a transaction."""
+
+    writes: list[WriteBody]
+    writer_token: str
+
+
+class HttpTableService(TableService):
+    """Table service reached over HTTP.
+
+    Parameters
+    ----------
+    base_url : str
+        For example ``'http://127.0.0.1:7000'``.
+    timeout : timedelta
+        Limit for each call.
+    """
+
+    def __init__(self, base_url: str, timeout: timedelta) -> None:
+        """Create the client; no connection is opened yet."""
+        self._client = httpx.AsyncClient(
+            base_url=base_url,
+            timeout=timeout.total_seconds(),
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._client.aclose()
+
+    async def read(self, key: str) -> Row | None:
+        """Return a row, or ``None`` if it does not exist."""
+        reply = await self._get('/v1/row', {'key': key})
+        found = msgspec.json.decode(reply, type=RowBody | None)
+        return None if found is None else _row(found)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        """Return all rows whose key starts with ``prefix``, by key."""
+        reply = await self._get('/v1/rows', {'prefix': prefix})
+        found = msgspec.json.decode(reply, type=list[RowBody])
+        return tuple(_row(body) for body in found)
+
+    async def commit(
+        self, writes: Sequence[ConditionalWrite], writer_token: str
+    ) -> Written | WriteConflict:
+        """Apply all writes or none."""
+        body = WritesBody(
+            [_write_body(write) for write in writes], writer_token
+        )
+        try:
+            reply = await self._client.post(
+                '/v1/commit', content=msgspec.json.encode(body)
+            )
+        except httpx.ConnectError as error:
+            raise _unavailable('commit', error) from error
+        except httpx.HTTPError as error:
+            raise _uncertain(error) from error
+        if reply.status_code == httpx.codes.OK:
+            return Written(
+                msgspec.json.decode(reply.content, type=dict[str, int])
+            )
+        if reply.status_code == httpx.codes.CONFLICT:
+            found = msgspec.json.decode(
+                reply.content, type=dict[str, RowBody | None]
+            )
+            return WriteConflict(
+                {
+                    key: None if row is None else _row(row)
+                    for key, row in found.items()
+                }
+            )
+        if reply.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+            raise _unavailable('commit', reply.status_code)
+        raise _uncertain(reply.status_code)
+
+    async def _get(self, path: str, query: dict[str, str]) -> bytes:
+        try:
+            reply = await self._client.get(path, params=query)
+        except httpx.HTTPError as error:
+            raise _unavailable('read', error) from error
+        if reply.status_code != httpx.codes.OK:
+            raise _unavailable('read', reply.status_code)
+        return reply.content
+
+
+def _row(body: RowBody) -> Row:
+    return Row(
+        body.key,
+        base64.b64decode(body.content),
+        body.version,
+        body.writer_token,
+    )
+
+
+def _write_body(write: ConditionalWrite) -> WriteBody:
+    content = write.content
+    encoded = None if content is None else base64.b64encode(content).decode()
+    return WriteBody(write.key, encoded, write.expected_version)
+
+
+def _unavailable(step: str, cause: object) -> PlatformUnavailableError:
+    return PlatformUnavailableError(
+        f'table service is unavailable: {cause!r}', step=step, peer=_PEER
+    )
+
+
+def _uncertain(cause: object) -> UncertainWriteError:
+    return UncertainWriteError(
+        f'answer to the commit was lost: {cause!r}', step='commit', peer=_PEER
+    )
--- /dev/null
+++ b/dragonflynotch/records/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models at the border: settings, records and HTTP bodies."""
--- /dev/null
+++ b/dragonflynotch/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's services and back ends."""
