--- a/dragonflynotch/cli/local.py
+++ b/dragonflynotch/cli/local.py
@@ -6,9 +6,9 @@
 from datetime import timedelta
 
 import httpx
-import uvicorn
 
 from dragonflynotch.entry.daemon import Entry
+from dragonflynotch.entry.server import HttpServer
 from dragonflynotch.guard.daemon import Guard
 from dragonflynotch.records.settings import (
     Address,
@@ -17,6 +17,7 @@
     MinionSettings,
 )
 from dragonflynotch.testing.minion import MinionApp
+from dragonflynotch.testing.table import MemoryTable, TableApp
 
 __all__ = ('free_port', 'run_local')
 
@@ -35,28 +36,26 @@
 
 async def run_local() -> int:
     """Serve one request end to end and return the exit code."""
-    callers, announcements, minion, guard = (free_port() for _ in range(4))
+    callers, announcements, minion, guard, table, link, operators = (
+        free_port() for _ in range(7)
+    )
     stop = asyncio.Event()
-    minion_server = uvicorn.Server(
-        uvicorn.Config(
-            MinionApp('minion-1'),
-            host=_HOST,
-            port=minion,
-            http='h11',
-            lifespan='off',
-            log_config=None,
-        )
+    stand_ins = (
+        HttpServer(MinionApp('minion-1'), _HOST, minion),
+        HttpServer(TableApp(MemoryTable()), _HOST, table),
     )
+    for stand_in in stand_ins:
+        stand_in.start()
     entry = Entry(
         EntrySettings(
             schema_version=1,
             entry_id='entry-1',
             data_centre='dc-1',
             callers=Address(_HOST, callers),
-            operators=Address(_HOST, 0),
+            operators=Address(_HOST, operators),
             announcements=Address(_HOST, announcements),
-            link=Address(_HOST, 0),
-            table=Address(_HOST, 0),
+            link=Address(_HOST, link),
+            table=Address(_HOST, table),
         )
     )
     target = Guard(
@@ -70,7 +69,6 @@
         )
     )
     tasks = [
-        asyncio.create_task(minion_server._serve()),
         asyncio.create_task(entry.run(stop)),
         asyncio.create_task(target.run(stop)),
     ]
@@ -78,19 +76,19 @@
         body = await _first_answer(f'http://{_HOST}:{callers}')
         print(f'checklist answered: {body.decode()}')
     finally:
-        await _stop(stop, minion_server, tasks)
+        await _stop(stop, stand_ins, tasks)
     return 0
 
 
 async def _stop(
     stop: asyncio.Event,
-    minion_server: uvicorn.Server,
+    stand_ins: tuple[HttpServer, ...],
     tasks: list[asyncio.Task[None]],
 ) -> None:
     stop.set()
-    await asyncio.gather(*tasks[1:])
-    minion_server.should_exit = True
-    await tasks[0]
+    await asyncio.gather(*tasks)
+    for stand_in in stand_ins:
+        await stand_in.stop()
 
 
 async def _first_answer(url: str) -> bytes:
--- a/dragonflynotch/entry/callers.py
+++ b/dragonflynotch/entry/callers.py
@@ -18,6 +18,7 @@
 )
 from dragonflynotch.core.requests import Request as CallerRequest
 from dragonflynotch.entry.dispatcher import Dispatcher
+from dragonflynotch.entry.health import Health
 
 __all__ = ('create_caller_app',)
 
@@ -27,7 +28,9 @@
 _STATUS_UNKNOWN = 504
 
 
-def create_caller_app(dispatcher: Dispatcher, clock: Clock) -> Litestar:
+def create_caller_app(
+    dispatcher: Dispatcher, clock: Clock, health: Health
+) -> Litestar:
     """Return the ASGI application for callers."""
 
     @post(
@@ -53,8 +56,9 @@
         return _response(await dispatcher.dispatch(caller_request))
 
     @get('/ready')
-    async def ready() -> str:
-        return 'ready'
+    async def ready() -> Response[str]:
+        status = 200 if health.is_ready else _STATUS_NOT_RUN
+        return Response(health.reason or 'ready', status_code=status)
 
     return Litestar(
         [run_request, ready], openapi_config=None, logging_config=None
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -1,61 +1,276 @@
 """The entry process: start, servers, graceful stop."""
 
 import asyncio
+import secrets
+from collections.abc import Mapping
 from contextlib import suppress
+from datetime import timedelta
 from random import Random
-
-import uvicorn
+from typing import Any
 
 from dragonflynotch.core.clock import SystemClock
-from dragonflynotch.core.routing import RoutingTable
+from dragonflynotch.core.membership import GuardInfo, Membership
+from dragonflynotch.core.routing import RoutingTable, Target
+from dragonflynotch.entry.admission import TopologyAdmission
 from dragonflynotch.entry.callers import create_caller_app
+from dragonflynotch.entry.configuration import ConfigurationService
+from dragonflynotch.entry.configuration_copies import ConfigurationCopies
+from dragonflynotch.entry.configuration_store import ConfigurationStore
 from dragonflynotch.entry.dispatcher import Dispatcher
+from dragonflynotch.entry.health import Health
 from dragonflynotch.entry.membership import MembershipListener
+from dragonflynotch.entry.operators import (
+    OperatorServices,
+    create_operator_app,
+)
+from dragonflynotch.entry.peers import (
+    EntryIdentity,
+    PeerExchange,
+    RemoteEntries,
+)
+from dragonflynotch.entry.registry import EntryRegistry
+from dragonflynotch.entry.server import HttpServer
+from dragonflynotch.entry.sync import EntrySync, readable_versions
+from dragonflynotch.links.entry_link import EntryLinkServer, GrpcEntryLink
 from dragonflynotch.links.guard_link import HttpGuardLink
+from dragonflynotch.links.messages import Acknowledgement, Announcement
 from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.observability.metrics import EntryMetrics
+from dragonflynotch.platform.http_table import HttpTableService
+from dragonflynotch.records.documents import READABLE_SCHEMA_VERSIONS
 from dragonflynotch.records.settings import EntrySettings
 
 __all__ = ('Entry',)
 
+_INCARNATION_BITS = 53
+_TABLE_TIMEOUT = timedelta(seconds=1)
+_LINK_GRACE = timedelta(seconds=1)
+
 _log = part_logger('entry')
 
 
 class Entry:
-    """One entry with its servers."""
+    """One entry with its servers and tasks."""
 
     def __init__(self, settings: EntrySettings) -> None:
         """Create the entry from validated settings."""
         self._settings = settings
-        clock = SystemClock()
-        routing = RoutingTable(settings.data_centre, Random())
+        self._clock = SystemClock()
+        self._identity = _identity(settings)
+        self._metrics = EntryMetrics(settings.entry_id, settings.data_centre)
+        self._table = HttpTableService(settings.table.url, _TABLE_TIMEOUT)
+        self._routing = RoutingTable(settings.data_centre, Random())
+        self._membership = Membership()
+        self._remote = RemoteEntries(self._observe_remote)
+        self._registry = EntryRegistry(self._identity, self._table, self._clock)
+        self._configuration = ConfigurationService(
+            ConfigurationStore(self._table),
+            TopologyAdmission(self._workers),
+            self._readable_versions,
+            lambda changes: self._exchange.publish(changes),
+        )
+        self._exchange = PeerExchange(
+            self._identity,
+            self._membership,
+            self._remote,
+            self._configuration,
+            GrpcEntryLink,
+            self._clock,
+        )
+        self._copies = ConfigurationCopies(
+            self._membership, self._configuration
+        )
+        self._listener = MembershipListener(
+            self._membership,
+            self._observe_local,
+            self._acknowledge,
+            self._clock,
+        )
+        self._sync = EntrySync(
+            self._configuration,
+            self._copies,
+            self._registry,
+            self._exchange,
+            self._own_versions,
+            self._clock,
+        )
+        self._health = Health(lambda: self._configuration.is_ready)
         self._link = HttpGuardLink()
-        self._membership = MembershipListener(settings.entry_id, routing, clock)
-        dispatcher = Dispatcher(routing, self._link, clock)
-        self._server = uvicorn.Server(
-            uvicorn.Config(
-                create_caller_app(dispatcher, clock),
-                host=settings.callers.host,
-                port=settings.callers.port,
-                http='h11',
-                ws='none',
-                lifespan='off',
-                log_config=None,
-                access_log=False,
-            )
+        self._dispatcher = Dispatcher(self._routing, self._link, self._clock)
+        self._callers = HttpServer(
+            create_caller_app(self._dispatcher, self._clock, self._health),
+            *settings.callers.pair,
         )
+        self._operators = HttpServer(
+            create_operator_app(
+                OperatorServices(
+                    configuration=self._configuration,
+                    membership=self._membership,
+                    health=self._health,
+                    describe=self._describe,
+                    render_metrics=self._render_metrics,
+                )
+            ),
+            *settings.operators.pair,
+        )
+        self._link_server = EntryLinkServer(self._exchange)
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then finish requests and return."""
-        settings = self._settings
-        await self._membership.open(*settings.announcements.pair)
-        membership = asyncio.create_task(self._membership.run())
-        server = asyncio.create_task(self._server._serve())
-        _log.info('started entry {}', settings.entry_id)
+        await self._start()
+        _log.info('started entry {}', self._settings.entry_id)
         await stop.wait()
-        self._server.should_exit = True
-        await server
-        membership.cancel()
-        with suppress(asyncio.CancelledError):
-            await membership
+        await self._stop()
+        _log.info('stopped entry {}', self._settings.entry_id)
+
+    async def _start(self) -> None:
+        settings = self._settings
+        await self._listener.open(*settings.announcements.pair)
+        await self._link_server.start(*settings.link.pair)
+        self._tasks = [
+            asyncio.create_task(self._listener.run()),
+            asyncio.create_task(self._sync.run()),
+            asyncio.create_task(self._copies.run()),
+        ]
+        for peer in settings.peers:
+            self._exchange.add_peer(f'{peer.host}:{peer.port}')
+        self._operators.start()
+        self._callers.start()
+
+    async def _stop(self) -> None:
+        # The load balancer needs the notice time to see that the entry is not
+        # ready; requests that still arrive in it are served.
+        self._health.stop()
+        self._exchange.is_stopping = True
+        await asyncio.sleep(self._settings.stop_notice_ms / 1000)
+        await self._callers.stop()
+        await self._registry.remove()
+        await self._operators.stop()
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with suppress(asyncio.CancelledError):
+                await task
+        await self._exchange.close()
+        await self._link_server.stop(_LINK_GRACE)
+        await self._copies.close()
         await self._link.close()
-        _log.info('stopped entry {}', settings.entry_id)
+        await self._table.close()
+
+    def _observe_local(
+        self, guard: GuardInfo, announcement: Announcement
+    ) -> None:
+        self._configuration.notice_revision(announcement.configuration_revision)
+        self._observe_target(guard)
+
+    def _observe_remote(self, guard: GuardInfo) -> None:
+        if guard.data_centre != self._settings.data_centre:
+            self._observe_target(guard)
+
+    def _observe_target(self, guard: GuardInfo) -> None:
+        if guard.minion is None:
+            return
+        self._routing.observe(
+            Target(
+                guard_id=guard.guard_id,
+                incarnation=guard.incarnation,
+                sequence=guard.sequence,
+                data_centre=guard.data_centre,
+                address=guard.address,
+                minion_id=guard.minion.minion_id,
+                slots=guard.minion.slots,
+                free_slots=guard.minion.free_slots,
+                is_ready=guard.is_ready,
+                heard_at=guard.heard_at,
+            )
+        )
+
+    def _acknowledge(self, announcement: Announcement) -> Acknowledgement:
+        return Acknowledgement(
+            entry_id=self._settings.entry_id,
+            guard_id=announcement.guard_id,
+            sequence=announcement.sequence,
+            configuration_revision=self._configuration.log.revision,
+            entries=tuple(
+                peer.announcements
+                for peer in self._remote.live(self._clock.now())
+                if peer.data_centre == self._settings.data_centre
+                and not peer.is_stopping
+            ),
+        )
+
+    def _workers(self) -> Mapping[str, tuple[GuardInfo, ...]]:
+        by_data_centre = {
+            peer.data_centre: tuple(peer.guards.values())
+            for peer in self._remote.live(self._clock.now())
+        }
+        own = self._membership.guards()
+        return {**by_data_centre, self._settings.data_centre: own}
+
+    def _own_versions(self) -> tuple[int, ...]:
+        versions = set(READABLE_SCHEMA_VERSIONS)
+        for guard in self._membership.guards():
+            versions &= set(guard.schema_versions)
+        return tuple(sorted(versions))
+
+    def _readable_versions(self) -> Mapping[str, tuple[int, ...]]:
+        return readable_versions(
+            self._settings.entry_id,
+            self._membership,
+            self._remote,
+            self._registry,
+            self._clock,
+        )
+
+    async def _describe(self) -> Mapping[str, Any]:
+        guards = self._membership.guards()
+        return {
+            'entry': self._settings.entry_id,
+            'data_centre': self._settings.data_centre,
+            'configuration_revision': self._configuration.log.revision,
+            'is_table_reachable': self._exchange.is_table_reachable,
+            'guards': [
+                {
+                    'guard': guard.guard_id,
+                    'is_ready': guard.is_ready,
+                    'minion': guard.minion and guard.minion.minion_id,
+                    'free_slots': guard.minion and guard.minion.free_slots,
+                    'worker': guard.worker and guard.worker.worker_id,
+                    'free_accelerators': guard.free_accelerators,
+                }
+                for guard in guards
+            ],
+            'entries': [
+                {
+                    'entry': peer.entry_id,
+                    'data_centre': peer.data_centre,
+                    'guards': len(peer.guards),
+                }
+                for peer in self._remote.live(self._clock.now())
+            ],
+        }
+
+    def _render_metrics(self) -> bytes:
+        metrics = self._metrics
+        live_entries = self._remote.live(self._clock.now())
+        metrics.set_gauge('live_guards', len(self._membership.guards()))
+        metrics.set_gauge('live_entries', len(live_entries))
+        metrics.set_gauge(
+            'configuration_revision', self._configuration.log.revision
+        )
+        metrics.set_gauge(
+            'table_reachable', int(self._exchange.is_table_reachable)
+        )
+        return metrics.render()
+
+
+def _identity(settings: EntrySettings) -> EntryIdentity:
+    return EntryIdentity(
+        entry_id=settings.entry_id,
+        incarnation=secrets.randbits(_INCARNATION_BITS),
+        data_centre=settings.data_centre,
+        link=settings.link.pair,
+        announcements=settings.announcements.pair,
+        schema_versions=READABLE_SCHEMA_VERSIONS,
+    )
--- /dev/null
+++ b/dragonflynotch/entry/operators.py
@@ -0,0 +1,304 @@
+"""HTTP interface for operators."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import httpx
+import msgspec
+from litestar import (
+    Controller,
+    Litestar,
+    Request,
+    Response,
+    delete,
+    get,
+    post,
+    put,
+)
+from litestar.datastructures import State
+from litestar.params import FromPath
+
+from dragonflynotch.core.configuration import RecordKey
+from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.membership import Membership
+from dragonflynotch.entry.configuration import (
+    ConfigurationService,
+    RecordAccepted,
+    RecordConflict,
+    RecordRefused,
+    WriteVerdict,
+)
+from dragonflynotch.entry.health import Health
+from dragonflynotch.records.documents import MAX_DOCUMENT_BYTES
+
+__all__ = ('OperatorServices', 'create_operator_app')
+
+_DRAIN_TIMEOUT = timedelta(seconds=2)
+_OK = 200
+_ACCEPTED = 202
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_CONFLICT = 409
+_REFUSED = 422
+_PRECONDITION_REQUIRED = 428
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_UNKNOWN = 504
+
+_JsonBody = Mapping[str, Any]
+_HttpRequest = Request[Any, Any, State]
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorServices:
+    """What the operator interface serves.
+
+    Parameters
+    ----------
+    configuration : ConfigurationService
+        Records.
+    membership : Membership
+        Guards of the data centre.
+    health : Health
+        Readiness.
+    describe : callable
+        Returns the status of the entry and its partition.
+    render_metrics : callable
+        Returns the metrics in the Prometheus text format.
+    """
+
+    configuration: ConfigurationService
+    membership: Membership
+    health: Health
+    describe: Callable[[], Awaitable[_JsonBody]]
+    render_metrics: Callable[[], bytes]
+
+
+class RecordsController(Controller):
+    """Records of the configuration."""
+
+    path = '/v1/records'
+
+    @get()
+    async def list_records(self, state: State) -> Response[bytes]:
+        """Return all records with their revisions."""
+        services: OperatorServices = state.services
+        snapshot = services.configuration.log.snapshot
+        return _json(
+            _OK,
+            {
+                'revision': snapshot.revision,
+                'records': [
+                    {
+                        'revision': record.revision,
+                        'document': msgspec.Raw(record.document),
+                    }
+                    for _, record in sorted(snapshot.records.items())
+                ],
+            },
+        )
+
+    @get('/{kind:str}/{name:str}')
+    async def get_record(
+        self, state: State, kind: FromPath[str], name: FromPath[str]
+    ) -> Response[bytes]:
+        """Return one record; the ETag header holds its revision."""
+        services: OperatorServices = state.services
+        records = services.configuration.log.snapshot.records
+        record = records.get(RecordKey(kind, name))
+        if record is None:
+            return _problem(_NOT_FOUND, 'no_record', f'no record {kind}/{name}')
+        return Response(
+            record.document,
+            media_type='application/json',
+            headers={'ETag': f'"{record.revision}"'},
+        )
+
+    @put('/{kind:str}/{name:str}', request_max_body_size=MAX_DOCUMENT_BYTES)
+    async def put_record(
+        self,
+        state: State,
+        request: _HttpRequest,
+        kind: FromPath[str],
+        name: FromPath[str],
+    ) -> Response[bytes]:
+        """Create or change a record under the revision in ``If-Match``."""
+        services: OperatorServices = state.services
+        try:
+            expected = _expected_revision(request)
+            verdict = await services.configuration.write(
+                RecordKey(kind, name), await request.body(), expected
+            )
+        except InvalidInputError as error:
+            return _problem(_BAD_REQUEST, 'invalid', str(error))
+        return _verdict_response(verdict)
+
+    @delete('/{kind:str}/{name:str}', status_code=_OK)
+    async def delete_record(
+        self,
+        state: State,
+        request: _HttpRequest,
+        kind: FromPath[str],
+        name: FromPath[str],
+    ) -> Response[bytes]:
+        """Delete a record under the revision in ``If-Match``."""
+        services: OperatorServices = state.services
+        try:
+            expected = _expected_revision(request)
+        except InvalidInputError as error:
+            return _problem(_BAD_REQUEST, 'invalid', str(error))
+        if not expected:
+            return _problem(
+                _PRECONDITION_REQUIRED, 'no_revision', 'If-Match is required'
+            )
+        return _verdict_response(
+            await services.configuration.delete(RecordKey(kind, name), expected)
+        )
+
+
+class GuardsController(Controller):
+    """Guards of the data centre."""
+
+    path = '/v1/guards'
+
+    @post('/{guard_id:str}/drain')
+    async def drain(
+        self, state: State, guard_id: FromPath[str]
+    ) -> Response[bytes]:
+        """Tell a guard to finish its requests and leave."""
+        services: OperatorServices = state.services
+        guard = services.membership.get(guard_id)
+        if guard is None:
+            return _problem(
+                _NOT_FOUND, 'no_guard', f'no live guard {guard_id!r} here'
+            )
+        host, port = guard.address
+        async with httpx.AsyncClient(
+            trust_env=False, timeout=_DRAIN_TIMEOUT.total_seconds()
+        ) as client:
+            try:
+                reply = await client.post(f'http://{host}:{port}/v1/drain')
+            except httpx.HTTPError as error:
+                return _problem(_BAD_GATEWAY, 'no_answer', repr(error))
+        return _json(
+            _ACCEPTED, {'guard': guard_id, 'status': reply.status_code}
+        )
+
+
+class HealthController(Controller):
+    """Liveness, readiness, metrics and status."""
+
+    path = '/'
+
+    @get('/live')
+    async def live(self) -> str:
+        """Return success while the process serves."""
+        return 'live'
+
+    @get('/ready')
+    async def ready(self, state: State) -> Response[bytes]:
+        """Return success while the entry takes new requests."""
+        services: OperatorServices = state.services
+        if services.health.is_ready:
+            return _json(_OK, {'ready': True})
+        return _json(
+            _UNAVAILABLE, {'ready': False, 'reason': services.health.reason}
+        )
+
+    @get('/metrics')
+    async def metrics(self, state: State) -> Response[bytes]:
+        """Return the metrics in the Prometheus text format."""
+        services: OperatorServices = state.services
+        return Response(
+            services.render_metrics(),
+            media_type='text/plain; version=0.0.4; charset=utf-8',
+        )
+
+    @get('/v1/status')
+    async def status(self, state: State) -> Response[bytes]:
+        """Return the status of the entry and its partition."""
+        services: OperatorServices = state.services
+        return _json(_OK, await services.describe())
+
+
+def create_operator_app(services: OperatorServices) -> Litestar:
+    """Return the ASGI application for operators."""
+    return Litestar(
+        [RecordsController, GuardsController, HealthController],
+        openapi_config=None,
+        logging_config=None,
+        state=State({'services': services}),
+    )
+
+
+def _expected_revision(request: _HttpRequest) -> int:
+    text = request.headers.get('if-match', '"0"').strip('"')
+    if not text.isdigit():
+        raise InvalidInputError('If-Match', text, 'a revision number')
+    return int(text)
+
+
+def _verdict_response(verdict: WriteVerdict) -> Response[bytes]:
+    if isinstance(verdict, RecordAccepted):
+        return _json(
+            _OK,
+            {'revision': verdict.revision, 'warnings': verdict.warnings},
+            {'ETag': f'"{verdict.revision}"'},
+        )
+    if isinstance(verdict, RecordConflict):
+        return _problem(
+            _CONFLICT,
+            'conflict',
+            f'the record is at revision {verdict.current_revision}',
+            current_revision=verdict.current_revision,
+        )
+    if isinstance(verdict, RecordRefused):
+        is_temporary = verdict.retry_after is not None
+        return _problem(
+            _UNAVAILABLE if is_temporary else _REFUSED,
+            verdict.reason,
+            verdict.detail,
+            outcome='not_run',
+            retry_after=verdict.retry_after,
+        )
+    return _problem(
+        _UNKNOWN,
+        'uncertain_write',
+        verdict.detail,
+        outcome='unknown',
+        retry_after=verdict.retry_after,
+    )
+
+
+def _json(
+    status: int, content: object, headers: dict[str, str] | None = None
+) -> Response[bytes]:
+    return Response(
+        msgspec.json.encode(content),
+        status_code=status,
+        media_type='application/json',
+        headers=headers,
+    )
+
+
+def _problem(
+    status: int,
+    reason: str,
+    detail: str,
+    *,
+    retry_after: timedelta | None = None,
+    **extra: object,
+) -> Response[bytes]:
+    headers = {}
+    content = {'reason': reason, 'detail': detail, **extra}
+    if retry_after is not None:
+        content['retry_after_ms'] = int(retry_after.total_seconds() * 1000)
+        headers['Retry-After'] = str(int(retry_after.total_seconds()))
+    return Response(
+        msgspec.json.encode(content),
+        status_code=status,
+        media_type='application/problem+json',
+        headers=headers,
+    )
--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -1,10 +1,12 @@
 """HTTP interface of the guard as a bare ASGI application."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
 
 from dragonflynotch.core.requests import content_digest
+from dragonflynotch.guard.configuration import ConfigurationCopy
 from dragonflynotch.guard.requests import (
     HandOver,
     Ran,
@@ -26,6 +28,7 @@
 
 _MAX_BODY_BYTES = 1024 * 1024
 _OK = 200
+_ACCEPTED = 202
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _TOO_LARGE = 413
@@ -36,9 +39,16 @@
 class GuardApp:
     """Serves entries."""
 
-    def __init__(self, runner: RequestRunner) -> None:
+    def __init__(
+        self,
+        runner: RequestRunner,
+        configuration: ConfigurationCopy,
+        start_drain: Callable[[], None],
+    ) -> None:
         """Serve requests with ``runner``."""
         self._runner = runner
+        self._configuration = configuration
+        self._start_drain = start_drain
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -57,6 +67,11 @@
     async def _answer(self, call: HttpCall) -> Reply:
         if call.path == '/v1/requests' and call.method == 'POST':
             return await self._run(call)
+        if call.path == '/v1/configuration':
+            return self._configure(call)
+        if call.path == '/v1/drain' and call.method == 'POST':
+            self._start_drain()
+            return Reply(_ACCEPTED)
         if call.path == '/live':
             return Reply(_OK)
         if call.path == '/ready':
@@ -64,6 +79,13 @@
             return Reply(_OK if is_ready else _UNAVAILABLE)
         return Reply(_NOT_FOUND)
 
+    def _configure(self, call: HttpCall) -> Reply:
+        copy = self._configuration
+        if call.method == 'PUT' and not copy.put(call.body):
+            return _problem(_BAD_REQUEST, 'refused', 'malformed update')
+        body = copy.get() if call.method == 'GET' else b''
+        return Reply(_OK, body, {'Configuration-Revision': str(copy.revision)})
+
     async def _run(self, call: HttpCall) -> Reply:
         headers = call.headers
         try:
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -3,14 +3,17 @@
 import asyncio
 import secrets
 from contextlib import suppress
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import uvicorn
 
+from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.guard.announcer import Announcer
 from dragonflynotch.guard.app import GuardApp
+from dragonflynotch.guard.configuration import ConfigurationCopy
 from dragonflynotch.guard.requests import RequestRunner
 from dragonflynotch.links.messages import (
+    Acknowledgement,
     Announcement,
     GuardState,
     MinionState,
@@ -41,13 +44,22 @@
             slots=minion.slots if minion else 0,
             incarnation=self._incarnation,
         )
+        self._configuration = ConfigurationCopy()
         self._announcer = Announcer(
-            tuple(entry.pair for entry in settings.entries), self._describe
+            tuple(entry.pair for entry in settings.entries),
+            self._describe,
+            self._on_acknowledgement,
+            SystemClock(),
         )
+        self._drain_requested = asyncio.Event()
         self._state = GuardState.ready
         self._server = uvicorn.Server(
             uvicorn.Config(
-                GuardApp(self._runner),
+                GuardApp(
+                    self._runner,
+                    self._configuration,
+                    self._drain_requested.set,
+                ),
                 host=settings.listen.host,
                 port=settings.listen.port,
                 http='h11',
@@ -63,7 +75,7 @@
         server = asyncio.create_task(self._server._serve())
         announcer = asyncio.create_task(self._announcer.run())
         _log.info('started guard {}', self._settings.guard_id)
-        await stop.wait()
+        await _first_set(stop, self._drain_requested)
         await self._drain()
         announcer.cancel()
         self._server.should_exit = True
@@ -92,12 +104,19 @@
             state=self._state,
             minion=self._minion_state(),
             worker=self._worker_state(),
-            configuration_revision=0,
+            configuration_revision=self._configuration.seen_revision,
             schema_versions=_READABLE_SCHEMA_VERSIONS,
             highest_fence=0,
             task_digest=0,
         )
 
+    def _on_acknowledgement(
+        self, acknowledgement: Acknowledgement, sent_at: datetime
+    ) -> None:
+        self._configuration.notice_revision(
+            acknowledgement.configuration_revision
+        )
+
     def _minion_state(self) -> MinionState | None:
         minion = self._settings.minion
         if minion is None:
@@ -122,3 +141,10 @@
             worker.cores,
             worker.memory_mb,
         )
+
+
+async def _first_set(*events: asyncio.Event) -> None:
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
--- /dev/null
+++ b/dragonflynotch/links/configuration_messages.py
@@ -0,0 +1,89 @@
+"""Configuration copies between entries and guards, as JSON."""
+
+from types import MappingProxyType
+
+import msgspec
+
+from dragonflynotch.core.configuration import (
+    Change,
+    Changes,
+    RecordKey,
+    Snapshot,
+    StoredRecord,
+)
+
+__all__ = ('decode_copy', 'encode_copy')
+
+
+class _RecordBody(msgspec.Struct, frozen=True, array_like=True):
+    kind: str
+    name: str
+    revision: int
+    document: str | None
+
+
+class _CopyBody(msgspec.Struct, frozen=True):
+    is_snapshot: bool
+    revision: int
+    records: list[_RecordBody]
+
+
+def encode_copy(update: Changes | Snapshot) -> bytes:
+    """Return the JSON form of changes or a snapshot."""
+    if isinstance(update, Snapshot):
+        records = [
+            _RecordBody(
+                key.kind, key.name, record.revision, record.document.decode()
+            )
+            for key, record in update.records.items()
+        ]
+        body = _CopyBody(
+            is_snapshot=True, revision=update.revision, records=records
+        )
+    else:
+        records = [
+            _RecordBody(
+                change.key.kind,
+                change.key.name,
+                change.revision,
+                None if change.document is None else change.document.decode(),
+            )
+            for change in update.changes
+        ]
+        body = _CopyBody(
+            is_snapshot=False, revision=update.after_revision, records=records
+        )
+    return msgspec.json.encode(body)
+
+
+def decode_copy(text: bytes) -> Changes | Snapshot:
+    """Return the changes or the snapshot in a JSON text.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the text has another form.
+    """
+    body = msgspec.json.decode(text, type=_CopyBody)
+    if not body.is_snapshot:
+        return Changes(body.revision, tuple(map(_change, body.records)))
+    return Snapshot(
+        body.revision,
+        MappingProxyType(
+            {
+                RecordKey(record.kind, record.name): StoredRecord(
+                    (record.document or '').encode(), record.revision
+                )
+                for record in body.records
+            }
+        ),
+    )
+
+
+def _change(record: _RecordBody) -> Change:
+    document = record.document
+    return Change(
+        record.revision,
+        RecordKey(record.kind, record.name),
+        None if document is None else document.encode(),
+    )
--- a/dragonflynotch/links/messages.py
+++ b/dragonflynotch/links/messages.py
@@ -75,6 +75,8 @@
     configuration_revision: int
     owned_fence: int = 0
     """Fence of the partition that the entry owns; 0 if it owns none."""
+    entries: tuple[tuple[str, int], ...] = ()
+    """Announcement addresses of the live entries of the data centre."""
 
 
 _encoder = msgspec.msgpack.Encoder()
