Test configuration under races, outages and restarts

Cause: the promise that an accepted configuration is in force everywhere and never reverts had no test.

--- /dev/null
+++ b/tests/entry/test_configuration.py
@@ -0,0 +1,81 @@
+"""A record is accepted only if every running member can read it."""
+
+import json
+from collections.abc import Mapping
+
+import pytest
+
+from dragonflynotch.core.configuration import RecordKey
+from dragonflynotch.entry.configuration import (
+    ConfigurationService,
+    GuaranteeAdmission,
+    RecordAccepted,
+    RecordRefused,
+)
+from dragonflynotch.entry.configuration_store import ConfigurationStore
+from dragonflynotch.testing.table import MemoryTable
+
+KEY = RecordKey('workspace', 'resort')
+
+
+class AdmitAll(GuaranteeAdmission):
+    """Accepts every set of guarantees."""
+
+    def refusal(self, guarantees: Mapping) -> str:
+        return ''
+
+
+def make_service(table, versions):
+    return ConfigurationService(
+        ConfigurationStore(table),
+        AdmitAll(),
+        lambda: versions,
+        lambda changes: None,
+    )
+
+
+def document(version, **spec):
+    return json.dumps(
+        {
+            'schema_version': version,
+            'kind': 'workspace',
+            'name': 'resort',
+            'spec': spec,
+        }
+    ).encode()
+
+
+async def test_version_that_a_member_cannot_read_is_refused_by_name():
+    """Guards against a record that an old member would misread."""
+    versions = {'entry a': (1, 2), 'guard old': (1,)}
+    service = make_service(MemoryTable(), versions)
+    verdict = await service.write(KEY, document(2), 0)
+    assert isinstance(verdict, RecordRefused)
+    assert 'guard old' in verdict.detail
+    assert 'entry a' not in verdict.detail
+    assert isinstance(await service.write(KEY, document(1), 0), RecordAccepted)
+
+
+async def test_other_entrys_change_does_not_disturb_a_write():
+    """Guards against a false conflict when another record was changed."""
+    table = MemoryTable()
+    services = [make_service(table, {}) for _ in range(2)]
+    for service in services:
+        await service.refresh()
+    await services[0].write(KEY, document(2), 0)
+    other = document(2).replace(b'resort', b'canteen')
+    verdict = await services[1].write(
+        RecordKey('workspace', 'canteen'), other, 0
+    )
+    assert verdict == RecordAccepted(2)
+
+
+@pytest.mark.parametrize('known', [0, 3])
+async def test_copy_is_confirmed_only_at_the_newest_known_revision(known):
+    """Guards against an entry that starts with an older copy."""
+    service = make_service(MemoryTable(), {})
+    await service.write(KEY, document(2), 0)
+    restarted = make_service(MemoryTable(), {})
+    restarted.notice_revision(known)
+    restarted.apply(service.log.snapshot)
+    assert restarted.confirm_copy() is (known <= 1)
--- /dev/null
+++ b/tests/entry/test_configuration_store.py
@@ -0,0 +1,88 @@
+"""A configuration change takes effect once, whatever answers are lost."""
+
+import pytest
+
+from dragonflynotch.core.configuration import Change, RecordKey
+from dragonflynotch.core.errors import (
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.entry.configuration_store import (
+    ConfigurationStore,
+    RecordMoved,
+)
+from dragonflynotch.testing.table import MemoryTable, TableFault
+
+KEY = RecordKey('workspace', 'resort')
+
+
+class LosingTable(MemoryTable):
+    """Loses the answers of the first commits, before or after the effect."""
+
+    def __init__(self, faults):
+        super().__init__()
+        self._faults = list(faults)
+
+    async def commit(self, writes, writer_token):
+        fault = self._faults.pop(0) if self._faults else ''
+        if fault == 'before':
+            raise UncertainWriteError('lost before the effect')
+        outcome = await super().commit(writes, writer_token)
+        if fault == 'after':
+            raise UncertainWriteError('lost after the effect')
+        return outcome
+
+
+@pytest.mark.parametrize(
+    'faults', [['after'], ['before'], ['before', 'after'], ['after', 'after']]
+)
+async def test_lost_answer_is_settled(faults):
+    """Guards against a change reported as lost or made twice."""
+    store = ConfigurationStore(LosingTable(faults))
+    assert await store.write(KEY, b'{}', 0) == Change(1, KEY, b'{}')
+    assert (await store.snapshot()).revision == 1
+
+
+async def test_lost_answer_is_settled_after_a_later_change():
+    """Guards against taking a later writer's token for a lost write."""
+    table = LosingTable(['after'])
+    first = ConfigurationStore(table, lambda: 'first')
+    original = table.commit
+
+    async def commit_then_other(writes, writer_token):
+        try:
+            return await original(writes, writer_token)
+        except UncertainWriteError:
+            table.commit = original
+            other = ConfigurationStore(table, lambda: 'other')
+            assert isinstance(await other.write(KEY, b'{"n":1}', 1), Change)
+            raise
+
+    table.commit = commit_then_other
+    assert await first.write(KEY, b'{}', 0) == Change(1, KEY, b'{}')
+    assert await first.revision() == 2
+
+
+async def test_operator_with_an_old_revision_gets_a_conflict():
+    """Guards against a lost update when operators race."""
+    store = ConfigurationStore(MemoryTable())
+    await store.write(KEY, b'{}', 0)
+    await store.write(KEY, b'{"n":1}', 1)
+    assert await store.write(KEY, b'{"n":2}', 1) == RecordMoved(2)
+
+
+async def test_answers_that_stay_lost_are_reported_as_uncertain():
+    """Guards against claiming an outcome that is not known."""
+    table = MemoryTable()
+    table.fault = TableFault.lose_answers
+    store = ConfigurationStore(LosingTable(['before'] * 9))
+    with pytest.raises(UncertainWriteError):
+        await store.write(KEY, b'{}', 0)
+
+
+async def test_outage_is_reported_as_not_written():
+    """Guards against an unclear answer while the table service is down."""
+    table = MemoryTable()
+    table.fault = TableFault.down
+    with pytest.raises(PlatformUnavailableError):
+        await ConfigurationStore(table).write(KEY, b'{}', 0)
