--- a/dragonflynotch/testing/deployment.py
+++ b/dragonflynotch/testing/deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment on loopback: settings for entries, guards, stand-ins."""
 
 import socket
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from dragonflynotch.records.settings import (
@@ -106,22 +107,28 @@
                 )
             )
     guards = [
-        _guard_settings(
-            site,
-            number,
-            [Address(_HOST, next(ports)) for _ in range(3)],
-            tuple(
-                entry.announcements
-                for entry in entries
-                if entry.data_centre == site.name
-            ),
-        )
+        guard
         for site in sites
-        for number in range(1, site.guards + 1)
+        for guard in _site_guards(site, ports, tuple(entries))
     ]
     return DeploymentPlan(table, object_store, tuple(entries), tuple(guards))
 
 
+def _site_guards(
+    site: SitePlan, ports: Iterator[int], entries: tuple[EntrySettings, ...]
+) -> list[GuardSettings]:
+    announcements = tuple(
+        entry.announcements
+        for entry in entries
+        if entry.data_centre == site.name
+    )
+    guards = []
+    for number in range(1, site.guards + 1):
+        addresses = [Address(_HOST, next(ports)) for _ in range(3)]
+        guards.append(_guard_settings(site, number, addresses, announcements))
+    return guards
+
+
 def _guard_settings(
     site: SitePlan,
     number: int,
