Add the worker stand-in with simulated tasks

Tasks run under the worker's own lease clock, write checkpoints to the object store, report lagged usage, and the stand-in counts computing attempts.

--- a/dragonflynotch/platform/worker.py
+++ b/dragonflynotch/platform/worker.py
@@ -12,6 +12,7 @@
 
 __all__ = (
     'CheckpointTask',
+    'ForgetTask',
     'HttpWorkerRuntime',
     'LaunchTask',
     'StartTask',
@@ -74,7 +75,18 @@
     checkpoint_limit_ms: int = 0
 
 
-TaskCommand = LaunchTask | StartTask | CheckpointTask | ThrottleTask | StopTask
+class ForgetTask(_TaskCommand, frozen=True, tag='forget'):
+    """Stop a task if it still runs and drop its outcome."""
+
+
+TaskCommand = (
+    LaunchTask
+    | StartTask
+    | CheckpointTask
+    | ThrottleTask
+    | StopTask
+    | ForgetTask
+)
 
 
 class WorkerCall(msgspec.Struct, frozen=True):
@@ -104,9 +116,10 @@
 
 
 class WorkerView(msgspec.Struct, frozen=True):
-    """All tasks of a worker with the worker's clock and highest fence."""
+    """All tasks of a worker with its clock, lease and highest fence."""
 
     clock_ms: int
+    lease_until_ms: int
     highest_fence: int
     tasks: tuple[TaskStatus, ...] = ()
 
--- /dev/null
+++ b/dragonflynotch/testing/worker.py
@@ -0,0 +1,182 @@
+"""Stand-in of a worker that runs simulated tasks under a lease."""
+
+import asyncio
+import time
+from collections import Counter
+from contextlib import suppress
+
+import msgspec
+
+from dragonflynotch.links.asgi import (
+    HttpCall,
+    Receive,
+    Reply,
+    Scope,
+    Send,
+    read_call,
+    send_reply,
+)
+from dragonflynotch.platform.object_store import ObjectStore
+from dragonflynotch.platform.worker import (
+    CheckpointTask,
+    ForgetTask,
+    LaunchTask,
+    StartTask,
+    StopTask,
+    TaskCommand,
+    ThrottleTask,
+    WorkerCall,
+    WorkerView,
+)
+from dragonflynotch.testing.worker_task import SimulatedTask
+
+__all__ = ('WorkerApp', 'WorkerFaults')
+
+_MAX_BODY_BYTES = 1024 * 1024
+_SILENCE_S = 3600
+_OK = 200
+_CONFLICT = 409
+_NOT_FOUND = 404
+
+
+class WorkerFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """What the stand-in does wrong.
+
+    ``is_silent`` never answers and carries nothing out; tasks go on until
+    their lease lapses. ``loses_answers`` carries calls out without an answer.
+    """
+
+    delay_s: float = 0
+    fails_everything: bool = False
+    is_silent: bool = False
+    loses_answers: bool = False
+
+
+class WorkerApp:
+    """ASGI application of a worker.
+
+    ``POST /v1/tasks`` takes a ``WorkerCall`` and answers with a
+    ``WorkerView``. ``GET /counts`` returns how often each ``job/attempt``
+    computed. ``POST /fault`` sets faults.
+
+    Parameters
+    ----------
+    worker_id : str
+        Name used in checkpoint keys.
+    store : ObjectStore
+        Receives the checkpoints.
+    usage_lag_s : float
+        Age of the reported usage.
+    """
+
+    def __init__(
+        self, worker_id: str, store: ObjectStore, usage_lag_s: float = 0.2
+    ) -> None:
+        """Create a worker without tasks and faults."""
+        self.faults = WorkerFaults()
+        self.computed: Counter[str] = Counter()
+        self._worker_id = worker_id
+        self._store = store
+        self._usage_lag_s = usage_lag_s
+        self._lease_until_ms = 0
+        self._highest_fence = 0
+        self._tasks: dict[tuple[str, int], SimulatedTask] = {}
+        self._refused: set[tuple[str, int]] = set()
+        self._running: set[asyncio.Task[None]] = set()
+
+    @property
+    def view(self) -> WorkerView:
+        """All tasks with the clock of the worker."""
+        return WorkerView(
+            _clock_ms(),
+            self._lease_until_ms,
+            self._highest_fence,
+            tuple(task.status for task in self._tasks.values()),
+        )
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one HTTP request."""
+        if scope['type'] != 'http':
+            return
+        with suppress(ConnectionResetError):
+            call = await read_call(scope, receive, _MAX_BODY_BYTES)
+            await send_reply(send, await self._answer(call))
+
+    async def _answer(self, call: HttpCall) -> Reply:
+        match call.path:
+            case '/v1/tasks':
+                return await self._apply(call)
+            case '/counts':
+                return Reply(_OK, msgspec.json.encode(dict(self.computed)))
+            case '/fault':
+                self.faults = msgspec.json.decode(call.body, type=WorkerFaults)
+                return Reply(_OK, b'{}')
+            case _:
+                return Reply(_NOT_FOUND)
+
+    async def _apply(self, call: HttpCall) -> Reply:
+        if self.faults.is_silent:
+            await asyncio.sleep(_SILENCE_S)
+        await asyncio.sleep(self.faults.delay_s)
+        decoded = msgspec.json.decode(call.body, type=WorkerCall)
+        if 0 < decoded.fence < self._highest_fence:
+            return Reply(_CONFLICT)
+        self._highest_fence = max(self._highest_fence, decoded.fence)
+        self._lease_until_ms = max(self._lease_until_ms, decoded.lease_until_ms)
+        for command in decoded.commands:
+            self._carry_out(command)
+        if self.faults.loses_answers:
+            await asyncio.sleep(_SILENCE_S)
+        return Reply(_OK, msgspec.json.encode(self.view))
+
+    def _carry_out(self, command: TaskCommand) -> None:
+        key = (command.job_id, command.attempt)
+        if isinstance(command, LaunchTask):
+            self._launch(key, command)
+            return
+        task = self._tasks.get(key)
+        if isinstance(command, StopTask | ForgetTask):
+            # A launch that arrives after its stop must not take effect.
+            self._refused.add(key)
+        if task is None:
+            return
+        match command:
+            case StartTask():
+                self._start(key, task)
+            case CheckpointTask():
+                task.request_checkpoint()
+            case ThrottleTask():
+                task.throttle()
+            case StopTask():
+                task.stop(command.checkpoint_limit_ms / 1000)
+            case ForgetTask():
+                task.stop(0)
+                self._tasks.pop(key)
+
+    def _launch(self, key: tuple[str, int], command: LaunchTask) -> None:
+        if key in self._tasks or key in self._refused:
+            return
+        task = SimulatedTask(
+            command,
+            self._worker_id,
+            self._store,
+            lambda: self._lease_until_ms / 1000,
+            self._usage_lag_s,
+        )
+        self._tasks[key] = task
+        running = asyncio.create_task(task.run())
+        self._running.add(running)
+        running.add_done_callback(self._running.discard)
+
+    def _start(self, key: tuple[str, int], task: SimulatedTask) -> None:
+        if not task.start():
+            return
+        self.computed['{}/{}'.format(*key)] += 1
+        if self.faults.fails_everything:
+            task.fail('worker fails everything')
+
+
+def _clock_ms() -> int:
+    return int(time.monotonic() * 1000)
