Run gang members in the guard under orders, fences and leases

Orders only change the member table; one loop brings the worker in line and takes its outcomes over.

--- a/dragonflynotch/guard/announcer.py
+++ b/dragonflynotch/guard/announcer.py
@@ -1,13 +1,16 @@
 """Announces the guard to the entries of its data centre."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import msgspec
 
+from dragonflynotch.core.clock import Clock
 from dragonflynotch.links.datagrams import DatagramEndpoint
 from dragonflynotch.links.messages import (
+    Acknowledgement,
     Announcement,
     decode_acknowledgement,
     encode_message,
@@ -19,6 +22,8 @@
 # Three announcements fit in the membership time to live of 2.2 s, so two
 # lost datagrams in a row do not remove a guard.
 ANNOUNCEMENT_INTERVAL = timedelta(seconds=0.7)
+# Older ones give no lease that is worth having.
+_REMEMBERED_ANNOUNCEMENTS = 64
 
 _log = part_logger('guard.announcer')
 
@@ -32,18 +37,29 @@
         Announcement addresses of the entries.
     describe : callable
         Returns the announcement for a sequence number.
+    clock : Clock
+        Stamps the send time of each announcement.
+    on_acknowledged : callable
+        Takes an acknowledgement and the send time of its announcement.
     """
 
     def __init__(
         self,
         entries: tuple[tuple[str, int], ...],
         describe: Callable[[int], Announcement],
+        clock: Clock,
+        on_acknowledged: Callable[[Acknowledgement, datetime], None],
     ) -> None:
         """Create the announcer; ``run`` starts it."""
         self._entries = entries
         self._describe = describe
         self._endpoint = DatagramEndpoint()
         self._sequence = 0
+        self._clock = clock
+        self._on_acknowledged = on_acknowledged
+        self._sent_at: deque[tuple[int, datetime]] = deque(
+            maxlen=_REMEMBERED_ANNOUNCEMENTS
+        )
 
     async def run(self) -> None:
         """Announce until cancelled."""
@@ -60,6 +76,7 @@
     def announce(self) -> None:
         """Send one announcement now, for example on a change of state."""
         self._sequence += 1
+        self._sent_at.append((self._sequence, self._clock.now()))
         payload = encode_message(self._describe(self._sequence))
         for entry in self._entries:
             self._endpoint.send(payload, entry)
@@ -68,6 +85,10 @@
         while True:
             datagram = await self._endpoint.receive()
             try:
-                decode_acknowledgement(datagram.payload)
+                acknowledgement = decode_acknowledgement(datagram.payload)
             except msgspec.DecodeError:
                 _log.warning('dropped a malformed acknowledgement')
+                continue
+            sent_at = dict(self._sent_at).get(acknowledgement.sequence)
+            if sent_at is not None:
+                self._on_acknowledged(acknowledgement, sent_at)
--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from dragonflynotch.core.requests import content_digest
+from dragonflynotch.guard.order_api import TaskApi
 from dragonflynotch.guard.requests import (
     HandOver,
     Ran,
@@ -36,9 +37,12 @@
 class GuardApp:
     """Serves entries."""
 
-    def __init__(self, runner: RequestRunner) -> None:
-        """Serve requests with ``runner``."""
+    def __init__(
+        self, runner: RequestRunner, tasks: TaskApi | None = None
+    ) -> None:
+        """Serve requests with ``runner`` and orders with ``tasks``."""
         self._runner = runner
+        self._tasks = tasks
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -57,6 +61,8 @@
     async def _answer(self, call: HttpCall) -> Reply:
         if call.path == '/v1/requests' and call.method == 'POST':
             return await self._run(call)
+        if self._tasks is not None and self._tasks.serves(call):
+            return self._tasks.answer(call)
         if call.path == '/live':
             return Reply(_OK)
         if call.path == '/ready':
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -3,14 +3,21 @@
 import asyncio
 import secrets
 from contextlib import suppress
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import uvicorn
 
+from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.guard.announcer import Announcer
 from dragonflynotch.guard.app import GuardApp
 from dragonflynotch.guard.requests import RequestRunner
+from dragonflynotch.guard.task_setup import (
+    create_task_keeper,
+    run_task_keeper,
+    task_api,
+)
 from dragonflynotch.links.messages import (
+    Acknowledgement,
     Announcement,
     GuardState,
     MinionState,
@@ -41,13 +48,20 @@
             slots=minion.slots if minion else 0,
             incarnation=self._incarnation,
         )
+        self._clock = SystemClock()
+        self._keeper = create_task_keeper(
+            settings, self._incarnation, self._clock
+        )
         self._announcer = Announcer(
-            tuple(entry.pair for entry in settings.entries), self._describe
+            tuple(entry.pair for entry in settings.entries),
+            self._describe,
+            self._clock,
+            self._acknowledge,
         )
         self._state = GuardState.ready
         self._server = uvicorn.Server(
             uvicorn.Config(
-                GuardApp(self._runner),
+                GuardApp(self._runner, task_api(self._keeper)),
                 host=settings.listen.host,
                 port=settings.listen.port,
                 http='h11',
@@ -62,13 +76,15 @@
         """Serve until ``stop`` is set, then drain and return."""
         server = asyncio.create_task(self._server._serve())
         announcer = asyncio.create_task(self._announcer.run())
+        keeper = asyncio.create_task(run_task_keeper(self._keeper))
         _log.info('started guard {}', self._settings.guard_id)
         await stop.wait()
         await self._drain()
         announcer.cancel()
+        keeper.cancel()
         self._server.should_exit = True
         with suppress(asyncio.CancelledError):
-            await asyncio.gather(server, announcer)
+            await asyncio.gather(server, announcer, keeper)
         _log.info('stopped guard {}', self._settings.guard_id)
 
     async def _drain(self) -> None:
@@ -77,6 +93,8 @@
         limit = timedelta(milliseconds=self._settings.drain_limit_ms)
         if not await self._runner.drain(limit):
             _log.warning('requests still in flight at the drain limit')
+        if self._keeper is not None and not await self._keeper.drain(limit):
+            _log.warning('tasks still running at the drain limit')
         self._state = GuardState.leaving
         self._announcer.announce()
 
@@ -94,8 +112,8 @@
             worker=self._worker_state(),
             configuration_revision=0,
             schema_versions=_READABLE_SCHEMA_VERSIONS,
-            highest_fence=0,
-            task_digest=0,
+            highest_fence=self._keeper.highest_fence if self._keeper else 0,
+            task_digest=self._keeper.task_digest if self._keeper else 0,
         )
 
     def _minion_state(self) -> MinionState | None:
@@ -109,16 +127,23 @@
             minion.connections,
         )
 
+    def _acknowledge(
+        self, acknowledgement: Acknowledgement, sent_at: datetime
+    ) -> None:
+        if self._keeper is not None:
+            self._keeper.acknowledge(sent_at, acknowledgement.owned_fence)
+
     def _worker_state(self) -> WorkerState | None:
         worker = self._settings.worker
-        if worker is None:
+        keeper = self._keeper
+        if worker is None or keeper is None or not keeper.is_worker_present:
             return None
         return WorkerState(
             worker.worker_id,
             worker.rack,
             worker.rack_position,
             worker.accelerators,
-            worker.accelerators,
+            keeper.free_accelerators,
             worker.cores,
             worker.memory_mb,
         )
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -12,6 +12,8 @@
     'EntrySettings',
     'GuardSettings',
     'MinionSettings',
+    'OwnershipSettings',
+    'TaskSettings',
     'WorkerSettings',
     'load_settings',
 )
@@ -37,6 +39,34 @@
         return f'http://{self.host}:{self.port}'
 
 
+class OwnershipSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Durations of the ownership of a partition (docs/design.md, 8.5)."""
+
+    lease_ms: int = 6000
+    renewal_ms: int = 2000
+    confirmation_ms: int = 5000
+    grant_ms: int = 10_000
+    received_grant_ms: int = 9000
+    task_lease_ms: int = 20_000
+    worker_ttl_ms: int = 2200
+    order_timeout_ms: int = 2000
+
+
+class TaskSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Durations of the task protocol in a guard (docs/design.md, 8.4)."""
+
+    task_lease_ms: int = 20_000
+    start_confirmation_ms: int = 10_000
+    worker_poll_ms: int = 100
+    worker_idle_poll_ms: int = 500
+    worker_silence_ms: int = 2000
+    worker_timeout_ms: int = 1000
+
+
 class EntrySettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
@@ -54,6 +84,7 @@
     peers: tuple[Address, ...] = ()
     stop_notice_ms: int = 1000
     drain_limit_ms: int = 30_000
+    ownership: OwnershipSettings = OwnershipSettings()
 
 
 class MinionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -90,6 +121,7 @@
     minion: MinionSettings | None = None
     worker: WorkerSettings | None = None
     drain_limit_ms: int = 30_000
+    tasks: TaskSettings = TaskSettings()
 
 
 def load_settings(path: Path, model: type[SettingsT]) -> SettingsT:
--- a/dragonflynotch/testing/worker.py
+++ b/dragonflynotch/testing/worker.py
@@ -116,20 +116,27 @@
             case _:
                 return Reply(_NOT_FOUND)
 
-    async def _apply(self, call: HttpCall) -> Reply:
+    async def apply(self, call: WorkerCall) -> WorkerView | None:
+        """Carry out a call; ``None`` refuses its fence."""
         if self.faults.is_silent:
             await asyncio.sleep(_SILENCE_S)
         await asyncio.sleep(self.faults.delay_s)
-        decoded = msgspec.json.decode(call.body, type=WorkerCall)
-        if 0 < decoded.fence < self._highest_fence:
-            return Reply(_CONFLICT)
-        self._highest_fence = max(self._highest_fence, decoded.fence)
-        self._lease_until_ms = max(self._lease_until_ms, decoded.lease_until_ms)
-        for command in decoded.commands:
+        if 0 < call.fence < self._highest_fence:
+            return None
+        self._highest_fence = max(self._highest_fence, call.fence)
+        self._lease_until_ms = max(self._lease_until_ms, call.lease_until_ms)
+        for command in call.commands:
             self._carry_out(command)
         if self.faults.loses_answers:
             await asyncio.sleep(_SILENCE_S)
-        return Reply(_OK, msgspec.json.encode(self.view))
+        return self.view
+
+    async def _apply(self, call: HttpCall) -> Reply:
+        decoded = msgspec.json.decode(call.body, type=WorkerCall)
+        view = await self.apply(decoded)
+        if view is None:
+            return Reply(_CONFLICT)
+        return Reply(_OK, msgspec.json.encode(view))
 
     def _carry_out(self, command: TaskCommand) -> None:
         key = (command.job_id, command.attempt)
