--- a/dragonflynotch/guard/announcer.py
+++ b/dragonflynotch/guard/announcer.py
@@ -1,7 +1,7 @@
 """Announces the guard to the entries of its data centre."""
 
 import asyncio
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
@@ -22,8 +22,9 @@
 # Three announcements fit in the membership time to live of 2.2 s, so two
 # lost datagrams in a row do not remove a guard.
 ANNOUNCEMENT_INTERVAL = timedelta(seconds=0.7)
-# Older ones give no lease that is worth having.
-_REMEMBERED_ANNOUNCEMENTS = 64
+
+# Acknowledgements of older announcements are ignored.
+_REMEMBERED_ANNOUNCEMENTS = 16
 
 _log = part_logger('guard.announcer')
 
@@ -37,29 +38,28 @@
         Announcement addresses of the entries.
     describe : callable
         Returns the announcement for a sequence number.
+    on_acknowledgement : callable
+        Receives each acknowledgement with the time at which the acknowledged
+        announcement was sent.
     clock : Clock
-        Stamps the send time of each announcement.
-    on_acknowledged : callable
-        Takes an acknowledgement and the send time of its announcement.
+        Source of time.
     """
 
     def __init__(
         self,
         entries: tuple[tuple[str, int], ...],
         describe: Callable[[int], Announcement],
+        on_acknowledgement: Callable[[Acknowledgement, datetime], None],
         clock: Clock,
-        on_acknowledged: Callable[[Acknowledgement, datetime], None],
     ) -> None:
         """Create the announcer; ``run`` starts it."""
-        self._entries = entries
+        self._entries = set(entries)
         self._describe = describe
+        self._on_acknowledgement = on_acknowledgement
+        self._clock = clock
+        self._sent_at: OrderedDict[int, datetime] = OrderedDict()
         self._endpoint = DatagramEndpoint()
         self._sequence = 0
-        self._clock = clock
-        self._on_acknowledged = on_acknowledged
-        self._sent_at: deque[tuple[int, datetime]] = deque(
-            maxlen=_REMEMBERED_ANNOUNCEMENTS
-        )
 
     async def run(self) -> None:
         """Announce until cancelled."""
@@ -76,7 +76,9 @@
     def announce(self) -> None:
         """Send one announcement now, for example on a change of state."""
         self._sequence += 1
-        self._sent_at.append((self._sequence, self._clock.now()))
+        self._sent_at[self._sequence] = self._clock.now()
+        if len(self._sent_at) > _REMEMBERED_ANNOUNCEMENTS:
+            self._sent_at.popitem(last=False)
         payload = encode_message(self._describe(self._sequence))
         for entry in self._entries:
             self._endpoint.send(payload, entry)
@@ -89,6 +91,13 @@
             except msgspec.DecodeError:
                 _log.warning('dropped a malformed acknowledgement')
                 continue
-            sent_at = dict(self._sent_at).get(acknowledgement.sequence)
-            if sent_at is not None:
-                self._on_acknowledged(acknowledgement, sent_at)
+            self._accept(acknowledgement)
+
+    def _accept(self, acknowledgement: Acknowledgement) -> None:
+        # Entries that replaced those of the settings file are learned here.
+        self._entries.update(
+            (host, port) for host, port in acknowledgement.entries
+        )
+        sent_at = self._sent_at.get(acknowledgement.sequence)
+        if sent_at is not None:
+            self._on_acknowledgement(acknowledgement, sent_at)
--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -1,10 +1,12 @@
 """HTTP interface of the guard as a bare ASGI application."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
 
 from dragonflynotch.core.requests import content_digest
+from dragonflynotch.guard.configuration import ConfigurationCopy
 from dragonflynotch.guard.order_api import TaskApi
 from dragonflynotch.guard.requests import (
     HandOver,
@@ -27,6 +29,7 @@
 
 _MAX_BODY_BYTES = 1024 * 1024
 _OK = 200
+_ACCEPTED = 202
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _TOO_LARGE = 413
@@ -38,10 +41,16 @@
     """Serves entries."""
 
     def __init__(
-        self, runner: RequestRunner, tasks: TaskApi | None = None
+        self,
+        runner: RequestRunner,
+        configuration: ConfigurationCopy,
+        start_drain: Callable[[], None],
+        tasks: TaskApi | None = None,
     ) -> None:
         """Serve requests with ``runner`` and orders with ``tasks``."""
         self._runner = runner
+        self._configuration = configuration
+        self._start_drain = start_drain
         self._tasks = tasks
 
     async def __call__(
@@ -61,6 +70,11 @@
     async def _answer(self, call: HttpCall) -> Reply:
         if call.path == '/v1/requests' and call.method == 'POST':
             return await self._run(call)
+        if call.path == '/v1/configuration':
+            return self._configure(call)
+        if call.path == '/v1/drain' and call.method == 'POST':
+            self._start_drain()
+            return Reply(_ACCEPTED)
         if self._tasks is not None and self._tasks.serves(call):
             return self._tasks.answer(call)
         if call.path == '/live':
@@ -70,6 +84,13 @@
             return Reply(_OK if is_ready else _UNAVAILABLE)
         return Reply(_NOT_FOUND)
 
+    def _configure(self, call: HttpCall) -> Reply:
+        copy = self._configuration
+        if call.method == 'PUT' and not copy.put(call.body):
+            return _problem(_BAD_REQUEST, 'refused', 'malformed update')
+        body = copy.get() if call.method == 'GET' else b''
+        return Reply(_OK, body, {'Configuration-Revision': str(copy.revision)})
+
     async def _run(self, call: HttpCall) -> Reply:
         headers = call.headers
         try:
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -10,6 +10,7 @@
 from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.guard.announcer import Announcer
 from dragonflynotch.guard.app import GuardApp
+from dragonflynotch.guard.configuration import ConfigurationCopy
 from dragonflynotch.guard.requests import RequestRunner
 from dragonflynotch.guard.task_setup import (
     create_task_keeper,
@@ -52,16 +53,23 @@
         self._keeper = create_task_keeper(
             settings, self._incarnation, self._clock
         )
+        self._configuration = ConfigurationCopy()
         self._announcer = Announcer(
             tuple(entry.pair for entry in settings.entries),
             self._describe,
+            self._on_acknowledgement,
             self._clock,
-            self._acknowledge,
         )
+        self._drain_requested = asyncio.Event()
         self._state = GuardState.ready
         self._server = uvicorn.Server(
             uvicorn.Config(
-                GuardApp(self._runner, task_api(self._keeper)),
+                GuardApp(
+                    self._runner,
+                    self._configuration,
+                    self._drain_requested.set,
+                    task_api(self._keeper),
+                ),
                 host=settings.listen.host,
                 port=settings.listen.port,
                 http='h11',
@@ -78,7 +86,7 @@
         announcer = asyncio.create_task(self._announcer.run())
         keeper = asyncio.create_task(run_task_keeper(self._keeper))
         _log.info('started guard {}', self._settings.guard_id)
-        await stop.wait()
+        await _first_set(stop, self._drain_requested)
         await self._drain()
         announcer.cancel()
         keeper.cancel()
@@ -110,12 +118,21 @@
             state=self._state,
             minion=self._minion_state(),
             worker=self._worker_state(),
-            configuration_revision=0,
+            configuration_revision=self._configuration.seen_revision,
             schema_versions=_READABLE_SCHEMA_VERSIONS,
             highest_fence=self._keeper.highest_fence if self._keeper else 0,
             task_digest=self._keeper.task_digest if self._keeper else 0,
         )
 
+    def _on_acknowledgement(
+        self, acknowledgement: Acknowledgement, sent_at: datetime
+    ) -> None:
+        self._configuration.notice_revision(
+            acknowledgement.configuration_revision
+        )
+        if self._keeper is not None:
+            self._keeper.acknowledge(sent_at, acknowledgement.owned_fence)
+
     def _minion_state(self) -> MinionState | None:
         minion = self._settings.minion
         if minion is None:
@@ -127,12 +144,6 @@
             minion.connections,
         )
 
-    def _acknowledge(
-        self, acknowledgement: Acknowledgement, sent_at: datetime
-    ) -> None:
-        if self._keeper is not None:
-            self._keeper.acknowledge(sent_at, acknowledgement.owned_fence)
-
     def _worker_state(self) -> WorkerState | None:
         worker = self._settings.worker
         keeper = self._keeper
@@ -147,3 +158,10 @@
             worker.cores,
             worker.memory_mb,
         )
+
+
+async def _first_set(*events: asyncio.Event) -> None:
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
