--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -7,6 +7,7 @@
 
 from dragonflynotch.core.requests import content_digest
 from dragonflynotch.guard.configuration import ConfigurationCopy
+from dragonflynotch.guard.order_api import TaskApi
 from dragonflynotch.guard.requests import (
     HandOver,
     Ran,
@@ -44,11 +45,13 @@
         runner: RequestRunner,
         configuration: ConfigurationCopy,
         start_drain: Callable[[], None],
+        tasks: TaskApi | None = None,
     ) -> None:
-        """Serve requests with ``runner``."""
+        """Serve requests with ``runner`` and orders with ``tasks``."""
         self._runner = runner
         self._configuration = configuration
         self._start_drain = start_drain
+        self._tasks = tasks
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -72,6 +75,8 @@
         if call.path == '/v1/drain' and call.method == 'POST':
             self._start_drain()
             return Reply(_ACCEPTED)
+        if self._tasks is not None and self._tasks.serves(call):
+            return self._tasks.answer(call)
         if call.path == '/live':
             return Reply(_OK)
         if call.path == '/ready':
