--- a/dragonflynotch/testing/deployment.py
+++ b/dragonflynotch/testing/deployment.py
@@ -57,7 +57,7 @@
     try:
         for probe in probes:
             probe.bind((_HOST, 0))
-        return [probe.getsockname()[1] for probe in probes]
+        return [bound.getsockname()[1] for bound in probes]
     finally:
         for probe in probes:
             probe.close()
@@ -108,8 +108,8 @@
             )
     guards = [
         guard
-        for site in sites
-        for guard in _site_guards(site, ports, tuple(entries))
+        for data_centre in sites
+        for guard in _site_guards(data_centre, ports, tuple(entries))
     ]
     return DeploymentPlan(table, object_store, tuple(entries), tuple(guards))
 
