Count every running job against the guarantee of its workspace

A job that runs outside of the guarantee although it would fit counted or not depending on the order of submission, so the remainder named a job covered that the guarantee no longer had room for. Now each running job that fits the idle guarantee uses it up.

--- a/benchmarks/policy/coverage.py
+++ b/benchmarks/policy/coverage.py
@@ -29,10 +29,15 @@
     def is_urgent(self) -> bool:
         return self._guarantee.is_urgent
 
-    def covers(self, shape: Shape) -> bool:
+    def could_hold(self, shape: Shape) -> bool:
         width = _WIDTHS.index(self._guarantee.shape.proximity)
         is_narrow = width <= _WIDTHS.index(shape.proximity)
-        return is_narrow and shape.accelerators <= self._accelerators
+        guaranteed = self._guarantee.shape.accelerators
+        return is_narrow and shape.accelerators <= guaranteed
+
+    def covers(self, shape: Shape) -> bool:
+        is_left = shape.accelerators <= self._accelerators
+        return is_left and self.could_hold(shape)
 
     def use(self, shape: Shape) -> None:
         self._accelerators -= shape.accelerators
@@ -111,9 +116,9 @@
         ]
         for progress in holding:
             shape = progress.job.spec.shape
-            covering = [part for part in remainders if part.covers(shape)]
-            if covering:
-                covering[0].use(shape)
+            for part in remainders:
+                if part.could_hold(shape):
+                    part.use(shape)
         return remainders
 
     def _close(self, progress: JobProgress, now: datetime) -> None:
