Let every running job use up the guarantee in the coverage watch

Only sound jobs were watched, so a guarantee held by jobs that are cancelled or fail later counted as idle and its owner's next job as covered.

--- a/benchmarks/policy/coverage.py
+++ b/benchmarks/policy/coverage.py
@@ -58,9 +58,9 @@
 
     def add(self, progress: JobProgress) -> None:
         """Watch an accepted job until it ends."""
-        job = progress.job
-        if job.spec.workspace in self._workspaces and job.is_sound:
-            self._open[job.spec.workspace][job.job_id] = progress
+        workspace = progress.job.spec.workspace
+        if workspace in self._workspaces:
+            self._open[workspace][progress.job.job_id] = progress
 
     def update(self, now: datetime, *, is_healthy: bool) -> None:
         """Compare every open job with the guarantees of its workspace.
@@ -128,7 +128,9 @@
 
     def _judge(self, progress: JobProgress, now: datetime) -> None:
         covered_since = progress.covered_since
-        if covered_since is not None and now - covered_since > progress.bound:
+        if covered_since is None or not progress.job.is_sound:
+            return
+        if now - covered_since > progress.bound:
             progress.violates_guarantee = True
 
 
