Count every running job of a workspace against its guarantee

A job on one worker may use a part of a rack's guarantee, but only jobs with the same or a wider proximity were counted, so the next large job of the workspace was called covered while no room was left.

--- a/benchmarks/policy/__init__.py
+++ b/benchmarks/policy/__init__.py
@@ -28,8 +28,8 @@
 Guarantee violation
     A waiting job is covered while its shape fits into what the running jobs of
     its workspace leave of one guarantee with the same or a narrower proximity;
-    every running job that fits the idle guarantee counts against it, also one
-    that runs elsewhere.
+    every running job of the workspace counts against it, also one that runs
+    elsewhere.
     It is a violation when a job is covered without interruption for longer
     than the bound of the design page before it computes: 1 s for urgent jobs
     under an urgent guarantee, else checkpoint bound, stop bound and task
--- a/benchmarks/policy/coverage.py
+++ b/benchmarks/policy/coverage.py
@@ -29,15 +29,10 @@
     def is_urgent(self) -> bool:
         return self._guarantee.is_urgent
 
-    def could_hold(self, shape: Shape) -> bool:
+    def covers(self, shape: Shape) -> bool:
         width = _WIDTHS.index(self._guarantee.shape.proximity)
         is_narrow = width <= _WIDTHS.index(shape.proximity)
-        guaranteed = self._guarantee.shape.accelerators
-        return is_narrow and shape.accelerators <= guaranteed
-
-    def covers(self, shape: Shape) -> bool:
-        is_left = shape.accelerators <= self._accelerators
-        return is_left and self.could_hold(shape)
+        return is_narrow and shape.accelerators <= self._accelerators
 
     def use(self, shape: Shape) -> None:
         self._accelerators -= shape.accelerators
@@ -117,8 +112,7 @@
         for progress in holding:
             shape = progress.job.spec.shape
             for part in remainders:
-                if part.could_hold(shape):
-                    part.use(shape)
+                part.use(shape)
         return remainders
 
     def _close(self, progress: JobProgress, now: datetime) -> None:
