--- a/benchmarks/policy/gangs.py
+++ b/benchmarks/policy/gangs.py
@@ -1,12 +1,13 @@
 """The gang protocol that the baselines share.
 
 Baselines retry a gang from its last checkpoint, fail a job that failed on
-three distinct workers, and set a worker aside for half an hour after three
+three distinct workers or six times, and set a worker aside for half an hour after three
 failures of distinct jobs in a row, as batch systems with a health check do.
 They neither preempt nor know guarantees.
 """
 
 from abc import abstractmethod
+from collections import Counter
 from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
@@ -46,6 +47,8 @@
 
 _FENCE: Final = 1
 _BAD_JOB_WORKERS: Final = 3
+# A gang that always fails on the same member never reaches three workers.
+_BAD_JOB_FAILURES: Final = 6
 _SICK_WORKER_JOBS: Final = 3
 _SICK_WORKER_PAUSE: Final = timedelta(minutes=30)
 _WITHOUT_EFFECT_ON_QUEUE: Final = (
@@ -94,6 +97,7 @@
         self._queue: dict[str, Job] = {}
         self._gangs: dict[str, _Gang] = {}
         self._failures: dict[str, set[str]] = {}
+        self._failures_of: Counter[str] = Counter()
         self._sick_until: dict[str, datetime] = {}
         # Capacity only shrinks while jobs are selected for one event, so what
         # did not fit once is not tried again before the next event.
@@ -277,8 +281,9 @@
             return
         if isinstance(event, MemberFailed):
             self._note_failure(gang, event.worker_id, now)
-        is_bad = len(gang.job.failed_workers) >= _BAD_JOB_WORKERS
-        end_state = JobState.failed if is_bad else JobState.waiting
+        end_state = JobState.waiting
+        if self._is_bad(gang.job):
+            end_state = JobState.failed
         yield from self._abort(gang, end_state)
         yield from self._release(gang, event.worker_id)
 
@@ -289,12 +294,19 @@
     def _note_failure(self, gang: _Gang, worker_id: str, now: datetime) -> None:
         failed = {*gang.job.failed_workers, worker_id}
         gang.job = replace(gang.job, failed_workers=tuple(sorted(failed)))
+        self._failures_of[gang.job.job_id] += 1
         jobs = self._failures.setdefault(worker_id, set())
         jobs.add(gang.job.job_id)
         if len(jobs) >= _SICK_WORKER_JOBS:
             self._sick_until[worker_id] = now + _SICK_WORKER_PAUSE
             jobs.clear()
 
+    def _is_bad(self, job: Job) -> bool:
+        return (
+            len(job.failed_workers) >= _BAD_JOB_WORKERS
+            or self._failures_of[job.job_id] >= _BAD_JOB_FAILURES
+        )
+
     def _abort(self, gang: _Gang, end_state: JobState) -> Iterator[Action]:
         if gang.end_state is JobState.finished:
             for name in gang.holding:
