Run jobs as gangs in a deterministic partition core

Partition places shapes by best fit on indexed free accelerators, runs the gang protocol with its timeouts, holds the members of silent workers for the task lease, places guarantees jointly and rebuilds its state on a gain of ownership. Borrowing, reservations, quarantine and sizes are not in yet.

--- a/dragonflynotch/core/actions.py
+++ b/dragonflynotch/core/actions.py
@@ -13,6 +13,7 @@
     'CheckpointMember',
     'MemberOrder',
     'NeverRunnable',
+    'NotOwner',
     'PrepareMember',
     'QuarantineWorker',
     'ReadmitWorker',
@@ -93,12 +94,17 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class NotOwner:
+    """The job was not accepted, because another entry owns the partition."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerSubmission:
     """Answer to ``JobSubmitted``."""
 
     job_id: str
-    verdict: Accepted | NeverRunnable
+    verdict: Accepted | NeverRunnable | NotOwner
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/dragonflynotch/core/fleet.py
@@ -0,0 +1,146 @@
+"""Workers that join, leave, fall silent and come back."""
+
+from dragonflynotch.core.deadlines import Deadline, DeadlineKind
+from dragonflynotch.core.gang_control import GangControl
+from dragonflynotch.core.gangs import Gang, Outcome
+from dragonflynotch.core.guarantee_book import GuaranteeBook
+from dragonflynotch.core.inventory import Use, WorkerState
+from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.topology import Worker
+
+__all__ = ('Fleet',)
+
+
+class Fleet:
+    """Keeps the inventory and the guarantees in step with the workers.
+
+    Parameters
+    ----------
+    state : PartitionState
+        State of the partition.
+    gangs : GangControl
+        Stops the gangs of lost workers.
+    book : GuaranteeBook
+        Guarantees in force.
+    """
+
+    def __init__(
+        self, state: PartitionState, gangs: GangControl, book: GuaranteeBook
+    ) -> None:
+        """Keep the parts."""
+        self._state = state
+        self._gangs = gangs
+        self._book = book
+
+    def join(self, worker: Worker, *, is_verified: bool = True) -> None:
+        """Add a worker, or take it back.
+
+        Parameters
+        ----------
+        worker : Worker
+            The worker as announced.
+        is_verified : bool
+            False while a task of an earlier owner may run on it.
+        """
+        known = self._state.inventory.find(worker.worker_id)
+        if known is None:
+            self._add(worker, is_verified)
+        elif known.worker != worker:
+            self._replace(known, worker)
+        elif known.lost_at is not None:
+            known.lost_at = None
+            self._state.inventory.refresh(known)
+        else:
+            return
+        self._state.capacity_changed()
+        self.unbind(self._book.place_missing())
+
+    def lose(self, worker_id: str, reason: str) -> None:
+        """Stop the gangs of a worker and hold their members for a lease."""
+        worker = self._state.inventory.find(worker_id)
+        if worker is None or worker.lost_at is not None:
+            return
+        worker.lost_at = self._state.now
+        self._state.inventory.refresh(worker)
+        self._state.timers.set(
+            Deadline(DeadlineKind.lease, worker_id),
+            self._state.now + self._state.policy.task_lease,
+        )
+        for gang in self._state.gangs_on(worker_id):
+            if gang.members[worker_id].holds:
+                self._gangs.stop(
+                    gang,
+                    Outcome.requeue,
+                    f'worker {worker_id} was lost: {reason}',
+                )
+        self._state.capacity_changed()
+        self.unbind(self._book.worker_gone(worker_id))
+
+    def lease_expired(self, worker_id: str) -> None:
+        """Release what a silent worker held and forget the worker."""
+        worker = self._state.inventory.find(worker_id)
+        if worker is None or worker.lost_at is None:
+            return
+        for gang in self._state.gangs_on(worker_id):
+            self._gangs.release_silent(gang, worker_id)
+        self._state.inventory.remove(worker_id)
+        if worker.successor is not None:
+            self.join(worker.successor, is_verified=worker.is_verified)
+
+    def cool_down(self, worker_id: str) -> None:
+        """Place nothing on a worker for a while after it failed an order."""
+        worker = self._state.inventory[worker_id]
+        until = self._state.now + self._state.policy.prepare_timeout
+        worker.cooldown_until = until
+        self._state.inventory.refresh(worker)
+        self._state.timers.set(
+            Deadline(DeadlineKind.cooldown, worker_id), until
+        )
+
+    def end_cooldown(self, worker_id: str) -> None:
+        """Place gangs on a worker again."""
+        worker = self._state.inventory.find(worker_id)
+        if worker is not None:
+            worker.cooldown_until = None
+            self._state.inventory.refresh(worker)
+            self._state.capacity_changed()
+
+    def unbind(self, guarantees: set[int]) -> None:
+        """Treat the gangs of moved or removed guarantees like any others."""
+        if not guarantees:
+            return
+        for gang in self._state.gangs.values():
+            if gang.guarantee in guarantees:
+                self._make_general(gang)
+        self._state.capacity_changed()
+
+    def _make_general(self, gang: Gang) -> None:
+        spec = self._state.jobs[gang.job_id].spec
+        gang.guarantee = None
+        gang.use = Use.lent if spec.is_checkpointable else Use.firm
+        for member in gang.members.values():
+            changed = member.allocation.under(gang.use)
+            if member.holds:
+                self._state.inventory.release(member.allocation)
+                self._state.inventory.hold(changed)
+            member.allocation = changed
+
+    def _add(self, worker: Worker, is_verified: bool) -> None:
+        state = self._state.inventory.add(worker)
+        state.is_verified = is_verified
+        for gang in self._state.gangs_on(worker.worker_id):
+            member = gang.members[worker.worker_id]
+            if member.holds:
+                state.hold(member.allocation)
+        self._state.inventory.refresh(state)
+
+    def _replace(self, known: WorkerState, worker: Worker) -> None:
+        """Replace a worker that came back with other hardware.
+
+        What it held is gone with the old hardware, but its tasks may run
+        until their lease has expired, so the new hardware joins after that.
+        """
+        self.lose(worker.worker_id, 'replaced by other hardware')
+        known.successor = worker
+        if known.used.is_zero:
+            self.lease_expired(worker.worker_id)
--- a/dragonflynotch/core/jobs.py
+++ b/dragonflynotch/core/jobs.py
@@ -122,6 +122,11 @@
         Run time preserved in the last checkpoint.
     detail : str
         Why the job ended or waits, in one sentence.
+    failed_workers : tuple of str
+        Distinct workers on which a member of the job failed.
+    is_cancel_requested : bool
+        Whether the job ends as cancelled once its gang has stopped; kept in
+        the record so that a new owner completes the cancellation.
     """
 
     job_id: str
@@ -136,3 +141,4 @@
     work_done: timedelta = timedelta()
     detail: str = ''
     failed_workers: tuple[str, ...] = field(default=())
+    is_cancel_requested: bool = False
--- /dev/null
+++ b/dragonflynotch/core/member_events.py
@@ -0,0 +1,154 @@
+"""Events and reports of gang members, applied to the current attempts."""
+
+from dragonflynotch.core.actions import StopMember
+from dragonflynotch.core.events import (
+    CheckpointTaken,
+    MemberEvent,
+    MemberFailed,
+    MemberFinished,
+    MemberPrepared,
+    MemberRefused,
+    MemberReport,
+    MemberStarted,
+    MemberState,
+    MemberStopped,
+    WorkerReported,
+)
+from dragonflynotch.core.fleet import Fleet
+from dragonflynotch.core.gang_control import GangControl
+from dragonflynotch.core.gangs import Gang, GangPhase, MemberPhase
+from dragonflynotch.core.state import PartitionState
+
+__all__ = ('MemberEvents',)
+
+# A report may have been made before an order that it seems to contradict, so
+# a member counts as gone only after two reports without it.
+_MISSING_REPORTS = 2
+
+
+class MemberEvents:
+    """Applies what guards say about gang members.
+
+    Parameters
+    ----------
+    state : PartitionState
+        State of the partition.
+    gangs : GangControl
+        Runs the gang protocol.
+    fleet : Fleet
+        Workers of the partition.
+    """
+
+    def __init__(
+        self, state: PartitionState, gangs: GangControl, fleet: Fleet
+    ) -> None:
+        """Keep the parts."""
+        self._state = state
+        self._gangs = gangs
+        self._fleet = fleet
+
+    def current_gang(
+        self, job_id: str, attempt: int, worker_id: str
+    ) -> Gang | None:
+        """Return the gang, or None if the attempt or worker is not its own."""
+        gang = self._state.gangs.get(job_id)
+        if gang is None or gang.attempt != attempt:
+            return None
+        return gang if worker_id in gang.members else None
+
+    def apply(self, event: MemberEvent) -> None:
+        """Apply an event; events of other attempts change nothing."""
+        gang = self.current_gang(event.job_id, event.attempt, event.worker_id)
+        if gang is None:
+            return
+        worker_id = event.worker_id
+        match event:
+            case MemberPrepared():
+                self._gangs.member_prepared(gang, worker_id)
+            case MemberStarted():
+                self._gangs.member_started(gang, worker_id)
+            case MemberFinished():
+                self._gangs.member_finished(gang, worker_id)
+            case MemberFailed(reason=reason):
+                self._gangs.member_ended(
+                    gang, worker_id, f'failed on {worker_id}: {reason}'
+                )
+            case MemberRefused(reason=reason):
+                self._refused(gang, worker_id, reason)
+            case MemberStopped():
+                self._gangs.member_ended(
+                    gang, worker_id, f'stopped by worker {worker_id}'
+                )
+            case CheckpointTaken():
+                self._gangs.checkpoint_taken(gang, event)
+
+    def report(self, report: WorkerReported) -> None:
+        """Compare a report with what the partition expects."""
+        listed = set()
+        for member in report.members:
+            gang = self.current_gang(
+                member.job_id, member.attempt, report.worker_id
+            )
+            if gang is None:
+                self._stop_stray(report.worker_id, member)
+                continue
+            listed.add(member.job_id)
+            gang.members[report.worker_id].missing_reports = 0
+            self._apply_report(gang, report.worker_id, member)
+        for gang in self._state.gangs_on(report.worker_id):
+            if gang.job_id not in listed:
+                self._note_missing(gang, report.worker_id)
+
+    def _refused(self, gang: Gang, worker_id: str, reason: str) -> None:
+        self._fleet.cool_down(worker_id)
+        self._gangs.member_ended(
+            gang, worker_id, f'refused by {worker_id}: {reason}'
+        )
+
+    def _apply_report(
+        self, gang: Gang, worker_id: str, report: MemberReport
+    ) -> None:
+        match report.state:
+            case MemberState.prepared:
+                self._reported_prepared(gang, worker_id)
+            case MemberState.running:
+                self._reported_running(gang, worker_id)
+            case MemberState.finished:
+                self._gangs.member_finished(gang, worker_id)
+            case MemberState.failed | MemberState.stopped:
+                self._gangs.member_ended(
+                    gang, worker_id, f'{report.state.value} on {worker_id}'
+                )
+
+    def _reported_prepared(self, gang: Gang, worker_id: str) -> None:
+        self._gangs.member_prepared(gang, worker_id)
+        is_held = gang.members[worker_id].phase is MemberPhase.prepared
+        if is_held and gang.phase is GangPhase.starting:
+            self._gangs.order_start(gang, worker_id)
+
+    def _reported_running(self, gang: Gang, worker_id: str) -> None:
+        self._gangs.member_started(gang, worker_id)
+
+    def _note_missing(self, gang: Gang, worker_id: str) -> None:
+        member = gang.members[worker_id]
+        if not member.holds:
+            return
+        is_stopping = gang.phase is GangPhase.stopping
+        if member.phase is MemberPhase.ordered and not is_stopping:
+            return
+        member.missing_reports += 1
+        if member.missing_reports >= _MISSING_REPORTS:
+            self._gangs.member_ended(
+                gang, worker_id, f'no longer known to {worker_id}'
+            )
+
+    def _stop_stray(self, worker_id: str, report: MemberReport) -> None:
+        if report.state in {MemberState.prepared, MemberState.running}:
+            self._state.emit(
+                StopMember(
+                    report.job_id,
+                    report.attempt,
+                    worker_id,
+                    self._state.fence,
+                )
+            )
--- /dev/null
+++ b/dragonflynotch/core/state.py
@@ -0,0 +1,122 @@
+"""State of a partition that its parts share."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import UTC, datetime
+
+from dragonflynotch.core.actions import Action, WriteJob
+from dragonflynotch.core.gangs import Gang
+from dragonflynotch.core.inventory import Inventory
+from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.placement import Placer
+from dragonflynotch.core.policy import PolicySettings
+from dragonflynotch.core.timers import Timers
+from dragonflynotch.core.waiting_queue import WaitingQueue
+
+__all__ = ('GangObserver', 'PartitionState')
+
+GangObserver = Callable[[Gang, Job], None]
+
+
+class PartitionState:
+    """Jobs, gangs, workers, deadlines and the actions not yet handed out.
+
+    Parameters
+    ----------
+    policy : PolicySettings
+        Bounds and limits.
+    placer : Placer
+        Chooses the accelerators.
+    """
+
+    def __init__(self, policy: PolicySettings, placer: Placer) -> None:
+        """Start empty, without ownership."""
+        self.policy = policy
+        self.placer = placer
+        self.now = datetime.min.replace(tzinfo=UTC)
+        self.is_owner = False
+        self.fence = 0
+        self.inventory = Inventory()
+        self.queue = WaitingQueue()
+        self.jobs: dict[str, Job] = {}
+        self.gangs: dict[str, Gang] = {}
+        self.on_worker: dict[str, dict[str, None]] = {}
+        self.timers = Timers()
+        self.capacity_version = 0
+        self.accelerators_of: Counter[str] = Counter()
+        self.observers: list[GangObserver] = []
+        self._actions: list[Action] = []
+
+    def reset(self) -> None:
+        """Forget all jobs, gangs and deadlines; keep the workers, idle."""
+        self.queue = WaitingQueue()
+        self.jobs.clear()
+        self.gangs.clear()
+        self.on_worker.clear()
+        self.accelerators_of.clear()
+        self.timers = Timers()
+        workers = [
+            state.worker for state in self.inventory if state.lost_at is None
+        ]
+        self.inventory.clear()
+        for worker in workers:
+            self.inventory.add(worker)
+        self.capacity_changed()
+
+    def emit(self, action: Action) -> None:
+        """Add an action for the daemon."""
+        self._actions.append(action)
+
+    def drain(self) -> tuple[Action, ...]:
+        """Return the actions since the last call."""
+        actions = tuple(self._actions)
+        self._actions.clear()
+        return actions
+
+    def capacity_changed(self) -> None:
+        """Note that waiting jobs may have a new chance."""
+        self.capacity_version += 1
+
+    def save(self, job: Job) -> Job:
+        """Store a job and have its record written; forget it if final."""
+        if job.state.is_final:
+            self.jobs.pop(job.job_id, None)
+        else:
+            self.jobs[job.job_id] = job
+        self.emit(WriteJob(job))
+        return job
+
+    def change(self, job_id: str, **changes: object) -> Job:
+        """Change a job and have its record written."""
+        return self.save(replace(self.jobs[job_id], **changes))  # type: ignore[arg-type]
+
+    def add_gang(self, gang: Gang) -> None:
+        """Register a gang whose accelerators are already held."""
+        self.gangs[gang.job_id] = gang
+        for worker_id in gang.members:
+            self.on_worker.setdefault(worker_id, {})[gang.job_id] = None
+        workspace = self.jobs[gang.job_id].spec.workspace
+        self.accelerators_of[workspace] += gang.accelerators
+
+    def drop_gang(self, gang: Gang) -> None:
+        """Forget a gang that holds nothing any more."""
+        self.gangs.pop(gang.job_id)
+        job = self.jobs[gang.job_id]
+        self.accelerators_of[job.spec.workspace] -= gang.accelerators
+        for worker_id in gang.members:
+            self._drop_from_worker(worker_id, gang.job_id)
+        for observer in self.observers:
+            observer(gang, job)
+
+    def gangs_on(self, worker_id: str) -> tuple[Gang, ...]:
+        """Return the gangs that have a member on a worker."""
+        return tuple(
+            self.gangs[job_id] for job_id in self.on_worker.get(worker_id, ())
+        )
+
+    def _drop_from_worker(self, worker_id: str, job_id: str) -> None:
+        jobs = self.on_worker[worker_id]
+        jobs.pop(job_id)
+        if not jobs:
+            self.on_worker.pop(worker_id)
--- /dev/null
+++ b/dragonflynotch/core/waiting_queue.py
@@ -0,0 +1,141 @@
+"""Waiting jobs, grouped so that equal jobs are tried once."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from sortedcontainers import SortedDict
+
+from dragonflynotch.core.jobs import Job, JobSpec, PriorityClass
+from dragonflynotch.core.shapes import Shape
+
+__all__ = ('GroupKey', 'QueueGroup', 'WaitingQueue', 'group_key', 'queue_key')
+
+_RANK = {
+    PriorityClass.urgent: 0,
+    PriorityClass.normal: 1,
+    PriorityClass.batch: 2,
+}
+QueueKey = tuple[int, float, str]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupKey:
+    """What jobs must have in common to have the same chance to start."""
+
+    workspace: str
+    kind: str
+    priority: PriorityClass
+    shape: Shape
+    cores_per_accelerator: float
+    memory_mb_per_accelerator: int
+    is_checkpointable: bool
+
+
+def queue_key(job: Job) -> QueueKey:
+    """Return the position of a job in the order of the queue."""
+    return (
+        _RANK[job.spec.priority],
+        job.submitted_at.timestamp(),
+        job.job_id,
+    )
+
+
+def group_key(spec: JobSpec) -> GroupKey:
+    """Return the key under which jobs have the same chance to start."""
+    return GroupKey(
+        spec.workspace,
+        spec.kind,
+        spec.priority,
+        spec.shape,
+        spec.cores_per_accelerator,
+        spec.memory_mb_per_accelerator,
+        spec.is_checkpointable,
+    )
+
+
+class QueueGroup:
+    """Waiting jobs that need the same.
+
+    Parameters
+    ----------
+    key : GroupKey
+        Key of the group.
+    """
+
+    def __init__(self, key: GroupKey) -> None:
+        """Create an empty group."""
+        self.key = key
+        self.blocked_at = -1
+        self.blocked_reason = ''
+        self._jobs = SortedDict()
+
+    def __len__(self) -> int:
+        """Return the number of waiting jobs."""
+        return len(self._jobs)
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterate over the job identifiers in order."""
+        return iter(self._jobs.values())
+
+    @property
+    def head_key(self) -> QueueKey:
+        """Position of the first job."""
+        key: QueueKey = self._jobs.peekitem(0)[0]
+        return key
+
+    @property
+    def head(self) -> str:
+        """Identifier of the first job."""
+        return str(self._jobs.peekitem(0)[1])
+
+    def add(self, job: Job) -> None:
+        """Add a job."""
+        self._jobs[queue_key(job)] = job.job_id
+
+    def remove(self, job: Job) -> None:
+        """Remove a job, if it is there."""
+        self._jobs.pop(queue_key(job), None)
+
+
+class WaitingQueue:
+    """Groups of waiting jobs."""
+
+    def __init__(self) -> None:
+        """Create an empty queue."""
+        self._groups: dict[GroupKey, QueueGroup] = {}
+
+    @property
+    def groups(self) -> tuple[QueueGroup, ...]:
+        """All groups with waiting jobs."""
+        return tuple(self._groups.values())
+
+    def group_of(self, job: Job) -> QueueGroup | None:
+        """Return the group in which a job would wait."""
+        return self._groups.get(group_key(job.spec))
+
+    def add(self, job: Job) -> None:
+        """Add a waiting job."""
+        key = group_key(job.spec)
+        group = self._groups.get(key)
+        if group is None:
+            group = QueueGroup(key)
+            self._groups[key] = group
+        group.add(job)
+
+    def remove(self, job: Job) -> None:
+        """Remove a job, if it waits."""
+        key = group_key(job.spec)
+        group = self._groups.get(key)
+        if group is not None:
+            group.remove(job)
+            if not group:
+                self._groups.pop(key)
+
+    def longest_waiting(self) -> Iterator[str]:
+        """Yield the first job of each group, the longest waiting first."""
+        for group in sorted(self._groups.values(), key=_age):
+            yield group.head
+
+
+def _age(group: QueueGroup) -> tuple[float, str]:
+    return group.head_key[1:]
