--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -3,14 +3,22 @@
 import asyncio
 import secrets
 from contextlib import suppress
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import uvicorn
 
+from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.guard.announcer import Announcer
 from dragonflynotch.guard.app import GuardApp
+from dragonflynotch.guard.configuration import ConfigurationCopy
 from dragonflynotch.guard.requests import RequestRunner
+from dragonflynotch.guard.task_setup import (
+    create_task_keeper,
+    run_task_keeper,
+    task_api,
+)
 from dragonflynotch.links.messages import (
+    Acknowledgement,
     Announcement,
     GuardState,
     MinionState,
@@ -41,13 +49,27 @@
             slots=minion.slots if minion else 0,
             incarnation=self._incarnation,
         )
+        self._clock = SystemClock()
+        self._keeper = create_task_keeper(
+            settings, self._incarnation, self._clock
+        )
+        self._configuration = ConfigurationCopy()
         self._announcer = Announcer(
-            tuple(entry.pair for entry in settings.entries), self._describe
+            tuple(entry.pair for entry in settings.entries),
+            self._describe,
+            self._on_acknowledgement,
+            self._clock,
         )
+        self._drain_requested = asyncio.Event()
         self._state = GuardState.ready
         self._server = uvicorn.Server(
             uvicorn.Config(
-                GuardApp(self._runner),
+                GuardApp(
+                    self._runner,
+                    self._configuration,
+                    self._drain_requested.set,
+                    task_api(self._keeper),
+                ),
                 host=settings.listen.host,
                 port=settings.listen.port,
                 http='h11',
@@ -62,13 +84,15 @@
         """Serve until ``stop`` is set, then drain and return."""
         server = asyncio.create_task(self._server._serve())
         announcer = asyncio.create_task(self._announcer.run())
+        keeper = asyncio.create_task(run_task_keeper(self._keeper))
         _log.info('started guard {}', self._settings.guard_id)
-        await stop.wait()
+        await _first_set(stop, self._drain_requested)
         await self._drain()
         announcer.cancel()
+        keeper.cancel()
         self._server.should_exit = True
         with suppress(asyncio.CancelledError):
-            await asyncio.gather(server, announcer)
+            await asyncio.gather(server, announcer, keeper)
         _log.info('stopped guard {}', self._settings.guard_id)
 
     async def _drain(self) -> None:
@@ -77,6 +101,8 @@
         limit = timedelta(milliseconds=self._settings.drain_limit_ms)
         if not await self._runner.drain(limit):
             _log.warning('requests still in flight at the drain limit')
+        if self._keeper is not None and not await self._keeper.drain(limit):
+            _log.warning('tasks still running at the drain limit')
         self._state = GuardState.leaving
         self._announcer.announce()
 
@@ -92,11 +118,20 @@
             state=self._state,
             minion=self._minion_state(),
             worker=self._worker_state(),
-            configuration_revision=0,
+            configuration_revision=self._configuration.seen_revision,
             schema_versions=_READABLE_SCHEMA_VERSIONS,
-            highest_fence=0,
-            task_digest=0,
+            highest_fence=self._keeper.highest_fence if self._keeper else 0,
+            task_digest=self._keeper.task_digest if self._keeper else 0,
+        )
+
+    def _on_acknowledgement(
+        self, acknowledgement: Acknowledgement, sent_at: datetime
+    ) -> None:
+        self._configuration.notice_revision(
+            acknowledgement.configuration_revision
         )
+        if self._keeper is not None:
+            self._keeper.acknowledge(sent_at, acknowledgement.owned_fence)
 
     def _minion_state(self) -> MinionState | None:
         minion = self._settings.minion
@@ -111,14 +146,22 @@
 
     def _worker_state(self) -> WorkerState | None:
         worker = self._settings.worker
-        if worker is None:
+        keeper = self._keeper
+        if worker is None or keeper is None or not keeper.is_worker_present:
             return None
         return WorkerState(
             worker.worker_id,
             worker.rack,
             worker.rack_position,
             worker.accelerators,
-            worker.accelerators,
+            keeper.free_accelerators,
             worker.cores,
             worker.memory_mb,
         )
+
+
+async def _first_set(*events: asyncio.Event) -> None:
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
