Lend idle guaranteed capacity and reclaim it

Guaranteed accelerators stood idle while their owner had no work. Jobs that can be checkpointed may now use them; the owner claims its part, borrowers are stopped by least work at risk, and claimed accelerators go to no other job. Guarantees are counts on workers, not accelerator indexes, so a borrower is stopped only when the worker is really short.

--- a/dragonflynotch/core/events.py
+++ b/dragonflynotch/core/events.py
@@ -1,5 +1,6 @@
 """Input events of a partition."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -26,6 +27,7 @@
     'MemberStopped',
     'OwnershipGained',
     'OwnershipLost',
+    'QuotasChanged',
     'TimerFired',
     'WorkerJoined',
     'WorkerLost',
@@ -119,6 +121,20 @@
     guarantees: tuple[Guarantee, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QuotasChanged:
+    """The configuration holds these limits of running jobs.
+
+    Parameters
+    ----------
+    max_accelerators : mapping of str to int
+        Accelerators that the running jobs of a workspace may hold in this
+        data centre, borrowed ones included; others are not limited.
+    """
+
+    max_accelerators: Mapping[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class MemberEvent:
     """Something happened to a gang member."""
@@ -203,6 +219,7 @@
     | JobSubmitted
     | JobCancelled
     | GuaranteesChanged
+    | QuotasChanged
     | MemberEvent
     | OwnershipGained
     | OwnershipLost
--- /dev/null
+++ b/dragonflynotch/core/expiry.py
@@ -0,0 +1,79 @@
+"""What happens when a deadline is reached."""
+
+from collections.abc import Callable
+
+from dragonflynotch.core.deadlines import Deadline, DeadlineKind
+from dragonflynotch.core.fleet import Fleet
+from dragonflynotch.core.gang_control import GangControl
+from dragonflynotch.core.gangs import Outcome
+from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.takeover import Takeover
+
+__all__ = ('Expiry',)
+
+
+class Expiry:
+    """Handles the deadlines that were reached.
+
+    Parameters
+    ----------
+    state : PartitionState
+        State of the partition.
+    gangs : GangControl
+        Runs the gang protocol.
+    fleet : Fleet
+        Workers of the partition.
+    takeover : Takeover
+        Jobs and workers of an earlier owner.
+    """
+
+    def __init__(
+        self,
+        state: PartitionState,
+        gangs: GangControl,
+        fleet: Fleet,
+        takeover: Takeover,
+    ) -> None:
+        """Keep the parts."""
+        self._state = state
+        self._gangs = gangs
+        self._fleet = fleet
+        self._takeover = takeover
+        self._handlers: dict[DeadlineKind, Callable[[str], None]] = {
+            DeadlineKind.prepare: self._not_prepared,
+            DeadlineKind.confirm: self._not_confirmed,
+            DeadlineKind.stop: self._not_stopped,
+            DeadlineKind.checkpoint: self._checkpoint_due,
+            DeadlineKind.lease: self._lease_expired,
+            DeadlineKind.cooldown: fleet.end_cooldown,
+            DeadlineKind.takeover: self._takeover_lease_over,
+        }
+
+    def run(self) -> None:
+        """Handle all deadlines that were reached, in their order."""
+        for deadline in self._state.timers.pop_due(self._state.now):
+            if isinstance(deadline, Deadline):
+                self._handlers[deadline.kind](deadline.subject)
+
+    def _not_prepared(self, job_id: str) -> None:
+        gang = self._state.gangs[job_id]
+        self._fleet.cool_down_late(gang)
+        self._gangs.stop(gang, Outcome.requeue, 'members were not prepared')
+
+    def _not_confirmed(self, job_id: str) -> None:
+        gang = self._state.gangs[job_id]
+        self._fleet.cool_down_late(gang)
+        self._gangs.stop(gang, Outcome.requeue, 'a start was not confirmed')
+
+    def _not_stopped(self, job_id: str) -> None:
+        self._gangs.stop_overdue(self._state.gangs[job_id])
+
+    def _checkpoint_due(self, job_id: str) -> None:
+        self._gangs.checkpoint(self._state.gangs[job_id])
+
+    def _lease_expired(self, worker_id: str) -> None:
+        self._fleet.lease_expired(worker_id)
+        self._takeover.forget(worker_id)
+
+    def _takeover_lease_over(self, _subject: str) -> None:
+        self._takeover.lease_over()
--- a/dragonflynotch/core/feasibility.py
+++ b/dragonflynotch/core/feasibility.py
@@ -1,18 +1,16 @@
 """Whether a job could run on the whole topology if it were idle."""
 
 from dragonflynotch.core.capacity import CapacityMap
-from dragonflynotch.core.inventory import Demand, Inventory, WorkerState
+from dragonflynotch.core.inventory import Demand, WorkerState
 from dragonflynotch.core.jobs import JobSpec
-from dragonflynotch.core.placement import Placer
+from dragonflynotch.core.state import PartitionState
 
 __all__ = ('find_obstacle',)
 
 _MILLI = 1000
 
 
-def find_obstacle(
-    spec: JobSpec, inventory: Inventory, placer: Placer
-) -> str | None:
+def find_obstacle(spec: JobSpec, state: PartitionState) -> str | None:
     """Return why a job can never run on the present workers, or None.
 
     Lost workers count until their task lease has expired, and so do workers
@@ -22,13 +20,18 @@
     ----------
     spec : JobSpec
         What the job asks for.
-    inventory : Inventory
-        Present workers.
-    placer : Placer
-        Chooses the accelerators.
+    state : PartitionState
+        State of the partition.
     """
     demand = Demand.of(spec)
     shape = spec.shape
+    inventory = state.inventory
+    quota = state.max_accelerators.get(spec.workspace, shape.accelerators)
+    if shape.accelerators > quota:
+        return (
+            f'{shape.accelerators} accelerators exceed the quota of '
+            f'{quota} of workspace {spec.workspace!r}'
+        )
     if not shape.accelerators:
         if any(_capacity(worker, demand, 1) for worker in inventory):
             return None
@@ -40,7 +43,7 @@
     for worker in inventory:
         usable = _capacity(worker, demand, worker.worker.accelerators)
         total.set(worker.rack, worker.worker.worker_id, usable)
-    if placer.place(shape, total, _unlimited):
+    if state.placer.place(shape, total, _unlimited):
         return None
     return (
         f'{shape.accelerators} accelerators ({shape.proximity.value}) with '
--- a/dragonflynotch/core/fleet.py
+++ b/dragonflynotch/core/fleet.py
@@ -2,7 +2,7 @@
 
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.gang_control import GangControl
-from dragonflynotch.core.gangs import Gang, Outcome
+from dragonflynotch.core.gangs import Gang, GangPhase, MemberPhase, Outcome
 from dragonflynotch.core.guarantee_book import GuaranteeBook
 from dragonflynotch.core.inventory import Use, WorkerState
 from dragonflynotch.core.state import PartitionState
@@ -89,7 +89,9 @@
 
     def cool_down(self, worker_id: str) -> None:
         """Place nothing on a worker for a while after it failed an order."""
-        worker = self._state.inventory[worker_id]
+        worker = self._state.inventory.find(worker_id)
+        if worker is None:
+            return
         until = self._state.now + self._state.policy.prepare_timeout
         worker.cooldown_until = until
         self._state.inventory.refresh(worker)
@@ -97,6 +99,15 @@
             Deadline(DeadlineKind.cooldown, worker_id), until
         )
 
+    def cool_down_late(self, gang: Gang) -> None:
+        """Let the workers cool down that did not confirm an order in time."""
+        late = MemberPhase.ordered
+        if gang.phase is GangPhase.starting:
+            late = MemberPhase.prepared
+        for worker_id, member in gang.members.items():
+            if member.phase is late:
+                self.cool_down(worker_id)
+
     def end_cooldown(self, worker_id: str) -> None:
         """Place gangs on a worker again."""
         worker = self._state.inventory.find(worker_id)
--- a/dragonflynotch/core/gang_control.py
+++ b/dragonflynotch/core/gang_control.py
@@ -202,6 +202,9 @@
         if outcome.value > gang.outcome.value or is_first:
             gang.outcome = outcome
             gang.reason = reason
+            self._state.change(
+                gang.job_id, state=JobState.stopping, detail=reason
+            )
         is_sooner = checkpoint_limit < gang.checkpoint_limit
         if not (is_first or is_sooner):
             return
@@ -211,10 +214,6 @@
         gang.checkpoint_limit = checkpoint_limit
         gang.stop_ordered_at = self._state.now
         self._cancel_timers(gang)
-        if is_first:
-            self._state.change(
-                gang.job_id, state=JobState.stopping, detail=reason
-            )
         self.order_stop(gang, skipped=skipped)
         self._set_timer(
             DeadlineKind.stop,
--- a/dragonflynotch/core/guarantee_book.py
+++ b/dragonflynotch/core/guarantee_book.py
@@ -48,6 +48,15 @@
             for share in self.place or ()
         }
 
+    @property
+    def description(self) -> str:
+        """The guarantee in a few words."""
+        shape = self.guarantee.shape
+        return (
+            f'{shape.accelerators} accelerators ({shape.proximity.value}) '
+            f'of workspace {self.guarantee.workspace}'
+        )
+
     @property
     def is_unused(self) -> bool:
         """Whether the owner uses none of it."""
--- a/dragonflynotch/core/inventory.py
+++ b/dragonflynotch/core/inventory.py
@@ -110,7 +110,7 @@
         self.general = _Amount()
         self.firm = _Amount()
         self.guaranteed = 0
-        self.claimed = 0
+        self.claimed = _Amount()
         self.reserved = 0
         self.lost_at: datetime | None = None
         self.successor: Worker | None = None
@@ -138,12 +138,26 @@
         """Accelerators that no gang holds."""
         return self.worker.accelerators - self.used.accelerators
 
+    @property
+    def unclaimed(self) -> int:
+        """Accelerators that no gang holds and no claim covers."""
+        return max(0, self.idle - self.claimed.accelerators)
+
+    @property
+    def idle_amounts(self) -> tuple[int, int, int]:
+        """Accelerators, cores (in thousandths) and memory not in use."""
+        return (
+            self.idle,
+            self.worker.cores * _MILLI - self.used.millicores,
+            self.worker.memory_mb - self.used.memory_mb,
+        )
+
     @property
     def free(self) -> int:
         """Accelerators that may be lent now."""
         if not self.is_usable:
             return 0
-        return max(0, self.idle - self.claimed - self.reserved)
+        return max(0, self.unclaimed - self.reserved)
 
     @property
     def open(self) -> int:
@@ -173,8 +187,9 @@
         use : Use
             Firm gangs leave the share of the guarantees untouched.
         """
-        cores = self.worker.cores * _MILLI - self.used.millicores
-        memory = self.worker.memory_mb - self.used.memory_mb
+        _, cores, memory = self.idle_amounts
+        cores -= self.claimed.millicores
+        memory -= self.claimed.memory_mb
         if use is Use.firm:
             cores = min(cores, self._outside_cores() - self.firm.millicores)
             memory = min(memory, self._outside_memory() - self.firm.memory_mb)
--- a/dragonflynotch/core/jobs.py
+++ b/dragonflynotch/core/jobs.py
@@ -79,6 +79,11 @@
     deadline: datetime | None = None
     command: str = ''
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the job belongs to the most important class."""
+        return self.priority is PriorityClass.urgent
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
--- a/dragonflynotch/core/partition.py
+++ b/dragonflynotch/core/partition.py
@@ -1,18 +1,13 @@
 """Scheduling partition of a data centre: events in, actions out."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import datetime
 from typing import Any
 
 from dragonflynotch.core.actions import (
-    Accepted,
     Action,
-    AnswerSubmission,
-    NeverRunnable,
-    NotOwner,
 )
-from dragonflynotch.core.deadlines import Deadline, DeadlineKind
+from dragonflynotch.core.claims import Claims
 from dragonflynotch.core.events import (
     Event,
     GuaranteesChanged,
@@ -21,15 +16,15 @@
     MemberEvent,
     OwnershipGained,
     OwnershipLost,
+    QuotasChanged,
     TimerFired,
     WorkerJoined,
     WorkerLost,
     WorkerReported,
 )
-from dragonflynotch.core.feasibility import find_obstacle
+from dragonflynotch.core.expiry import Expiry
 from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
-from dragonflynotch.core.gangs import Outcome
 from dragonflynotch.core.guarantee_book import GuaranteeBook
 from dragonflynotch.core.jobs import Job, JobState
 from dragonflynotch.core.member_events import MemberEvents
@@ -37,8 +32,9 @@
 from dragonflynotch.core.policy import PolicySettings
 from dragonflynotch.core.scheduler import Scheduler
 from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.submissions import Submissions
 from dragonflynotch.core.takeover import Takeover
-from dragonflynotch.core.waiting import WaitingJob
+from dragonflynotch.core.waiting import WaitingJob, explain_claim
 
 __all__ = ('Partition',)
 
@@ -85,7 +81,16 @@
         self._fleet = Fleet(self._state, self._gangs, self._book)
         self._members = MemberEvents(self._state, self._gangs, self._fleet)
         self._takeover = Takeover(self._state, self._gangs, self._fleet)
-        self._scheduler = Scheduler(self._state, self._gangs, self._book)
+        self._claims = Claims(self._state, self._gangs, self._book)
+        self._scheduler = Scheduler(
+            self._state, self._gangs, self._book, self._claims
+        )
+        self._submissions = Submissions(
+            self._state, self._gangs, self._claims, self._takeover
+        )
+        self._expiry = Expiry(
+            self._state, self._gangs, self._fleet, self._takeover
+        )
         self._state.observers.append(self._book.gang_ended)
         self._handlers: dict[type, Callable[[Any], None]] = {
             WorkerJoined: self._worker_joined,
@@ -94,19 +99,11 @@
             JobSubmitted: self._job_submitted,
             JobCancelled: self._job_cancelled,
             GuaranteesChanged: self._guarantees_changed,
+            QuotasChanged: self._quotas_changed,
             OwnershipGained: self._ownership_gained,
             OwnershipLost: self._ownership_lost,
             TimerFired: _do_nothing,
         }
-        self._deadline_handlers: dict[DeadlineKind, Callable[[str], None]] = {
-            DeadlineKind.prepare: self._not_prepared,
-            DeadlineKind.confirm: self._not_confirmed,
-            DeadlineKind.stop: self._not_stopped,
-            DeadlineKind.checkpoint: self._checkpoint_due,
-            DeadlineKind.lease: self._lease_expired,
-            DeadlineKind.cooldown: self._fleet.end_cooldown,
-            DeadlineKind.takeover: self._takeover_lease_over,
-        }
 
     @property
     def data_centre(self) -> str:
@@ -155,7 +152,7 @@
             self._member_event(event)
         else:
             self._handlers[type(event)](event)
-        self._expire_deadlines()
+        self._expiry.run()
         if self._state.is_owner:
             self._scheduler.run()
         return self._state.drain()
@@ -174,6 +171,9 @@
         return tuple(sorted(waiting, key=_longest_wait_first))
 
     def _explain(self, job: Job, now: datetime) -> WaitingJob:
+        claim = self._claims.find(job.job_id)
+        if claim is not None:
+            return explain_claim(job, claim, self._book, now)
         group = self._state.queue.group_of(job)
         reason = group.blocked_reason if group is not None else ''
         return WaitingJob(
@@ -201,79 +201,30 @@
             self._members.report(event)
 
     def _job_submitted(self, event: JobSubmitted) -> None:
-        job = event.job
-        verdict: Accepted | NeverRunnable | NotOwner = Accepted()
-        if not self._state.is_owner:
-            verdict = NotOwner()
-        elif job.job_id not in self._state.jobs:
-            obstacle = find_obstacle(
-                job.spec, self._state.inventory, self._state.placer
-            )
-            if obstacle is None:
-                self._state.queue.add(self._state.save(job))
-            else:
-                verdict = NeverRunnable(obstacle)
-        self._state.emit(AnswerSubmission(job.job_id, verdict))
+        self._submissions.submit(event.job)
 
     def _job_cancelled(self, event: JobCancelled) -> None:
-        job = self._state.jobs.get(event.job_id)
-        if job is None or not self._state.is_owner:
-            return
-        gang = self._state.gangs.get(event.job_id)
-        if gang is not None:
-            self._state.jobs[job.job_id] = replace(
-                job, is_cancel_requested=True
-            )
-            self._gangs.stop(gang, Outcome.cancel, _CANCELLED)
-            return
-        self._takeover.drop(job.job_id)
-        self._state.queue.remove(job)
-        self._state.change(
-            job.job_id,
-            state=JobState.cancelled,
-            ended_at=self._state.now,
-            detail=_CANCELLED,
-        )
+        self._submissions.cancel(event.job_id)
 
     def _guarantees_changed(self, event: GuaranteesChanged) -> None:
         self._fleet.unbind(self._book.replace(event.guarantees))
 
+    def _quotas_changed(self, event: QuotasChanged) -> None:
+        self._state.max_accelerators = dict(event.max_accelerators)
+        self._state.capacity_changed()
+
     def _ownership_gained(self, event: OwnershipGained) -> None:
         if event.fence > self._state.fence:
+            self._claims.clear()
             self._takeover.gain(event)
             self._book.start_again()
 
     def _ownership_lost(self, _event: OwnershipLost) -> None:
         self._state.is_owner = False
+        self._claims.clear()
         self._state.reset()
         self._book.start_again()
 
-    def _expire_deadlines(self) -> None:
-        for deadline in self._state.timers.pop_due(self._state.now):
-            if isinstance(deadline, Deadline):
-                self._deadline_handlers[deadline.kind](deadline.subject)
-
-    def _not_prepared(self, job_id: str) -> None:
-        gang = self._state.gangs[job_id]
-        self._gangs.stop(gang, Outcome.requeue, 'members were not prepared')
-
-    def _not_confirmed(self, job_id: str) -> None:
-        gang = self._state.gangs[job_id]
-        self._gangs.stop(gang, Outcome.requeue, 'a start was not confirmed')
-
-    def _not_stopped(self, job_id: str) -> None:
-        self._gangs.stop_overdue(self._state.gangs[job_id])
-
-    def _checkpoint_due(self, job_id: str) -> None:
-        self._gangs.checkpoint(self._state.gangs[job_id])
-
-    def _lease_expired(self, worker_id: str) -> None:
-        self._fleet.lease_expired(worker_id)
-        self._takeover.forget(worker_id)
-
-    def _takeover_lease_over(self, _subject: str) -> None:
-        self._takeover.lease_over()
-
 
 def _do_nothing(_event: TimerFired) -> None:
     """Deadlines are handled after every event."""
@@ -281,6 +232,3 @@
 
 def _longest_wait_first(waiting: WaitingJob) -> tuple[float, str]:
     return (-waiting.waited.total_seconds(), waiting.job_id)
-
-
-_CANCELLED = 'cancelled on request'
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -1,9 +1,10 @@
 """State of a partition that its parts share."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from datetime import UTC, datetime
+from math import inf
 
 from dragonflynotch.core.actions import Action, WriteJob
 from dragonflynotch.core.gangs import Gang
@@ -45,6 +46,7 @@
         self.timers = Timers()
         self.capacity_version = 0
         self.accelerators_of: Counter[str] = Counter()
+        self.max_accelerators: Mapping[str, int] = {}
         self.observers: list[GangObserver] = []
         self._actions: list[Action] = []
 
@@ -64,6 +66,11 @@
             self.inventory.add(worker)
         self.capacity_changed()
 
+    def quota_left(self, workspace: str) -> float:
+        """Return how many more accelerators a workspace may hold."""
+        limit = self.max_accelerators.get(workspace, inf)
+        return limit - self.accelerators_of[workspace]
+
     def emit(self, action: Action) -> None:
         """Add an action for the daemon."""
         self._actions.append(action)
--- /dev/null
+++ b/dragonflynotch/core/submissions.py
@@ -0,0 +1,86 @@
+"""Submission and cancellation of jobs."""
+
+from dataclasses import replace
+
+from dragonflynotch.core.actions import (
+    Accepted,
+    AnswerSubmission,
+    NeverRunnable,
+    NotOwner,
+)
+from dragonflynotch.core.claims import Claims
+from dragonflynotch.core.feasibility import find_obstacle
+from dragonflynotch.core.gang_control import GangControl
+from dragonflynotch.core.gangs import Outcome
+from dragonflynotch.core.jobs import Job, JobState
+from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.takeover import Takeover
+
+__all__ = ('Submissions',)
+
+_CANCELLED = 'cancelled on request'
+
+
+class Submissions:
+    """Accepts, refuses and cancels jobs.
+
+    Parameters
+    ----------
+    state : PartitionState
+        State of the partition.
+    gangs : GangControl
+        Stops the gangs of cancelled jobs.
+    claims : Claims
+        Accelerators that are being freed.
+    takeover : Takeover
+        Jobs inherited from an earlier owner.
+    """
+
+    def __init__(
+        self,
+        state: PartitionState,
+        gangs: GangControl,
+        claims: Claims,
+        takeover: Takeover,
+    ) -> None:
+        """Keep the parts."""
+        self._state = state
+        self._gangs = gangs
+        self._claims = claims
+        self._takeover = takeover
+
+    def submit(self, job: Job) -> None:
+        """Answer a submission; a repeated one is accepted once."""
+        self._state.emit(AnswerSubmission(job.job_id, self._verdict(job)))
+
+    def cancel(self, job_id: str) -> None:
+        """End a job now, or once its gang has stopped."""
+        job = self._state.jobs.get(job_id)
+        if job is None or not self._state.is_owner:
+            return
+        gang = self._state.gangs.get(job_id)
+        if gang is not None:
+            self._state.jobs[job_id] = replace(job, is_cancel_requested=True)
+            self._gangs.stop(gang, Outcome.cancel, _CANCELLED)
+            return
+        self._takeover.drop(job_id)
+        self._claims.drop(job_id)
+        self._state.queue.remove(job)
+        self._state.change(
+            job_id,
+            state=JobState.cancelled,
+            ended_at=self._state.now,
+            detail=_CANCELLED,
+        )
+
+    def _verdict(self, job: Job) -> Accepted | NeverRunnable | NotOwner:
+        if not self._state.is_owner:
+            return NotOwner()
+        if job.job_id in self._state.jobs:
+            return Accepted()
+        obstacle = find_obstacle(job.spec, self._state)
+        if obstacle is not None:
+            return NeverRunnable(obstacle)
+        waiting = replace(job, state=JobState.waiting)
+        self._state.queue.add(self._state.save(waiting))
+        return Accepted()
--- /dev/null
+++ b/dragonflynotch/core/victims.py
@@ -0,0 +1,174 @@
+"""Choice of the gangs that are stopped to free accelerators."""
+
+from collections.abc import Iterable, Sequence
+
+from dragonflynotch.core.gangs import Gang, GangPhase
+from dragonflynotch.core.inventory import Allocation, Inventory, Use
+from dragonflynotch.core.state import PartitionState
+
+__all__ = ('Shortfall', 'choose_victims')
+
+
+class _Need:
+    """What is still missing on one worker."""
+
+    __slots__ = ('accelerators', 'memory_mb', 'millicores')
+
+    def __init__(
+        self, accelerators: int, millicores: int, memory_mb: int
+    ) -> None:
+        """Store the amounts; negative ones are not missing."""
+        self.accelerators = accelerators
+        self.millicores = millicores
+        self.memory_mb = memory_mb
+
+    @property
+    def is_met(self) -> bool:
+        """Whether nothing is missing."""
+        return max(self.accelerators, self.millicores, self.memory_mb) <= 0
+
+    def change(self, allocation: Allocation, sign: int) -> None:
+        """Add or subtract an allocation."""
+        self.accelerators += sign * len(allocation.accelerators)
+        self.millicores += sign * allocation.millicores
+        self.memory_mb += sign * allocation.memory_mb
+
+    def helped_by(self, allocation: Allocation) -> bool:
+        """Whether an allocation would reduce what is missing."""
+        return (
+            (self.accelerators > 0 and len(allocation.accelerators) > 0)
+            or (self.millicores > 0 and allocation.millicores > 0)
+            or (self.memory_mb > 0 and allocation.memory_mb > 0)
+        )
+
+
+class Shortfall:
+    """What claims miss, given that earlier claims come first.
+
+    Parameters
+    ----------
+    inventory : Inventory
+        Workers with their use.
+    """
+
+    def __init__(self, inventory: Inventory) -> None:
+        """Start with no claim counted."""
+        self._inventory = inventory
+        self._needs: dict[str, _Need] = {}
+
+    def after(
+        self, allocations: Iterable[Allocation]
+    ) -> tuple[Allocation, ...]:
+        """Count a claim and return those of its parts that are not free."""
+        missing = []
+        for allocation in allocations:
+            need = self._need(allocation.worker_id)
+            need.change(allocation, 1)
+            if not need.is_met:
+                missing.append(allocation)
+        return tuple(missing)
+
+    def _need(self, worker_id: str) -> _Need:
+        need = self._needs.get(worker_id)
+        if need is None:
+            idle = self._inventory[worker_id].idle_amounts
+            need = _Need(-idle[0], -idle[1], -idle[2])
+            self._needs[worker_id] = need
+        return need
+
+
+def choose_victims(
+    state: PartitionState, missing: Sequence[Allocation], *, with_firm: bool
+) -> list[Gang]:
+    """Return the gangs to stop, those that lose the least work first.
+
+    Gangs that are stopping already are returned too, so that the caller can
+    shorten their stop.
+
+    Parameters
+    ----------
+    state : PartitionState
+        State of the partition.
+    missing : sequence of Allocation
+        Claimed parts that are not free.
+    with_firm : bool
+        Whether gangs that cannot be checkpointed may be stopped as a last
+        resort; they hold guaranteed accelerators only if the guarantee is
+        newer than they are.
+    """
+    needs = {part.worker_id: _claimed_need(state, part) for part in missing}
+    stopping: list[Gang] = []
+    candidates: list[Gang] = []
+    for gang in _gangs_on(state, needs):
+        if gang.phase is GangPhase.stopping:
+            stopping.append(gang)
+            _change(needs, gang, -1)
+        elif _may_stop(gang, with_firm):
+            candidates.append(gang)
+    ranked = sorted(
+        (
+            candidate.use is Use.firm,
+            candidate.work_at_risk(state.now),
+            candidate.accelerators,
+            candidate.job_id,
+        )
+        for candidate in candidates
+    )
+    return stopping + _cover(
+        needs, [state.gangs[entry[-1]] for entry in ranked]
+    )
+
+
+def _claimed_need(state: PartitionState, part: Allocation) -> _Need:
+    """Return what all claims on a worker together miss."""
+    worker = state.inventory[part.worker_id]
+    idle = worker.idle_amounts
+    claimed = worker.claimed
+    return _Need(
+        claimed.accelerators - idle[0],
+        claimed.millicores - idle[1],
+        claimed.memory_mb - idle[2],
+    )
+
+
+def _gangs_on(state: PartitionState, needs: Iterable[str]) -> list[Gang]:
+    found: dict[str, Gang] = {}
+    for worker_id in needs:
+        for gang in state.gangs_on(worker_id):
+            if gang.members[worker_id].holds:
+                found[gang.job_id] = gang
+    return list(found.values())
+
+
+def _may_stop(gang: Gang, with_firm: bool) -> bool:
+    return gang.use is Use.lent or (with_firm and gang.use is Use.firm)
+
+
+def _cover(needs: dict[str, _Need], ranked: Sequence[Gang]) -> list[Gang]:
+    chosen: list[Gang] = []
+    for gang in ranked:
+        if _helps(needs, gang):
+            chosen.append(gang)
+            _change(needs, gang, -1)
+    for needless in reversed(tuple(chosen)):
+        _change(needs, needless, 1)
+        if all(need.is_met for need in needs.values()):
+            chosen.remove(needless)
+        else:
+            _change(needs, needless, -1)
+    return chosen
+
+
+def _helps(needs: dict[str, _Need], gang: Gang) -> bool:
+    return any(
+        member.holds
+        and worker_id in needs
+        and needs[worker_id].helped_by(member.allocation)
+        for worker_id, member in gang.members.items()
+    )
+
+
+def _change(needs: dict[str, _Need], gang: Gang, sign: int) -> None:
+    for worker_id, member in gang.members.items():
+        if member.holds and worker_id in needs:
+            needs[worker_id].change(member.allocation, sign)
--- a/dragonflynotch/core/waiting.py
+++ b/dragonflynotch/core/waiting.py
@@ -3,7 +3,11 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
-__all__ = ('WaitingJob',)
+from dragonflynotch.core.claims import Claim
+from dragonflynotch.core.guarantee_book import GuaranteeBook
+from dragonflynotch.core.jobs import Job
+
+__all__ = ('WaitingJob', 'explain_claim')
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,3 +36,19 @@
     reason: str
     guarantee: str = ''
     start_by: datetime | None = None
+
+
+def explain_claim(
+    job: Job, claim: Claim, book: GuaranteeBook, now: datetime
+) -> WaitingJob:
+    """Return the explanation of a job whose accelerators are being freed."""
+    placed = book.find(claim.guarantee)
+    guarantee = '' if placed is None else placed.description
+    return WaitingJob(
+        job.job_id,
+        job.spec.workspace,
+        now - job.submitted_at,
+        'waits until other jobs have given its accelerators back',
+        guarantee,
+        claim.start_by,
+    )
