Add reservations, quarantine, size checks and stray members

Large jobs starved beside a stream of small ones, a bad worker could eat every job, and a new owner could place a gang on accelerators of an attempt that was never recorded. The longest-waiting job now holds a reservation with a stated bound; jobs that can be checkpointed run beside it when the learned quantile of their run time allows. Failures of distinct jobs lead to quarantine below the cap; a retry avoids the workers on which its job failed unless it fits nowhere else. Unexpected members keep their accelerators and hold back inherited jobs until they have stopped.

--- a/dragonflynotch/core/claims.py
+++ b/dragonflynotch/core/claims.py
@@ -137,7 +137,7 @@
         for claim in tuple(self._claims.values()):
             if not self._is_valid(claim):
                 self.drop(claim.job_id)
-                self._state.queue.add(self._state.jobs[claim.job_id])
+                self._state.enqueue(self._state.jobs[claim.job_id])
         shortfall = Shortfall(self._state.inventory)
         for claim in tuple(self._claims.values()):
             missing = shortfall.after(claim.allocations)
--- a/dragonflynotch/core/deadlines.py
+++ b/dragonflynotch/core/deadlines.py
@@ -13,7 +13,6 @@
     confirm = 'confirm'
     stop = 'stop'
     checkpoint = 'checkpoint'
-    overrun = 'overrun'
     lease = 'lease'
     takeover = 'takeover'
     cooldown = 'cooldown'
--- a/dragonflynotch/core/expiry.py
+++ b/dragonflynotch/core/expiry.py
@@ -6,6 +6,8 @@
 from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import Outcome
+from dragonflynotch.core.health import Health
+from dragonflynotch.core.reservations import Reservations
 from dragonflynotch.core.state import PartitionState
 from dragonflynotch.core.takeover import Takeover
 
@@ -25,6 +27,10 @@
         Workers of the partition.
     takeover : Takeover
         Jobs and workers of an earlier owner.
+    reservations : Reservations
+        Accelerators kept for the longest-waiting job.
+    health : Health
+        Quarantine of workers.
     """
 
     def __init__(
@@ -33,8 +39,12 @@
         gangs: GangControl,
         fleet: Fleet,
         takeover: Takeover,
+        reservations: Reservations,
+        health: Health,
     ) -> None:
         """Keep the parts."""
+        self._health = health
+        self._reservations = reservations
         self._state = state
         self._gangs = gangs
         self._fleet = fleet
@@ -47,6 +57,8 @@
             DeadlineKind.lease: self._lease_expired,
             DeadlineKind.cooldown: fleet.end_cooldown,
             DeadlineKind.takeover: self._takeover_lease_over,
+            DeadlineKind.readmission: health.readmit,
+            DeadlineKind.reservation: self._reservation_due,
         }
 
     def run(self) -> None:
@@ -57,12 +69,12 @@
 
     def _not_prepared(self, job_id: str) -> None:
         gang = self._state.gangs[job_id]
-        self._fleet.cool_down_late(gang)
+        self._health.orders_late(gang)
         self._gangs.stop(gang, Outcome.requeue, 'members were not prepared')
 
     def _not_confirmed(self, job_id: str) -> None:
         gang = self._state.gangs[job_id]
-        self._fleet.cool_down_late(gang)
+        self._health.orders_late(gang)
         self._gangs.stop(gang, Outcome.requeue, 'a start was not confirmed')
 
     def _not_stopped(self, job_id: str) -> None:
@@ -75,5 +87,8 @@
         self._fleet.lease_expired(worker_id)
         self._takeover.forget(worker_id)
 
+    def _reservation_due(self, _subject: str) -> None:
+        self._reservations.due()
+
     def _takeover_lease_over(self, _subject: str) -> None:
         self._takeover.lease_over()
--- a/dragonflynotch/core/feasibility.py
+++ b/dragonflynotch/core/feasibility.py
@@ -1,5 +1,7 @@
 """Whether a job could run on the whole topology if it were idle."""
 
+from collections.abc import Collection
+
 from dragonflynotch.core.capacity import CapacityMap
 from dragonflynotch.core.inventory import Demand, WorkerState
 from dragonflynotch.core.jobs import JobSpec
@@ -10,7 +12,11 @@
 _MILLI = 1000
 
 
-def find_obstacle(spec: JobSpec, state: PartitionState) -> str | None:
+def find_obstacle(
+    spec: JobSpec,
+    state: PartitionState,
+    avoided: Collection[str] = (),
+) -> str | None:
     """Return why a job can never run on the present workers, or None.
 
     Lost workers count until their task lease has expired, and so do workers
@@ -22,6 +28,8 @@
         What the job asks for.
     state : PartitionState
         State of the partition.
+    avoided : collection of str
+        Workers that do not count.
     """
     demand = Demand.of(spec)
     shape = spec.shape
@@ -41,6 +49,8 @@
         )
     total = CapacityMap()
     for worker in inventory:
+        if worker.worker.worker_id in avoided:
+            continue
         usable = _capacity(worker, demand, worker.worker.accelerators)
         total.set(worker.rack, worker.worker.worker_id, usable)
     if state.placer.place(shape, total, _unlimited):
--- a/dragonflynotch/core/fleet.py
+++ b/dragonflynotch/core/fleet.py
@@ -2,7 +2,7 @@
 
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.gang_control import GangControl
-from dragonflynotch.core.gangs import Gang, GangPhase, MemberPhase, Outcome
+from dragonflynotch.core.gangs import Gang, Outcome
 from dragonflynotch.core.guarantee_book import GuaranteeBook
 from dragonflynotch.core.inventory import Use, WorkerState
 from dragonflynotch.core.state import PartitionState
@@ -99,15 +99,6 @@
             Deadline(DeadlineKind.cooldown, worker_id), until
         )
 
-    def cool_down_late(self, gang: Gang) -> None:
-        """Let the workers cool down that did not confirm an order in time."""
-        late = MemberPhase.ordered
-        if gang.phase is GangPhase.starting:
-            late = MemberPhase.prepared
-        for worker_id, member in gang.members.items():
-            if member.phase is late:
-                self.cool_down(worker_id)
-
     def end_cooldown(self, worker_id: str) -> None:
         """Place gangs on a worker again."""
         worker = self._state.inventory.find(worker_id)
@@ -116,6 +107,20 @@
             self._state.inventory.refresh(worker)
             self._state.capacity_changed()
 
+    def quarantine(self, worker: WorkerState) -> None:
+        """Place nothing on a worker any more; its gangs go on."""
+        worker.is_quarantined = True
+        self._state.inventory.refresh(worker)
+        self._state.capacity_changed()
+        self.unbind(self._book.worker_gone(worker.worker.worker_id))
+
+    def end_quarantine(self, worker: WorkerState) -> None:
+        """Place gangs on a worker again."""
+        worker.is_quarantined = False
+        self._state.inventory.refresh(worker)
+        self._state.capacity_changed()
+        self.unbind(self._book.place_missing())
+
     def unbind(self, guarantees: set[int]) -> None:
         """Treat the gangs of moved or removed guarantees like any others."""
         if not guarantees:
--- /dev/null
+++ b/dragonflynotch/core/forecast.py
@@ -0,0 +1,162 @@
+"""When and where a job is expected to fit."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from dragonflynotch.core.capacity import CapacityMap
+from dragonflynotch.core.gangs import Gang
+from dragonflynotch.core.guarantees import Place
+from dragonflynotch.core.inventory import Demand, Use, WorkerState
+from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.runtimes import RunTimes
+from dragonflynotch.core.state import PartitionState
+
+__all__ = ('Forecast', 'Opening')
+
+# A run beyond its estimate is expected to go on for a part of the time that it
+# has taken, because long runs have long rests.
+_OVERRUN_DIVISOR = 4
+_SHORTEST_REST = timedelta(minutes=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """Accelerators that are expected to be free from some time on."""
+
+    shares: Place
+    at: datetime
+
+
+class Forecast:
+    """Expected ends of the running gangs.
+
+    Parameters
+    ----------
+    state : PartitionState
+        State of the partition.
+    run_times : RunTimes
+        Learned run times.
+    """
+
+    def __init__(self, state: PartitionState, run_times: RunTimes) -> None:
+        """Keep the parts."""
+        self._state = state
+        self._run_times = run_times
+
+    def earliest(self, job: Job, use: Use) -> Opening | None:
+        """Return the earliest opening for a job, or None.
+
+        Places outside of guarantees and without gangs that cannot be stopped
+        come first, because only there the start has an upper bound.
+        """
+        ends = self._expected_ends()
+        for with_firm in (False, True):
+            found = self._search(job, use, ends, with_firm=with_firm)
+            if found is not None:
+                return found
+        return None
+
+    def expected_end(self, gang: Gang) -> datetime:
+        """Return when a gang is expected to end."""
+        now = self._state.now
+        job = self._state.jobs[gang.job_id]
+        started_at = gang.started_at or now
+        needed = self._run_times.estimate(job.spec) - gang.work_before
+        rest = (now - started_at) / _OVERRUN_DIVISOR
+        return max(started_at + needed, now + max(rest, _SHORTEST_REST))
+
+    def _expected_ends(self) -> dict[str, datetime]:
+        return {
+            job_id: self.expected_end(gang)
+            for job_id, gang in self._state.gangs.items()
+        }
+
+    def _search(
+        self,
+        job: Job,
+        use: Use,
+        ends: dict[str, datetime],
+        *,
+        with_firm: bool,
+    ) -> Opening | None:
+        """Search by bisection; capacity only grows with time."""
+        times = sorted({self._state.now, *ends.values()})
+        found = self._place(job, use, ends, times[-1], with_firm=with_firm)
+        if not found:
+            return None
+        opening = Opening(found, times[-1])
+        low = 0
+        high = len(times) - 1
+        while low < high:
+            middle = (low + high) // 2
+            found = self._place(
+                job, use, ends, times[middle], with_firm=with_firm
+            )
+            if found:
+                opening = Opening(found, times[middle])
+                high = middle
+            else:
+                low = middle + 1
+        return opening
+
+    def _place(
+        self,
+        job: Job,
+        use: Use,
+        ends: dict[str, datetime],
+        at: datetime,
+        *,
+        with_firm: bool,
+    ) -> Place:
+        demand = Demand.of(job.spec)
+        capacity = CapacityMap()
+        for worker in self._state.inventory:
+            if worker.is_usable:
+                held = self._held_after(worker, ends, at, with_firm)
+                usable = _room(worker, use, with_firm=with_firm) - held
+                capacity.set(
+                    worker.rack,
+                    worker.worker.worker_id,
+                    worker.machine_limit(demand, max(0, usable)),
+                )
+        return self._state.placer.place(job.spec.shape, capacity, _unlimited)
+
+    def _held_after(
+        self,
+        worker: WorkerState,
+        ends: dict[str, datetime],
+        at: datetime,
+        with_firm: bool,
+    ) -> int:
+        """Return the accelerators that are still held at a time."""
+        worker_id = worker.worker.worker_id
+        return sum(
+            len(gang.members[worker_id].allocation.accelerators)
+            for gang in self._holders(worker_id, with_firm=with_firm)
+            if ends[gang.job_id] > at
+            or (gang.use is Use.firm and not with_firm)
+        )
+
+    def _holders(self, worker_id: str, *, with_firm: bool) -> Sequence[Gang]:
+        """Return the gangs that stand in the way.
+
+        Outside of guarantees the gangs that use one do not.
+        """
+        return [
+            gang
+            for gang in self._state.gangs_on(worker_id)
+            if gang.members[worker_id].holds
+            and (with_firm or gang.use is not Use.guaranteed)
+        ]
+
+
+def _room(worker: WorkerState, use: Use, *, with_firm: bool) -> int:
+    total = worker.worker.accelerators - worker.claimed.accelerators
+    if with_firm and use is Use.lent:
+        return total
+    return total - worker.guaranteed
+
+
+def _unlimited(_worker_id: str, accelerators: int) -> int:
+    return accelerators
--- a/dragonflynotch/core/gang_control.py
+++ b/dragonflynotch/core/gang_control.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 from dragonflynotch.core.actions import (
     CheckpointMember,
@@ -47,15 +47,12 @@
         Right under which they are held.
     guarantee : int or None
         Guarantee that covers the job.
-    backfill_until : datetime or None
-        When a reservation needs the accelerators.
     """
 
     job: Job
     shares: Sequence[Share]
     use: Use
     guarantee: int | None = None
-    backfill_until: datetime | None = None
 
 
 class GangControl:
@@ -81,7 +78,7 @@
             launch.use,
             launch.guarantee,
             members,
-            backfill_until=launch.backfill_until,
+            work_before=job.work_done,
             pending=len(members),
         )
         self._state.queue.remove(job)
@@ -166,11 +163,17 @@
         self._release(gang, worker_id, MemberPhase.finished)
         self.conclude_if_ended(gang)
 
-    def member_ended(self, gang: Gang, worker_id: str, reason: str) -> None:
+    def member_ended(
+        self,
+        gang: Gang,
+        worker_id: str,
+        reason: str,
+        outcome: Outcome = Outcome.requeue,
+    ) -> None:
         """Release a member that ended without success; stop the others."""
         if not gang.members[worker_id].holds:
             return
-        self.stop(gang, Outcome.requeue, reason, skipped=worker_id)
+        self.stop(gang, outcome, reason, skipped=worker_id)
         self._release(gang, worker_id, MemberPhase.released)
         self.conclude_if_ended(gang)
 
@@ -302,11 +305,6 @@
             gang.job_id, state=JobState.running, started_at=gang.started_at
         )
         self._plan_checkpoint(gang)
-        if gang.backfill_until is not None:
-            self._state.timers.set(
-                Deadline(DeadlineKind.overrun, gang.job_id),
-                gang.backfill_until,
-            )
 
     def _plan_checkpoint(self, gang: Gang) -> None:
         if self._state.jobs[gang.job_id].spec.is_checkpointable:
@@ -329,7 +327,7 @@
         self._cancel_timers(gang)
         self._state.timers.cancel(Deadline(DeadlineKind.stop, gang.job_id))
         self._state.drop_gang(gang)
-        if gang.all_in(MemberPhase.finished):
+        if gang.is_complete:
             self._end(gang, JobState.finished)
         elif gang.outcome is Outcome.requeue:
             self._requeue(gang)
@@ -352,7 +350,7 @@
             started_at=None,
             detail=gang.reason,
         )
-        self._state.queue.add(job)
+        self._state.enqueue(job)
 
     def _set_timer(
         self, kind: DeadlineKind, gang: Gang, delay: timedelta
@@ -374,7 +372,6 @@
     DeadlineKind.prepare,
     DeadlineKind.confirm,
     DeadlineKind.checkpoint,
-    DeadlineKind.overrun,
 )
 
 
--- a/dragonflynotch/core/gangs.py
+++ b/dragonflynotch/core/gangs.py
@@ -96,7 +96,7 @@
     reason: str = ''
     started_at: datetime | None = None
     safe_at: datetime | None = None
-    backfill_until: datetime | None = None
+    work_before: timedelta = timedelta()
     stop_ordered_at: datetime | None = None
     checkpoint_limit: timedelta = timedelta()
     checkpoints: dict[str, dict[str, timedelta]] = field(default_factory=dict)
@@ -110,6 +110,11 @@
             for member in self.members.values()
         )
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether every member ended with success."""
+        return self.all_in(MemberPhase.finished)
+
     @property
     def holders(self) -> Iterator[str]:
         """Workers on which the gang still holds accelerators."""
--- a/dragonflynotch/core/inventory.py
+++ b/dragonflynotch/core/inventory.py
@@ -202,6 +202,19 @@
             ),
         )
 
+    def machine_limit(self, demand: Demand, accelerators: int) -> int:
+        """Return for how many accelerators the idle machine has all else."""
+        return min(
+            accelerators,
+            self.worker.cores * _MILLI // max(1, demand.millicores),
+            self.worker.memory_mb // max(1, demand.memory_mb),
+        )
+
+    def has_firm_room(self, accelerators: int) -> bool:
+        """Whether gangs that cannot be reclaimed may hold so many more."""
+        outside = self.worker.accelerators - self.guaranteed
+        return self.firm.accelerators + accelerators <= outside
+
     def share_covers(self, demand: Demand) -> bool:
         """Whether an accelerator's share of the worker meets the demand."""
         total = max(1, self.worker.accelerators)
--- a/dragonflynotch/core/jobs.py
+++ b/dragonflynotch/core/jobs.py
@@ -129,6 +129,8 @@
         Why the job ended or waits, in one sentence.
     failed_workers : tuple of str
         Distinct workers on which a member of the job failed.
+    failures : int
+        Attempts that ended with the failure of a member.
     is_cancel_requested : bool
         Whether the job ends as cancelled once its gang has stopped; kept in
         the record so that a new owner completes the cancellation.
@@ -146,4 +148,5 @@
     work_done: timedelta = timedelta()
     detail: str = ''
     failed_workers: tuple[str, ...] = field(default=())
+    failures: int = 0
     is_cancel_requested: bool = False
--- a/dragonflynotch/core/member_events.py
+++ b/dragonflynotch/core/member_events.py
@@ -1,6 +1,5 @@
 """Events and reports of gang members, applied to the current attempts."""
 
-from dragonflynotch.core.actions import StopMember
 from dragonflynotch.core.events import (
     CheckpointTaken,
     MemberEvent,
@@ -14,16 +13,19 @@
     MemberStopped,
     WorkerReported,
 )
-from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import Gang, GangPhase, MemberPhase
+from dragonflynotch.core.health import Health
+from dragonflynotch.core.sizes import Sizes
 from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.strays import Strays
 
 __all__ = ('MemberEvents',)
 
 # A report may have been made before an order that it seems to contradict, so
 # a member counts as gone only after two reports without it.
 _MISSING_REPORTS = 2
+_MEMBER_ENDS = (MemberFailed, MemberFinished, MemberRefused, MemberStopped)
 
 
 class MemberEvents:
@@ -35,17 +37,28 @@
         State of the partition.
     gangs : GangControl
         Runs the gang protocol.
-    fleet : Fleet
-        Workers of the partition.
+    health : Health
+        Weighs failures.
+    sizes : Sizes
+        Compares usage with declared sizes.
+    strays : Strays
+        Members that no attempt expects.
     """
 
     def __init__(
-        self, state: PartitionState, gangs: GangControl, fleet: Fleet
+        self,
+        state: PartitionState,
+        gangs: GangControl,
+        health: Health,
+        sizes: Sizes,
+        strays: Strays,
     ) -> None:
         """Keep the parts."""
+        self._strays = strays
         self._state = state
         self._gangs = gangs
-        self._fleet = fleet
+        self._health = health
+        self._sizes = sizes
 
     def current_gang(
         self, job_id: str, attempt: int, worker_id: str
@@ -60,6 +73,10 @@
         """Apply an event; events of other attempts change nothing."""
         gang = self.current_gang(event.job_id, event.attempt, event.worker_id)
         if gang is None:
+            if isinstance(event, _MEMBER_ENDS):
+                self._strays.ended(
+                    (event.job_id, event.attempt, event.worker_id)
+                )
             return
         worker_id = event.worker_id
         match event:
@@ -70,9 +87,7 @@
             case MemberFinished():
                 self._gangs.member_finished(gang, worker_id)
             case MemberFailed(reason=reason):
-                self._gangs.member_ended(
-                    gang, worker_id, f'failed on {worker_id}: {reason}'
-                )
+                self._health.member_failed(gang, worker_id, reason)
             case MemberRefused(reason=reason):
                 self._refused(gang, worker_id, reason)
             case MemberStopped():
@@ -82,25 +97,35 @@
             case CheckpointTaken():
                 self._gangs.checkpoint_taken(gang, event)
 
-    def report(self, report: WorkerReported) -> None:
-        """Compare a report with what the partition expects."""
+    def find_strays(self, report: WorkerReported) -> None:
+        """Stop the members of a report that no attempt expects."""
+        unexpected = [
+            member
+            for member in report.members
+            if self.current_gang(
+                member.job_id, member.attempt, report.worker_id
+            )
+            is None
+        ]
+        self._strays.observe(report.worker_id, unexpected)
+
+    def compare(self, report: WorkerReported) -> None:
+        """Compare a report with the phases of the expected members."""
         listed = set()
         for member in report.members:
             gang = self.current_gang(
                 member.job_id, member.attempt, report.worker_id
             )
-            if gang is None:
-                self._stop_stray(report.worker_id, member)
-                continue
-            listed.add(member.job_id)
-            gang.members[report.worker_id].missing_reports = 0
-            self._apply_report(gang, report.worker_id, member)
-        for gang in self._state.gangs_on(report.worker_id):
-            if gang.job_id not in listed:
-                self._note_missing(gang, report.worker_id)
+            if gang is not None:
+                listed.add(member.job_id)
+                gang.members[report.worker_id].missing_reports = 0
+                self._apply_report(gang, report.worker_id, member)
+        for expected in self._state.gangs_on(report.worker_id):
+            if expected.job_id not in listed:
+                self._note_missing(expected, report.worker_id)
 
     def _refused(self, gang: Gang, worker_id: str, reason: str) -> None:
-        self._fleet.cool_down(worker_id)
+        self._health.order_failed(gang, worker_id)
         self._gangs.member_ended(
             gang, worker_id, f'refused by {worker_id}: {reason}'
         )
@@ -112,12 +137,15 @@
             case MemberState.prepared:
                 self._reported_prepared(gang, worker_id)
             case MemberState.running:
-                self._reported_running(gang, worker_id)
+                self._gangs.member_started(gang, worker_id)
+                self._sizes.observe(gang, worker_id, report)
             case MemberState.finished:
                 self._gangs.member_finished(gang, worker_id)
-            case MemberState.failed | MemberState.stopped:
+            case MemberState.failed:
+                self._health.member_failed(gang, worker_id, 'as reported')
+            case MemberState.stopped:
                 self._gangs.member_ended(
-                    gang, worker_id, f'{report.state.value} on {worker_id}'
+                    gang, worker_id, f'stopped by worker {worker_id}'
                 )
 
     def _reported_prepared(self, gang: Gang, worker_id: str) -> None:
@@ -126,9 +154,6 @@
         if is_held and gang.phase is GangPhase.starting:
             self._gangs.order_start(gang, worker_id)
 
-    def _reported_running(self, gang: Gang, worker_id: str) -> None:
-        self._gangs.member_started(gang, worker_id)
-
     def _note_missing(self, gang: Gang, worker_id: str) -> None:
         member = gang.members[worker_id]
         if not member.holds:
@@ -141,14 +166,3 @@
             self._gangs.member_ended(
                 gang, worker_id, f'no longer known to {worker_id}'
             )
-
-    def _stop_stray(self, worker_id: str, report: MemberReport) -> None:
-        if report.state in {MemberState.prepared, MemberState.running}:
-            self._state.emit(
-                StopMember(
-                    report.job_id,
-                    report.attempt,
-                    worker_id,
-                    self._state.fence,
-                )
-            )
--- a/dragonflynotch/core/partition.py
+++ b/dragonflynotch/core/partition.py
@@ -25,16 +25,26 @@
 from dragonflynotch.core.expiry import Expiry
 from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
+from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.guarantee_book import GuaranteeBook
+from dragonflynotch.core.health import Health
 from dragonflynotch.core.jobs import Job, JobState
 from dragonflynotch.core.member_events import MemberEvents
 from dragonflynotch.core.placement import FragmentationAwarePlacer, Placer
 from dragonflynotch.core.policy import PolicySettings
+from dragonflynotch.core.reservations import Reservations
+from dragonflynotch.core.runtimes import RunTimes
 from dragonflynotch.core.scheduler import Scheduler
+from dragonflynotch.core.sizes import Sizes
 from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.strays import Strays
 from dragonflynotch.core.submissions import Submissions
 from dragonflynotch.core.takeover import Takeover
-from dragonflynotch.core.waiting import WaitingJob, explain_claim
+from dragonflynotch.core.waiting import (
+    WaitingJob,
+    explain_claim,
+    explain_reservation,
+)
 
 __all__ = ('Partition',)
 
@@ -79,19 +89,42 @@
         self._gangs = GangControl(self._state)
         self._book = GuaranteeBook(self._state)
         self._fleet = Fleet(self._state, self._gangs, self._book)
-        self._members = MemberEvents(self._state, self._gangs, self._fleet)
-        self._takeover = Takeover(self._state, self._gangs, self._fleet)
+        self._strays = Strays(self._state)
+        self._health = Health(self._state, self._gangs, self._fleet)
+        self._members = MemberEvents(
+            self._state,
+            self._gangs,
+            self._health,
+            Sizes(self._state, self._gangs),
+            self._strays,
+        )
+        self._takeover = Takeover(self._state, self._gangs, self._strays)
         self._claims = Claims(self._state, self._gangs, self._book)
+        self._run_times = RunTimes(self._state.policy.run_time_quantile)
+        self._reservations = Reservations(
+            self._state, self._gangs, self._claims, self._run_times
+        )
         self._scheduler = Scheduler(
-            self._state, self._gangs, self._book, self._claims
+            self._state,
+            self._gangs,
+            self._book,
+            self._claims,
+            self._reservations,
         )
         self._submissions = Submissions(
             self._state, self._gangs, self._claims, self._takeover
         )
         self._expiry = Expiry(
-            self._state, self._gangs, self._fleet, self._takeover
+            self._state,
+            self._gangs,
+            self._fleet,
+            self._takeover,
+            self._reservations,
+            self._health,
         )
         self._state.observers.append(self._book.gang_ended)
+        self._state.observers.append(self._learn_run_time)
+        self._state.observers.append(self._health.gang_ended)
         self._handlers: dict[type, Callable[[Any], None]] = {
             WorkerJoined: self._worker_joined,
             WorkerLost: self._worker_lost,
@@ -154,6 +187,7 @@
             self._handlers[type(event)](event)
         self._expiry.run()
         if self._state.is_owner:
+            self._takeover.release_inherited()
             self._scheduler.run()
         return self._state.drain()
 
@@ -174,7 +208,10 @@
         claim = self._claims.find(job.job_id)
         if claim is not None:
             return explain_claim(job, claim, self._book, now)
-        group = self._state.queue.group_of(job)
+        reservation = self._reservations.current
+        if reservation is not None and reservation.job_id == job.job_id:
+            return explain_reservation(job, reservation, now)
+        group = self._state.queue.group_of(job.job_id)
         reason = group.blocked_reason if group is not None else ''
         return WaitingJob(
             job.job_id,
@@ -183,6 +220,11 @@
             reason or job.detail or 'waits for its turn',
         )
 
+    def _learn_run_time(self, gang: Gang, job: Job) -> None:
+        if gang.started_at is not None and gang.is_complete:
+            ran = self._state.now - gang.started_at
+            self._run_times.observe(job.spec, gang.work_before + ran)
+
     def _member_event(self, event: MemberEvent) -> None:
         if self._state.is_owner:
             self._members.apply(event)
@@ -196,9 +238,12 @@
 
     def _worker_reported(self, event: WorkerReported) -> None:
         """Apply a report made under this ownership; others prove nothing."""
-        if self._state.is_owner and event.fence == self._state.fence:
-            self._takeover.verify(event)
-            self._members.report(event)
+        if not self._state.is_owner or event.fence != self._state.fence:
+            return
+        is_first = self._takeover.verify(event)
+        self._members.find_strays(event)
+        if not is_first:
+            self._members.compare(event)
 
     def _job_submitted(self, event: JobSubmitted) -> None:
         self._submissions.submit(event.job)
@@ -216,12 +261,15 @@
     def _ownership_gained(self, event: OwnershipGained) -> None:
         if event.fence > self._state.fence:
             self._claims.clear()
+            self._reservations.clear()
             self._takeover.gain(event)
             self._book.start_again()
 
     def _ownership_lost(self, _event: OwnershipLost) -> None:
         self._state.is_owner = False
         self._claims.clear()
+        self._reservations.clear()
+        self._strays.clear()
         self._state.reset()
         self._book.start_again()
 
--- a/dragonflynotch/core/policy.py
+++ b/dragonflynotch/core/policy.py
@@ -36,8 +36,10 @@
         Time after which a quarantined worker is tried again.
     bad_job_workers : int
         Distinct workers on which a job must fail to count as a bad job.
-    is_backfill_by_declared_time : bool
-        Use declared instead of learned run times; a baseline for benchmarks.
+    max_failures : int
+        Failed attempts after which a job is failed.
+    size_tolerance : float
+        Share above the declared size that counts as measurement error.
     """
 
     prepare_timeout: timedelta = timedelta(seconds=5)
@@ -52,7 +54,8 @@
     quarantine_evidence: int = 3
     quarantine_period: timedelta = timedelta(minutes=10)
     bad_job_workers: int = 4
-    is_backfill_by_declared_time: bool = False
+    max_failures: int = 8
+    size_tolerance: float = 0.05
 
     @property
     def reclaim_bound(self) -> timedelta:
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -10,6 +10,7 @@
 from dragonflynotch.core.inventory import Demand, Use
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.core.placement import Share
+from dragonflynotch.core.reservations import Reservations
 from dragonflynotch.core.state import PartitionState
 from dragonflynotch.core.waiting_queue import QueueGroup
 
@@ -47,6 +48,8 @@
         Guarantees in force.
     claims : Claims
         Accelerators that are being freed.
+    reservations : Reservations
+        Accelerators kept for the longest-waiting job.
     """
 
     def __init__(
@@ -55,8 +58,10 @@
         gangs: GangControl,
         book: GuaranteeBook,
         claims: Claims,
+        reservations: Reservations,
     ) -> None:
         """Keep the parts."""
+        self._reservations = reservations
         self._claims = claims
         self._state = state
         self._gangs = gangs
@@ -70,7 +75,9 @@
         jobs may make new claims.
         """
         self._claims.advance()
+        self._reservations.drop_if_stale()
         self._try_groups()
+        self._reservations.advance()
         self._claims.advance()
 
     def _try_groups(self) -> None:
@@ -107,6 +114,7 @@
             or self._place_generally(job, self._state.inventory.open)
             or self._claim(job)
             or self._borrow(job)
+            or self._backfill(job)
             or Blocked('waits for free accelerators')
         )
 
@@ -127,6 +135,14 @@
             return None
         return self._place_generally(job, self._state.inventory.free)
 
+    def _backfill(self, job: Job) -> Launch | None:
+        """Return a launch on reserved accelerators until they are needed."""
+        capacity = CapacityMap()
+        for worker_id in self._reservations.window_for(job):
+            worker = self._state.inventory[worker_id]
+            capacity.set(worker.rack, worker_id, worker.unclaimed)
+        return self._place_generally(job, capacity)
+
     def _claim(self, job: Job) -> Claimed | None:
         """Claim a part of a guarantee that others have borrowed."""
         for placed in self._book.of_workspace(job.spec.workspace):
@@ -176,8 +192,11 @@
         self, job: Job, capacity: CapacityMap, use: Use
     ) -> tuple[Share, ...]:
         demand = Demand.of(job.spec)
+        avoided = self._state.avoided.get(job.job_id, frozenset())
 
         def limit(worker_id: str, accelerators: int) -> int:
+            if worker_id in avoided:
+                return 0
             worker = self._state.inventory[worker_id]
             return worker.limit(demand, accelerators, use)
 
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -46,6 +46,7 @@
         self.timers = Timers()
         self.capacity_version = 0
         self.accelerators_of: Counter[str] = Counter()
+        self.avoided: dict[str, frozenset[str]] = {}
         self.max_accelerators: Mapping[str, int] = {}
         self.observers: list[GangObserver] = []
         self._actions: list[Action] = []
@@ -55,6 +56,7 @@
         self.queue = WaitingQueue()
         self.jobs.clear()
         self.gangs.clear()
+        self.avoided.clear()
         self.on_worker.clear()
         self.accelerators_of.clear()
         self.timers = Timers()
@@ -89,6 +91,7 @@
         """Store a job and have its record written; forget it if final."""
         if job.state.is_final:
             self.jobs.pop(job.job_id, None)
+            self.avoided.pop(job.job_id, None)
         else:
             self.jobs[job.job_id] = job
         self.emit(WriteJob(job))
@@ -98,6 +101,10 @@
         """Change a job and have its record written."""
         return self.save(replace(self.jobs[job_id], **changes))  # type: ignore[arg-type]
 
+    def enqueue(self, job: Job) -> None:
+        """Let a job wait."""
+        self.queue.add(job, self.avoided.get(job.job_id, frozenset()))
+
     def add_gang(self, gang: Gang) -> None:
         """Register a gang whose accelerators are already held."""
         self.gangs[gang.job_id] = gang
--- a/dragonflynotch/core/submissions.py
+++ b/dragonflynotch/core/submissions.py
@@ -82,5 +82,5 @@
         if obstacle is not None:
             return NeverRunnable(obstacle)
         waiting = replace(job, state=JobState.waiting)
-        self._state.queue.add(self._state.save(waiting))
+        self._state.enqueue(self._state.save(waiting))
         return Accepted()
--- a/dragonflynotch/core/takeover.py
+++ b/dragonflynotch/core/takeover.py
@@ -7,7 +7,6 @@
     OwnershipGained,
     WorkerReported,
 )
-from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import (
     Gang,
@@ -19,6 +18,7 @@
 from dragonflynotch.core.inventory import Allocation, Demand, Use
 from dragonflynotch.core.jobs import Job, JobState, Member
 from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.strays import Strays
 
 __all__ = ('Takeover',)
 
@@ -36,17 +36,17 @@
         State of the partition.
     gangs : GangControl
         Runs the gang protocol.
-    fleet : Fleet
-        Workers of the partition.
+    strays : Strays
+        Members that no attempt expects.
     """
 
     def __init__(
-        self, state: PartitionState, gangs: GangControl, fleet: Fleet
+        self, state: PartitionState, gangs: GangControl, strays: Strays
     ) -> None:
         """Keep the parts."""
         self._state = state
         self._gangs = gangs
-        self._fleet = fleet
+        self._strays = strays
         self._is_lease_over = True
         self._inherited: dict[str, None] = {}
         self._unverified: dict[str, None] = {}
@@ -54,7 +54,7 @@
     @property
     def is_settled(self) -> bool:
         """Whether no task of an earlier owner can be unknown any more."""
-        return self._is_lease_over and not self._unverified
+        return self._is_lease_over and not self._unverified and not self._strays
 
     def gain(self, event: OwnershipGained) -> None:
         """Rebuild the state from the job records.
@@ -63,6 +63,7 @@
         """
         state = self._state
         state.reset()
+        self._strays.clear()
         state.is_owner = True
         state.fence = event.fence
         self._is_lease_over = event.fence <= _FIRST_FENCE
@@ -72,7 +73,6 @@
             self._distrust_workers()
         for job in event.jobs:
             self._inherit(job)
-        self.release_inherited()
 
     def needs_verification(self, worker_id: str) -> bool:
         """Note a worker that joins; True if it must report first."""
@@ -84,7 +84,8 @@
     def forget(self, worker_id: str) -> None:
         """Wait no longer for a worker, because its lease has expired."""
         self._unverified.pop(worker_id, None)
-        self.release_inherited()
+        if worker_id not in self._state.inventory:
+            self._strays.worker_removed(worker_id)
 
     def lease_over(self) -> None:
         """Give up the members of workers that were never heard."""
@@ -98,12 +99,11 @@
                         f'worker {worker_id} is silent since the takeover',
                     )
                     self._gangs.release_silent(gang, worker_id)
-        self.release_inherited()
 
-    def verify(self, report: WorkerReported) -> None:
-        """Take over what a guard holds, from its first report."""
+    def verify(self, report: WorkerReported) -> bool:
+        """Take over what a guard holds; True if it was its first report."""
         if report.worker_id not in self._unverified:
-            return
+            return False
         self._unverified.pop(report.worker_id)
         listed = {
             (member.job_id, member.attempt): member for member in report.members
@@ -117,7 +117,7 @@
             worker.is_verified = True
             self._state.inventory.refresh(worker)
             self._state.capacity_changed()
-        self.release_inherited()
+        return True
 
     def drop(self, job_id: str) -> bool:
         """Forget an inherited job; True if it was one."""
@@ -128,9 +128,9 @@
 
     def release_inherited(self) -> None:
         """Let the inherited jobs start once no old task can be unknown."""
-        if self.is_settled:
+        if self._inherited and self.is_settled:
             for job_id in self._inherited:
-                self._state.queue.add(self._state.jobs[job_id])
+                self._state.enqueue(self._state.jobs[job_id])
             self._inherited.clear()
 
     def _distrust_workers(self) -> None:
--- a/dragonflynotch/core/waiting.py
+++ b/dragonflynotch/core/waiting.py
@@ -6,8 +6,9 @@
 from dragonflynotch.core.claims import Claim
 from dragonflynotch.core.guarantee_book import GuaranteeBook
 from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.reservations import Reservation
 
-__all__ = ('WaitingJob', 'explain_claim')
+__all__ = ('WaitingJob', 'explain_claim', 'explain_reservation')
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,3 +53,16 @@
         guarantee,
         claim.start_by,
     )
+
+
+def explain_reservation(
+    job: Job, reservation: Reservation, now: datetime
+) -> WaitingJob:
+    """Return the explanation of a job for which accelerators are kept."""
+    return WaitingJob(
+        job.job_id,
+        job.spec.workspace,
+        now - job.submitted_at,
+        f'waits for its reservation on {len(reservation.shares)} workers',
+        start_by=reservation.start_by,
+    )
--- a/dragonflynotch/core/waiting_queue.py
+++ b/dragonflynotch/core/waiting_queue.py
@@ -8,7 +8,7 @@
 from dragonflynotch.core.jobs import Job, JobSpec, PriorityClass
 from dragonflynotch.core.shapes import Shape
 
-__all__ = ('GroupKey', 'QueueGroup', 'WaitingQueue', 'group_key', 'queue_key')
+__all__ = ('GroupKey', 'QueueGroup', 'WaitingQueue', 'queue_key')
 
 _RANK = {
     PriorityClass.urgent: 0,
@@ -29,6 +29,7 @@
     cores_per_accelerator: float
     memory_mb_per_accelerator: int
     is_checkpointable: bool
+    avoided: frozenset[str]
 
 
 def queue_key(job: Job) -> QueueKey:
@@ -40,8 +41,7 @@
     )
 
 
-def group_key(spec: JobSpec) -> GroupKey:
-    """Return the key under which jobs have the same chance to start."""
+def _group_key(spec: JobSpec, avoided: frozenset[str]) -> GroupKey:
     return GroupKey(
         spec.workspace,
         spec.kind,
@@ -50,6 +50,7 @@
         spec.cores_per_accelerator,
         spec.memory_mb_per_accelerator,
         spec.is_checkpointable,
+        avoided,
     )
 
 
@@ -103,19 +104,30 @@
     def __init__(self) -> None:
         """Create an empty queue."""
         self._groups: dict[GroupKey, QueueGroup] = {}
+        self._keys: dict[str, GroupKey] = {}
 
     @property
     def groups(self) -> tuple[QueueGroup, ...]:
         """All groups with waiting jobs."""
         return tuple(self._groups.values())
 
-    def group_of(self, job: Job) -> QueueGroup | None:
-        """Return the group in which a job would wait."""
-        return self._groups.get(group_key(job.spec))
-
-    def add(self, job: Job) -> None:
-        """Add a waiting job."""
-        key = group_key(job.spec)
+    def group_of(self, job_id: str) -> QueueGroup | None:
+        """Return the group in which a job waits, or None."""
+        key = self._keys.get(job_id)
+        return None if key is None else self._groups[key]
+
+    def add(self, job: Job, avoided: frozenset[str]) -> None:
+        """Add a waiting job.
+
+        Parameters
+        ----------
+        job : Job
+            The job.
+        avoided : frozenset of str
+            Workers on which it must not be placed.
+        """
+        key = _group_key(job.spec, avoided)
+        self._keys[job.job_id] = key
         group = self._groups.get(key)
         if group is None:
             group = QueueGroup(key)
@@ -124,12 +136,17 @@
 
     def remove(self, job: Job) -> None:
         """Remove a job, if it waits."""
-        key = group_key(job.spec)
-        group = self._groups.get(key)
-        if group is not None:
-            group.remove(job)
-            if not group:
-                self._groups.pop(key)
+        key = self._keys.pop(job.job_id, None)
+        if key is None:
+            return
+        group = self._groups[key]
+        group.remove(job)
+        if not group:
+            self._groups.pop(key)
+
+    def has(self, job_id: str) -> bool:
+        """Whether a job waits in the queue."""
+        return job_id in self._keys
 
     def longest_waiting(self) -> Iterator[str]:
         """Yield the first job of each group, the longest waiting first."""
--- /dev/null
+++ b/tests/core/test_health.py
@@ -0,0 +1,121 @@
+"""Bad workers, bad jobs and wrong sizes are told apart."""
+
+from datetime import timedelta
+
+import pytest
+
+from dragonflynotch.core.actions import (
+    QuarantineWorker,
+    ReadmitWorker,
+    ThrottleMember,
+)
+from dragonflynotch.core.events import (
+    MemberFailed,
+    MemberRefused,
+    MemberReport,
+    MemberState,
+    WorkerReported,
+)
+from dragonflynotch.core.shapes import Proximity
+from tests.core.driver import Driver, make_worker
+
+WORKERS = [make_worker(number, rack=number // 3) for number in range(11)]
+
+
+@pytest.fixture
+def driver():
+    return Driver(WORKERS)
+
+
+def kinds(driver, kind):
+    return [action for action in driver.actions if isinstance(action, kind)]
+
+
+def fail(driver, job_id, event=MemberFailed):
+    job = driver.records[job_id]
+    worker_id = job.members[0].worker_id
+    driver.guards.members.pop((job_id, job.attempt, worker_id), None)
+    driver.send(event(job_id, job.attempt, worker_id, 'exit code 1'))
+    return worker_id
+
+
+def fail_on(driver, worker_id, job_id, event=MemberFailed):
+    """Let jobs fail until one of them fails on the given worker."""
+    driver.submit(job_id, 8, Proximity.worker)
+    while driver.records[job_id].members[0].worker_id != worker_id:
+        driver.submit(f'{job_id}-other', 8, Proximity.worker)
+        job_id = f'{job_id}-other'
+    fail(driver, job_id, event)
+    driver.finish(job_id)
+
+
+@pytest.mark.parametrize('event', [MemberFailed, MemberRefused])
+def test_worker_that_fails_distinct_jobs_is_quarantined(driver, event):
+    """Guards against a worker that eats every job it is given."""
+    for name in 'abc':
+        fail_on(driver, 'w0', name, event)
+        driver.advance(timedelta(seconds=6))
+    assert [entry.worker_id for entry in kinds(driver, QuarantineWorker)] == [
+        'w0'
+    ]
+    driver.submit('d', 8, Proximity.worker)
+    assert driver.records['d'].members[0].worker_id != 'w0'
+    driver.advance(timedelta(minutes=10))
+    assert kinds(driver, ReadmitWorker) == [ReadmitWorker('w0')]
+
+
+def test_one_job_is_no_evidence_against_a_worker():
+    """Guards against a bad job that takes healthy workers away."""
+    driver = Driver(WORKERS[:1])
+    driver.submit('a', 8)
+    for _ in range(7):
+        fail(driver, 'a')
+    assert not kinds(driver, QuarantineWorker)
+    assert driver.state('a') == 'running'
+    fail(driver, 'a')
+    assert driver.state('a') == 'failed'
+
+
+def test_job_that_fails_on_distinct_workers_is_a_bad_job(driver):
+    """Guards against a job that is retried for ever."""
+    driver.submit('a', 8, Proximity.worker)
+    workers = [fail(driver, 'a') for _ in range(4)]
+    assert len(set(workers)) == 4
+    assert driver.state('a') == 'failed'
+    assert 'distinct workers' in driver.records['a'].detail
+
+
+def test_quarantine_has_a_cap():
+    """Guards against a common fault that takes every worker away."""
+    driver = Driver(WORKERS[:4])
+    for name in 'abc':
+        fail_on(driver, 'w0', name)
+    assert not kinds(driver, QuarantineWorker)
+
+
+def report(driver, cores):
+    job = driver.records['a']
+    worker_id = job.members[0].worker_id
+    usage = MemberReport(
+        'a', job.attempt, MemberState.running, (0,), cores_used=cores
+    )
+    driver.send(WorkerReported(worker_id, (usage,), 1))
+
+
+@pytest.mark.parametrize(
+    ('usage', 'throttled', 'state'),
+    [
+        ([9], 0, 'running'),
+        ([9, 8, 9], 0, 'running'),
+        ([9, 9], 1, 'running'),
+        ([9, 9, 8, 8], 1, 'running'),
+        ([9, 9, 9, 9], 1, 'failed'),
+    ],
+)
+def test_oversize_is_throttled_then_stopped(driver, usage, throttled, state):
+    """Guards against a decision on a single, late usage report."""
+    driver.submit('a', 8, Proximity.worker)
+    for cores in usage:
+        report(driver, cores)
+    assert len(kinds(driver, ThrottleMember)) == throttled
+    assert driver.state('a') == state
--- /dev/null
+++ b/tests/core/test_reservations.py
@@ -0,0 +1,122 @@
+"""The longest-waiting job gets a place at a stated time."""
+
+from datetime import timedelta
+
+import pytest
+
+from dragonflynotch.core.events import JobCancelled, WorkerLost
+from dragonflynotch.core.jobs import JobSpec
+from dragonflynotch.core.runtimes import RunTimes
+from dragonflynotch.core.shapes import Proximity, Shape
+from tests.core.driver import Driver, make_job, make_worker
+
+MINUTE = timedelta(minutes=1)
+RACK = [make_worker(number) for number in range(3)]
+
+
+def explain(driver, job_id):
+    return next(
+        entry
+        for entry in driver.partition.waiting(driver.clock.now())
+        if entry.job_id == job_id
+    )
+
+
+@pytest.fixture
+def busy():
+    """Two workers run for an hour, one is free; a whole rack is wanted."""
+    driver = Driver(RACK)
+    for name in ('one', 'two'):
+        driver.submit(name, 8, Proximity.worker)
+    driver.submit('large', 24)
+    return driver
+
+
+def test_large_job_is_not_starved_by_small_ones(busy):
+    """Guards against small jobs that keep a large one waiting for ever."""
+    busy.advance(MINUTE)
+    for number in range(3):
+        busy.submit(f'small{number}', 8, Proximity.worker, kind='long')
+    assert busy.state('small0') == 'waiting'
+    bound = explain(busy, 'large').start_by
+    assert bound == busy.clock.now() + timedelta(minutes=59, seconds=55)
+    busy.advance(bound - busy.clock.now())
+    assert busy.state('large') == 'running'
+
+
+def test_reserved_job_starts_early_when_all_end_early(busy):
+    """Guards against a reservation that waits for a time already useless."""
+    busy.advance(MINUTE)
+    busy.finish('one')
+    busy.finish('two')
+    assert busy.state('large') == 'running'
+
+
+@pytest.mark.parametrize(
+    ('declared', 'checkpointable', 'state'),
+    [(30, True, 'running'), (90, True, 'waiting'), (30, False, 'waiting')],
+)
+def test_only_short_stoppable_jobs_run_beside_a_reservation(
+    busy, declared, checkpointable, state
+):
+    """Guards against backfill that delays the reserved job."""
+    busy.advance(MINUTE)
+    busy.submit(
+        'small',
+        8,
+        Proximity.worker,
+        kind='short',
+        declared_run_time=declared * MINUTE,
+        is_checkpointable=checkpointable,
+    )
+    assert busy.state('small') == state
+
+
+def test_job_that_overruns_its_window_is_checkpointed_and_requeued(busy):
+    """Guards against a declared time that is far too short."""
+    busy.advance(MINUTE)
+    busy.submit('small', 8, kind='short', declared_run_time=MINUTE)
+    busy.advance(timedelta(minutes=60))
+    assert busy.state('large') == 'running'
+    assert busy.state('small') == 'waiting'
+    assert busy.records['small'].checkpoint
+
+
+def test_lost_worker_moves_the_reservation(busy):
+    """Guards against a reservation on hardware that is gone."""
+    busy.send(*[])
+    busy.advance(MINUTE)
+    busy.send(WorkerLost('w2', 'silent'))
+    assert explain(busy, 'large').start_by is None
+
+
+def test_cancelled_job_gives_its_reservation_back(busy):
+    """Guards against accelerators kept for a job that is gone."""
+    busy.advance(MINUTE)
+    busy.submit('small', 8, kind='long')
+    busy.send(JobCancelled('large'))
+    assert busy.state('small') == 'running'
+
+
+def test_idle_partition_has_no_deadline():
+    """Guards against timers that fire for ever without a purpose."""
+    driver = Driver(RACK)
+    driver.submit('a', 24, is_checkpointable=False)
+    driver.finish('a')
+    assert driver.partition.next_deadline is None
+
+
+@pytest.mark.parametrize(
+    ('observed', 'expected'),
+    [([], 60), ([90], 90), ([5] * 10, 5), ([*range(1, 11)], 9)],
+)
+def test_run_times_are_learned_not_believed(observed, expected):
+    """Guards against declared run times that are far off."""
+    run_times = RunTimes(0.9)
+    spec = make_job('a').spec
+    assert isinstance(spec, JobSpec)
+    for minutes in observed:
+        run_times.observe(spec, minutes * MINUTE)
+    assert run_times.estimate(spec) == expected * MINUTE
+    other = JobSpec('other', 'audit', Shape(1))
+    assert run_times.estimate(other) == 60 * MINUTE
