--- a/dragonflynotch/core/jobs.py
+++ b/dragonflynotch/core/jobs.py
@@ -79,6 +79,11 @@
     deadline: datetime | None = None
     command: str = ''
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the job belongs to the most important class."""
+        return self.priority is PriorityClass.urgent
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -122,6 +127,13 @@
         Run time preserved in the last checkpoint.
     detail : str
         Why the job ended or waits, in one sentence.
+    failed_workers : tuple of str
+        Distinct workers on which a member of the job failed.
+    failures : int
+        Attempts that ended with the failure of a member.
+    is_cancel_requested : bool
+        Whether the job ends as cancelled once its gang has stopped; kept in
+        the record so that a new owner completes the cancellation.
     """
 
     job_id: str
@@ -136,3 +148,5 @@
     work_done: timedelta = timedelta()
     detail: str = ''
     failed_workers: tuple[str, ...] = field(default=())
+    failures: int = 0
+    is_cancel_requested: bool = False
--- /dev/null
+++ b/dragonflynotch/core/partition.py
@@ -0,0 +1,282 @@
+"""Scheduling partition of a data centre: events in, actions out."""
+
+from collections.abc import Callable
+from datetime import datetime
+from typing import Any
+
+from dragonflynotch.core.actions import (
+    Action,
+)
+from dragonflynotch.core.claims import Claims
+from dragonflynotch.core.events import (
+    Event,
+    GuaranteesChanged,
+    JobCancelled,
+    JobSubmitted,
+    MemberEvent,
+    OwnershipGained,
+    OwnershipLost,
+    QuotasChanged,
+    TimerFired,
+    WorkerJoined,
+    WorkerLost,
+    WorkerReported,
+)
+from dragonflynotch.core.expiry import Expiry
+from dragonflynotch.core.fleet import Fleet
+from dragonflynotch.core.gang_control import GangControl
+from dragonflynotch.core.gangs import Gang
+from dragonflynotch.core.guarantee_book import GuaranteeBook
+from dragonflynotch.core.health import Health
+from dragonflynotch.core.jobs import Job, JobState
+from dragonflynotch.core.member_events import MemberEvents
+from dragonflynotch.core.placement import FragmentationAwarePlacer, Placer
+from dragonflynotch.core.policy import PolicySettings
+from dragonflynotch.core.reservations import Reservations
+from dragonflynotch.core.runtimes import RunTimes
+from dragonflynotch.core.scheduler import Scheduler
+from dragonflynotch.core.sizes import Sizes
+from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.strays import Strays
+from dragonflynotch.core.submissions import Submissions
+from dragonflynotch.core.takeover import Takeover
+from dragonflynotch.core.waiting import (
+    WaitingJob,
+    explain_claim,
+    explain_reservation,
+)
+
+__all__ = ('Partition',)
+
+
+class Partition:
+    """Scheduler of one data centre.
+
+    The result of ``handle`` depends only on the state, the event and the
+    time. A partition decides nothing before ``OwnershipGained``; it keeps
+    workers and guarantees up to date all the time. After a gain with a fence
+    above 1 a worker is used only after its first ``WorkerReported`` under the
+    new fence; a guard that cannot be asked must be given up by ``WorkerLost``.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the partition.
+    policy : PolicySettings or None
+        Bounds and limits.
+    placer : Placer or None
+        Chooses the accelerators; fragmentation-aware by default.
+
+    Examples
+    --------
+    >>> from datetime import UTC, datetime
+    >>> partition = Partition('lautoka')
+    >>> partition.handle(TimerFired(), datetime(2026, 1, 1, tzinfo=UTC))
+    ()
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        policy: PolicySettings | None = None,
+        placer: Placer | None = None,
+    ) -> None:
+        """Create an empty partition that is not owned."""
+        self._data_centre = data_centre
+        self._state = PartitionState(
+            policy or PolicySettings(), placer or FragmentationAwarePlacer()
+        )
+        self._gangs = GangControl(self._state)
+        self._book = GuaranteeBook(self._state)
+        self._fleet = Fleet(self._state, self._gangs, self._book)
+        self._strays = Strays(self._state)
+        self._health = Health(self._state, self._gangs, self._fleet)
+        self._members = MemberEvents(
+            self._state,
+            self._gangs,
+            self._health,
+            Sizes(self._state, self._gangs),
+            self._strays,
+        )
+        self._takeover = Takeover(self._state, self._gangs, self._strays)
+        self._claims = Claims(self._state, self._gangs, self._book)
+        self._run_times = RunTimes(self._state.policy.run_time_quantile)
+        self._reservations = Reservations(
+            self._state, self._gangs, self._claims, self._run_times
+        )
+        self._scheduler = Scheduler(
+            self._state,
+            self._gangs,
+            self._book,
+            self._claims,
+            self._reservations,
+        )
+        self._submissions = Submissions(
+            self._state, self._gangs, self._claims, self._takeover
+        )
+        self._expiry = Expiry(
+            self._state,
+            self._gangs,
+            self._fleet,
+            self._takeover,
+            self._reservations,
+            self._health,
+        )
+        self._state.observers.append(self._book.gang_ended)
+        self._state.observers.append(self._learn_run_time)
+        self._state.observers.append(self._health.gang_ended)
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            WorkerJoined: self._worker_joined,
+            WorkerLost: self._worker_lost,
+            WorkerReported: self._worker_reported,
+            JobSubmitted: self._job_submitted,
+            JobCancelled: self._job_cancelled,
+            GuaranteesChanged: self._guarantees_changed,
+            QuotasChanged: self._quotas_changed,
+            OwnershipGained: self._ownership_gained,
+            OwnershipLost: self._ownership_lost,
+            TimerFired: _do_nothing,
+        }
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre of the partition."""
+        return self._data_centre
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this process decides for the partition."""
+        return self._state.is_owner
+
+    @property
+    def fence(self) -> int:
+        """Fencing number of the ownership; 0 before the first."""
+        return self._state.fence
+
+    @property
+    def next_deadline(self) -> datetime | None:
+        """When ``TimerFired`` is due, or None."""
+        return self._state.timers.next_deadline
+
+    def handle(self, event: Event, now: datetime) -> tuple[Action, ...]:
+        """Apply an event and return the actions that follow.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : datetime
+            Current time, aware; must not run backwards.
+
+        Returns
+        -------
+        tuple of Action
+            Actions in the order in which they must be carried out.
+
+        Raises
+        ------
+        ValueError
+            If ``now`` has no time zone.
+        """
+        if now.tzinfo is None:
+            raise ValueError(f'now must have a time zone: {now!r}')
+        self._state.now = max(now, self._state.now)
+        if isinstance(event, MemberEvent):
+            self._member_event(event)
+        else:
+            self._handlers[type(event)](event)
+        self._expiry.run()
+        if self._state.is_owner:
+            self._takeover.release_inherited()
+            self._scheduler.run()
+        return self._state.drain()
+
+    def job(self, job_id: str) -> Job | None:
+        """Return a job that is not final, or None."""
+        return self._state.jobs.get(job_id)
+
+    def waiting(self, now: datetime) -> tuple[WaitingJob, ...]:
+        """Return why each waiting job waits, the longest waiting first."""
+        waiting = [
+            self._explain(job, now)
+            for job in self._state.jobs.values()
+            if job.state is JobState.waiting
+        ]
+        return tuple(sorted(waiting, key=_longest_wait_first))
+
+    def _explain(self, job: Job, now: datetime) -> WaitingJob:
+        claim = self._claims.find(job.job_id)
+        if claim is not None:
+            return explain_claim(job, claim, self._book, now)
+        reservation = self._reservations.current
+        if reservation is not None and reservation.job_id == job.job_id:
+            return explain_reservation(job, reservation, now)
+        group = self._state.queue.group_of(job.job_id)
+        reason = group.blocked_reason if group is not None else ''
+        return WaitingJob(
+            job.job_id,
+            job.spec.workspace,
+            now - job.submitted_at,
+            reason or job.detail or 'waits for its turn',
+        )
+
+    def _learn_run_time(self, gang: Gang, job: Job) -> None:
+        if gang.started_at is not None and gang.is_complete:
+            ran = self._state.now - gang.started_at
+            self._run_times.observe(job.spec, gang.work_before + ran)
+
+    def _member_event(self, event: MemberEvent) -> None:
+        if self._state.is_owner:
+            self._members.apply(event)
+
+    def _worker_joined(self, event: WorkerJoined) -> None:
+        needs_report = self._takeover.needs_verification(event.worker.worker_id)
+        self._fleet.join(event.worker, is_verified=not needs_report)
+
+    def _worker_lost(self, event: WorkerLost) -> None:
+        self._fleet.lose(event.worker_id, event.reason)
+
+    def _worker_reported(self, event: WorkerReported) -> None:
+        """Apply a report made under this ownership; others prove nothing."""
+        if not self._state.is_owner or event.fence != self._state.fence:
+            return
+        is_first = self._takeover.verify(event)
+        self._members.find_strays(event)
+        if not is_first:
+            self._members.compare(event)
+
+    def _job_submitted(self, event: JobSubmitted) -> None:
+        self._submissions.submit(event.job)
+
+    def _job_cancelled(self, event: JobCancelled) -> None:
+        self._submissions.cancel(event.job_id)
+
+    def _guarantees_changed(self, event: GuaranteesChanged) -> None:
+        self._fleet.unbind(self._book.replace(event.guarantees))
+
+    def _quotas_changed(self, event: QuotasChanged) -> None:
+        self._state.max_accelerators = dict(event.max_accelerators)
+        self._state.capacity_changed()
+
+    def _ownership_gained(self, event: OwnershipGained) -> None:
+        if event.fence > self._state.fence:
+            self._claims.clear()
+            self._reservations.clear()
+            self._takeover.gain(event)
+            self._book.start_again()
+
+    def _ownership_lost(self, _event: OwnershipLost) -> None:
+        self._state.is_owner = False
+        self._claims.clear()
+        self._reservations.clear()
+        self._strays.clear()
+        self._state.reset()
+        self._book.start_again()
+
+
+def _do_nothing(_event: TimerFired) -> None:
+    """Deadlines are handled after every event."""
+
+
+def _longest_wait_first(waiting: WaitingJob) -> tuple[float, str]:
+    return (-waiting.waited.total_seconds(), waiting.job_id)
