--- a/benchmarks/policy/comparison.py
+++ b/benchmarks/policy/comparison.py
@@ -11,6 +11,7 @@
     StrictFifo,
 )
 from benchmarks.policy.driver import Replay
+from benchmarks.policy.partitioned import PartitionScheduler
 from benchmarks.policy.results import PolicyResult, summarise
 from benchmarks.policy.scheduler import Scheduler
 from benchmarks.policy.trace import Site, Trace
@@ -19,6 +20,7 @@
 
 POLICIES: Final[Mapping[str, Callable[[Site], Scheduler]]] = MappingProxyType(
     {
+        'partition': lambda site: PartitionScheduler(site.name),
         'fifo': lambda site: StrictFifo(),
         'best-fit': lambda site: BestFitPacking(),
         'easy': lambda site: EasyBackfill(),
--- a/tests/benchmarks/policy/test_policies.py
+++ b/tests/benchmarks/policy/test_policies.py
@@ -26,6 +26,9 @@
     trace = TRACES[workload]
     for site in trace.sites:
         outcome = Replay(trace, site, POLICIES[policy](site)).run()
+        if policy == 'partition':
+            violations = [job.violates_guarantee for job in outcome.jobs]
+            assert not any(violations)
         names = {progress.job.job_id for progress in outcome.jobs}
         assert names == {job.job_id for job in trace.jobs_of(site)}
         assert all(
