Serve claims of guarantees before claims of reservations

A reservation that is due claims its accelerators and keeps them claimed while another of its workers is still held. The owner of a guarantee on the free worker queued behind that claim, so urgent jobs waited for up to half an hour under an idle guarantee. Ruled out: the borrowers, which were stopped in time. Claims of guarantees are now counted first.

--- a/dragonflynotch/core/claims.py
+++ b/dragonflynotch/core/claims.py
@@ -139,7 +139,7 @@
                 self.drop(claim.job_id)
                 self._state.enqueue(self._state.jobs[claim.job_id])
         shortfall = Shortfall(self._state.inventory)
-        for claim in tuple(self._claims.values()):
+        for claim in sorted(self._claims.values(), key=_has_no_guarantee):
             missing = shortfall.after(claim.allocations)
             if missing:
                 self._free(claim, missing)
@@ -219,6 +219,12 @@
         return tuple(_planned(share, demand, use) for share in shares)
 
 
+def _has_no_guarantee(claim: Claim) -> bool:
+    # Guarantees come first: a reservation may wait for long on one worker and
+    # must not hold back the owner of a guarantee on another.
+    return claim.guarantee is None
+
+
 def _planned(share: Share, demand: Demand, use: Use) -> Allocation:
     return Allocation(
         share.worker_id,
--- a/tests/core/test_reservations.py
+++ b/tests/core/test_reservations.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from dragonflynotch.core.events import JobCancelled, WorkerLost
+from dragonflynotch.core.events import (
+    Guarantee,
+    GuaranteesChanged,
+    JobCancelled,
+    WorkerLost,
+)
 from dragonflynotch.core.jobs import JobSpec
 from dragonflynotch.core.runtimes import RunTimes
 from dragonflynotch.core.shapes import Proximity, Shape
@@ -98,6 +103,21 @@
     assert busy.state('small') == 'running'
 
 
+def test_guarantee_comes_before_a_reservation_that_is_due():
+    """Guards against a reservation that holds back a guarantee's owner."""
+    driver = Driver(RACK[:2])
+    shape = Shape(4, Proximity.worker)
+    driver.send(GuaranteesChanged((Guarantee('owner', shape, True),)))
+    driver.submit('firm', 8, Proximity.worker, is_checkpointable=False)
+    driver.submit('large', 16)
+    assert driver.state('large') == 'waiting'
+    driver.advance(62 * MINUTE)
+    driver.submit(
+        'urgent', 4, Proximity.worker, workspace='owner', kind='urgent'
+    )
+    assert driver.state('urgent') == 'running'
+
+
 def test_idle_partition_has_no_deadline():
     """Guards against timers that fire for ever without a purpose."""
     driver = Driver(RACK)
