Let jobs use the accelerators kept for a reservation

A reservation for a large gang kept up to four of five workers idle for hours: only checkpointable jobs whose learned run time fits the window could run beside it. Now jobs that cannot be checkpointed may too if their learned run time fits, and checkpointable ones may use a part of their run time, as they are stopped when the window ends.

The test demanded that a long checkpointable job and a short firm one wait; it now demands that neither delays the reserved job, and that a long firm job and a window below 5 minutes are refused.

--- a/dragonflynotch/core/reservations.py
+++ b/dragonflynotch/core/reservations.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from dragonflynotch.core.claims import Claims
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
@@ -16,6 +16,9 @@
 
 __all__ = ('Reservation', 'Reservations')
 
+# Below this a stop and a new start cost more than the run is worth.
+_SHORTEST_WINDOW = timedelta(minutes=5)
+
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
@@ -125,14 +128,17 @@
     def window_for(self, job: Job) -> Iterable[str]:
         """Return the reserved workers that a job may use until their time.
 
-        A job may run beside a reservation if it can be checkpointed and if
-        runs of its kind usually end before the reservation needs the
-        accelerators.
+        A job may run beside a reservation if runs of its kind usually end
+        before the reservation needs the accelerators. A job that can be
+        checkpointed may also use a part of its run time, because it is stopped
+        in time and continues later.
         """
         current = self._current
-        if current is None or not job.spec.is_checkpointable:
+        if current is None:
             return ()
         needed = self._run_times.estimate(job.spec) - job.work_done
+        if job.spec.is_checkpointable:
+            needed = min(needed, _SHORTEST_WINDOW)
         if self._state.now + needed > current.start_at:
             return ()
         return tuple(share.worker_id for share in current.shares)
