Search again when a due reservation cannot be freed by stops

A reservation that was due claimed its place although gangs that cannot be stopped still ran on a part of it, and the rest stayed idle for an unknown time. Now a place is claimed only if stops alone free it; else the forecast is made again with the ends expected then.

--- a/dragonflynotch/core/reservations.py
+++ b/dragonflynotch/core/reservations.py
@@ -122,7 +122,8 @@
         if current is not None and self._is_valid(current):
             self.drop()
             job = self._state.jobs[current.job_id]
-            self._claims.add_reserved(job, current.shares, current.use)
+            if self._can_free(current):
+                self._claims.add_reserved(job, current.shares, current.use)
         self._search_at = None
 
     def window_for(self, job: Job) -> Iterable[str]:
@@ -201,6 +202,23 @@
                 return False
         return True
 
+    def _can_free(self, current: Reservation) -> bool:
+        """Whether stops alone free the place.
+
+        A claim that has to wait for gangs that cannot be stopped would keep
+        the rest of its place idle for an unknown time.
+        """
+        for share in current.shares:
+            worker = self._state.inventory[share.worker_id]
+            lent = sum(
+                len(gang.members[share.worker_id].allocation.accelerators)
+                for gang in self._state.gangs_on(share.worker_id)
+                if gang.use is Use.lent and gang.members[share.worker_id].holds
+            )
+            if worker.unclaimed + lent < share.accelerators:
+                return False
+        return True
+
     def _is_free(self, current: Reservation) -> bool:
         job = self._state.jobs[current.job_id]
         wanted = job.spec.shape.accelerators
