Respect avoided workers in reservations and claims

A reservation or a claim could place a job on the worker on which it had failed; it failed there eight times within minutes and was given up. The other way round, a job that cannot be checkpointed avoided the only worker outside of the guarantees and waited for ever.

--- a/dragonflynotch/core/forecast.py
+++ b/dragonflynotch/core/forecast.py
@@ -110,9 +110,10 @@
         with_firm: bool,
     ) -> Place:
         demand = Demand.of(job.spec)
+        avoided = self._state.avoided.get(job.job_id, ())
         capacity = CapacityMap()
         for worker in self._state.inventory:
-            if worker.is_usable:
+            if worker.is_usable and worker.worker.worker_id not in avoided:
                 held = self._held_after(worker, ends, at, with_firm)
                 usable = _room(worker, use, with_firm=with_firm) - held
                 capacity.set(
--- a/dragonflynotch/core/health.py
+++ b/dragonflynotch/core/health.py
@@ -3,12 +3,13 @@
 from dataclasses import replace
 
 from dragonflynotch.core.actions import QuarantineWorker, ReadmitWorker
+from dragonflynotch.core.capacity import CapacityMap
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.feasibility import find_obstacle
 from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import Gang, GangPhase, MemberPhase, Outcome
-from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.jobs import Job, JobSpec
 from dragonflynotch.core.quarantine import Evidence, Verdict
 from dragonflynotch.core.state import PartitionState
 
@@ -109,11 +110,29 @@
         )
         self._state.jobs[gang.job_id] = changed
         avoided = frozenset(failed_on)
-        if find_obstacle(job.spec, self._state, avoided) is not None:
+        if not self._can_avoid(job.spec, avoided):
             avoided = frozenset()
         self._state.avoided[gang.job_id] = avoided
         return changed
 
+    def _can_avoid(self, spec: JobSpec, avoided: frozenset[str]) -> bool:
+        """Whether a job has another place under the rights that it has.
+
+        A job that cannot be checkpointed may not borrow, so guaranteed
+        accelerators are no other place for it.
+        """
+        if find_obstacle(spec, self._state, avoided) is not None:
+            return False
+        if spec.is_checkpointable or not spec.shape.accelerators:
+            return True
+        outside = CapacityMap()
+        for worker in self._state.inventory:
+            worker_id = worker.worker.worker_id
+            if worker_id not in avoided:
+                usable = worker.worker.accelerators - worker.guaranteed
+                outside.set(worker.rack, worker_id, max(0, usable))
+        return bool(self._state.placer.place(spec.shape, outside, _unlimited))
+
     def _quarantine(self, worker_id: str) -> None:
         """Quarantine a worker, unless the cap on their share is reached."""
         worker = self._state.inventory.find(worker_id)
@@ -135,3 +154,7 @@
             self._state.now + self._state.policy.quarantine_period,
         )
         self._fleet.quarantine(worker)
+
+
+def _unlimited(_worker_id: str, accelerators: int) -> int:
+    return accelerators
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -181,8 +181,11 @@
     ) -> CapacityMap:
         capacity = CapacityMap()
         demand = Demand.of(job.spec)
+        avoided = self._state.avoided.get(job.job_id, ())
         for worker_id, idle in placed.idle.items():
             worker = self._state.inventory[worker_id]
+            if worker_id in avoided:
+                continue
             if worker.is_usable and worker.share_covers(demand):
                 usable = idle if with_borrowed else min(idle, worker.unclaimed)
                 capacity.set(worker.rack, worker_id, usable)
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -10,13 +10,15 @@
     ThrottleMember,
 )
 from dragonflynotch.core.events import (
+    Guarantee,
+    GuaranteesChanged,
     MemberFailed,
     MemberRefused,
     MemberReport,
     MemberState,
     WorkerReported,
 )
-from dragonflynotch.core.shapes import Proximity
+from dragonflynotch.core.shapes import Proximity, Shape
 from tests.core.driver import Driver, make_worker
 
 WORKERS = [make_worker(number, rack=number // 3) for number in range(11)]
@@ -119,3 +121,13 @@
         report(driver, cores)
     assert len(kinds(driver, ThrottleMember)) == throttled
     assert driver.state('a') == state
+
+
+def test_firm_job_returns_to_the_only_worker_that_it_may_use():
+    """Guards against a job that waits for ever to avoid its only worker."""
+    driver = Driver(WORKERS[:2])
+    owner = Guarantee('owner', Shape(8, Proximity.worker))
+    driver.send(GuaranteesChanged((owner,)))
+    driver.submit('firm', 8, Proximity.worker, is_checkpointable=False)
+    fail(driver, 'firm')
+    assert driver.state('firm') == 'running'
--- a/tests/core/test_reservations.py
+++ b/tests/core/test_reservations.py
@@ -8,6 +8,7 @@
     Guarantee,
     GuaranteesChanged,
     JobCancelled,
+    MemberFailed,
     WorkerLost,
 )
 from dragonflynotch.core.jobs import JobSpec
@@ -118,6 +119,19 @@
     assert explain(busy, 'large').start_by is None
 
 
+def test_reservation_avoids_the_worker_on_which_the_job_failed():
+    """Guards against a job that is given up after failures on one worker."""
+    driver = Driver(RACK)
+    for name in ('job', 'one', 'two'):
+        driver.submit(
+            name, 8, Proximity.worker, is_checkpointable=name == 'job'
+        )
+    failed = driver.records['job'].members[0].worker_id
+    driver.send(MemberFailed('job', 1, failed))
+    driver.advance(2 * MINUTE)
+    assert driver.state('job') == 'waiting'
+
+
 def test_cancelled_job_gives_its_reservation_back(busy):
     """Guards against accelerators kept for a job that is gone."""
     busy.advance(MINUTE)
