Spread the retries of a failed job and forgive bad workers

A job whose only place included a failing worker used up its eight failures within three minutes, before three distinct jobs had shown that the worker was bad, and was given up. Retries now wait 20 s, doubling, and failures on a worker that goes into quarantine no longer count.

One test expected an immediate eighth attempt; it now waits for it, and a new one demands that the retries take at least 20 minutes.

--- a/dragonflynotch/core/expiry.py
+++ b/dragonflynotch/core/expiry.py
@@ -7,6 +7,7 @@
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import Outcome
 from dragonflynotch.core.health import Health
+from dragonflynotch.core.jobs import JobState
 from dragonflynotch.core.reservations import Reservations
 from dragonflynotch.core.state import PartitionState
 from dragonflynotch.core.takeover import Takeover
@@ -58,6 +59,7 @@
             DeadlineKind.cooldown: fleet.end_cooldown,
             DeadlineKind.takeover: self._takeover_lease_over,
             DeadlineKind.readmission: health.readmit,
+            DeadlineKind.retry: self._retry,
             DeadlineKind.reservation: self._reservation_due,
         }
 
@@ -90,5 +92,10 @@
     def _reservation_due(self, _subject: str) -> None:
         self._reservations.due()
 
+    def _retry(self, job_id: str) -> None:
+        job = self._state.jobs.get(job_id)
+        if job is not None and job.state is JobState.waiting:
+            self._state.enqueue(job)
+
     def _takeover_lease_over(self, _subject: str) -> None:
         self._takeover.lease_over()
--- a/dragonflynotch/core/gang_control.py
+++ b/dragonflynotch/core/gang_control.py
@@ -350,7 +350,10 @@
             started_at=None,
             detail=gang.reason,
         )
-        self._state.enqueue(job)
+        if gang.retry_after:
+            self._set_timer(DeadlineKind.retry, gang, gang.retry_after)
+        else:
+            self._state.enqueue(job)
 
     def _set_timer(
         self, kind: DeadlineKind, gang: Gang, delay: timedelta
--- a/dragonflynotch/core/gangs.py
+++ b/dragonflynotch/core/gangs.py
@@ -98,6 +98,7 @@
     safe_at: datetime | None = None
     work_before: timedelta = timedelta()
     stop_ordered_at: datetime | None = None
+    retry_after: timedelta = timedelta()
     checkpoint_limit: timedelta = timedelta()
     checkpoints: dict[str, dict[str, timedelta]] = field(default_factory=dict)
     pending: int = 0
--- a/dragonflynotch/core/health.py
+++ b/dragonflynotch/core/health.py
@@ -64,6 +64,7 @@
         elif job.failures >= self._state.policy.max_failures:
             outcome = Outcome.fail
             sentence = f'failed {job.failures} times; last {sentence}'
+        gang.retry_after = self._state.policy.retry_after(job.failures)
         self._gangs.member_ended(gang, worker_id, sentence, outcome)
         if verdict is Verdict.bad_worker:
             self._quarantine(worker_id)
@@ -133,6 +134,17 @@
                 outside.set(worker.rack, worker_id, max(0, usable))
         return bool(self._state.placer.place(spec.shape, outside, _unlimited))
 
+    def _acquit(self, job_id: str, worker_id: str) -> None:
+        """Forgive a job what it failed on a worker that is bad."""
+        job = self._state.jobs.get(job_id)
+        if job is not None:
+            others = tuple(
+                name for name in job.failed_workers if name != worker_id
+            )
+            self._state.jobs[job_id] = replace(
+                job, failed_workers=others, failures=len(others)
+            )
+
     def _quarantine(self, worker_id: str) -> None:
         """Quarantine a worker, unless the cap on their share is reached."""
         worker = self._state.inventory.find(worker_id)
@@ -142,6 +154,8 @@
         cap = self._state.policy.quarantine_cap * len(self._state.inventory)
         if held + 1 > cap:
             return
+        for job_id in self._evidence.jobs_against(worker_id):
+            self._acquit(job_id, worker_id)
         self._state.emit(
             QuarantineWorker(
                 worker_id,
--- a/dragonflynotch/core/policy.py
+++ b/dragonflynotch/core/policy.py
@@ -38,6 +38,8 @@
         Distinct workers on which a job must fail to count as a bad job.
     max_failures : int
         Failed attempts after which a job is failed.
+    first_retry_delay : timedelta
+        Wait before the second retry of a failed job; doubles each time.
     size_tolerance : float
         Share above the declared size that counts as measurement error.
     """
@@ -55,8 +57,20 @@
     quarantine_period: timedelta = timedelta(minutes=10)
     bad_job_workers: int = 4
     max_failures: int = 8
+    first_retry_delay: timedelta = timedelta(seconds=20)
     size_tolerance: float = 0.05
 
+    def retry_after(self, failures: int) -> timedelta:
+        """Return how long a job waits after so many failures.
+
+        The first retry is immediate; then the delay doubles, so that a job
+        does not use up its failures on one bad worker before other jobs have
+        shown that the worker is bad.
+        """
+        if failures <= 1:
+            return timedelta()
+        return self.first_retry_delay * (1 << (failures - 2))
+
     @property
     def reclaim_bound(self) -> timedelta:
         """Longest time from a stop order to free accelerators."""
--- a/dragonflynotch/core/quarantine.py
+++ b/dragonflynotch/core/quarantine.py
@@ -57,6 +57,10 @@
             return Verdict.bad_worker
         return Verdict.none
 
+    def jobs_against(self, worker_id: str) -> tuple[str, ...]:
+        """Return the jobs whose failures speak against a worker."""
+        return tuple(self._failed_on.get(worker_id, ()))
+
     def succeeded(self, worker_id: str) -> None:
         """Drop the evidence against a worker that finished a member."""
         self._failed_on.pop(worker_id, None)
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -34,6 +34,8 @@
 
 
 def fail(driver, job_id, event=MemberFailed):
+    while driver.state(job_id) == 'waiting':
+        driver.advance(timedelta(seconds=20))
     job = driver.records[job_id]
     worker_id = job.members[0].worker_id
     driver.guards.members.pop((job_id, job.attempt, worker_id), None)
@@ -73,7 +75,7 @@
     for _ in range(7):
         fail(driver, 'a')
     assert not kinds(driver, QuarantineWorker)
-    assert driver.state('a') == 'running'
+    assert driver.state('a') == 'waiting'
     fail(driver, 'a')
     assert driver.state('a') == 'failed'
 
@@ -131,3 +133,24 @@
     driver.submit('firm', 8, Proximity.worker, is_checkpointable=False)
     fail(driver, 'firm')
     assert driver.state('firm') == 'running'
+
+
+def test_retries_of_a_failed_job_are_spread_over_time():
+    """Guards against a job that is given up within minutes."""
+    driver = Driver(WORKERS[:1])
+    driver.submit('a', 8)
+    started = driver.clock.now()
+    while driver.state('a') != 'failed':
+        fail(driver, 'a')
+    assert driver.clock.now() - started >= timedelta(minutes=20)
+
+
+def test_failures_on_a_bad_worker_do_not_count_against_a_job(driver):
+    """Guards against good jobs that a bad worker takes with it."""
+    for name in 'abc':
+        driver.submit(name, 2, Proximity.worker)
+    for name in 'abc':
+        fail(driver, name)
+    assert kinds(driver, QuarantineWorker)
+    jobs = [driver.partition.job(name) for name in 'abc']
+    assert [job.failures for job in jobs] == [0, 0, 0]
