--- a/dragonflynotch/core/feasibility.py
+++ b/dragonflynotch/core/feasibility.py
@@ -3,9 +3,10 @@
 from collections.abc import Collection
 
 from dragonflynotch.core.capacity import CapacityMap
-from dragonflynotch.core.inventory import Demand, WorkerState
+from dragonflynotch.core.inventory import Demand
 from dragonflynotch.core.jobs import JobSpec
 from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.topology import Worker
 
 __all__ = ('find_obstacle',)
 
@@ -19,8 +20,9 @@
 ) -> str | None:
     """Return why a job can never run on the present workers, or None.
 
-    Lost workers count until their task lease has expired, and so do workers
-    in quarantine, because both may come back.
+    Workers that were lost within the last day count, and so do workers in
+    quarantine, because both may come back. They do not count beside avoided
+    workers, because a job avoids a worker only for the sake of a present one.
 
     Parameters
     ----------
@@ -33,7 +35,7 @@
     """
     demand = Demand.of(spec)
     shape = spec.shape
-    inventory = state.inventory
+    machines = _machines(state, avoided)
     quota = state.max_accelerators.get(spec.workspace, shape.accelerators)
     if shape.accelerators > quota:
         return (
@@ -41,18 +43,17 @@
             f'{quota} of workspace {spec.workspace!r}'
         )
     if not shape.accelerators:
-        if any(_capacity(worker, demand, 1) for worker in inventory):
+        if any(_capacity(machine, demand, 1) for machine in machines):
             return None
         return (
             f'no worker has {spec.cores_per_accelerator} cores and '
             f'{spec.memory_mb_per_accelerator} MiB of memory'
         )
     total = CapacityMap()
-    for worker in inventory:
-        if worker.worker.worker_id in avoided:
-            continue
-        usable = _capacity(worker, demand, worker.worker.accelerators)
-        total.set(worker.rack, worker.worker.worker_id, usable)
+    for machine in machines:
+        rack = (machine.rack_position, machine.rack)
+        usable = _capacity(machine, demand, machine.accelerators)
+        total.set(rack, machine.worker_id, usable)
     if state.placer.place(shape, total, _unlimited):
         return None
     return (
@@ -63,8 +64,18 @@
     )
 
 
-def _capacity(worker: WorkerState, demand: Demand, most: int) -> int:
-    machine = worker.worker
+def _machines(
+    state: PartitionState, avoided: Collection[str]
+) -> tuple[Worker, ...]:
+    present = (worker.worker for worker in state.inventory)
+    if avoided:
+        return tuple(
+            machine for machine in present if machine.worker_id not in avoided
+        )
+    return (*present, *state.absent.recent(state.now))
+
+
+def _capacity(machine: Worker, demand: Demand, most: int) -> int:
     return min(
         most,
         machine.cores * _MILLI // max(1, demand.millicores),
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -6,6 +6,7 @@
 from datetime import UTC, datetime
 from math import inf
 
+from dragonflynotch.core.absent import AbsentWorkers
 from dragonflynotch.core.actions import Action, WriteJob
 from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.inventory import Inventory
@@ -39,6 +40,7 @@
         self.is_owner = False
         self.fence = 0
         self.inventory = Inventory()
+        self.absent = AbsentWorkers()
         self.queue = WaitingQueue()
         self.jobs: dict[str, Job] = {}
         self.gangs: dict[str, Gang] = {}
--- a/tests/core/test_partition.py
+++ b/tests/core/test_partition.py
@@ -161,3 +161,15 @@
     assert driver.partition.waiting(driver.clock.now())[0].job_id == 'b'
     driver.send(WorkerJoined(make_worker(9, rack=5)))
     assert driver.state('b') == 'running'
+
+
+def test_job_is_not_refused_for_ever_while_its_workers_are_lost(driver):
+    """Guards against refusals of feasible jobs during an outage."""
+    workers = [entry.worker_id for entry in RACK]
+    for worker_id in workers:
+        driver.send(WorkerLost(worker_id, 'silent'))
+    driver.advance(timedelta(minutes=1))
+    driver.submit('job', 8)
+    assert driver.answers['job'] == Accepted()
+    driver.send(WorkerJoined(RACK[0]))
+    assert driver.state('job') == 'running'
