Let smaller gangs give way to a reservation

A large gang waited for the natural end of every gang on its place, for hours, and a reservation stayed where it was first made. Gangs that can be checkpointed, are smaller and at most as important now give way once they have run for 10 minutes, and each minute a reservation moves to a place that opens sooner. It never moves to a later one, because expected ends of overruns move on with the time. Claims stop only gangs that were expected to have ended.

--- a/dragonflynotch/core/claims.py
+++ b/dragonflynotch/core/claims.py
@@ -41,6 +41,8 @@
         Whether gangs are stopped without a new checkpoint.
     start_by : datetime
         When the accelerators are free at the latest.
+    victims : frozenset of str or None
+        Jobs whose gangs may be stopped; None for any borrower.
     """
 
     job_id: str
@@ -51,6 +53,7 @@
     place: Place | None
     is_immediate: bool
     start_by: datetime
+    victims: frozenset[str] | None = None
 
 
 class Claims:
@@ -106,8 +109,22 @@
             )
         )
 
-    def add_reserved(self, job: Job, shares: Place, use: Use) -> None:
-        """Claim the accelerators of a reservation whose time has come."""
+    def add_reserved(
+        self, job: Job, shares: Place, use: Use, victims: frozenset[str]
+    ) -> None:
+        """Claim the accelerators of a reservation whose time has come.
+
+        Parameters
+        ----------
+        job : Job
+            The waiting job.
+        shares : tuple of Share
+            Accelerators to claim.
+        use : Use
+            Right under which the job will hold them.
+        victims : frozenset of str
+            Jobs whose gangs may be stopped for it.
+        """
         self._add(
             Claim(
                 job.job_id,
@@ -117,6 +134,7 @@
                 None,
                 None,
                 is_immediate=False,
+                victims=victims,
                 start_by=self._state.now + self._state.policy.reclaim_bound,
             )
         )
@@ -192,7 +210,10 @@
 
     def _free(self, claim: Claim, missing: tuple[Allocation, ...]) -> None:
         victims = choose_victims(
-            self._state, missing, with_firm=claim.guarantee is not None
+            self._state,
+            missing,
+            with_firm=claim.guarantee is not None,
+            only=claim.victims,
         )
         for gang in victims:
             self._stop(gang, claim)
--- a/dragonflynotch/core/forecast.py
+++ b/dragonflynotch/core/forecast.py
@@ -18,6 +18,8 @@
 # has taken, because long runs have long rests.
 _OVERRUN_DIVISOR = 4
 _SHORTEST_REST = timedelta(minutes=1)
+# A gang that gives way has run for long enough to be worth its start.
+_SHORTEST_TURN = timedelta(minutes=10)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +28,7 @@
 
     shares: Place
     at: datetime
+    ended: frozenset[str] = frozenset()
 
 
 class Forecast:
@@ -50,11 +53,12 @@
         Places outside of guarantees and without gangs that cannot be stopped
         come first, because only there the start has an upper bound.
         """
-        ends = self._expected_ends()
+        ends = self._expected_ends(job)
         for with_firm in (False, True):
             found = self._search(job, use, ends, with_firm=with_firm)
             if found is not None:
-                return found
+                ended = (name for name, end in ends.items() if end <= found.at)
+                return Opening(found.shares, found.at, frozenset(ended))
         return None
 
     def expected_end(self, gang: Gang) -> datetime:
@@ -66,12 +70,33 @@
         rest = (now - started_at) / _OVERRUN_DIVISOR
         return max(started_at + needed, now + max(rest, _SHORTEST_REST))
 
-    def _expected_ends(self) -> dict[str, datetime]:
+    def _expected_ends(self, job: Job) -> dict[str, datetime]:
         return {
-            job_id: self.expected_end(gang)
+            job_id: self._end_for(gang, job)
             for job_id, gang in self._state.gangs.items()
         }
 
+    def _end_for(self, gang: Gang, job: Job) -> datetime:
+        end = self.expected_end(gang)
+        if not self._yields(gang, job):
+            return end
+        now = self._state.now
+        started_at = gang.started_at or now
+        return min(end, max(now, started_at + _SHORTEST_TURN))
+
+    def _yields(self, gang: Gang, job: Job) -> bool:
+        """Whether a gang gives way to a job before its end.
+
+        Large gangs rarely find room by themselves, and the gangs that gave way
+        find room more easily again.
+        """
+        spec = self._state.jobs[gang.job_id].spec
+        return (
+            gang.use is Use.lent
+            and spec.priority.rank >= job.spec.priority.rank
+            and gang.accelerators < job.spec.shape.accelerators
+        )
+
     def _search(
         self,
         job: Job,
--- a/dragonflynotch/core/jobs.py
+++ b/dragonflynotch/core/jobs.py
@@ -38,6 +38,18 @@
     normal = 'normal'
     batch = 'batch'
 
+    @property
+    def rank(self) -> int:
+        """Position in the order of importance; 0 is the most important."""
+        return _RANKS[self]
+
+
+_RANKS = {
+    PriorityClass.urgent: 0,
+    PriorityClass.normal: 1,
+    PriorityClass.batch: 2,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
--- a/dragonflynotch/core/reservations.py
+++ b/dragonflynotch/core/reservations.py
@@ -6,7 +6,7 @@
 
 from dragonflynotch.core.claims import Claims
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
-from dragonflynotch.core.forecast import Forecast
+from dragonflynotch.core.forecast import Forecast, Opening
 from dragonflynotch.core.gang_control import GangControl, Launch
 from dragonflynotch.core.guarantees import Place
 from dragonflynotch.core.inventory import Demand, Use
@@ -37,6 +37,10 @@
         be checkpointed are stopped then.
     start_by : datetime
         Upper bound of the start.
+    made_at : datetime
+        When the accelerators were reserved.
+    ended : frozenset of str
+        Jobs whose gangs are expected to have ended or to give way by then.
     """
 
     job_id: str
@@ -44,6 +48,8 @@
     use: Use
     start_at: datetime
     start_by: datetime
+    made_at: datetime
+    ended: frozenset[str]
 
 
 class Reservations:
@@ -76,6 +82,7 @@
         self._forecast = Forecast(state, run_times)
         self._current: Reservation | None = None
         self._search_at: datetime | None = None
+        self._move_at = state.now
 
     @property
     def current(self) -> Reservation | None:
@@ -103,6 +110,7 @@
     def advance(self) -> None:
         """Start the reserved job if it fits; else reserve where needed."""
         self.drop_if_stale()
+        self._move_if_sooner()
         current = self._current
         if current is None:
             self._reserve_for_longest()
@@ -119,11 +127,16 @@
     def due(self) -> None:
         """Free the reserved accelerators, or look for a job to reserve for."""
         current = self._current
+        if current is not None and self._state.now < current.start_at:
+            return
         if current is not None and self._is_valid(current):
             self.drop()
             job = self._state.jobs[current.job_id]
-            if self._can_free(current):
-                self._claims.add_reserved(job, current.shares, current.use)
+            victims = self._victims(current)
+            if self._can_free(current, victims):
+                self._claims.add_reserved(
+                    job, current.shares, current.use, victims
+                )
         self._search_at = None
 
     def window_for(self, job: Job) -> Iterable[str]:
@@ -164,6 +177,24 @@
             self._search_at = self._state.now + wait
             self._set_timer(self._search_at)
 
+    def _move_if_sooner(self) -> None:
+        """Move the reservation to a place that starts and ends have opened.
+
+        A later place is never taken: the expected end of a gang that overruns
+        its estimate moves on with the time, and so would the reservation.
+        """
+        current = self._current
+        if current is None or self._state.now < self._move_at:
+            return
+        self._move_at = self._state.now + self._state.policy.reservation_wait
+        job = self._state.jobs[current.job_id]
+        found = self._forecast.earliest(job, current.use)
+        if found is not None and found.at < current.start_at:
+            self.drop()
+            self._set(job, current.use, found)
+        else:
+            self._set_timer(min(current.start_at, self._move_at))
+
     def _reserve(self, job: Job) -> bool:
         wanted = job.spec.shape.accelerators
         if not wanted or wanted > self._state.quota_left(job.spec.workspace):
@@ -172,13 +203,24 @@
         found = self._forecast.earliest(job, use)
         if found is None:
             return False
+        self._set(job, use, found)
+        return True
+
+    def _set(self, job: Job, use: Use, found: Opening) -> None:
+        now = self._state.now
         start_by = found.at + self._state.policy.reclaim_bound
         self._current = Reservation(
-            job.job_id, found.shares, use, found.at, start_by
+            job.job_id,
+            found.shares,
+            use,
+            found.at,
+            start_by,
+            now,
+            found.ended,
         )
+        self._move_at = now + self._state.policy.reservation_wait
         self._keep(found.shares, 1)
-        self._set_timer(found.at)
-        return True
+        self._set_timer(min(found.at, self._move_at))
 
     def _keep(self, shares: Place, sign: int) -> None:
         for share in shares:
@@ -202,7 +244,19 @@
                 return False
         return True
 
-    def _can_free(self, current: Reservation) -> bool:
+    def _victims(self, current: Reservation) -> frozenset[str]:
+        """Return the jobs that were expected to end, and later borrowers."""
+        return frozenset(
+            job_id
+            for job_id, gang in self._state.gangs.items()
+            if gang.use is Use.lent
+            and (
+                job_id in current.ended
+                or (gang.started_at or self._state.now) >= current.made_at
+            )
+        )
+
+    def _can_free(self, current: Reservation, victims: frozenset[str]) -> bool:
         """Whether stops alone free the place.
 
         A claim that has to wait for gangs that cannot be stopped would keep
@@ -213,7 +267,8 @@
             lent = sum(
                 len(gang.members[share.worker_id].allocation.accelerators)
                 for gang in self._state.gangs_on(share.worker_id)
-                if gang.use is Use.lent and gang.members[share.worker_id].holds
+                if gang.job_id in victims
+                and gang.members[share.worker_id].holds
             )
             if worker.unclaimed + lent < share.accelerators:
                 return False
--- a/dragonflynotch/core/victims.py
+++ b/dragonflynotch/core/victims.py
@@ -1,6 +1,6 @@
 """Choice of the gangs that are stopped to free accelerators."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from dragonflynotch.core.gangs import Gang, GangPhase
 from dragonflynotch.core.inventory import Allocation, Inventory, Use
@@ -78,7 +78,11 @@
 
 
 def choose_victims(
-    state: PartitionState, missing: Sequence[Allocation], *, with_firm: bool
+    state: PartitionState,
+    missing: Sequence[Allocation],
+    *,
+    with_firm: bool,
+    only: Collection[str] | None = None,
 ) -> list[Gang]:
     """Return the gangs to stop, those that lose the least work first.
 
@@ -95,6 +99,8 @@
         Whether gangs that cannot be checkpointed may be stopped as a last
         resort; they hold guaranteed accelerators only if the guarantee is
         newer than they are.
+    only : collection of str or None
+        Jobs whose gangs may be stopped; None for no such limit.
     """
     needs = {part.worker_id: _claimed_need(state, part) for part in missing}
     stopping: list[Gang] = []
@@ -103,6 +109,8 @@
         if gang.phase is GangPhase.stopping:
             stopping.append(gang)
             _change(needs, gang, -1)
+        elif only is not None and gang.job_id not in only:
+            continue
         elif _may_stop(gang, with_firm):
             candidates.append(gang)
     ranked = sorted(
--- a/dragonflynotch/core/waiting_queue.py
+++ b/dragonflynotch/core/waiting_queue.py
@@ -10,11 +10,6 @@
 
 __all__ = ('GroupKey', 'QueueGroup', 'WaitingQueue', 'queue_key')
 
-_RANK = {
-    PriorityClass.urgent: 0,
-    PriorityClass.normal: 1,
-    PriorityClass.batch: 2,
-}
 QueueKey = tuple[int, float, str]
 
 
@@ -35,7 +30,7 @@
 def queue_key(job: Job) -> QueueKey:
     """Return the position of a job in the order of the queue."""
     return (
-        _RANK[job.spec.priority],
+        job.spec.priority.rank,
         job.submitted_at.timestamp(),
         job.job_id,
     )
