Lend guarantees to short jobs that can be stopped

Idle guaranteed accelerators were lent only to jobs with checkpoints, so checklists and quotes waited beside idle workers. The design lends to jobs that can be checkpointed or stopped within a bound: a job whose learned run time is at most 30 minutes may now borrow from guarantees that are not urgent; a reclaim stops it with the loss of little work.

--- a/dragonflynotch/core/forecast.py
+++ b/dragonflynotch/core/forecast.py
@@ -93,6 +93,7 @@
         spec = self._state.jobs[gang.job_id].spec
         return (
             gang.use is Use.lent
+            and spec.is_checkpointable
             and spec.priority.rank >= job.spec.priority.rank
             and gang.accelerators < job.spec.shape.accelerators
         )
--- a/dragonflynotch/core/guarantee_book.py
+++ b/dragonflynotch/core/guarantee_book.py
@@ -252,19 +252,24 @@
 
     def _settle(self, placed: PlacedGuarantee, place: Place) -> None:
         placed.place = place
-        self._set_aside(place, 1)
+        self._set_aside(placed, place, 1)
 
     def _unplace(self, placed: PlacedGuarantee) -> None:
         place = placed.place or ()
         placed.place = None
         placed.forget_use()
-        self._set_aside(place, -1)
+        self._set_aside(placed, place, -1)
 
-    def _set_aside(self, place: Place, sign: int) -> None:
+    def _set_aside(
+        self, placed: PlacedGuarantee, place: Place, sign: int
+    ) -> None:
+        is_urgent = placed.guarantee.is_urgent
         for share in place:
             worker = self._state.inventory.find(share.worker_id)
             if worker is not None:
                 worker.guaranteed += sign * share.accelerators
+                if is_urgent:
+                    worker.urgent += sign * share.accelerators
                 self._state.inventory.refresh(worker)
         self._state.capacity_changed()
 
--- a/dragonflynotch/core/inventory.py
+++ b/dragonflynotch/core/inventory.py
@@ -98,6 +98,7 @@
         'lost_at',
         'reserved',
         'successor',
+        'urgent',
         'used',
         'worker',
     )
@@ -110,6 +111,7 @@
         self.general = _Amount()
         self.firm = _Amount()
         self.guaranteed = 0
+        self.urgent = 0
         self.claimed = _Amount()
         self.reserved = 0
         self.lost_at: datetime | None = None
@@ -170,6 +172,17 @@
         )
         return max(0, min(self.free, outside))
 
+    @property
+    def stoppable(self) -> int:
+        """Free accelerators outside of the urgent guarantees."""
+        outside = (
+            self.worker.accelerators
+            - self.urgent
+            - self.general.accelerators
+            - self.reserved
+        )
+        return max(0, min(self.free, outside))
+
     @property
     def spare_millicores(self) -> int:
         """Cores that the idle accelerators do not need."""
@@ -286,7 +299,7 @@
     """All workers, with their free accelerators indexed.
 
     ``free`` counts what may be lent, ``open`` what lies outside of the
-    guarantees.
+    guarantees, ``stoppable`` what lies outside of the urgent ones.
     """
 
     def __init__(self) -> None:
@@ -313,6 +326,7 @@
         """Forget all workers."""
         self.free = CapacityMap()
         self.open = CapacityMap()
+        self.stoppable = CapacityMap()
         self._workers: dict[str, WorkerState] = {}
         self._by_cores = SortedList()
         self._cores_of: dict[str, int] = {}
@@ -333,6 +347,7 @@
         state = self._workers.pop(worker_id)
         self.free.remove(state.rack, worker_id)
         self.open.remove(state.rack, worker_id)
+        self.stoppable.remove(state.rack, worker_id)
         self._drop_cores(worker_id)
 
     def refresh(self, state: WorkerState) -> None:
@@ -340,6 +355,7 @@
         worker_id = state.worker.worker_id
         self.free.set(state.rack, worker_id, state.free)
         self.open.set(state.rack, worker_id, state.open)
+        self.stoppable.set(state.rack, worker_id, state.stoppable)
         cores = state.spare_millicores if state.is_usable else 0
         if self._cores_of.get(worker_id) != cores:
             self._drop_cores(worker_id)
--- a/dragonflynotch/core/partition.py
+++ b/dragonflynotch/core/partition.py
@@ -110,6 +110,7 @@
             self._book,
             self._claims,
             self._reservations,
+            self._run_times,
         )
         self._submissions = Submissions(
             self._state, self._gangs, self._claims, self._takeover
--- a/dragonflynotch/core/policy.py
+++ b/dragonflynotch/core/policy.py
@@ -42,6 +42,8 @@
         Wait before the second retry of a failed job; doubles each time.
     size_tolerance : float
         Share above the declared size that counts as measurement error.
+    short_run : timedelta
+        Learned run time up to which a job without checkpoints may borrow.
     """
 
     prepare_timeout: timedelta = timedelta(seconds=5)
@@ -59,6 +61,7 @@
     max_failures: int = 8
     first_retry_delay: timedelta = timedelta(seconds=20)
     size_tolerance: float = 0.05
+    short_run: timedelta = timedelta(minutes=30)
 
     def retry_after(self, failures: int) -> timedelta:
         """Return how long a job waits after so many failures.
--- a/dragonflynotch/core/reservations.py
+++ b/dragonflynotch/core/reservations.py
@@ -250,6 +250,7 @@
             job_id
             for job_id, gang in self._state.gangs.items()
             if gang.use is Use.lent
+            and self._state.jobs[job_id].spec.is_checkpointable
             and (
                 job_id in current.ended
                 or (gang.started_at or self._state.now) >= current.made_at
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -11,6 +11,7 @@
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.core.placement import Share
 from dragonflynotch.core.reservations import Reservations
+from dragonflynotch.core.runtimes import RunTimes
 from dragonflynotch.core.state import PartitionState
 from dragonflynotch.core.waiting_queue import QueueGroup
 
@@ -50,6 +51,8 @@
         Accelerators that are being freed.
     reservations : Reservations
         Accelerators kept for the longest-waiting job.
+    run_times : RunTimes
+        Learned run times.
     """
 
     def __init__(
@@ -59,9 +62,11 @@
         book: GuaranteeBook,
         claims: Claims,
         reservations: Reservations,
+        run_times: RunTimes,
     ) -> None:
         """Keep the parts."""
         self._reservations = reservations
+        self._run_times = run_times
         self._claims = claims
         self._state = state
         self._gangs = gangs
@@ -128,12 +133,17 @@
     def _borrow(self, job: Job) -> Launch | None:
         """Return a launch on idle guaranteed accelerators.
 
-        They are lent only to jobs that can be checkpointed. All such jobs get
+        They are lent to jobs that can be checkpointed. All such jobs get
         checkpoints at an interval, so they may use urgent guarantees too.
+        Short jobs without checkpoints can be stopped as well, with the loss
+        of little work; they do not get accelerators of urgent guarantees.
         """
-        if not job.spec.is_checkpointable:
+        if job.spec.is_checkpointable:
+            return self._place_generally(job, self._state.inventory.free)
+        if self._run_times.estimate(job.spec) > self._state.policy.short_run:
             return None
-        return self._place_generally(job, self._state.inventory.free)
+        shares = self._place(job, self._state.inventory.stoppable, Use.lent)
+        return Launch(job, shares, Use.lent) if shares else None
 
     def _backfill(self, job: Job) -> Launch | None:
         """Return a launch on reserved accelerators until they are needed."""
--- a/tests/core/test_guarantees.py
+++ b/tests/core/test_guarantees.py
@@ -69,6 +69,27 @@
         assert verdict == NotAdmitted(guarantees[refused])
 
 
+@pytest.mark.parametrize(
+    ('minutes', 'is_urgent', 'state'),
+    [(30, False, 'running'), (31, False, 'waiting'), (30, True, 'waiting')],
+)
+def test_short_jobs_without_checkpoints_borrow_until_they_are_stopped(
+    minutes, is_urgent, state
+):
+    """Guards against borrowers that lose much work or delay urgent jobs."""
+    driver = with_guarantees(guarantee('owner', 24, is_urgent=is_urgent))
+    driver.submit(
+        'short',
+        8,
+        is_checkpointable=False,
+        declared_run_time=timedelta(minutes=minutes),
+    )
+    assert driver.state('short') == state
+    driver.submit('own', 24, workspace='owner')
+    assert driver.state('own') == 'running'
+    assert driver.state('short') == 'waiting'
+
+
 def test_guaranteed_capacity_is_lent_only_to_checkpointable_jobs():
     """Guards against a borrower that cannot give the capacity back."""
     driver = with_guarantees(guarantee('owner', 24))
