Keep the checkpoints of other members when one member stops

The first MemberStopped of a gang that stopped with a checkpoint made the partition order the others to stop at once, so the checkpoint stayed incomplete and its work was lost.

--- a/benchmarks/policy/guards.py
+++ b/benchmarks/policy/guards.py
@@ -125,9 +125,11 @@
         if held is None:
             self._answer(MemberStopped, order)
             return
-        if held.is_stopping:
-            return
         progress = self._jobs[order.job_id]
+        if held.is_stopping:
+            if order.checkpoint_limit >= _CHECKPOINT:
+                return
+            progress.abandon_checkpoint()
         self._halt(progress, order)
         held.is_stopping = True
         self._tasks.expect_stop(progress)
--- a/benchmarks/policy/progress.py
+++ b/benchmarks/policy/progress.py
@@ -104,6 +104,14 @@
         self.resumed_from = self.work_done(now)
         self.computing_since = None
 
+    def abandon_checkpoint(self) -> None:
+        """Account for a checkpoint that a sooner stop has interrupted."""
+        if self.saves_at_stop is not None and not self.is_cancelling:
+            lost = max(self.saves_at_stop - self.last_saved, timedelta())
+            accelerators = self.job.spec.shape.accelerators
+            self.preempted_s += lost.total_seconds() * accelerators
+        self.saves_at_stop = None
+
     def finish(self, end: End, now: datetime) -> None:
         """Record how and when the job ended."""
         if self.end is None:
--- a/dragonflynotch/core/gang_control.py
+++ b/dragonflynotch/core/gang_control.py
@@ -177,6 +177,19 @@
         self._release(gang, worker_id, MemberPhase.released)
         self.conclude_if_ended(gang)
 
+    def member_stopped(self, gang: Gang, worker_id: str) -> None:
+        """Release a member that stopped, as ordered or by itself.
+
+        Members end their checkpoints at different times: the first one that
+        stops must not cut off the checkpoints of the others.
+        """
+        if gang.phase is not GangPhase.stopping:
+            reason = f'stopped by worker {worker_id}'
+            self.member_ended(gang, worker_id, reason)
+        elif gang.members[worker_id].holds:
+            self._release(gang, worker_id, MemberPhase.released)
+            self.conclude_if_ended(gang)
+
     def stop(
         self,
         gang: Gang,
--- a/dragonflynotch/core/member_events.py
+++ b/dragonflynotch/core/member_events.py
@@ -91,9 +91,7 @@
             case MemberRefused(reason=reason):
                 self._refused(gang, worker_id, reason)
             case MemberStopped():
-                self._gangs.member_ended(
-                    gang, worker_id, f'stopped by worker {worker_id}'
-                )
+                self._gangs.member_stopped(gang, worker_id)
             case CheckpointTaken():
                 self._gangs.checkpoint_taken(gang, event)
 
--- a/tests/core/test_guarantees.py
+++ b/tests/core/test_guarantees.py
@@ -218,3 +218,15 @@
     driver.finish('a')
     assert driver.state('b') == 'running'
     driver.advance(SECOND)
+
+
+def test_member_that_stops_first_leaves_the_others_their_checkpoint():
+    """Guards against a checkpoint that lacks the parts of other members."""
+    driver = with_guarantees(guarantee('owner', 24))
+    driver.submit('borrower', 24)
+    driver.is_manual = True
+    driver.submit('own', 24, workspace='owner')
+    assert len(kinds(driver.outbox, StopMember)) == 3
+    driver.outbox.clear()
+    driver.send(MemberStopped('borrower', 1, 'w0'))
+    assert not kinds(driver.outbox, StopMember)
