--- a/dragonflynotch/core/health.py
+++ b/dragonflynotch/core/health.py
@@ -113,7 +113,7 @@
         avoided = frozenset(failed_on)
         if not self._can_avoid(job.spec, avoided):
             avoided = frozenset()
-        self._state.avoided[gang.job_id] = avoided
+        self._state.avoid(changed, avoided)
         return changed
 
     def _can_avoid(self, spec: JobSpec, avoided: frozenset[str]) -> bool:
@@ -141,9 +141,11 @@
             others = tuple(
                 name for name in job.failed_workers if name != worker_id
             )
-            self._state.jobs[job_id] = replace(
+            acquitted = replace(
                 job, failed_workers=others, failures=len(others)
             )
+            self._state.jobs[job_id] = acquitted
+            self._state.avoid(acquitted, frozenset(others))
 
     def _quarantine(self, worker_id: str) -> None:
         """Quarantine a worker, unless the cap on their share is reached."""
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -107,6 +107,13 @@
         """Let a job wait."""
         self.queue.add(job, self.avoided.get(job.job_id, frozenset()))
 
+    def avoid(self, job: Job, worker_ids: frozenset[str]) -> None:
+        """Keep a job from some workers from now on, and from no others."""
+        self.avoided[job.job_id] = worker_ids
+        if self.queue.has(job.job_id):
+            self.queue.remove(job)
+            self.enqueue(job)
+
     def add_gang(self, gang: Gang) -> None:
         """Register a gang whose accelerators are already held."""
         self.gangs[gang.job_id] = gang
