Let less important gangs give way to waiting jobs

Audits, checklists and jobs of resorts beyond their guarantee waited for the end of batches although these can be checkpointed within seconds. A waiting job that fits nowhere now claims a place of less important gangs with checkpoints, the smallest that suffice. Such a claim goes back to the queue when the owner of a guarantee takes its place, and is replaced when the job's own guarantee becomes idle. The owner of a guarantee gets its place also on a worker on which it failed, unless few failures are left.

--- a/dragonflynotch/core/claims.py
+++ b/dragonflynotch/core/claims.py
@@ -154,8 +154,7 @@
         """Start the jobs whose accelerators are free; stop more if needed."""
         for claim in tuple(self._claims.values()):
             if not self._is_valid(claim):
-                self.drop(claim.job_id)
-                self._state.enqueue(self._state.jobs[claim.job_id])
+                self._return_to_queue(claim)
         shortfall = Shortfall(self._state.inventory)
         for claim in sorted(self._claims.values(), key=_has_no_guarantee):
             missing = shortfall.after(claim.allocations)
@@ -217,6 +216,14 @@
         )
         for gang in victims:
             self._stop(gang, claim)
+        if claim.guarantee is None and not victims:
+            # Its place was lost to the owner of a guarantee, and no stop that
+            # would bring it back is under way.
+            self._return_to_queue(claim)
+
+    def _return_to_queue(self, claim: Claim) -> None:
+        self.drop(claim.job_id)
+        self._state.enqueue(self._state.jobs[claim.job_id])
 
     def _stop(self, gang: Gang, claim: Claim) -> None:
         spec = self._state.jobs[gang.job_id].spec
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -7,9 +7,11 @@
 from dragonflynotch.core.claims import Claims
 from dragonflynotch.core.gang_control import GangControl, Launch
 from dragonflynotch.core.guarantee_book import GuaranteeBook, PlacedGuarantee
+from dragonflynotch.core.guarantees import Place
 from dragonflynotch.core.inventory import Demand, Use
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.core.placement import Share
+from dragonflynotch.core.preemption import find_takeover
 from dragonflynotch.core.reservations import Reservations
 from dragonflynotch.core.runtimes import RunTimes
 from dragonflynotch.core.state import PartitionState
@@ -17,6 +19,8 @@
 
 __all__ = ('Blocked', 'Scheduler')
 
+_SPARED_FAILURES = 2
+
 
 @dataclass(frozen=True, slots=True)
 class Blocked:
@@ -79,12 +83,31 @@
         changed. Claims come first; they may return jobs to the queue, and
         jobs may make new claims.
         """
+        self._cover_claims()
         self._claims.advance()
         self._reservations.drop_if_stale()
         self._try_groups()
         self._reservations.advance()
         self._claims.advance()
 
+    def _cover_claims(self) -> None:
+        """Start jobs whose guarantee became idle while they waited elsewhere."""
+        for claim in tuple(self._claims):
+            job = self._state.jobs[claim.job_id]
+            if claim.guarantee is None and self._has_own_place(job):
+                self._claims.drop(job.job_id)
+                launch = self._cover(job)
+                if launch is None:
+                    self._claim(job)
+                else:
+                    self._launch(launch)
+
+    def _has_own_place(self, job: Job) -> bool:
+        return any(
+            self._own_shares(placed, job)
+            for placed in self._book.of_workspace(job.spec.workspace)
+        )
+
     def _try_groups(self) -> None:
         heads = [
             (group.head_key, number, group)
@@ -120,8 +143,8 @@
             or self._claim(job)
             or self._borrow(job)
             or self._backfill(job)
-            or Blocked('waits for free accelerators')
-        )
+            or self._take_over(job)
+        ) or Blocked('waits for free accelerators')
 
     def _place_generally(
         self, job: Job, capacity: CapacityMap
@@ -140,7 +163,7 @@
         """
         if job.spec.is_checkpointable:
             return self._place_generally(job, self._state.inventory.free)
-        if self._run_times.estimate(job.spec) > self._state.policy.short_run:
+        if not self._is_short(job):
             return None
         shares = self._place(job, self._state.inventory.stoppable, Use.lent)
         return Launch(job, shares, Use.lent) if shares else None
@@ -153,18 +176,34 @@
             capacity.set(worker.rack, worker_id, worker.unclaimed)
         return self._place_generally(job, capacity)
 
+    def _take_over(self, job: Job) -> Claimed | None:
+        """Claim a place of less important gangs that can be checkpointed."""
+        use = Use.lent
+        if not job.spec.is_checkpointable and not self._is_short(job):
+            use = Use.firm
+        found = find_takeover(self._state, job, use)
+        if found is None:
+            return None
+        self._claims.add_reserved(job, found.shares, use, found.victims)
+        return Claimed()
+
+    def _is_short(self, job: Job) -> bool:
+        estimate = self._run_times.estimate(job.spec)
+        return estimate <= self._state.policy.short_run
+
     def _claim(self, job: Job) -> Claimed | None:
         """Claim a part of a guarantee that others have borrowed."""
         for placed in self._book.of_workspace(job.spec.workspace):
-            capacity = self._idle_part(placed, job, with_borrowed=True)
-            shares = self._state.placer.place(
-                job.spec.shape, capacity, _unlimited
-            )
+            shares = self._own_shares(placed, job)
             if shares:
                 self._claims.add_guaranteed(job, placed, shares)
                 return Claimed()
         return None
 
+    def _own_shares(self, placed: PlacedGuarantee, job: Job) -> Place:
+        capacity = self._idle_part(placed, job, with_borrowed=True)
+        return self._state.placer.place(job.spec.shape, capacity, _unlimited)
+
     def _decide_without_accelerators(self, job: Job) -> Launch | Blocked:
         use = Use.lent if job.spec.is_checkpointable else Use.firm
         worker_id = self._state.inventory.find_cores(Demand.of(job.spec), use)
@@ -192,9 +231,13 @@
         capacity = CapacityMap()
         demand = Demand.of(job.spec)
         avoided = self._state.avoided.get(job.job_id, ())
+        # The owner of a guarantee gets its place even where it has failed,
+        # unless it is about to be given up for its failures.
+        failures_left = self._state.policy.max_failures - job.failures
+        is_insisting = with_borrowed and failures_left > _SPARED_FAILURES
         for worker_id, idle in placed.idle.items():
             worker = self._state.inventory[worker_id]
-            if worker_id in avoided:
+            if worker_id in avoided and not is_insisting:
                 continue
             if worker.is_usable and worker.share_covers(demand):
                 usable = idle if with_borrowed else min(idle, worker.unclaimed)
