Stop a guard at once whose worker never answered

Cause: the drain waited 30 s for a first answer of the worker although the guard had started nothing. Ruled out: requests in flight (none) and the entry stop (0.2 s notice). Change: return when no member is known and the worker never answered.

--- a/dragonflynotch/guard/tasks.py
+++ b/dragonflynotch/guard/tasks.py
@@ -164,6 +164,9 @@
     async def drain(self, limit: timedelta) -> bool:
         """Refuse new members, stop all and return whether they ended."""
         self._is_draining = True
+        if self._seen is None and not tuple(self._table):
+            # The worker never answered, so this guard started nothing on it.
+            return True
         for member in self._table.active:
             member.stop(limit // _MILLISECOND, 'drained')
         self._wake.set()
