Separate the two cases of a grant beside a takeover write

Cause: one mutant covered the entry's own write and a write of the process that ran before it under the same id; the second one is easily missed. Change: mutant GRANT_AFTER_RESTART; the verdict names the length of the trace.

--- a/model/checker.py
+++ b/model/checker.py
@@ -25,7 +25,7 @@
 )
 _STATES: Final = re.compile(r'^\s*(\d+) states, stored', re.MULTILINE)
 _ERRORS: Final = re.compile(r'errors: (\d+)')
-_VIOLATION: Final = re.compile(r'assertion violated (.*?) \(at depth')
+_VIOLATION: Final = re.compile(r'assertion violated (.*?) \(at depth (\d+)\)')
 _INCOMPLETE: Final = ('Search not completed', 'out of memory', 'truncated')
 
 
@@ -96,7 +96,8 @@
         return 'not found', False
     found = re.search(r'\w+', violation.group(1))
     name = found.group() if found else ''
-    return f'found by {name}', name == mutant.invariant
+    steps = violation.group(2)
+    return f'found by {name}, {steps} steps', name == mutant.invariant
 
 
 def run_check(
--- a/model/specifications/ownership.pml
+++ b/model/specifications/ownership.pml
@@ -26,6 +26,9 @@
  * without the condition on the row's version. */
 /* mutant GRANT_AFTER_TAKEOVER_WRITE breaks one_renewer: an entry grants
  * although an earlier takeover write of its own may still take effect. */
+/* mutant GRANT_AFTER_RESTART breaks one_renewer: an entry grants before it has
+ * seen the row change, although a takeover write of the process that ran
+ * before it under the same id may still take effect. */
 /* mutant GRANT_TO_FORMER_OWNER breaks one_renewer: an entry grants to an entry
  * that is not the owner named by the row as it was read last. */
 /* mutant TAKEOVER_AFTER_RESTART breaks one_renewer: an entry that has just
@@ -104,9 +107,10 @@
        assert(one_renewer || !took_over) }   /* A acknowledges as owner */
   :: d_step { true ->                        /* B starts or restarts */
        started = true; has_read = false; names_a = false;
-       changed = true; unchanged = 0; given = 0; uptime = 0; may_grant = false }
+       changed = true; unchanged = 0; given = 0; uptime = 0;
+       may_grant = GRANT_AFTER_RESTART }
   :: d_step { started && (changed || !has_read) ->      /* B reads the row */
-       may_grant = may_grant || (has_read && changed);
+       may_grant = may_grant || has_read;
        names_a = !took_over;
        has_read = true; changed = false; unchanged = 0 }
   :: d_step { has_read && takeover == none && !took_over &&
