Settle lost configuration answers strictly; bind copies to guards

Cause: the model checker found that a lost answer could be hidden by later changes (READ_BACK_HEAD) and that a delayed copy could reach a restarted guard (PUSH_TO_RESTARTED). Change: an uncertain commit whose token may have left the list of recent writers is reported as uncertain; copies carry the incarnation of the guard. Ruled out: a row for each revision; 64 tokens in the head give the same proof without a second row to clean up.

--- a/dragonflynotch/entry/configuration_copies.py
+++ b/dragonflynotch/entry/configuration_copies.py
@@ -94,7 +94,9 @@
         update = self._configuration.log.since(self._position(guard))
         try:
             reply = await self._client.put(
-                _url(guard), content=encode_copy(update)
+                _url(guard),
+                content=encode_copy(update),
+                headers={'Guard-Incarnation': str(guard.incarnation)},
             )
         except httpx.HTTPError as error:
             _log.debug('copy to guard {} failed: {!r}', guard.guard_id, error)
--- a/dragonflynotch/entry/configuration_store.py
+++ b/dragonflynotch/entry/configuration_store.py
@@ -129,11 +129,14 @@
                 row_key, _encoded_record(change), _version(record_row)
             ),
         )
-        is_written = await self._commit(writes, token)
+        is_written = await self._commit(writes, change.revision, token)
         return change if is_written else HeadMoved()
 
     async def _commit(
-        self, writes: tuple[ConditionalWrite, ...], token: str
+        self,
+        writes: tuple[ConditionalWrite, ...],
+        change_revision: int,
+        token: str,
     ) -> bool:
         """Repeat one transaction until its outcome is certain.
 
@@ -149,16 +152,31 @@
                 continue
             if isinstance(outcome, Written):
                 return True
-            return is_uncertain and await self._has_token(token)
-        raise UncertainWriteError(
-            'the change may or may not have been committed',
-            step='commit configuration',
-            peer='table service',
-        )
+            return is_uncertain and await self._took_effect(
+                change_revision, token
+            )
+        raise _uncertain()
+
+    async def _took_effect(self, revision: int, token: str) -> bool:
+        """Return whether a transaction whose answer was lost took effect.
 
-    async def _has_token(self, token: str) -> bool:
+        The last writer alone would not tell: a later change hides it.
+        """
         head = _head(await self._table.read(_HEAD_KEY))
-        return any(recent == token for _, recent in head.recent_tokens)
+        if any(recent == token for _, recent in head.recent_tokens):
+            return True
+        oldest = head.recent_tokens[0][0] if head.recent_tokens else 1
+        if oldest > revision:
+            raise _uncertain()
+        return False
+
+
+def _uncertain() -> UncertainWriteError:
+    return UncertainWriteError(
+        'the change may or may not have been committed',
+        step='commit configuration',
+        peer='table service',
+    )
 
 
 def _random_token() -> str:
--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -86,8 +86,10 @@
 
     def _configure(self, call: HttpCall) -> Reply:
         copy = self._configuration
-        if call.method == 'PUT' and not copy.put(call.body):
-            return _problem(_BAD_REQUEST, 'refused', 'malformed update')
+        if call.method == 'PUT':
+            incarnation = call.headers.get('guard-incarnation', '')
+            if not copy.put(call.body, incarnation):
+                return _problem(_BAD_REQUEST, 'refused', 'update not usable')
         body = copy.get() if call.method == 'GET' else b''
         return Reply(_OK, body, {'Configuration-Revision': str(copy.revision)})
 
--- a/dragonflynotch/guard/configuration.py
+++ b/dragonflynotch/guard/configuration.py
@@ -16,10 +16,17 @@
 
 
 class ConfigurationCopy:
-    """Holds the newest configuration that an entry delivered."""
+    """Holds the newest configuration that an entry delivered.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    incarnation : int
+        Random number drawn at the start of the guard.
+    """
+
+    def __init__(self, incarnation: int) -> None:
         """Start without a copy."""
+        self._incarnation = incarnation
         self._log = ConfigurationLog()
         self._seen_revision = 0
 
@@ -37,11 +44,15 @@
         """Note the revision in an acknowledgement."""
         self._seen_revision = max(self._seen_revision, revision)
 
-    def put(self, text: bytes) -> bool:
-        """Apply an update and return whether the text was well formed.
+    def put(self, text: bytes, incarnation: str) -> bool:
+        """Apply an update and return whether it was accepted.
 
-        An update that is older than the copy changes nothing.
+        An update that is older than the copy changes nothing. One that was
+        sent to a former process of this guard is refused: this process does
+        not know how new the former copy was.
         """
+        if incarnation != str(self._incarnation):
+            return False
         try:
             update = decode_copy(text)
         except msgspec.DecodeError:
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -53,7 +53,7 @@
         self._keeper = create_task_keeper(
             settings, self._incarnation, self._clock
         )
-        self._configuration = ConfigurationCopy()
+        self._configuration = ConfigurationCopy(self._incarnation)
         self._announcer = Announcer(
             tuple(entry.pair for entry in settings.entries),
             self._describe,
--- a/tests/entry/test_configuration_store.py
+++ b/tests/entry/test_configuration_store.py
@@ -86,3 +86,22 @@
     table.fault = TableFault.down
     with pytest.raises(PlatformUnavailableError):
         await ConfigurationStore(table).write(KEY, b'{}', 0)
+
+
+async def test_lost_answer_hidden_by_many_changes_is_uncertain():
+    """Guards against a false conflict when the token is no longer listed."""
+    table = LosingTable(['before'])
+    original = table.commit
+
+    async def commit_after_others(writes, writer_token):
+        table.commit = original
+        try:
+            return await original(writes, writer_token)
+        finally:
+            other = ConfigurationStore(table)
+            for revision in range(70):
+                await other.write(RecordKey('workspace', 'b'), b'{}', revision)
+
+    table.commit = commit_after_others
+    with pytest.raises(UncertainWriteError):
+        await ConfigurationStore(table).write(KEY, b'{}', 0)
