--- a/benchmarks/policy/gangs.py
+++ b/benchmarks/policy/gangs.py
@@ -1,9 +1,9 @@
 """The gang protocol that the baselines share.
 
 Baselines retry a gang from its last checkpoint, fail a job that failed on
-three distinct workers or six times, and set a worker aside for half an hour after three
-failures of distinct jobs in a row, as batch systems with a health check do.
-They neither preempt nor know guarantees.
+three distinct workers or six times, and set a worker aside for half an hour
+after three failures of distinct jobs in a row, as batch systems with a health
+check do. They neither preempt nor know guarantees.
 """
 
 from abc import abstractmethod
