Admit guarantees of records as shapes on the known topology

Cause: the operator interface compared sums of accelerators only. Change: TopologyAdmission calls admit_guarantees with the live workers; only data centres where the record asks for more are checked, so that other changes stay possible after a loss of hardware. Before: two guarantees of 16 accelerators in one rack of 24 and one of 8 were accepted; after: refused (pytest tests/entry/test_admission.py, 6 passed).

--- a/dragonflynotch/entry/admission.py
+++ b/dragonflynotch/entry/admission.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Mapping
 
 from dragonflynotch.core.events import Guarantee
+from dragonflynotch.core.guarantees import NotAdmitted, admit_guarantees
 from dragonflynotch.core.membership import GuardInfo
+from dragonflynotch.core.placement import FragmentationAwarePlacer, Placer
 from dragonflynotch.entry.configuration import GuaranteeAdmission
 
 __all__ = ('TopologyAdmission',)
@@ -16,13 +18,18 @@
     ----------
     guards : callable
         Returns the live guards by data centre.
+    placer : Placer or None
+        Chooses the places.
     """
 
     def __init__(
-        self, guards: Callable[[], Mapping[str, tuple[GuardInfo, ...]]]
+        self,
+        guards: Callable[[], Mapping[str, tuple[GuardInfo, ...]]],
+        placer: Placer | None = None,
     ) -> None:
         """Decide on what ``guards`` returns."""
         self._guards = guards
+        self._placer = placer or FragmentationAwarePlacer()
 
     def refusal(self, guarantees: Mapping[str, tuple[Guarantee, ...]]) -> str:
         """Return why the guarantees by data centre do not fit, or ``''``."""
@@ -33,11 +40,10 @@
                 for guard in known.get(data_centre, ())
                 if guard.worker is not None
             ]
-            total = sum(worker.accelerators for worker in workers)
-            needed = sum(guarantee.shape.accelerators for guarantee in wanted)
-            if needed > total:
+            verdict = admit_guarantees(wanted, workers, self._placer)
+            if isinstance(verdict, NotAdmitted):
                 return (
-                    f'data centre {data_centre!r} has {total} accelerators, '
-                    f'guarantees need {needed}'
+                    f'data centre {data_centre!r} with {len(workers)} live '
+                    f'workers: {verdict.reason}'
                 )
         return ''
--- a/dragonflynotch/entry/configuration.py
+++ b/dragonflynotch/entry/configuration.py
@@ -1,6 +1,7 @@
 """The configuration in force in this entry, and changes by operators."""
 
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -305,11 +306,17 @@
         if document.kind != 'workspace':
             return None
         workspaces = dict(self._view.workspaces)
-        workspaces[key.name] = workspace_spec(document)
-        misfit = self._admission.refusal(guarantees_by_data_centre(workspaces))
-        return (
-            RecordRefused('guarantee_does_not_fit', misfit) if misfit else None
+        before = workspaces.get(key.name, WorkspaceSpec(key.name))
+        after = workspace_spec(document)
+        workspaces[key.name] = after
+        wanted = guarantees_by_data_centre(workspaces)
+        extended = _extended_data_centres(before, after)
+        misfit = self._admission.refusal(
+            {name: wanted[name] for name in extended}
         )
+        if not misfit:
+            return None
+        return RecordRefused('guarantee_does_not_fit', misfit)
 
     def _rebuild_view(self) -> None:
         workspaces = {}
@@ -338,3 +345,18 @@
                 *guarantees,
             )
     return grouped
+
+
+def _extended_data_centres(
+    before: WorkspaceSpec, after: WorkspaceSpec
+) -> tuple[str, ...]:
+    """Return the data centres where a workspace asks for more than before.
+
+    Other changes stay possible while lost hardware makes some guarantee
+    impossible to honour.
+    """
+    return tuple(
+        name
+        for name, guarantees in after.guarantees.items()
+        if Counter(guarantees) - Counter(before.guarantees.get(name, ()))
+    )
