Add routing, ejection, limits and handover decisions to the core

Cause: the thin path knew neither remote members, ejection, quotas, priorities nor the ledger. Ruled out: ejection by error rate, because a workspace with bad requests would eject healthy minions; five failures in a row are required. Slots are counted by this entry between announcements and corrected by each announcement. Pure code, no caller yet except the routing table.

--- /dev/null
+++ b/tests/core/test_ejection.py
@@ -0,0 +1,77 @@
+"""A member that fails everything is ejected, probed and readmitted."""
+
+from datetime import timedelta
+
+import pytest
+
+from dragonflynotch.core.clock import ManualClock
+from dragonflynotch.core.ejection import EjectionPolicy, OutlierEjector
+
+NOW = ManualClock().now()
+MEMBERS = frozenset(f'guard-{number}' for number in range(10))
+BASE = EjectionPolicy().base_time
+
+
+def eject(ejector, guard_id, now=NOW, members=MEMBERS):
+    return [
+        ejector.record_failure(guard_id, now, members) for _ in range(5)
+    ].pop()
+
+
+def test_member_is_ejected_after_failures_in_a_row():
+    """Guards against sending more work to a minion that fails it all."""
+    assert eject(OutlierEjector(), 'guard-1')
+
+
+def test_member_that_answers_now_and_then_stays():
+    """Guards against ejecting for bad requests of one caller."""
+    ejector = OutlierEjector()
+    for _ in range(20):
+        ejector.record_failure('guard-1', NOW, MEMBERS)
+        ejector.record_success('guard-1')
+    assert not ejector.is_ejected('guard-1')
+
+
+@pytest.mark.parametrize(
+    ('count', 'ejected'), [(1, 0), (2, 1), (3, 1), (10, 3)]
+)
+def test_at_most_a_share_of_the_members_is_ejected(count, ejected):
+    """Guards against ejecting every minion when all requests are bad."""
+    ejector = OutlierEjector()
+    members = {f'guard-{number}' for number in range(count)}
+    for member in sorted(members):
+        eject(ejector, member, members=members)
+    assert sum(map(ejector.is_ejected, members)) == ejected
+
+
+def test_ejection_time_doubles_with_each_failed_probe():
+    """Guards against probing a broken minion at a constant rate."""
+    ejector = OutlierEjector()
+    now = NOW
+    eject(ejector, 'guard-1')
+    for factor in (1, 2, 4):
+        due = now + BASE * factor
+        just_before = due - timedelta(milliseconds=1)
+        assert not ejector.needs_probe('guard-1', just_before)
+        assert ejector.needs_probe('guard-1', due)
+        ejector.start_probe('guard-1', due)
+        assert not ejector.needs_probe('guard-1', due)
+        ejector.record_failure('guard-1', due, MEMBERS)
+        now = due
+
+
+def test_successful_probe_readmits():
+    """Guards against a healthy minion that stays ejected."""
+    ejector = OutlierEjector()
+    eject(ejector, 'guard-1')
+    ejector.start_probe('guard-1', NOW + BASE)
+    ejector.record_success('guard-1')
+    assert not ejector.is_ejected('guard-1')
+
+
+def test_late_success_of_an_old_request_does_not_readmit():
+    """Guards against readmission without a probe."""
+    ejector = OutlierEjector()
+    eject(ejector, 'guard-1')
+    ejector.record_success('guard-1')
+    assert ejector.is_ejected('guard-1')
--- /dev/null
+++ b/tests/core/test_handover.py
@@ -0,0 +1,82 @@
+"""Decisions that keep a non-idempotent request at most once."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from dragonflynotch.core.clock import ManualClock
+from dragonflynotch.core.handover import (
+    AskGuard,
+    Claim,
+    GuardDone,
+    GuardGone,
+    GuardNever,
+    GuardRunning,
+    GuardSilent,
+    GuardUnknown,
+    KeepClaim,
+    MarkUnknown,
+    RefuseKeyReuse,
+    ReplayResult,
+    ReportUnknown,
+    StoredResult,
+    UseAnswer,
+    attempt_id,
+    decide_on_resolution,
+    decide_on_row,
+    next_claim,
+)
+
+NOW = ManualClock().now()
+ROW = next_claim('digest', 1, ('guard-1', 5), NOW)
+RESULT = StoredResult('answer digest', 'minion-1', b'ok')
+
+
+@pytest.mark.parametrize(
+    ('row', 'digest', 'decision'),
+    [
+        (None, 'digest', Claim(1)),
+        (ROW, 'digest', AskGuard()),
+        (ROW, 'other', RefuseKeyReuse()),
+        (ROW.finished(RESULT), 'digest', ReplayResult(RESULT)),
+        (ROW.finished(RESULT), 'other', RefuseKeyReuse()),
+        (ROW.as_unknown(), 'digest', ReportUnknown()),
+    ],
+)
+def test_decision_on_a_row(row, digest, decision):
+    """Guards against a second run of a claimed or finished request."""
+    assert decide_on_row(row, digest) == decision
+
+
+@pytest.mark.parametrize(
+    ('resolution', 'decision'),
+    [
+        (GuardDone(b'ok', 'minion-1'), UseAnswer(b'ok', 'minion-1')),
+        (GuardNever(), Claim(2)),
+        (GuardRunning(), KeepClaim('still_running')),
+        (GuardSilent(), KeepClaim('guard_silent')),
+        (GuardGone(), MarkUnknown('guard_gone')),
+        (GuardUnknown('evicted'), MarkUnknown('evicted')),
+    ],
+)
+def test_decision_on_a_resolution(resolution, decision):
+    """Guards against a next attempt without proof that the last one is off."""
+    assert decide_on_resolution(ROW, resolution, NOW) == decision
+
+
+def test_never_is_not_trusted_after_the_memory_of_the_guard_expired():
+    """Guards against a guard that forgot an answer and says never."""
+    later = NOW + timedelta(minutes=12, seconds=1)
+    decision = decide_on_resolution(ROW, GuardNever(), later)
+    assert decision == MarkUnknown('guard_memory_expired')
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [{'attempt': 2}, {'guard_id': 'guard-2'}, {'claimed_at': NOW.max}],
+)
+def test_attempt_id_differs_for_each_claim(changes):
+    """Guards against the memory of one attempt that answers for another."""
+    other = replace(ROW, **changes)
+    assert attempt_id('key', other) != attempt_id('key', ROW)
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -59,3 +59,72 @@
     routing.observe(replace(TARGET, guard_id='far', data_centre='dc-2'))
     chosen = routing.choose(CLOCK.now())
     assert chosen.guard_id == 'guard-1'
+
+
+def test_remote_target_is_used_within_its_longer_time_to_live(routing):
+    """Guards against losing remote targets between two digests."""
+    remote = replace(TARGET, data_centre='dc-2')
+    routing.observe(remote)
+    assert routing.choose(CLOCK.now() + timedelta(seconds=2.5)) == remote
+    later = CLOCK.now() + timedelta(seconds=2.7)
+    assert isinstance(routing.choose(later), NoTarget)
+
+
+def test_slot_is_used_until_released(routing):
+    """Guards against more requests than slots between announcements."""
+    routing.observe(replace(TARGET, slots=1, free_slots=1))
+    chosen = routing.choose(CLOCK.now())
+    assert routing.choose(CLOCK.now()).reason == 'no_free_slot'
+    routing.release(chosen)
+    assert routing.choose(CLOCK.now()) == chosen
+
+
+def test_announcement_does_not_count_own_requests_twice(routing):
+    """Guards against a slot that stays unused after its request finished."""
+    routing.observe(replace(TARGET, slots=1, free_slots=1))
+    chosen = routing.choose(CLOCK.now())
+    routing.observe(replace(TARGET, slots=1, free_slots=0, sequence=2))
+    routing.release(chosen)
+    assert routing.choose(CLOCK.now()).guard_id == chosen.guard_id
+
+
+@pytest.mark.parametrize('is_full', [True, False])
+def test_refusing_target_is_left_out_until_its_next_announcement(
+    routing, is_full
+):
+    """Guards against repeated handovers to a guard that refuses them."""
+    routing.observe(TARGET)
+    routing.record_refusal(TARGET, is_full=is_full)
+    assert isinstance(routing.choose(CLOCK.now()), NoTarget)
+    routing.observe(replace(TARGET, sequence=2))
+    assert routing.choose(CLOCK.now()).sequence == 2
+
+
+def test_replaced_incarnation_does_not_come_back(routing):
+    """Guards against a delayed announcement of a guard before its restart."""
+    routing.observe(TARGET)
+    routing.observe(replace(TARGET, incarnation=2))
+    routing.observe(replace(TARGET, sequence=9))
+    assert routing.known_target('guard-1').incarnation == 2
+    assert routing.is_replaced('guard-1', 1)
+
+
+def test_ejected_target_gets_only_one_idempotent_probe(routing):
+    """Guards against non-idempotent requests used as probes."""
+    other = replace(TARGET, guard_id='guard-2')
+    for _ in range(5):
+        routing.observe(TARGET)
+        routing.observe(other)
+        routing.record_failure(TARGET, CLOCK.now())
+    assert routing.is_ejected('guard-1')
+    due = CLOCK.now() + timedelta(seconds=2.1)
+    assert routing.choose(due) == other
+    assert routing.choose(due, is_idempotent=True) == TARGET
+    assert routing.choose(due, is_idempotent=True) == other
+
+
+def test_two_choices_prefer_the_less_loaded_target(routing):
+    """Guards against a busy target that gets as much work as an idle one."""
+    routing.observe(replace(TARGET, free_slots=1))
+    routing.observe(replace(TARGET, guard_id='guard-2'))
+    assert routing.choose(CLOCK.now()).guard_id == 'guard-2'
