Serve requests with quotas, queue, ledger and resolve at the guard

Cause: the thin path had no identity, limits, priorities, ledger or graceful stop, and a lost connection was answered unknown without asking the guard. Change: entry: identity, headers, problems, target queue, attempts with checks at the guard, idempotent and at-most-once runners, ledger, lifecycle. Guard: memory of attempts, resolve, drain, deadline checks. Decided: attempts of idempotent requests are not remembered by the guard, so they do not evict answers of others. A handover carries Request-Expires-At-Ms, so a message held up longer than the guard's memory is refused. Ruled out: waiting for the deadline to notice a silent connection; the entry asks the guard after 0.5 s, growing to 2 s.

--- a/dragonflynotch/cli/local.py
+++ b/dragonflynotch/cli/local.py
@@ -1,6 +1,7 @@
 """Embedded mode: entry, guard and stand-ins as tasks on loopback."""
 
 import asyncio
+import hashlib
 import socket
 from contextlib import AsyncExitStack
 from datetime import timedelta
@@ -8,6 +9,7 @@
 import httpx
 import uvicorn
 
+from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
 from dragonflynotch.entry.daemon import Entry
 from dragonflynotch.guard.daemon import Guard
 from dragonflynotch.records.settings import (
@@ -23,6 +25,7 @@
 _HOST = '127.0.0.1'
 _START_LIMIT = timedelta(seconds=10)
 _POLL_S = 0.1
+_TOKEN = 'example-token'
 
 
 def free_port() -> int:
@@ -37,6 +40,7 @@
     """Serve one request end to end and return the exit code."""
     callers, announcements, minion, guard = (free_port() for _ in range(4))
     stop = asyncio.Event()
+    view = _example_view()
     minion_server = uvicorn.Server(
         uvicorn.Config(
             MinionApp('minion-1'),
@@ -57,7 +61,9 @@
             announcements=Address(_HOST, announcements),
             link=Address(_HOST, 0),
             table=Address(_HOST, 0),
-        )
+            stop_notice_ms=0,
+        ),
+        lambda: view,
     )
     target = Guard(
         GuardSettings(
@@ -67,6 +73,7 @@
             listen=Address(_HOST, guard),
             entries=(Address(_HOST, announcements),),
             minion=MinionSettings('minion-1', Address(_HOST, minion)),
+            drain_notice_ms=0,
         )
     )
     tasks = [
@@ -82,6 +89,12 @@
     return 0
 
 
+def _example_view() -> ConfigurationView:
+    digest = hashlib.sha256(_TOKEN.encode()).hexdigest()
+    resort = WorkspaceSpec('resort', token_digests=(digest,))
+    return ConfigurationView(1, {resort.name: resort})
+
+
 async def _stop(
     stop: asyncio.Event,
     minion_server: uvicorn.Server,
@@ -106,7 +119,10 @@
                 reply = await client.post(
                     f'{url}/v1/workspaces/resort/requests',
                     content=b'fridge 4 c',
-                    headers={'Request-Idempotent': 'true'},
+                    headers={
+                        'Request-Idempotent': 'true',
+                        'Authorization': f'Bearer {_TOKEN}',
+                    },
                 )
             except httpx.ConnectError:
                 await asyncio.sleep(_POLL_S)
--- a/dragonflynotch/core/errors.py
+++ b/dragonflynotch/core/errors.py
@@ -6,6 +6,7 @@
     'InvalidInputError',
     'LinkError',
     'LinkTimeoutError',
+    'NotSentError',
     'PlatformUnavailableError',
     'UncertainWriteError',
 )
@@ -82,6 +83,10 @@
     """Another process did not answer in time."""
 
 
+class NotSentError(LinkError):
+    """No connection was made, so nothing was sent."""
+
+
 class ConflictError(DragonflynotchError):
     """A conditional write found another revision than the expected one.
 
--- a/dragonflynotch/entry/callers.py
+++ b/dragonflynotch/entry/callers.py
@@ -1,94 +1,185 @@
 """HTTP interface for callers."""
 
+import asyncio
 import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any
+from typing import Any, cast
 
-import msgspec
-from litestar import Litestar, Request, Response, get, post
+from litestar import Controller, Litestar, Request, Response, get, post
+from litestar.datastructures import State
+from litestar.exceptions import HTTPException
 from litestar.params import FromPath
 
 from dragonflynotch.core.clock import Clock
-from dragonflynotch.core.requests import (
-    Answer,
-    NotRun,
-    Outcome,
-    Unknown,
-    content_digest,
-)
+from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.requests import NotRun, Outcome, Unknown
 from dragonflynotch.core.requests import Request as CallerRequest
+from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
 from dragonflynotch.entry.dispatcher import Dispatcher
+from dragonflynotch.entry.headers import read_headers
+from dragonflynotch.entry.identity import NotIdentified, identify
+from dragonflynotch.entry.lifecycle import Lifecycle
+from dragonflynotch.entry.problems import (
+    malformed,
+    outcome_response,
+    too_large,
+)
+from dragonflynotch.observability.logs import part_logger
 
-__all__ = ('create_caller_app',)
+__all__ = ('CallerContext', 'create_caller_app')
 
 _MAX_BODY_BYTES = 1024 * 1024
-_DEFAULT_DEADLINE_MS = 30_000
-_STATUS_NOT_RUN = 503
-_STATUS_UNKNOWN = 504
+_OK = 200
+_UNAVAILABLE = 503
+_TOO_LARGE = 413
+_ERROR_LIMIT = 500
+_REASONS_BY_STATUS = {404: 'not_found', 405: 'method_not_allowed'}
 
+_log = part_logger('entry.callers')
 
-def create_caller_app(dispatcher: Dispatcher, clock: Clock) -> Litestar:
-    """Return the ASGI application for callers."""
 
-    @post(
-        '/v1/workspaces/{workspace:str}/requests',
-        request_max_body_size=_MAX_BODY_BYTES,
-    )
+@dataclass(frozen=True, slots=True)
+class CallerContext:
+    """What the caller interface needs from the entry.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Runs requests.
+    configuration : callable
+        Returns the configuration in force.
+    lifecycle : Lifecycle
+        Phase of the entry.
+    clock : Clock
+        Clock for the deadlines.
+    """
+
+    dispatcher: Dispatcher
+    configuration: Callable[[], ConfigurationView]
+    lifecycle: Lifecycle
+    clock: Clock
+
+
+class RequestController(Controller):
+    """Requests of workspaces."""
+
+    path = '/v1/workspaces/{workspace:str}/requests'
+
+    @post('/', status_code=_OK, request_max_body_size=_MAX_BODY_BYTES)
     async def run_request(
-        workspace: FromPath[str], request: Request[Any, Any, Any]
+        self, workspace: FromPath[str], request: Request[Any, Any, Any]
     ) -> Response[bytes]:
-        headers = request.headers
-        deadline_ms = int(
-            headers.get('request-deadline-ms', _DEFAULT_DEADLINE_MS)
+        """Run a request and return its one outcome."""
+        context = _context(request)
+        spec = identify(
+            context.configuration(),
+            workspace,
+            request.headers.get('authorization', ''),
         )
-        caller_request = CallerRequest(
-            request_id=uuid.uuid4().hex,
-            workspace=workspace,
-            request_class=headers.get('request-class', 'default'),
-            idempotency_key=headers.get('idempotency-key', ''),
-            is_idempotent=headers.get('request-idempotent') == 'true',
-            deadline=clock.now() + timedelta(milliseconds=deadline_ms),
-            body=await request.body(),
-        )
-        return _response(await dispatcher.dispatch(caller_request))
+        outcome: Outcome
+        if isinstance(spec, NotIdentified):
+            outcome = NotRun(
+                spec.reason, spec.detail, timedelta(), step='identify'
+            )
+        else:
+            outcome = await _run(context, spec, request)
+        response = outcome_response(outcome)
+        if context.lifecycle.is_stopping:
+            response.headers['Connection'] = 'close'
+        return response
+
+
+class HealthController(Controller):
+    """State of the process for the load balancer."""
 
     @get('/ready')
-    async def ready() -> str:
-        return 'ready'
+    async def ready(self, request: Request[Any, Any, Any]) -> Response[str]:
+        """Answer 503 unless new callers should be sent here."""
+        lifecycle = _context(request).lifecycle
+        status = _OK if lifecycle.is_ready else _UNAVAILABLE
+        return Response(lifecycle.state.value, status_code=status)
+
+    @get('/live')
+    async def live(self) -> str:
+        """Answer while the process runs."""
+        return 'live'
 
+
+def create_caller_app(context: CallerContext) -> Litestar:
+    """Return the ASGI application for callers."""
     return Litestar(
-        [run_request, ready], openapi_config=None, logging_config=None
+        [RequestController, HealthController],
+        openapi_config=None,
+        logging_config=None,
+        state=State({'context': context}),
+        exception_handlers={
+            HTTPException: _answer_http_error,
+            Exception: _answer_fault,
+        },
+    )
+
+
+async def _run(
+    context: CallerContext,
+    spec: WorkspaceSpec,
+    request: Request[Any, Any, Any],
+) -> Outcome:
+    try:
+        headers = read_headers(request.headers, spec)
+    except InvalidInputError as error:
+        return malformed(str(error))
+    deadline = context.clock.now() + headers.timeout
+    try:
+        async with asyncio.timeout(headers.timeout.total_seconds()):
+            body = await request.body()
+    except TimeoutError:
+        return malformed('body: not complete within the deadline')
+    return await context.dispatcher.dispatch(
+        CallerRequest(
+            request_id=uuid.uuid4().hex,
+            workspace=spec.name,
+            request_class=headers.request_class,
+            idempotency_key=headers.idempotency_key,
+            is_idempotent=headers.is_idempotent,
+            deadline=deadline,
+            body=body,
+            is_first_attempt=headers.is_first_attempt,
+        ),
+        spec,
+    )
+
+
+def _context(request: Request[Any, Any, Any]) -> CallerContext:
+    return cast(CallerContext, request.app.state['context'])
+
+
+def _answer_http_error(
+    _: Request[Any, Any, Any], error: HTTPException
+) -> Response[bytes]:
+    if error.status_code == _TOO_LARGE:
+        response = outcome_response(too_large(_MAX_BODY_BYTES))
+        # The rest of the body is not read, so the connection is of no use.
+        response.headers['Connection'] = 'close'
+        return response
+    if error.status_code >= _ERROR_LIMIT:
+        return outcome_response(malformed(error.detail))
+    reason = _REASONS_BY_STATUS.get(error.status_code, 'malformed')
+    return outcome_response(
+        NotRun(reason, error.detail, timedelta(), step='check request')
     )
 
 
-def _response(outcome: Outcome) -> Response[bytes]:
-    if isinstance(outcome, Answer):
-        return Response(
-            outcome.body,
-            status_code=200,
-            media_type='application/octet-stream',
-            headers={
-                'Request-Id': outcome.request_id,
-                'Content-Digest': content_digest(outcome.body),
-            },
+def _answer_fault(
+    _: Request[Any, Any, Any], error: Exception
+) -> Response[bytes]:
+    _log.opt(exception=error).error('a request failed inside the entry')
+    return outcome_response(
+        Unknown(
+            'internal_error',
+            'the entry failed while it handled the request',
+            timedelta(seconds=1),
+            step='dispatch',
         )
-    return _problem(outcome)
-
-
-def _problem(outcome: NotRun | Unknown) -> Response[bytes]:
-    retry_after_ms = int(outcome.retry_after.total_seconds() * 1000)
-    problem = {
-        'outcome': 'not_run' if isinstance(outcome, NotRun) else 'unknown',
-        'reason': outcome.reason,
-        'detail': outcome.detail,
-        'retry_after_ms': retry_after_ms,
-        'step': outcome.step,
-        'peer': outcome.peer,
-    }
-    is_not_run = isinstance(outcome, NotRun)
-    return Response(
-        msgspec.json.encode(problem),
-        status_code=_STATUS_NOT_RUN if is_not_run else _STATUS_UNKNOWN,
-        media_type='application/problem+json',
-        headers={'Retry-After': str(-(-retry_after_ms // 1000))},
     )
--- a/dragonflynotch/entry/dispatcher.py
+++ b/dragonflynotch/entry/dispatcher.py
@@ -1,65 +1,78 @@
-"""Takes a request through routing and hand-over to its one outcome."""
-
-from datetime import timedelta
+"""Takes a request through quota, queue and handover to its one outcome."""
 
 from dragonflynotch.core.clock import Clock
-from dragonflynotch.core.errors import LinkError
-from dragonflynotch.core.requests import (
-    Answer,
-    NotRun,
-    Outcome,
-    Request,
-    Unknown,
-)
-from dragonflynotch.core.routing import NoTarget, RoutingTable
-from dragonflynotch.links.guard_link import GuardLink, GuardRefusal
+from dragonflynotch.core.limits import WorkspaceQuota
+from dragonflynotch.core.requests import NotRun, Outcome, Request
+from dragonflynotch.core.workspaces import WorkspaceSpec
+from dragonflynotch.entry.at_most_once import AtMostOnceRunner
+from dragonflynotch.entry.idempotent import IdempotentRunner
+from dragonflynotch.entry.target_queue import TargetQueue
 
 __all__ = ('Dispatcher',)
 
-_RETRY_AFTER = timedelta(seconds=1)
-
 
 class Dispatcher:
-    """Serves requests of callers."""
+    """Serves requests of callers.
+
+    Parameters
+    ----------
+    queue : TargetQueue
+        Gives out slots by priority.
+    idempotent : IdempotentRunner
+        Runs requests that may run more than once.
+    at_most_once : AtMostOnceRunner
+        Runs all others.
+    clock : Clock
+        Clock for the quotas.
+    """
 
     def __init__(
-        self, routing: RoutingTable, link: GuardLink, clock: Clock
+        self,
+        queue: TargetQueue,
+        idempotent: IdempotentRunner,
+        at_most_once: AtMostOnceRunner,
+        clock: Clock,
     ) -> None:
-        """Route with ``routing`` and hand over through ``link``."""
-        self._routing = routing
-        self._link = link
+        """Combine the parts."""
+        self._queue = queue
+        self._idempotent = idempotent
+        self._at_most_once = at_most_once
         self._clock = clock
+        self._quotas: dict[str, WorkspaceQuota] = {}
+
+    async def dispatch(
+        self, request: Request, workspace: WorkspaceSpec
+    ) -> Outcome:
+        """Return the one outcome of the request, at once when it is known.
+
+        Parameters
+        ----------
+        request : Request
+            The request; its class exists in the workspace.
+        workspace : WorkspaceSpec
+            The caller's workspace as configured now.
+        """
+        now = self._clock.now()
+        quota = self._quotas.get(workspace.name)
+        if quota is None:
+            quota = WorkspaceQuota(workspace, now)
+            self._quotas[workspace.name] = quota
+        refusal = quota.admit(workspace, now)
+        if refusal is not None:
+            return NotRun(
+                refusal.reason,
+                f'workspace {workspace.name!r} is over its quota',
+                refusal.retry_after,
+                step='quota',
+            )
+        try:
+            return await self._run(request, workspace)
+        finally:
+            quota.release()
 
-    async def dispatch(self, request: Request) -> Outcome:
-        """Return the one outcome of the request, at once when it is known."""
-        tried: set[str] = set()
-        while True:
-            now = self._clock.now()
-            target = self._routing.choose(now, excluded=tried)
-            if isinstance(target, NoTarget):
-                return NotRun(
-                    target.reason,
-                    'no minion can take the request now',
-                    target.retry_after,
-                    step='route',
-                )
-            tried.add(target.guard_id)
-            attempt = f'{request.request_id}-{len(tried)}'
-            try:
-                reply = await self._link.run(
-                    target, request, attempt, request.deadline - now
-                )
-            except LinkError as error:
-                if request.is_idempotent:
-                    continue
-                return Unknown(
-                    'no_answer',
-                    str(error),
-                    _RETRY_AFTER,
-                    step=error.step,
-                    peer=error.peer,
-                    handed_to=target.guard_id,
-                    handed_at=now,
-                )
-            if not isinstance(reply, GuardRefusal):
-                return Answer(request.request_id, reply, target.minion_id)
+    async def _run(self, request: Request, workspace: WorkspaceSpec) -> Outcome:
+        request_class = workspace.classes[request.request_class]
+        ticket = self._queue.ticket(request, request_class.priority)
+        if request.is_idempotent:
+            return await self._idempotent.run(request, ticket)
+        return await self._at_most_once.run(request, ticket)
--- /dev/null
+++ b/dragonflynotch/entry/ledger.py
@@ -0,0 +1,259 @@
+"""Ledger rows in the table service, large answers in the object store."""
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+from datetime import timedelta
+
+from dragonflynotch.core.errors import (
+    DragonflynotchError,
+    InvalidInputError,
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.core.handover import (
+    LedgerRow,
+    StoredResult,
+)
+from dragonflynotch.core.requests import content_digest
+from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.platform.object_store import ObjectStore
+from dragonflynotch.platform.table import (
+    ABSENT_VERSION,
+    ConditionalWrite,
+    Row,
+    TableService,
+    Written,
+)
+from dragonflynotch.records.ledger import decode_row, encode_row
+
+__all__ = ('Ledger', 'LostRace', 'VersionedRow')
+
+_INLINE_BYTES = 16 * 1024
+_WRITE_WAIT = timedelta(milliseconds=300)
+_FIRST_BACKOFF_S = 0.2
+_LAST_BACKOFF_S = 10.0
+_MAX_PENDING = 1024
+
+_log = part_logger('entry.ledger')
+
+
+@dataclass(frozen=True, slots=True)
+class VersionedRow:
+    """A ledger row as read or written.
+
+    Parameters
+    ----------
+    key : str
+        Key in the table.
+    row : LedgerRow or None
+        The row, or ``None`` if it is absent.
+    version : int
+        Version for the next conditional write.
+    """
+
+    key: str
+    row: LedgerRow | None
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class LostRace:
+    """Another entry changed the row first; it must be read again."""
+
+
+class Ledger:
+    """Reads and writes ledger rows.
+
+    Parameters
+    ----------
+    table : TableService
+        Holds the rows.
+    objects : ObjectStore or None
+        Holds answers above 16 KB.
+    """
+
+    def __init__(
+        self, table: TableService, objects: ObjectStore | None
+    ) -> None:
+        """Use the platform's services."""
+        self._table = table
+        self._objects = objects
+        self._pending: set[asyncio.Task[None]] = set()
+
+    @property
+    def pending_writes(self) -> int:
+        """Number of answers that are not recorded yet."""
+        return len(self._pending)
+
+    async def read(self, key: str) -> VersionedRow:
+        """Return a row or its absence.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the table is down or the row cannot be understood.
+        """
+        return _versioned(key, await self._table.read(key))
+
+    async def write(
+        self, current: VersionedRow, row: LedgerRow | None
+    ) -> VersionedRow | LostRace:
+        """Replace a row on condition of its version.
+
+        Parameters
+        ----------
+        current : VersionedRow
+            The row as read.
+        row : LedgerRow or None
+            The new row; ``None`` deletes it.
+
+        Raises
+        ------
+        PlatformUnavailableError, UncertainWriteError
+            If it is not certain that the row was written.
+        """
+        token = uuid.uuid4().hex
+        content = None if row is None else encode_row(row)
+        write = ConditionalWrite(current.key, content, current.version)
+        try:
+            outcome = await self._table.commit((write,), token)
+        except UncertainWriteError:
+            return await self._read_back(current.key, row, token)
+        if isinstance(outcome, Written):
+            return VersionedRow(current.key, row, outcome.versions[current.key])
+        return LostRace()
+
+    async def load_result(self, stored: StoredResult) -> bytes:
+        """Return a recorded answer.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the answer cannot be obtained now.
+        """
+        body = stored.body
+        if body is None and self._objects is not None:
+            body = await self._objects.get(stored.object_key)
+        if body is None or content_digest(body) != stored.digest:
+            raise PlatformUnavailableError(
+                'the recorded answer is missing or damaged',
+                step='load result',
+                peer='object store',
+            )
+        return body
+
+    async def record_done(
+        self, current: VersionedRow, body: bytes, minion: str
+    ) -> None:
+        """Record an answer, in the background after a short wait."""
+        if len(self._pending) >= _MAX_PENDING:
+            _log.warning('too many unrecorded answers; one stays claimed')
+            return
+        task = asyncio.create_task(self._finish(current, body, minion))
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
+        await asyncio.wait((task,), timeout=_WRITE_WAIT.total_seconds())
+
+    async def drop(self, current: VersionedRow) -> None:
+        """Delete the row of an attempt that is proven not to run."""
+        await self._try_write(current, None)
+
+    async def mark_unknown(self, current: VersionedRow) -> None:
+        """Record that the outcome can never be known."""
+        if current.row is not None:
+            await self._try_write(current, current.row.as_unknown())
+
+    async def close(self, limit: timedelta) -> None:
+        """Wait for unfinished writes at most ``limit``, then cancel them."""
+        if self._pending:
+            await asyncio.wait(self._pending, timeout=limit.total_seconds())
+        for task in tuple(self._pending):
+            task.cancel()
+
+    async def _read_back(
+        self, key: str, row: LedgerRow | None, token: str
+    ) -> VersionedRow | LostRace:
+        found = await self._table.read(key)
+        if found is not None and found.writer_token == token:
+            return VersionedRow(key, row, found.version)
+        if found is None and row is None:
+            return VersionedRow(key, None, ABSENT_VERSION)
+        # Not found yet does not mean that the write cannot arrive later.
+        raise UncertainWriteError(
+            'the write was not found when read back',
+            step='read back',
+            peer='table service',
+        )
+
+    async def _try_write(
+        self, current: VersionedRow, row: LedgerRow | None
+    ) -> None:
+        try:
+            async with asyncio.timeout(_WRITE_WAIT.total_seconds()):
+                await self.write(current, row)
+        except (DragonflynotchError, TimeoutError) as error:
+            _log.info('row {} keeps its claim: {}', current.key, error)
+
+    async def _finish(
+        self, current: VersionedRow, body: bytes, minion: str
+    ) -> None:
+        backoff_s = _FIRST_BACKOFF_S
+        while True:
+            try:
+                await self._write_done(current, body, minion)
+            except DragonflynotchError as error:
+                _log.info('answer of {} not recorded: {}', current.key, error)
+            else:
+                return
+            await asyncio.sleep(backoff_s)
+            backoff_s = min(backoff_s * 2, _LAST_BACKOFF_S)
+
+    async def _write_done(
+        self, current: VersionedRow, body: bytes, minion: str
+    ) -> None:
+        claimed = current.row
+        if claimed is None:
+            return
+        stored = await self._store(body, minion)
+        if isinstance(
+            await self.write(current, claimed.finished(stored)), LostRace
+        ):
+            await self._finish_changed(current.key, claimed, stored)
+
+    async def _finish_changed(
+        self, key: str, claimed: LedgerRow, stored: StoredResult
+    ) -> None:
+        """Record the answer over a row that another entry marked unknown."""
+        found = await self.read(key)
+        if found.row == claimed.as_unknown():
+            await self.write(found, claimed.finished(stored))
+
+    async def _store(self, body: bytes, minion: str) -> StoredResult:
+        digest = content_digest(body)
+        if len(body) <= _INLINE_BYTES:
+            return StoredResult(digest, minion, body=body)
+        if self._objects is None:
+            raise PlatformUnavailableError(
+                'no object store is configured', step='store result'
+            )
+        # The digest in the key uses an alphabet without path separators.
+        key = 'result-{}'.format(
+            digest.translate(str.maketrans('+/=:', '-_..'))
+        )
+        await self._objects.put(key, body)
+        return StoredResult(digest, minion, object_key=key)
+
+
+def _versioned(key: str, found: Row | None) -> VersionedRow:
+    if found is None:
+        return VersionedRow(key, None, ABSENT_VERSION)
+    try:
+        row = decode_row(found.content)
+    except InvalidInputError as error:
+        raise PlatformUnavailableError(
+            f'row {key!r} is not readable: {error}',
+            step='read ledger',
+            peer='table service',
+        ) from error
+    return VersionedRow(key, row, found.version)
--- a/dragonflynotch/entry/membership.py
+++ b/dragonflynotch/entry/membership.py
@@ -1,5 +1,7 @@
 """Receives announcements of guards and keeps the routing table."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from dragonflynotch.core.clock import Clock
@@ -23,9 +25,14 @@
     """Owns the announcement socket of an entry."""
 
     def __init__(
-        self, entry_id: str, routing: RoutingTable, clock: Clock
+        self,
+        entry_id: str,
+        routing: RoutingTable,
+        clock: Clock,
+        on_change: Callable[[], None],
     ) -> None:
-        """Feed ``routing`` with what guards announce."""
+        """Feed ``routing`` and call ``on_change`` after each announcement."""
+        self._on_change = on_change
         self._entry_id = entry_id
         self._routing = routing
         self._clock = clock
@@ -46,6 +53,7 @@
                     _log.warning('dropped a malformed announcement')
                     continue
                 self._observe(announcement)
+                self._on_change()
                 self._endpoint.send(
                     encode_message(self._acknowledge(announcement)),
                     datagram.sender,
--- /dev/null
+++ b/dragonflynotch/entry/request_path.py
@@ -0,0 +1,121 @@
+"""The parts of an entry that serve requests, put together."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import timedelta
+from random import Random
+
+import uvicorn
+from litestar import Litestar
+
+from dragonflynotch.core.clock import Clock
+from dragonflynotch.core.limits import RetryBudget
+from dragonflynotch.core.routing import RoutingTable
+from dragonflynotch.core.workspaces import ConfigurationView
+from dragonflynotch.entry.at_most_once import AtMostOnceRunner
+from dragonflynotch.entry.attempts import AttemptRunner
+from dragonflynotch.entry.callers import CallerContext, create_caller_app
+from dragonflynotch.entry.dispatcher import Dispatcher
+from dragonflynotch.entry.idempotent import IdempotentRunner
+from dragonflynotch.entry.ledger import Ledger
+from dragonflynotch.entry.lifecycle import Lifecycle
+from dragonflynotch.entry.target_queue import TargetQueue
+from dragonflynotch.links.guard_link import HttpGuardLink
+from dragonflynotch.platform.http_object_store import HttpObjectStore
+from dragonflynotch.platform.http_table import HttpTableService
+from dragonflynotch.records.settings import EntrySettings
+
+__all__ = ('RequestPath', 'create_server')
+
+_TABLE_TIMEOUT = timedelta(milliseconds=500)
+_OBJECT_TIMEOUT = timedelta(seconds=2)
+_LAST_WRITES = timedelta(seconds=2)
+# Longer than usual for load balancers, which keep idle connections and would
+# else send a request while the entry closes the connection.
+_KEEP_ALIVE_S = 75
+_MS_PER_S = 1000
+
+
+class RequestPath:
+    """Everything between the caller port and the guards.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the entry.
+    configuration : callable
+        Returns the configuration in force.
+    clock : Clock
+        Clock of the process.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        configuration: Callable[[], ConfigurationView],
+        clock: Clock,
+    ) -> None:
+        """Create all parts; ``open`` starts them."""
+        self.routing = RoutingTable(settings.data_centre, Random())
+        self.lifecycle = Lifecycle()
+        self.queue = TargetQueue(self.routing, clock, settings.queue_limit)
+        self._link = HttpGuardLink()
+        self._table = HttpTableService(settings.table.url, _TABLE_TIMEOUT)
+        self._objects: HttpObjectStore | None = None
+        if settings.object_store is not None:
+            self._objects = HttpObjectStore(
+                settings.object_store.url, _OBJECT_TIMEOUT
+            )
+        self._ledger = Ledger(self._table, self._objects)
+        attempts = AttemptRunner(self.routing, self._link, clock)
+        dispatcher = Dispatcher(
+            self.queue,
+            IdempotentRunner(self.queue, attempts, RetryBudget(), clock),
+            AtMostOnceRunner(
+                self.queue, attempts, self._ledger, self.routing, clock
+            ),
+            clock,
+        )
+        self._context = CallerContext(
+            dispatcher, configuration, self.lifecycle, clock
+        )
+        self._ticker: asyncio.Task[None] | None = None
+
+    def create_app(self) -> Litestar:
+        """Return the ASGI application for callers."""
+        return create_caller_app(self._context)
+
+    def open(self) -> None:
+        """Start the background work."""
+        self._ticker = asyncio.create_task(self.queue.run())
+
+    async def close(self) -> None:
+        """Finish unfinished writes and close all connections."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._ticker
+        await self._ledger.close(_LAST_WRITES)
+        await self._link.close()
+        await self._table.close()
+        if self._objects is not None:
+            await self._objects.close()
+
+
+def create_server(app: Litestar, settings: EntrySettings) -> uvicorn.Server:
+    """Return the server of the caller port."""
+    return uvicorn.Server(
+        uvicorn.Config(
+            app,
+            host=settings.callers.host,
+            port=settings.callers.port,
+            http='h11',
+            ws='none',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            timeout_keep_alive=_KEEP_ALIVE_S,
+            timeout_graceful_shutdown=settings.drain_limit_ms // _MS_PER_S,
+        )
+    )
--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -1,15 +1,20 @@
 """HTTP interface of the guard as a bare ASGI application."""
 
-from datetime import timedelta
+import re
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
 
 import msgspec
 
 from dragonflynotch.core.requests import content_digest
 from dragonflynotch.guard.requests import (
     HandOver,
+    Never,
     Ran,
     Refused,
     RequestRunner,
+    Running,
+    RunUnknown,
 )
 from dragonflynotch.links.asgi import (
     HttpCall,
@@ -21,24 +26,43 @@
     read_call,
     send_reply,
 )
+from dragonflynotch.observability.logs import part_logger
 
 __all__ = ('GuardApp',)
 
 _MAX_BODY_BYTES = 1024 * 1024
+_MS_PER_S = 1000
 _OK = 200
+_ACCEPTED = 202
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
 _TIMEOUT = 504
+# The rest of an oversized body is not read, so the connection is of no use.
+_CLOSE = {'Connection': 'close'}
+_RESOLVE_PATH = re.compile('/v1/requests/(?P<attempt>[A-Za-z0-9-]+)/resolve')
+
+_log = part_logger('guard.app')
 
 
 class GuardApp:
-    """Serves entries."""
+    """Serves entries.
+
+    Parameters
+    ----------
+    runner : RequestRunner
+        Runs handed-over requests.
+    start_drain : callable
+        Called once an operator orders the guard to drain.
+    """
 
-    def __init__(self, runner: RequestRunner) -> None:
+    def __init__(
+        self, runner: RequestRunner, start_drain: Callable[[], None]
+    ) -> None:
         """Serve requests with ``runner``."""
         self._runner = runner
+        self._start_drain = start_drain
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -49,51 +73,86 @@
         try:
             call = await read_call(scope, receive, _MAX_BODY_BYTES)
         except OversizedBodyError:
-            reply = Reply(_TOO_LARGE)
+            await send_reply(send, Reply(_TOO_LARGE, headers=_CLOSE))
+        except ConnectionResetError:
+            _log.debug('an entry disconnected before its request was whole')
         else:
-            reply = await self._answer(call)
-        await send_reply(send, reply)
+            await send_reply(send, await self._answer(call))
 
     async def _answer(self, call: HttpCall) -> Reply:
-        if call.path == '/v1/requests' and call.method == 'POST':
-            return await self._run(call)
-        if call.path == '/live':
-            return Reply(_OK)
-        if call.path == '/ready':
-            is_ready = not self._runner.is_draining
-            return Reply(_OK if is_ready else _UNAVAILABLE)
-        return Reply(_NOT_FOUND)
+        resolved = _RESOLVE_PATH.fullmatch(call.path)
+        match (call.method, call.path):
+            case ('POST', '/v1/requests'):
+                return await self._run(call)
+            case ('POST', _) if resolved:
+                return self._resolve(call, resolved['attempt'])
+            case ('POST', '/v1/drain'):
+                self._start_drain()
+                return Reply(_ACCEPTED)
+            case ('GET', '/live'):
+                return Reply(_OK)
+            case ('GET', '/ready'):
+                is_ready = not self._runner.is_draining
+                return Reply(_OK if is_ready else _UNAVAILABLE)
+            case _:
+                return Reply(_NOT_FOUND)
 
     async def _run(self, call: HttpCall) -> Reply:
-        headers = call.headers
         try:
-            hand_over = HandOver(
-                request_id=headers['request-id'],
-                attempt=headers['attempt'],
-                incarnation=int(headers['guard-incarnation']),
-                timeout=timedelta(
-                    milliseconds=int(headers['request-deadline-ms'])
-                ),
-                body=call.body,
-            )
-        except (KeyError, ValueError) as error:
-            return _problem(_BAD_REQUEST, 'refused', f'bad header: {error}')
-        if headers.get('content-digest') != content_digest(call.body):
+            hand_over = _read_hand_over(call)
+        except (KeyError, ValueError, OverflowError) as error:
+            return _problem(_BAD_REQUEST, 'refused', f'bad header: {error!r}')
+        if call.headers.get('content-digest') != content_digest(call.body):
             return _problem(_BAD_REQUEST, 'refused', 'digest_mismatch')
         outcome = await self._runner.run(hand_over)
         if isinstance(outcome, Ran):
-            return Reply(
-                _OK,
-                outcome.body,
-                {
-                    'Request-Id': hand_over.request_id,
-                    'Content-Digest': content_digest(outcome.body),
-                },
-            )
+            return _whole_answer(outcome, hand_over.attempt)
         if isinstance(outcome, Refused):
             return _problem(_UNAVAILABLE, 'refused', outcome.reason)
         return _problem(_TIMEOUT, 'unknown', outcome.reason)
 
+    def _resolve(self, call: HttpCall, attempt: str) -> Reply:
+        try:
+            incarnation = int(call.headers['guard-incarnation'])
+        except (KeyError, ValueError) as error:
+            return Reply(_BAD_REQUEST, repr(error).encode())
+        is_idempotent = call.headers.get('request-idempotent') == 'true'
+        outcome = self._runner.resolve(
+            attempt, incarnation, is_idempotent=is_idempotent
+        )
+        match outcome:
+            case Ran():
+                return _whole_answer(outcome, attempt)
+            case Running():
+                return _problem(_ACCEPTED, 'running', '')
+            case Never():
+                return _problem(_ACCEPTED, 'never', '')
+            case RunUnknown(reason):
+                return _problem(_ACCEPTED, 'unknown', reason)
+
+
+def _read_hand_over(call: HttpCall) -> HandOver:
+    headers = call.headers
+    expires_at_s = int(headers['request-expires-at-ms']) / _MS_PER_S
+    return HandOver(
+        request_id=headers['request-id'],
+        attempt=headers['attempt'],
+        incarnation=int(headers['guard-incarnation']),
+        timeout=timedelta(milliseconds=int(headers['request-deadline-ms'])),
+        expires_at=datetime.fromtimestamp(expires_at_s, UTC),
+        body=call.body,
+        is_idempotent=headers.get('request-idempotent') == 'true',
+    )
+
+
+def _whole_answer(answer: Ran, attempt: str) -> Reply:
+    headers = {
+        'Request-Id': answer.request_id,
+        'Attempt': attempt,
+        'Content-Digest': content_digest(answer.body),
+    }
+    return Reply(_OK, answer.body, headers)
+
 
 def _problem(status: int, outcome: str, reason: str) -> Reply:
     body = msgspec.json.encode({'outcome': outcome, 'reason': reason})
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -7,6 +7,7 @@
 
 import uvicorn
 
+from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.guard.announcer import Announcer
 from dragonflynotch.guard.app import GuardApp
 from dragonflynotch.guard.requests import RequestRunner
@@ -22,7 +23,11 @@
 
 __all__ = ('Guard',)
 
+_MS_PER_S = 1000
 _INCARNATION_BITS = 53
+# Longer than entries keep idle connections, so that a guard does not close one
+# that an entry is about to use.
+_KEEP_ALIVE_S = 60
 _READABLE_SCHEMA_VERSIONS = (1, 2)
 
 _log = part_logger('guard')
@@ -38,16 +43,18 @@
         minion = settings.minion
         self._runner = RequestRunner(
             HttpMinionClient(*(minion.address.pair if minion else ('', 0))),
-            slots=minion.slots if minion else 0,
+            slots=min(minion.slots, minion.connections) if minion else 0,
             incarnation=self._incarnation,
+            clock=SystemClock(),
         )
+        self._drain_ordered = asyncio.Event()
         self._announcer = Announcer(
             tuple(entry.pair for entry in settings.entries), self._describe
         )
         self._state = GuardState.ready
         self._server = uvicorn.Server(
             uvicorn.Config(
-                GuardApp(self._runner),
+                GuardApp(self._runner, self._drain_ordered.set),
                 host=settings.listen.host,
                 port=settings.listen.port,
                 http='h11',
@@ -55,6 +62,7 @@
                 lifespan='off',
                 log_config=None,
                 access_log=False,
+                timeout_keep_alive=_KEEP_ALIVE_S,
             )
         )
 
@@ -63,7 +71,7 @@
         server = asyncio.create_task(self._server._serve())
         announcer = asyncio.create_task(self._announcer.run())
         _log.info('started guard {}', self._settings.guard_id)
-        await stop.wait()
+        await self._wait_for_stop(stop)
         await self._drain()
         announcer.cancel()
         self._server.should_exit = True
@@ -71,10 +79,23 @@
             await asyncio.gather(server, announcer)
         _log.info('stopped guard {}', self._settings.guard_id)
 
+    async def _wait_for_stop(self, stop: asyncio.Event) -> None:
+        waits = [
+            asyncio.create_task(event.wait())
+            for event in (stop, self._drain_ordered)
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for waiting in waits:
+            waiting.cancel()
+
     async def _drain(self) -> None:
         self._state = GuardState.draining
+        self._runner.start_drain()
         self._announcer.announce()
         limit = timedelta(milliseconds=self._settings.drain_limit_ms)
+        # An entry that lost the announcements still sends requests for as
+        # long as its time to live; they are refused, not cut off.
+        await asyncio.sleep(self._settings.drain_notice_ms / _MS_PER_S)
         if not await self._runner.drain(limit):
             _log.warning('requests still in flight at the drain limit')
         self._state = GuardState.leaving
--- a/dragonflynotch/links/http11.py
+++ b/dragonflynotch/links/http11.py
@@ -11,7 +11,11 @@
 
 import h11
 
-from dragonflynotch.core.errors import LinkError, LinkTimeoutError
+from dragonflynotch.core.errors import (
+    LinkError,
+    LinkTimeoutError,
+    NotSentError,
+)
 
 __all__ = ('HttpReply', 'exchange')
 
@@ -64,6 +68,8 @@
 
     Raises
     ------
+    NotSentError
+        If no connection could be made.
     LinkTimeoutError
         If the exchange is not complete within ``timeout``.
     LinkError
@@ -71,11 +77,17 @@
     """
     peer = f'{address[0]}:{address[1]}'
     step = f'{method} {target}'
+    all_headers = [
+        ('Host', peer),
+        ('Content-Length', str(len(body))),
+        ('Connection', 'close'),
+        *headers,
+    ]
+    request = h11.Request(method=method, target=target, headers=all_headers)
     try:
         async with asyncio.timeout(timeout.total_seconds()):
-            return await _exchange(
-                address, method, target, headers, body, max_body_bytes
-            )
+            streams = await _connect(address, step)
+            return await _exchange(streams, request, body, max_body_bytes)
     except TimeoutError as error:
         raise LinkTimeoutError(
             f'no complete answer within {timeout.total_seconds()} s',
@@ -88,28 +100,29 @@
         ) from error
 
 
+async def _connect(
+    address: tuple[str, int], step: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    try:
+        return await asyncio.open_connection(*address)
+    except OSError as error:
+        raise NotSentError(
+            f'connection failed: {error}',
+            step=step,
+            peer=f'{address[0]}:{address[1]}',
+        ) from error
+
+
 async def _exchange(
-    address: tuple[str, int],
-    method: str,
-    target: str,
-    headers: Sequence[tuple[str, str]],
+    streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    request: h11.Request,
     body: bytes,
     max_body_bytes: int,
 ) -> HttpReply:
-    reader, writer = await asyncio.open_connection(*address)
+    reader, writer = streams
     connection = h11.Connection(our_role=h11.CLIENT)
-    all_headers = [
-        ('Host', f'{address[0]}:{address[1]}'),
-        ('Content-Length', str(len(body))),
-        ('Connection', 'close'),
-        *headers,
-    ]
     try:
-        for event in (
-            h11.Request(method=method, target=target, headers=all_headers),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        ):
+        for event in (request, h11.Data(data=body), h11.EndOfMessage()):
             writer.write(connection.send(event) or b'')
         await writer.drain()
         return await _read_reply(reader, connection, max_body_bytes)
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -52,6 +52,7 @@
     table: Address
     object_store: Address | None = None
     peers: tuple[Address, ...] = ()
+    queue_limit: int = 512
     stop_notice_ms: int = 1000
     drain_limit_ms: int = 30_000
 
@@ -89,6 +90,7 @@
     entries: tuple[Address, ...]
     minion: MinionSettings | None = None
     worker: WorkerSettings | None = None
+    drain_notice_ms: int = 3000
     drain_limit_ms: int = 30_000
 
 
