--- a/dragonflynotch/core/routing.py
+++ b/dragonflynotch/core/routing.py
@@ -115,9 +115,13 @@
             replaced.add(member.target.incarnation)
             self._ejector.forget(guard_id)
             self._members[guard_id] = _Member(target)
-        elif member.target.sequence < target.sequence:
+        elif target.sequence > member.target.sequence:
             member.target = target
             member.own_at_announcement = member.own_in_flight
+        elif target.sequence == member.target.sequence:
+            # A digest renews the age of a member whose state is unchanged.
+            heard_at = max(member.target.heard_at, target.heard_at)
+            member.target = replace(member.target, heard_at=heard_at)
         self._forget(target.heard_at)
 
     def live_targets(self, now: datetime) -> tuple[Target, ...]:
--- a/dragonflynotch/entry/callers.py
+++ b/dragonflynotch/entry/callers.py
@@ -19,8 +19,8 @@
 from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
 from dragonflynotch.entry.dispatcher import Dispatcher
 from dragonflynotch.entry.headers import read_headers
+from dragonflynotch.entry.health import Health
 from dragonflynotch.entry.identity import NotIdentified, identify
-from dragonflynotch.entry.lifecycle import Lifecycle
 from dragonflynotch.entry.problems import (
     malformed,
     outcome_response,
@@ -50,15 +50,15 @@
         Runs requests.
     configuration : callable
         Returns the configuration in force.
-    lifecycle : Lifecycle
-        Phase of the entry.
+    health : Health
+        Readiness of the entry.
     clock : Clock
         Clock for the deadlines.
     """
 
     dispatcher: Dispatcher
     configuration: Callable[[], ConfigurationView]
-    lifecycle: Lifecycle
+    health: Health
     clock: Clock
 
 
@@ -86,7 +86,7 @@
         else:
             outcome = await _run(context, spec, request)
         response = outcome_response(outcome)
-        if context.lifecycle.is_stopping:
+        if context.health.is_stopping:
             response.headers['Connection'] = 'close'
         return response
 
@@ -97,9 +97,9 @@
     @get('/ready')
     async def ready(self, request: Request[Any, Any, Any]) -> Response[str]:
         """Answer 503 unless new callers should be sent here."""
-        lifecycle = _context(request).lifecycle
-        status = _OK if lifecycle.is_ready else _UNAVAILABLE
-        return Response(lifecycle.state.value, status_code=status)
+        health = _context(request).health
+        status = _OK if health.is_ready else _UNAVAILABLE
+        return Response(health.reason or 'ready', status_code=status)
 
     @get('/live')
     async def live(self) -> str:
--- a/dragonflynotch/entry/request_path.py
+++ b/dragonflynotch/entry/request_path.py
@@ -6,35 +6,30 @@
 from datetime import timedelta
 from random import Random
 
-import uvicorn
 from litestar import Litestar
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.limits import RetryBudget
-from dragonflynotch.core.routing import RoutingTable
+from dragonflynotch.core.routing import RoutingTable, Target
 from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.at_most_once import AtMostOnceRunner
 from dragonflynotch.entry.attempts import AttemptRunner
 from dragonflynotch.entry.callers import CallerContext, create_caller_app
 from dragonflynotch.entry.dispatcher import Dispatcher
+from dragonflynotch.entry.health import Health
 from dragonflynotch.entry.idempotent import IdempotentRunner
 from dragonflynotch.entry.ledger import Ledger
-from dragonflynotch.entry.lifecycle import Lifecycle
 from dragonflynotch.entry.target_queue import TargetQueue
 from dragonflynotch.links.guard_link import HttpGuardLink
 from dragonflynotch.platform.http_object_store import HttpObjectStore
 from dragonflynotch.platform.http_table import HttpTableService
 from dragonflynotch.records.settings import EntrySettings
 
-__all__ = ('RequestPath', 'create_server')
+__all__ = ('RequestPath',)
 
 _TABLE_TIMEOUT = timedelta(milliseconds=500)
 _OBJECT_TIMEOUT = timedelta(seconds=2)
 _LAST_WRITES = timedelta(seconds=2)
-# Longer than usual for load balancers, which keep idle connections and would
-# else send a request while the entry closes the connection.
-_KEEP_ALIVE_S = 75
-_MS_PER_S = 1000
 
 
 class RequestPath:
@@ -46,6 +41,8 @@
         Settings of the entry.
     configuration : callable
         Returns the configuration in force.
+    health : Health
+        Readiness of the entry.
     clock : Clock
         Clock of the process.
     """
@@ -54,12 +51,12 @@
         self,
         settings: EntrySettings,
         configuration: Callable[[], ConfigurationView],
+        health: Health,
         clock: Clock,
     ) -> None:
         """Create all parts; ``open`` starts them."""
-        self.routing = RoutingTable(settings.data_centre, Random())
-        self.lifecycle = Lifecycle()
-        self.queue = TargetQueue(self.routing, clock, settings.queue_limit)
+        self._routing = RoutingTable(settings.data_centre, Random())
+        self._queue = TargetQueue(self._routing, clock, settings.queue_limit)
         self._link = HttpGuardLink()
         self._table = HttpTableService(settings.table.url, _TABLE_TIMEOUT)
         self._objects: HttpObjectStore | None = None
@@ -68,18 +65,16 @@
                 settings.object_store.url, _OBJECT_TIMEOUT
             )
         self._ledger = Ledger(self._table, self._objects)
-        attempts = AttemptRunner(self.routing, self._link, clock)
+        attempts = AttemptRunner(self._routing, self._link, clock)
         dispatcher = Dispatcher(
-            self.queue,
-            IdempotentRunner(self.queue, attempts, RetryBudget(), clock),
+            self._queue,
+            IdempotentRunner(self._queue, attempts, RetryBudget(), clock),
             AtMostOnceRunner(
-                self.queue, attempts, self._ledger, self.routing, clock
+                self._queue, attempts, self._ledger, self._routing, clock
             ),
             clock,
         )
-        self._context = CallerContext(
-            dispatcher, configuration, self.lifecycle, clock
-        )
+        self._context = CallerContext(dispatcher, configuration, health, clock)
         self._ticker: asyncio.Task[None] | None = None
 
     def create_app(self) -> Litestar:
@@ -88,7 +83,12 @@
 
     def open(self) -> None:
         """Start the background work."""
-        self._ticker = asyncio.create_task(self.queue.run())
+        self._ticker = asyncio.create_task(self._queue.run())
+
+    def observe(self, target: Target) -> None:
+        """Take over an announcement and serve waiting requests."""
+        self._routing.observe(target)
+        self._queue.pump()
 
     async def close(self) -> None:
         """Finish unfinished writes and close all connections."""
@@ -101,21 +101,3 @@
         await self._table.close()
         if self._objects is not None:
             await self._objects.close()
-
-
-def create_server(app: Litestar, settings: EntrySettings) -> uvicorn.Server:
-    """Return the server of the caller port."""
-    return uvicorn.Server(
-        uvicorn.Config(
-            app,
-            host=settings.callers.host,
-            port=settings.callers.port,
-            http='h11',
-            ws='none',
-            lifespan='off',
-            log_config=None,
-            access_log=False,
-            timeout_keep_alive=_KEEP_ALIVE_S,
-            timeout_graceful_shutdown=settings.drain_limit_ms // _MS_PER_S,
-        )
-    )
--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from dragonflynotch.core.requests import content_digest
+from dragonflynotch.guard.configuration import ConfigurationCopy
+from dragonflynotch.guard.order_api import TaskApi
 from dragonflynotch.guard.requests import (
     HandOver,
     Never,
@@ -53,16 +55,26 @@
     ----------
     runner : RequestRunner
         Runs handed-over requests.
+    configuration : ConfigurationCopy
+        Copy of the configuration, kept for entries.
     start_drain : callable
         Called once an operator orders the guard to drain.
+    tasks : TaskApi, optional
+        Serves orders and reports of gang members.
     """
 
     def __init__(
-        self, runner: RequestRunner, start_drain: Callable[[], None]
+        self,
+        runner: RequestRunner,
+        configuration: ConfigurationCopy,
+        start_drain: Callable[[], None],
+        tasks: TaskApi | None = None,
     ) -> None:
-        """Serve requests with ``runner``."""
+        """Serve requests with ``runner`` and orders with ``tasks``."""
         self._runner = runner
+        self._configuration = configuration
         self._start_drain = start_drain
+        self._tasks = tasks
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -89,6 +101,10 @@
             case ('POST', '/v1/drain'):
                 self._start_drain()
                 return Reply(_ACCEPTED)
+            case (_, '/v1/configuration'):
+                return self._configure(call)
+            case _ if self._tasks is not None and self._tasks.serves(call):
+                return self._tasks.answer(call)
             case ('GET', '/live'):
                 return Reply(_OK)
             case ('GET', '/ready'):
@@ -97,6 +113,13 @@
             case _:
                 return Reply(_NOT_FOUND)
 
+    def _configure(self, call: HttpCall) -> Reply:
+        copy = self._configuration
+        if call.method == 'PUT' and not copy.put(call.body):
+            return _problem(_BAD_REQUEST, 'refused', 'malformed update')
+        body = copy.get() if call.method == 'GET' else b''
+        return Reply(_OK, body, {'Configuration-Revision': str(copy.revision)})
+
     async def _run(self, call: HttpCall) -> Reply:
         try:
             hand_over = _read_hand_over(call)
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -3,15 +3,22 @@
 import asyncio
 import secrets
 from contextlib import suppress
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import uvicorn
 
 from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.guard.announcer import Announcer
 from dragonflynotch.guard.app import GuardApp
+from dragonflynotch.guard.configuration import ConfigurationCopy
 from dragonflynotch.guard.requests import RequestRunner
+from dragonflynotch.guard.task_setup import (
+    create_task_keeper,
+    run_task_keeper,
+    task_api,
+)
 from dragonflynotch.links.messages import (
+    Acknowledgement,
     Announcement,
     GuardState,
     MinionState,
@@ -41,20 +48,34 @@
         self._settings = settings
         self._incarnation = secrets.randbits(_INCARNATION_BITS)
         minion = settings.minion
+        self._clock = SystemClock()
+        # Each request takes one connection to the minion.
         self._runner = RequestRunner(
             HttpMinionClient(*(minion.address.pair if minion else ('', 0))),
             slots=min(minion.slots, minion.connections) if minion else 0,
             incarnation=self._incarnation,
-            clock=SystemClock(),
+            clock=self._clock,
+        )
+        self._keeper = create_task_keeper(
+            settings, self._incarnation, self._clock
         )
-        self._drain_ordered = asyncio.Event()
+        self._configuration = ConfigurationCopy()
         self._announcer = Announcer(
-            tuple(entry.pair for entry in settings.entries), self._describe
+            tuple(entry.pair for entry in settings.entries),
+            self._describe,
+            self._on_acknowledgement,
+            self._clock,
         )
+        self._drain_requested = asyncio.Event()
         self._state = GuardState.ready
         self._server = uvicorn.Server(
             uvicorn.Config(
-                GuardApp(self._runner, self._drain_ordered.set),
+                GuardApp(
+                    self._runner,
+                    self._configuration,
+                    self._drain_requested.set,
+                    task_api(self._keeper),
+                ),
                 host=settings.listen.host,
                 port=settings.listen.port,
                 http='h11',
@@ -70,36 +91,38 @@
         """Serve until ``stop`` is set, then drain and return."""
         server = asyncio.create_task(self._server._serve())
         announcer = asyncio.create_task(self._announcer.run())
+        keeper = asyncio.create_task(run_task_keeper(self._keeper))
         _log.info('started guard {}', self._settings.guard_id)
-        await self._wait_for_stop(stop)
+        await _first_set(stop, self._drain_requested)
         await self._drain()
         announcer.cancel()
+        keeper.cancel()
         self._server.should_exit = True
         with suppress(asyncio.CancelledError):
-            await asyncio.gather(server, announcer)
+            await asyncio.gather(server, announcer, keeper)
         _log.info('stopped guard {}', self._settings.guard_id)
 
-    async def _wait_for_stop(self, stop: asyncio.Event) -> None:
-        waits = [
-            asyncio.create_task(event.wait())
-            for event in (stop, self._drain_ordered)
-        ]
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        for waiting in waits:
-            waiting.cancel()
-
     async def _drain(self) -> None:
         self._state = GuardState.draining
         self._runner.start_drain()
         self._announcer.announce()
         limit = timedelta(milliseconds=self._settings.drain_limit_ms)
+        await asyncio.gather(
+            self._drain_requests(limit), self._drain_tasks(limit)
+        )
+        self._state = GuardState.leaving
+        self._announcer.announce()
+
+    async def _drain_requests(self, limit: timedelta) -> None:
         # An entry that lost the announcements still sends requests for as
         # long as its time to live; they are refused, not cut off.
         await asyncio.sleep(self._settings.drain_notice_ms / _MS_PER_S)
         if not await self._runner.drain(limit):
             _log.warning('requests still in flight at the drain limit')
-        self._state = GuardState.leaving
-        self._announcer.announce()
+
+    async def _drain_tasks(self, limit: timedelta) -> None:
+        if self._keeper is not None and not await self._keeper.drain(limit):
+            _log.warning('tasks still running at the drain limit')
 
     def _describe(self, sequence: int) -> Announcement:
         settings = self._settings
@@ -113,11 +136,20 @@
             state=self._state,
             minion=self._minion_state(),
             worker=self._worker_state(),
-            configuration_revision=0,
+            configuration_revision=self._configuration.seen_revision,
             schema_versions=_READABLE_SCHEMA_VERSIONS,
-            highest_fence=0,
-            task_digest=0,
+            highest_fence=self._keeper.highest_fence if self._keeper else 0,
+            task_digest=self._keeper.task_digest if self._keeper else 0,
+        )
+
+    def _on_acknowledgement(
+        self, acknowledgement: Acknowledgement, sent_at: datetime
+    ) -> None:
+        self._configuration.notice_revision(
+            acknowledgement.configuration_revision
         )
+        if self._keeper is not None:
+            self._keeper.acknowledge(sent_at, acknowledgement.owned_fence)
 
     def _minion_state(self) -> MinionState | None:
         minion = self._settings.minion
@@ -132,14 +164,22 @@
 
     def _worker_state(self) -> WorkerState | None:
         worker = self._settings.worker
-        if worker is None:
+        keeper = self._keeper
+        if worker is None or keeper is None or not keeper.is_worker_present:
             return None
         return WorkerState(
             worker.worker_id,
             worker.rack,
             worker.rack_position,
             worker.accelerators,
-            worker.accelerators,
+            keeper.free_accelerators,
             worker.cores,
             worker.memory_mb,
         )
+
+
+async def _first_set(*events: asyncio.Event) -> None:
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
