--- a/dragonflynotch/cli/local.py
+++ b/dragonflynotch/cli/local.py
@@ -1,11 +1,14 @@
 """Embedded mode: entry, guard and stand-ins as tasks on loopback."""
 
 import asyncio
+import hashlib
 import socket
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from datetime import timedelta
+from typing import Any
 
 import httpx
+import msgspec
 
 from dragonflynotch.entry.daemon import Entry
 from dragonflynotch.entry.server import HttpServer
@@ -24,6 +27,7 @@
 _HOST = '127.0.0.1'
 _START_LIMIT = timedelta(seconds=10)
 _POLL_S = 0.1
+_TOKEN = 'example-token'
 
 
 def free_port() -> int:
@@ -56,6 +60,7 @@
             announcements=Address(_HOST, announcements),
             link=Address(_HOST, link),
             table=Address(_HOST, table),
+            stop_notice_ms=0,
         )
     )
     target = Guard(
@@ -66,6 +71,7 @@
             listen=Address(_HOST, guard),
             entries=(Address(_HOST, announcements),),
             minion=MinionSettings('minion-1', Address(_HOST, minion)),
+            drain_notice_ms=0,
         )
     )
     tasks = [
@@ -73,7 +79,9 @@
         asyncio.create_task(target.run(stop)),
     ]
     try:
-        body = await _first_answer(f'http://{_HOST}:{callers}')
+        body = await _first_answer(
+            f'http://{_HOST}:{callers}', f'http://{_HOST}:{operators}'
+        )
         print(f'checklist answered: {body.decode()}')
     finally:
         await _stop(stop, stand_ins, tasks)
@@ -91,7 +99,7 @@
         await stand_in.stop()
 
 
-async def _first_answer(url: str) -> bytes:
+async def _first_answer(callers_url: str, operators_url: str) -> bytes:
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(
             asyncio.timeout(_START_LIMIT.total_seconds())
@@ -99,16 +107,42 @@
         client = await stack.enter_async_context(
             httpx.AsyncClient(trust_env=False)
         )
-        while True:
-            try:
-                reply = await client.post(
-                    f'{url}/v1/workspaces/resort/requests',
-                    content=b'fridge 4 c',
-                    headers={'Request-Idempotent': 'true'},
-                )
-            except httpx.ConnectError:
-                await asyncio.sleep(_POLL_S)
-                continue
+        await _until_ok(client, 'GET', f'{operators_url}/ready')
+        await _until_ok(
+            client,
+            'PUT',
+            f'{operators_url}/v1/records/workspace/resort',
+            content=msgspec.json.encode(_example_workspace()),
+            headers={'If-Match': '"0"'},
+        )
+        return await _until_ok(
+            client,
+            'POST',
+            f'{callers_url}/v1/workspaces/resort/requests',
+            content=b'fridge 4 c',
+            headers={
+                'Authorization': f'Bearer {_TOKEN}',
+                'Idempotency-Key': 'first-checklist',
+            },
+        )
+
+
+async def _until_ok(
+    client: httpx.AsyncClient, method: str, url: str, **arguments: Any
+) -> bytes:
+    while True:
+        with suppress(httpx.ConnectError):
+            reply = await client.request(method, url, **arguments)
             if reply.status_code == httpx.codes.OK:
                 return reply.content
-            await asyncio.sleep(_POLL_S)
+        await asyncio.sleep(_POLL_S)
+
+
+def _example_workspace() -> dict[str, object]:
+    digest = hashlib.sha256(_TOKEN.encode()).hexdigest()
+    return {
+        'schema_version': 2,
+        'kind': 'workspace',
+        'name': 'resort',
+        'spec': {'token_digests': [digest]},
+    }
