Count requests by outcome and time the answered ones

Cause: the burn report needs counters for each workspace and class. Change: the caller interface counts each identified request once; labels come from the configuration only. Ruled out: timing refusals too; fast refusals would improve the reported latency. Measured: pytest tests/observability tests/cli pass.

--- a/dragonflynotch/entry/callers.py
+++ b/dragonflynotch/entry/callers.py
@@ -4,7 +4,7 @@
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any, cast
 
 from litestar import Controller, Litestar, Request, Response, get, post
@@ -23,10 +23,12 @@
 from dragonflynotch.entry.identity import NotIdentified, identify
 from dragonflynotch.entry.problems import (
     malformed,
+    outcome_name,
     outcome_response,
     too_large,
 )
 from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.observability.metrics import EntryMetrics
 
 __all__ = ('CallerContext', 'create_caller_app')
 
@@ -54,12 +56,15 @@
         Readiness of the entry.
     clock : Clock
         Clock for the deadlines.
+    metrics : EntryMetrics
+        Counts requests and measures answer times.
     """
 
     dispatcher: Dispatcher
     configuration: Callable[[], ConfigurationView]
     health: Health
     clock: Clock
+    metrics: EntryMetrics
 
 
 class RequestController(Controller):
@@ -73,6 +78,7 @@
     ) -> Response[bytes]:
         """Run a request and return its one outcome."""
         context = _context(request)
+        received_at = context.clock.now()
         spec = identify(
             context.configuration(),
             workspace,
@@ -85,6 +91,7 @@
             )
         else:
             outcome = await _run(context, spec, request)
+            _count(context, spec, request, outcome, received_at)
         response = outcome_response(outcome)
         if context.health.is_stopping:
             response.headers['Connection'] = 'close'
@@ -151,6 +158,23 @@
     )
 
 
+def _count(
+    context: CallerContext,
+    spec: WorkspaceSpec,
+    request: Request[Any, Any, Any],
+    outcome: Outcome,
+    received_at: datetime,
+) -> None:
+    # Labels come from the configuration only, so callers cannot create series.
+    request_class = request.headers.get('request-class', 'default')
+    context.metrics.count_request(
+        spec.name,
+        request_class if request_class in spec.classes else 'unknown_class',
+        outcome_name(outcome),
+        context.clock.now() - received_at,
+    )
+
+
 def _context(request: Request[Any, Any, Any]) -> CallerContext:
     return cast(CallerContext, request.app.state['context'])
 
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -99,7 +99,11 @@
             lambda: self._clock.now() - started_at > _MEMBERS_HEARD_AFTER,
         )
         self._requests = RequestPath(
-            settings, self._configuration.view, self._health, self._clock
+            settings,
+            self._configuration.view,
+            self._health,
+            self._clock,
+            self._metrics,
         )
         self._callers = HttpServer(
             self._requests.create_app(),
--- a/dragonflynotch/entry/problems.py
+++ b/dragonflynotch/entry/problems.py
@@ -16,7 +16,7 @@
     content_digest,
 )
 
-__all__ = ('malformed', 'outcome_response', 'too_large')
+__all__ = ('malformed', 'outcome_name', 'outcome_response', 'too_large')
 
 _MS_PER_S = 1000
 _STATUS_MALFORMED = 400
@@ -50,6 +50,17 @@
     handed_at: str = ''
 
 
+def outcome_name(outcome: Outcome) -> str:
+    """Return ``'answered'``, ``'not_run'`` or ``'unknown'``."""
+    match outcome:
+        case Answer():
+            return 'answered'
+        case NotRun():
+            return 'not_run'
+        case Unknown():
+            return 'unknown'
+
+
 def outcome_response(outcome: Outcome) -> Response[bytes]:
     """Return the HTTP answer for an outcome."""
     match outcome:
--- a/dragonflynotch/entry/request_path.py
+++ b/dragonflynotch/entry/request_path.py
@@ -21,6 +21,7 @@
 from dragonflynotch.entry.ledger import Ledger
 from dragonflynotch.entry.target_queue import TargetQueue
 from dragonflynotch.links.guard_link import HttpGuardLink
+from dragonflynotch.observability.metrics import EntryMetrics
 from dragonflynotch.platform.http_object_store import HttpObjectStore
 from dragonflynotch.platform.http_table import HttpTableService
 from dragonflynotch.records.settings import EntrySettings
@@ -45,6 +46,8 @@
         Readiness of the entry.
     clock : Clock
         Clock of the process.
+    metrics : EntryMetrics
+        Counts requests.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         configuration: Callable[[], ConfigurationView],
         health: Health,
         clock: Clock,
+        metrics: EntryMetrics,
     ) -> None:
         """Create all parts; ``open`` starts them."""
         self._routing = RoutingTable(settings.data_centre, Random())
@@ -74,7 +78,9 @@
             ),
             clock,
         )
-        self._context = CallerContext(dispatcher, configuration, health, clock)
+        self._context = CallerContext(
+            dispatcher, configuration, health, clock, metrics
+        )
         self._ticker: asyncio.Task[None] | None = None
 
     def create_app(self) -> Litestar:
--- /dev/null
+++ b/tests/observability/test_metrics.py
@@ -0,0 +1,22 @@
+"""Requests are counted by workspace, class and outcome."""
+
+from datetime import timedelta
+
+import pytest
+
+from dragonflynotch.observability.metrics import EntryMetrics
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'is_timed'),
+    [('answered', True), ('not_run', False), ('unknown', False)],
+)
+def test_latency_is_measured_for_answers_only(outcome, is_timed):
+    """Guards against fast refusals that improve the reported latency."""
+    metrics = EntryMetrics('entry-1', 'lautoka')
+    metrics.count_request('resort', 'audit', outcome, timedelta(seconds=2))
+    text = metrics.render().decode()
+    counted = [line for line in text.splitlines() if 'requests_total{' in line]
+    assert len(counted) == 1
+    assert f'outcome="{outcome}"' in counted[0]
+    assert ('dragonflynotch_request_seconds_count' in text) is is_timed
