Compete for the lease row and renew it with every write

Each commit of the owner carries the lease row on condition of its version, so a replaced owner writes no job record. Lost answers are settled by the writer token of the lease row.

--- /dev/null
+++ b/dragonflynotch/entry/lease_row.py
@@ -0,0 +1,154 @@
+"""Reads and writes the lease row of a partition in the table service."""
+
+import itertools
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from dragonflynotch.core.errors import (
+    DragonflynotchError,
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.core.ownership import LeaseRow
+from dragonflynotch.platform.table import (
+    ABSENT_VERSION,
+    ConditionalWrite,
+    TableService,
+    WriteConflict,
+    Written,
+)
+
+__all__ = ('LeaseRowStore', 'NotOwnerError', 'StoredLease')
+
+
+class NotOwnerError(DragonflynotchError):
+    """Another entry owns the partition."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredLease:
+    """The lease row as it is stored.
+
+    Parameters
+    ----------
+    row : LeaseRow or None
+        Content; ``None`` if the row does not exist.
+    version : int
+        Version of the row.
+    is_own : bool
+        Whether this process wrote it.
+    """
+
+    row: LeaseRow | None
+    version: int
+    is_own: bool
+
+
+class LeaseRowStore:
+    """Writes the lease row, alone or with other rows in one transaction.
+
+    Parameters
+    ----------
+    table : TableService
+        Holds the rows.
+    data_centre : str
+        Partition.
+    writer : str
+        Unique name of this process; part of its writer tokens.
+    """
+
+    def __init__(
+        self, table: TableService, data_centre: str, writer: str
+    ) -> None:
+        """Start without knowledge of the row."""
+        self._table = table
+        self._key = f'partition/{data_centre}'
+        self._registrations = f'entry/{data_centre}/'
+        self._token_prefix = f'{writer}.'
+        self._tokens = itertools.count(1)
+        self.version = ABSENT_VERSION
+
+    def is_own_token(self, token: str) -> bool:
+        """Whether a row was written by this process."""
+        return token.startswith(self._token_prefix)
+
+    async def read(self) -> StoredLease:
+        """Return the stored row.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the table service did not answer.
+        """
+        found = await self._table.read(self._key)
+        if found is None:
+            return StoredLease(None, ABSENT_VERSION, is_own=False)
+        return StoredLease(
+            msgspec.json.decode(found.content, type=LeaseRow),
+            found.version,
+            self.is_own_token(found.writer_token),
+        )
+
+    async def registered(self) -> frozenset[str]:
+        """Return the entries registered in the data centre."""
+        rows = await self._table.scan(self._registrations)
+        return frozenset(
+            row.key.removeprefix(self._registrations) for row in rows
+        )
+
+    async def write(
+        self, row: LeaseRow, writes: Sequence[ConditionalWrite] = ()
+    ) -> Written | WriteConflict:
+        """Write the lease row and others on condition of their versions.
+
+        Returns
+        -------
+        Written or WriteConflict
+            A conflict names only rows of ``writes``. ``versions`` is empty if
+            the answer was lost and the write was found in effect.
+
+        Raises
+        ------
+        NotOwnerError
+            If another process wrote the lease row.
+        PlatformUnavailableError
+            If nothing was written.
+        UncertainWriteError
+            If the write may have taken effect, now or later.
+        """
+        token = f'{self._token_prefix}{next(self._tokens)}'
+        lease = ConditionalWrite(
+            self._key, msgspec.json.encode(row), self.version
+        )
+        try:
+            outcome = await self._table.commit([lease, *writes], token)
+        except UncertainWriteError:
+            await self._settle(token)
+            return Written({})
+        if isinstance(outcome, Written):
+            self.version = outcome.versions[self._key]
+            return outcome
+        if self._key not in outcome.found:
+            return outcome
+        found = outcome.found[self._key]
+        if found is None or not self.is_own_token(found.writer_token):
+            raise NotOwnerError('lease row was taken', step='commit')
+        # An earlier write whose answer was lost took effect after all.
+        self.version = found.version
+        return await self.write(row, writes)
+
+    async def _settle(self, token: str) -> None:
+        """Find out by the writer token whether a write took effect."""
+        try:
+            found = await self._table.read(self._key)
+        except PlatformUnavailableError as error:
+            raise UncertainWriteError(
+                'outcome of the commit is unknown', step='commit'
+            ) from error
+        if found is None or found.writer_token != token:
+            raise UncertainWriteError(
+                'commit has not taken effect yet', step='commit'
+            )
+        self.version = found.version
