Own the partition in an entry and serve jobs over HTTP

One task owns the partition and turns announcements and reports into events. Records are committed before the orders that follow them; orders of a job that is not accepted are held.

--- a/dragonflynotch/entry/callers.py
+++ b/dragonflynotch/entry/callers.py
@@ -19,6 +19,8 @@
 from dragonflynotch.core.requests import Request as CallerRequest
 from dragonflynotch.entry.dispatcher import Dispatcher
 from dragonflynotch.entry.health import Health
+from dragonflynotch.entry.job_api import create_job_router
+from dragonflynotch.entry.job_service import JobService
 
 __all__ = ('create_caller_app',)
 
@@ -29,7 +31,7 @@
 
 
 def create_caller_app(
-    dispatcher: Dispatcher, clock: Clock, health: Health
+    dispatcher: Dispatcher, clock: Clock, health: Health, jobs: JobService
 ) -> Litestar:
     """Return the ASGI application for callers."""
 
@@ -61,7 +63,9 @@
         return Response(health.reason or 'ready', status_code=status)
 
     return Litestar(
-        [run_request, ready], openapi_config=None, logging_config=None
+        [run_request, ready, create_job_router(jobs)],
+        openapi_config=None,
+        logging_config=None,
     )
 
 
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -29,6 +29,7 @@
     RemoteEntries,
 )
 from dragonflynotch.entry.registry import EntryRegistry
+from dragonflynotch.entry.scheduling import Scheduling
 from dragonflynotch.entry.server import HttpServer
 from dragonflynotch.entry.sync import EntrySync, readable_versions
 from dragonflynotch.links.entry_link import EntryLinkServer, GrpcEntryLink
@@ -94,11 +95,23 @@
             self._own_versions,
             self._clock,
         )
+        self._scheduling = Scheduling(
+            settings,
+            self._identity.incarnation,
+            self._table,
+            self._clock,
+            lambda: self._configuration.view,
+        )
         self._health = Health(lambda: self._configuration.is_ready)
         self._link = HttpGuardLink()
         self._dispatcher = Dispatcher(self._routing, self._link, self._clock)
         self._callers = HttpServer(
-            create_caller_app(self._dispatcher, self._clock, self._health),
+            create_caller_app(
+                self._dispatcher,
+                self._clock,
+                self._health,
+                self._scheduling.jobs,
+            ),
             *settings.callers.pair,
         )
         self._operators = HttpServer(
@@ -135,6 +148,7 @@
         ]
         for peer in settings.peers:
             self._exchange.add_peer(f'{peer.host}:{peer.port}')
+        self._scheduling.start()
         self._operators.start()
         self._callers.start()
 
@@ -144,6 +158,7 @@
         self._health.stop()
         self._exchange.is_stopping = True
         await asyncio.sleep(self._settings.stop_notice_ms / 1000)
+        await self._scheduling.stop()
         await self._callers.stop()
         await self._registry.remove()
         await self._operators.stop()
@@ -163,6 +178,7 @@
     ) -> None:
         self._configuration.notice_revision(announcement.configuration_revision)
         self._observe_target(guard)
+        self._scheduling.hear(guard, announcement.task_digest)
 
     def _observe_remote(self, guard: GuardInfo) -> None:
         if guard.data_centre != self._settings.data_centre:
@@ -192,6 +208,7 @@
             guard_id=announcement.guard_id,
             sequence=announcement.sequence,
             configuration_revision=self._configuration.log.revision,
+            owned_fence=self._scheduling.keeper.acknowledged_fence(),
             entries=tuple(
                 peer.announcements
                 for peer in self._remote.live(self._clock.now())
--- /dev/null
+++ b/dragonflynotch/entry/guard_roster.py
@@ -0,0 +1,176 @@
+"""Guards with workers that announce themselves, and the channels to them."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from dragonflynotch.core.events import Event, WorkerJoined, WorkerLost
+from dragonflynotch.core.membership import GuardInfo
+from dragonflynotch.core.topology import Worker
+from dragonflynotch.entry.guard_channel import ChannelEvent, GuardChannel
+from dragonflynotch.entry.outbox import Outgoing
+from dragonflynotch.links.order_link import OrderLink
+from dragonflynotch.observability.logs import part_logger
+
+__all__ = ('GuardRoster',)
+
+_log = part_logger('entry.guard_roster')
+
+
+@dataclass(slots=True)
+class _Guard:
+    worker: Worker
+    address: tuple[str, int]
+    incarnation: int
+    digest: int
+    heard_at: datetime
+    is_present: bool = False
+
+
+class GuardRoster:
+    """Knows where workers are and whether they are present.
+
+    Parameters
+    ----------
+    entry_id : str
+        Sender of orders.
+    link : OrderLink
+        How to reach guards.
+    emit : callable
+        Receives channel events.
+    time_to_live : timedelta
+        How long a guard is present after its last announcement.
+    retention : timedelta
+        How long a silent guard is remembered.
+    """
+
+    def __init__(
+        self,
+        entry_id: str,
+        link: OrderLink,
+        emit: Callable[[ChannelEvent], None],
+        time_to_live: timedelta,
+        retention: timedelta,
+    ) -> None:
+        """Start without guards and without the right to give orders."""
+        self._entry_id = entry_id
+        self._link = link
+        self._emit = emit
+        self._time_to_live = time_to_live
+        self._retention = retention
+        self._fence = 0
+        self._guards: OrderedDict[str, _Guard] = OrderedDict()
+        self._channels: dict[str, GuardChannel] = {}
+        # A guard whose worker is silent does not name it.
+        self._worker_ids: dict[str, str] = {}
+
+    def hear(
+        self, info: GuardInfo, digest: int, now: datetime
+    ) -> tuple[Event, ...]:
+        """Take over an announcement and return what changed."""
+        known = self._guard_of(info)
+        if known is None:
+            return ()
+        guard, worker_id = known
+        guard.heard_at = now
+        guard.address = info.address
+        guard.incarnation = info.incarnation
+        guard.digest = digest
+        self._guards.move_to_end(worker_id)
+        self._inform_channel(worker_id, guard)
+        worker = info.worker
+        if worker is None:
+            return self._lose(worker_id, 'its worker is silent')
+        if not info.is_ready:
+            return self._lose(worker_id, 'its guard is draining')
+        if guard.is_present and guard.worker == worker:
+            return ()
+        guard.is_present = True
+        guard.worker = worker
+        return (WorkerJoined(worker),)
+
+    def expire(self, now: datetime) -> tuple[Event, ...]:
+        """Return the losses of guards that are silent."""
+        events: list[Event] = []
+        for worker_id, guard in tuple(self._guards.items()):
+            age = now - guard.heard_at
+            if age <= self._time_to_live:
+                break
+            events.extend(self._lose(worker_id, 'its guard is silent'))
+            if age > self._retention:
+                self._guards.pop(worker_id)
+                self._close_channel(worker_id)
+        return tuple(events)
+
+    def refresh(self, now: datetime) -> None:
+        """Count all guards as heard now, after a pause of this process."""
+        for guard in self._guards.values():
+            guard.heard_at = now
+
+    def open(self, fence: int) -> None:
+        """Give orders under ``fence`` from now on, and fetch all reports."""
+        self.close()
+        self._fence = fence
+        for worker_id, guard in self._guards.items():
+            self._inform_channel(worker_id, guard)
+
+    def close(self) -> None:
+        """Give no orders any more."""
+        self._fence = 0
+        for worker_id in tuple(self._channels):
+            self._close_channel(worker_id)
+
+    def dispatch(self, outgoing: Outgoing) -> None:
+        """Hand an order to the channel of its guard."""
+        channel = self._channels.get(outgoing.worker_id)
+        if channel is None:
+            _log.warning('no guard for worker {}', outgoing.worker_id)
+            return
+        channel.enqueue(outgoing.order)
+
+    def _guard_of(self, info: GuardInfo) -> tuple[_Guard, str] | None:
+        worker = info.worker
+        if worker is None:
+            worker_id = self._worker_ids.get(info.guard_id, '')
+        else:
+            worker_id = worker.worker_id
+            self._worker_ids[info.guard_id] = worker_id
+        guard = self._guards.get(worker_id)
+        if guard is None and worker is not None:
+            guard = _Guard(
+                worker, info.address, info.incarnation, 0, info.heard_at
+            )
+            self._guards[worker_id] = guard
+        return None if guard is None else (guard, worker_id)
+
+    def _lose(self, worker_id: str, reason: str) -> tuple[Event, ...]:
+        guard = self._guards[worker_id]
+        if not guard.is_present:
+            return ()
+        guard.is_present = False
+        return (WorkerLost(worker_id, reason),)
+
+    def _inform_channel(self, worker_id: str, guard: _Guard) -> None:
+        if not self._fence:
+            return
+        channel = self._channels.get(worker_id)
+        if channel is None:
+            channel = GuardChannel(
+                worker_id,
+                guard.address,
+                self._entry_id,
+                self._fence,
+                self._link,
+                self._emit,
+            )
+            channel.start()
+            self._channels[worker_id] = channel
+        channel.note_announcement(
+            guard.address, guard.incarnation, guard.digest
+        )
+
+    def _close_channel(self, worker_id: str) -> None:
+        channel = self._channels.pop(worker_id, None)
+        if channel is not None:
+            channel.close()
--- /dev/null
+++ b/dragonflynotch/entry/job_service.py
@@ -0,0 +1,143 @@
+"""Job calls of callers, answered by the owner of the partition."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+from dragonflynotch.entry.owner_inputs import JobRefused, JobUnknown
+
+__all__ = (
+    'JobAnswer',
+    'JobCommand',
+    'JobMethod',
+    'JobService',
+    'problem_answer',
+    'refusal_answer',
+)
+
+HTTP_OK = 200
+HTTP_ACCEPTED = 202
+_HTTP_UNPROCESSABLE = 422
+_HTTP_UNAVAILABLE = 503
+_HTTP_TIMEOUT = 504
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class JobMethod(Enum):
+    """What a caller wants."""
+
+    submit = 'submit'
+    list_all = 'list'
+    show = 'show'
+    cancel = 'cancel'
+
+
+@dataclass(frozen=True, slots=True)
+class JobCommand:
+    """A job call that any entry can forward as it is.
+
+    Parameters
+    ----------
+    method : JobMethod
+        What the caller wants.
+    workspace : str
+        Workspace of the caller.
+    job_id : str
+        Job of ``show`` and ``cancel``.
+    idempotency_key : str
+        Key of ``submit``; empty for none.
+    body : bytes
+        JSON body of ``submit``.
+    """
+
+    method: JobMethod
+    workspace: str
+    job_id: str = ''
+    idempotency_key: str = ''
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """Status and JSON body for the caller.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    body : bytes
+        JSON document; a problem document unless ``status`` is below 300.
+    retry_after : timedelta or None
+        When to repeat the call.
+    """
+
+    status: int
+    body: bytes
+    retry_after: timedelta | None = None
+
+    @property
+    def is_not_owner(self) -> bool:
+        """Whether the call can be forwarded to the owner."""
+        if self.status != _HTTP_UNAVAILABLE:
+            return False
+        problem = msgspec.json.decode(self.body, type=_Problem)
+        return problem.reason == 'not_owner'
+
+
+class JobService(ABC):
+    """Answers job calls; the local one asks the partition in this process."""
+
+    @abstractmethod
+    async def call(self, command: JobCommand) -> JobAnswer:
+        """Return the answer to one call; never raises for bad input."""
+
+
+class _Problem(msgspec.Struct, omit_defaults=False):
+    outcome: str
+    reason: str
+    detail: str
+    retry_after_ms: int = 0
+    path: str = ''
+    value: str = ''
+    expected: str = ''
+
+
+def problem_answer(
+    status: int,
+    reason: str,
+    detail: str,
+    *,
+    outcome: str = 'not_run',
+    retry_after: timedelta | None = None,
+    path: str = '',
+    value: str = '',
+    expected: str = '',
+) -> JobAnswer:
+    """Return a problem document."""
+    retry_after_ms = (retry_after or timedelta()) // _MILLISECOND
+    problem = _Problem(
+        outcome, reason, detail, retry_after_ms, path, value, expected
+    )
+    return JobAnswer(status, msgspec.json.encode(problem), retry_after)
+
+
+def refusal_answer(verdict: JobRefused | JobUnknown) -> JobAnswer:
+    """Return the problem document for a verdict of the owner."""
+    if isinstance(verdict, JobUnknown):
+        return problem_answer(
+            _HTTP_TIMEOUT,
+            verdict.reason,
+            verdict.detail,
+            outcome='unknown',
+            retry_after=verdict.retry_after,
+        )
+    is_final = verdict.retry_after is None
+    return problem_answer(
+        _HTTP_UNPROCESSABLE if is_final else _HTTP_UNAVAILABLE,
+        verdict.reason,
+        verdict.detail,
+        retry_after=verdict.retry_after,
+    )
--- /dev/null
+++ b/dragonflynotch/entry/local_jobs.py
@@ -0,0 +1,274 @@
+"""Job service of the entry that owns the partition."""
+
+import asyncio
+import hashlib
+import uuid
+from datetime import timedelta
+
+from dragonflynotch.core.clock import Clock
+from dragonflynotch.core.errors import (
+    InvalidInputError,
+    PlatformUnavailableError,
+)
+from dragonflynotch.core.jobs import Job, JobState
+from dragonflynotch.entry.job_service import (
+    HTTP_ACCEPTED,
+    HTTP_OK,
+    JobAnswer,
+    JobCommand,
+    JobMethod,
+    JobService,
+    problem_answer,
+    refusal_answer,
+)
+from dragonflynotch.entry.owner_inputs import (
+    Cancellation,
+    CancelVerdict,
+    JobAccepted,
+    JobRefused,
+    JobUnknown,
+    Submission,
+    SubmissionVerdict,
+)
+from dragonflynotch.entry.partition_owner import PartitionOwner
+from dragonflynotch.platform.table import (
+    ABSENT_VERSION,
+    ConditionalWrite,
+    TableService,
+)
+from dragonflynotch.records.job_rows import (
+    JobKeyRow,
+    decode_job_row,
+    decode_key_row,
+    encode_row,
+    idempotency_row_key,
+    job_row_key,
+    job_rows_prefix,
+)
+from dragonflynotch.records.jobs import JobStatusBody, parse_job_body
+
+__all__ = ('LocalJobService',)
+
+_HTTP_BAD_REQUEST = 400
+_HTTP_NOT_FOUND = 404
+_HTTP_CONFLICT = 409
+_HTTP_UNAVAILABLE = 503
+_RETRY_AFTER = timedelta(seconds=5)
+_MAX_KEY_CHARS = 200
+# An uncertain record is settled by then unless the table is down.
+_VERDICT_LIMIT_S = 5
+
+
+class LocalJobService(JobService):
+    """Asks the partition in this process.
+
+    Parameters
+    ----------
+    data_centre : str
+        Partition.
+    owner : PartitionOwner
+        Task that owns the partition.
+    table : TableService
+        Holds records of ended jobs and idempotency keys.
+    clock : Clock
+        Clock of the entry.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        owner: PartitionOwner,
+        table: TableService,
+        clock: Clock,
+    ) -> None:
+        """Answer calls with ``owner``."""
+        self._data_centre = data_centre
+        self._owner = owner
+        self._table = table
+        self._clock = clock
+        self._in_flight: dict[tuple[str, str], asyncio.Future[None]] = {}
+
+    async def call(self, command: JobCommand) -> JobAnswer:
+        """Return the answer to one call; never raises for bad input."""
+        if not self._owner.is_owner:
+            return refusal_answer(
+                JobRefused(
+                    'not_owner',
+                    'this entry does not own the partition',
+                    _RETRY_AFTER,
+                )
+            )
+        try:
+            return await self._answer(command)
+        except InvalidInputError as error:
+            return problem_answer(
+                _HTTP_BAD_REQUEST,
+                'malformed',
+                str(error),
+                path=error.path,
+                value=repr(error.value)[:200],
+                expected=error.expected,
+            )
+        except PlatformUnavailableError as error:
+            return problem_answer(
+                _HTTP_UNAVAILABLE,
+                'table_unavailable',
+                str(error),
+                retry_after=_RETRY_AFTER,
+            )
+
+    async def _answer(self, command: JobCommand) -> JobAnswer:
+        match command.method:
+            case JobMethod.submit:
+                return await self._submit(command)
+            case JobMethod.list_all:
+                return await self._list(command.workspace)
+            case JobMethod.show:
+                return await self._show(command.workspace, command.job_id)
+            case JobMethod.cancel:
+                return await self._cancel(command.workspace, command.job_id)
+
+    async def _submit(self, command: JobCommand) -> JobAnswer:
+        key = command.idempotency_key
+        if len(key) > _MAX_KEY_CHARS or not key.isprintable():
+            raise InvalidInputError(
+                'Idempotency-Key', key, f'at most {_MAX_KEY_CHARS} characters'
+            )
+        # Two submissions with one key must not both find it free.
+        used_key = (command.workspace, key or uuid.uuid4().hex)
+        while used_key in self._in_flight:
+            await asyncio.wait((self._in_flight[used_key],))
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._in_flight[used_key] = done
+        try:
+            return await self._submit_once(command, key)
+        finally:
+            self._in_flight.pop(used_key)
+            done.set_result(None)
+
+    async def _submit_once(self, command: JobCommand, key: str) -> JobAnswer:
+        spec = parse_job_body(command.body).spec(command.workspace)
+        digest = hashlib.sha256(command.body).hexdigest()
+        row_key = idempotency_row_key(command.workspace, key)
+        if key:
+            row = await self._table.read(row_key)
+            if row is not None:
+                return await self._repeat(decode_key_row(row.content), digest)
+        if not self._owner.knows_workers:
+            return refusal_answer(
+                JobRefused(
+                    'starting', 'workers are not known yet', _RETRY_AFTER
+                )
+            )
+        job = Job(uuid.uuid4().hex, spec, self._clock.now())
+        key_row = JobKeyRow(
+            job_id=job.job_id, data_centre=self._data_centre, body_digest=digest
+        )
+        write = ConditionalWrite(row_key, encode_row(key_row), ABSENT_VERSION)
+        future: asyncio.Future[SubmissionVerdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._owner.post(Submission(job, write if key else None, future))
+        verdict = await _verdict(future)
+        if isinstance(verdict, JobAccepted):
+            current = self._owner.find(job.job_id) or job
+            return self._status(HTTP_ACCEPTED, current)
+        return refusal_answer(verdict)
+
+    async def _repeat(self, known: JobKeyRow, digest: str) -> JobAnswer:
+        if known.body_digest != digest:
+            return problem_answer(
+                _HTTP_CONFLICT,
+                'key_reused',
+                f'the key belongs to job {known.job_id} with another body',
+            )
+        job = await self._find(known.job_id)
+        if job is None:
+            return _no_job(known.job_id)
+        return self._status(HTTP_ACCEPTED, job)
+
+    async def _show(self, workspace: str, job_id: str) -> JobAnswer:
+        job = await self._find(job_id)
+        if job is None or job.spec.workspace != workspace:
+            return _no_job(job_id)
+        return self._status(HTTP_OK, job)
+
+    async def _cancel(self, workspace: str, job_id: str) -> JobAnswer:
+        job = await self._find(job_id)
+        if job is None or job.spec.workspace != workspace:
+            return _no_job(job_id)
+        if job.state.is_final:
+            return self._status(HTTP_OK, job)
+        future: asyncio.Future[CancelVerdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._owner.post(Cancellation(job_id, future))
+        verdict = await _verdict(future)
+        if not isinstance(verdict, JobAccepted):
+            return refusal_answer(verdict)
+        current = await self._find(job_id)
+        return self._status(HTTP_ACCEPTED, current or job)
+
+    async def _list(self, workspace: str) -> JobAnswer:
+        known = (*await self._ended(), *self._owner.jobs())
+        jobs = {
+            each.job_id: each
+            for each in known
+            if each.spec.workspace == workspace
+        }
+        shown = ', '.join(
+            self._body(each).model_dump_json()
+            for each in sorted(jobs.values(), key=_submission_order)
+        )
+        return JobAnswer(HTTP_OK, f'{{"jobs": [{shown}]}}'.encode())
+
+    async def _ended(self) -> tuple[Job, ...]:
+        """Return recorded jobs; none while the table is down."""
+        try:
+            rows = await self._table.scan(job_rows_prefix(self._data_centre))
+        except PlatformUnavailableError:
+            return ()
+        return tuple(decode_job_row(row.content) for row in rows)
+
+    async def _find(self, job_id: str) -> Job | None:
+        job = self._owner.find(job_id)
+        if job is not None:
+            return job
+        row = await self._table.read(job_row_key(self._data_centre, job_id))
+        return None if row is None else decode_job_row(row.content)
+
+    def _status(self, status: int, job: Job) -> JobAnswer:
+        return JobAnswer(status, self._body(job).model_dump_json().encode())
+
+    def _body(self, job: Job) -> JobStatusBody:
+        if job.state is not JobState.waiting:
+            return JobStatusBody.of(job, timedelta(), '')
+        waiting = self._owner.waiting().get(job.job_id)
+        waited = self._clock.now() - job.submitted_at
+        return JobStatusBody.of(
+            job, waited, waiting.reason if waiting else 'waits for its turn'
+        )
+
+
+async def _verdict(
+    future: 'asyncio.Future[SubmissionVerdict]',
+) -> SubmissionVerdict:
+    try:
+        async with asyncio.timeout(_VERDICT_LIMIT_S):
+            return await asyncio.shield(future)
+    except TimeoutError:
+        return JobUnknown(
+            'not_recorded_yet',
+            'the record is not written yet; repeat with the same key',
+            _RETRY_AFTER,
+        )
+
+
+def _no_job(job_id: str) -> JobAnswer:
+    return problem_answer(
+        _HTTP_NOT_FOUND, 'unknown_job', f'there is no job {job_id!r}'
+    )
+
+
+def _submission_order(job: Job) -> tuple[str, str]:
+    return (job.submitted_at.isoformat(), job.job_id)
--- /dev/null
+++ b/dragonflynotch/entry/order_mapping.py
@@ -0,0 +1,63 @@
+"""Translates actions of the partition into orders for guards."""
+
+from datetime import timedelta
+
+from dragonflynotch.core.actions import (
+    CheckpointMember,
+    MemberOrder,
+    PrepareMember,
+    StartMember,
+    StopMember,
+    ThrottleMember,
+)
+from dragonflynotch.links.orders import (
+    CheckpointOrder,
+    Order,
+    PrepareOrder,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+)
+
+__all__ = ('order_for',)
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+def order_for(action: MemberOrder) -> Order:
+    """Return the order that carries out an action.
+
+    Raises
+    ------
+    TypeError
+        If the action is of an unknown kind.
+    """
+    key = (action.job_id, action.attempt)
+    match action:
+        case PrepareMember():
+            return _prepare(action)
+        case StartMember():
+            return StartOrder(*key)
+        case CheckpointMember():
+            return CheckpointOrder(*key)
+        case ThrottleMember():
+            return ThrottleOrder(*key)
+        case StopMember():
+            return StopOrder(*key, action.checkpoint_limit // _MILLISECOND)
+    raise TypeError(f'no order for action {action!r}')
+
+
+def _prepare(action: PrepareMember) -> PrepareOrder:
+    spec = action.spec
+    accelerators = action.member.accelerators
+    units = max(1, len(accelerators))
+    return PrepareOrder(
+        action.job_id,
+        action.attempt,
+        accelerators,
+        spec.cores_per_accelerator * units,
+        spec.memory_mb_per_accelerator * units,
+        spec.command,
+        action.checkpoint,
+        spec.is_checkpointable,
+    )
--- /dev/null
+++ b/dragonflynotch/entry/partition_owner.py
@@ -0,0 +1,344 @@
+"""The task that owns the partition: inputs to events, actions to effects."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import datetime, timedelta
+
+from dragonflynotch.core.actions import (
+    Accepted,
+    Action,
+    AnswerSubmission,
+    NeverRunnable,
+    QuarantineWorker,
+    ReadmitWorker,
+    ReportGuarantee,
+    WriteJob,
+)
+from dragonflynotch.core.clock import Clock
+from dragonflynotch.core.events import (
+    Event,
+    Guarantee,
+    GuaranteesChanged,
+    JobCancelled,
+    JobSubmitted,
+    MemberFailed,
+    MemberRefused,
+    OwnershipGained,
+    OwnershipLost,
+    TimerFired,
+)
+from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.partition import Partition
+from dragonflynotch.core.waiting import WaitingJob
+from dragonflynotch.core.workspaces import ConfigurationView
+from dragonflynotch.entry.guard_channel import (
+    OrderRefused,
+    OwnerSuperseded,
+    ReportFetched,
+)
+from dragonflynotch.entry.guard_roster import GuardRoster
+from dragonflynotch.entry.job_mirror import JobMirror
+from dragonflynotch.entry.job_recorder import FlushResult, JobRecorder
+from dragonflynotch.entry.outbox import Outbox, OutboxListener
+from dragonflynotch.entry.owner_inputs import (
+    Cancellation,
+    GuardHeard,
+    JobAccepted,
+    JobRefused,
+    JobUnknown,
+    OwnerInput,
+    OwnershipLoaded,
+    OwnershipWasLost,
+    RecordsFlushed,
+    Submission,
+    SubmissionVerdict,
+)
+from dragonflynotch.entry.report_reader import ReportReader
+from dragonflynotch.links.orders import PrepareOrder
+from dragonflynotch.observability.logs import part_logger
+
+__all__ = ('PartitionOwner',)
+
+_TICK = timedelta(seconds=0.2)
+# A gap between two ticks above this is a pause of the process, not silence of
+# the guards.
+_PAUSE_LIMIT = timedelta(seconds=1)
+# Two announcement intervals of the guards.
+_FIRST_ANNOUNCEMENTS = timedelta(seconds=1.5)
+_RETRY_AFTER = timedelta(seconds=5)
+
+_log = part_logger('entry.partition_owner')
+
+
+class PartitionOwner(OutboxListener):
+    """Owns the ``Partition`` of an entry, whether or not it may decide.
+
+    Parameters
+    ----------
+    partition : Partition
+        Makes the decisions.
+    roster : GuardRoster
+        Guards and the channels to them.
+    recorder : JobRecorder
+        Writes records.
+    clock : Clock
+        Clock of the entry.
+    view : callable
+        Returns the configuration in force.
+    inbox : asyncio.Queue
+        Inputs, also from the channels of the roster.
+    """
+
+    def __init__(
+        self,
+        partition: Partition,
+        roster: GuardRoster,
+        recorder: JobRecorder,
+        clock: Clock,
+        view: Callable[[], ConfigurationView],
+        inbox: 'asyncio.Queue[OwnerInput]',
+    ) -> None:
+        """Create the owner; ``run`` processes its inputs."""
+        self._partition = partition
+        self._roster = roster
+        self._recorder = recorder
+        self._clock = clock
+        self._view = view
+        self._inbox = inbox
+        self._mirror = JobMirror()
+        self._reader = ReportReader(self._mirror.find)
+        self._outbox = Outbox(recorder, roster.dispatch, self)
+        self._submissions: dict[str, Submission] = {}
+        self._cancellations: list[Cancellation] = []
+        self._revision = -1
+        self._started_at = clock.now()
+        self._ticked_at = clock.now()
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether the partition decides."""
+        return self._partition.is_owner
+
+    @property
+    def knows_workers(self) -> bool:
+        """Whether every live guard had the time to announce itself."""
+        return self._clock.now() - self._started_at > _FIRST_ANNOUNCEMENTS
+
+    def find(self, job_id: str) -> Job | None:
+        """Return the state of a job that is not final, or ``None``."""
+        return self._mirror.find(job_id)
+
+    def jobs(self) -> tuple[Job, ...]:
+        """Return all jobs that are not final."""
+        return self._mirror.jobs
+
+    def waiting(self) -> dict[str, WaitingJob]:
+        """Return why jobs wait, by job."""
+        waiting = self._partition.waiting(self._clock.now())
+        return {each.job_id: each for each in waiting}
+
+    def post(self, item: OwnerInput) -> None:
+        """Process an input after those posted before."""
+        self._inbox.put_nowait(item)
+
+    def records_flushed(self, result: FlushResult) -> None:
+        """Note the result of a commit."""
+        self.post(RecordsFlushed(result))
+
+    async def run(self) -> None:
+        """Process inputs until cancelled."""
+        outbox = asyncio.create_task(self._outbox.run())
+        try:
+            while True:
+                item = await self._next_input()
+                self._tick(self._clock.now())
+                if item is not None:
+                    self._process(item)
+        finally:
+            outbox.cancel()
+            self._roster.close()
+
+    async def _next_input(self) -> OwnerInput | None:
+        pause = _TICK
+        deadline = self._partition.next_deadline
+        if deadline is not None:
+            pause = min(pause, max(deadline - self._clock.now(), timedelta()))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause.total_seconds()):
+                return await self._inbox.get()
+        return None
+
+    def _tick(self, now: datetime) -> None:
+        if now - self._ticked_at > _PAUSE_LIMIT:
+            self._roster.refresh(now)
+        self._ticked_at = now
+        for event in self._roster.expire(now):
+            self._handle(event)
+        view = self._view()
+        if view.revision != self._revision:
+            self._revision = view.revision
+            self._handle(GuaranteesChanged(self._guarantees(view)))
+        deadline = self._partition.next_deadline
+        if deadline is not None and deadline <= now:
+            self._handle(TimerFired())
+
+    def _guarantees(self, view: ConfigurationView) -> tuple[Guarantee, ...]:
+        data_centre = self._partition.data_centre
+        return tuple(
+            guarantee
+            for _, workspace in sorted(view.workspaces.items())
+            for guarantee in workspace.guarantees.get(data_centre, ())
+        )
+
+    def _process(self, item: OwnerInput) -> None:
+        match item:
+            case GuardHeard():
+                now = self._clock.now()
+                for event in self._roster.hear(item.info, item.digest, now):
+                    self._handle(event)
+            case ReportFetched():
+                self._process_report(item)
+            case OrderRefused():
+                self._process_refusal(item)
+            case OwnerSuperseded():
+                _log.warning('a guard has seen fence {}', item.highest_fence)
+            case RecordsFlushed():
+                self._process_flush(item.result)
+            case Submission():
+                self._process_submission(item)
+            case Cancellation():
+                self._cancellations.append(item)
+                self._handle(JobCancelled(item.job_id))
+                self._answer_cancellations()
+            case OwnershipLoaded():
+                self._begin(item)
+            case OwnershipWasLost():
+                self._end()
+
+    def _handle(self, event: Event) -> None:
+        actions = self._partition.handle(event, self._clock.now())
+        for action in actions:
+            self._note(action)
+        self._outbox.put(actions)
+
+    def _note(self, action: Action) -> None:
+        match action:
+            case WriteJob(job=job):
+                self._mirror.put(job)
+            case AnswerSubmission():
+                self._answer_submission(action)
+            case ReportGuarantee():
+                _log.warning('guarantee changed: {}', action)
+            case QuarantineWorker() | ReadmitWorker():
+                _log.warning('{}', action)
+
+    def _process_report(self, item: ReportFetched) -> None:
+        if item.report.highest_fence != self._partition.fence:
+            return
+        for event in self._reader.read(item.worker_id, item.report):
+            self._handle(event)
+        owed = self._mirror.note_report(item.worker_id, item.report)
+        for outgoing in owed:
+            self._roster.dispatch(outgoing)
+        self._release()
+
+    def _process_refusal(self, item: OrderRefused) -> None:
+        key = (item.order.job_id, item.order.attempt, item.worker_id)
+        reason = item.refusal.reason
+        if isinstance(item.order, PrepareOrder):
+            self._handle(MemberRefused(*key, reason))
+        else:
+            self._handle(MemberFailed(*key, reason))
+
+    def _process_flush(self, result: FlushResult) -> None:
+        for job_id in result.accepted:
+            submission = self._submissions.pop(job_id, None)
+            if submission is not None:
+                _resolve(submission.verdict, JobAccepted(job_id))
+        for job_id in result.refused:
+            self._drop_submission(
+                job_id,
+                JobRefused(
+                    'table_unavailable',
+                    'the job record can not be written now',
+                    _RETRY_AFTER,
+                ),
+            )
+        self._mirror.drop_ended(self._recorder.is_recorded)
+        self._answer_cancellations()
+        self._release()
+
+    def _process_submission(self, item: Submission) -> None:
+        job_id = item.job.job_id
+        self._submissions[job_id] = item
+        self._recorder.expect(job_id, item.key_write)
+        self._handle(JobSubmitted(item.job))
+
+    def _answer_submission(self, action: AnswerSubmission) -> None:
+        match action.verdict:
+            case Accepted():
+                # The caller is answered once the record is committed.
+                return
+            case NeverRunnable(reason=reason):
+                verdict = JobRefused('never_runnable', reason)
+            case _:
+                verdict = JobRefused(
+                    'not_owner', 'this entry is not the owner', _RETRY_AFTER
+                )
+        submission = self._submissions.pop(action.job_id, None)
+        self._recorder.discard(action.job_id)
+        if submission is not None:
+            _resolve(submission.verdict, verdict)
+
+    def _drop_submission(self, job_id: str, verdict: JobRefused) -> None:
+        submission = self._submissions.pop(job_id, None)
+        if submission is not None:
+            _resolve(submission.verdict, verdict)
+        self._handle(JobCancelled(job_id))
+        self._outbox.release(job_id, is_accepted=False)
+        self._mirror.drop(job_id)
+
+    def _answer_cancellations(self) -> None:
+        for item in tuple(self._cancellations):
+            if self._recorder.is_recorded(item.job_id):
+                self._cancellations.remove(item)
+                _resolve(item.verdict, JobAccepted(item.job_id))
+
+    def _release(self) -> None:
+        is_recorded = self._recorder.is_recorded
+        for outgoing in self._mirror.take_releases(is_recorded):
+            self._roster.dispatch(outgoing)
+
+    def _begin(self, item: OwnershipLoaded) -> None:
+        self._mirror.load(item.jobs)
+        self._recorder.load(item.versions)
+        self._reader.clear()
+        self._handle(OwnershipGained(item.fence, item.jobs))
+        self._roster.open(item.fence)
+
+    def _end(self) -> None:
+        self._roster.close()
+        self._outbox.clear()
+        self._handle(OwnershipLost())
+        self._recorder.load({})
+        self._mirror.load(())
+        verdict = JobUnknown(
+            'owner_changed',
+            'the owner changed before the job was recorded',
+            _RETRY_AFTER,
+        )
+        for submission in self._submissions.values():
+            _resolve(submission.verdict, verdict)
+        for cancellation in self._cancellations:
+            _resolve(cancellation.verdict, verdict)
+        self._submissions.clear()
+        self._cancellations.clear()
+
+
+def _resolve(
+    future: 'asyncio.Future[SubmissionVerdict]', verdict: SubmissionVerdict
+) -> None:
+    # A caller that gave up has cancelled the future.
+    if not future.done():
+        future.set_result(verdict)
--- /dev/null
+++ b/dragonflynotch/entry/scheduling.py
@@ -0,0 +1,187 @@
+"""Puts the parts together that schedule jobs in an entry."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import timedelta
+
+import msgspec
+
+from dragonflynotch.core.clock import Clock
+from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.core.membership import GuardInfo
+from dragonflynotch.core.ownership import OwnershipPolicy
+from dragonflynotch.core.partition import Partition
+from dragonflynotch.core.policy import PolicySettings
+from dragonflynotch.core.workspaces import ConfigurationView
+from dragonflynotch.entry.guard_roster import GuardRoster
+from dragonflynotch.entry.job_recorder import JobRecorder
+from dragonflynotch.entry.lease_row import LeaseRowStore
+from dragonflynotch.entry.local_jobs import LocalJobService
+from dragonflynotch.entry.owner_inputs import (
+    GuardHeard,
+    OwnerInput,
+    OwnershipLoaded,
+    OwnershipWasLost,
+)
+from dragonflynotch.entry.ownership import OwnershipKeeper, OwnershipListener
+from dragonflynotch.entry.partition_owner import PartitionOwner
+from dragonflynotch.links.order_link import HttpOrderLink
+from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.platform.table import TableService
+from dragonflynotch.records.job_rows import (
+    decode_job_row,
+    job_rows_prefix,
+)
+from dragonflynotch.records.settings import (
+    EntrySettings,
+    OwnershipSettings,
+    SchedulingSettings,
+)
+
+__all__ = ('Scheduling',)
+
+_LOAD_RETRY_S = 0.2
+
+_log = part_logger('entry.scheduling')
+
+
+class Scheduling(OwnershipListener):
+    """Ownership, partition and job service of one entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the entry.
+    incarnation : int
+        Random number drawn at the start of the entry.
+    table : TableService
+        Holds the lease row and the job records.
+    clock : Clock
+        Clock of the entry.
+    view : callable
+        Returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: int,
+        table: TableService,
+        clock: Clock,
+        view: Callable[[], ConfigurationView],
+    ) -> None:
+        """Create all parts; ``start`` runs them."""
+        ownership = settings.ownership
+        self._data_centre = settings.data_centre
+        self._table = table
+        self._link = HttpOrderLink(_ms(ownership.order_timeout_ms))
+        store = LeaseRowStore(
+            table, settings.data_centre, f'{settings.entry_id}.{incarnation}'
+        )
+        self.keeper = OwnershipKeeper(
+            settings.entry_id, store, clock, _ownership_policy(ownership), self
+        )
+        inbox: asyncio.Queue[OwnerInput] = asyncio.Queue()
+        self._owner = PartitionOwner(
+            Partition(settings.data_centre, _policy(settings.scheduling)),
+            GuardRoster(
+                settings.entry_id,
+                self._link,
+                inbox.put_nowait,
+                _ms(ownership.worker_ttl_ms),
+                2 * _ms(ownership.task_lease_ms),
+            ),
+            JobRecorder(
+                settings.data_centre, self.keeper.commit, store.is_own_token
+            ),
+            clock,
+            view,
+            inbox,
+        )
+        self.jobs = LocalJobService(
+            settings.data_centre, self._owner, table, clock
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._loading: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Compete for the ownership and process inputs from now on."""
+        self._tasks = [
+            asyncio.create_task(self.keeper.run()),
+            asyncio.create_task(self._owner.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Hand the ownership over and stop all tasks."""
+        await self.keeper.step_down()
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with suppress(asyncio.CancelledError):
+                await task
+        await self._link.close()
+
+    def hear(self, guard: GuardInfo, task_digest: int) -> None:
+        """Take over an announcement of a guard of the own data centre."""
+        self._owner.post(GuardHeard(guard, task_digest))
+
+    def ownership_gained(self, fence: int) -> None:
+        """Read the job records, then let the partition decide."""
+        self._loading = asyncio.create_task(self._load(fence))
+
+    def ownership_lost(self) -> None:
+        """Let the partition decide nothing any more."""
+        if self._loading is not None:
+            self._loading.cancel()
+        self._owner.post(OwnershipWasLost())
+
+    async def _load(self, fence: int) -> None:
+        while True:
+            try:
+                rows = await self._table.scan(
+                    job_rows_prefix(self._data_centre)
+                )
+            except PlatformUnavailableError as error:
+                _log.warning('job records can not be read: {}', error)
+                await asyncio.sleep(_LOAD_RETRY_S)
+            else:
+                break
+        jobs = []
+        versions = {}
+        for row in rows:
+            try:
+                job = decode_job_row(row.content)
+            except msgspec.DecodeError as error:
+                _log.error('row {} is not a job record: {}', row.key, error)
+                continue
+            if not job.state.is_final:
+                jobs.append(job)
+                versions[job.job_id] = row.version
+        self._owner.post(OwnershipLoaded(fence, tuple(jobs), versions))
+
+
+def _ms(milliseconds: int) -> timedelta:
+    return timedelta(milliseconds=milliseconds)
+
+
+def _ownership_policy(settings: OwnershipSettings) -> OwnershipPolicy:
+    return OwnershipPolicy(
+        lease=_ms(settings.lease_ms),
+        renewal=_ms(settings.renewal_ms),
+        confirmation=_ms(settings.confirmation_ms),
+        grant=_ms(settings.grant_ms),
+        received_grant=_ms(settings.received_grant_ms),
+        task_lease=_ms(settings.task_lease_ms),
+    )
+
+
+def _policy(settings: SchedulingSettings) -> PolicySettings:
+    return PolicySettings(
+        prepare_timeout=_ms(settings.prepare_timeout_ms),
+        start_confirmation=_ms(settings.start_confirmation_ms),
+        checkpoint_bound=_ms(settings.checkpoint_bound_ms),
+        stop_bound=_ms(settings.stop_bound_ms),
+        task_lease=_ms(settings.task_lease_ms),
+        checkpoint_interval=_ms(settings.checkpoint_interval_ms),
+    )
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -33,6 +33,9 @@
 _INCARNATION_BITS = 53
 _READABLE_SCHEMA_VERSIONS = (1, 2)
 
+# A worker that is silent at the start does not keep the minion away.
+_WORKER_WAIT = timedelta(seconds=1)
+
 _log = part_logger('guard')
 
 
@@ -51,7 +54,10 @@
         )
         self._clock = SystemClock()
         self._keeper = create_task_keeper(
-            settings, self._incarnation, self._clock
+            settings,
+            self._incarnation,
+            self._clock,
+            lambda: self._announcer.announce(),
         )
         self._configuration = ConfigurationCopy()
         self._announcer = Announcer(
@@ -83,8 +89,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then drain and return."""
         server = asyncio.create_task(self._server._serve())
-        announcer = asyncio.create_task(self._announcer.run())
         keeper = asyncio.create_task(run_task_keeper(self._keeper))
+        announcer = asyncio.create_task(self._announce())
         _log.info('started guard {}', self._settings.guard_id)
         await _first_set(stop, self._drain_requested)
         await self._drain()
@@ -95,6 +101,11 @@
             await asyncio.gather(server, announcer, keeper)
         _log.info('stopped guard {}', self._settings.guard_id)
 
+    async def _announce(self) -> None:
+        if self._keeper is not None:
+            await self._keeper.wait_for_worker(_WORKER_WAIT)
+        await self._announcer.run()
+
     async def _drain(self) -> None:
         self._state = GuardState.draining
         self._announcer.announce()
--- a/dragonflynotch/guard/members.py
+++ b/dragonflynotch/guard/members.py
@@ -125,6 +125,13 @@
         """All members as the report shows them."""
         return tuple(member.status for member in self)
 
+    @property
+    def progress(self) -> tuple[tuple[MemberKey, MemberPhase, str], ...]:
+        """What the owner has to learn of without delay."""
+        return tuple(
+            (member.key, member.phase, member.checkpoint) for member in self
+        )
+
     def digest(self, fence: int) -> int:
         """Return a checksum that changes with the report."""
         content = msgspec.json.encode((fence, self.statuses))
--- a/dragonflynotch/guard/task_setup.py
+++ b/dragonflynotch/guard/task_setup.py
@@ -1,5 +1,6 @@
 """Creates the task keeper of a guard from its settings."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from dragonflynotch.core.clock import Clock
@@ -12,7 +13,10 @@
 
 
 def create_task_keeper(
-    settings: GuardSettings, incarnation: int, clock: Clock
+    settings: GuardSettings,
+    incarnation: int,
+    clock: Clock,
+    on_progress: Callable[[], None],
 ) -> TaskKeeper | None:
     """Return the keeper, or ``None`` for a guard without a worker."""
     worker = settings.worker
@@ -26,6 +30,7 @@
         worker.accelerators,
         clock,
         _policy(settings.tasks),
+        on_progress,
     )
 
 
--- a/dragonflynotch/guard/tasks.py
+++ b/dragonflynotch/guard/tasks.py
@@ -1,6 +1,7 @@
 """Keeps the members of a guard and its worker in agreement."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -88,6 +89,8 @@
         Clock of the guard.
     policy : TaskPolicy
         Durations.
+    on_progress : callable
+        Called when the owner should fetch the report.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         accelerators: int,
         clock: Clock,
         policy: TaskPolicy,
+        on_progress: Callable[[], None],
     ) -> None:
         """Create a keeper without members; ``run`` asks the worker first."""
         self._guard_id = guard_id
@@ -105,6 +109,7 @@
         self._worker = worker
         self._clock = clock
         self._policy = policy
+        self._on_progress = on_progress
         self._lease = TaskLease(policy.task_lease)
         self._table = MemberTable(accelerators)
         self._orders = OrderBook(self._table, self._lease, self._refusal)
@@ -114,6 +119,7 @@
         self._is_draining = False
         self._wake = asyncio.Event()
         self._settled = asyncio.Event()
+        self._recovered = asyncio.Event()
 
     @property
     def highest_fence(self) -> int:
@@ -161,6 +167,16 @@
         """Renew the task lease by an acknowledgement of the owner."""
         self._lease.renew(sent_at, fence)
 
+    async def wait_for_worker(self, limit: timedelta) -> None:
+        """Wait for the first answer of the worker.
+
+        A guard that announced itself earlier would seem to have lost its
+        tasks after a restart.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit.total_seconds()):
+                await self._recovered.wait()
+
     async def drain(self, limit: timedelta) -> bool:
         """Refuse new members, stop all and return whether they ended."""
         self._is_draining = True
@@ -177,8 +193,12 @@
 
     async def run(self) -> None:
         """Call the worker until cancelled."""
+        progress = self._table.progress
         while True:
             await self.synchronise()
+            if progress != self._table.progress:
+                progress = self._table.progress
+                self._on_progress()
             is_idle = self._seen is not None and not tuple(self._table)
             pause = (
                 self._policy.worker_idle_poll
@@ -208,6 +228,7 @@
         now = self._clock.now()
         if self._seen is None:
             self._recover(view, asked_at)
+            self._recovered.set()
         self._seen = _Seen(view, now)
         self._is_call_lost = False
         observe_view(self._table, view, commands)
--- /dev/null
+++ b/dragonflynotch/records/job_rows.py
@@ -0,0 +1,76 @@
+"""Rows of jobs and of their idempotency keys in the table service."""
+
+import msgspec
+
+from dragonflynotch.core.jobs import Job
+
+__all__ = (
+    'JobKeyRow',
+    'JobRow',
+    'decode_job_row',
+    'decode_key_row',
+    'encode_row',
+    'idempotency_row_key',
+    'job_row_key',
+    'job_rows_prefix',
+)
+
+_SCHEMA_VERSION = 1
+
+
+class JobRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Content of the row ``job/{data_centre}/{job_id}``."""
+
+    schema_version: int = _SCHEMA_VERSION
+    job: Job
+
+
+class JobKeyRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Content of the row ``job-key/{workspace}/{key}``."""
+
+    schema_version: int = _SCHEMA_VERSION
+    job_id: str
+    data_centre: str
+    body_digest: str
+
+
+def job_rows_prefix(data_centre: str) -> str:
+    """Return the prefix of all job rows of a data centre."""
+    return f'job/{data_centre}/'
+
+
+def job_row_key(data_centre: str, job_id: str) -> str:
+    """Return the key of a job row."""
+    return f'{job_rows_prefix(data_centre)}{job_id}'
+
+
+def idempotency_row_key(workspace: str, key: str) -> str:
+    """Return the key of the row that maps an idempotency key to its job."""
+    return f'job-key/{workspace}/{key}'
+
+
+def encode_row(row: JobRow | JobKeyRow) -> bytes:
+    """Return the JSON form of a row."""
+    return msgspec.json.encode(row)
+
+
+def decode_job_row(content: bytes) -> Job:
+    """Return the job in a row.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the content is not a job row.
+    """
+    return msgspec.json.decode(content, type=JobRow).job
+
+
+def decode_key_row(content: bytes) -> JobKeyRow:
+    """Return the content of an idempotency row.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the content is not such a row.
+    """
+    return msgspec.json.decode(content, type=JobKeyRow)
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -13,6 +13,7 @@
     'GuardSettings',
     'MinionSettings',
     'OwnershipSettings',
+    'SchedulingSettings',
     'TaskSettings',
     'WorkerSettings',
     'load_settings',
@@ -54,6 +55,19 @@
     order_timeout_ms: int = 2000
 
 
+class SchedulingSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Durations of the scheduling policy (docs/design.md, 8.3 and 13)."""
+
+    prepare_timeout_ms: int = 5000
+    start_confirmation_ms: int = 10_000
+    checkpoint_bound_ms: int = 30_000
+    stop_bound_ms: int = 5000
+    task_lease_ms: int = 20_000
+    checkpoint_interval_ms: int = 600_000
+
+
 class TaskSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
@@ -85,6 +99,7 @@
     stop_notice_ms: int = 1000
     drain_limit_ms: int = 30_000
     ownership: OwnershipSettings = OwnershipSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
 
 
 class MinionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -64,7 +64,7 @@
         for task in self.keepers:
             task.cancel()
         self.keeper = TaskKeeper(
-            'guard-1', 1, AppRuntime(self.app), 8, CLOCK, POLICY
+            'guard-1', 1, AppRuntime(self.app), 8, CLOCK, POLICY, lambda: None
         )
         self.keepers = [asyncio.create_task(self.keeper.run())]
 
