--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -100,7 +100,7 @@
             self._identity.incarnation,
             self._table,
             self._clock,
-            lambda: self._configuration.view,
+            self._configuration.view,
         )
         self._health = Health(lambda: self._configuration.is_ready)
         self._link = HttpGuardLink()
--- a/dragonflynotch/entry/order_mapping.py
+++ b/dragonflynotch/entry/order_mapping.py
@@ -24,9 +24,16 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 
-def order_for(action: MemberOrder) -> Order:
+def order_for(action: MemberOrder, label: str) -> Order:
     """Return the order that carries out an action.
 
+    Parameters
+    ----------
+    action : MemberOrder
+        The action.
+    label : str
+        Names the checkpoint; the same for all actions of one decision.
+
     Raises
     ------
     TypeError
@@ -39,11 +46,12 @@
         case StartMember():
             return StartOrder(*key)
         case CheckpointMember():
-            return CheckpointOrder(*key)
+            return CheckpointOrder(*key, label)
         case ThrottleMember():
             return ThrottleOrder(*key)
         case StopMember():
-            return StopOrder(*key, action.checkpoint_limit // _MILLISECOND)
+            limit_ms = action.checkpoint_limit // _MILLISECOND
+            return StopOrder(*key, limit_ms, label)
     raise TypeError(f'no order for action {action!r}')
 
 
--- a/dragonflynotch/entry/outbox.py
+++ b/dragonflynotch/entry/outbox.py
@@ -1,6 +1,7 @@
 """Carries out actions of the partition: records first, then orders."""
 
 import asyncio
+import secrets
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -68,9 +69,14 @@
         self._held: dict[str, list[Outgoing]] = {}
         self._wake = asyncio.Event()
         self._flush: asyncio.Task[None] | None = None
+        # Unique over owners, which do not know each other's counts.
+        self._label_prefix = secrets.token_hex(4)
+        self._decisions = 0
 
     def put(self, actions: tuple[Action, ...]) -> None:
-        """Carry out records and member orders among ``actions``."""
+        """Carry out records and member orders of one decision."""
+        self._decisions += 1
+        label = f'{self._label_prefix}-{self._decisions}'
         for action in actions:
             match action:
                 case WriteJob(job=job):
@@ -78,7 +84,7 @@
                     self._pending.extend(_confirmations(job))
                 case MemberOrder():
                     self._pending.append(
-                        Outgoing(action.worker_id, order_for(action))
+                        Outgoing(action.worker_id, order_for(action, label))
                     )
         self._wake.set()
 
--- a/dragonflynotch/guard/members.py
+++ b/dragonflynotch/guard/members.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from dragonflynotch.links.orders import MemberPhase, MemberStatus, PrepareOrder
-from dragonflynotch.platform.worker import TaskPhase, TaskStatus
+from dragonflynotch.platform.worker import LAPSE_LABEL, TaskPhase, TaskStatus
 
 __all__ = ('Member', 'MemberKey', 'MemberTable')
 
@@ -30,7 +30,8 @@
     confirm_by: datetime | None = None
     stop_limit_ms: int = 0
     is_released: bool = False
-    wants_checkpoint: bool = False
+    stop_label: str = ''
+    wanted_label: str = ''
     wants_throttle: bool = False
     checkpoint: str = ''
     work_done_ms: int = 0
@@ -59,7 +60,9 @@
             self.reason,
         )
 
-    def stop(self, limit_ms: int, reason: str) -> None:
+    def stop(
+        self, limit_ms: int, reason: str, label: str = LAPSE_LABEL
+    ) -> None:
         """Stop the member unless it ended; the first reason stays."""
         if self.phase.is_final:
             return
@@ -68,6 +71,7 @@
             return
         self.phase = MemberPhase.stopping
         self.stop_limit_ms = limit_ms
+        self.stop_label = label
         self.reason = reason
 
     def end(self, phase: MemberPhase, reason: str = '') -> None:
--- a/dragonflynotch/guard/order_book.py
+++ b/dragonflynotch/guard/order_book.py
@@ -101,7 +101,7 @@
             )
             member.end(MemberPhase.stopped)
             self._table.add(member)
-        member.stop(order.checkpoint_limit_ms, 'ordered')
+        member.stop(order.checkpoint_limit_ms, 'ordered', order.label)
 
     def _release(self, order: ReleaseOrder, member: Member | None) -> None:
         self._table.close((order.job_id, order.attempt))
@@ -123,7 +123,7 @@
         case ConfirmOrder():
             member.is_confirmed = True
         case CheckpointOrder():
-            member.wants_checkpoint = True
+            member.wanted_label = order.label
         case ThrottleOrder():
             member.wants_throttle = True
     return ''
--- a/dragonflynotch/guard/reconciliation.py
+++ b/dragonflynotch/guard/reconciliation.py
@@ -45,7 +45,7 @@
     for command in commands:
         member = table.find((command.job_id, command.attempt))
         if member is not None and isinstance(command, CheckpointTask):
-            member.wants_checkpoint = False
+            member.wanted_label = ''
     tasks = {(task.job_id, task.attempt): task for task in view.tasks}
     for member in table:
         task = tasks.get(member.key)
@@ -89,10 +89,10 @@
         case MemberPhase.starting:
             yield StartTask(*key)
         case MemberPhase.stopping:
-            yield StopTask(*key, member.stop_limit_ms)
+            yield StopTask(*key, member.stop_limit_ms, member.stop_label)
         case MemberPhase.running:
-            if member.wants_checkpoint:
-                yield CheckpointTask(*key)
+            if member.wanted_label:
+                yield CheckpointTask(*key, member.wanted_label)
             if member.wants_throttle:
                 yield ThrottleTask(*key)
     if member.phase.is_final and member.is_released:
--- a/dragonflynotch/links/orders.py
+++ b/dragonflynotch/links/orders.py
@@ -70,7 +70,13 @@
 
 
 class CheckpointOrder(_Order, frozen=True, tag='checkpoint'):
-    """Write a checkpoint and continue."""
+    """Write a checkpoint and continue.
+
+    ``label`` is the same for all members, so that their parts form one
+    checkpoint of the gang.
+    """
+
+    label: str = ''
 
 
 class ThrottleOrder(_Order, frozen=True, tag='throttle'):
@@ -78,9 +84,10 @@
 
 
 class StopOrder(_Order, frozen=True, tag='stop'):
-    """Stop the task; zero means without a checkpoint."""
+    """Stop the task; a limit of zero means without a checkpoint."""
 
     checkpoint_limit_ms: int = 0
+    label: str = ''
 
 
 class ReleaseOrder(_Order, frozen=True, tag='release'):
--- a/dragonflynotch/platform/worker.py
+++ b/dragonflynotch/platform/worker.py
@@ -11,6 +11,7 @@
 from dragonflynotch.links.http11 import exchange
 
 __all__ = (
+    'LAPSE_LABEL',
     'CheckpointTask',
     'ForgetTask',
     'HttpWorkerRuntime',
@@ -26,6 +27,8 @@
     'WorkerView',
 )
 
+# All members of a gang lapse under this label, so that their parts fit.
+LAPSE_LABEL = 'lapse'
 _HTTP_OK = 200
 _MAX_VIEW_BYTES = 1024 * 1024
 
@@ -62,7 +65,13 @@
 
 
 class CheckpointTask(_TaskCommand, frozen=True, tag='checkpoint'):
-    """Write a checkpoint and continue."""
+    """Write a checkpoint and continue.
+
+    The checkpoint is named ``checkpoint/{job}/{attempt}/{label}``; the members
+    of a gang get the same label.
+    """
+
+    label: str = ''
 
 
 class ThrottleTask(_TaskCommand, frozen=True, tag='throttle'):
@@ -73,6 +82,7 @@
     """Stop a task, with a checkpoint if the limit is not zero."""
 
     checkpoint_limit_ms: int = 0
+    label: str = ''
 
 
 class ForgetTask(_TaskCommand, frozen=True, tag='forget'):
@@ -125,7 +135,11 @@
 
 
 class WorkerRuntime(ABC):
-    """Runs tasks on one worker, under a lease on the worker's own clock."""
+    """Runs tasks on one worker, under a lease on the worker's own clock.
+
+    A task whose lease ends stops computing and writes a checkpoint with the
+    label ``LAPSE_LABEL``.
+    """
 
     @abstractmethod
     async def apply(
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -135,6 +135,8 @@
     entries: tuple[Address, ...]
     minion: MinionSettings | None = None
     worker: WorkerSettings | None = None
+    advertise: Address | None = None
+    """Where entries reach the guard, if not at ``listen``."""
     drain_limit_ms: int = 30_000
     tasks: TaskSettings = TaskSettings()
 
--- a/dragonflynotch/testing/object_store.py
+++ b/dragonflynotch/testing/object_store.py
@@ -22,7 +22,8 @@
     async def put(self, key: str, content: bytes) -> None:
         """Store an object; storing the same key again is idempotent."""
         self._check('put')
-        self._objects[key] = content
+        # Objects are immutable, so the first content stays.
+        self._objects.setdefault(key, content)
 
     def _check(self, step: str) -> None:
         if self.is_down:
--- a/dragonflynotch/testing/worker.py
+++ b/dragonflynotch/testing/worker.py
@@ -61,21 +61,16 @@
 
     Parameters
     ----------
-    worker_id : str
-        Name used in checkpoint keys.
     store : ObjectStore
         Receives the checkpoints.
     usage_lag_s : float
         Age of the reported usage.
     """
 
-    def __init__(
-        self, worker_id: str, store: ObjectStore, usage_lag_s: float = 0.2
-    ) -> None:
+    def __init__(self, store: ObjectStore, usage_lag_s: float = 0.2) -> None:
         """Create a worker without tasks and faults."""
         self.faults = WorkerFaults()
         self.computed: Counter[str] = Counter()
-        self._worker_id = worker_id
         self._store = store
         self._usage_lag_s = usage_lag_s
         self._lease_until_ms = 0
@@ -153,11 +148,11 @@
             case StartTask():
                 self._start(key, task)
             case CheckpointTask():
-                task.request_checkpoint()
+                task.request_checkpoint(command.label)
             case ThrottleTask():
                 task.throttle()
             case StopTask():
-                task.stop(command.checkpoint_limit_ms / 1000)
+                task.stop(command.checkpoint_limit_ms / 1000, command.label)
             case ForgetTask():
                 task.stop(0)
                 self._tasks.pop(key)
@@ -167,7 +162,6 @@
             return
         task = SimulatedTask(
             command,
-            self._worker_id,
             self._store,
             lambda: self._lease_until_ms / 1000,
             self._usage_lag_s,
--- a/dragonflynotch/testing/worker_task.py
+++ b/dragonflynotch/testing/worker_task.py
@@ -10,7 +10,12 @@
 
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.platform.object_store import ObjectStore
-from dragonflynotch.platform.worker import LaunchTask, TaskPhase, TaskStatus
+from dragonflynotch.platform.worker import (
+    LAPSE_LABEL,
+    LaunchTask,
+    TaskPhase,
+    TaskStatus,
+)
 
 __all__ = ('SimulatedTask', 'TaskProgram')
 
@@ -51,8 +56,6 @@
     ----------
     command : LaunchTask
         How it was launched.
-    worker_id : str
-        Part of the checkpoint keys.
     store : ObjectStore
         Receives the checkpoints.
     lease_end_s : callable
@@ -64,7 +67,6 @@
     def __init__(
         self,
         command: LaunchTask,
-        worker_id: str,
         store: ObjectStore,
         lease_end_s: Callable[[], float],
         usage_lag_s: float,
@@ -73,7 +75,6 @@
         self.phase = TaskPhase.held
         self.reason = ''
         self._command = command
-        self._worker_id = worker_id
         self._store = store
         self._lease_end_s = lease_end_s
         self._usage_lag_s = usage_lag_s
@@ -83,11 +84,12 @@
         self._is_throttled = False
         self._checkpoint = command.checkpoint
         self._saved_s: float = 0
-        self._saves = 0
+        self._periodic = 0
         self._work_s: float = 0
         self._usage: deque[tuple[float, float, int]] = deque()
-        self._stop_limit_s: float | None = None
-        self._wants_checkpoint = False
+        self._stop_limit_s: float = 0
+        self._stop_label = ''
+        self._wanted_label = ''
 
     @property
     def is_final(self) -> bool:
@@ -122,21 +124,22 @@
             self.phase = TaskPhase.running
         return was_held
 
-    def request_checkpoint(self) -> None:
+    def request_checkpoint(self, label: str) -> None:
         """Write a checkpoint at the next step."""
-        self._wants_checkpoint = True
+        self._wanted_label = label
 
     def throttle(self) -> None:
         """Report at most the declared size from now on."""
         self._is_throttled = True
 
-    def stop(self, limit_s: float) -> None:
+    def stop(self, limit_s: float, label: str = LAPSE_LABEL) -> None:
         """Stop; a held task stops at once."""
         if self.phase is TaskPhase.held:
             self.phase = TaskPhase.stopped
         elif self.phase is TaskPhase.running:
             self.phase = TaskPhase.stopping
             self._stop_limit_s = limit_s
+            self._stop_label = label
 
     def fail(self, reason: str) -> None:
         """End the task with a failure."""
@@ -163,14 +166,19 @@
 
     async def _step(self) -> None:
         if self.phase is TaskPhase.stopping:
-            await self._save(self._stop_limit_s or 0)
+            await self._save(self._stop_limit_s, self._stop_label)
             self.phase = TaskPhase.stopped
         elif self.phase is TaskPhase.running:
             if self._work_s >= self._program.seconds:
                 self._end()
+            elif self._wanted_label:
+                label = self._wanted_label
+                self._wanted_label = ''
+                await self._save(_LAPSE_CHECKPOINT_LIMIT_S, label)
             elif self._is_checkpoint_due():
-                self._wants_checkpoint = False
-                await self._save(_LAPSE_CHECKPOINT_LIMIT_S)
+                self._periodic += 1
+                label = f'periodic-{self._periodic}'
+                await self._save(_LAPSE_CHECKPOINT_LIMIT_S, label)
 
     def _end(self) -> None:
         if self._program.fails:
@@ -180,15 +188,14 @@
 
     def _is_checkpoint_due(self) -> bool:
         interval_s = self._program.checkpoint_interval_s
-        is_due = 0 < interval_s <= self._work_s - self._saved_s
-        return is_due or self._wants_checkpoint
+        return 0 < interval_s <= self._work_s - self._saved_s
 
     async def _lapse(self) -> None:
         was_running = self.phase is not TaskPhase.held
         self.phase = TaskPhase.stopped
         self.reason = 'lease lapsed'
         if was_running:
-            await self._save(_LAPSE_CHECKPOINT_LIMIT_S)
+            await self._save(_LAPSE_CHECKPOINT_LIMIT_S, LAPSE_LABEL)
 
     async def _resume(self) -> None:
         if not self._command.checkpoint:
@@ -203,17 +210,16 @@
         self._work_s = saved.work_done_s
         self._saved_s = saved.work_done_s
 
-    async def _save(self, limit_s: float) -> None:
+    async def _save(self, limit_s: float, label: str) -> None:
         if not self._command.is_checkpointable or limit_s <= 0:
             return
-        self._saves += 1
         work_s = self._work_s
         key = '/'.join(
             (
                 'checkpoint',
                 self._command.job_id,
                 str(self._command.attempt),
-                f'{self._worker_id}-{self._saves}',
+                label,
             )
         )
         content = msgspec.json.encode(_Checkpoint(work_s))
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -56,7 +56,7 @@
     """A keeper with its worker, renewed on demand."""
 
     def __init__(self):
-        self.app = WorkerApp('worker-1', MemoryObjectStore())
+        self.app = WorkerApp(MemoryObjectStore())
         self.keepers = []
         self.restart()
 
