--- a/dragonflynotch/entry/ownership.py
+++ b/dragonflynotch/entry/ownership.py
@@ -98,6 +98,7 @@
         self._right: RenewalRight | None = None
         self._grant: Grant | None = None
         self._row: LeaseRow | None = None
+        self._others: frozenset[str] = frozenset()
         self._is_uncertain = False
         self._is_stopping = False
         self._lock = asyncio.Lock()
@@ -214,11 +215,7 @@
 
     async def _renew(self) -> None:
         try:
-            registered = await self._store.registered()
-            if self._right is not None:
-                self._right = replace(
-                    self._right, registered=registered - {self._entry_id}
-                )
+            await self._read_registrations()
             await self.commit(())
         except NotOwnerError as error:
             _log.warning('ownership is lost: {}', error)
@@ -277,7 +274,7 @@
     async def _take_over(self, seen: LeaseObservation) -> None:
         # An owner asks every registered entry for its grant, so an entry that
         # is not registered must not take over.
-        if self._entry_id not in await self._store.registered():
+        if not await self._read_registrations():
             return
         async with self._lock:
             self._store.version = seen.version
@@ -289,10 +286,20 @@
                 (),
             )
 
+    async def _read_registrations(self) -> bool:
+        """Read who is registered and return whether this entry is."""
+        registered = await self._store.registered()
+        self._others = registered - {self._entry_id}
+        if self._right is not None:
+            self._right = replace(self._right, registered=self._others)
+        return self._entry_id in registered
+
     def _confirm(self, row: LeaseRow, sent_at: datetime) -> None:
         now = self._clock.now()
         is_gain = self._right is None
-        right = self._right or RenewalRight(row.fence, sent_at, now)
+        right = self._right or RenewalRight(
+            row.fence, sent_at, now, registered=self._others
+        )
         self._right = confirm_by_table(right, sent_at, now)
         self._row = row
         self._is_uncertain = False
--- a/tests/failures/test_gang_takeover.py
+++ b/tests/failures/test_gang_takeover.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-
 from tests.gang_processes import TASK_LEASE_S, Deployment, job_body
 
 PREPARES = 3
