--- /dev/null
+++ b/tests/entry/test_outbox.py
@@ -0,0 +1,141 @@
+"""Order of records, member orders and releases."""
+
+import asyncio
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from dragonflynotch.core.actions import (
+    PrepareMember,
+    StopMember,
+    WriteJob,
+)
+from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.core.jobs import Job, JobSpec, JobState, Member
+from dragonflynotch.core.shapes import Shape
+from dragonflynotch.entry.job_mirror import JobMirror
+from dragonflynotch.entry.job_recorder import JobRecorder
+from dragonflynotch.entry.outbox import Outbox, OutboxListener
+from dragonflynotch.links.orders import (
+    ConfirmOrder,
+    GuardReport,
+    MemberPhase,
+    MemberStatus,
+    PrepareOrder,
+    ReleaseOrder,
+    StopOrder,
+)
+from dragonflynotch.testing.table import MemoryTable
+
+SPEC = JobSpec('resort', 'recut', Shape(8))
+MEMBER = Member('worker-1', (0,))
+PREPARE = PrepareMember('job-1', 1, 'worker-1', 1, MEMBER, SPEC, '')
+STOP = StopMember('job-1', 1, 'worker-1', 1, timedelta(seconds=1))
+
+
+def job(state, attempt=1):
+    now = datetime(2026, 1, 1, tzinfo=UTC)
+    return Job('job-1', SPEC, now, state, attempt, (MEMBER,))
+
+
+class Bench(OutboxListener):
+    def __init__(self):
+        self.table = MemoryTable()
+        self.results = []
+        self.sent = []
+        self.recorder = JobRecorder('dc', self.commit, bool)
+        self.outbox = Outbox(
+            self.recorder, lambda out: self.sent.append(out.order), self
+        )
+
+    async def commit(self, writes):
+        return await self.table.commit(writes, 'own')
+
+    def records_flushed(self, result):
+        self.results.append(result)
+
+
+@pytest.fixture
+async def bench():
+    bench = Bench()
+    task = asyncio.create_task(bench.outbox.run())
+    yield bench
+    task.cancel()
+
+
+async def test_orders_wait_for_the_first_record(bench):
+    """Guards against work for a job that the caller is refused."""
+    bench.table.delay_s = 0.5
+    bench.recorder.expect('job-1', None)
+    bench.outbox.put((WriteJob(job(JobState.starting)), PREPARE))
+    await asyncio.sleep(0.4)
+    assert not bench.sent
+    await asyncio.sleep(0.25)
+    assert [type(order) for order in bench.sent] == [PrepareOrder]
+
+
+async def test_orders_of_a_refused_job_are_dropped(bench, monkeypatch):
+    """Guards against members of a job that was refused in an outage."""
+
+    async def fail(writes):
+        await asyncio.sleep(0.35)
+        raise PlatformUnavailableError('down')
+
+    bench.recorder._commit = fail
+    bench.recorder.expect('job-1', None)
+    bench.outbox.put((WriteJob(job(JobState.starting)), PREPARE, STOP))
+    await asyncio.sleep(0.5)
+    assert bench.results[0].refused == ('job-1',)
+    bench.outbox.release('job-1', is_accepted=False)
+    assert [type(order) for order in bench.sent] == [StopOrder]
+
+
+async def test_accepted_job_does_not_wait_for_a_slow_table(bench):
+    """Guards against starts that an outage of the table delays."""
+    bench.table.delay_s = 5
+    bench.outbox.put((WriteJob(job(JobState.starting)), PREPARE))
+    await asyncio.sleep(0.45)
+    assert [type(order) for order in bench.sent] == [PrepareOrder]
+
+
+async def test_running_gang_is_confirmed(bench):
+    """Guards against members that stop because nobody confirmed them."""
+    bench.outbox.put((WriteJob(job(JobState.running)),))
+    await asyncio.sleep(0.05)
+    assert bench.sent == [ConfirmOrder('job-1', 1)]
+
+
+def report(phase):
+    status = MemberStatus('job-1', 1, phase, (0,))
+    return GuardReport('guard-1', 1, 1, 1, (status,))
+
+
+@pytest.mark.parametrize(
+    ('state', 'attempt', 'is_recorded', 'expected'),
+    [
+        (JobState.running, 1, True, ()),
+        (JobState.finished, 1, False, ()),
+        (JobState.finished, 1, True, (ReleaseOrder('job-1', 1),)),
+        (JobState.waiting, 1, True, (ReleaseOrder('job-1', 1),)),
+        (JobState.running, 2, True, (ReleaseOrder('job-1', 1),)),
+    ],
+)
+def test_outcome_is_kept_until_its_consequence_is_recorded(
+    state, attempt, is_recorded, expected
+):
+    """Guards against an outcome that dies with the owner in an outage."""
+    mirror = JobMirror()
+    mirror.put(job(state, attempt))
+    mirror.note_report('worker-1', report(MemberPhase.finished))
+    releases = mirror.take_releases(lambda _: is_recorded)
+    assert tuple(each.order for each in releases) == expected
+
+
+def test_unconfirmed_member_of_a_running_job_is_confirmed_again():
+    """Guards against a member that stops after its guard was restarted."""
+    mirror = JobMirror()
+    mirror.put(job(JobState.running))
+    owed = mirror.note_report('worker-1', report(MemberPhase.running))
+    assert [each.order for each in owed] == [ConfirmOrder('job-1', 1)]
+    mirror.put(job(JobState.starting))
+    assert not mirror.note_report('worker-1', report(MemberPhase.running))
--- a/tests/failures/test_gangs.py
+++ b/tests/failures/test_gangs.py
@@ -133,15 +133,17 @@
 async def test_table_outage(site):
     """Guards against stopped jobs, or accepted ones, during an outage."""
     running = await started(site, 4)
-    short = await started_beside(site)
+    # Ends during the outage.
+    short = await started(site, 1, accelerators=0)
     await site.set_table('down')
-    refused = await site.submit(job_body(0.1, accelerators=0), key='k2')
-    assert refused.status_code == 503
-    assert refused.json()['outcome'] == 'not_run'
-    assert refused.json()['retry_after_ms'] > 0
+    before = await site.computed()
+    for key in ('k2', ''):
+        refused = await site.submit(job_body(0.1, accelerators=0), key=key)
+        assert refused.status_code == 503
+        assert refused.json()['outcome'] == 'not_run'
+        assert refused.json()['retry_after_ms'] > 0
     await asyncio.sleep(TASK_LEASE_S + 1.5)
-    counts = await site.computed()
-    assert [each.get(f'{running}/2') for each in counts] == [None] * 3
+    assert await site.computed() == before
     await site.set_table('none')
     for job_id in (running, short):
         job = await site.until_state(job_id, 'finished')
@@ -152,13 +154,6 @@
     assert rows.json() == []
 
 
-async def started_beside(site):
-    """Submit a job without accelerators that ends during the outage."""
-    body = job_body(1, accelerators=0)
-    reply = await site.submit(body)
-    return reply.json()['job_id']
-
-
 async def test_lost_write_answers_change_nothing(site):
     """Guards against a job that is lost or doubled by a lost answer."""
     await site.set_table('lose_answers')
