--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -5,19 +5,17 @@
 from collections.abc import Mapping
 from contextlib import suppress
 from datetime import timedelta
-from random import Random
 from typing import Any
 
 from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.core.membership import GuardInfo, Membership
-from dragonflynotch.core.routing import RoutingTable, Target
+from dragonflynotch.core.routing import Target
 from dragonflynotch.entry.admission import TopologyAdmission
-from dragonflynotch.entry.callers import create_caller_app
 from dragonflynotch.entry.configuration import ConfigurationService
 from dragonflynotch.entry.configuration_copies import ConfigurationCopies
 from dragonflynotch.entry.configuration_store import ConfigurationStore
-from dragonflynotch.entry.dispatcher import Dispatcher
 from dragonflynotch.entry.health import Health
+from dragonflynotch.entry.job_api import create_job_router
 from dragonflynotch.entry.membership import MembershipListener
 from dragonflynotch.entry.operators import (
     OperatorServices,
@@ -29,11 +27,11 @@
     RemoteEntries,
 )
 from dragonflynotch.entry.registry import EntryRegistry
+from dragonflynotch.entry.request_path import RequestPath
 from dragonflynotch.entry.scheduling import Scheduling
 from dragonflynotch.entry.server import HttpServer
 from dragonflynotch.entry.sync import EntrySync, readable_versions
 from dragonflynotch.links.entry_link import EntryLinkServer, GrpcEntryLink
-from dragonflynotch.links.guard_link import HttpGuardLink
 from dragonflynotch.links.messages import Acknowledgement, Announcement
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.observability.metrics import EntryMetrics
@@ -45,6 +43,9 @@
 
 _INCARNATION_BITS = 53
 _TABLE_TIMEOUT = timedelta(seconds=1)
+# All guards announce themselves within this time, so that an entry is ready
+# only when it knows them.
+_MEMBERS_HEARD_AFTER = timedelta(seconds=1)
 _LINK_GRACE = timedelta(seconds=1)
 
 _log = part_logger('entry')
@@ -60,7 +61,6 @@
         self._identity = _identity(settings)
         self._metrics = EntryMetrics(settings.entry_id, settings.data_centre)
         self._table = HttpTableService(settings.table.url, _TABLE_TIMEOUT)
-        self._routing = RoutingTable(settings.data_centre, Random())
         self._membership = Membership()
         self._remote = RemoteEntries(self._observe_remote)
         self._registry = EntryRegistry(self._identity, self._table, self._clock)
@@ -102,17 +102,22 @@
             self._clock,
             self._configuration.view,
         )
-        self._health = Health(lambda: self._configuration.is_ready)
-        self._link = HttpGuardLink()
-        self._dispatcher = Dispatcher(self._routing, self._link, self._clock)
+        started_at = self._clock.now()
+        self._health = Health(
+            lambda: self._configuration.is_ready,
+            lambda: self._clock.now() - started_at > _MEMBERS_HEARD_AFTER,
+        )
+        self._requests = RequestPath(
+            settings, self._configuration.view, self._health, self._clock
+        )
         self._callers = HttpServer(
-            create_caller_app(
-                self._dispatcher,
-                self._clock,
-                self._health,
-                self._scheduling.jobs,
+            self._requests.create_app(
+                create_job_router(
+                    self._scheduling.jobs, self._configuration.view
+                ),
             ),
             *settings.callers.pair,
+            drain_limit_s=settings.drain_limit_ms // 1000,
         )
         self._operators = HttpServer(
             create_operator_app(
@@ -149,6 +154,7 @@
         for peer in settings.peers:
             self._exchange.add_peer(f'{peer.host}:{peer.port}')
         self._scheduling.start()
+        self._requests.open()
         self._operators.start()
         self._callers.start()
 
@@ -170,7 +176,7 @@
         await self._exchange.close()
         await self._link_server.stop(_LINK_GRACE)
         await self._copies.close()
-        await self._link.close()
+        await self._requests.close()
         await self._table.close()
 
     def _observe_local(
@@ -187,7 +193,7 @@
     def _observe_target(self, guard: GuardInfo) -> None:
         if guard.minion is None:
             return
-        self._routing.observe(
+        self._requests.observe(
             Target(
                 guard_id=guard.guard_id,
                 incarnation=guard.incarnation,
--- a/dragonflynotch/entry/job_mirror.py
+++ b/dragonflynotch/entry/job_mirror.py
@@ -1,5 +1,6 @@
 """Jobs as the owner knows them, and member outcomes to release."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from dragonflynotch.core.jobs import Job, JobState
@@ -25,6 +26,7 @@
         """Start without jobs."""
         self._jobs: dict[str, Job] = {}
         self._ended: set[str] = set()
+        self._waiting: Counter[str] = Counter()
         self._outcomes: dict[tuple[str, int], set[str]] = {}
 
     def __len__(self) -> int:
@@ -38,9 +40,16 @@
 
     def load(self, jobs: tuple[Job, ...]) -> None:
         """Start again with the records read at a takeover."""
-        self._jobs = {job.job_id: job for job in jobs}
+        self._jobs.clear()
         self._ended.clear()
         self._outcomes.clear()
+        self._waiting.clear()
+        for job in jobs:
+            self.put(job)
+
+    def count_waiting(self, workspace: str) -> int:
+        """Return how many jobs of a workspace wait."""
+        return self._waiting[workspace]
 
     def find(self, job_id: str) -> Job | None:
         """Return the latest state of a job, or ``None``."""
@@ -48,13 +57,15 @@
 
     def put(self, job: Job) -> None:
         """Take over a new state."""
+        self._count(self._jobs.get(job.job_id), -1)
+        self._count(job, 1)
         self._jobs[job.job_id] = job
         if job.state.is_final:
             self._ended.add(job.job_id)
 
     def drop(self, job_id: str) -> None:
         """Forget a job."""
-        self._jobs.pop(job_id, None)
+        self._count(self._jobs.pop(job_id, None), -1)
         self._ended.discard(job_id)
 
     def note_report(
@@ -100,6 +111,10 @@
             for worker_id in self._outcomes.pop(key)
         )
 
+    def _count(self, job: Job | None, change: int) -> None:
+        if job is not None and job.state is JobState.waiting:
+            self._waiting[job.spec.workspace] += change
+
     def _is_current(self, key: tuple[str, int]) -> bool:
         job_id, attempt = key
         job = self._jobs.get(job_id)
--- a/dragonflynotch/entry/job_service.py
+++ b/dragonflynotch/entry/job_service.py
@@ -21,6 +21,7 @@
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
 _HTTP_UNPROCESSABLE = 422
+_HTTP_TOO_MANY = 429
 _HTTP_UNAVAILABLE = 503
 _HTTP_TIMEOUT = 504
 _MILLISECOND = timedelta(milliseconds=1)
@@ -134,9 +135,13 @@
             outcome='unknown',
             retry_after=verdict.retry_after,
         )
-    is_final = verdict.retry_after is None
+    status = _HTTP_UNAVAILABLE
+    if verdict.reason == 'too_many_waiting_jobs':
+        status = _HTTP_TOO_MANY
+    elif verdict.retry_after is None:
+        status = _HTTP_UNPROCESSABLE
     return problem_answer(
-        _HTTP_UNPROCESSABLE if is_final else _HTTP_UNAVAILABLE,
+        status,
         verdict.reason,
         verdict.detail,
         retry_after=verdict.retry_after,
--- a/dragonflynotch/entry/local_jobs.py
+++ b/dragonflynotch/entry/local_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import uuid
+from collections.abc import Callable
 from datetime import timedelta
 
 from dragonflynotch.core.clock import Clock
@@ -11,6 +12,7 @@
     PlatformUnavailableError,
 )
 from dragonflynotch.core.jobs import Job, JobState
+from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.job_service import (
     HTTP_ACCEPTED,
     HTTP_OK,
@@ -72,6 +74,8 @@
         Holds records of ended jobs and idempotency keys.
     clock : Clock
         Clock of the entry.
+    view : callable
+        Returns the configuration in force.
     """
 
     def __init__(
@@ -80,8 +84,10 @@
         owner: PartitionOwner,
         table: TableService,
         clock: Clock,
+        view: Callable[[], ConfigurationView],
     ) -> None:
         """Answer calls with ``owner``."""
+        self._view = view
         self._data_centre = data_centre
         self._owner = owner
         self._table = table
@@ -154,12 +160,9 @@
             row = await self._table.read(row_key)
             if row is not None:
                 return await self._repeat(decode_key_row(row.content), digest)
-        if not self._owner.knows_workers:
-            return refusal_answer(
-                JobRefused(
-                    'starting', 'workers are not known yet', _RETRY_AFTER
-                )
-            )
+        refusal = self._refusal(command.workspace)
+        if refusal is not None:
+            return refusal_answer(refusal)
         job = Job(uuid.uuid4().hex, spec, self._clock.now())
         key_row = JobKeyRow(
             job_id=job.job_id, data_centre=self._data_centre, body_digest=digest
@@ -175,6 +178,22 @@
             return self._status(HTTP_ACCEPTED, current)
         return refusal_answer(verdict)
 
+    def _refusal(self, workspace: str) -> JobRefused | None:
+        if not self._owner.knows_workers:
+            return JobRefused(
+                'starting', 'workers are not known yet', _RETRY_AFTER
+            )
+        spec = self._view().workspaces.get(workspace)
+        if spec is None:
+            return None
+        if self._owner.count_waiting(workspace) < spec.max_waiting_jobs:
+            return None
+        return JobRefused(
+            'too_many_waiting_jobs',
+            f'{spec.max_waiting_jobs} jobs of the workspace wait already',
+            _RETRY_AFTER,
+        )
+
     async def _repeat(self, known: JobKeyRow, digest: str) -> JobAnswer:
         if known.body_digest != digest:
             return problem_answer(
--- a/dragonflynotch/entry/partition_owner.py
+++ b/dragonflynotch/entry/partition_owner.py
@@ -52,8 +52,8 @@
     OwnershipWasLost,
     RecordsFlushed,
     Submission,
-    SubmissionVerdict,
 )
+from dragonflynotch.entry.pending_calls import PendingCalls
 from dragonflynotch.entry.report_reader import ReportReader
 from dragonflynotch.links.orders import PrepareOrder
 from dragonflynotch.observability.logs import part_logger
@@ -109,8 +109,7 @@
         self._mirror = JobMirror()
         self._reader = ReportReader(self._mirror.find)
         self._outbox = Outbox(recorder, roster.dispatch, self)
-        self._submissions: dict[str, Submission] = {}
-        self._cancellations: list[Cancellation] = []
+        self._calls = PendingCalls()
         self._revision = -1
         self._started_at = clock.now()
         self._ticked_at = clock.now()
@@ -133,6 +132,10 @@
         """Return all jobs that are not final."""
         return self._mirror.jobs
 
+    def count_waiting(self, workspace: str) -> int:
+        """Return how many jobs of a workspace wait."""
+        return self._mirror.count_waiting(workspace)
+
     def waiting(self) -> dict[str, WaitingJob]:
         """Return why jobs wait, by job."""
         waiting = self._partition.waiting(self._clock.now())
@@ -208,9 +211,9 @@
             case Submission():
                 self._process_submission(item)
             case Cancellation():
-                self._cancellations.append(item)
+                self._calls.add(item)
                 self._handle(JobCancelled(item.job_id))
-                self._answer_cancellations()
+                self._calls.answer_cancellations(self._recorder.is_recorded)
             case OwnershipLoaded():
                 self._begin(item)
             case OwnershipWasLost():
@@ -253,9 +256,7 @@
 
     def _process_flush(self, result: FlushResult) -> None:
         for job_id in result.accepted:
-            submission = self._submissions.pop(job_id, None)
-            if submission is not None:
-                _resolve(submission.verdict, JobAccepted(job_id))
+            self._calls.answer(job_id, JobAccepted(job_id))
         for job_id in result.refused:
             self._drop_submission(
                 job_id,
@@ -266,12 +267,12 @@
                 ),
             )
         self._mirror.drop_ended(self._recorder.is_recorded)
-        self._answer_cancellations()
+        self._calls.answer_cancellations(self._recorder.is_recorded)
         self._release()
 
     def _process_submission(self, item: Submission) -> None:
         job_id = item.job.job_id
-        self._submissions[job_id] = item
+        self._calls.add(item)
         self._recorder.expect(job_id, item.key_write)
         self._handle(JobSubmitted(item.job))
 
@@ -286,25 +287,15 @@
                 verdict = JobRefused(
                     'not_owner', 'this entry is not the owner', _RETRY_AFTER
                 )
-        submission = self._submissions.pop(action.job_id, None)
         self._recorder.discard(action.job_id)
-        if submission is not None:
-            _resolve(submission.verdict, verdict)
+        self._calls.answer(action.job_id, verdict)
 
     def _drop_submission(self, job_id: str, verdict: JobRefused) -> None:
-        submission = self._submissions.pop(job_id, None)
-        if submission is not None:
-            _resolve(submission.verdict, verdict)
+        self._calls.answer(job_id, verdict)
         self._handle(JobCancelled(job_id))
         self._outbox.release(job_id, is_accepted=False)
         self._mirror.drop(job_id)
 
-    def _answer_cancellations(self) -> None:
-        for item in tuple(self._cancellations):
-            if self._recorder.is_recorded(item.job_id):
-                self._cancellations.remove(item)
-                _resolve(item.verdict, JobAccepted(item.job_id))
-
     def _release(self) -> None:
         is_recorded = self._recorder.is_recorded
         for outgoing in self._mirror.take_releases(is_recorded):
@@ -328,17 +319,4 @@
             'the owner changed before the job was recorded',
             _RETRY_AFTER,
         )
-        for submission in self._submissions.values():
-            _resolve(submission.verdict, verdict)
-        for cancellation in self._cancellations:
-            _resolve(cancellation.verdict, verdict)
-        self._submissions.clear()
-        self._cancellations.clear()
-
-
-def _resolve(
-    future: 'asyncio.Future[SubmissionVerdict]', verdict: SubmissionVerdict
-) -> None:
-    # A caller that gave up has cancelled the future.
-    if not future.done():
-        future.set_result(verdict)
+        self._calls.answer_all(verdict)
--- /dev/null
+++ b/dragonflynotch/entry/request_path.py
@@ -0,0 +1,103 @@
+"""The parts of an entry that serve requests, put together."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import timedelta
+from random import Random
+
+from litestar import Litestar, Router
+
+from dragonflynotch.core.clock import Clock
+from dragonflynotch.core.limits import RetryBudget
+from dragonflynotch.core.routing import RoutingTable, Target
+from dragonflynotch.core.workspaces import ConfigurationView
+from dragonflynotch.entry.at_most_once import AtMostOnceRunner
+from dragonflynotch.entry.attempts import AttemptRunner
+from dragonflynotch.entry.callers import CallerContext, create_caller_app
+from dragonflynotch.entry.dispatcher import Dispatcher
+from dragonflynotch.entry.health import Health
+from dragonflynotch.entry.idempotent import IdempotentRunner
+from dragonflynotch.entry.ledger import Ledger
+from dragonflynotch.entry.target_queue import TargetQueue
+from dragonflynotch.links.guard_link import HttpGuardLink
+from dragonflynotch.platform.http_object_store import HttpObjectStore
+from dragonflynotch.platform.http_table import HttpTableService
+from dragonflynotch.records.settings import EntrySettings
+
+__all__ = ('RequestPath',)
+
+_TABLE_TIMEOUT = timedelta(milliseconds=500)
+_OBJECT_TIMEOUT = timedelta(seconds=2)
+_LAST_WRITES = timedelta(seconds=2)
+
+
+class RequestPath:
+    """Everything between the caller port and the guards.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the entry.
+    configuration : callable
+        Returns the configuration in force.
+    health : Health
+        Readiness of the entry.
+    clock : Clock
+        Clock of the process.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        configuration: Callable[[], ConfigurationView],
+        health: Health,
+        clock: Clock,
+    ) -> None:
+        """Create all parts; ``open`` starts them."""
+        self._routing = RoutingTable(settings.data_centre, Random())
+        self._queue = TargetQueue(self._routing, clock, settings.queue_limit)
+        self._link = HttpGuardLink()
+        self._table = HttpTableService(settings.table.url, _TABLE_TIMEOUT)
+        self._objects: HttpObjectStore | None = None
+        if settings.object_store is not None:
+            self._objects = HttpObjectStore(
+                settings.object_store.url, _OBJECT_TIMEOUT
+            )
+        self._ledger = Ledger(self._table, self._objects)
+        attempts = AttemptRunner(self._routing, self._link, clock)
+        dispatcher = Dispatcher(
+            self._queue,
+            IdempotentRunner(self._queue, attempts, RetryBudget(), clock),
+            AtMostOnceRunner(
+                self._queue, attempts, self._ledger, self._routing, clock
+            ),
+            clock,
+        )
+        self._context = CallerContext(dispatcher, configuration, health, clock)
+        self._ticker: asyncio.Task[None] | None = None
+
+    def create_app(self, *routers: Router) -> Litestar:
+        """Return the ASGI application for callers, with further ``routers``."""
+        return create_caller_app(self._context, *routers)
+
+    def open(self) -> None:
+        """Start the background work."""
+        self._ticker = asyncio.create_task(self._queue.run())
+
+    def observe(self, target: Target) -> None:
+        """Take over an announcement and serve waiting requests."""
+        self._routing.observe(target)
+        self._queue.pump()
+
+    async def close(self) -> None:
+        """Finish unfinished writes and close all connections."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._ticker
+        await self._ledger.close(_LAST_WRITES)
+        await self._link.close()
+        await self._table.close()
+        if self._objects is not None:
+            await self._objects.close()
--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -100,7 +100,7 @@
             inbox,
         )
         self.jobs = LocalJobService(
-            settings.data_centre, self._owner, table, clock
+            settings.data_centre, self._owner, table, clock, view
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._loading: asyncio.Task[None] | None = None
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -96,6 +96,7 @@
     table: Address
     object_store: Address | None = None
     peers: tuple[Address, ...] = ()
+    queue_limit: int = 512
     stop_notice_ms: int = 1000
     drain_limit_ms: int = 30_000
     ownership: OwnershipSettings = OwnershipSettings()
@@ -137,6 +138,7 @@
     worker: WorkerSettings | None = None
     advertise: Address | None = None
     """Where entries reach the guard, if not at ``listen``."""
+    drain_notice_ms: int = 3000
     drain_limit_ms: int = 30_000
     tasks: TaskSettings = TaskSettings()
 
--- a/dragonflynotch/testing/deployment.py
+++ b/dragonflynotch/testing/deployment.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from msgspec import structs
+
 from dragonflynotch.records.settings import (
     Address,
     EntrySettings,
@@ -73,7 +75,8 @@
     sites : tuple of SitePlan
         The data centres.
     stop_notice_ms : int
-        Time between "not ready" and the stop of an entry, in milliseconds.
+        Shortest time between "not ready" or "draining" and the end of an entry
+        or guard, in milliseconds.
 
     Examples
     --------
@@ -111,7 +114,11 @@
         for data_centre in sites
         for guard in _site_guards(data_centre, ports, tuple(entries))
     ]
-    return DeploymentPlan(table, object_store, tuple(entries), tuple(guards))
+    notified = tuple(
+        structs.replace(guard, drain_notice_ms=stop_notice_ms)
+        for guard in guards
+    )
+    return DeploymentPlan(table, object_store, tuple(entries), notified)
 
 
 def _site_guards(
--- a/tests/failures/test_gangs.py
+++ b/tests/failures/test_gangs.py
@@ -8,6 +8,7 @@
 import pytest_asyncio
 
 from tests.gang_processes import (
+    MAX_WAITING_JOBS,
     SCHEDULING,
     TASK_LEASE_S,
     Deployment,
@@ -51,6 +52,10 @@
         job_id,
         'finished',
     )
+    stranger = await site.call(
+        await site.owner(), 'GET', headers={'Authorization': 'Bearer other'}
+    )
+    assert stranger.status_code == 403
     bad = (await site.submit({'shape': {'accelerators': -1}})).json()
     assert (bad['path'], bad['value']) == ('$.shape.accelerators', '-1')
     assert 'greater than or equal to 0' in bad['expected']
@@ -63,12 +68,18 @@
     waiting = (await site.submit(job_body(60))).json()
     shown = await site.until_state(waiting['job_id'], 'waiting')
     assert shown['waits_for']
+    more = [
+        await site.submit(job_body(60, accelerators=8))
+        for _ in range(MAX_WAITING_JOBS)
+    ]
+    assert [reply.status_code for reply in more[-2:]] == [202, 429]
     owner = await site.owner()
     listed = (await site.call(owner, 'GET')).json()['jobs']
     states = {each['job_id']: each['state'] for each in listed}
     assert states[running] == 'running'
     assert states[job_id] == 'finished'
-    for cancelled in (waiting['job_id'], running):
+    open_jobs = [job for job, state in states.items() if state == 'waiting']
+    for cancelled in (*open_jobs, running):
         reply = await site.call(owner, 'DELETE', f'/{cancelled}')
         assert reply.status_code == 202
         await site.until_state(cancelled, 'cancelled')
--- a/tests/gang_processes.py
+++ b/tests/gang_processes.py
@@ -1,6 +1,7 @@
 """Entries, guards and stand-ins as separate processes on loopback."""
 
 import asyncio
+import hashlib
 import json
 import os
 import signal
@@ -25,7 +26,10 @@
 )
 
 SITE = 'lautoka'
+TOKEN = 'secret'
 TASK_LEASE_S = 3.0
+MAX_WAITING_JOBS = 20
+_NO_OWNER_REASONS = ('not_owner', 'token_refused')
 OWNERSHIP = OwnershipSettings(
     lease_ms=1500,
     renewal_ms=300,
@@ -152,7 +156,11 @@
                 guard, minion=None, tasks=TASKS, advertise=advertise
             )
         self.processes = {}
-        self.client = httpx.AsyncClient(trust_env=False, timeout=8)
+        self.client = httpx.AsyncClient(
+            trust_env=False,
+            timeout=8,
+            headers={'Authorization': f'Bearer {TOKEN}'},
+        )
 
     async def __aenter__(self):
         for relay in self.relays.values():
@@ -162,6 +170,7 @@
         for name in self.settings:
             self.start(name)
         try:
+            await self.until(self._is_workspace_known, 15)
             await self.until(self.owner, 15)
             await self.until(self._are_workers_known, 10)
         except BaseException:
@@ -231,7 +240,7 @@
                 reply = await self.call(name, 'GET', '/none', timeout=0.5)
             except httpx.HTTPError:
                 continue
-            if reply.json().get('reason') != 'not_owner':
+            if reply.json().get('reason') not in _NO_OWNER_REASONS:
                 return name
         return ''
 
@@ -288,6 +297,30 @@
             )
         return found
 
+    async def _is_workspace_known(self):
+        """Write the workspace record and wait until every entry has it."""
+        record = {
+            'schema_version': 2,
+            'kind': 'workspace',
+            'name': 'resort',
+            'spec': {
+                'token_digests': [hashlib.sha256(TOKEN.encode()).hexdigest()],
+                'max_waiting_jobs': MAX_WAITING_JOBS,
+            },
+        }
+        try:
+            for name in self.entries:
+                url = self.settings[name].operators.url
+                await self.client.put(
+                    f'{url}/v1/records/workspace/resort',
+                    json=record,
+                    headers={'If-Match': '"0"'},
+                )
+            replies = [await self.call(name, 'GET') for name in self.entries]
+        except httpx.HTTPError:
+            return False
+        return all(reply.status_code != 403 for reply in replies)
+
     async def _are_stand_ins_up(self):
         try:
             await self.computed()
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -177,6 +177,7 @@
     bench.order(ConfirmOrder('job', 1))
     stopped = await bench.until(MemberPhase.stopped, renewals=False)
     assert time.monotonic() - started < 0.9
+    assert stopped.reason == 'lease_lapsed'
     assert stopped.checkpoint
     assert stopped.work_done_ms > 0
 
