--- a/dragonflynotch/entry/callers.py
+++ b/dragonflynotch/entry/callers.py
@@ -7,7 +7,15 @@
 from datetime import datetime, timedelta
 from typing import Any, cast
 
-from litestar import Controller, Litestar, Request, Response, get, post
+from litestar import (
+    Controller,
+    Litestar,
+    Request,
+    Response,
+    Router,
+    get,
+    post,
+)
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
 from litestar.params import FromPath
@@ -114,10 +122,10 @@
         return 'live'
 
 
-def create_caller_app(context: CallerContext) -> Litestar:
-    """Return the ASGI application for callers."""
+def create_caller_app(context: CallerContext, *routers: Router) -> Litestar:
+    """Return the ASGI application for callers, with further ``routers``."""
     return Litestar(
-        [RequestController, HealthController],
+        [RequestController, HealthController, *routers],
         openapi_config=None,
         logging_config=None,
         state=State({'context': context}),
--- a/dragonflynotch/entry/request_path.py
+++ b/dragonflynotch/entry/request_path.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from random import Random
 
-from litestar import Litestar
+from litestar import Litestar, Router
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.limits import RetryBudget
@@ -83,9 +83,9 @@
         )
         self._ticker: asyncio.Task[None] | None = None
 
-    def create_app(self) -> Litestar:
-        """Return the ASGI application for callers."""
-        return create_caller_app(self._context)
+    def create_app(self, *routers: Router) -> Litestar:
+        """Return the ASGI application for callers, with further ``routers``."""
+        return create_caller_app(self._context, *routers)
 
     def open(self) -> None:
         """Start the background work."""
