Forward job calls to the partition owner and exchange grants

Cause: a job call reached only the entry that owns the partition, and an owner in a table outage got no grants. Change: ForwardingJobService asks the newest owner among live entries over gRPC, tries other data centres for unknown or never runnable jobs, and lists jobs of all partitions; digests carry the owned fence, their answers the grant. A refused connection is told apart from a lost answer, since nothing was sent.

--- a/dragonflynotch/core/errors.py
+++ b/dragonflynotch/core/errors.py
@@ -5,6 +5,7 @@
     'DragonflynotchError',
     'InvalidInputError',
     'LinkError',
+    'LinkRefusedError',
     'LinkTimeoutError',
     'NotSentError',
     'PlatformUnavailableError',
@@ -87,6 +88,10 @@
     """No connection was made, so nothing was sent."""
 
 
+class LinkRefusedError(LinkError):
+    """No connection to the other process; nothing was sent."""
+
+
 class ConflictError(DragonflynotchError):
     """A conditional write found another revision than the expected one.
 
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -14,6 +14,10 @@
 from dragonflynotch.entry.configuration import ConfigurationService
 from dragonflynotch.entry.configuration_copies import ConfigurationCopies
 from dragonflynotch.entry.configuration_store import ConfigurationStore
+from dragonflynotch.entry.forwarded_jobs import (
+    ForwardingJobService,
+    LocalSchedulingPort,
+)
 from dragonflynotch.entry.health import Health
 from dragonflynotch.entry.job_api import create_job_router
 from dragonflynotch.entry.membership import MembershipListener
@@ -102,6 +106,16 @@
             self._clock,
             self._configuration.view,
         )
+        self._exchange.attach(
+            LocalSchedulingPort(self._scheduling.keeper, self._scheduling.jobs)
+        )
+        jobs = ForwardingJobService(
+            settings.data_centre,
+            self._scheduling.jobs,
+            self._remote,
+            self._exchange.link_to,
+            self._clock,
+        )
         started_at = self._clock.now()
         self._health = Health(
             lambda: self._configuration.is_ready,
@@ -116,9 +130,7 @@
         )
         self._callers = HttpServer(
             self._requests.create_app(
-                create_job_router(
-                    self._scheduling.jobs, self._configuration.view
-                ),
+                create_job_router(jobs, self._configuration.view),
             ),
             *settings.callers.pair,
             drain_limit_s=settings.drain_limit_ms // 1000,
@@ -257,6 +269,8 @@
             'data_centre': self._settings.data_centre,
             'configuration_revision': self._configuration.log.revision,
             'is_table_reachable': self._exchange.is_table_reachable,
+            'owned_fence': self._scheduling.keeper.fence,
+            'is_deciding': self._scheduling.is_deciding,
             'guards': [
                 {
                     'guard': guard.guard_id,
--- a/dragonflynotch/entry/job_api.py
+++ b/dragonflynotch/entry/job_api.py
@@ -63,6 +63,8 @@
             )
         if command.method is JobMethod.submit:
             command = replace(command, body=await request.body())
+        wanted = request.headers.get('data-centre', '')
+        command = replace(command, data_centre=wanted)
         return _response(await self._service.call(command))
 
 
--- a/dragonflynotch/entry/job_service.py
+++ b/dragonflynotch/entry/job_service.py
@@ -24,6 +24,7 @@
 _HTTP_TOO_MANY = 429
 _HTTP_UNAVAILABLE = 503
 _HTTP_TIMEOUT = 504
+_FIRST_PROBLEM_STATUS = 300
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -52,6 +53,8 @@
         Key of ``submit``; empty for none.
     body : bytes
         JSON body of ``submit``.
+    data_centre : str
+        Partition that the caller wants; empty for any.
     """
 
     method: JobMethod
@@ -59,6 +62,7 @@
     job_id: str = ''
     idempotency_key: str = ''
     body: bytes = b''
+    data_centre: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,13 +83,22 @@
     body: bytes
     retry_after: timedelta | None = None
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the call was carried out."""
+        return self.status < _FIRST_PROBLEM_STATUS
+
+    @property
+    def reason(self) -> str:
+        """Stable code of a problem; empty for a success."""
+        if self.is_success:
+            return ''
+        return msgspec.json.decode(self.body, type=_Problem).reason
+
     @property
     def is_not_owner(self) -> bool:
         """Whether the call can be forwarded to the owner."""
-        if self.status != _HTTP_UNAVAILABLE:
-            return False
-        problem = msgspec.json.decode(self.body, type=_Problem)
-        return problem.reason == 'not_owner'
+        return self.reason == 'not_owner'
 
 
 class JobService(ABC):
--- a/dragonflynotch/entry/local_jobs.py
+++ b/dragonflynotch/entry/local_jobs.py
@@ -201,7 +201,7 @@
                 'key_reused',
                 f'the key belongs to job {known.job_id} with another body',
             )
-        job = await self._find(known.job_id)
+        job = await self._find(known.job_id, known.data_centre)
         if job is None:
             return _no_job(known.job_id)
         return self._status(HTTP_ACCEPTED, job)
@@ -249,11 +249,13 @@
             return ()
         return tuple(decode_job_row(row.content) for row in rows)
 
-    async def _find(self, job_id: str) -> Job | None:
+    async def _find(self, job_id: str, data_centre: str = '') -> Job | None:
         job = self._owner.find(job_id)
         if job is not None:
             return job
-        row = await self._table.read(job_row_key(self._data_centre, job_id))
+        row = await self._table.read(
+            job_row_key(data_centre or self._data_centre, job_id)
+        )
         return None if row is None else decode_job_row(row.content)
 
     def _status(self, status: int, job: Job) -> JobAnswer:
--- a/dragonflynotch/entry/peers.py
+++ b/dragonflynotch/entry/peers.py
@@ -35,6 +35,7 @@
     'EntryIdentity',
     'PeerExchange',
     'PeerState',
+    'SchedulingPort',
     'RemoteEntries',
 )
 
@@ -42,6 +43,8 @@
 # A peer that sent no digest for this time is not counted as running.
 PEER_TTL = timedelta(seconds=3)
 
+_UNAVAILABLE = 503
+
 _log = part_logger('entry.peers')
 
 
@@ -173,12 +176,25 @@
             self._observe(_heard_not_before(guard, heard_at))
 
 
-class JobCallHandler(ABC):
-    """Answers job calls that another entry forwarded."""
+class SchedulingPort(ABC):
+    """What the exchange needs from the scheduling part of this entry."""
+
+    @property
+    @abstractmethod
+    def owned_fence(self) -> int:
+        """Fence of the owned partition; 0 for none."""
+
+    @abstractmethod
+    def grant(self, fence: int) -> timedelta | None:
+        """Promise the owner with ``fence`` not to take over for a time."""
+
+    @abstractmethod
+    def receive_grant(self, entry_id: str, asked_at: datetime) -> None:
+        """Record that an entry granted a digest sent at ``asked_at``."""
 
     @abstractmethod
     async def answer(self, call: JobCall) -> JobReply:
-        """Return the answer of the partition owner."""
+        """Return the answer of this entry's partition to a job call."""
 
 
 class PeerExchange(EntryLinkHandler):
@@ -219,14 +235,13 @@
         self._links: dict[str, EntryLink] = {}
         self._acknowledged: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._job_handler: JobCallHandler | None = None
+        self._scheduling: SchedulingPort | None = None
         self.is_stopping = False
         self.is_table_reachable = True
-        self.owned_fence = 0
 
-    def serve_jobs(self, handler: JobCallHandler) -> None:
-        """Answer forwarded job calls with ``handler``."""
-        self._job_handler = handler
+    def attach(self, scheduling: SchedulingPort) -> None:
+        """Exchange grants and job calls for ``scheduling``."""
+        self._scheduling = scheduling
 
     def link_to(self, address: str) -> EntryLink | None:
         """Return the link to a peer, if there is one."""
@@ -261,6 +276,7 @@
         if self._configuration.notice_revision(digest.configuration_revision):
             self._start(self._pull(self._links[address]))
         return DigestReply(
+            grant_ms=milliseconds(self._grant(digest)),
             entry_id=self._identity.entry_id,
             incarnation=self._identity.incarnation,
             applied=applied,
@@ -278,13 +294,20 @@
 
     async def on_job_call(self, call: JobCall) -> JobReply:
         """Answer a forwarded job call."""
-        if self._job_handler is None:
-            return JobReply(status=503)
-        return await self._job_handler.answer(call)
+        if self._scheduling is None:
+            return JobReply(status=_UNAVAILABLE)
+        return await self._scheduling.answer(call)
+
+    def _grant(self, digest: Digest) -> timedelta:
+        is_own = digest.data_centre == self._identity.data_centre
+        if self._scheduling is None or not is_own or not digest.owned_fence:
+            return timedelta()
+        return self._scheduling.grant(digest.owned_fence) or timedelta()
 
     async def _exchange(self, address: str) -> None:
         link = self._links[address]
         while True:
+            asked_at = self._clock.now()
             try:
                 reply = await link.send_digest(self._digest(address))
             except LinkError as error:
@@ -292,6 +315,8 @@
                 _log.debug('digest to {} failed: {}', address, error)
             else:
                 self._acknowledged[address] = reply.applied
+                if reply.grant_ms and self._scheduling is not None:
+                    self._scheduling.receive_grant(reply.entry_id, asked_at)
                 if self._configuration.notice_revision(
                     reply.configuration_revision
                 ):
@@ -325,7 +350,9 @@
             oldest_age_ms=milliseconds(delta.oldest_age),
             configuration_revision=self._configuration.log.revision,
             schema_versions=identity.schema_versions,
-            owned_fence=self.owned_fence,
+            owned_fence=0
+            if self._scheduling is None
+            else self._scheduling.owned_fence,
             is_table_reachable=self.is_table_reachable,
             link_host=identity.link[0],
             link_port=identity.link[1],
--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -105,6 +105,11 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._loading: asyncio.Task[None] | None = None
 
+    @property
+    def is_deciding(self) -> bool:
+        """Whether the partition is owned and its records are loaded."""
+        return self._owner.is_owner
+
     def start(self) -> None:
         """Compete for the ownership and process inputs from now on."""
         self._tasks = [
--- a/dragonflynotch/links/entry_link.py
+++ b/dragonflynotch/links/entry_link.py
@@ -6,7 +6,11 @@
 
 from grpc import StatusCode, aio
 
-from dragonflynotch.core.errors import LinkError, LinkTimeoutError
+from dragonflynotch.core.errors import (
+    LinkError,
+    LinkRefusedError,
+    LinkTimeoutError,
+)
 from dragonflynotch.links.entry_link_pb2 import (
     ConfigurationPosition,
     ConfigurationUpdate,
@@ -169,7 +173,7 @@
                     step=method,
                     peer=self._address,
                 ) from error
-            raise LinkError(
+            raise _link_error(error)(
                 f'call failed: {error.details()}',
                 step=method,
                 peer=self._address,
@@ -218,6 +222,16 @@
             await self._server.stop(grace.total_seconds())
 
 
+def _link_error(error: aio.AioRpcError) -> type[LinkError]:
+    # A call fails with this status before it is sent if the channel has no
+    # connection, because calls do not wait for one.
+    is_unsent = (
+        error.code() is StatusCode.UNAVAILABLE
+        and 'failed to connect' in (error.details() or '').lower()
+    )
+    return LinkRefusedError if is_unsent else LinkError
+
+
 class _Servicer(EntryLinkServicer):
     """Adapts the handler to the generated service class."""
 
