Add the public client library for callers and operators

Cause: tools had to build HTTP calls and read problem documents by themselves. Change: dragonflynotch.client with an abstract base class for each interface, httpx implementations and a typed outcome with reason for each failure. Only idempotent calls are repeated; other calls carry a key. A key drawn by the client is sent as a first attempt; a key given by the caller is not.

--- /dev/null
+++ b/dragonflynotch/client/caller.py
@@ -0,0 +1,218 @@
+"""Client of the caller interface of an entry: requests and jobs."""
+
+import uuid
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from dragonflynotch.client.outcomes import Failure, UnknownOutcome
+from dragonflynotch.client.transport import (
+    Call,
+    HttpTransport,
+    Reply,
+    decode_reply,
+)
+from dragonflynotch.client.views import JobList, JobView, RequestAnswer
+from dragonflynotch.core.requests import content_digest
+
+__all__ = ('CallerClient', 'HttpCallerClient', 'RequestCall', 'SubmitCall')
+
+# Time for the answer to travel after the deadline that the entry observes.
+_ANSWER_MARGIN = timedelta(seconds=2)
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestCall:
+    """A short request.
+
+    Parameters
+    ----------
+    body : bytes
+        Opaque body, at most 1 MiB.
+    request_class : str
+        Class configured for the workspace.
+    is_idempotent : bool
+        Whether the request may run more than once.
+    key : str
+        Idempotency key of a repetition; empty draws a new one for a request
+        that is not idempotent.
+    deadline : timedelta
+        Time within which the answer is needed, at most 600 s.
+    """
+
+    body: bytes
+    request_class: str = 'default'
+    is_idempotent: bool = False
+    key: str = ''
+    deadline: timedelta = timedelta(seconds=30)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SubmitCall:
+    """A job submission.
+
+    Parameters
+    ----------
+    job : dict
+        Body of the submission (docs/schemas/job.json).
+    key : str
+        Idempotency key of a repetition; empty draws a new one.
+    """
+
+    job: dict[str, Any]
+    key: str = ''
+
+
+class CallerClient(ABC):
+    """What callers of a workspace do with an entry."""
+
+    @abstractmethod
+    async def request(self, request: RequestCall) -> RequestAnswer | Failure:
+        """Run a request and return its answer."""
+
+    @abstractmethod
+    async def submit(self, submission: SubmitCall) -> JobView | Failure:
+        """Submit a job and return its state."""
+
+    @abstractmethod
+    async def list_jobs(self) -> JobList | Failure:
+        """Return all jobs of the workspace."""
+
+    @abstractmethod
+    async def get_job(self, job_id: str) -> JobView | Failure:
+        """Return the state of a job."""
+
+    @abstractmethod
+    async def cancel_job(self, job_id: str) -> JobView | Failure:
+        """Cancel a job; a cancelled job stays cancelled."""
+
+
+class HttpCallerClient(CallerClient):
+    """Caller interface reached over HTTP.
+
+    Parameters
+    ----------
+    transport : HttpTransport
+        Connection to the caller port.
+    workspace : str
+        Workspace of the caller.
+    token : str
+        Bearer token of the workspace.
+    """
+
+    def __init__(
+        self, transport: HttpTransport, workspace: str, token: str = ''
+    ) -> None:
+        """Act for one workspace."""
+        self._transport = transport
+        self._path = f'/v1/workspaces/{quote(workspace, safe="")}'
+        self._headers = {'Authorization': f'Bearer {token}'} if token else {}
+
+    async def request(self, request: RequestCall) -> RequestAnswer | Failure:
+        """Run a request and return its answer."""
+        call = self._request_call(request)
+        reply = await self._transport.send(call)
+        if not isinstance(reply, Reply):
+            return reply
+        # RFC 9530: proves that the whole body of this answer has arrived.
+        if reply.headers.get('content-digest') != content_digest(reply.body):
+            return UnknownOutcome(
+                reason='digest_mismatch',
+                detail='the answer is not complete or not the sent one',
+                step=call.step,
+                peer=reply.peer,
+                key=call.key,
+            )
+        return RequestAnswer(
+            reply.headers.get('request-id', ''), reply.body, call.key
+        )
+
+    async def submit(self, submission: SubmitCall) -> JobView | Failure:
+        """Submit a job and return its state."""
+        key = submission.key or uuid.uuid4().hex
+        return await self._job_call(
+            Call(
+                'submit job',
+                'POST',
+                f'{self._path}/jobs',
+                is_repeatable=False,
+                body=msgspec.json.encode(submission.job),
+                headers={**self._headers, 'Idempotency-Key': key},
+                key=key,
+            )
+        )
+
+    async def list_jobs(self) -> JobList | Failure:
+        """Return all jobs of the workspace."""
+        call = self._simple('list jobs', 'GET', '/jobs')
+        reply = await self._transport.send(call)
+        if not isinstance(reply, Reply):
+            return reply
+        return decode_reply(reply, JobList, call)
+
+    async def get_job(self, job_id: str) -> JobView | Failure:
+        """Return the state of a job."""
+        return await self._job_call(
+            self._simple('read job', 'GET', _job_path(job_id))
+        )
+
+    async def cancel_job(self, job_id: str) -> JobView | Failure:
+        """Cancel a job; a cancelled job stays cancelled."""
+        return await self._job_call(
+            self._simple('cancel job', 'DELETE', _job_path(job_id))
+        )
+
+    async def _job_call(self, call: Call) -> JobView | Failure:
+        reply = await self._transport.send(call)
+        if not isinstance(reply, Reply):
+            return reply
+        return decode_reply(reply, JobView, call)
+
+    def _simple(self, step: str, method: str, path: str) -> Call:
+        return Call(
+            step,
+            method,
+            self._path + path,
+            is_repeatable=True,
+            headers=self._headers,
+        )
+
+    def _request_call(self, request: RequestCall) -> Call:
+        key = request.key
+        # A key drawn here has certainly never been sent, which lets the entry
+        # prove "not run" also while its ledger is down.
+        is_first = not request.key and not request.is_idempotent
+        if is_first:
+            key = uuid.uuid4().hex
+        headers = {
+            **self._headers,
+            'Request-Class': request.request_class,
+            'Request-Idempotent': _text(flag=request.is_idempotent),
+            'Request-First-Attempt': _text(flag=is_first),
+            'Request-Deadline-Ms': str(request.deadline // _MILLISECOND),
+        }
+        if key:
+            headers['Idempotency-Key'] = key
+        return Call(
+            'run request',
+            'POST',
+            f'{self._path}/requests',
+            is_repeatable=request.is_idempotent,
+            body=request.body,
+            headers=headers,
+            key=key,
+            timeout=request.deadline + _ANSWER_MARGIN,
+        )
+
+
+def _job_path(job_id: str) -> str:
+    return f'/jobs/{quote(job_id, safe="")}'
+
+
+def _text(*, flag: bool) -> str:
+    return 'true' if flag else 'false'
--- /dev/null
+++ b/dragonflynotch/client/transport.py
@@ -0,0 +1,267 @@
+"""HTTP calls of the clients: failures as outcomes, retry where it is safe."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from types import MappingProxyType, TracebackType
+from typing import Any, Self, TypeVar
+from urllib.parse import urlsplit
+
+import httpx
+import msgspec
+
+from dragonflynotch.client.outcomes import (
+    Conflict,
+    Failure,
+    Invalid,
+    Refused,
+    UnknownOutcome,
+    Unreachable,
+)
+from dragonflynotch.core.errors import InvalidInputError
+
+__all__ = ('Call', 'HttpTransport', 'Reply', 'RetryPolicy', 'decode_reply')
+
+_ViewT = TypeVar('_ViewT')
+_INVALID = frozenset((400, 404, 405, 413, 428))
+_UNKNOWN = frozenset((502, 504))
+_TEMPORARY = frozenset((502, 503, 504))
+_CONFLICT = 409
+_LAST_SUCCESS = 299
+_MILLISECOND = timedelta(milliseconds=1)
+_DEFAULT_TIMEOUT = timedelta(seconds=30)
+
+
+@dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """How often and when an idempotent call is repeated.
+
+    Parameters
+    ----------
+    attempts : int
+        Calls in all, the first one included.
+    first_delay : timedelta
+        Delay before the second call; doubles for each further one.
+    """
+
+    attempts: int = 3
+    first_delay: timedelta = timedelta(milliseconds=200)
+
+    def __post_init__(self) -> None:
+        """Reject a policy that never calls."""
+        if self.attempts < 1:
+            raise InvalidInputError('attempts', self.attempts, 'at least 1')
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP call.
+
+    Parameters
+    ----------
+    step : str
+        Name of the operation for error messages.
+    is_repeatable : bool
+        Whether carrying it out twice has the same effect as once.
+    key : str
+        Idempotency key, or ``''``.
+    timeout : timedelta or None
+        Limit of this call instead of the limit of the transport.
+    """
+
+    step: str
+    method: str
+    path: str
+    is_repeatable: bool
+    body: bytes = b''
+    headers: Mapping[str, str] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    key: str = ''
+    timeout: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A successful answer."""
+
+    body: bytes
+    headers: Mapping[str, str]
+    peer: str
+
+
+_DEFAULT_RETRY = RetryPolicy()
+
+
+class _Problem(msgspec.Struct):
+    reason: str = ''
+    detail: str = ''
+    outcome: str = ''
+    retry_after_ms: int | None = None
+    step: str = ''
+    peer: str = ''
+    handed_to: str = ''
+    current_revision: int | None = None
+
+
+class HttpTransport:
+    """Connection to one entry.
+
+    Parameters
+    ----------
+    url : str
+        Address of the port, for example ``'http://127.0.0.1:8080'``.
+    timeout : timedelta
+        Limit of one call.
+    retry : RetryPolicy
+        Repetition of idempotent calls.
+    connection : httpx.AsyncBaseTransport or None
+        What carries the calls instead of TCP, for example in tests.
+
+    Raises
+    ------
+    InvalidInputError
+        If the address is not an HTTP address.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        timeout: timedelta = _DEFAULT_TIMEOUT,
+        retry: RetryPolicy = _DEFAULT_RETRY,
+        connection: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Prepare the connection; the first call opens it."""
+        parts = urlsplit(url)
+        if parts.scheme not in {'http', 'https'} or not parts.hostname:
+            raise InvalidInputError('url', url, 'http://ADDRESS:PORT')
+        self._peer = parts.netloc
+        self._retry = retry
+        self._client = httpx.AsyncClient(
+            base_url=url.rstrip('/'),
+            timeout=timeout.total_seconds(),
+            trust_env=False,
+            transport=connection,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Return the transport."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def send(self, call: Call) -> Reply | Failure:
+        """Return the answer or why there is none.
+
+        Only repeatable calls are repeated, and only after a failure that may
+        pass.
+        """
+        delay = self._retry.first_delay
+        outcome = await self._send_once(call)
+        for _ in range(self._retry.attempts - 1):
+            if not call.is_repeatable or not _may_pass(outcome):
+                break
+            await asyncio.sleep(delay.total_seconds())
+            delay *= 2
+            outcome = await self._send_once(call)
+        return outcome
+
+    async def _send_once(self, call: Call) -> Reply | Failure:
+        limit: Any = httpx.USE_CLIENT_DEFAULT
+        if call.timeout is not None:
+            limit = call.timeout.total_seconds()
+        try:
+            reply = await self._client.request(
+                call.method,
+                call.path,
+                content=call.body,
+                headers=dict(call.headers),
+                timeout=limit,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return self._not_sent(call, error)
+        except httpx.TransportError as error:
+            return self._not_answered(call, error)
+        if reply.status_code <= _LAST_SUCCESS:
+            return Reply(reply.content, reply.headers, self._peer)
+        return _failure(call, reply, self._peer)
+
+    def _not_sent(self, call: Call, error: Exception) -> Unreachable:
+        return Unreachable(
+            reason='unreachable',
+            detail=f'no connection could be made: {error}',
+            step=call.step,
+            peer=self._peer,
+            key=call.key,
+        )
+
+    def _not_answered(self, call: Call, error: Exception) -> Failure:
+        # A call that reads or that can be repeated leaves no open question.
+        kind = Unreachable if call.is_repeatable else UnknownOutcome
+        return kind(
+            reason='no_answer',
+            detail=f'the connection failed after sending: {error!r}',
+            step=call.step,
+            peer=self._peer,
+            key=call.key,
+        )
+
+
+def decode_reply(
+    reply: Reply, view: type[_ViewT], call: Call
+) -> _ViewT | UnknownOutcome:
+    """Return the decoded body of a successful answer."""
+    try:
+        return msgspec.json.decode(reply.body, type=view)
+    except msgspec.DecodeError as error:
+        return UnknownOutcome(
+            reason='malformed_answer',
+            detail=str(error),
+            step=call.step,
+            peer=reply.peer,
+            key=call.key,
+        )
+
+
+def _may_pass(outcome: Reply | Failure) -> bool:
+    if isinstance(outcome, Reply | Invalid | Conflict):
+        return False
+    if isinstance(outcome, Refused):
+        return outcome.retry_after is not None
+    return True
+
+
+def _failure(call: Call, reply: httpx.Response, peer: str) -> Failure:
+    try:
+        problem = msgspec.json.decode(reply.content, type=_Problem)
+    except msgspec.DecodeError:
+        problem = _Problem()
+    common: dict[str, Any] = {
+        'reason': problem.reason or f'status_{reply.status_code}',
+        'detail': problem.detail or reply.reason_phrase,
+        'step': problem.step or call.step,
+        'peer': problem.peer or peer,
+        'retry_after': _retry_after(reply.status_code, problem),
+        'key': call.key,
+    }
+    status = reply.status_code
+    if problem.outcome == 'unknown' or status in _UNKNOWN:
+        return UnknownOutcome(handed_to=problem.handed_to, **common)
+    if status == _CONFLICT:
+        return Conflict(current_revision=problem.current_revision, **common)
+    return (Invalid if status in _INVALID else Refused)(**common)
+
+
+def _retry_after(status: int, problem: _Problem) -> timedelta | None:
+    if problem.retry_after_ms is None or status not in {429, *_TEMPORARY}:
+        return None
+    return problem.retry_after_ms * _MILLISECOND
