Check settings and name the field, the value and the nearest name

Cause: load_settings showed the decoder's text, without value or known names. Change: ids, ports, counts and durations have ranges, hosts are IP addresses, the schema version is checked first, and fields are checked against each other (listeners, peers, order of the ownership durations). Ruled out: pydantic, because the guard must stay below 32 MB; the checks are imported only when settings are read.

--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -1,7 +1,8 @@
 """Settings files of the daemons, validated with msgspec."""
 
+from ipaddress import ip_address
 from pathlib import Path
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -13,20 +14,38 @@
     'GuardSettings',
     'MinionSettings',
     'OwnershipSettings',
+    'READABLE_SETTINGS_VERSIONS',
     'TaskSettings',
     'WorkerSettings',
     'load_settings',
+    'parse_settings',
 )
 
 
 SettingsT = TypeVar('SettingsT', bound=msgspec.Struct)
 
+READABLE_SETTINGS_VERSIONS = (1,)
+
+_Id = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+_Count = Annotated[int, msgspec.Meta(ge=1, le=65_536)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+# Zero is for tests and the embedded mode, which have no load balancer.
+_Notice = Annotated[int, msgspec.Meta(ge=0, le=600_000)]
+
 
 class Address(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """IP address and port."""
 
     host: str
-    port: int
+    port: _Port
+
+    def __post_init__(self) -> None:
+        """Refuse host names, because the daemons use no name service."""
+        try:
+            ip_address(self.host)
+        except ValueError as error:
+            raise ValueError('expected an IP address as host') from error
 
     @property
     def pair(self) -> tuple[str, int]:
@@ -44,14 +63,14 @@
 ):
     """Durations of the ownership of a partition (docs/design.md, 8.5)."""
 
-    lease_ms: int = 6000
-    renewal_ms: int = 2000
-    confirmation_ms: int = 5000
-    grant_ms: int = 10_000
-    received_grant_ms: int = 9000
-    task_lease_ms: int = 20_000
-    worker_ttl_ms: int = 2200
-    order_timeout_ms: int = 2000
+    lease_ms: _Milliseconds = 6000
+    renewal_ms: _Milliseconds = 2000
+    confirmation_ms: _Milliseconds = 5000
+    grant_ms: _Milliseconds = 10_000
+    received_grant_ms: _Milliseconds = 9000
+    task_lease_ms: _Milliseconds = 20_000
+    worker_ttl_ms: _Milliseconds = 2200
+    order_timeout_ms: _Milliseconds = 2000
 
 
 class TaskSettings(
@@ -59,12 +78,12 @@
 ):
     """Durations of the task protocol in a guard (docs/design.md, 8.4)."""
 
-    task_lease_ms: int = 20_000
-    start_confirmation_ms: int = 10_000
-    worker_poll_ms: int = 100
-    worker_idle_poll_ms: int = 500
-    worker_silence_ms: int = 2000
-    worker_timeout_ms: int = 1000
+    task_lease_ms: _Milliseconds = 20_000
+    start_confirmation_ms: _Milliseconds = 10_000
+    worker_poll_ms: _Milliseconds = 100
+    worker_idle_poll_ms: _Milliseconds = 500
+    worker_silence_ms: _Milliseconds = 2000
+    worker_timeout_ms: _Milliseconds = 1000
 
 
 class EntrySettings(
@@ -73,8 +92,8 @@
     """Settings of an entry process."""
 
     schema_version: int
-    entry_id: str
-    data_centre: str
+    entry_id: _Id
+    data_centre: _Id
     callers: Address
     operators: Address
     announcements: Address
@@ -82,30 +101,30 @@
     table: Address
     object_store: Address | None = None
     peers: tuple[Address, ...] = ()
-    stop_notice_ms: int = 1000
-    drain_limit_ms: int = 30_000
+    stop_notice_ms: _Notice = 1000
+    drain_limit_ms: _Milliseconds = 30_000
     ownership: OwnershipSettings = OwnershipSettings()
 
 
 class MinionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The minion beside a guard."""
 
-    minion_id: str
+    minion_id: _Id
     address: Address
-    slots: int = 8
-    connections: int = 64
+    slots: _Count = 8
+    connections: _Count = 64
 
 
 class WorkerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The worker beside a guard."""
 
-    worker_id: str
-    rack: str
-    rack_position: int
+    worker_id: _Id
+    rack: _Id
+    rack_position: Annotated[int, msgspec.Meta(ge=0, le=65_536)]
     address: Address
-    accelerators: int = 8
-    cores: int = 64
-    memory_mb: int = 262_144
+    accelerators: _Count = 8
+    cores: _Count = 64
+    memory_mb: Annotated[int, msgspec.Meta(ge=1, le=67_108_864)] = 262_144
 
 
 class GuardSettings(
@@ -114,13 +133,13 @@
     """Settings of a guard process."""
 
     schema_version: int
-    guard_id: str
-    data_centre: str
+    guard_id: _Id
+    data_centre: _Id
     listen: Address
-    entries: tuple[Address, ...]
+    entries: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
     minion: MinionSettings | None = None
     worker: WorkerSettings | None = None
-    drain_limit_ms: int = 30_000
+    drain_limit_ms: _Milliseconds = 30_000
     tasks: TaskSettings = TaskSettings()
 
 
@@ -130,13 +149,53 @@
     Raises
     ------
     InvalidInputError
-        If the file cannot be read or does not match the model.
+        If the file cannot be read or does not match the model; names the
+        path of the field, its value and what was expected, and for an
+        unknown field the nearest known one.
     """
     try:
-        return msgspec.json.decode(path.read_bytes(), type=model)
+        content = path.read_bytes()
     except OSError as error:
-        raise InvalidInputError(str(path), error.strerror, 'a file') from error
-    except msgspec.DecodeError as error:
         raise InvalidInputError(
-            str(path), str(error), model.__name__
+            str(path), error.strerror, 'a readable file'
         ) from error
+    return parse_settings(content, model, str(path))
+
+
+def parse_settings(
+    content: bytes, model: type[SettingsT], source: str
+) -> SettingsT:
+    """Return the settings in a JSON text.
+
+    Parameters
+    ----------
+    content : bytes
+        JSON text.
+    model : type
+        ``EntrySettings`` or ``GuardSettings``.
+    source : str
+        Where the text is from, for error messages.
+
+    Raises
+    ------
+    InvalidInputError
+        If the text does not match the model.
+    """
+    # Imported here because only the start of a daemon needs the checks.
+    from dragonflynotch.records.settings_checks import (
+        check_consistency,
+        check_schema_version,
+        describe_problem,
+    )
+
+    try:
+        raw = msgspec.json.decode(content)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidInputError(source, str(error), 'JSON') from error
+    check_schema_version(raw, READABLE_SETTINGS_VERSIONS, source)
+    try:
+        settings = msgspec.json.decode(content, type=model)
+    except msgspec.ValidationError as error:
+        raise describe_problem(error, raw, model, source) from error
+    check_consistency(settings, source)
+    return settings
