--- a/dragonflynotch/__main__.py
+++ b/dragonflynotch/__main__.py
@@ -1,15 +1,46 @@
 """Start of the command line."""
 
+import sys
+from collections.abc import Sequence
+
 import cappa
+from rich.console import Console
 
 from dragonflynotch.cli.commands import Dragonflynotch
+from dragonflynotch.cli.console import report_error
+from dragonflynotch.core.errors import DragonflynotchError
+
+__all__ = ('main', 'run')
+
+# Wider than any sentence, so that an error stays one line for log readers.
+_ERROR_COLUMNS = 10_000
+
+
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Run a command and return its exit code.
 
-__all__ = ('main',)
+    Parameters
+    ----------
+    arguments : sequence of str or None
+        Arguments without the program name; ``None`` for those of the process.
+    """
+    output = cappa.Output(
+        error_console=Console(
+            file=sys.stderr, width=_ERROR_COLUMNS, no_color=True
+        ),
+        error_format='dragonflynotch: {message}',
+    )
+    argv = None if arguments is None else list(arguments)
+    try:
+        code = cappa.invoke(Dragonflynotch, argv=argv, output=output)
+    except DragonflynotchError as error:
+        return int(report_error(error))
+    return int(code or 0)
 
 
 def main() -> None:
     """Run the command line."""
-    cappa.invoke(Dragonflynotch)
+    sys.exit(run())
 
 
 if __name__ == '__main__':
--- a/dragonflynotch/entry/__main__.py
+++ b/dragonflynotch/entry/__main__.py
@@ -3,11 +3,11 @@
 import asyncio
 import signal
 import sys
-from pathlib import Path
 
 from dragonflynotch.entry.daemon import Entry
 from dragonflynotch.observability.logs import configure_logs
-from dragonflynotch.records.settings import EntrySettings, load_settings
+from dragonflynotch.observability.start import read_start_options
+from dragonflynotch.records.settings import EntrySettings
 
 
 async def _run(settings: EntrySettings) -> None:
@@ -19,9 +19,10 @@
 
 
 def main() -> None:
-    """Run an entry with the settings file named by the first argument."""
-    configure_logs(is_json='--json-logs' in sys.argv)
-    asyncio.run(_run(load_settings(Path(sys.argv[1]), EntrySettings)))
+    """Run an entry with the settings and log format of the arguments."""
+    options = read_start_options(sys.argv[1:], 'entry')
+    configure_logs(is_json=options.is_json_log)
+    asyncio.run(_run(options.load(EntrySettings)))
 
 
 if __name__ == '__main__':
--- a/dragonflynotch/guard/__main__.py
+++ b/dragonflynotch/guard/__main__.py
@@ -3,11 +3,11 @@
 import asyncio
 import signal
 import sys
-from pathlib import Path
 
 from dragonflynotch.guard.daemon import Guard
 from dragonflynotch.observability.logs import configure_logs
-from dragonflynotch.records.settings import GuardSettings, load_settings
+from dragonflynotch.observability.start import read_start_options
+from dragonflynotch.records.settings import GuardSettings
 
 
 async def _run(settings: GuardSettings) -> None:
@@ -19,9 +19,10 @@
 
 
 def main() -> None:
-    """Run a guard with the settings file named by the first argument."""
-    configure_logs(is_json='--json-logs' in sys.argv)
-    asyncio.run(_run(load_settings(Path(sys.argv[1]), GuardSettings)))
+    """Run a guard with the settings and log format of the arguments."""
+    options = read_start_options(sys.argv[1:], 'guard')
+    configure_logs(is_json=options.is_json_log)
+    asyncio.run(_run(options.load(GuardSettings)))
 
 
 if __name__ == '__main__':
