--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -30,7 +30,11 @@
 
 __all__ = ('Guard',)
 
+_MS_PER_S = 1000
 _INCARNATION_BITS = 53
+# Longer than entries keep idle connections, so that a guard does not close one
+# that an entry is about to use.
+_KEEP_ALIVE_S = 60
 _READABLE_SCHEMA_VERSIONS = (1, 2)
 
 _log = part_logger('guard')
@@ -44,16 +48,18 @@
         self._settings = settings
         self._incarnation = secrets.randbits(_INCARNATION_BITS)
         minion = settings.minion
+        self._clock = SystemClock()
+        # Each request takes one connection to the minion.
         self._runner = RequestRunner(
             HttpMinionClient(*(minion.address.pair if minion else ('', 0))),
-            slots=minion.slots if minion else 0,
+            slots=min(minion.slots, minion.connections) if minion else 0,
             incarnation=self._incarnation,
+            clock=self._clock,
         )
-        self._clock = SystemClock()
         self._keeper = create_task_keeper(
             settings, self._incarnation, self._clock
         )
-        self._configuration = ConfigurationCopy()
+        self._configuration = ConfigurationCopy(self._incarnation)
         self._announcer = Announcer(
             tuple(entry.pair for entry in settings.entries),
             self._describe,
@@ -77,6 +83,7 @@
                 lifespan='off',
                 log_config=None,
                 access_log=False,
+                timeout_keep_alive=_KEEP_ALIVE_S,
             )
         )
 
@@ -97,14 +104,25 @@
 
     async def _drain(self) -> None:
         self._state = GuardState.draining
+        self._runner.start_drain()
         self._announcer.announce()
         limit = timedelta(milliseconds=self._settings.drain_limit_ms)
+        await asyncio.gather(
+            self._drain_requests(limit), self._drain_tasks(limit)
+        )
+        self._state = GuardState.leaving
+        self._announcer.announce()
+
+    async def _drain_requests(self, limit: timedelta) -> None:
+        # An entry that lost the announcements still sends requests for as
+        # long as its time to live; they are refused, not cut off.
+        await asyncio.sleep(self._settings.drain_notice_ms / _MS_PER_S)
         if not await self._runner.drain(limit):
             _log.warning('requests still in flight at the drain limit')
+
+    async def _drain_tasks(self, limit: timedelta) -> None:
         if self._keeper is not None and not await self._keeper.drain(limit):
             _log.warning('tasks still running at the drain limit')
-        self._state = GuardState.leaving
-        self._announcer.announce()
 
     def _describe(self, sequence: int) -> Announcement:
         settings = self._settings
--- a/dragonflynotch/observability/start.py
+++ b/dragonflynotch/observability/start.py
@@ -59,16 +59,17 @@
     """
     match tuple(arguments):
         case (settings,):
-            return StartOptions(Path(settings))
+            is_json_log = False
         case (settings, option, log_format) if (
             option == _LOG_FORMAT and log_format in _FORMATS
         ):
-            return StartOptions(Path(settings), log_format == 'json')
+            is_json_log = log_format == 'json'
         case _:
             _exit(
                 f'usage: python -m dragonflynotch.{part} SETTINGS '
                 f'[{_LOG_FORMAT} {"|".join(_FORMATS)}]'
             )
+    return StartOptions(Path(settings), is_json_log)
 
 
 def _exit(sentence: str) -> NoReturn:
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -101,6 +101,7 @@
     table: Address
     object_store: Address | None = None
     peers: tuple[Address, ...] = ()
+    queue_limit: _Count = 512
     stop_notice_ms: _Notice = 1000
     drain_limit_ms: _Milliseconds = 30_000
     ownership: OwnershipSettings = OwnershipSettings()
@@ -139,6 +140,7 @@
     entries: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
     minion: MinionSettings | None = None
     worker: WorkerSettings | None = None
+    drain_notice_ms: _Notice = 3000
     drain_limit_ms: _Milliseconds = 30_000
     tasks: TaskSettings = TaskSettings()
 
