Add the example deployments and run them in the embedded mode

Cause: the embedded mode ran one entry and one guard, and no settings of a whole deployment existed.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: run test install format lint types model tests share
 
 run: install
-	$(BIN)/python -m dragonflynotch local
+	$(BIN)/python -m dragonflynotch local --deployment tavua
 
 test: install lint types model share tests
 
--- a/dragonflynotch/cli/daemons.py
+++ b/dragonflynotch/cli/daemons.py
@@ -9,6 +9,8 @@
 
 import cappa
 
+from dragonflynotch.observability.logs import configure_logs
+
 __all__ = ('EntryCommand', 'GuardCommand', 'LocalCommand')
 
 _Settings = Annotated[Path, cappa.Arg(long=True, help='Settings file (JSON).')]
@@ -63,16 +65,22 @@
 
 @cappa.command(
     name='local',
-    help='Run the embedded mode on loopback.',
-    epilog='Example: dragonflynotch local',
+    help='Run an example deployment and its main job on loopback.',
+    epilog='Example: dragonflynotch local --deployment ravi',
 )
 @dataclass
 class LocalCommand:
     """Run the embedded mode."""
 
+    deployment: Annotated[
+        Literal['tavua', 'ravi'],
+        cappa.Arg(long=True, help='Example deployment to run.'),
+    ] = 'tavua'
+
     def __call__(self) -> int:
         """Run and return the exit code."""
         # The stand-ins are loaded only here, not with every command.
         from dragonflynotch.cli.local import run_local
 
-        return asyncio.run(run_local())
+        configure_logs(level='ERROR')
+        return asyncio.run(run_local(self.deployment))
--- a/dragonflynotch/cli/local.py
+++ b/dragonflynotch/cli/local.py
@@ -1,148 +1,190 @@
-"""Embedded mode: entry, guard and stand-ins as tasks on loopback."""
+"""Embedded mode: a whole example deployment as tasks on loopback."""
 
 import asyncio
-import hashlib
-import socket
-from contextlib import AsyncExitStack, suppress
-from datetime import timedelta
-from typing import Any
+import uuid
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from functools import partial
+from typing import TypeVar
 
-import httpx
 import msgspec
 
-from dragonflynotch.entry.daemon import Entry
-from dragonflynotch.entry.server import HttpServer
-from dragonflynotch.guard.daemon import Guard
-from dragonflynotch.records.settings import (
-    Address,
-    EntrySettings,
-    GuardSettings,
-    MinionSettings,
-)
-from dragonflynotch.testing.minion import MinionApp
-from dragonflynotch.testing.table import MemoryTable, TableApp
-
-__all__ = ('free_port', 'run_local')
-
-_HOST = '127.0.0.1'
-_START_LIMIT = timedelta(seconds=10)
-_POLL_S = 0.1
-_TOKEN = 'example-token'
-
-
-def free_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
-async def run_local() -> int:
-    """Serve one request end to end and return the exit code."""
-    callers, announcements, minion, guard, table, link, operators = (
-        free_port() for _ in range(7)
+from dragonflynotch.cli.exit_codes import ExitCode
+from dragonflynotch.client.caller import HttpCallerClient, RequestCall
+from dragonflynotch.client.operator import HttpOperatorClient
+from dragonflynotch.client.outcomes import Conflict, Failure
+from dragonflynotch.client.transport import HttpTransport, RetryPolicy
+from dragonflynotch.client.views import RecordWritten, RequestAnswer
+from dragonflynotch.core.errors import DragonflynotchError
+from dragonflynotch.records.settings import EntrySettings
+from dragonflynotch.testing.deployment import plan_deployment
+from dragonflynotch.testing.examples import EXAMPLES, Example, example_token
+from dragonflynotch.testing.running_deployment import RunningDeployment
+
+__all__ = ('MainJobError', 'run_local')
+
+_START_LIMIT_S = 30
+_POLL_S = 0.2
+_ONCE = RetryPolicy(attempts=1)
+
+_AnswerT = TypeVar('_AnswerT')
+
+
+class MainJobError(DragonflynotchError):
+    """A step of the main job had another result than expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Scenario:
+    """What the main job sends.
+
+    Parameters
+    ----------
+    workspace : str
+        Workspace of the requests.
+    idempotent : RequestCall
+        Request that may run more than once.
+    once : RequestCall
+        Request that must run once, with its key.
+    """
+
+    workspace: str
+    idempotent: RequestCall
+    once: RequestCall
+
+
+def _scenario(
+    workspace: str, idempotent: tuple[str, bytes], once: tuple[str, bytes]
+) -> _Scenario:
+    return _Scenario(
+        workspace,
+        RequestCall(
+            body=idempotent[1], request_class=idempotent[0], is_idempotent=True
+        ),
+        RequestCall(body=once[1], request_class=once[0], key=uuid.uuid4().hex),
     )
-    stop = asyncio.Event()
-    stand_ins = (
-        HttpServer(MinionApp('minion-1'), _HOST, minion),
-        HttpServer(TableApp(MemoryTable()), _HOST, table),
-    )
-    for stand_in in stand_ins:
-        stand_in.start()
-    entry = Entry(
-        EntrySettings(
-            schema_version=1,
-            entry_id='entry-1',
-            data_centre='dc-1',
-            callers=Address(_HOST, callers),
-            operators=Address(_HOST, operators),
-            announcements=Address(_HOST, announcements),
-            link=Address(_HOST, link),
-            table=Address(_HOST, table),
-            stop_notice_ms=0,
-        )
-    )
-    target = Guard(
-        GuardSettings(
-            schema_version=1,
-            guard_id='guard-1',
-            data_centre='dc-1',
-            listen=Address(_HOST, guard),
-            entries=(Address(_HOST, announcements),),
-            minion=MinionSettings('minion-1', Address(_HOST, minion)),
-            drain_notice_ms=0,
-        )
-    )
-    tasks = [
-        asyncio.create_task(entry.run(stop)),
-        asyncio.create_task(target.run(stop)),
-    ]
-    try:
-        body = await _first_answer(
-            f'http://{_HOST}:{callers}', f'http://{_HOST}:{operators}'
-        )
-        print(f'checklist answered: {body.decode()}')
-    finally:
-        await _stop(stop, stand_ins, tasks)
-    return 0
 
 
-async def _stop(
-    stop: asyncio.Event,
-    stand_ins: tuple[HttpServer, ...],
-    tasks: list[asyncio.Task[None]],
-) -> None:
-    stop.set()
-    await asyncio.gather(*tasks)
-    for stand_in in stand_ins:
-        await stand_in.stop()
+def _scenarios() -> dict[str, _Scenario]:
+    return {
+        'tavua': _scenario(
+            'resorts',
+            ('checklist', b'list the open checks'),
+            ('checklist', b'fridge 4 c'),
+        ),
+        'ravi': _scenario(
+            'planning-north',
+            ('recut-plan', b'recut profile 12'),
+            ('tooling-quote', b'inserts 40'),
+        ),
+    }
 
 
-async def _first_answer(callers_url: str, operators_url: str) -> bytes:
-    async with AsyncExitStack() as stack:
-        await stack.enter_async_context(
-            asyncio.timeout(_START_LIMIT.total_seconds())
+async def run_local(deployment: str = 'tavua') -> int:
+    """Run an example with its main job and return the exit code.
+
+    Parameters
+    ----------
+    deployment : str
+        ``'tavua'`` or ``'ravi'``.
+
+    Raises
+    ------
+    MainJobError
+        If a step has another result than expected.
+    """
+    example = EXAMPLES[deployment]
+    plan = plan_deployment(example.sites, stop_notice_ms=0)
+    async with RunningDeployment(plan) as running:
+        print(
+            f'{deployment}: {len(plan.entries)} entries and '
+            f'{len(plan.guards)} guards in {len(example.sites)} data centres'
         )
-        client = await stack.enter_async_context(
-            httpx.AsyncClient(trust_env=False)
-        )
-        await _until_ok(client, 'GET', f'{operators_url}/ready')
-        await _until_ok(
-            client,
-            'PUT',
-            f'{operators_url}/v1/records/workspace/resort',
-            content=msgspec.json.encode(_example_workspace()),
-            headers={'If-Match': '"0"'},
-        )
-        return await _until_ok(
-            client,
-            'POST',
-            f'{callers_url}/v1/workspaces/resort/requests',
-            content=b'fridge 4 c',
-            headers={
-                'Authorization': f'Bearer {_TOKEN}',
-                'Idempotency-Key': 'first-checklist',
-            },
+        entries = [
+            entry
+            for entry in plan.entries
+            if entry.data_centre == example.sites[0].name
+        ]
+        await _apply(example, entries[0])
+        await _run_requests(_scenarios()[deployment], entries, running)
+    return ExitCode.done
+
+
+async def _apply(example: Example, entry: EntrySettings) -> None:
+    revision = 0
+    async with HttpTransport(entry.operators.url, retry=_ONCE) as transport:
+        client = HttpOperatorClient(transport)
+        for record in example.records:
+            create = partial(
+                client.put_record,
+                record['kind'],
+                record['name'],
+                msgspec.json.encode(record),
+                0,
+            )
+            written = await _until_answered(create, RecordWritten)
+            revision = written.revision
+    print(f'applied {len(example.records)} records, revision {revision}')
+
+
+async def _run_requests(
+    scenario: _Scenario,
+    entries: list[EntrySettings],
+    running: RunningDeployment,
+) -> None:
+    async with AsyncExitStack() as stack:
+        clients = []
+        for entry in entries:
+            transport = await stack.enter_async_context(
+                HttpTransport(entry.callers.url, retry=_ONCE)
+            )
+            token = example_token(scenario.workspace)
+            clients.append(
+                HttpCallerClient(transport, scenario.workspace, token)
+            )
+        await _answer_one(clients[0], scenario)
+        await _run_once(clients, scenario.once, running)
+
+
+async def _answer_one(client: HttpCallerClient, scenario: _Scenario) -> None:
+    call = scenario.idempotent
+    answer = await _until_answered(partial(client.request, call), RequestAnswer)
+    print(f'{call.request_class} answered: {answer.body.decode()}')
+
+
+async def _run_once(
+    clients: list[HttpCallerClient],
+    call: RequestCall,
+    running: RunningDeployment,
+) -> None:
+    first, *others = [
+        await _until_answered(partial(client.request, call), RequestAnswer)
+        for client in clients
+    ]
+    runs = running.count_runs(call.body)
+    is_same = all(other.body == first.body for other in others)
+    if runs != 1 or not is_same:
+        raise MainJobError(
+            f'the request ran {runs} times, equal answers: {is_same}',
+            step='run once',
         )
+    print(
+        f'{call.request_class} sent {len(clients)} times under one key, '
+        f'run once: {first.body.decode()}'
+    )
 
 
-async def _until_ok(
-    client: httpx.AsyncClient, method: str, url: str, **arguments: Any
-) -> bytes:
-    while True:
-        with suppress(httpx.ConnectError):
-            reply = await client.request(method, url, **arguments)
-            if reply.status_code == httpx.codes.OK:
-                return reply.content
+async def _until_answered(
+    send: Callable[[], Awaitable[_AnswerT | Failure]], expected: type[_AnswerT]
+) -> _AnswerT:
+    """Repeat a call until it succeeds; entries and guards still start."""
+    outcome: _AnswerT | Failure | None = None
+    for _ in range(int(_START_LIMIT_S / _POLL_S)):
+        outcome = await send()
+        if isinstance(outcome, expected):
+            return outcome
+        if isinstance(outcome, Conflict):
+            break
         await asyncio.sleep(_POLL_S)
-
-
-def _example_workspace() -> dict[str, object]:
-    digest = hashlib.sha256(_TOKEN.encode()).hexdigest()
-    return {
-        'schema_version': 2,
-        'kind': 'workspace',
-        'name': 'resort',
-        'spec': {'token_digests': [digest]},
-    }
+    raise MainJobError(f'no answer: {outcome}', step='main job')
--- a/dragonflynotch/testing/deployment.py
+++ b/dragonflynotch/testing/deployment.py
@@ -66,9 +66,12 @@
 
 
 def plan_deployment(
-    sites: tuple[SitePlan, ...], *, stop_notice_ms: int = 200
+    sites: tuple[SitePlan, ...],
+    *,
+    stop_notice_ms: int = 200,
+    first_port: int | None = None,
 ) -> DeploymentPlan:
-    """Return settings with free loopback ports for all processes.
+    """Return settings with loopback ports for all processes.
 
     Parameters
     ----------
@@ -77,6 +80,8 @@
     stop_notice_ms : int
         Shortest time between "not ready" or "draining" and the end of an entry
         or guard, in milliseconds.
+    first_port : int or None
+        First of consecutive ports; ``None`` takes free ones.
 
     Examples
     --------
@@ -86,7 +91,12 @@
     """
     entry_count = sum(site.entries for site in sites)
     guard_count = sum(site.guards for site in sites)
-    ports = iter(free_ports(2 + 4 * entry_count + 3 * guard_count))
+    port_count = 2 + 4 * entry_count + 3 * guard_count
+    ports = iter(
+        free_ports(port_count)
+        if first_port is None
+        else range(first_port, first_port + port_count)
+    )
     table, object_store = (Address(_HOST, next(ports)) for _ in range(2))
     entries: list[EntrySettings] = []
     for site in sites:
