--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,229 @@
+"""Commands against a running deployment, with their exit codes."""
+
+import asyncio
+import hashlib
+import json
+
+import pytest
+import pytest_asyncio
+
+from dragonflynotch.__main__ import run
+from dragonflynotch.testing.deployment import (
+    SitePlan,
+    free_ports,
+    plan_deployment,
+)
+from dragonflynotch.testing.examples import example_token
+from dragonflynotch.testing.running_deployment import RunningDeployment
+
+_LIMIT_S = 10
+_TOKEN = example_token('resort')
+_COMMANDS = (
+    'entry',
+    'guard',
+    'local',
+    'request',
+    'submit',
+    'status',
+    'cancel',
+    'apply',
+    'get',
+    'drain',
+    'check-settings',
+    'version',
+)
+
+
+class _Shell:
+    """Runs commands in a thread beside the deployment of the test."""
+
+    def __init__(self, plan, capsys):
+        self._operators = plan.entries[0].operators.url
+        self._callers = plan.entries[0].callers.url
+        self._capsys = capsys
+
+    async def operator(self, *arguments):
+        return await self._run(*arguments, '--operators', self._operators)
+
+    async def caller(self, *arguments, token=_TOKEN):
+        options = ('--workspace', 'resort', '--token', token)
+        return await self._run(*arguments, *options, '--callers', self._callers)
+
+    async def until_done(self, call):
+        async with asyncio.timeout(_LIMIT_S):
+            while True:
+                code, out, _ = await call()
+                if code == 0:
+                    return out
+                await asyncio.sleep(0.1)
+
+    async def _run(self, *arguments):
+        self._capsys.readouterr()
+        code = await asyncio.to_thread(run, arguments)
+        return code, *self._capsys.readouterr()
+
+
+@pytest_asyncio.fixture
+async def shell(capsys):
+    """Commands for one entry with one guard."""
+    plan = plan_deployment((SitePlan('nadi'),), stop_notice_ms=0)
+    async with RunningDeployment(plan):
+        yield _Shell(plan, capsys)
+
+
+def _record(requests_per_second=50):
+    digest = hashlib.sha256(_TOKEN.encode()).hexdigest()
+    return {
+        'schema_version': 2,
+        'kind': 'workspace',
+        'name': 'resort',
+        'spec': {
+            'token_digests': [digest],
+            'requests_per_second': requests_per_second,
+        },
+    }
+
+
+@pytest.fixture
+def record_file(tmp_path):
+    """A file with one record."""
+    file = tmp_path / 'resort.json'
+    file.write_text(json.dumps(_record()))
+    return file
+
+
+async def test_records_are_created_changed_and_read(shell, record_file):
+    """Guards against lost updates between operators."""
+    create = ('apply', str(record_file), '--create', '--output', 'json')
+    out = await shell.until_done(lambda: shell.operator(*create))
+    assert json.loads(out)[0]['revision'] == 1
+    code, _, err = await shell.operator(*create)
+    assert (code, 'current revision 1' in err) == (4, True)
+    code, *_ = await shell.operator(
+        'apply', str(record_file), '--revision', '1'
+    )
+    assert code == 0
+    code, _, err = await shell.operator(
+        'apply', str(record_file), '--revision', '1'
+    )
+    assert (code, 'current revision 2' in err) == (4, True)
+    code, out, _ = await shell.operator('get', 'workspace', 'resort')
+    assert (code, 'revision 2' in out) == (0, True)
+    code, out, _ = await shell.operator('get', '--output', 'json')
+    assert json.loads(out)['revision'] == 2
+
+
+async def test_apply_prints_warnings(shell, tmp_path):
+    """Guards against a mistyped field that is kept without notice."""
+    record = _record()
+    record['spec']['bursts'] = 7
+    file = tmp_path / 'resort.json'
+    file.write_text(json.dumps([record]))
+    out = await shell.until_done(lambda: shell.operator('apply', str(file)))
+    assert "did you mean 'burst'" in out
+
+
+async def test_a_missing_record_and_guard(shell):
+    """Guards against success for a name that does not exist."""
+    await shell.until_done(lambda: shell.operator('status'))
+    code, _, err = await shell.operator('get', 'workspace', 'none')
+    assert (code, 'no_record' in err) == (2, True)
+    code, _, err = await shell.operator('drain', 'none')
+    assert (code, 'no_guard' in err) == (2, True)
+    assert err.count('\n') == 1
+
+
+async def test_status_and_drain(shell):
+    """Guards against an operator who cannot see or empty a guard."""
+
+    async def status():
+        code, out, _ = await shell.operator('status')
+        return (code if 'guards 1, ready 1' in out else 1), out, ''
+
+    out = await shell.until_done(status)
+    assert 'waiting jobs 0' in out
+    code, out, _ = await shell.operator('drain', 'nadi-guard-1')
+    assert (code, 'is draining' in out) == (0, True)
+
+
+async def test_an_answered_request(shell, record_file):
+    """Guards against an answer that does not reach stdout."""
+    await shell.until_done(lambda: shell.operator('apply', str(record_file)))
+    out = await shell.until_done(lambda: shell.caller('request', 'fridge'))
+    assert out == 'nadi-minion-1: FRIDGE\n'
+
+
+async def test_a_refused_request(shell, record_file):
+    """Guards against exit code 0 for a request that did not run."""
+    await shell.until_done(lambda: shell.operator('apply', str(record_file)))
+    code, _, err = await shell.caller('request', 'fridge', token='wrong')
+    assert (code, 'token_refused' in err) == (3, True)
+    assert "step 'identify'" in err
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'code', 'sentence'),
+    [
+        (('bogus',), 2, 'bogus'),
+        (('get', '--output', 'xml'), 2, '--output'),
+        (('request', 'x'), 2, '--workspace'),
+        (('apply', '/none'), 2, 'a readable file'),
+        (('status', 'job-1'), 2, '--workspace'),
+        (('status', '--operators', 'nowhere'), 2, 'http://'),
+        (('check-settings', '/none'), 2, 'a readable file'),
+    ],
+)
+def test_wrong_usage(monkeypatch, capsys, arguments, code, sentence):
+    """Guards against a traceback, or a wrong call that reports success."""
+    monkeypatch.delenv('DRAGONFLYNOTCH_WORKSPACE', raising=False)
+    assert _exit_code(arguments) == code
+    error = capsys.readouterr().err
+    assert sentence in error
+    assert error.count('\n') == 1
+
+
+def test_an_entry_that_does_not_run(capsys):
+    """Guards against a script that takes an outage for a refusal."""
+    url = f'http://127.0.0.1:{free_ports(1)[0]}'
+    assert run(['status', '--operators', url]) == 6
+    error = capsys.readouterr().err
+    assert "step 'read status'" in error
+    assert url.removeprefix('http://') in error
+
+
+@pytest.mark.parametrize('command', _COMMANDS)
+def test_help_has_an_example(capsys, command):
+    """Guards against a command without an example."""
+    assert _exit_code((command, '--help')) == 0
+    assert f'Example: dragonflynotch {command}' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize('command', ['entry', 'guard'])
+def test_daemons_replace_the_process(monkeypatch, command):
+    """Guards against a guard that carries the command-line library."""
+    calls = []
+    monkeypatch.setattr('os.execv', lambda *call: calls.append(call))
+    run([command, '--settings', 'a.json', '--log-format', 'json'])
+    expected = ['-m', f'dragonflynotch.{command}', 'a.json']
+    assert calls[0][1][1:] == [*expected, '--log-format', 'json']
+
+
+@pytest.mark.parametrize(
+    ('path', 'subject'),
+    [
+        ('entries/nadi-entry-1.json', 'settings of entry nadi-entry-1'),
+        ('guards/nadi-guard-1.json', 'settings of guard nadi-guard-1'),
+        ('records.json', '8 records'),
+    ],
+)
+def test_check_settings(capsys, path, subject):
+    """Guards against a check that accepts only one kind of file."""
+    assert run(['check-settings', f'examples/tavua/{path}']) == 0
+    assert subject in capsys.readouterr().out
+
+
+def _exit_code(arguments):
+    try:
+        return run(arguments)
+    except SystemExit as exit_:
+        return exit_.code
