--- a/dragonflynotch/entry/job_api.py
+++ b/dragonflynotch/entry/job_api.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
-from typing import Annotated, Any
+from typing import Any
 
 from litestar import Controller, Request, Response, Router, delete, get, post
-from litestar.di import Provide
-from litestar.params import Dependency, FromPath
+from litestar.di import NamedDependency, Provide
+from litestar.params import FromPath, SkipValidation
 
 from dragonflynotch.core.requests import NotRun
 from dragonflynotch.core.workspaces import ConfigurationView
@@ -66,7 +66,7 @@
         return _response(await self._service.call(command))
 
 
-_Calls = Annotated[JobCalls, Dependency(skip_validation=True)]
+_Calls = NamedDependency[SkipValidation[JobCalls]]
 
 
 class JobController(Controller):
