--- a/dragonflynotch/testing/running_deployment.py
+++ b/dragonflynotch/testing/running_deployment.py
@@ -82,7 +82,7 @@
             self.minions[guard.minion.minion_id] = minion
             self._serve(minion, guard.minion.address)
         if guard.worker is not None:
-            worker = WorkerApp(guard.worker.worker_id, self.store)
+            worker = WorkerApp(self.store)
             self.workers[guard.worker.worker_id] = worker
             self._serve(worker, guard.worker.address)
 
