Generate JSON schemas of settings and records

Cause: editors and deployment tools had no description of the files. Change: python -m dragonflynotch.cli.schemas writes docs/schemas, and a test compares the committed files with the models.

--- /dev/null
+++ b/dragonflynotch/cli/schemas.py
@@ -0,0 +1,50 @@
+"""Writes the JSON schemas of settings and records.
+
+``python -m dragonflynotch.cli.schemas [DIRECTORY]`` writes them to
+``docs/schemas`` or to the given directory.
+"""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from dragonflynotch.records.documents import record_schemas
+from dragonflynotch.records.settings import EntrySettings, GuardSettings
+
+__all__ = ('main', 'schema_files')
+
+_DIALECT = 'https://json-schema.org/draft/2020-12/schema'
+_DIRECTORY = 'docs/schemas'
+
+
+def schema_files() -> dict[str, bytes]:
+    """Return the content of each schema file by its name."""
+    schemas: dict[str, dict[str, Any]] = {
+        'entry-settings': msgspec.json.schema(EntrySettings),
+        'guard-settings': msgspec.json.schema(GuardSettings),
+    }
+    for (kind, version), schema in record_schemas().items():
+        schemas[f'{kind}-record-v{version}'] = schema
+    return {
+        f'{name}.json': _encode({'$schema': _DIALECT, **schema})
+        for name, schema in schemas.items()
+    }
+
+
+def main() -> None:
+    """Write all files."""
+    directory = Path(sys.argv[1] if len(sys.argv) > 1 else _DIRECTORY)
+    directory.mkdir(parents=True, exist_ok=True)
+    for name, content in schema_files().items():
+        (directory / name).write_bytes(content)
+
+
+def _encode(schema: dict[str, Any]) -> bytes:
+    text = msgspec.json.encode(schema, order='deterministic')
+    return msgspec.json.format(text, indent=2) + b'\n'
+
+
+if __name__ == '__main__':
+    main()
--- a/dragonflynotch/records/documents.py
+++ b/dragonflynotch/records/documents.py
@@ -23,6 +23,7 @@
     'ObjectiveBody',
     'merge_newer_fields',
     'parse_document',
+    'record_schemas',
     'record_warnings',
     'workspace_spec',
 )
@@ -157,6 +158,23 @@
     return tuple(warnings)
 
 
+def record_schemas() -> dict[tuple[str, int], dict[str, Any]]:
+    """Return the JSON schema of the records of each kind and version."""
+    schemas = {}
+    for (kind, version), model in _SPEC_MODELS.items():
+        schema = Document.model_json_schema()
+        spec = model.model_json_schema()
+        definitions = spec.pop('$defs', {})
+        schema['title'] = f'{kind} record, schema version {version}'
+        schema['properties']['schema_version'] = {'const': version}
+        schema['properties']['kind'] = {'const': kind}
+        schema['properties']['spec'] = spec
+        if definitions:
+            schema['$defs'] = definitions
+        schemas[kind, version] = schema
+    return schemas
+
+
 def merge_newer_fields(document: Document, stored: Document) -> Document:
     """Return a version 1 document with the stored version 2 fields kept.
 
--- /dev/null
+++ b/tests/cli/test_schemas.py
@@ -0,0 +1,22 @@
+"""The committed JSON schemas are in step with the models."""
+
+import json
+from pathlib import Path
+
+from dragonflynotch.cli.schemas import schema_files
+
+_DIRECTORY = Path(__file__).parents[2] / 'docs' / 'schemas'
+
+
+def test_schemas_are_in_step():
+    """Guards against schemas that describe an older version."""
+    found = {file.name: file.read_bytes() for file in _DIRECTORY.glob('*')}
+    assert found == schema_files()
+
+
+def test_record_schemas_state_kind_and_version():
+    """Guards against a schema that accepts records of another version."""
+    schema = json.loads(schema_files()['workspace-record-v2.json'])
+    assert schema['properties']['schema_version'] == {'const': 2}
+    assert schema['properties']['kind'] == {'const': 'workspace'}
+    assert 'classes' in schema['properties']['spec']['properties']
