--- a/dragonflynotch/cli/schemas.py
+++ b/dragonflynotch/cli/schemas.py
@@ -25,8 +25,8 @@
         'entry-settings': msgspec.json.schema(EntrySettings),
         'guard-settings': msgspec.json.schema(GuardSettings),
     }
-    for (kind, version), schema in record_schemas().items():
-        schemas[f'{kind}-record-v{version}'] = schema
+    for (kind, version), record in record_schemas().items():
+        schemas[f'{kind}-record-v{version}'] = record
     return {
         f'{name}.json': _encode({'$schema': _DIALECT, **schema})
         for name, schema in schemas.items()
