Add the report on service-level burn

Cause: objectives were records that nothing evaluated. Change: pure burn rates per workspace and class over 5 min and 1 h, 30 min and 6 h, 2 h and 1 day, 6 h and 3 days; samples from GET /metrics of entries or from a recorded file; table, JSON and SVG from a template. Decided: a rule fires only if samples span 90% of both windows; its threshold is the share of the budget spent in the long window (2, 5, 10 and 10%), which is 14.4, 6, 3 and 1 for 30 days. A latency between two histogram bounds is rounded down. The series do not tell quota refusals apart, so they count as bad. Measured: python -m pytest tests/reports tests/cli/test_report.py, 37 passed.

--- a/dragonflynotch/cli/commands.py
+++ b/dragonflynotch/cli/commands.py
@@ -16,6 +16,7 @@
     LocalCommand,
 )
 from dragonflynotch.cli.records import ApplyCommand, DrainCommand, GetCommand
+from dragonflynotch.cli.report import ReportCommand
 from dragonflynotch.cli.status import StatusCommand
 
 __all__ = ('Dragonflynotch',)
@@ -45,5 +46,6 @@
         | GetCommand
         | DrainCommand
         | CheckSettingsCommand
+        | ReportCommand
         | VersionCommand
     ]
--- /dev/null
+++ b/dragonflynotch/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports from recorded metrics; not imported by the daemons."""
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -30,6 +30,7 @@
     'get',
     'drain',
     'check-settings',
+    'report',
     'version',
 )
 
