Serve metrics of a guard at GET /metrics

Change: attempts by outcome, and gauges for readiness, slots, accelerators, fence and revision, with aioprometheus. Messages about wrong settings moved to a module that is loaded only for an error, so difflib is not resident. Ruled out: booleans as readings; aioprometheus prints them as words, which the text format does not allow.

--- a/dragonflynotch/guard/app.py
+++ b/dragonflynotch/guard/app.py
@@ -28,6 +28,7 @@
     read_call,
     send_reply,
 )
+from dragonflynotch.observability.guard_metrics import GuardMetrics
 from dragonflynotch.observability.logs import part_logger
 
 __all__ = ('GuardApp',)
@@ -43,6 +44,8 @@
 _TIMEOUT = 504
 # The rest of an oversized body is not read, so the connection is of no use.
 _CLOSE = {'Connection': 'close'}
+_METRICS_TYPE = {'Content-Type': 'text/plain; version=0.0.4; charset=utf-8'}
+_OUTCOME_NAMES = {Ran: 'answered', Refused: 'refused', RunUnknown: 'unknown'}
 _RESOLVE_PATH = re.compile('/v1/requests/(?P<attempt>[A-Za-z0-9-]+)/resolve')
 
 _log = part_logger('guard.app')
@@ -61,6 +64,8 @@
         Called once an operator orders the guard to drain.
     tasks : TaskApi, optional
         Serves orders and reports of gang members.
+    metrics : GuardMetrics, optional
+        Series of ``GET /metrics``; none are served without it.
     """
 
     def __init__(
@@ -69,12 +74,14 @@
         configuration: ConfigurationCopy,
         start_drain: Callable[[], None],
         tasks: TaskApi | None = None,
+        metrics: GuardMetrics | None = None,
     ) -> None:
         """Serve requests with ``runner`` and orders with ``tasks``."""
         self._runner = runner
         self._configuration = configuration
         self._start_drain = start_drain
         self._tasks = tasks
+        self._metrics = metrics
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -105,6 +112,8 @@
                 return self._configure(call)
             case _ if self._tasks is not None and self._tasks.serves(call):
                 return self._tasks.answer(call)
+            case ('GET', '/metrics') if self._metrics is not None:
+                return Reply(_OK, self._metrics.render(), _METRICS_TYPE)
             case ('GET', '/live'):
                 return Reply(_OK)
             case ('GET', '/ready'):
@@ -130,6 +139,8 @@
         if call.headers.get('content-digest') != content_digest(call.body):
             return _problem(_BAD_REQUEST, 'refused', 'digest_mismatch')
         outcome = await self._runner.run(hand_over)
+        if self._metrics is not None:
+            self._metrics.count_attempt(_OUTCOME_NAMES[type(outcome)])
         if isinstance(outcome, Ran):
             return _whole_answer(outcome, hand_over.attempt)
         if isinstance(outcome, Refused):
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -24,6 +24,7 @@
     MinionState,
     WorkerState,
 )
+from dragonflynotch.observability.guard_metrics import GuardMetrics
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.platform.minion import HttpMinionClient
 from dragonflynotch.records.settings import GuardSettings
@@ -75,6 +76,9 @@
                     self._configuration,
                     self._drain_requested.set,
                     task_api(self._keeper),
+                    GuardMetrics(
+                        settings.guard_id, settings.data_centre, self._gauges
+                    ),
                 ),
                 host=settings.listen.host,
                 port=settings.listen.port,
@@ -142,6 +146,17 @@
             task_digest=self._keeper.task_digest if self._keeper else 0,
         )
 
+    def _gauges(self) -> dict[str, int]:
+        keeper = self._keeper
+        return {
+            'ready': self._state is GuardState.ready,
+            'free_slots': self._runner.free_slots,
+            'worker_present': keeper is not None and keeper.is_worker_present,
+            'free_accelerators': keeper.free_accelerators if keeper else 0,
+            'highest_fence': keeper.highest_fence if keeper else 0,
+            'configuration_revision': self._configuration.seen_revision,
+        }
+
     def _on_acknowledgement(
         self, acknowledgement: Acknowledgement, sent_at: datetime
     ) -> None:
--- /dev/null
+++ b/dragonflynotch/observability/guard_metrics.py
@@ -0,0 +1,72 @@
+"""Metrics of a guard, rendered in the Prometheus text format."""
+
+from collections.abc import Callable, Mapping
+
+from aioprometheus import Counter, Gauge, Registry, render
+
+__all__ = ('GuardMetrics',)
+
+_GAUGES = {
+    'ready': 'Whether the guard takes new work (1 or 0).',
+    'free_slots': 'Requests that the minion can take now.',
+    'worker_present': 'Whether the worker answered lately (1 or 0).',
+    'free_accelerators': 'Accelerators of the worker without a member.',
+    'highest_fence': 'Highest fence seen in an order, 0 if none.',
+    'configuration_revision': 'Revision of the copy of the configuration.',
+}
+
+
+class GuardMetrics:
+    """All series of one guard.
+
+    Parameters
+    ----------
+    guard_id, data_centre : str
+        Constant labels.
+    read_gauges : callable
+        Returns the present reading of each gauge; called at each rendering.
+    """
+
+    def __init__(
+        self,
+        guard_id: str,
+        data_centre: str,
+        read_gauges: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Create the series."""
+        labels = {'guard': guard_id, 'data_centre': data_centre}
+        self._read_gauges = read_gauges
+        self._registry = Registry()
+        self._attempts = Counter(
+            'dragonflynotch_guard_attempts_total',
+            'Handed-over requests by outcome.',
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._gauges = {
+            name: Gauge(
+                f'dragonflynotch_guard_{name}',
+                text,
+                const_labels=labels,
+                registry=self._registry,
+            )
+            for name, text in _GAUGES.items()
+        }
+
+    def count_attempt(self, outcome: str) -> None:
+        """Count a handed-over request.
+
+        Parameters
+        ----------
+        outcome : str
+            ``'answered'``, ``'refused'`` or ``'unknown'``.
+        """
+        self._attempts.inc({'outcome': outcome})
+
+    def render(self) -> bytes:
+        """Return all series as text."""
+        for name, reading in self._read_gauges().items():
+            # The text format knows numbers only, not the words of booleans.
+            self._gauges[name].set({}, int(reading))
+        content, _ = render(self._registry, [])
+        return bytes(content)
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -183,11 +183,10 @@
     InvalidInputError
         If the text does not match the model.
     """
-    # Imported here because only the start of a daemon needs the checks.
+    # Imported here because the checks use the types of this module.
     from dragonflynotch.records.settings_checks import (
         check_consistency,
         check_schema_version,
-        describe_problem,
     )
 
     try:
@@ -198,6 +197,9 @@
     try:
         settings = msgspec.json.decode(content, type=model)
     except msgspec.ValidationError as error:
+        # Imported here because a guard that starts well does without it.
+        from dragonflynotch.records.settings_problems import describe_problem
+
         raise describe_problem(error, raw, model, source) from error
     check_consistency(settings, source)
     return settings
