--- a/dragonflynotch/core/errors.py
+++ b/dragonflynotch/core/errors.py
@@ -5,7 +5,9 @@
     'DragonflynotchError',
     'InvalidInputError',
     'LinkError',
+    'LinkRefusedError',
     'LinkTimeoutError',
+    'NotSentError',
     'PlatformUnavailableError',
     'UncertainWriteError',
 )
@@ -82,6 +84,14 @@
     """Another process did not answer in time."""
 
 
+class NotSentError(LinkError):
+    """No connection was made, so nothing was sent."""
+
+
+class LinkRefusedError(LinkError):
+    """No connection to the other process; nothing was sent."""
+
+
 class ConflictError(DragonflynotchError):
     """A conditional write found another revision than the expected one.
 
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -91,7 +91,7 @@
         self._claims.advance()
 
     def _cover_claims(self) -> None:
-        """Start jobs whose guarantee became idle while they waited elsewhere."""
+        """Start jobs whose guarantee became idle while they wait elsewhere."""
         for claim in tuple(self._claims):
             job = self._state.jobs[claim.job_id]
             if claim.guarantee is None and self._has_own_place(job):
--- a/dragonflynotch/testing/deployment.py
+++ b/dragonflynotch/testing/deployment.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from msgspec import structs
+
 from dragonflynotch.records.settings import (
     Address,
     EntrySettings,
@@ -64,16 +66,22 @@
 
 
 def plan_deployment(
-    sites: tuple[SitePlan, ...], *, stop_notice_ms: int = 200
+    sites: tuple[SitePlan, ...],
+    *,
+    stop_notice_ms: int = 200,
+    first_port: int | None = None,
 ) -> DeploymentPlan:
-    """Return settings with free loopback ports for all processes.
+    """Return settings with loopback ports for all processes.
 
     Parameters
     ----------
     sites : tuple of SitePlan
         The data centres.
     stop_notice_ms : int
-        Time between "not ready" and the stop of an entry, in milliseconds.
+        Shortest time between "not ready" or "draining" and the end of an entry
+        or guard, in milliseconds.
+    first_port : int or None
+        First of consecutive ports; ``None`` takes free ones.
 
     Examples
     --------
@@ -83,7 +91,12 @@
     """
     entry_count = sum(site.entries for site in sites)
     guard_count = sum(site.guards for site in sites)
-    ports = iter(free_ports(2 + 4 * entry_count + 3 * guard_count))
+    port_count = 2 + 4 * entry_count + 3 * guard_count
+    ports = iter(
+        free_ports(port_count)
+        if first_port is None
+        else range(first_port, first_port + port_count)
+    )
     table, object_store = (Address(_HOST, next(ports)) for _ in range(2))
     entries: list[EntrySettings] = []
     for site in sites:
@@ -111,7 +124,11 @@
         for data_centre in sites
         for guard in _site_guards(data_centre, ports, tuple(entries))
     ]
-    return DeploymentPlan(table, object_store, tuple(entries), tuple(guards))
+    notified = tuple(
+        structs.replace(guard, drain_notice_ms=stop_notice_ms)
+        for guard in guards
+    )
+    return DeploymentPlan(table, object_store, tuple(entries), notified)
 
 
 def _site_guards(
