Do not stop a gang for a job of less than a quarter of its size

Small jobs stopped large batches, which left most of their accelerators idle and then waited for hours.

--- a/dragonflynotch/core/preemption.py
+++ b/dragonflynotch/core/preemption.py
@@ -17,9 +17,10 @@
 # Bounds the cost in a large data centre; the gangs that started first are
 # examined first.
 _MOST_EXAMINED = 64
-# Sizes of the victims, as multiples of the job, that are tried in this order,
-# so that a large gang is not stopped where a small one is enough.
-_SIZES = (2, 4, 1024)
+# Sizes of the victims, as multiples of the job, that are tried in this order.
+# Larger gangs do not give way: they leave most of their accelerators idle and
+# find room again only after a long wait.
+_SIZES = (2, 4)
 
 
 @dataclass(frozen=True, slots=True)
