Prefer idle accelerators of others to stopping borrowers

A small job of a guarantee's owner stopped a large borrower although other idle accelerators could be borrowed. Jobs that are not urgent now borrow first and reclaim only then.

--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -140,8 +140,7 @@
         return (
             self._cover(job)
             or self._place_generally(job, self._state.inventory.open)
-            or self._claim(job)
-            or self._borrow(job)
+            or self._borrow_or_claim(job)
             or self._backfill(job)
             or self._take_over(job)
         ) or Blocked('waits for free accelerators')
@@ -153,6 +152,15 @@
         shares = self._place(job, capacity, use)
         return Launch(job, shares, use) if shares else None
 
+    def _borrow_or_claim(self, job: Job) -> Launch | Claimed | None:
+        """Prefer idle accelerators of others to stopping borrowers.
+
+        Urgent jobs do not, because a borrower may have to give way again.
+        """
+        if job.spec.is_urgent:
+            return self._claim(job) or self._borrow(job)
+        return self._borrow(job) or self._claim(job)
+
     def _borrow(self, job: Job) -> Launch | None:
         """Return a launch on idle guaranteed accelerators.
 
