Combine reserved and other accelerators for backfill

A gang that needed accelerators of reserved workers and of others in the same rack could not run beside a reservation.

--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -178,10 +178,19 @@
 
     def _backfill(self, job: Job) -> Launch | None:
         """Return a launch on reserved accelerators until they are needed."""
+        reserved = [
+            self._state.inventory[worker_id]
+            for worker_id in self._reservations.window_for(job)
+        ]
         capacity = CapacityMap()
-        for worker_id in self._reservations.window_for(job):
-            worker = self._state.inventory[worker_id]
-            capacity.set(worker.rack, worker_id, worker.unclaimed)
+        if job.spec.is_checkpointable:
+            # The rest of the same racks may complete a place.
+            racks = dict.fromkeys(worker.rack for worker in reserved)
+            for rack in racks:
+                for free, worker_id in self._state.inventory.free.workers(rack):
+                    capacity.set(rack, worker_id, free)
+        for worker in reserved:
+            capacity.set(worker.rack, worker.worker.worker_id, worker.unclaimed)
         return self._place_generally(job, capacity)
 
     def _take_over(self, job: Job) -> Claimed | None:
--- a/tests/core/test_reservations.py
+++ b/tests/core/test_reservations.py
@@ -213,3 +213,15 @@
     assert run_times.estimate(spec) == expected * MINUTE
     other = JobSpec('other', 'audit', Shape(1))
     assert run_times.estimate(other) == 60 * MINUTE
+
+
+def test_job_may_use_reserved_and_other_accelerators_together():
+    """Guards against idle racks of which a part is reserved."""
+    driver = Driver(RACK)
+    driver.submit(
+        'one', 12, priority=PriorityClass.urgent, is_checkpointable=False
+    )
+    driver.submit('large', 20)
+    driver.advance(2 * MINUTE)
+    driver.submit('beside', 12, kind='long')
+    assert driver.state('beside') == 'running'
