--- a/dragonflynotch/core/forecast.py
+++ b/dragonflynotch/core/forecast.py
@@ -88,14 +88,18 @@
         """Whether a gang gives way to a job before its end.
 
         Large gangs rarely find room by themselves, and the gangs that gave way
-        find room more easily again.
+        find room more easily again. Among gangs of one size the older job has
+        the right of way.
         """
-        spec = self._state.jobs[gang.job_id].spec
+        running = self._state.jobs[gang.job_id]
+        spec = running.spec
+        by_size = (gang.accelerators, -running.submitted_at.timestamp())
+        wanted = job.spec.shape.accelerators
         return (
             gang.use is Use.lent
             and spec.is_checkpointable
             and spec.priority.rank >= job.spec.priority.rank
-            and gang.accelerators < job.spec.shape.accelerators
+            and by_size < (wanted, -job.submitted_at.timestamp())
         )
 
     def _search(
