Forgive failures on a bad worker that may not be quarantined

In a data centre of three workers the cap of 20% allows no quarantine, so jobs kept the failures that they had on a bad worker and avoided it for ever, even when it held the guarantee of their workspace.

--- a/dragonflynotch/core/health.py
+++ b/dragonflynotch/core/health.py
@@ -152,12 +152,12 @@
         worker = self._state.inventory.find(worker_id)
         if worker is None or worker.is_quarantined:
             return
+        for job_id in self._evidence.jobs_against(worker_id):
+            self._acquit(job_id, worker_id)
         held = sum(state.is_quarantined for state in self._state.inventory)
         cap = self._state.policy.quarantine_cap * len(self._state.inventory)
         if held + 1 > cap:
             return
-        for job_id in self._evidence.jobs_against(worker_id):
-            self._acquit(job_id, worker_id)
         self._state.emit(
             QuarantineWorker(
                 worker_id,
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -154,3 +154,15 @@
     assert kinds(driver, QuarantineWorker)
     jobs = [driver.partition.job(name) for name in 'abc']
     assert [job.failures for job in jobs] == [0, 0, 0]
+
+
+def test_bad_worker_beyond_the_cap_does_not_use_up_good_jobs():
+    """Guards against good jobs given up where no quarantine is allowed."""
+    driver = Driver(WORKERS[:3])
+    for name in 'abc':
+        driver.submit(name, 2, Proximity.worker)
+    for name in 'abc':
+        fail(driver, name)
+    assert not kinds(driver, QuarantineWorker)
+    jobs = [driver.partition.job(name) for name in 'abc']
+    assert [job.failures for job in jobs] == [0, 0, 0]
--- a/tests/core/test_reservations.py
+++ b/tests/core/test_reservations.py
@@ -218,10 +218,16 @@
 def test_job_may_use_reserved_and_other_accelerators_together():
     """Guards against idle racks of which a part is reserved."""
     driver = Driver(RACK)
-    driver.submit(
-        'one', 12, priority=PriorityClass.urgent, is_checkpointable=False
-    )
-    driver.submit('large', 20)
+    for name, size, hours in (('one', 8, 1), ('two', 4, 10)):
+        driver.submit(
+            name,
+            size,
+            Proximity.worker,
+            kind=name,
+            declared_run_time=hours * 60 * MINUTE,
+            is_checkpointable=False,
+        )
+    driver.submit('large', 16)
     driver.advance(2 * MINUTE)
     driver.submit('beside', 12, kind='long')
     assert driver.state('beside') == 'running'
