Checkpoint gangs in the drain notice of a guard

Cause: a draining guard was given up at once, so its gangs were stopped without a checkpoint and lost the work since the last periodic one.

--- /dev/null
+++ b/dragonflynotch/entry/drains.py
@@ -0,0 +1,67 @@
+"""Moves the jobs of draining guards after a checkpoint of their gangs."""
+
+from datetime import datetime
+
+from dragonflynotch.core.events import Event
+from dragonflynotch.entry.guard_channel import ReportFetched
+from dragonflynotch.entry.guard_roster import GuardRoster
+from dragonflynotch.entry.job_mirror import JobMirror
+from dragonflynotch.entry.outbox import Outgoing
+from dragonflynotch.entry.owner_inputs import GuardHeard
+from dragonflynotch.links.orders import CheckpointOrder
+
+__all__ = ('DrainCoordinator',)
+
+
+class DrainCoordinator:
+    """Watches announcements and reports for draining guards.
+
+    A draining guard refuses new members and stops its own after a notice. The
+    owner uses the notice to checkpoint the whole gangs, and gives the worker
+    up when all members have ended.
+
+    Parameters
+    ----------
+    roster : GuardRoster
+        Guards and the channels to them.
+    mirror : JobMirror
+        Jobs of the partition.
+    """
+
+    def __init__(self, roster: GuardRoster, mirror: JobMirror) -> None:
+        """Coordinate the guards of ``roster``."""
+        self._roster = roster
+        self._mirror = mirror
+
+    def hear(self, item: GuardHeard, now: datetime) -> tuple[Event, ...]:
+        """Take over an announcement and return what changed."""
+        worker = item.info.worker
+        worker_id = '' if worker is None else worker.worker_id
+        was_draining = self._roster.is_draining(worker_id)
+        is_busy = not item.info.is_ready and self._is_busy(worker_id)
+        events = self._roster.hear(item.info, item.digest, now, is_busy=is_busy)
+        if self._roster.is_draining(worker_id) and not was_draining:
+            self._checkpoint_gangs(worker_id)
+        return events
+
+    def before_report(self, item: ReportFetched) -> tuple[Event, ...]:
+        """Return the loss of a drained worker.
+
+        It precedes the outcomes in the report, so that no job is placed on the
+        worker again.
+        """
+        if not self._roster.is_draining(item.worker_id):
+            return ()
+        if all(member.phase.is_final for member in item.report.members):
+            return self._roster.lose(item.worker_id, 'its guard is draining')
+        return ()
+
+    def _is_busy(self, worker_id: str) -> bool:
+        return bool(self._mirror.on_worker(worker_id))
+
+    def _checkpoint_gangs(self, worker_id: str) -> None:
+        label = f'drain-{worker_id}'
+        for job in self._mirror.on_worker(worker_id):
+            for member in job.members:
+                order = CheckpointOrder(job.job_id, job.attempt, label)
+                self._roster.dispatch(Outgoing(member.worker_id, order))
--- a/dragonflynotch/entry/guard_roster.py
+++ b/dragonflynotch/entry/guard_roster.py
@@ -26,6 +26,7 @@
     digest: int
     heard_at: datetime
     is_present: bool = False
+    is_draining: bool = False
 
 
 class GuardRoster:
@@ -66,9 +67,27 @@
         self._worker_ids: dict[str, str] = {}
 
     def hear(
-        self, info: GuardInfo, digest: int, now: datetime
+        self,
+        info: GuardInfo,
+        digest: int,
+        now: datetime,
+        *,
+        is_busy: bool = False,
     ) -> tuple[Event, ...]:
-        """Take over an announcement and return what changed."""
+        """Take over an announcement and return what changed.
+
+        Parameters
+        ----------
+        info : GuardInfo
+            The guard as it announced itself.
+        digest : int
+            Task digest of the guard.
+        now : datetime
+            When the announcement arrived.
+        is_busy : bool
+            Whether its worker runs jobs. A draining guard refuses new members
+            and is lost once its worker is not busy any more.
+        """
         known = self._guard_of(info)
         if known is None:
             return ()
@@ -81,15 +100,32 @@
         self._inform_channel(worker_id, guard)
         worker = info.worker
         if worker is None:
-            return self._lose(worker_id, 'its worker is silent')
+            return self.lose(worker_id, 'its worker is silent')
         if not info.is_ready:
-            return self._lose(worker_id, 'its guard is draining')
+            guard.is_draining = True
+            if is_busy:
+                return ()
+            return self.lose(worker_id, 'its guard is draining')
+        guard.is_draining = False
         if guard.is_present and guard.worker == worker:
             return ()
         guard.is_present = True
         guard.worker = worker
         return (WorkerJoined(worker),)
 
+    def is_draining(self, worker_id: str) -> bool:
+        """Whether the guard of a worker announced that it drains."""
+        guard = self._guards.get(worker_id)
+        return guard is not None and guard.is_draining
+
+    def lose(self, worker_id: str, reason: str) -> tuple[Event, ...]:
+        """Return the loss of a worker, unless it is lost already."""
+        guard = self._guards.get(worker_id)
+        if guard is None or not guard.is_present:
+            return ()
+        guard.is_present = False
+        return (WorkerLost(worker_id, reason),)
+
     def expire(self, now: datetime) -> tuple[Event, ...]:
         """Return the losses of guards that are silent."""
         events: list[Event] = []
@@ -97,7 +133,7 @@
             age = now - guard.heard_at
             if age <= self._time_to_live:
                 break
-            events.extend(self._lose(worker_id, 'its guard is silent'))
+            events.extend(self.lose(worker_id, 'its guard is silent'))
             if age > self._retention:
                 self._guards.pop(worker_id)
                 self._close_channel(worker_id)
@@ -144,13 +180,6 @@
             self._guards[worker_id] = guard
         return None if guard is None else (guard, worker_id)
 
-    def _lose(self, worker_id: str, reason: str) -> tuple[Event, ...]:
-        guard = self._guards[worker_id]
-        if not guard.is_present:
-            return ()
-        guard.is_present = False
-        return (WorkerLost(worker_id, reason),)
-
     def _inform_channel(self, worker_id: str, guard: _Guard) -> None:
         if not self._fence:
             return
--- a/dragonflynotch/entry/job_mirror.py
+++ b/dragonflynotch/entry/job_mirror.py
@@ -55,6 +55,15 @@
         """Return the latest state of a job, or ``None``."""
         return self._jobs.get(job_id)
 
+    def on_worker(self, worker_id: str) -> tuple[Job, ...]:
+        """Return the jobs with a member on a worker."""
+        return tuple(
+            job
+            for job in self._jobs.values()
+            if job.state in _ATTEMPT_STATES
+            and any(member.worker_id == worker_id for member in job.members)
+        )
+
     def put(self, job: Job) -> None:
         """Take over a new state."""
         self._count(self._jobs.get(job.job_id), -1)
--- a/dragonflynotch/entry/partition_owner.py
+++ b/dragonflynotch/entry/partition_owner.py
@@ -32,6 +32,7 @@
 from dragonflynotch.core.partition import Partition
 from dragonflynotch.core.waiting import WaitingJob
 from dragonflynotch.core.workspaces import ConfigurationView
+from dragonflynotch.entry.drains import DrainCoordinator
 from dragonflynotch.entry.guard_channel import (
     OrderRefused,
     OwnerSuperseded,
@@ -107,6 +108,7 @@
         self._view = view
         self._inbox = inbox
         self._mirror = JobMirror()
+        self._drains = DrainCoordinator(roster, self._mirror)
         self._reader = ReportReader(self._mirror.find)
         self._outbox = Outbox(recorder, roster.dispatch, self)
         self._calls = PendingCalls()
@@ -197,8 +199,7 @@
     def _process(self, item: OwnerInput) -> None:
         match item:
             case GuardHeard():
-                now = self._clock.now()
-                for event in self._roster.hear(item.info, item.digest, now):
+                for event in self._drains.hear(item, self._clock.now()):
                     self._handle(event)
             case ReportFetched():
                 self._process_report(item)
@@ -239,7 +240,8 @@
     def _process_report(self, item: ReportFetched) -> None:
         if item.report.highest_fence != self._partition.fence:
             return
-        for event in self._reader.read(item.worker_id, item.report):
+        events = self._reader.read(item.worker_id, item.report)
+        for event in (*self._drains.before_report(item), *events):
             self._handle(event)
         owed = self._mirror.note_report(item.worker_id, item.report)
         for outgoing in owed:
--- a/dragonflynotch/guard/order_book.py
+++ b/dragonflynotch/guard/order_book.py
@@ -50,8 +50,16 @@
         self._lease = lease
         self._refuse_prepare = refuse_prepare
 
-    def apply(self, batch: OrderBatch, now: datetime) -> OrderReply:
-        """Apply a batch, or refuse it whole by its fence or lease."""
+    def apply(self, batch: OrderBatch, leased_at: datetime) -> OrderReply:
+        """Apply a batch, or refuse it whole by its fence or lease.
+
+        Parameters
+        ----------
+        batch : OrderBatch
+            Orders of one owner.
+        leased_at : datetime
+            When the lease must still hold for orders that start work.
+        """
         if not self._lease.note_fence(batch.fence):
             return OrderReply(self._lease.highest_fence, 'fence_too_low')
         needs_lease = any(
@@ -60,7 +68,9 @@
         )
         # After a restart the guard does not know earlier fences; the lease
         # proves that the sender is still the owner.
-        if needs_lease and not self._lease.is_held_under(batch.fence, now):
+        if needs_lease and not self._lease.is_held_under(
+            batch.fence, leased_at
+        ):
             return OrderReply(self._lease.highest_fence, 'no_lease')
         refusals = []
         for order in batch.orders:
--- a/dragonflynotch/guard/task_setup.py
+++ b/dragonflynotch/guard/task_setup.py
@@ -29,7 +29,7 @@
         HttpWorkerRuntime(worker.address.pair, timeout),
         worker.accelerators,
         clock,
-        _policy(settings.tasks),
+        _policy(settings.tasks, settings.drain_notice_ms),
         on_progress,
     )
 
@@ -45,7 +45,7 @@
     return None if keeper is None else TaskApi(keeper)
 
 
-def _policy(settings: TaskSettings) -> TaskPolicy:
+def _policy(settings: TaskSettings, drain_notice_ms: int) -> TaskPolicy:
     return TaskPolicy(
         task_lease=timedelta(milliseconds=settings.task_lease_ms),
         start_confirmation=timedelta(
@@ -54,4 +54,5 @@
         worker_poll=timedelta(milliseconds=settings.worker_poll_ms),
         worker_idle_poll=timedelta(milliseconds=settings.worker_idle_poll_ms),
         worker_silence=timedelta(milliseconds=settings.worker_silence_ms),
+        drain_notice=timedelta(milliseconds=drain_notice_ms),
     )
--- a/dragonflynotch/guard/tasks.py
+++ b/dragonflynotch/guard/tasks.py
@@ -31,6 +31,7 @@
 # Leaves time for the checkpoint before the end of the lease.
 _CHECKPOINT_MARGIN = timedelta(seconds=5)
 _MARGIN_SHARE = 4
+_RELEASE_LIMIT_S = 2
 _RECOVERING = 'recovering'
 
 _log = part_logger('guard.tasks')
@@ -52,6 +53,8 @@
         Time between calls while it holds none.
     worker_silence : timedelta
         Time without an answer after which the worker is announced as gone.
+    drain_notice : timedelta
+        Time between the announcement of a drain and the stop of members.
     """
 
     task_lease: timedelta = timedelta(seconds=20)
@@ -59,6 +62,7 @@
     worker_poll: timedelta = timedelta(seconds=0.1)
     worker_idle_poll: timedelta = timedelta(seconds=0.5)
     worker_silence: timedelta = timedelta(seconds=2)
+    drain_notice: timedelta = timedelta(seconds=3)
 
     @property
     def checkpoint_margin(self) -> timedelta:
@@ -119,6 +123,7 @@
         self._is_draining = False
         self._wake = asyncio.Event()
         self._settled = asyncio.Event()
+        self._released = asyncio.Event()
         self._recovered = asyncio.Event()
 
     @property
@@ -159,7 +164,9 @@
         """Record a batch of orders; the outcomes come with the report."""
         if self._seen is None:
             return OrderReply(self.highest_fence, _RECOVERING)
-        reply = self._orders.apply(batch, self._clock.now())
+        # A member that starts within the margin would be stopped at once.
+        leased_at = self._clock.now() + self._policy.checkpoint_margin
+        reply = self._orders.apply(batch, leased_at)
         self._wake.set()
         return reply
 
@@ -178,20 +185,30 @@
                 await self._recovered.wait()
 
     async def drain(self, limit: timedelta) -> bool:
-        """Refuse new members, stop all and return whether they ended."""
+        """Refuse new members, stop all and return whether they ended.
+
+        The owner has the drain notice to checkpoint whole gangs, and a short
+        time to fetch the outcomes.
+        """
         self._is_draining = True
         if self._seen is None and not tuple(self._table):
             # The worker never answered, so this guard started nothing on it.
             return True
+        if self._table.active:
+            await asyncio.sleep(self._policy.drain_notice.total_seconds())
         for member in self._table.active:
             member.stop(limit // _MILLISECOND, 'drained')
         self._wake.set()
         self._settled.clear()
+        self._released.clear()
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 await self._settled.wait()
         except TimeoutError:
             return False
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_RELEASE_LIMIT_S):
+                await self._released.wait()
         return True
 
     async def run(self) -> None:
@@ -238,6 +255,8 @@
         self._expect_confirmations(now)
         if not self._table.active:
             self._settled.set()
+        if not tuple(self._table):
+            self._released.set()
 
     @property
     def _view(self) -> WorkerView | None:
--- a/tests/failures/test_gangs.py
+++ b/tests/failures/test_gangs.py
@@ -183,3 +183,26 @@
     assert job_id in json.dumps(rows.json())
     for counts in await site.computed():
         assert counts[f'{job_id}/1'] == 1
+
+
+async def test_drained_guard_moves_its_job(site):
+    """Guards against work that a planned stop of a guard throws away."""
+    job_id = await started(site, 2, accelerators=8)
+    job = await site.job(job_id)
+    guard = job['workers'][0].replace('worker', 'guard')
+    await asyncio.sleep(0.5)
+    site.processes[guard].terminate()
+    stopped_at = time.monotonic()
+
+    async def is_moved():
+        job = await site.job(job_id)
+        return job['attempt'] == 2 and job['state'] == 'running'
+
+    await site.until(is_moved)
+    assert time.monotonic() - stopped_at < TASK_LEASE_S
+    job = await site.until_state(job_id, 'finished')
+    assert job['work_done_ms'] > 400
+    site.processes[guard].wait(timeout=5)
+    site.start(guard)
+    job_id = await started(site, 0.2)
+    await site.until_state(job_id, 'finished')
--- a/tests/gang_processes.py
+++ b/tests/gang_processes.py
@@ -153,7 +153,11 @@
                     lambda kind: self.on_order(kind),
                 )
             self.settings[guard.guard_id] = msgspec.structs.replace(
-                guard, minion=None, tasks=TASKS, advertise=advertise
+                guard,
+                minion=None,
+                tasks=TASKS,
+                advertise=advertise,
+                drain_notice_ms=500,
             )
         self.processes = {}
         self.client = httpx.AsyncClient(
