Follow the repaired ownership rules in the code

Cause: the model checker refuted rules that the code followed: grants to an owner that the row does not name or before a change of the row was seen, takeovers right after a start and by entries unknown to the owner, orders that reach a restarted guard, and a lease renewed while stop orders get lost. Change: the row lists candidates; a takeover needs a candidate that has run for the duration of a grant; a grant needs the owner of the row as read last and a change seen since the start; orders carry the guard's incarnation; a guard whose orders get lost for the stop bound is not acknowledged. Before: the new cases of tests/core/test_ownership.py fail; after: pytest tests/failures tests/core/test_ownership.py tests/entry/test_ownership.py tests/guard pass.

--- a/dragonflynotch/core/ownership.py
+++ b/dragonflynotch/core/ownership.py
@@ -4,12 +4,13 @@
 of the process that decides.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 from types import MappingProxyType
 
 __all__ = (
+    'Candidate',
     'Grant',
     'LeaseObservation',
     'LeaseRow',
@@ -24,6 +25,7 @@
     'note_table_outage',
     'observe_lease',
     'receive_grant',
+    'restart_wait',
     'takeover_row',
 )
 
@@ -82,11 +84,15 @@
         Fencing number of the last ownership.
     expires_at : datetime
         Shown to operators only; no decision uses it.
+    candidates : tuple of str
+        Entries that may take the row over once it has expired. An entry that
+        the owner does not know could take over without its grant.
     """
 
     owner: str
     fence: int
     expires_at: datetime
+    candidates: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,11 +107,16 @@
         Version of the row; 0 if it does not exist.
     unchanged_since : datetime
         Since when the version has been the same, on the own clock.
+    has_changed : bool
+        Whether the version changed since the start of this process and since
+        its own last takeover write. Before that such a write, also one of the
+        former process of this entry, may still take effect.
     """
 
     row: LeaseRow | None
     version: int
     unchanged_since: datetime
+    has_changed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +135,25 @@
     until: datetime
 
 
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An entry that may want to take over.
+
+    Parameters
+    ----------
+    entry_id : str
+        Unique name.
+    started_at : datetime
+        Start of its process.
+    grant : Grant or None
+        Its last grant.
+    """
+
+    entry_id: str
+    started_at: datetime
+    grant: Grant | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class RenewalRight:
     """What gives an owner the right to renew task leases.
@@ -141,7 +171,7 @@
     was_paused : bool
         Whether the process paused too long since ``confirmed_at``.
     registered : frozenset of str
-        The other entries registered in the data centre.
+        The other candidates, also those of a renewal in transit.
     grants : mapping of str to datetime
         End of the received grants by entry.
     """
@@ -168,48 +198,70 @@
     Parameters
     ----------
     previous : LeaseObservation or None
-        The last observation; ``None`` at the start and after a failed read, so
-        that an owner can renew first when the table returns.
+        The last observation; ``None`` at the start.
     row, version
         What was read.
     now : datetime
         When the answer arrived.
     """
-    if previous is not None and previous.version == version:
+    if previous is None:
+        return LeaseObservation(row, version, now)
+    if previous.version == version:
         return previous
-    return LeaseObservation(row, version, now)
+    return LeaseObservation(row, version, now, has_changed=True)
+
+
+def restart_wait(
+    observation: LeaseObservation, now: datetime
+) -> LeaseObservation:
+    """Return the observation with a new wait, after an outage.
+
+    The owner then has a whole lease duration to renew first.
+    """
+    return replace(observation, unchanged_since=now)
 
 
 def may_take_over(
     observation: LeaseObservation,
-    grant: Grant | None,
+    candidate: Candidate,
     now: datetime,
     policy: OwnershipPolicy,
 ) -> bool:
     """Whether an entry may write the row with the next fence.
 
     A missing or cleared row may be taken at once: its owner stopped renewing
-    task leases before it cleared the row.
+    task leases before it cleared the row. An expired row may be taken by its
+    candidates only, and not in the first ``policy.grant`` of a process, which
+    does not remember the grants of its former process.
     """
     row = observation.row
-    if row is None:
-        return grant is None or now >= grant.until
-    if not row.owner:
-        return grant is None or grant.fence <= row.fence or now >= grant.until
+    grant = candidate.grant
+    is_open = row is None or not row.owner
+    if row is not None and is_open and grant and grant.fence <= row.fence:
+        return True
     if grant is not None and now < grant.until:
         return False
-    return now - observation.unchanged_since >= policy.lease
+    if row is None or is_open:
+        return True
+    return (
+        candidate.entry_id in (row.owner, *row.candidates)
+        and now - candidate.started_at >= policy.grant
+        and now - observation.unchanged_since >= policy.lease
+    )
 
 
 def takeover_row(
     observation: LeaseObservation,
     entry_id: str,
+    candidates: Iterable[str],
     now: datetime,
     policy: OwnershipPolicy,
 ) -> LeaseRow:
     """Return the row that a takeover writes on condition of the version."""
     fence = 0 if observation.row is None else observation.row.fence
-    return LeaseRow(entry_id, fence + 1, now + policy.lease)
+    return LeaseRow(
+        entry_id, fence + 1, now + policy.lease, tuple(sorted(candidates))
+    )
 
 
 def cleared_row(row: LeaseRow, now: datetime) -> LeaseRow:
@@ -219,20 +271,21 @@
 
 def is_granted(
     observation: LeaseObservation | None,
+    owner: str,
     fence: int,
     now: datetime,
     policy: OwnershipPolicy,
     *,
     is_competing: bool,
 ) -> Grant | None:
-    """Return a grant to the owner with ``fence``, or ``None`` to refuse.
+    """Return a grant to an owner, or ``None`` to refuse.
 
     Parameters
     ----------
     observation : LeaseObservation or None
-        What the grantor knows of the row.
-    fence : int
-        Fence of the asking owner.
+        What the grantor read of the row last.
+    owner, fence : str, int
+        The asking owner; only the one named by the row gets a grant.
     now : datetime
         Time of the grantor.
     policy : OwnershipPolicy
@@ -241,8 +294,10 @@
         Whether the grantor owns the partition or has a takeover write whose
         outcome it does not know.
     """
-    row = None if observation is None else observation.row
-    if is_competing or (row is not None and row.fence > fence):
+    if observation is None or observation.row is None or is_competing:
+        return None
+    row = observation.row
+    if not observation.has_changed or (row.owner, row.fence) != (owner, fence):
         return None
     return Grant(fence, now + policy.grant)
 
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -230,7 +230,9 @@
             guard_id=announcement.guard_id,
             sequence=announcement.sequence,
             configuration_revision=self._configuration.log.revision,
-            owned_fence=self._scheduling.keeper.acknowledged_fence(),
+            owned_fence=self._scheduling.acknowledged_fence(
+                announcement.guard_id
+            ),
             entries=tuple(
                 peer.announcements
                 for peer in self._remote.live(self._clock.now())
--- a/dragonflynotch/entry/forwarded_jobs.py
+++ b/dragonflynotch/entry/forwarded_jobs.py
@@ -152,9 +152,9 @@
         """Fence of the owned partition; 0 for none."""
         return self._keeper.fence
 
-    def grant(self, fence: int) -> timedelta | None:
-        """Promise the owner with ``fence`` not to take over for a time."""
-        return self._keeper.grant(fence)
+    def grant(self, owner: str, fence: int) -> timedelta | None:
+        """Promise an owner not to take over for a time."""
+        return self._keeper.grant(owner, fence)
 
     def receive_grant(self, entry_id: str, asked_at: datetime) -> None:
         """Record that an entry granted a digest sent at ``asked_at``."""
--- a/dragonflynotch/entry/guard_channel.py
+++ b/dragonflynotch/entry/guard_channel.py
@@ -4,7 +4,9 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import datetime, timedelta
 
+from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import LinkError
 from dragonflynotch.links.order_link import OrderLink
 from dragonflynotch.links.orders import (
@@ -76,6 +78,8 @@
         How to reach guards.
     emit : callable
         Receives the channel events.
+    clock : Clock
+        Clock of the entry.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         fence: int,
         link: OrderLink,
         emit: Callable[[ChannelEvent], None],
+        clock: Clock,
     ) -> None:
         """Create the channel; ``start`` runs it."""
         self._worker_id = worker_id
@@ -94,8 +99,11 @@
         self._fence = fence
         self._link = link
         self._emit = emit
+        self._clock = clock
         self._orders: deque[Order] = deque()
         self._announced: tuple[int, int] | None = None
+        self._incarnation = 0
+        self._failing_since: datetime | None = None
         self._known: tuple[tuple[int, int] | None, ...] = (None,)
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -114,12 +122,18 @@
         self._orders.append(order)
         self._wake.set()
 
+    def is_failing(self, bound: timedelta, now: datetime) -> bool:
+        """Whether orders could not be delivered for longer than a bound."""
+        since = self._failing_since
+        return since is not None and now - since > bound
+
     def note_announcement(
         self, address: tuple[str, int], incarnation: int, digest: int
     ) -> None:
         """Take over address and digest of an announcement."""
         self._address = address
         self._announced = (incarnation, digest)
+        self._incarnation = incarnation
         self._wake.set()
 
     async def _run(self) -> None:
@@ -135,17 +149,20 @@
 
     async def _step(self) -> bool:
         try:
-            if self._orders:
-                return await self._deliver()
-            return await self._fetch()
+            is_done = await (self._deliver() if self._orders else self._fetch())
         except LinkError as error:
             _log.debug('guard of {} failed: {}', self._worker_id, error)
+            self._failing_since = self._failing_since or self._clock.now()
             return False
+        # A refusal is an answer too: the guard is reachable.
+        self._failing_since = None
+        return is_done
 
     async def _deliver(self) -> bool:
         orders = tuple(self._orders)[:_BATCH_LIMIT]
         reply = await self._link.send(
-            self._address, OrderBatch(self._owner, self._fence, orders)
+            self._address,
+            OrderBatch(self._owner, self._fence, orders, self._incarnation),
         )
         if reply.reason == _SUPERSEDED:
             self._orders.clear()
--- a/dragonflynotch/entry/guard_roster.py
+++ b/dragonflynotch/entry/guard_roster.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.events import Event, WorkerJoined, WorkerLost
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.topology import Worker
@@ -44,6 +45,8 @@
         How long a guard is present after its last announcement.
     retention : timedelta
         How long a silent guard is remembered.
+    clock : Clock
+        Clock of the entry.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         emit: Callable[[ChannelEvent], None],
         time_to_live: timedelta,
         retention: timedelta,
+        clock: Clock,
     ) -> None:
         """Start without guards and without the right to give orders."""
         self._entry_id = entry_id
@@ -60,6 +64,7 @@
         self._emit = emit
         self._time_to_live = time_to_live
         self._retention = retention
+        self._clock = clock
         self._fence = 0
         self._guards: OrderedDict[str, _Guard] = OrderedDict()
         self._channels: dict[str, GuardChannel] = {}
@@ -113,6 +118,13 @@
         guard.worker = worker
         return (WorkerJoined(worker),)
 
+    def is_unreachable(self, guard_id: str, bound: timedelta) -> bool:
+        """Whether orders to a guard have failed for longer than a bound."""
+        channel = self._channels.get(self._worker_ids.get(guard_id, ''))
+        return channel is not None and channel.is_failing(
+            bound, self._clock.now()
+        )
+
     def is_draining(self, worker_id: str) -> bool:
         """Whether the guard of a worker announced that it drains."""
         guard = self._guards.get(worker_id)
@@ -192,6 +204,7 @@
                 self._fence,
                 self._link,
                 self._emit,
+                self._clock,
             )
             channel.start()
             self._channels[worker_id] = channel
--- a/dragonflynotch/entry/ownership.py
+++ b/dragonflynotch/entry/ownership.py
@@ -13,6 +13,7 @@
     UncertainWriteError,
 )
 from dragonflynotch.core.ownership import (
+    Candidate,
     Grant,
     LeaseObservation,
     LeaseRow,
@@ -27,6 +28,7 @@
     note_table_outage,
     observe_lease,
     receive_grant,
+    restart_wait,
     takeover_row,
 )
 from dragonflynotch.entry.lease_row import (
@@ -101,6 +103,8 @@
         self._others: frozenset[str] = frozenset()
         self._is_uncertain = False
         self._is_stopping = False
+        self._was_unreachable = False
+        self._started_at = clock.now()
         self._lock = asyncio.Lock()
 
     @property
@@ -135,8 +139,8 @@
             return self._right.fence
         return 0
 
-    def grant(self, fence: int) -> timedelta | None:
-        """Promise the owner with ``fence`` not to take over for a time.
+    def grant(self, owner: str, fence: int) -> timedelta | None:
+        """Promise an owner not to take over for a time.
 
         Returns
         -------
@@ -145,6 +149,7 @@
         """
         granted = is_granted(
             self._seen,
+            owner,
             fence,
             self._clock.now(),
             self._policy,
@@ -186,7 +191,9 @@
             if self._row is None:
                 raise NotOwnerError('not the owner', step='commit')
             row = replace(
-                self._row, expires_at=self._clock.now() + self._policy.lease
+                self._row,
+                expires_at=self._clock.now() + self._policy.lease,
+                candidates=tuple(sorted(self._others)),
             )
             return await self._write(row, writes)
 
@@ -227,6 +234,10 @@
         self, row: LeaseRow, writes: Sequence[ConditionalWrite]
     ) -> Written | WriteConflict:
         sent_at = self._clock.now()
+        if self._right is not None:
+            # The write may take effect even if its answer is lost.
+            registered = self._right.registered | frozenset(row.candidates)
+            self._right = replace(self._right, registered=registered)
         try:
             outcome = await self._store.write(row, writes)
         except NotOwnerError:
@@ -248,12 +259,14 @@
         except UncertainWriteError as error:
             _log.warning('takeover is uncertain: {}', error)
         except DragonflynotchError:
-            # After an outage the owner gets a whole lease to renew first.
-            self._seen = None
+            self._was_unreachable = True
 
     def _observe(self, stored: StoredLease) -> None:
         now = self._clock.now()
         self._seen = observe_lease(self._seen, stored.row, stored.version, now)
+        if self._was_unreachable:
+            self._seen = restart_wait(self._seen, now)
+            self._was_unreachable = False
         if stored.version != self._store.version:
             # A conditional takeover write can't take effect any more.
             self._is_uncertain = False
@@ -269,7 +282,8 @@
         if self._right is not None or self._is_stopping:
             return False
         now = self._clock.now()
-        return may_take_over(seen, self._grant, now, self._policy)
+        candidate = Candidate(self._entry_id, self._started_at, self._grant)
+        return may_take_over(seen, candidate, now, self._policy)
 
     async def _take_over(self, seen: LeaseObservation) -> None:
         # An owner asks every registered entry for its grant, so an entry that
@@ -279,9 +293,14 @@
         async with self._lock:
             self._store.version = seen.version
             self._is_uncertain = True
+            self._seen = replace(seen, has_changed=False)
             await self._write(
                 takeover_row(
-                    seen, self._entry_id, self._clock.now(), self._policy
+                    seen,
+                    self._entry_id,
+                    self._others,
+                    self._clock.now(),
+                    self._policy,
                 ),
                 (),
             )
@@ -290,17 +309,16 @@
         """Read who is registered and return whether this entry is."""
         registered = await self._store.registered()
         self._others = registered - {self._entry_id}
-        if self._right is not None:
-            self._right = replace(self._right, registered=self._others)
         return self._entry_id in registered
 
     def _confirm(self, row: LeaseRow, sent_at: datetime) -> None:
         now = self._clock.now()
         is_gain = self._right is None
-        right = self._right or RenewalRight(
-            row.fence, sent_at, now, registered=self._others
+        right = self._right or RenewalRight(row.fence, sent_at, now)
+        self._right = replace(
+            confirm_by_table(right, sent_at, now),
+            registered=frozenset(row.candidates) - {self._entry_id},
         )
-        self._right = confirm_by_table(right, sent_at, now)
         self._row = row
         self._is_uncertain = False
         if is_gain:
--- a/dragonflynotch/entry/peers.py
+++ b/dragonflynotch/entry/peers.py
@@ -185,8 +185,8 @@
         """Fence of the owned partition; 0 for none."""
 
     @abstractmethod
-    def grant(self, fence: int) -> timedelta | None:
-        """Promise the owner with ``fence`` not to take over for a time."""
+    def grant(self, owner: str, fence: int) -> timedelta | None:
+        """Promise an owner not to take over for a time."""
 
     @abstractmethod
     def receive_grant(self, entry_id: str, asked_at: datetime) -> None:
@@ -302,7 +302,10 @@
         is_own = digest.data_centre == self._identity.data_centre
         if self._scheduling is None or not is_own or not digest.owned_fence:
             return timedelta()
-        return self._scheduling.grant(digest.owned_fence) or timedelta()
+        return (
+            self._scheduling.grant(digest.entry_id, digest.owned_fence)
+            or timedelta()
+        )
 
     async def _exchange(self, address: str) -> None:
         link = self._links[address]
--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -83,15 +83,18 @@
             settings.entry_id, store, clock, _ownership_policy(ownership), self
         )
         inbox: asyncio.Queue[OwnerInput] = asyncio.Queue()
+        self._stop_bound = _ms(settings.scheduling.stop_bound_ms)
+        self._roster = GuardRoster(
+            settings.entry_id,
+            self._link,
+            inbox.put_nowait,
+            _ms(ownership.worker_ttl_ms),
+            2 * _ms(ownership.task_lease_ms),
+            clock,
+        )
         self._owner = PartitionOwner(
             Partition(settings.data_centre, _policy(settings.scheduling)),
-            GuardRoster(
-                settings.entry_id,
-                self._link,
-                inbox.put_nowait,
-                _ms(ownership.worker_ttl_ms),
-                2 * _ms(ownership.task_lease_ms),
-            ),
+            self._roster,
             JobRecorder(
                 settings.data_centre, self.keeper.commit, store.is_own_token
             ),
@@ -110,6 +113,16 @@
         """Whether the partition is owned and its records are loaded."""
         return self._owner.is_owner
 
+    def acknowledged_fence(self, guard_id: str) -> int:
+        """Return the fence for an acknowledgement; 0 renews no task lease.
+
+        A guard whose orders get lost may still send announcements. It must
+        not renew its lease, or a stop order to it would never have an end.
+        """
+        if self._roster.is_unreachable(guard_id, self._stop_bound):
+            return 0
+        return self.keeper.acknowledged_fence()
+
     def start(self) -> None:
         """Compete for the ownership and process inputs from now on."""
         self._tasks = [
--- a/dragonflynotch/guard/order_book.py
+++ b/dragonflynotch/guard/order_book.py
@@ -35,6 +35,8 @@
         Members of the guard.
     lease : TaskLease
         Lease and fences.
+    incarnation : int
+        Random number drawn at the start of the guard.
     refuse_prepare : callable
         Returns why the guard takes no new member; empty if it does.
     """
@@ -43,15 +45,17 @@
         self,
         table: MemberTable,
         lease: TaskLease,
+        incarnation: int,
         refuse_prepare: Callable[[], str],
     ) -> None:
         """Apply orders to ``table``."""
         self._table = table
         self._lease = lease
+        self._incarnation = incarnation
         self._refuse_prepare = refuse_prepare
 
     def apply(self, batch: OrderBatch, leased_at: datetime) -> OrderReply:
-        """Apply a batch, or refuse it whole by its fence or lease.
+        """Apply a batch, or refuse it whole by receiver, fence or lease.
 
         Parameters
         ----------
@@ -60,6 +64,8 @@
         leased_at : datetime
             When the lease must still hold for orders that start work.
         """
+        if batch.incarnation != self._incarnation:
+            return OrderReply(self._lease.highest_fence, 'other_incarnation')
         if not self._lease.note_fence(batch.fence):
             return OrderReply(self._lease.highest_fence, 'fence_too_low')
         needs_lease = any(
--- a/dragonflynotch/guard/tasks.py
+++ b/dragonflynotch/guard/tasks.py
@@ -116,7 +116,9 @@
         self._on_progress = on_progress
         self._lease = TaskLease(policy.task_lease)
         self._table = MemberTable(accelerators)
-        self._orders = OrderBook(self._table, self._lease, self._refusal)
+        self._orders = OrderBook(
+            self._table, self._lease, incarnation, self._refusal
+        )
         self._seen: _Seen | None = None
         self._is_call_lost = False
         self._worker_lease_until: datetime | None = None
--- a/dragonflynotch/links/orders.py
+++ b/dragonflynotch/links/orders.py
@@ -106,11 +106,16 @@
 
 
 class OrderBatch(msgspec.Struct, frozen=True):
-    """Orders of one owner, carried out in this sequence."""
+    """Orders of one owner, carried out in this sequence.
+
+    ``incarnation`` is that of the guard's process: a restarted guard has
+    forgotten which attempts it was told to stop.
+    """
 
     owner: str
     fence: int
     orders: tuple[Order, ...]
+    incarnation: int
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dragonflynotch.core.ownership import (
+    Candidate,
     Grant,
     LeaseRow,
     OwnershipPolicy,
@@ -24,7 +25,8 @@
 
 T0 = datetime(2026, 1, 1, tzinfo=UTC)
 POLICY = OwnershipPolicy()
-ROW = LeaseRow('entry-1', 4, T0)
+ROW = LeaseRow('entry-1', 4, T0, ('entry-2',))
+OLD = Candidate('entry-2', T0 - timedelta(hours=1))
 
 
 def at(seconds: float) -> datetime:
@@ -35,38 +37,70 @@
 def test_takeover_needs_a_whole_unchanged_duration(seconds, expected):
     """Guards against a takeover while the owner still renews tasks."""
     seen = observe_lease(observe_lease(None, ROW, 7, T0), ROW, 7, at(seconds))
-    assert may_take_over(seen, None, at(seconds), POLICY) is expected
-    assert takeover_row(seen, 'entry-2', T0, POLICY).fence == 5
+    assert may_take_over(seen, OLD, at(seconds), POLICY) is expected
+    assert takeover_row(seen, 'entry-2', (), T0, POLICY).fence == 5
 
 
 def test_renewed_row_restarts_the_wait():
     """Guards against judging the lease by the first observation."""
     seen = observe_lease(observe_lease(None, ROW, 7, T0), ROW, 8, at(5))
-    assert not may_take_over(seen, None, at(7), POLICY)
+    assert not may_take_over(seen, OLD, at(7), POLICY)
 
 
 def test_own_grant_delays_the_takeover():
     """Guards against breaking a promise to the owner."""
-    seen = observe_lease(None, ROW, 7, T0)
-    grant = is_granted(seen, 4, at(5), POLICY, is_competing=False)
+    seen = observe_lease(observe_lease(None, ROW, 6, T0), ROW, 7, T0)
+    grant = is_granted(seen, 'entry-1', 4, at(5), POLICY, is_competing=False)
     assert grant == Grant(4, at(15))
-    assert not may_take_over(seen, grant, at(14.9), POLICY)
-    assert may_take_over(seen, grant, at(15), POLICY)
+    bound = replace(OLD, grant=grant)
+    assert not may_take_over(seen, bound, at(14.9), POLICY)
+    assert may_take_over(seen, bound, at(15), POLICY)
 
 
 def test_cleared_row_is_taken_at_once():
     """Guards against a gap in ownership after a planned stop."""
     seen = observe_lease(None, cleared_row(ROW, T0), 8, T0)
-    assert may_take_over(seen, Grant(4, at(10)), T0, POLICY)
-
-
-@pytest.mark.parametrize(('fence', 'is_competing'), [(3, False), (4, True)])
-def test_grant_is_refused(fence, is_competing):
-    """Guards against a grant to an old owner, or during an own takeover."""
-    seen = observe_lease(None, ROW, 7, T0)
-    assert (
-        is_granted(seen, fence, T0, POLICY, is_competing=is_competing) is None
+    bound = Candidate('entry-3', T0, Grant(4, at(10)))
+    assert may_take_over(seen, bound, T0, POLICY)
+
+
+@pytest.mark.parametrize(
+    ('owner', 'fence', 'is_competing', 'has_changed'),
+    [
+        ('entry-1', 3, False, True),
+        ('entry-1', 5, False, True),
+        ('entry-3', 4, False, True),
+        ('entry-1', 4, True, True),
+        ('entry-1', 4, False, False),
+    ],
+)
+def test_grant_is_refused(owner, fence, is_competing, has_changed):
+    """Guards against a grant to another owner, or beside a late takeover."""
+    seen = replace(observe_lease(None, ROW, 7, T0), has_changed=has_changed)
+    granted = is_granted(
+        seen, owner, fence, T0, POLICY, is_competing=is_competing
     )
+    assert granted is None
+    assert not is_granted(None, owner, fence, T0, POLICY, is_competing=False)
+
+
+@pytest.mark.parametrize(
+    ('candidate', 'expected'),
+    [
+        (OLD, True),
+        # The former process may have given a grant.
+        (Candidate('entry-2', T0), False),
+        (Candidate('entry-1', T0 - timedelta(hours=1)), True),
+        # The owner does not know this entry, so it asks it for no grant.
+        (Candidate('entry-3', T0 - timedelta(hours=1)), False),
+    ],
+)
+def test_only_candidates_without_a_forgotten_grant_take_over(
+    candidate, expected
+):
+    """Guards against a takeover that no grant could have prevented."""
+    seen = observe_lease(None, ROW, 7, T0)
+    assert may_take_over(seen, candidate, at(9), POLICY) is expected
 
 
 def test_right_ends_with_the_confirmation():
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -62,6 +62,11 @@
     await site.register()
     await site.keepers[0]._compete()
     assert site.listeners[0].heard == [1]
+    # Past the time in which a new process neither takes over nor grants.
+    await site.keepers[1]._compete()
+    site.advance(10)
+    await site.keepers[0]._renew()
+    await site.keepers[1]._compete()
     return site
 
 
@@ -125,7 +130,7 @@
     site.advance(3)
     first.acknowledged_fence()
     site.advance(3)
-    assert second.grant(1) == timedelta(seconds=9)
+    assert second.grant('entry-0', 1) == timedelta(seconds=9)
     first.receive_grant('entry-1', site.clock.now())
     assert first.acknowledged_fence() == 1
     site.table.fault = TableFault.none
--- a/tests/entry/test_partition_owner.py
+++ b/tests/entry/test_partition_owner.py
@@ -38,7 +38,12 @@
         table = MemoryTable()
         inbox = asyncio.Queue()
         self.roster = GuardRoster(
-            'entry-1', DeadLink(), inbox.put_nowait, TTL, 10 * TTL
+            'entry-1',
+            DeadLink(),
+            inbox.put_nowait,
+            TTL,
+            10 * TTL,
+            self.clock,
         )
         self.owner = PartitionOwner(
             Partition('dc'),
--- a/tests/failures/test_gang_takeover.py
+++ b/tests/failures/test_gang_takeover.py
@@ -83,6 +83,7 @@
         batch = {
             'owner': 'old',
             'fence': report['highest_fence'] - 1,
+            'incarnation': report['incarnation'],
             'orders': [
                 {'order': 'start', 'job_id': 'any', 'attempt': 1},
             ],
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -72,7 +72,9 @@
         self.keeper.acknowledge(CLOCK.now(), fence)
 
     def order(self, *orders, fence=3):
-        return self.keeper.accept(OrderBatch('entry-1', fence, orders))
+        return self.keeper.accept(
+            OrderBatch('entry-1', fence, orders, incarnation=1)
+        )
 
     def member(self):
         members = self.keeper.report.members
