--- /dev/null
+++ b/tests/model/test_ownership_machine.py
@@ -0,0 +1,199 @@
+"""Drives core/ownership.py with the events of specifications/ownership.pml."""
+
+from datetime import timedelta
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from dragonflynotch.core.clock import ManualClock
+from dragonflynotch.core.ownership import (
+    Grant,
+    LeaseObservation,
+    LeaseRow,
+    OwnershipPolicy,
+    RenewalRight,
+    confirm_by_table,
+    is_granted,
+    may_renew_tasks,
+    may_take_over,
+    note_running,
+    note_table_outage,
+    observe_lease,
+    receive_grant,
+    takeover_row,
+)
+
+POLICY = OwnershipPolicy()
+OWNER, CANDIDATE = 'entry-a', 'entry-b'
+FENCE = 7
+
+
+class Ownership(RuleBasedStateMachine):
+    """Entry A owns the partition; entry B may take it over."""
+
+    @initialize(uptime_steps=strategies.sampled_from((0, 3)))
+    def start(self, uptime_steps) -> None:
+        self.clock = ManualClock()
+        now = self.clock.now()
+        self.row = LeaseRow(OWNER, FENCE, now)
+        self.version = 1
+        self.right = RenewalRight(
+            FENCE, now, now, registered=frozenset({CANDIDATE})
+        )
+        self.renewal = None  # sent at, expected version
+        self.is_renewal_applied = False
+        self.asked_at = None
+        self.is_granted = False
+        self.takeover = None  # row, expected version
+        self.start_candidate()
+        for _ in range(uptime_steps):
+            self.renew_at_once()
+            self.pass_time(4)
+
+    def start_candidate(self) -> None:
+        """Start B, which remembers neither grants nor writes."""
+        self.seen: LeaseObservation | None = None
+        self.first_version = None
+        self.grant = Grant(FENCE, self.clock.now() + POLICY.grant)
+        self.is_competing = True
+
+    @property
+    def is_superseded(self) -> bool:
+        return self.row.fence > FENCE
+
+    @rule(seconds=strategies.sampled_from((0.5, 1, 2, 4.5)))
+    def pass_time(self, seconds):
+        self.right = note_running(self.right, self.clock.now(), POLICY)
+        self.clock.advance(timedelta(seconds=seconds))
+
+    @precondition(lambda self: self.renewal is None)
+    @rule()
+    def send_renewal(self):
+        self.renewal = (self.clock.now(), self.version)
+
+    @precondition(lambda self: self.renewal and not self.is_renewal_applied)
+    @rule()
+    def apply_renewal(self):
+        if self.renewal[1] == self.version and not self.is_superseded:
+            self.version += 1
+            self.is_renewal_applied = True
+        else:
+            self.renewal = None
+
+    @precondition(lambda self: self.is_renewal_applied)
+    @rule()
+    def receive_renewal_answer(self):
+        self.right = confirm_by_table(
+            self.right, self.renewal[0], self.clock.now()
+        )
+        self.renewal, self.is_renewal_applied = None, False
+
+    @rule()
+    def lose_table(self):
+        self.right = note_table_outage(self.right)
+
+    @precondition(lambda self: self.asked_at is None)
+    @rule()
+    def ask_for_grant(self):
+        self.asked_at = self.clock.now()
+
+    @precondition(lambda self: self.asked_at and not self.is_granted)
+    @rule()
+    def give_grant(self):
+        grant = is_granted(
+            self.seen,
+            FENCE,
+            self.clock.now(),
+            POLICY,
+            is_competing=self.is_competing,
+        )
+        if grant is not None:
+            self.grant = grant
+            self.is_granted = True
+
+    @precondition(lambda self: self.is_granted)
+    @rule()
+    def receive_grant(self):
+        self.right = receive_grant(self.right, CANDIDATE, self.asked_at, POLICY)
+        self.asked_at, self.is_granted = None, False
+
+    @rule()
+    def read_row(self):
+        self.seen = observe_lease(
+            self.seen, self.row, self.version, self.clock.now()
+        )
+        if self.first_version is None:
+            self.first_version = self.version
+        if self.version > self.first_version:
+            self.is_competing = self.is_superseded
+
+    @precondition(lambda self: self.seen and self.takeover is None)
+    @rule()
+    def send_takeover(self):
+        now = self.clock.now()
+        if may_take_over(self.seen, self.grant, now, POLICY):
+            row = takeover_row(self.seen, CANDIDATE, now, POLICY)
+            self.takeover = (row, self.seen.version)
+            self.is_competing = True
+            self.first_version = self.seen.version
+
+    @precondition(lambda self: self.takeover)
+    @rule()
+    def apply_takeover(self):
+        row, expected = self.takeover
+        self.takeover = None
+        if expected == self.version:
+            self.row = row
+            self.version += 1
+
+    @precondition(lambda self: self.renewal is None)
+    @rule()
+    def renew_at_once(self):
+        """The common course; single steps alone rarely reach it."""
+        self.send_renewal()
+        self.apply_renewal()
+        if self.is_renewal_applied:
+            self.receive_renewal_answer()
+        self.read_row()
+
+    @precondition(lambda self: self.asked_at is None)
+    @rule(delay_s=strategies.sampled_from((0, 0, 4)))
+    def exchange_grant(self, delay_s):
+        """The common course in an outage, with a slow answer at times."""
+        self.lose_table()
+        self.ask_for_grant()
+        self.give_grant()
+        self.pass_time(delay_s)
+        if self.is_granted:
+            self.receive_grant()
+
+    @precondition(lambda self: self.takeover is None)
+    @rule()
+    def take_over_at_once(self):
+        self.read_row()
+        self.send_takeover()
+        if self.takeover:
+            self.apply_takeover()
+
+    @rule()
+    def restart_candidate(self):
+        self.start_candidate()
+
+    @invariant()
+    def one_renewer(self):
+        """G1, G2: a superseded owner renews no task lease."""
+        if self.is_superseded:
+            now = self.clock.now()
+            assert not may_renew_tasks(self.right, now, POLICY)
+
+
+TestOwnership = Ownership.TestCase
+TestOwnership.settings = settings(
+    derandomize=True, max_examples=300, stateful_step_count=50, deadline=None
+)
