--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -88,7 +88,7 @@
     for guard in plan.guards:
         if guard.minion and guard.worker:
             minion = MinionApp(guard.minion.minion_id)
-            worker = WorkerApp(guard.worker.worker_id, store)
+            worker = WorkerApp(store)
             servers.append(HttpServer(minion, *guard.minion.address.pair))
             servers.append(HttpServer(worker, *guard.worker.address.pair))
     return servers
