Let simulated guards answer for their reports

Cause: since the entry owns the partition it fetches the report of each new guard; simulated guards without an HTTP port made it repeat the call, and 500 of them took 93% of a core, which is the cost of refused connections. Change: one port for each simulated guard that serves an empty report.

--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -1,15 +1,19 @@
 """Simulated guards and simulated entries on datagrams."""
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Final
 
+import msgspec
+
 from benchmarks.link_servers import HOST, sample_announcement
 from dragonflynotch.links.messages import (
     Acknowledgement,
     decode_announcement,
     encode_message,
 )
+from dragonflynotch.links.orders import GuardReport
 
 __all__ = ('HeartbeatSource', 'SilentOwner', 'Traffic')
 
@@ -69,8 +73,34 @@
         self._transport.sendto(answer, addr)
 
 
+class _Reports:
+    """Answers every request with the report of a guard without members."""
+
+    def __init__(self, number: int) -> None:
+        guard_id = f'lautoka-guard-{number}'
+        report = GuardReport(guard_id, number, _FENCE, number, ())
+        body = msgspec.json.encode(report)
+        head = (
+            'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        self._answer = head.encode() + body
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await reader.readuntil(b'\r\n\r\n'):
+                writer.write(self._answer)
+        writer.close()
+
+
 class HeartbeatSource(asyncio.DatagramProtocol):
-    """Announces many guards from one socket, spread over the interval."""
+    """Announces many guards from one socket, spread over the interval.
+
+    Each guard answers requests for its report on a port of its own, so that
+    the owner of the partition does not repeat them.
+    """
 
     def __init__(self, traffic: Traffic, entry: tuple[str, int]) -> None:
         """Create the source; ``open`` starts it."""
@@ -78,6 +108,7 @@
         self._entry = entry
         self._transport: Any = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._servers: list[asyncio.Server] = []
 
     async def open(self, guards: int) -> None:
         """Start to announce a number of guards."""
@@ -86,27 +117,31 @@
             lambda: self, local_addr=(HOST, 0)
         )
         self._transport = pair[0]
-        self._tasks = [
-            asyncio.create_task(self._announce(number, number / guards))
-            for number in range(guards)
-        ]
+        for number in range(guards):
+            server = await asyncio.start_server(_Reports(number).serve, HOST, 0)
+            self._servers.append(server)
+            port = server.sockets[0].getsockname()[1]
+            announcing = self._announce(number, port, number / guards)
+            self._tasks.append(asyncio.create_task(announcing))
 
     def close(self) -> None:
         """Stop announcing."""
         for task in self._tasks:
             task.cancel()
+        for server in self._servers:
+            server.close()
         self._transport.close()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Count an acknowledgement."""
         self._traffic.add(data)
 
-    async def _announce(self, number: int, phase: float) -> None:
+    async def _announce(self, number: int, port: int, phase: float) -> None:
         await asyncio.sleep(phase * _INTERVAL_S)
         sequence = 0
         while True:
             sequence += 1
-            payload = sample_announcement(number, sequence)
+            payload = sample_announcement(number, sequence, port)
             self._traffic.add(payload)
             self._transport.sendto(payload, self._entry)
             await asyncio.sleep(_INTERVAL_S)
--- a/benchmarks/link_servers.py
+++ b/benchmarks/link_servers.py
@@ -23,7 +23,9 @@
 TRANSPORTS: Final = ('datagram', 'http', 'grpc')
 
 
-def sample_announcement(guard: int, sequence: int) -> bytes:
+def sample_announcement(
+    guard: int, sequence: int, http_port: int = 8080
+) -> bytes:
     """Return an announcement of the usual size."""
     name = f'lautoka-guard-{guard}'
     return encode_message(
@@ -33,7 +35,7 @@
             sequence,
             'lautoka',
             HOST,
-            8080,
+            http_port,
             GuardState.ready,
             MinionState(f'lautoka-minion-{guard}', 8, 5, 3),
             WorkerState(
