Show in the status what waits, why, and what it did so far

Cause: GET /v1/status told nothing about jobs, and the gauges of jobs and the fence stayed without a reading.

--- a/dragonflynotch/cli/status.py
+++ b/dragonflynotch/cli/status.py
@@ -24,9 +24,10 @@
 )
 from dragonflynotch.core.errors import InvalidInputError
 
-__all__ = ('StatusCommand', 'entry_text', 'jobs_text')
+__all__ = ('StatusCommand', 'entry_text', 'job_text', 'jobs_text')
 
 _MS_PER_S = 1000
+_WATCH_INTERVAL_S = 1
 _WAITING = 'waiting'
 
 
@@ -69,8 +70,22 @@
         ),
     ] = CallerOptions.callers
 
+    watch: Annotated[
+        float,
+        cappa.Arg(
+            long=True,
+            help='Print each change of the job for so many seconds.',
+        ),
+    ] = 0
+
     def __call__(self) -> int:
         """Print the status and return the exit code."""
+        if self.watch and not (self.workspace and self.job):
+            return report_error(
+                InvalidInputError(
+                    '--watch', self.watch, 'also --workspace and a job'
+                )
+            )
         if self.workspace:
             return asyncio.run(self._show_jobs())
         if self.job:
@@ -90,12 +105,28 @@
     async def _show_jobs(self) -> ExitCode:
         found = await self._read_jobs()
         if isinstance(found, JobView):
-            print_result(self.options.output, found, _job_text(found))
-        elif isinstance(found, JobList):
+            print_result(self.options.output, found, job_text(found))
+            return await self._follow(found)
+        if isinstance(found, JobList):
             text = jobs_text(found.jobs)
             print_result(self.options.output, found, text)
-        else:
-            return report_failure(found)
+            return ExitCode.done
+        return report_failure(found)
+
+    async def _follow(self, job: JobView) -> ExitCode:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.watch
+        shown = _changes(job)
+        while not job.is_final and loop.time() < end:
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+            found = await self._read_jobs()
+            if not isinstance(found, JobView):
+                # The job goes on while an entry is replaced.
+                continue
+            job = found
+            if _changes(job) != shown:
+                shown = _changes(job)
+                print_result(self.options.output, job, job_text(job))
         return ExitCode.done
 
     async def _read_jobs(self) -> JobView | JobList | Failure:
@@ -118,8 +149,12 @@
         f'table service {table}',
         f'guards {len(status.guards)}, ready {ready}',
         f'other entries {len(status.entries)}',
-        f'waiting jobs {len(status.waiting)}',
     ]
+    if not status.is_deciding:
+        lines.append('jobs: another entry of the data centre decides')
+        return '\n'.join(lines)
+    lines.append(f'running jobs {status.running_jobs}')
+    lines.append(f'waiting jobs {len(status.waiting)}')
     if status.waiting:
         lines.append(_waiting_table(status.waiting))
     return '\n'.join(lines)
@@ -150,7 +185,9 @@
         (
             job.job_id,
             job.workspace,
+            str(job.accelerators),
             _waited(job.waited_ms),
+            _progress(job),
             job.guarantee or '-',
             job.start_by.isoformat() if job.start_by else '-',
             job.reason,
@@ -158,11 +195,22 @@
         for job in sorted(waiting, key=lambda each: -each.waited_ms)
     ]
     return format_table(
-        ('JOB', 'WORKSPACE', 'WAITED', 'WAITS FOR', 'START BY', 'WHY'), rows
+        (
+            'JOB',
+            'WORKSPACE',
+            'ACCELERATORS',
+            'WAITED',
+            'PROGRESS',
+            'WAITS FOR',
+            'START BY',
+            'WHY',
+        ),
+        rows,
     )
 
 
-def _job_text(job: JobView) -> str:
+def job_text(job: JobView) -> str:
+    """Return the state of a job for people."""
     lines = [
         f'job {job.job_id} of workspace {job.workspace}',
         f'state {job.state}, attempt {job.attempt}',
@@ -182,6 +230,10 @@
     return format_duration(milliseconds / _MS_PER_S)
 
 
-def _progress(job: JobView) -> str:
+def _changes(job: JobView) -> tuple[str, ...]:
+    return (job.state, job.waits_for, job.detail, _progress(job))
+
+
+def _progress(job: JobView | WaitingView) -> str:
     saved = format_duration(job.work_done_ms / _MS_PER_S)
     return f'{saved} saved' if job.work_done_ms else 'nothing saved'
--- a/dragonflynotch/client/views.py
+++ b/dragonflynotch/client/views.py
@@ -74,14 +74,20 @@
         Guarantee whose capacity it waits for, or ``''``.
     start_by : datetime or None
         Upper bound of the start stated by a reservation or a reclaim.
+    work_done_ms : int
+        Run time preserved in the last checkpoint, in milliseconds.
     """
 
     job_id: str
     workspace: str = ''
+    kind: str = 'default'
+    accelerators: int = 0
     waited_ms: int = 0
     reason: str = ''
     guarantee: str = ''
     start_by: datetime | None = None
+    attempt: int = 0
+    work_done_ms: int = 0
 
 
 class EntryStatus(msgspec.Struct, frozen=True):
@@ -89,6 +95,9 @@
 
     Parameters
     ----------
+    is_deciding : bool
+        Whether this entry decides about the jobs of its data centre; only
+        then ``waiting`` and ``running_jobs`` say something.
     content : dict
         The whole answer, with fields that this version does not know.
     """
@@ -99,6 +108,9 @@
     is_table_reachable: bool
     guards: tuple[dict[str, Any], ...] = ()
     entries: tuple[dict[str, Any], ...] = ()
+    is_deciding: bool = False
+    owned_fence: int = 0
+    running_jobs: int = 0
     waiting: tuple[WaitingView, ...] = ()
     content: dict[str, Any] = {}
 
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -7,6 +7,8 @@
 from datetime import timedelta
 from typing import Any
 
+import msgspec
+
 from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.core.membership import GuardInfo, Membership
 from dragonflynotch.core.routing import Target
@@ -271,6 +273,7 @@
             'is_table_reachable': self._exchange.is_table_reachable,
             'owned_fence': self._scheduling.keeper.fence,
             'is_deciding': self._scheduling.is_deciding,
+            **msgspec.structs.asdict(self._scheduling.describe()),
             'guards': [
                 {
                     'guard': guard.guard_id,
@@ -303,6 +306,10 @@
         metrics.set_gauge(
             'table_reachable', int(self._exchange.is_table_reachable)
         )
+        jobs = self._scheduling.describe()
+        metrics.set_gauge('owned_fence', self._scheduling.keeper.fence)
+        metrics.set_gauge('waiting_jobs', len(jobs.waiting))
+        metrics.set_gauge('running_jobs', jobs.running_jobs)
         return metrics.render()
 
 
--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -15,6 +15,7 @@
 from dragonflynotch.core.policy import PolicySettings
 from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.guard_roster import GuardRoster
+from dragonflynotch.entry.job_overview import JobOverview, describe_jobs
 from dragonflynotch.entry.job_recorder import JobRecorder
 from dragonflynotch.entry.lease_row import LeaseRowStore
 from dragonflynotch.entry.local_jobs import LocalJobService
@@ -110,6 +111,12 @@
         """Whether the partition is owned and its records are loaded."""
         return self._owner.is_owner
 
+    def describe(self) -> JobOverview:
+        """Return what runs and what waits in the owned partition."""
+        if not self.is_deciding:
+            return JobOverview()
+        return describe_jobs(self._owner.jobs(), self._owner.waiting())
+
     def start(self) -> None:
         """Compete for the ownership and process inputs from now on."""
         self._tasks = [
