Run a gang and refuse an impossible job in the embedded mode

Cause: the main job covered requests only. Change: local submits a job for 16 accelerators, waits until it finished, and checks that its workers stand in one rack; a job for 1000 accelerators must be refused as never runnable.

--- a/dragonflynotch/cli/local.py
+++ b/dragonflynotch/cli/local.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import uuid
-from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
 from typing import TypeVar
@@ -11,22 +11,29 @@
 import msgspec
 
 from dragonflynotch.cli.exit_codes import ExitCode
-from dragonflynotch.client.caller import HttpCallerClient, RequestCall
+from dragonflynotch.client.caller import (
+    HttpCallerClient,
+    RequestCall,
+    SubmitCall,
+)
 from dragonflynotch.client.operator import HttpOperatorClient
-from dragonflynotch.client.outcomes import Conflict, Failure
+from dragonflynotch.client.outcomes import Refused
 from dragonflynotch.client.transport import HttpTransport, RetryPolicy
-from dragonflynotch.client.views import RecordWritten, RequestAnswer
+from dragonflynotch.client.views import JobView, RecordWritten, RequestAnswer
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.records.settings import EntrySettings
-from dragonflynotch.testing.deployment import plan_deployment
+from dragonflynotch.testing.deployment import DeploymentPlan, plan_deployment
 from dragonflynotch.testing.examples import EXAMPLES, Example, example_token
 from dragonflynotch.testing.running_deployment import RunningDeployment
 
 __all__ = ('MainJobError', 'run_local')
 
-_START_LIMIT_S = 30
+_STEP_LIMIT_S = 15
 _POLL_S = 0.2
 _ONCE = RetryPolicy(attempts=1)
+_GANG_ACCELERATORS = 16
+_GANG_RUN_TIME_S = 1.0
+_IMPOSSIBLE_ACCELERATORS = 1000
 
 _AnswerT = TypeVar('_AnswerT')
 
@@ -47,15 +54,28 @@
         Request that may run more than once.
     once : RequestCall
         Request that must run once, with its key.
+    job_workspace : str
+        Workspace of the jobs.
+    gang : SubmitCall
+        Job that needs all its accelerators in one rack.
+    impossible : SubmitCall
+        Job that no data centre can ever run.
     """
 
     workspace: str
     idempotent: RequestCall
     once: RequestCall
+    job_workspace: str
+    gang: SubmitCall
+    impossible: SubmitCall
 
 
 def _scenario(
-    workspace: str, idempotent: tuple[str, bytes], once: tuple[str, bytes]
+    workspace: str,
+    idempotent: tuple[str, bytes],
+    once: tuple[str, bytes],
+    job_workspace: str,
+    job_kind: str,
 ) -> _Scenario:
     return _Scenario(
         workspace,
@@ -63,6 +83,21 @@
             body=idempotent[1], request_class=idempotent[0], is_idempotent=True
         ),
         RequestCall(body=once[1], request_class=once[0], key=uuid.uuid4().hex),
+        job_workspace,
+        _submission(job_kind, _GANG_ACCELERATORS, 'rack'),
+        _submission(job_kind, _IMPOSSIBLE_ACCELERATORS, 'adjacent_racks'),
+    )
+
+
+def _submission(kind: str, accelerators: int, proximity: str) -> SubmitCall:
+    command = msgspec.json.encode({'seconds': _GANG_RUN_TIME_S}).decode()
+    return SubmitCall(
+        job={
+            'kind': kind,
+            'shape': {'accelerators': accelerators, 'proximity': proximity},
+            'command': command,
+        },
+        key=uuid.uuid4().hex,
     )
 
 
@@ -72,11 +107,15 @@
             'resorts',
             ('checklist', b'list the open checks'),
             ('checklist', b'fridge 4 c'),
+            'head-office',
+            'photo-training',
         ),
         'ravi': _scenario(
             'planning-north',
             ('recut-plan', b'recut profile 12'),
             ('tooling-quote', b'inserts 40'),
+            'planning-north',
+            'profile-recut',
         ),
     }
 
@@ -107,7 +146,11 @@
             if entry.data_centre == example.sites[0].name
         ]
         await _apply(example, entries[0])
-        await _run_requests(_scenarios()[deployment], entries, running)
+        scenario = _scenarios()[deployment]
+        await _run_requests(scenario, entries, running)
+        async with _open_caller(entries[0], scenario.job_workspace) as client:
+            await _run_gang(client, scenario.gang, plan)
+            await _refuse_impossible(client, scenario.impossible)
     return ExitCode.done
 
 
@@ -134,19 +177,25 @@
     running: RunningDeployment,
 ) -> None:
     async with AsyncExitStack() as stack:
-        clients = []
-        for entry in entries:
-            transport = await stack.enter_async_context(
-                HttpTransport(entry.callers.url, retry=_ONCE)
-            )
-            token = example_token(scenario.workspace)
-            clients.append(
-                HttpCallerClient(transport, scenario.workspace, token)
+        clients = [
+            await stack.enter_async_context(
+                _open_caller(entry, scenario.workspace)
             )
+            for entry in entries
+        ]
         await _answer_one(clients[0], scenario)
         await _run_once(clients, scenario.once, running)
 
 
+@asynccontextmanager
+async def _open_caller(
+    entry: EntrySettings, workspace: str
+) -> AsyncIterator[HttpCallerClient]:
+    async with HttpTransport(entry.callers.url, retry=_ONCE) as transport:
+        token = example_token(workspace)
+        yield HttpCallerClient(transport, workspace, token)
+
+
 async def _answer_one(client: HttpCallerClient, scenario: _Scenario) -> None:
     call = scenario.idempotent
     answer = await _until_answered(partial(client.request, call), RequestAnswer)
@@ -175,16 +224,58 @@
     )
 
 
+async def _run_gang(
+    client: HttpCallerClient, submission: SubmitCall, plan: DeploymentPlan
+) -> None:
+    submitted = await _until_answered(
+        partial(client.submit, submission), JobView
+    )
+    job = await _until_answered(
+        partial(client.get_job, submitted.job_id),
+        JobView,
+        lambda found: found.is_final,
+    )
+    racks = {
+        guard.worker.rack
+        for guard in plan.guards
+        if guard.worker and guard.worker.worker_id in job.workers
+    }
+    if job.state != 'finished' or len(racks) != 1:
+        raise MainJobError(
+            f'the job is {job.state} on racks {sorted(racks)}', step='run gang'
+        )
+    print(
+        f'{job.kind} finished on {job.accelerators} adjacent accelerators: '
+        f'{", ".join(job.workers)} in rack {racks.pop()}'
+    )
+
+
+async def _refuse_impossible(
+    client: HttpCallerClient, submission: SubmitCall
+) -> None:
+    refused = await _until_answered(
+        partial(client.submit, submission),
+        Refused,
+        lambda found: found.reason == 'never_runnable',
+    )
+    print(f'impossible job refused: {refused.detail}')
+
+
 async def _until_answered(
-    send: Callable[[], Awaitable[_AnswerT | Failure]], expected: type[_AnswerT]
+    send: Callable[[], Awaitable[object]],
+    expected: type[_AnswerT],
+    is_done: Callable[[_AnswerT], bool] | None = None,
 ) -> _AnswerT:
     """Repeat a call until it succeeds; entries and guards still start."""
-    outcome: _AnswerT | Failure | None = None
-    for _ in range(int(_START_LIMIT_S / _POLL_S)):
-        outcome = await send()
-        if isinstance(outcome, expected):
-            return outcome
-        if isinstance(outcome, Conflict):
-            break
-        await asyncio.sleep(_POLL_S)
-    raise MainJobError(f'no answer: {outcome}', step='main job')
+    outcome: object = None
+    try:
+        async with asyncio.timeout(_STEP_LIMIT_S):
+            while True:
+                outcome = await send()
+                if isinstance(outcome, expected) and (
+                    is_done is None or is_done(outcome)
+                ):
+                    return outcome
+                await asyncio.sleep(_POLL_S)
+    except TimeoutError as error:
+        raise MainJobError(f'no end: {outcome}', step='main job') from error
