Drive the ownership rules of the core in the state machine

Change: it passes the candidate and its observation to the core and invents no grant after a restart. Measured: pytest tests/model/test_ownership_machine.py passes, and fails for each of these mutants of the core: grant ignored, received grant tripled, wait for the lease dropped. It does not find the removal of the two waits after a restart in 300 examples; unit tests and the model checker do.

--- a/tests/model/test_ownership_machine.py
+++ b/tests/model/test_ownership_machine.py
@@ -1,5 +1,6 @@
 """Drives core/ownership.py with the events of specifications/ownership.pml."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from hypothesis import settings, strategies
@@ -13,7 +14,7 @@
 
 from dragonflynotch.core.clock import ManualClock
 from dragonflynotch.core.ownership import (
-    Grant,
+    Candidate,
     LeaseObservation,
     LeaseRow,
     OwnershipPolicy,
@@ -41,7 +42,7 @@
     def start(self, uptime_steps) -> None:
         self.clock = ManualClock()
         now = self.clock.now()
-        self.row = LeaseRow(OWNER, FENCE, now)
+        self.row = LeaseRow(OWNER, FENCE, now, (CANDIDATE,))
         self.version = 1
         self.right = RenewalRight(
             FENCE, now, now, registered=frozenset({CANDIDATE})
@@ -59,9 +60,8 @@
     def start_candidate(self) -> None:
         """Start B, which remembers neither grants nor writes."""
         self.seen: LeaseObservation | None = None
-        self.first_version = None
-        self.grant = Grant(FENCE, self.clock.now() + POLICY.grant)
-        self.is_competing = True
+        self.candidate = Candidate(CANDIDATE, self.clock.now())
+        self.is_competing = False
 
     @property
     def is_superseded(self) -> bool:
@@ -108,13 +108,14 @@
     def give_grant(self):
         grant = is_granted(
             self.seen,
+            OWNER,
             FENCE,
             self.clock.now(),
             POLICY,
             is_competing=self.is_competing,
         )
         if grant is not None:
-            self.grant = grant
+            self.candidate = replace(self.candidate, grant=grant)
             self.is_granted = True
 
     @precondition(lambda self: self.is_granted)
@@ -128,20 +129,18 @@
         self.seen = observe_lease(
             self.seen, self.row, self.version, self.clock.now()
         )
-        if self.first_version is None:
-            self.first_version = self.version
-        if self.version > self.first_version:
+        if self.seen.has_changed:
             self.is_competing = self.is_superseded
 
     @precondition(lambda self: self.seen and self.takeover is None)
     @rule()
     def send_takeover(self):
         now = self.clock.now()
-        if may_take_over(self.seen, self.grant, now, POLICY):
-            row = takeover_row(self.seen, CANDIDATE, now, POLICY)
+        if may_take_over(self.seen, self.candidate, now, POLICY):
+            row = takeover_row(self.seen, CANDIDATE, (), now, POLICY)
             self.takeover = (row, self.seen.version)
             self.is_competing = True
-            self.first_version = self.seen.version
+            self.seen = replace(self.seen, has_changed=False)
 
     @precondition(lambda self: self.takeover)
     @rule()
