--- a/dragonflynotch/entry/guard_roster.py
+++ b/dragonflynotch/entry/guard_roster.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.events import Event, WorkerJoined, WorkerLost
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.topology import Worker
@@ -26,6 +27,7 @@
     digest: int
     heard_at: datetime
     is_present: bool = False
+    is_draining: bool = False
 
 
 class GuardRoster:
@@ -43,6 +45,8 @@
         How long a guard is present after its last announcement.
     retention : timedelta
         How long a silent guard is remembered.
+    clock : Clock
+        Clock of the entry.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         emit: Callable[[ChannelEvent], None],
         time_to_live: timedelta,
         retention: timedelta,
+        clock: Clock,
     ) -> None:
         """Start without guards and without the right to give orders."""
         self._entry_id = entry_id
@@ -59,6 +64,7 @@
         self._emit = emit
         self._time_to_live = time_to_live
         self._retention = retention
+        self._clock = clock
         self._fence = 0
         self._guards: OrderedDict[str, _Guard] = OrderedDict()
         self._channels: dict[str, GuardChannel] = {}
@@ -66,9 +72,27 @@
         self._worker_ids: dict[str, str] = {}
 
     def hear(
-        self, info: GuardInfo, digest: int, now: datetime
+        self,
+        info: GuardInfo,
+        digest: int,
+        now: datetime,
+        *,
+        is_busy: bool = False,
     ) -> tuple[Event, ...]:
-        """Take over an announcement and return what changed."""
+        """Take over an announcement and return what changed.
+
+        Parameters
+        ----------
+        info : GuardInfo
+            The guard as it announced itself.
+        digest : int
+            Task digest of the guard.
+        now : datetime
+            When the announcement arrived.
+        is_busy : bool
+            Whether its worker runs jobs. A draining guard refuses new members
+            and is lost once its worker is not busy any more.
+        """
         known = self._guard_of(info)
         if known is None:
             return ()
@@ -81,15 +105,39 @@
         self._inform_channel(worker_id, guard)
         worker = info.worker
         if worker is None:
-            return self._lose(worker_id, 'its worker is silent')
+            return self.lose(worker_id, 'its worker is silent')
         if not info.is_ready:
-            return self._lose(worker_id, 'its guard is draining')
+            guard.is_draining = True
+            if is_busy:
+                return ()
+            return self.lose(worker_id, 'its guard is draining')
+        guard.is_draining = False
         if guard.is_present and guard.worker == worker:
             return ()
         guard.is_present = True
         guard.worker = worker
         return (WorkerJoined(worker),)
 
+    def is_unreachable(self, guard_id: str, bound: timedelta) -> bool:
+        """Whether orders to a guard have failed for longer than a bound."""
+        channel = self._channels.get(self._worker_ids.get(guard_id, ''))
+        return channel is not None and channel.is_failing(
+            bound, self._clock.now()
+        )
+
+    def is_draining(self, worker_id: str) -> bool:
+        """Whether the guard of a worker announced that it drains."""
+        guard = self._guards.get(worker_id)
+        return guard is not None and guard.is_draining
+
+    def lose(self, worker_id: str, reason: str) -> tuple[Event, ...]:
+        """Return the loss of a worker, unless it is lost already."""
+        guard = self._guards.get(worker_id)
+        if guard is None or not guard.is_present:
+            return ()
+        guard.is_present = False
+        return (WorkerLost(worker_id, reason),)
+
     def expire(self, now: datetime) -> tuple[Event, ...]:
         """Return the losses of guards that are silent."""
         events: list[Event] = []
@@ -97,7 +145,7 @@
             age = now - guard.heard_at
             if age <= self._time_to_live:
                 break
-            events.extend(self._lose(worker_id, 'its guard is silent'))
+            events.extend(self.lose(worker_id, 'its guard is silent'))
             if age > self._retention:
                 self._guards.pop(worker_id)
                 self._close_channel(worker_id)
@@ -144,13 +192,6 @@
             self._guards[worker_id] = guard
         return None if guard is None else (guard, worker_id)
 
-    def _lose(self, worker_id: str, reason: str) -> tuple[Event, ...]:
-        guard = self._guards[worker_id]
-        if not guard.is_present:
-            return ()
-        guard.is_present = False
-        return (WorkerLost(worker_id, reason),)
-
     def _inform_channel(self, worker_id: str, guard: _Guard) -> None:
         if not self._fence:
             return
@@ -163,6 +204,7 @@
                 self._fence,
                 self._link,
                 self._emit,
+                self._clock,
             )
             channel.start()
             self._channels[worker_id] = channel
