Hold back inherited jobs until no old attempt can be unknown

The stateful test drives a partition with guards that lose messages, fall silent, and with takeovers in a table outage. It found two faults. Records of two jobs can name one accelerator when a member of the older gang ended before its record was written, which raised ValueError in the takeover; the report of the guard now settles the dispute. And a gang that had ended in an outage was requeued at once while a later, unrecorded attempt still ran on a worker that had not reported, so two attempts computed; such jobs now wait until all workers are verified and all strays have stopped.

--- a/dragonflynotch/core/fleet.py
+++ b/dragonflynotch/core/fleet.py
@@ -145,9 +145,8 @@
         state = self._state.inventory.add(worker)
         state.is_verified = is_verified
         for gang in self._state.gangs_on(worker.worker_id):
-            member = gang.members[worker.worker_id]
-            if member.holds:
-                state.hold(member.allocation)
+            if gang.members[worker.worker_id].holds:
+                self._state.hold_inherited(gang, worker.worker_id)
         self._state.inventory.refresh(state)
 
     def _replace(self, known: WorkerState, worker: Worker) -> None:
--- a/dragonflynotch/core/gangs.py
+++ b/dragonflynotch/core/gangs.py
@@ -101,6 +101,7 @@
     checkpoint_limit: timedelta = timedelta()
     checkpoints: dict[str, dict[str, timedelta]] = field(default_factory=dict)
     pending: int = 0
+    counted: int = 0
 
     @property
     def accelerators(self) -> int:
--- a/dragonflynotch/core/partition.py
+++ b/dragonflynotch/core/partition.py
@@ -111,9 +111,7 @@
             self._claims,
             self._reservations,
         )
-        self._submissions = Submissions(
-            self._state, self._gangs, self._claims, self._takeover
-        )
+        self._submissions = Submissions(self._state, self._gangs, self._claims)
         self._expiry = Expiry(
             self._state,
             self._gangs,
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -8,7 +8,7 @@
 
 from dragonflynotch.core.actions import Action, WriteJob
 from dragonflynotch.core.gangs import Gang
-from dragonflynotch.core.inventory import Inventory
+from dragonflynotch.core.inventory import Allocation, Inventory
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.core.placement import Placer
 from dragonflynotch.core.policy import PolicySettings
@@ -48,6 +48,10 @@
         self.accelerators_of: Counter[str] = Counter()
         self.avoided: dict[str, frozenset[str]] = {}
         self.max_accelerators: Mapping[str, int] = {}
+        self.inherited: dict[str, None] = {}
+        self.held_back: dict[str, None] = {}
+        self.attempt_floor: dict[str, int] = {}
+        self._disputed: dict[str, dict[str, Allocation]] = {}
         self.observers: list[GangObserver] = []
         self._actions: list[Action] = []
 
@@ -59,6 +63,10 @@
         self.avoided.clear()
         self.on_worker.clear()
         self.accelerators_of.clear()
+        self._disputed.clear()
+        self.inherited.clear()
+        self.held_back.clear()
+        self.attempt_floor.clear()
         self.timers = Timers()
         workers = [
             state.worker for state in self.inventory if state.lost_at is None
@@ -102,7 +110,14 @@
         return self.save(replace(self.jobs[job_id], **changes))  # type: ignore[arg-type]
 
     def enqueue(self, job: Job) -> None:
-        """Let a job wait."""
+        """Let a job wait.
+
+        While an attempt of an earlier owner may be unknown, a job of that
+        owner is held back from the queue.
+        """
+        if job.job_id in self.inherited:
+            self.held_back[job.job_id] = None
+            return
         self.queue.add(job, self.avoided.get(job.job_id, frozenset()))
 
     def add_gang(self, gang: Gang) -> None:
@@ -111,13 +126,44 @@
         for worker_id in gang.members:
             self.on_worker.setdefault(worker_id, {})[gang.job_id] = None
         workspace = self.jobs[gang.job_id].spec.workspace
-        self.accelerators_of[workspace] += gang.accelerators
+        gang.counted = gang.accelerators
+        self.accelerators_of[workspace] += gang.counted
+
+    def hold_inherited(self, gang: Gang, worker_id: str) -> None:
+        """Hold what a member of an earlier owner has, as far as it is idle.
+
+        Two records can name the same accelerator if a member of the older
+        gang had ended before its job's record was written again. The report
+        of the guard tells which of them is right; until then the worker gets
+        no new work.
+        """
+        member = gang.members[worker_id]
+        whole = member.allocation
+        busy = self.inventory[worker_id].busy
+        idle = tuple(
+            index for index in whole.accelerators if not busy >> index & 1
+        )
+        if idle != whole.accelerators:
+            member.allocation = replace(whole, accelerators=idle)
+            disputed = self._disputed.setdefault(worker_id, {})
+            disputed[gang.job_id] = whole
+        self.inventory.hold(member.allocation)
+
+    def settle_disputes(self, worker_id: str) -> None:
+        """Give the remaining members of a worker all that they have."""
+        for job_id, whole in self._disputed.pop(worker_id, {}).items():
+            gang = self.gangs.get(job_id)
+            if gang is not None and gang.members[worker_id].holds:
+                member = gang.members[worker_id]
+                self.inventory.release(member.allocation)
+                self.inventory.hold(whole)
+                member.allocation = whole
 
     def drop_gang(self, gang: Gang) -> None:
         """Forget a gang that holds nothing any more."""
         self.gangs.pop(gang.job_id)
         job = self.jobs[gang.job_id]
-        self.accelerators_of[job.spec.workspace] -= gang.accelerators
+        self.accelerators_of[job.spec.workspace] -= gang.counted
         for worker_id in gang.members:
             self._drop_from_worker(worker_id, gang.job_id)
         for observer in self.observers:
--- a/dragonflynotch/core/submissions.py
+++ b/dragonflynotch/core/submissions.py
@@ -14,7 +14,6 @@
 from dragonflynotch.core.gangs import Outcome
 from dragonflynotch.core.jobs import Job, JobState
 from dragonflynotch.core.state import PartitionState
-from dragonflynotch.core.takeover import Takeover
 
 __all__ = ('Submissions',)
 
@@ -32,8 +31,6 @@
         Stops the gangs of cancelled jobs.
     claims : Claims
         Accelerators that are being freed.
-    takeover : Takeover
-        Jobs inherited from an earlier owner.
     """
 
     def __init__(
@@ -41,13 +38,11 @@
         state: PartitionState,
         gangs: GangControl,
         claims: Claims,
-        takeover: Takeover,
     ) -> None:
         """Keep the parts."""
         self._state = state
         self._gangs = gangs
         self._claims = claims
-        self._takeover = takeover
 
     def submit(self, job: Job) -> None:
         """Answer a submission; a repeated one is accepted once."""
@@ -63,7 +58,7 @@
             self._state.jobs[job_id] = replace(job, is_cancel_requested=True)
             self._gangs.stop(gang, Outcome.cancel, _CANCELLED)
             return
-        self._takeover.drop(job_id)
+        self._state.held_back.pop(job_id, None)
         self._claims.drop(job_id)
         self._state.queue.remove(job)
         self._state.change(
--- a/dragonflynotch/core/takeover.py
+++ b/dragonflynotch/core/takeover.py
@@ -1,5 +1,7 @@
 """Rebuilding a partition from job records and reports of guards."""
 
+from dataclasses import replace
+
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.events import (
     MemberReport,
@@ -48,7 +50,6 @@
         self._gangs = gangs
         self._strays = strays
         self._is_lease_over = True
-        self._inherited: dict[str, None] = {}
         self._unverified: dict[str, None] = {}
 
     @property
@@ -67,7 +68,6 @@
         state.is_owner = True
         state.fence = event.fence
         self._is_lease_over = event.fence <= _FIRST_FENCE
-        self._inherited.clear()
         self._unverified.clear()
         if not self._is_lease_over:
             self._distrust_workers()
@@ -111,6 +111,7 @@
         for gang in self._state.gangs_on(report.worker_id):
             member = listed.get((gang.job_id, gang.attempt))
             self._confirm(gang, report.worker_id, member)
+        self._state.settle_disputes(report.worker_id)
         self._note_attempts(report)
         worker = self._state.inventory.find(report.worker_id)
         if worker is not None:
@@ -119,19 +120,20 @@
             self._state.capacity_changed()
         return True
 
-    def drop(self, job_id: str) -> bool:
-        """Forget an inherited job; True if it was one."""
-        if job_id in self._inherited:
-            self._inherited.pop(job_id)
-            return True
-        return False
-
     def release_inherited(self) -> None:
         """Let the inherited jobs start once no old task can be unknown."""
-        if self._inherited and self.is_settled:
-            for job_id in self._inherited:
-                self._state.enqueue(self._state.jobs[job_id])
-            self._inherited.clear()
+        state = self._state
+        if not state.inherited or not self.is_settled:
+            return
+        held_back = tuple(state.held_back)
+        state.inherited.clear()
+        state.held_back.clear()
+        for job_id in held_back:
+            job = state.jobs[job_id]
+            floor = max(job.attempt, state.attempt_floor.get(job_id, 0))
+            state.jobs[job_id] = replace(job, attempt=floor)
+            state.enqueue(state.jobs[job_id])
+        state.attempt_floor.clear()
 
     def _distrust_workers(self) -> None:
         self._state.timers.set(
@@ -145,14 +147,15 @@
 
     def _inherit(self, job: Job) -> None:
         self._state.jobs[job.job_id] = job
+        self._state.inherited[job.job_id] = None
         if job.state is JobState.waiting or not job.members:
-            self._inherited[job.job_id] = None
+            self._state.enqueue(job)
             return
         gang = _rebuilt_gang(job)
-        for worker_id, member in gang.members.items():
-            if worker_id in self._state.inventory:
-                self._state.inventory.hold(member.allocation)
         self._state.add_gang(gang)
+        for worker_id in gang.members:
+            if worker_id in self._state.inventory:
+                self._state.hold_inherited(gang, worker_id)
         if job.is_cancel_requested:
             self._gangs.stop(gang, Outcome.cancel, job.detail)
         elif job.state is JobState.stopping:
@@ -188,12 +191,10 @@
 
     def _note_attempts(self, report: WorkerReported) -> None:
         """Never use again an attempt number that an old owner has used."""
+        floor = self._state.attempt_floor
         for member in report.members:
-            job = self._state.jobs.get(member.job_id)
-            if job is None or job.job_id in self._state.gangs:
-                continue
-            if member.attempt > job.attempt:
-                self._state.change(job.job_id, attempt=member.attempt)
+            if member.attempt > floor.get(member.job_id, 0):
+                floor[member.job_id] = member.attempt
 
 
 def _rebuilt_gang(job: Job) -> Gang:
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -147,3 +147,34 @@
     report(driver, 'w1')
     assert driver.partition.job('a') is None
     assert driver.state('a') == 'cancelled'
+
+
+def test_two_records_that_name_one_accelerator():
+    """Guards against a crash when a record of an ended member is stale."""
+    driver = take_over(record(), replace(record(), job_id='b', attempt=1))
+    b_member = MemberReport('b', 1, MemberState.running, tuple(range(8)))
+    for worker_id in ('w0', 'w1'):
+        driver.guards.members['b', 1, worker_id] = (MemberState.running, None)
+        driver.send(WorkerReported(worker_id, (b_member,), 2))
+    assert driver.partition.job('b').state is JobState.running
+    driver.submit('c', 8)
+    report(driver, 'w2')
+    assert driver.records['c'].members[0].worker_id == 'w2'
+
+
+def test_job_with_a_later_unrecorded_attempt_is_held_back():
+    """Guards against two attempts after a takeover in a table outage.
+
+    The old owner moved the job to another worker but could not write it.
+    """
+    driver = take_over(record())
+    report(driver, 'w0')
+    report(driver, 'w1')
+    assert driver.partition.job('a').state is JobState.waiting
+    driver.guards.silent.add('w2')
+    report(driver, 'w2', MemberState.running, attempt=4)
+    driver.advance(25 * SECOND)
+    assert driver.partition.job('a').state is JobState.waiting
+    driver.guards.silent.clear()
+    driver.send(MemberStopped('a', 4, 'w2'))
+    assert driver.partition.job('a').attempt == 5
