--- a/dragonflynotch/entry/server.py
+++ b/dragonflynotch/entry/server.py
@@ -7,6 +7,10 @@
 
 __all__ = ('HttpServer',)
 
+# Longer than load balancers keep idle connections, which would else send a
+# request on a connection that is about to be closed.
+_KEEP_ALIVE_S = 75
+
 
 class HttpServer:
     """One uvicorn server; signals are handled by the daemon, not by uvicorn.
@@ -19,9 +23,13 @@
         IP address to listen on.
     port : int
         Port to listen on.
+    drain_limit_s : int, optional
+        How long a stop waits for requests in flight; unlimited by default.
     """
 
-    def __init__(self, app: Any, host: str, port: int) -> None:
+    def __init__(
+        self, app: Any, host: str, port: int, drain_limit_s: int | None = None
+    ) -> None:
         """Create the server; ``start`` opens the port."""
         self._server = uvicorn.Server(
             uvicorn.Config(
@@ -33,6 +41,8 @@
                 lifespan='off',
                 log_config=None,
                 access_log=False,
+                timeout_keep_alive=_KEEP_ALIVE_S,
+                timeout_graceful_shutdown=drain_limit_s,
             )
         )
         self._task: asyncio.Task[None] | None = None
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -56,7 +56,7 @@
     """A keeper with its worker, renewed on demand."""
 
     def __init__(self):
-        self.app = WorkerApp('worker-1', MemoryObjectStore())
+        self.app = WorkerApp(MemoryObjectStore())
         self.keepers = []
         self.restart()
 
@@ -64,7 +64,7 @@
         for task in self.keepers:
             task.cancel()
         self.keeper = TaskKeeper(
-            'guard-1', 1, AppRuntime(self.app), 8, CLOCK, POLICY
+            'guard-1', 1, AppRuntime(self.app), 8, CLOCK, POLICY, lambda: None
         )
         self.keepers = [asyncio.create_task(self.keeper.run())]
 
@@ -177,6 +177,7 @@
     bench.order(ConfirmOrder('job', 1))
     stopped = await bench.until(MemberPhase.stopped, renewals=False)
     assert time.monotonic() - started < 0.9
+    assert stopped.reason == 'lease_lapsed'
     assert stopped.checkpoint
     assert stopped.work_done_ms > 0
 
