Index the whole topology and limit the reservation search

The check whether a job can ever run visited all workers at each submission, and a reservation searched all workers at each distinct end of a gang. The check now places on an index of all accelerators and remembers the answer per shape until the topology changes; run sums are updated only before a search over runs; a reservation searches a stretch of racks at eight times; an event that changed nothing skips the queue.

Also: a worker that joins again needs no second report after a takeover, which held inherited jobs back for ever.

--- a/dragonflynotch/core/capacity.py
+++ b/dragonflynotch/core/capacity.py
@@ -29,6 +29,7 @@
         self._by_rack = SortedList()
         self._at_position: dict[int, dict[RackKey, None]] = {}
         self._runs = RunIndex()
+        self._run_changes: dict[int, int] = {}
 
     def set(self, rack: RackKey, worker_id: str, usable: int) -> None:
         """Set the number of usable accelerators of a worker."""
@@ -56,6 +57,17 @@
             if usable:
                 yield usable, worker_id
 
+    def totals(self) -> list[tuple[RackKey, int]]:
+        """Return the capacity of each rack in the order of the positions."""
+        self._refresh()
+        return sorted(
+            (rack, summary[0]) for rack, summary in self._summaries.items()
+        )
+
+    def worker_ids(self, rack: RackKey) -> Iterator[str]:
+        """Return the workers of a rack, with and without capacity."""
+        return iter(self._counts[rack])
+
     def workers_with(self, needed: int) -> Iterator[tuple[int, str]]:
         """Yield workers with enough capacity, the tightest first.
 
@@ -79,6 +91,9 @@
     def runs_with(self, needed: int) -> Iterator[tuple[RackKey, ...]]:
         """Yield runs of consecutive racks with enough capacity."""
         self._refresh()
+        for changed, change in self._run_changes.items():
+            self._runs.add(changed, change)
+        self._run_changes.clear()
         for positions in self._runs.runs(needed):
             yield tuple(
                 rack
@@ -96,7 +111,7 @@
         before = self._summaries.get(rack, _EMPTY)
         after = (sum(counts), frozenset(counts) - {0})
         if rack not in self._summaries:
-            self._runs.add(rack[0], 0)
+            self._run_changes.setdefault(rack[0], 0)
         self._summaries[rack] = after
         if before == after:
             return
@@ -104,7 +119,8 @@
         if before[0] != after[0]:
             self._by_rack.discard((before[0], rack))
             self._by_rack.add((after[0], rack))
-            self._runs.add(rack[0], after[0] - before[0])
+            change = self._run_changes.get(rack[0], 0)
+            self._run_changes[rack[0]] = change + after[0] - before[0]
 
     def _replace_levels(
         self, rack: RackKey, before: _Summary, after: _Summary
--- a/dragonflynotch/core/feasibility.py
+++ b/dragonflynotch/core/feasibility.py
@@ -2,15 +2,12 @@
 
 from collections.abc import Collection
 
-from dragonflynotch.core.capacity import CapacityMap
-from dragonflynotch.core.inventory import Demand, WorkerState
+from dragonflynotch.core.inventory import Demand
 from dragonflynotch.core.jobs import JobSpec
 from dragonflynotch.core.state import PartitionState
 
 __all__ = ('find_obstacle',)
 
-_MILLI = 1000
-
 
 def find_obstacle(
     spec: JobSpec,
@@ -31,29 +28,53 @@
     avoided : collection of str
         Workers that do not count.
     """
+    wanted = spec.shape.accelerators
+    quota = state.max_accelerators.get(spec.workspace, wanted)
+    if wanted > quota:
+        return (
+            f'{wanted} accelerators exceed the quota of {quota} of '
+            f'workspace {spec.workspace!r}'
+        )
+    return _without_quota(spec, state, frozenset(avoided))
+
+
+def _without_quota(
+    spec: JobSpec, state: PartitionState, avoided: frozenset[str]
+) -> str | None:
+    """Remember the answer until the topology changes.
+
+    Without this, a burst of equal large jobs costs a placement each.
+    """
+    answers = state.obstacles
+    if answers.version != state.inventory.topology_version:
+        answers.version = state.inventory.topology_version
+        answers.found.clear()
+    key = (spec.shape, Demand.of(spec), avoided)
+    if key not in answers.found:
+        answers.found[key] = _search(spec, state, avoided)
+    return answers.found[key]
+
+
+def _search(
+    spec: JobSpec, state: PartitionState, avoided: frozenset[str]
+) -> str | None:
     demand = Demand.of(spec)
     shape = spec.shape
     inventory = state.inventory
-    quota = state.max_accelerators.get(spec.workspace, shape.accelerators)
-    if shape.accelerators > quota:
-        return (
-            f'{shape.accelerators} accelerators exceed the quota of '
-            f'{quota} of workspace {spec.workspace!r}'
-        )
     if not shape.accelerators:
-        if any(_capacity(worker, demand, 1) for worker in inventory):
+        if any(worker.machine_limit(demand, 1) for worker in inventory):
             return None
         return (
             f'no worker has {spec.cores_per_accelerator} cores and '
             f'{spec.memory_mb_per_accelerator} MiB of memory'
         )
-    total = CapacityMap()
-    for worker in inventory:
-        if worker.worker.worker_id in avoided:
-            continue
-        usable = _capacity(worker, demand, worker.worker.accelerators)
-        total.set(worker.rack, worker.worker.worker_id, usable)
-    if state.placer.place(shape, total, _unlimited):
+
+    def limit(worker_id: str, accelerators: int) -> int:
+        if worker_id in avoided:
+            return 0
+        return inventory[worker_id].machine_limit(demand, accelerators)
+
+    if state.placer.place(shape, inventory.total, limit):
         return None
     return (
         f'{shape.accelerators} accelerators ({shape.proximity.value}) with '
@@ -61,16 +82,3 @@
         f'{spec.memory_mb_per_accelerator} MiB each do not fit on the '
         f'workers of this data centre'
     )
-
-
-def _capacity(worker: WorkerState, demand: Demand, most: int) -> int:
-    machine = worker.worker
-    return min(
-        most,
-        machine.cores * _MILLI // max(1, demand.millicores),
-        machine.memory_mb // max(1, demand.memory_mb),
-    )
-
-
-def _unlimited(_worker_id: str, accelerators: int) -> int:
-    return accelerators
--- a/dragonflynotch/core/forecast.py
+++ b/dragonflynotch/core/forecast.py
@@ -1,10 +1,10 @@
 """When and where a job is expected to fit."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
-from dragonflynotch.core.capacity import CapacityMap
+from dragonflynotch.core.capacity import CapacityMap, RackKey
 from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.guarantees import Place
 from dragonflynotch.core.inventory import Demand, Use, WorkerState
@@ -18,6 +18,10 @@
 # has taken, because long runs have long rests.
 _OVERRUN_DIVISOR = 4
 _SHORTEST_REST = timedelta(minutes=1)
+_STRETCH_FACTOR = 8
+_SHORTEST_STRETCH = 512
+# Each time tried costs a visit of all workers of the stretch.
+_TIMES_TRIED = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +32,37 @@
     at: datetime
 
 
+class _Room:
+    """What a search counts as usable."""
+
+    def __init__(
+        self,
+        workers: list[WorkerState],
+        ends: dict[str, datetime],
+        use: Use,
+        *,
+        with_firm: bool,
+    ) -> None:
+        """Store the parts."""
+        self.workers = workers
+        self.ends = ends
+        self.use = use
+        self.with_firm = with_firm
+
+    def is_held(self, gang: Gang, at: datetime) -> bool:
+        """Whether a gang stands in the way at a time.
+
+        Without firm gangs in the search, those hold their accelerators for
+        ever, and gangs inside guarantees are not in the way.
+        """
+        if not self.with_firm:
+            if gang.use is Use.guaranteed:
+                return False
+            if gang.use is Use.firm:
+                return True
+        return self.ends[gang.job_id] > at
+
+
 class Forecast:
     """Expected ends of the running gangs.
 
@@ -50,11 +85,13 @@
         Places outside of guarantees and without gangs that cannot be stopped
         come first, because only there the start has an upper bound.
         """
-        ends = self._expected_ends()
-        for with_firm in (False, True):
-            found = self._search(job, use, ends, with_firm=with_firm)
-            if found is not None:
-                return found
+        for workers in self._search_areas(job):
+            ends = self._expected_ends(workers)
+            for with_firm in (False, True):
+                room = _Room(workers, ends, use, with_firm=with_firm)
+                found = self._search(job, room)
+                if found is not None:
+                    return found
         return None
 
     def expected_end(self, gang: Gang) -> datetime:
@@ -66,23 +103,43 @@
         rest = (now - started_at) / _OVERRUN_DIVISOR
         return max(started_at + needed, now + max(rest, _SHORTEST_REST))
 
-    def _expected_ends(self) -> dict[str, datetime]:
-        return {
-            job_id: self.expected_end(gang)
-            for job_id, gang in self._state.gangs.items()
-        }
+    def _search_areas(self, job: Job) -> Iterator[list[WorkerState]]:
+        """Yield a stretch of racks, and all racks in case it is no use.
 
-    def _search(
-        self,
-        job: Job,
-        use: Use,
-        ends: dict[str, datetime],
-        *,
-        with_firm: bool,
-    ) -> Opening | None:
+        A search costs time for each worker, so it is limited to a stretch
+        that holds several times the wanted accelerators and has the most
+        free ones now.
+        """
+        inventory = self._state.inventory
+        wanted = job.spec.shape.accelerators * _STRETCH_FACTOR
+        racks = _freest_stretch(
+            inventory.total.totals(),
+            dict(inventory.free.totals()),
+            max(wanted, _SHORTEST_STRETCH),
+        )
+        stretch = [
+            inventory[worker_id]
+            for rack in racks
+            for worker_id in inventory.total.worker_ids(rack)
+        ]
+        yield stretch
+        if len(stretch) < len(inventory):
+            yield list(inventory)
+
+    def _expected_ends(
+        self, workers: Iterable[WorkerState]
+    ) -> dict[str, datetime]:
+        ends: dict[str, datetime] = {}
+        for worker in workers:
+            for gang in self._state.gangs_on(worker.worker.worker_id):
+                if gang.job_id not in ends:
+                    ends[gang.job_id] = self.expected_end(gang)
+        return ends
+
+    def _search(self, job: Job, room: _Room) -> Opening | None:
         """Search by bisection; capacity only grows with time."""
-        times = sorted({self._state.now, *ends.values()})
-        found = self._place(job, use, ends, times[-1], with_firm=with_firm)
+        times = _spread({self._state.now, *room.ends.values()})
+        found = self._place(job, room, times[-1])
         if not found:
             return None
         opening = Opening(found, times[-1])
@@ -90,9 +147,7 @@
         high = len(times) - 1
         while low < high:
             middle = (low + high) // 2
-            found = self._place(
-                job, use, ends, times[middle], with_firm=with_firm
-            )
+            found = self._place(job, room, times[middle])
             if found:
                 opening = Opening(found, times[middle])
                 high = middle
@@ -100,63 +155,65 @@
                 low = middle + 1
         return opening
 
-    def _place(
-        self,
-        job: Job,
-        use: Use,
-        ends: dict[str, datetime],
-        at: datetime,
-        *,
-        with_firm: bool,
-    ) -> Place:
+    def _place(self, job: Job, room: _Room, at: datetime) -> Place:
         demand = Demand.of(job.spec)
         capacity = CapacityMap()
-        for worker in self._state.inventory:
+        for worker in room.workers:
             if worker.is_usable:
-                held = self._held_after(worker, ends, at, with_firm)
-                usable = _room(worker, use, with_firm=with_firm) - held
+                held = self._held_after(worker, room, at)
+                usable = max(0, _outside(worker, room) - held)
                 capacity.set(
                     worker.rack,
                     worker.worker.worker_id,
-                    worker.machine_limit(demand, max(0, usable)),
+                    worker.machine_limit(demand, usable),
                 )
         return self._state.placer.place(job.spec.shape, capacity, _unlimited)
 
     def _held_after(
-        self,
-        worker: WorkerState,
-        ends: dict[str, datetime],
-        at: datetime,
-        with_firm: bool,
+        self, worker: WorkerState, room: _Room, at: datetime
     ) -> int:
         """Return the accelerators that are still held at a time."""
         worker_id = worker.worker.worker_id
         return sum(
             len(gang.members[worker_id].allocation.accelerators)
-            for gang in self._holders(worker_id, with_firm=with_firm)
-            if ends[gang.job_id] > at
-            or (gang.use is Use.firm and not with_firm)
-        )
-
-    def _holders(self, worker_id: str, *, with_firm: bool) -> Sequence[Gang]:
-        """Return the gangs that stand in the way.
-
-        Outside of guarantees the gangs that use one do not.
-        """
-        return [
-            gang
             for gang in self._state.gangs_on(worker_id)
-            if gang.members[worker_id].holds
-            and (with_firm or gang.use is not Use.guaranteed)
-        ]
+            if gang.members[worker_id].holds and room.is_held(gang, at)
+        )
 
 
-def _room(worker: WorkerState, use: Use, *, with_firm: bool) -> int:
+def _outside(worker: WorkerState, room: _Room) -> int:
     total = worker.worker.accelerators - worker.claimed.accelerators
-    if with_firm and use is Use.lent:
+    if room.with_firm and room.use is Use.lent:
         return total
     return total - worker.guaranteed
 
 
+def _spread(times: set[datetime]) -> list[datetime]:
+    """Return a few of the times, evenly spread, with the last one."""
+    ranked = sorted(times)
+    step = max(1, len(ranked) // _TIMES_TRIED)
+    return sorted({*ranked[::step], ranked[-1]})
+
+
+def _freest_stretch(
+    totals: list[tuple[RackKey, int]], free: dict[RackKey, int], wanted: int
+) -> list[RackKey]:
+    """Return the shortest stretch with enough capacity and the most free."""
+    best = (-1, 0, len(totals))
+    capacity = 0
+    idle = 0
+    first = 0
+    for last, (rack, total) in enumerate(totals):
+        capacity += total
+        idle += free.get(rack, 0)
+        while capacity - totals[first][1] >= wanted:
+            capacity -= totals[first][1]
+            idle -= free.get(totals[first][0], 0)
+            first += 1
+        if capacity >= wanted and idle > best[0]:
+            best = (idle, first, last + 1)
+    return [key for key, _ in totals[best[1] : best[2]]]
+
+
 def _unlimited(_worker_id: str, accelerators: int) -> int:
     return accelerators
--- a/dragonflynotch/core/inventory.py
+++ b/dragonflynotch/core/inventory.py
@@ -286,7 +286,7 @@
     """All workers, with their free accelerators indexed.
 
     ``free`` counts what may be lent, ``open`` what lies outside of the
-    guarantees.
+    guarantees, and ``total`` everything that the workers have.
     """
 
     def __init__(self) -> None:
@@ -313,6 +313,8 @@
         """Forget all workers."""
         self.free = CapacityMap()
         self.open = CapacityMap()
+        self.total = CapacityMap()
+        self.topology_version = 0
         self._workers: dict[str, WorkerState] = {}
         self._by_cores = SortedList()
         self._cores_of: dict[str, int] = {}
@@ -325,14 +327,18 @@
         """Add a worker."""
         state = WorkerState(worker)
         self._workers[worker.worker_id] = state
+        self.topology_version += 1
+        self.total.set(state.rack, worker.worker_id, worker.accelerators)
         self.refresh(state)
         return state
 
     def remove(self, worker_id: str) -> None:
         """Forget a worker."""
         state = self._workers.pop(worker_id)
+        self.topology_version += 1
         self.free.remove(state.rack, worker_id)
         self.open.remove(state.rack, worker_id)
+        self.total.remove(state.rack, worker_id)
         self._drop_cores(worker_id)
 
     def refresh(self, state: WorkerState) -> None:
--- a/dragonflynotch/core/reservations.py
+++ b/dragonflynotch/core/reservations.py
@@ -72,6 +72,7 @@
         self._run_times = run_times
         self._forecast = Forecast(state, run_times)
         self._current: Reservation | None = None
+        self._additions_seen = -1
         self._search_at: datetime | None = None
 
     @property
@@ -138,14 +139,20 @@
         return tuple(share.worker_id for share in current.shares)
 
     def _reserve_for_longest(self) -> None:
-        if self._search_at is not None and self._state.now < self._search_at:
+        additions = self._state.queue.additions
+        is_early = (
+            self._search_at is not None and self._state.now < self._search_at
+        )
+        if is_early and additions == self._additions_seen:
             return
+        self._additions_seen = additions
         wait = self._state.policy.reservation_wait
         has_searched = False
         for job_id in self._state.queue.longest_waiting():
             job = self._state.jobs[job_id]
             due = job.submitted_at + wait
             if due > self._state.now:
+                self._search_at = due
                 self._set_timer(due)
                 return
             if self._reserve(job):
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -62,6 +62,7 @@
     ) -> None:
         """Keep the parts."""
         self._reservations = reservations
+        self._seen = (-1, -1)
         self._claims = claims
         self._state = state
         self._gangs = gangs
@@ -81,6 +82,10 @@
         self._claims.advance()
 
     def _try_groups(self) -> None:
+        seen = (self._state.capacity_version, self._state.queue.additions)
+        if seen == self._seen:
+            return
+        self._seen = seen
         heads = [
             (group.head_key, number, group)
             for number, group in enumerate(self._state.queue.groups)
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -20,6 +20,15 @@
 GangObserver = Callable[[Gang, Job], None]
 
 
+class ObstacleAnswers:
+    """Answers to whether a job could run on the idle topology."""
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self.version = -1
+        self.found: dict[object, str | None] = {}
+
+
 class PartitionState:
     """Jobs, gangs, workers, deadlines and the actions not yet handed out.
 
@@ -48,6 +57,7 @@
         self.accelerators_of: Counter[str] = Counter()
         self.avoided: dict[str, frozenset[str]] = {}
         self.max_accelerators: Mapping[str, int] = {}
+        self.obstacles = ObstacleAnswers()
         self.inherited: dict[str, None] = {}
         self.held_back: dict[str, None] = {}
         self.attempt_floor: dict[str, int] = {}
@@ -64,6 +74,7 @@
         self.on_worker.clear()
         self.accelerators_of.clear()
         self._disputed.clear()
+        self.obstacles = ObstacleAnswers()
         self.inherited.clear()
         self.held_back.clear()
         self.attempt_floor.clear()
--- a/dragonflynotch/core/takeover.py
+++ b/dragonflynotch/core/takeover.py
@@ -75,8 +75,15 @@
             self._inherit(job)
 
     def needs_verification(self, worker_id: str) -> bool:
-        """Note a worker that joins; True if it must report first."""
-        if self._is_lease_over and worker_id not in self._unverified:
+        """Note a worker that joins; True if it must report first.
+
+        A worker that has reported under this ownership and joins again, for
+        example after a silence, need not do so a second time.
+        """
+        known = self._state.inventory.find(worker_id)
+        if known is not None:
+            return not known.is_verified
+        if self._is_lease_over:
             return False
         self._unverified[worker_id] = None
         return True
--- a/dragonflynotch/core/waiting_queue.py
+++ b/dragonflynotch/core/waiting_queue.py
@@ -105,6 +105,7 @@
         """Create an empty queue."""
         self._groups: dict[GroupKey, QueueGroup] = {}
         self._keys: dict[str, GroupKey] = {}
+        self.additions = 0
 
     @property
     def groups(self) -> tuple[QueueGroup, ...]:
@@ -126,6 +127,7 @@
         avoided : frozenset of str
             Workers on which it must not be placed.
         """
+        self.additions += 1
         key = _group_key(job.spec, avoided)
         self._keys[job.job_id] = key
         group = self._groups.get(key)
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -178,3 +178,13 @@
     driver.guards.silent.clear()
     driver.send(MemberStopped('a', 4, 'w2'))
     assert driver.partition.job('a').attempt == 5
+
+
+def test_repeated_join_needs_no_second_report():
+    """Guards against inherited jobs that wait for a report for ever."""
+    driver = take_over(make_job('a', 8))
+    for worker in RACK:
+        report(driver, worker.worker_id)
+        driver.send(WorkerJoined(worker))
+    driver.advance(20 * SECOND)
+    assert driver.partition.job('a').state is JobState.running
