Release finished members of a gang that stops in a takeover

The first report of a guard after a takeover said 'finished' for a member whose gang was already stopping because another member had stopped. The state was ignored, and the guard does not report again without a change, so the job stayed in stopping for ever. tests/failures/test_gang_takeover.py (killed) failed with it after 15 s and passes now.

--- a/dragonflynotch/core/takeover.py
+++ b/dragonflynotch/core/takeover.py
@@ -178,6 +178,8 @@
             )
             return
         if gang.phase is not GangPhase.unconfirmed:
+            if state is MemberState.finished:
+                self._gangs.member_finished(gang, worker_id)
             return
         if state is MemberState.finished:
             member = gang.members[worker_id]
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -188,3 +188,14 @@
         driver.send(WorkerJoined(worker))
     driver.advance(20 * SECOND)
     assert driver.partition.job('a').state is JobState.running
+
+
+def test_finished_members_of_a_stopping_gang_release_it():
+    """Guards against a job that stops for ever after a takeover.
+
+    Two members had finished before the first report said that one stopped.
+    """
+    driver = take_over(record())
+    report(driver, 'w0', MemberState.stopped)
+    report(driver, 'w1', MemberState.finished)
+    assert driver.partition.job('a').state is JobState.waiting
