--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -15,6 +15,7 @@
 from dragonflynotch.core.policy import PolicySettings
 from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.guard_roster import GuardRoster
+from dragonflynotch.entry.job_overview import JobOverview, describe_jobs
 from dragonflynotch.entry.job_recorder import JobRecorder
 from dragonflynotch.entry.lease_row import LeaseRowStore
 from dragonflynotch.entry.local_jobs import LocalJobService
@@ -83,15 +84,18 @@
             settings.entry_id, store, clock, _ownership_policy(ownership), self
         )
         inbox: asyncio.Queue[OwnerInput] = asyncio.Queue()
+        self._stop_bound = _ms(settings.scheduling.stop_bound_ms)
+        self._roster = GuardRoster(
+            settings.entry_id,
+            self._link,
+            inbox.put_nowait,
+            _ms(ownership.worker_ttl_ms),
+            2 * _ms(ownership.task_lease_ms),
+            clock,
+        )
         self._owner = PartitionOwner(
             Partition(settings.data_centre, _policy(settings.scheduling)),
-            GuardRoster(
-                settings.entry_id,
-                self._link,
-                inbox.put_nowait,
-                _ms(ownership.worker_ttl_ms),
-                2 * _ms(ownership.task_lease_ms),
-            ),
+            self._roster,
             JobRecorder(
                 settings.data_centre, self.keeper.commit, store.is_own_token
             ),
@@ -110,6 +114,22 @@
         """Whether the partition is owned and its records are loaded."""
         return self._owner.is_owner
 
+    def acknowledged_fence(self, guard_id: str) -> int:
+        """Return the fence for an acknowledgement; 0 renews no task lease.
+
+        A guard whose orders get lost may still send announcements. It must
+        not renew its lease, or a stop order to it would never have an end.
+        """
+        if self._roster.is_unreachable(guard_id, self._stop_bound):
+            return 0
+        return self.keeper.acknowledged_fence()
+
+    def describe(self) -> JobOverview:
+        """Return what runs and what waits in the owned partition."""
+        if not self.is_deciding:
+            return JobOverview()
+        return describe_jobs(self._owner.jobs(), self._owner.waiting())
+
     def start(self) -> None:
         """Compete for the ownership and process inputs from now on."""
         self._tasks = [
