--- a/tests/core/test_partition_stateful.py
+++ b/tests/core/test_partition_stateful.py
@@ -324,8 +324,13 @@
                 self.report_from(worker_id)
         self.settle()
         self.all_or_none()
+        self.no_claim_is_older_than_its_bound()
         self.no_accepted_job_is_lost()
 
+    def no_claim_is_older_than_its_bound(self):
+        for claim in self.partition._claims:
+            assert self.clock.now() <= claim.start_by
+
     def all_or_none(self):
         for job_id in self.open_jobs():
             job = self.partition.job(job_id)
@@ -336,7 +341,10 @@
                 if key[0] == job_id and state is MemberState.running
             }
             if job.state is JobState.running:
-                assert running <= {entry.worker_id for entry in job.members}
+                wanted = {entry.worker_id for entry in job.members}
+                gang = self.partition._state.gangs[job_id]
+                assert running == set(gang.holders)
+                assert running <= wanted
             elif job.state is JobState.waiting:
                 assert not running, job
 
