Search places for guarantees at most once a second while workers join

With guarantees in force each of thousands of joining workers led to a search over all workers. On sites with more than 32 workers a join now waits for the search of the next second; losses and changes of the guarantees are still handled at once, and the fallback builds the capacity once.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -21,6 +21,8 @@
 from dragonflynotch.core.actions import Action, PrepareMember, WriteJob
 from dragonflynotch.core.events import (
     Event,
+    Guarantee,
+    GuaranteesChanged,
     JobCancelled,
     JobSubmitted,
     MemberPrepared,
@@ -29,6 +31,7 @@
     MemberState,
     MemberStopped,
     OwnershipGained,
+    TimerFired,
     WorkerJoined,
     WorkerReported,
 )
@@ -51,6 +54,10 @@
 ROUNDS = 300
 START = datetime(2026, 1, 1, tzinfo=UTC)
 MILLION = 1_000_000
+TEAMS = 82
+GUARANTEES = tuple(
+    Guarantee(f'team{team}', Shape(4, Proximity.rack)) for team in range(TEAMS)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,8 +93,11 @@
         self.now = START
         self._jobs = 0
         self.send(OwnershipGained(1, ()))
+        self.send(GuaranteesChanged(GUARANTEES))
         for worker in self.workers:
             self.send(WorkerJoined(worker))
+        self.now += timedelta(seconds=2)
+        self.send(TimerFired())
         self.accelerators = sum(entry.accelerators for entry in self.workers)
         self.tasks = 0
         self._fill()
@@ -104,7 +114,7 @@
         """Return a new job, not submitted yet."""
         self._jobs += 1
         fields: dict[str, object] = {
-            'workspace': f'team{self._jobs % 82}',
+            'workspace': f'team{self._jobs % TEAMS}',
             'kind': 'train',
             'cores_per_accelerator': 0.5,
             'memory_mb_per_accelerator': 512,
@@ -289,7 +299,10 @@
     jobs = tuple(job for job in site.records.values() if not job.state.is_final)
     reports = [site.report(worker.worker_id, 2) for worker in site.workers]
     heir = Partition('scale')
-    joined: list[Event] = [WorkerJoined(worker) for worker in site.workers]
+    joined: list[Event] = [
+        GuaranteesChanged(GUARANTEES),
+        *(WorkerJoined(worker) for worker in site.workers),
+    ]
     start = time.perf_counter()
     for event in (*joined, OwnershipGained(2, jobs), *reports):
         heir.handle(event, site.now)
--- a/dragonflynotch/core/deadlines.py
+++ b/dragonflynotch/core/deadlines.py
@@ -18,6 +18,7 @@
     cooldown = 'cooldown'
     reservation = 'reservation'
     readmission = 'readmission'
+    guarantees = 'guarantees'
 
 
 @dataclass(frozen=True, slots=True)
--- a/dragonflynotch/core/expiry.py
+++ b/dragonflynotch/core/expiry.py
@@ -57,6 +57,7 @@
             DeadlineKind.lease: self._lease_expired,
             DeadlineKind.cooldown: fleet.end_cooldown,
             DeadlineKind.takeover: self._takeover_lease_over,
+            DeadlineKind.guarantees: self._guarantees_due,
             DeadlineKind.readmission: health.readmit,
             DeadlineKind.reservation: self._reservation_due,
         }
@@ -87,6 +88,9 @@
         self._fleet.lease_expired(worker_id)
         self._takeover.forget(worker_id)
 
+    def _guarantees_due(self, _subject: str) -> None:
+        self._fleet.place_guarantees()
+
     def _reservation_due(self, _subject: str) -> None:
         self._reservations.due()
 
--- a/dragonflynotch/core/fleet.py
+++ b/dragonflynotch/core/fleet.py
@@ -121,6 +121,10 @@
         self._state.capacity_changed()
         self.unbind(self._book.place_missing())
 
+    def place_guarantees(self) -> None:
+        """Search again for places of guarantees that have none."""
+        self.unbind(self._book.place_missing())
+
     def unbind(self, guarantees: set[int]) -> None:
         """Treat the gangs of moved or removed guarantees like any others."""
         if not guarantees:
--- a/dragonflynotch/core/guarantee_book.py
+++ b/dragonflynotch/core/guarantee_book.py
@@ -2,9 +2,11 @@
 
 from collections import Counter
 from collections.abc import Iterator, Sequence
+from datetime import UTC, datetime, timedelta
 
 from dragonflynotch.core.actions import ReportGuarantee
 from dragonflynotch.core.capacity import CapacityMap
+from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.events import Guarantee
 from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.guarantees import (
@@ -20,6 +22,9 @@
 
 __all__ = ('GuaranteeBook', 'PlacedGuarantee')
 
+_SEARCH_INTERVAL = timedelta(seconds=1)
+_LARGE_SITE = 32
+
 
 class PlacedGuarantee:
     """A guarantee with its place.
@@ -91,6 +96,7 @@
         self._state = state
         self._placed: dict[int, PlacedGuarantee] = {}
         self._next_number = 1
+        self._searched_at = datetime.min.replace(tzinfo=UTC)
 
     def __getitem__(self, number: int) -> PlacedGuarantee:
         """Return a guarantee by its identifier."""
@@ -129,7 +135,7 @@
         for placed in self._placed.values():
             placed.place = None
             placed.forget_use()
-        self.place_missing()
+        self.place_missing(is_urgent=True)
 
     def replace(self, guarantees: Sequence[Guarantee]) -> set[int]:
         """Put a set of guarantees in force; unchanged ones keep their place.
@@ -150,7 +156,7 @@
         for removed in before.values():
             self._unplace(removed)
         self._placed = kept
-        return set(before) | self.place_missing()
+        return set(before) | self.place_missing(is_urgent=True)
 
     def worker_gone(self, worker_id: str) -> set[int]:
         """Take back the places that include a worker and place them again.
@@ -166,11 +172,16 @@
             if any(share.worker_id == worker_id for share in shares):
                 self._unplace(placed)
                 moved.add(placed.number)
-        return moved | self.place_missing()
+        return moved | self.place_missing(is_urgent=True)
 
-    def place_missing(self) -> set[int]:
+    def place_missing(self, *, is_urgent: bool = False) -> set[int]:
         """Find places for all guarantees that have none, and report changes.
 
+        Parameters
+        ----------
+        is_urgent : bool
+            Search also if a search was made a moment ago.
+
         Returns
         -------
         set of int
@@ -179,7 +190,7 @@
         missing = [
             placed for placed in self._placed.values() if placed.place is None
         ]
-        if not missing:
+        if not missing or (not is_urgent and self._is_too_early()):
             return set()
         moved: set[int] = set()
         if not self._place_beside(missing):
@@ -187,6 +198,21 @@
         self._report_changes()
         return moved
 
+    def _is_too_early(self) -> bool:
+        """Whether a large site was searched in vain a moment ago.
+
+        At a start thousands of workers join one by one, and a search visits
+        all of them.
+        """
+        state = self._state
+        due = self._searched_at + _SEARCH_INTERVAL
+        is_large = len(state.inventory) > _LARGE_SITE
+        if is_large and state.now < due:
+            state.timers.set(Deadline(DeadlineKind.guarantees), due)
+            return True
+        self._searched_at = state.now
+        return False
+
     def _place_beside(self, missing: list[PlacedGuarantee]) -> bool:
         """Place guarantees without moving others; True if all fit."""
         for spares_firm in (True, False):
@@ -228,15 +254,22 @@
         return moved
 
     def _place_singly(self, everything: list[PlacedGuarantee]) -> None:
+        capacity = CapacityMap()
+        racks = {}
+        for part in self._capacities(spares_firm=False, beside=True):
+            racks[part.worker_id] = part.rack
+            capacity.set(part.rack, part.worker_id, part.accelerators)
         for placed in everything:
             if placed.place is not None:
                 continue
-            capacity = CapacityMap()
-            for part in self._capacities(spares_firm=False, beside=True):
-                capacity.set(part.rack, part.worker_id, part.accelerators)
             place = find_place(placed.guarantee, capacity, self._state.placer)
             if place is not None:
                 self._settle(placed, place)
+            for share in place or ():
+                rack = racks[share.worker_id]
+                left = capacity.count(rack, share.worker_id)
+                left -= share.accelerators
+                capacity.set(rack, share.worker_id, left)
 
     def _capacities(
         self, *, spares_firm: bool, beside: bool
--- a/tests/core/test_guarantees.py
+++ b/tests/core/test_guarantees.py
@@ -197,3 +197,14 @@
     driver.finish('a')
     assert driver.state('b') == 'running'
     driver.advance(SECOND)
+
+
+def test_guarantees_of_a_large_site_are_placed_once_workers_have_joined():
+    """Guards against a search of all workers at each of thousands of joins."""
+    driver = with_guarantees(guarantee('owner', 24), workers=())
+    for number in range(600):
+        driver.send(WorkerJoined(make_worker(number, number, 4)))
+    driver.send(WorkerJoined(make_worker(600, 600, 24)))
+    driver.advance(SECOND)
+    reports = kinds(driver.actions, ReportGuarantee)
+    assert [report.is_honoured for report in reports] == [False, True]
