--- a/dragonflynotch/core/deadlines.py
+++ b/dragonflynotch/core/deadlines.py
@@ -13,12 +13,12 @@
     confirm = 'confirm'
     stop = 'stop'
     checkpoint = 'checkpoint'
-    overrun = 'overrun'
     lease = 'lease'
     takeover = 'takeover'
     cooldown = 'cooldown'
     reservation = 'reservation'
     readmission = 'readmission'
+    retry = 'retry'
 
 
 @dataclass(frozen=True, slots=True)
--- a/dragonflynotch/core/gang_control.py
+++ b/dragonflynotch/core/gang_control.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 from dragonflynotch.core.actions import (
     CheckpointMember,
@@ -47,15 +47,12 @@
         Right under which they are held.
     guarantee : int or None
         Guarantee that covers the job.
-    backfill_until : datetime or None
-        When a reservation needs the accelerators.
     """
 
     job: Job
     shares: Sequence[Share]
     use: Use
     guarantee: int | None = None
-    backfill_until: datetime | None = None
 
 
 class GangControl:
@@ -81,7 +78,7 @@
             launch.use,
             launch.guarantee,
             members,
-            backfill_until=launch.backfill_until,
+            work_before=job.work_done,
             pending=len(members),
         )
         self._state.queue.remove(job)
@@ -166,14 +163,33 @@
         self._release(gang, worker_id, MemberPhase.finished)
         self.conclude_if_ended(gang)
 
-    def member_ended(self, gang: Gang, worker_id: str, reason: str) -> None:
+    def member_ended(
+        self,
+        gang: Gang,
+        worker_id: str,
+        reason: str,
+        outcome: Outcome = Outcome.requeue,
+    ) -> None:
         """Release a member that ended without success; stop the others."""
         if not gang.members[worker_id].holds:
             return
-        self.stop(gang, Outcome.requeue, reason, skipped=worker_id)
+        self.stop(gang, outcome, reason, skipped=worker_id)
         self._release(gang, worker_id, MemberPhase.released)
         self.conclude_if_ended(gang)
 
+    def member_stopped(self, gang: Gang, worker_id: str) -> None:
+        """Release a member that stopped, as ordered or by itself.
+
+        Members end their checkpoints at different times: the first one that
+        stops must not cut off the checkpoints of the others.
+        """
+        if gang.phase is not GangPhase.stopping:
+            reason = f'stopped by worker {worker_id}'
+            self.member_ended(gang, worker_id, reason)
+        elif gang.members[worker_id].holds:
+            self._release(gang, worker_id, MemberPhase.released)
+            self.conclude_if_ended(gang)
+
     def stop(
         self,
         gang: Gang,
@@ -202,6 +218,9 @@
         if outcome.value > gang.outcome.value or is_first:
             gang.outcome = outcome
             gang.reason = reason
+            self._state.change(
+                gang.job_id, state=JobState.stopping, detail=reason
+            )
         is_sooner = checkpoint_limit < gang.checkpoint_limit
         if not (is_first or is_sooner):
             return
@@ -211,10 +230,6 @@
         gang.checkpoint_limit = checkpoint_limit
         gang.stop_ordered_at = self._state.now
         self._cancel_timers(gang)
-        if is_first:
-            self._state.change(
-                gang.job_id, state=JobState.stopping, detail=reason
-            )
         self.order_stop(gang, skipped=skipped)
         self._set_timer(
             DeadlineKind.stop,
@@ -303,11 +318,6 @@
             gang.job_id, state=JobState.running, started_at=gang.started_at
         )
         self._plan_checkpoint(gang)
-        if gang.backfill_until is not None:
-            self._state.timers.set(
-                Deadline(DeadlineKind.overrun, gang.job_id),
-                gang.backfill_until,
-            )
 
     def _plan_checkpoint(self, gang: Gang) -> None:
         if self._state.jobs[gang.job_id].spec.is_checkpointable:
@@ -330,7 +340,7 @@
         self._cancel_timers(gang)
         self._state.timers.cancel(Deadline(DeadlineKind.stop, gang.job_id))
         self._state.drop_gang(gang)
-        if gang.all_in(MemberPhase.finished):
+        if gang.is_complete:
             self._end(gang, JobState.finished)
         elif gang.outcome is Outcome.requeue:
             self._requeue(gang)
@@ -353,7 +363,10 @@
             started_at=None,
             detail=gang.reason,
         )
-        self._state.queue.add(job)
+        if gang.retry_after:
+            self._set_timer(DeadlineKind.retry, gang, gang.retry_after)
+        else:
+            self._state.enqueue(job)
 
     def _set_timer(
         self, kind: DeadlineKind, gang: Gang, delay: timedelta
@@ -375,7 +388,6 @@
     DeadlineKind.prepare,
     DeadlineKind.confirm,
     DeadlineKind.checkpoint,
-    DeadlineKind.overrun,
 )
 
 
