--- a/dragonflynotch/cli/schemas.py
+++ b/dragonflynotch/cli/schemas.py
@@ -1,4 +1,4 @@
-"""Writes the JSON schemas of settings and records.
+"""Writes the JSON schemas of settings, records and job submissions.
 
 ``python -m dragonflynotch.cli.schemas [DIRECTORY]`` writes them to
 ``docs/schemas`` or to the given directory.
@@ -11,6 +11,7 @@
 import msgspec
 
 from dragonflynotch.records.documents import record_schemas
+from dragonflynotch.records.jobs import JobBody
 from dragonflynotch.records.settings import EntrySettings, GuardSettings
 
 __all__ = ('main', 'schema_files')
@@ -24,6 +25,7 @@
     schemas: dict[str, dict[str, Any]] = {
         'entry-settings': msgspec.json.schema(EntrySettings),
         'guard-settings': msgspec.json.schema(GuardSettings),
+        'job': JobBody.model_json_schema(),
     }
     for (kind, version), record in record_schemas().items():
         schemas[f'{kind}-record-v{version}'] = record
