Count requests that the caller got wrong apart from refusals

Cause: requests over quota counted as not run, so a caller over quota burned the error budget of its workspace. Change: the outcome 'rejected' for malformed requests and for those over quota; the burn report leaves them out. report burn reads DRAGONFLYNOTCH_OPERATORS as the other commands do.

--- a/dragonflynotch/cli/calls.py
+++ b/dragonflynotch/cli/calls.py
@@ -105,7 +105,9 @@
     """Submit a job."""
 
     options: _Options
-    file: Annotated[Path, cappa.Arg(help='Job as JSON (docs/schemas/job.json).')]
+    file: Annotated[
+        Path, cappa.Arg(help='Job as JSON (docs/schemas/job.json).')
+    ]
     key: _Key = ''
 
     def __call__(self) -> int:
--- a/dragonflynotch/cli/options.py
+++ b/dragonflynotch/cli/options.py
@@ -14,10 +14,18 @@
 from dragonflynotch.client.transport import HttpTransport
 from dragonflynotch.core.errors import InvalidInputError
 
-__all__ = ('CallerOptions', 'OperatorOptions', 'Output', 'open_operator')
+__all__ = (
+    'DEFAULT_OPERATORS',
+    'OPERATORS_VARIABLE',
+    'CallerOptions',
+    'OperatorOptions',
+    'Output',
+    'open_operator',
+)
 
 _DEFAULT_CALLERS = 'http://127.0.0.1:8080'
-_DEFAULT_OPERATORS = 'http://127.0.0.1:8081'
+DEFAULT_OPERATORS = 'http://127.0.0.1:8081'
+OPERATORS_VARIABLE = 'DRAGONFLYNOTCH_OPERATORS'
 
 Output = Annotated[
     OutputFormat,
@@ -37,12 +45,10 @@
         str,
         cappa.Arg(
             long=True,
-            default=cappa.Env(
-                'DRAGONFLYNOTCH_OPERATORS', default=_DEFAULT_OPERATORS
-            ),
+            default=cappa.Env(OPERATORS_VARIABLE, default=DEFAULT_OPERATORS),
             help='Address of the operator port.',
         ),
-    ] = _DEFAULT_OPERATORS
+    ] = DEFAULT_OPERATORS
     timeout_s: _Timeout = 10
     output: Output = 'text'
 
--- a/dragonflynotch/cli/report.py
+++ b/dragonflynotch/cli/report.py
@@ -1,6 +1,7 @@
 """The report command: service-level burn."""
 
 import asyncio
+import os
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
@@ -16,7 +17,12 @@
 )
 from dragonflynotch.cli.exit_codes import ExitCode
 from dragonflynotch.cli.objectives import objectives_of, read_objectives
-from dragonflynotch.cli.options import Output, open_operator
+from dragonflynotch.cli.options import (
+    DEFAULT_OPERATORS,
+    OPERATORS_VARIABLE,
+    Output,
+    open_operator,
+)
 from dragonflynotch.client.outcomes import Failure
 from dragonflynotch.client.views import Snapshot
 from dragonflynotch.core.errors import InvalidInputError
@@ -32,7 +38,6 @@
 
 __all__ = ('BurnCommand', 'ReportCommand')
 
-_DEFAULT_ENTRY = 'http://127.0.0.1:8081'
 _TIMEOUT_S = 10
 
 
@@ -55,8 +60,14 @@
 
     entry: Annotated[
         list[str],
-        cappa.Arg(long=True, help='Operator port; may be given repeatedly.'),
-    ] = field(default_factory=lambda: [_DEFAULT_ENTRY])
+        cappa.Arg(
+            long=True,
+            help=(
+                'Operator port; may be given repeatedly. Else '
+                'DRAGONFLYNOTCH_OPERATORS.'
+            ),
+        ),
+    ] = field(default_factory=list)
     duration: Annotated[
         float, cappa.Arg(long=True, help='Time to sample, in seconds.')
     ] = 60
@@ -81,6 +92,11 @@
     ] = None
     output: Output = 'text'
 
+    @property
+    def _entries(self) -> list[str]:
+        variable = os.environ.get(OPERATORS_VARIABLE, DEFAULT_OPERATORS)
+        return self.entry or [variable]
+
     def __call__(self) -> int:
         """Print the report and return the exit code."""
         try:
@@ -120,7 +136,7 @@
     async def _read_objectives(self) -> tuple[Objective, ...] | Failure:
         if self.objectives is not None:
             return read_objectives(self.objectives)
-        async with open_operator(self.entry[0], _TIMEOUT_S) as client:
+        async with open_operator(self._entries[0], _TIMEOUT_S) as client:
             found = await client.list_records()
         if not isinstance(found, Snapshot):
             return found
@@ -134,7 +150,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + self.duration
         while True:
-            for url in self.entry:
+            for url in self._entries:
                 text = await self._read_metrics(url)
                 if not isinstance(text, str):
                     return text
--- a/dragonflynotch/entry/problems.py
+++ b/dragonflynotch/entry/problems.py
@@ -51,10 +51,17 @@
 
 
 def outcome_name(outcome: Outcome) -> str:
-    """Return ``'answered'``, ``'not_run'`` or ``'unknown'``."""
+    """Return the name of an outcome for metrics.
+
+    ``'answered'``, ``'unknown'``, ``'rejected'`` for a request that was not
+    run because of the caller (malformed or over quota), or ``'not_run'`` for
+    one that was not run because of the service.
+    """
     match outcome:
         case Answer():
             return 'answered'
+        case NotRun(reason) if reason in _STATUS_BY_REASON:
+            return 'rejected'
         case NotRun():
             return 'not_run'
         case Unknown():
--- a/dragonflynotch/observability/metrics.py
+++ b/dragonflynotch/observability/metrics.py
@@ -70,7 +70,7 @@
         workspace, request_class : str
             Labels of the request.
         outcome : str
-            ``'answered'``, ``'not_run'`` or ``'unknown'``.
+            ``'answered'``, ``'not_run'``, ``'rejected'`` or ``'unknown'``.
         duration : timedelta
             Time from receipt to answer.
         """
--- a/dragonflynotch/reports/samples.py
+++ b/dragonflynotch/reports/samples.py
@@ -18,6 +18,8 @@
 )
 
 _REQUESTS = 'dragonflynotch_requests_total'
+# Malformed or over quota: the caller's doing, so no objective counts it.
+_REJECTED = 'rejected'
 _BUCKET = 'dragonflynotch_request_seconds_bucket'
 _LINE = re.compile(r'^(?P<name>\w+)\{(?P<labels>.*)\} (?P<reading>\S+)$')
 _LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
@@ -36,7 +38,7 @@
     Parameters
     ----------
     total : float
-        All requests since the entry started.
+        All requests since the entry started, without rejected ones.
     buckets : dict of str to float
         Requests answered within the bound, by the bound in seconds.
     """
@@ -69,7 +71,7 @@
             labels.get('workspace', ''),
             labels.get('request_class', ''),
         )
-        if name == _REQUESTS:
+        if name == _REQUESTS and labels.get('outcome') != _REJECTED:
             totals[key] = totals.get(key, 0) + reading
         elif name == _BUCKET:
             buckets.setdefault(key, {})[labels['le']] = reading
