Refuse calls at the client that can never be sent

Cause: a header that cannot be encoded raised inside the HTTP library, a body above 1 MiB looked like an unknown outcome, repetitions of an idempotent call could exceed its deadline, and an unwritable file ended in a traceback. Change: the client checks url, limits, key, token, class, body and deadline; repetitions share the limit of the call; a failed main job exits with 3.

--- a/dragonflynotch/cli/console.py
+++ b/dragonflynotch/cli/console.py
@@ -8,7 +8,7 @@
 
 from dragonflynotch.cli.exit_codes import ExitCode, exit_code_of
 from dragonflynotch.client.outcomes import Conflict, Failure
-from dragonflynotch.core.errors import DragonflynotchError
+from dragonflynotch.core.errors import DragonflynotchError, InvalidInputError
 
 __all__ = (
     'OutputFormat',
@@ -60,10 +60,15 @@
 
 
 def report_error(error: DragonflynotchError) -> ExitCode:
-    """Print one sentence on stderr and return the code for invalid input."""
+    """Print one sentence on stderr and return the exit code.
+
+    Input that is not valid has its own code; any other error of a command
+    means that it was not carried out.
+    """
     place = '' if error.step else f' (step {_LOCAL_STEP!r})'
     _print_error(f'{error}{place}')
-    return ExitCode.invalid
+    is_invalid = isinstance(error, InvalidInputError)
+    return ExitCode.invalid if is_invalid else ExitCode.refused
 
 
 def format_duration(seconds: float) -> str:
--- a/dragonflynotch/cli/report.py
+++ b/dragonflynotch/cli/report.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import cappa
 
@@ -113,15 +113,14 @@
         if not isinstance(samples, tuple):
             return report_failure(samples)
         if self.record is not None:
-            with self.record.open('ab') as file:
-                file.write(encode_samples(samples))
+            _write(self.record, encode_samples(samples), 'ab')
         end = max((sample.at for sample in samples), default=datetime.now(UTC))
         reports = tuple(
             burn_report(each, counter_samples(samples, each), end)
             for each in objectives
         )
         if self.picture is not None:
-            self.picture.write_text(draw_burn(reports))
+            _write(self.picture, draw_burn(reports).encode(), 'wb')
         print_result(self.output, _content(reports), _text(reports))
         return ExitCode.done
 
@@ -185,6 +184,16 @@
         ) from error
 
 
+def _write(path: Path, content: bytes, mode: Literal['ab', 'wb']) -> None:
+    try:
+        with path.open(mode) as file:
+            file.write(content)
+    except OSError as error:
+        raise InvalidInputError(
+            str(path), error.strerror, 'a writable file'
+        ) from error
+
+
 def _content(reports: tuple[BurnReport, ...]) -> list[dict[str, Any]]:
     return [
         {
--- a/dragonflynotch/client/caller.py
+++ b/dragonflynotch/client/caller.py
@@ -1,5 +1,6 @@
 """Client of the caller interface of an entry: requests and jobs."""
 
+import re
 import uuid
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
@@ -17,6 +18,7 @@
     decode_reply,
 )
 from dragonflynotch.client.views import JobList, JobView, RequestAnswer
+from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.requests import content_digest
 
 __all__ = ('CallerClient', 'HttpCallerClient', 'RequestCall', 'SubmitCall')
@@ -24,6 +26,9 @@
 # Time for the answer to travel after the deadline that the entry observes.
 _ANSWER_MARGIN = timedelta(seconds=2)
 _MILLISECOND = timedelta(milliseconds=1)
+_MAX_DEADLINE = timedelta(seconds=600)
+_MAX_BODY_BYTES = 1024 * 1024
+_HEADER_TEXT = re.compile('[!-~]{0,200}')
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,6 +56,25 @@
     key: str = ''
     deadline: timedelta = timedelta(seconds=30)
 
+    def __post_init__(self) -> None:
+        """Reject what an entry would refuse.
+
+        A body that is too large would end the connection while it is sent,
+        and the outcome would look unknown.
+        """
+        _check_text('key', self.key)
+        _check_text('request_class', self.request_class)
+        if len(self.body) > _MAX_BODY_BYTES:
+            raise InvalidInputError(
+                'body',
+                f'{len(self.body)} bytes',
+                f'at most {_MAX_BODY_BYTES} bytes',
+            )
+        if not _MILLISECOND <= self.deadline <= _MAX_DEADLINE:
+            raise InvalidInputError(
+                'deadline', str(self.deadline), '1 ms to 600 s'
+            )
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SubmitCall:
@@ -67,6 +91,10 @@
     job: dict[str, Any]
     key: str = ''
 
+    def __post_init__(self) -> None:
+        """Reject a key that no header can carry."""
+        _check_text('key', self.key)
+
 
 class CallerClient(ABC):
     """What callers of a workspace do with an entry."""
@@ -109,6 +137,7 @@
         self, transport: HttpTransport, workspace: str, token: str = ''
     ) -> None:
         """Act for one workspace."""
+        _check_text('token', token)
         self._transport = transport
         self._path = f'/v1/workspaces/{quote(workspace, safe="")}'
         self._headers = {'Authorization': f'Bearer {token}'} if token else {}
@@ -210,6 +239,13 @@
         )
 
 
+def _check_text(name: str, text: str) -> None:
+    if not _HEADER_TEXT.fullmatch(text):
+        raise InvalidInputError(
+            name, text, 'at most 200 printable ASCII characters, no spaces'
+        )
+
+
 def _job_path(job_id: str) -> str:
     return f'/jobs/{quote(job_id, safe="")}'
 
--- a/dragonflynotch/client/transport.py
+++ b/dragonflynotch/client/transport.py
@@ -122,7 +122,7 @@
     Raises
     ------
     InvalidInputError
-        If the address is not an HTTP address.
+        If the address is not an HTTP address or the limit not positive.
     """
 
     def __init__(
@@ -134,14 +134,13 @@
         connection: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         """Prepare the connection; the first call opens it."""
-        parts = urlsplit(url)
-        if parts.scheme not in {'http', 'https'} or not parts.hostname:
-            raise InvalidInputError('url', url, 'http://ADDRESS:PORT')
-        self._peer = parts.netloc
+        if timeout <= timedelta():
+            raise InvalidInputError('timeout', str(timeout), 'more than 0 s')
+        self._peer = _peer_of(url)
+        self._timeout = timeout
         self._retry = retry
         self._client = httpx.AsyncClient(
             base_url=url.rstrip('/'),
-            timeout=timeout.total_seconds(),
             trust_env=False,
             transport=connection,
         )
@@ -162,30 +161,31 @@
     async def send(self, call: Call) -> Reply | Failure:
         """Return the answer or why there is none.
 
-        Only repeatable calls are repeated, and only after a failure that may
-        pass.
+        Only repeatable calls are repeated, only after a failure that may
+        pass, and only within the limit of the call.
         """
-        delay = self._retry.first_delay
-        outcome = await self._send_once(call)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + (call.timeout or self._timeout).total_seconds()
+        delay_s = self._retry.first_delay.total_seconds()
+        outcome = await self._send_once(call, end - loop.time())
         for _ in range(self._retry.attempts - 1):
             if not call.is_repeatable or not _may_pass(outcome):
                 break
-            await asyncio.sleep(delay.total_seconds())
-            delay *= 2
-            outcome = await self._send_once(call)
+            if loop.time() + delay_s >= end:
+                break
+            await asyncio.sleep(delay_s)
+            delay_s *= 2
+            outcome = await self._send_once(call, end - loop.time())
         return outcome
 
-    async def _send_once(self, call: Call) -> Reply | Failure:
-        limit: Any = httpx.USE_CLIENT_DEFAULT
-        if call.timeout is not None:
-            limit = call.timeout.total_seconds()
+    async def _send_once(self, call: Call, limit_s: float) -> Reply | Failure:
         try:
             reply = await self._client.request(
                 call.method,
                 call.path,
                 content=call.body,
                 headers=dict(call.headers),
-                timeout=limit,
+                timeout=limit_s,
             )
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             return self._not_sent(call, error)
@@ -232,6 +232,18 @@
         )
 
 
+def _peer_of(url: str) -> str:
+    try:
+        parts = urlsplit(url)
+        # Reading the port checks its range.
+        is_usable = bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        is_usable = False
+    if not is_usable or parts.scheme not in {'http', 'https'}:
+        raise InvalidInputError('url', url, 'http://ADDRESS:PORT')
+    return parts.netloc
+
+
 def _may_pass(outcome: Reply | Failure) -> bool:
     if isinstance(outcome, Reply | Invalid | Conflict):
         return False
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dragonflynotch.__main__ import run
+from dragonflynotch.cli.local import MainJobError
 from dragonflynotch.testing.deployment import free_ports
 from tests.cli.shell import workspace_record
 
@@ -169,3 +170,14 @@
         return run(arguments)
     except SystemExit as exit_:
         return exit_.code
+
+
+def test_a_main_job_that_fails_is_not_a_success(monkeypatch, capsys):
+    """Guards against make run that succeeds although a step failed."""
+
+    async def fail(deployment):
+        raise MainJobError('ran 2 times', step='run once')
+
+    monkeypatch.setattr('dragonflynotch.cli.local.run_local', fail)
+    assert run(['local', '--deployment', 'ravi']) == 3
+    assert "ran 2 times (step 'run once')" in capsys.readouterr().err
--- a/tests/client/test_transport.py
+++ b/tests/client/test_transport.py
@@ -36,13 +36,13 @@
         return HttpTransport(
             'http://127.0.0.1:1',
             retry=_RETRY,
-            connection=httpx.MockTransport(self._take),
+            connection=httpx.MockTransport(self.take),
         )
 
     def caller(self) -> HttpCallerClient:
         return HttpCallerClient(self.transport(), 'resort', 'token')
 
-    def _take(self, request: httpx.Request) -> httpx.Response:
+    def take(self, request: httpx.Request) -> httpx.Response:
         self.calls.append(request)
         return self._answer()
 
@@ -140,8 +140,42 @@
     assert len(peer.calls) == 1
 
 
-@pytest.mark.parametrize('url', ['', '127.0.0.1:80', 'ftp://x'])
+@pytest.mark.parametrize(
+    'url', ['', '127.0.0.1:80', 'ftp://x', 'http://[x', 'http://a:99999']
+)
 def test_an_address_of_another_form_is_refused(url):
     """Guards against an obscure failure at the first call."""
     with pytest.raises(InvalidInputError, match='url'):
         HttpTransport(url)
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'body': b'x' * (1024 * 1024 + 1)},
+        {'body': b'', 'key': 'a b'},
+        {'body': b'', 'key': 'k' * 201},
+        {'body': b'', 'request_class': 'caf\u00e9'},
+        {'body': b'', 'deadline': timedelta(0)},
+        {'body': b'', 'deadline': timedelta(seconds=601)},
+    ],
+)
+def test_a_request_that_cannot_be_sent_is_refused_at_once(fields):
+    """Guards against an unknown outcome of a call that was never sent."""
+    with pytest.raises(InvalidInputError):
+        RequestCall(**fields)
+
+
+async def test_repetitions_end_with_the_limit_of_the_call():
+    """Guards against a caller that waits longer than its deadline."""
+    peer = _Peer(_problem(503, retry_after_ms=1))
+    retry = RetryPolicy(attempts=50, first_delay=timedelta(milliseconds=20))
+    transport = HttpTransport(
+        'http://127.0.0.1:1',
+        timeout=timedelta(milliseconds=100),
+        retry=retry,
+        connection=httpx.MockTransport(peer.take),
+    )
+    client = HttpOperatorClient(transport)
+    assert isinstance(await client.status(), Refused)
+    assert 2 <= len(peer.calls) <= 4
