--- a/dragonflynotch/core/claims.py
+++ b/dragonflynotch/core/claims.py
@@ -41,6 +41,8 @@
         Whether gangs are stopped without a new checkpoint.
     start_by : datetime
         When the accelerators are free at the latest.
+    victims : frozenset of str or None
+        Jobs whose gangs may be stopped; None for any borrower.
     """
 
     job_id: str
@@ -51,6 +53,7 @@
     place: Place | None
     is_immediate: bool
     start_by: datetime
+    victims: frozenset[str] | None = None
 
 
 class Claims:
@@ -106,8 +109,22 @@
             )
         )
 
-    def add_reserved(self, job: Job, shares: Place, use: Use) -> None:
-        """Claim the accelerators of a reservation whose time has come."""
+    def add_reserved(
+        self, job: Job, shares: Place, use: Use, victims: frozenset[str]
+    ) -> None:
+        """Claim the accelerators of a reservation whose time has come.
+
+        Parameters
+        ----------
+        job : Job
+            The waiting job.
+        shares : tuple of Share
+            Accelerators to claim.
+        use : Use
+            Right under which the job will hold them.
+        victims : frozenset of str
+            Jobs whose gangs may be stopped for it.
+        """
         self._add(
             Claim(
                 job.job_id,
@@ -117,6 +134,7 @@
                 None,
                 None,
                 is_immediate=False,
+                victims=victims,
                 start_by=self._state.now + self._state.policy.reclaim_bound,
             )
         )
@@ -136,10 +154,9 @@
         """Start the jobs whose accelerators are free; stop more if needed."""
         for claim in tuple(self._claims.values()):
             if not self._is_valid(claim):
-                self.drop(claim.job_id)
-                self._state.enqueue(self._state.jobs[claim.job_id])
+                self._return_to_queue(claim)
         shortfall = Shortfall(self._state.inventory)
-        for claim in tuple(self._claims.values()):
+        for claim in sorted(self._claims.values(), key=_has_no_guarantee):
             missing = shortfall.after(claim.allocations)
             if missing:
                 self._free(claim, missing)
@@ -192,10 +209,21 @@
 
     def _free(self, claim: Claim, missing: tuple[Allocation, ...]) -> None:
         victims = choose_victims(
-            self._state, missing, with_firm=claim.guarantee is not None
+            self._state,
+            missing,
+            with_firm=claim.guarantee is not None,
+            only=claim.victims,
         )
         for gang in victims:
             self._stop(gang, claim)
+        if claim.guarantee is None and not victims:
+            # Its place was lost to the owner of a guarantee, and no stop that
+            # would bring it back is under way.
+            self._return_to_queue(claim)
+
+    def _return_to_queue(self, claim: Claim) -> None:
+        self.drop(claim.job_id)
+        self._state.enqueue(self._state.jobs[claim.job_id])
 
     def _stop(self, gang: Gang, claim: Claim) -> None:
         spec = self._state.jobs[gang.job_id].spec
@@ -219,6 +247,12 @@
         return tuple(_planned(share, demand, use) for share in shares)
 
 
+def _has_no_guarantee(claim: Claim) -> bool:
+    # Guarantees come first: a reservation may wait for long on one worker and
+    # must not hold back the owner of a guarantee on another.
+    return claim.guarantee is None
+
+
 def _planned(share: Share, demand: Demand, use: Use) -> Allocation:
     return Allocation(
         share.worker_id,
--- a/dragonflynotch/core/deadlines.py
+++ b/dragonflynotch/core/deadlines.py
@@ -19,6 +19,7 @@
     reservation = 'reservation'
     readmission = 'readmission'
     guarantees = 'guarantees'
+    retry = 'retry'
 
 
 @dataclass(frozen=True, slots=True)
--- a/dragonflynotch/core/forecast.py
+++ b/dragonflynotch/core/forecast.py
@@ -21,7 +21,9 @@
 _STRETCH_FACTOR = 8
 _SHORTEST_STRETCH = 512
 # Each time tried costs a visit of all workers of the stretch.
-_TIMES_TRIED = 8
+_TIMES_TRIED = 64
+# A gang that gives way has run for long enough to be worth its start.
+_SHORTEST_TURN = timedelta(minutes=10)
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +32,7 @@
 
     shares: Place
     at: datetime
+    ended: frozenset[str] = frozenset()
 
 
 class _Room:
@@ -86,12 +89,15 @@
         come first, because only there the start has an upper bound.
         """
         for workers in self._search_areas(job):
-            ends = self._expected_ends(workers)
+            ends = self._expected_ends(workers, job)
             for with_firm in (False, True):
                 room = _Room(workers, ends, use, with_firm=with_firm)
                 found = self._search(job, room)
                 if found is not None:
-                    return found
+                    ended = (
+                        name for name, end in ends.items() if end <= found.at
+                    )
+                    return Opening(found.shares, found.at, frozenset(ended))
         return None
 
     def expected_end(self, gang: Gang) -> datetime:
@@ -127,15 +133,41 @@
             yield list(inventory)
 
     def _expected_ends(
-        self, workers: Iterable[WorkerState]
+        self, workers: Iterable[WorkerState], job: Job
     ) -> dict[str, datetime]:
         ends: dict[str, datetime] = {}
         for worker in workers:
             for gang in self._state.gangs_on(worker.worker.worker_id):
                 if gang.job_id not in ends:
-                    ends[gang.job_id] = self.expected_end(gang)
+                    ends[gang.job_id] = self._end_for(gang, job)
         return ends
 
+    def _end_for(self, gang: Gang, job: Job) -> datetime:
+        end = self.expected_end(gang)
+        if not self._yields(gang, job):
+            return end
+        now = self._state.now
+        started_at = gang.started_at or now
+        return min(end, max(now, started_at + _SHORTEST_TURN))
+
+    def _yields(self, gang: Gang, job: Job) -> bool:
+        """Whether a gang gives way to a job before its end.
+
+        Large gangs rarely find room by themselves, and the gangs that gave way
+        find room more easily again. Among gangs of one size the older job has
+        the right of way.
+        """
+        running = self._state.jobs[gang.job_id]
+        spec = running.spec
+        by_size = (gang.accelerators, -running.submitted_at.timestamp())
+        wanted = job.spec.shape.accelerators
+        return (
+            gang.use is Use.lent
+            and spec.is_checkpointable
+            and spec.priority.rank >= job.spec.priority.rank
+            and by_size < (wanted, -job.submitted_at.timestamp())
+        )
+
     def _search(self, job: Job, room: _Room) -> Opening | None:
         """Search by bisection; capacity only grows with time."""
         times = _spread({self._state.now, *room.ends.values()})
@@ -157,9 +189,10 @@
 
     def _place(self, job: Job, room: _Room, at: datetime) -> Place:
         demand = Demand.of(job.spec)
+        avoided = self._state.avoided.get(job.job_id, ())
         capacity = CapacityMap()
         for worker in room.workers:
-            if worker.is_usable:
+            if worker.is_usable and worker.worker.worker_id not in avoided:
                 held = self._held_after(worker, room, at)
                 usable = max(0, _outside(worker, room) - held)
                 capacity.set(
--- a/dragonflynotch/core/health.py
+++ b/dragonflynotch/core/health.py
@@ -3,12 +3,13 @@
 from dataclasses import replace
 
 from dragonflynotch.core.actions import QuarantineWorker, ReadmitWorker
+from dragonflynotch.core.capacity import CapacityMap
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.feasibility import find_obstacle
 from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import Gang, GangPhase, MemberPhase, Outcome
-from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.jobs import Job, JobSpec
 from dragonflynotch.core.quarantine import Evidence, Verdict
 from dragonflynotch.core.state import PartitionState
 
@@ -63,6 +64,7 @@
         elif job.failures >= self._state.policy.max_failures:
             outcome = Outcome.fail
             sentence = f'failed {job.failures} times; last {sentence}'
+        gang.retry_after = self._state.policy.retry_after(job.failures)
         self._gangs.member_ended(gang, worker_id, sentence, outcome)
         if verdict is Verdict.bad_worker:
             self._quarantine(worker_id)
@@ -109,16 +111,49 @@
         )
         self._state.jobs[gang.job_id] = changed
         avoided = frozenset(failed_on)
-        if find_obstacle(job.spec, self._state, avoided) is not None:
+        if not self._can_avoid(job.spec, avoided):
             avoided = frozenset()
-        self._state.avoided[gang.job_id] = avoided
+        self._state.avoid(changed, avoided)
         return changed
 
+    def _can_avoid(self, spec: JobSpec, avoided: frozenset[str]) -> bool:
+        """Whether a job has another place under the rights that it has.
+
+        A job that cannot be checkpointed may not borrow, so guaranteed
+        accelerators are no other place for it.
+        """
+        if find_obstacle(spec, self._state, avoided) is not None:
+            return False
+        if spec.is_checkpointable or not spec.shape.accelerators:
+            return True
+        outside = CapacityMap()
+        for worker in self._state.inventory:
+            worker_id = worker.worker.worker_id
+            if worker_id not in avoided:
+                usable = worker.worker.accelerators - worker.guaranteed
+                outside.set(worker.rack, worker_id, max(0, usable))
+        return bool(self._state.placer.place(spec.shape, outside, _unlimited))
+
+    def _acquit(self, job_id: str, worker_id: str) -> None:
+        """Forgive a job what it failed on a worker that is bad."""
+        job = self._state.jobs.get(job_id)
+        if job is not None:
+            others = tuple(
+                name for name in job.failed_workers if name != worker_id
+            )
+            acquitted = replace(
+                job, failed_workers=others, failures=len(others)
+            )
+            self._state.jobs[job_id] = acquitted
+            self._state.avoid(acquitted, frozenset(others))
+
     def _quarantine(self, worker_id: str) -> None:
         """Quarantine a worker, unless the cap on their share is reached."""
         worker = self._state.inventory.find(worker_id)
         if worker is None or worker.is_quarantined:
             return
+        for job_id in self._evidence.jobs_against(worker_id):
+            self._acquit(job_id, worker_id)
         held = sum(state.is_quarantined for state in self._state.inventory)
         cap = self._state.policy.quarantine_cap * len(self._state.inventory)
         if held + 1 > cap:
@@ -135,3 +170,7 @@
             self._state.now + self._state.policy.quarantine_period,
         )
         self._fleet.quarantine(worker)
+
+
+def _unlimited(_worker_id: str, accelerators: int) -> int:
+    return accelerators
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -7,15 +7,20 @@
 from dragonflynotch.core.claims import Claims
 from dragonflynotch.core.gang_control import GangControl, Launch
 from dragonflynotch.core.guarantee_book import GuaranteeBook, PlacedGuarantee
+from dragonflynotch.core.guarantees import Place
 from dragonflynotch.core.inventory import Demand, Use
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.core.placement import Share
+from dragonflynotch.core.preemption import find_takeover
 from dragonflynotch.core.reservations import Reservations
+from dragonflynotch.core.runtimes import RunTimes
 from dragonflynotch.core.state import PartitionState
 from dragonflynotch.core.waiting_queue import QueueGroup
 
 __all__ = ('Blocked', 'Scheduler')
 
+_SPARED_FAILURES = 2
+
 
 @dataclass(frozen=True, slots=True)
 class Blocked:
@@ -50,6 +55,8 @@
         Accelerators that are being freed.
     reservations : Reservations
         Accelerators kept for the longest-waiting job.
+    run_times : RunTimes
+        Learned run times.
     """
 
     def __init__(
@@ -59,10 +66,12 @@
         book: GuaranteeBook,
         claims: Claims,
         reservations: Reservations,
+        run_times: RunTimes,
     ) -> None:
         """Keep the parts."""
         self._reservations = reservations
         self._seen = (-1, -1)
+        self._run_times = run_times
         self._claims = claims
         self._state = state
         self._gangs = gangs
@@ -75,12 +84,31 @@
         changed. Claims come first; they may return jobs to the queue, and
         jobs may make new claims.
         """
+        self._cover_claims()
         self._claims.advance()
         self._reservations.drop_if_stale()
         self._try_groups()
         self._reservations.advance()
         self._claims.advance()
 
+    def _cover_claims(self) -> None:
+        """Start jobs whose guarantee became idle while they wait elsewhere."""
+        for claim in tuple(self._claims):
+            job = self._state.jobs[claim.job_id]
+            if claim.guarantee is None and self._has_own_place(job):
+                self._claims.drop(job.job_id)
+                launch = self._cover(job)
+                if launch is None:
+                    self._claim(job)
+                else:
+                    self._launch(launch)
+
+    def _has_own_place(self, job: Job) -> bool:
+        return any(
+            self._own_shares(placed, job)
+            for placed in self._book.of_workspace(job.spec.workspace)
+        )
+
     def _try_groups(self) -> None:
         seen = (self._state.capacity_version, self._state.queue.additions)
         if seen == self._seen:
@@ -117,11 +145,10 @@
         return (
             self._cover(job)
             or self._place_generally(job, self._state.inventory.open)
-            or self._claim(job)
-            or self._borrow(job)
+            or self._borrow_or_claim(job)
             or self._backfill(job)
-            or Blocked('waits for free accelerators')
-        )
+            or self._take_over(job)
+        ) or Blocked('waits for free accelerators')
 
     def _place_generally(
         self, job: Job, capacity: CapacityMap
@@ -130,36 +157,75 @@
         shares = self._place(job, capacity, use)
         return Launch(job, shares, use) if shares else None
 
+    def _borrow_or_claim(self, job: Job) -> Launch | Claimed | None:
+        """Prefer idle accelerators of others to stopping borrowers.
+
+        Urgent jobs do not, because a borrower may have to give way again.
+        """
+        if job.spec.is_urgent:
+            return self._claim(job) or self._borrow(job)
+        return self._borrow(job) or self._claim(job)
+
     def _borrow(self, job: Job) -> Launch | None:
         """Return a launch on idle guaranteed accelerators.
 
-        They are lent only to jobs that can be checkpointed. All such jobs get
+        They are lent to jobs that can be checkpointed. All such jobs get
         checkpoints at an interval, so they may use urgent guarantees too.
+        Short jobs without checkpoints can be stopped as well, with the loss
+        of little work; they do not get accelerators of urgent guarantees.
         """
-        if not job.spec.is_checkpointable:
+        if job.spec.is_checkpointable:
+            return self._place_generally(job, self._state.inventory.free)
+        if not self._is_short(job):
             return None
-        return self._place_generally(job, self._state.inventory.free)
+        shares = self._place(job, self._state.inventory.stoppable, Use.lent)
+        return Launch(job, shares, Use.lent) if shares else None
 
     def _backfill(self, job: Job) -> Launch | None:
         """Return a launch on reserved accelerators until they are needed."""
+        reserved = [
+            self._state.inventory[worker_id]
+            for worker_id in self._reservations.window_for(job)
+        ]
         capacity = CapacityMap()
-        for worker_id in self._reservations.window_for(job):
-            worker = self._state.inventory[worker_id]
-            capacity.set(worker.rack, worker_id, worker.unclaimed)
+        if job.spec.is_checkpointable:
+            # The rest of the same racks may complete a place.
+            racks = dict.fromkeys(worker.rack for worker in reserved)
+            for rack in racks:
+                for free, worker_id in self._state.inventory.free.workers(rack):
+                    capacity.set(rack, worker_id, free)
+        for worker in reserved:
+            capacity.set(worker.rack, worker.worker.worker_id, worker.unclaimed)
         return self._place_generally(job, capacity)
 
+    def _take_over(self, job: Job) -> Claimed | None:
+        """Claim a place of less important gangs that can be checkpointed."""
+        use = Use.lent
+        if not job.spec.is_checkpointable and not self._is_short(job):
+            use = Use.firm
+        found = find_takeover(self._state, job, use)
+        if found is None:
+            return None
+        self._claims.add_reserved(job, found.shares, use, found.victims)
+        return Claimed()
+
+    def _is_short(self, job: Job) -> bool:
+        estimate = self._run_times.estimate(job.spec)
+        return estimate <= self._state.policy.short_run
+
     def _claim(self, job: Job) -> Claimed | None:
         """Claim a part of a guarantee that others have borrowed."""
         for placed in self._book.of_workspace(job.spec.workspace):
-            capacity = self._idle_part(placed, job, with_borrowed=True)
-            shares = self._state.placer.place(
-                job.spec.shape, capacity, _unlimited
-            )
+            shares = self._own_shares(placed, job)
             if shares:
                 self._claims.add_guaranteed(job, placed, shares)
                 return Claimed()
         return None
 
+    def _own_shares(self, placed: PlacedGuarantee, job: Job) -> Place:
+        capacity = self._idle_part(placed, job, with_borrowed=True)
+        return self._state.placer.place(job.spec.shape, capacity, _unlimited)
+
     def _decide_without_accelerators(self, job: Job) -> Launch | Blocked:
         use = Use.lent if job.spec.is_checkpointable else Use.firm
         worker_id = self._state.inventory.find_cores(Demand.of(job.spec), use)
@@ -186,8 +252,15 @@
     ) -> CapacityMap:
         capacity = CapacityMap()
         demand = Demand.of(job.spec)
+        avoided = self._state.avoided.get(job.job_id, ())
+        # The owner of a guarantee gets its place even where it has failed,
+        # unless it is about to be given up for its failures.
+        failures_left = self._state.policy.max_failures - job.failures
+        is_insisting = with_borrowed and failures_left > _SPARED_FAILURES
         for worker_id, idle in placed.idle.items():
             worker = self._state.inventory[worker_id]
+            if worker_id in avoided and not is_insisting:
+                continue
             if worker.is_usable and worker.share_covers(demand):
                 usable = idle if with_borrowed else min(idle, worker.unclaimed)
                 capacity.set(worker.rack, worker_id, usable)
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -6,6 +6,7 @@
 from datetime import UTC, datetime
 from math import inf
 
+from dragonflynotch.core.absent import AbsentWorkers
 from dragonflynotch.core.actions import Action, WriteJob
 from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.inventory import Allocation, Inventory
@@ -26,7 +27,7 @@
     def __init__(self) -> None:
         """Start without answers."""
         self.version = -1
-        self.found: dict[object, str | None] = {}
+        self.found: dict[object, bool] = {}
 
 
 class PartitionState:
@@ -48,6 +49,7 @@
         self.is_owner = False
         self.fence = 0
         self.inventory = Inventory()
+        self.absent = AbsentWorkers()
         self.queue = WaitingQueue()
         self.jobs: dict[str, Job] = {}
         self.gangs: dict[str, Gang] = {}
@@ -131,6 +133,13 @@
             return
         self.queue.add(job, self.avoided.get(job.job_id, frozenset()))
 
+    def avoid(self, job: Job, worker_ids: frozenset[str]) -> None:
+        """Keep a job from some workers from now on, and from no others."""
+        self.avoided[job.job_id] = worker_ids
+        if self.queue.has(job.job_id):
+            self.queue.remove(job)
+            self.enqueue(job)
+
     def add_gang(self, gang: Gang) -> None:
         """Register a gang whose accelerators are already held."""
         self.gangs[gang.job_id] = gang
