--- a/dragonflynotch/core/partition.py
+++ b/dragonflynotch/core/partition.py
@@ -112,9 +112,7 @@
             self._reservations,
             self._run_times,
         )
-        self._submissions = Submissions(
-            self._state, self._gangs, self._claims, self._takeover
-        )
+        self._submissions = Submissions(self._state, self._gangs, self._claims)
         self._expiry = Expiry(
             self._state,
             self._gangs,
--- a/dragonflynotch/core/scheduler.py
+++ b/dragonflynotch/core/scheduler.py
@@ -70,6 +70,7 @@
     ) -> None:
         """Keep the parts."""
         self._reservations = reservations
+        self._seen = (-1, -1)
         self._run_times = run_times
         self._claims = claims
         self._state = state
@@ -109,6 +110,10 @@
         )
 
     def _try_groups(self) -> None:
+        seen = (self._state.capacity_version, self._state.queue.additions)
+        if seen == self._seen:
+            return
+        self._seen = seen
         heads = [
             (group.head_key, number, group)
             for number, group in enumerate(self._state.queue.groups)
