Test lost guards, entries and answers with separate processes

Cause: the promises of the handover were not exercised under failure. Found by the tests: a question about an attempt went over a pooled connection that was silent too, so a lost connection was reported as a silent guard; a single remaining minion was left out after one lost connection. Change: questions use new connections; a guard with one lost message is not avoided; a first failed idempotent attempt without another member is repeated. Guards may advertise an address other than the one they listen on, so entries can reach them through an address translation (and tests through a relay).

--- a/dragonflynotch/entry/at_most_once.py
+++ b/dragonflynotch/entry/at_most_once.py
@@ -55,6 +55,7 @@
 # The guard's reason for an attempt that another entry resolved as "never".
 # That entry may hand over the next attempt, so this one must not.
 _SUPERSEDED = 'resolved_as_never'
+_LOST = 'never'
 _LEAVING = frozenset(('no_free_slot', 'draining', 'other_incarnation'))
 
 
@@ -67,6 +68,18 @@
     key: str
     digest: str
     failed_at: set[str] = field(default_factory=set)
+    lost_at: set[str] = field(default_factory=set)
+
+    def avoid(self, guard_id: str, reason: str) -> None:
+        """Leave a guard out of the next attempts, depending on the reason.
+
+        A message that was lost once is no reason, because a new connection
+        to the same guard may work.
+        """
+        if reason == _LOST and guard_id not in self.lost_at:
+            self.lost_at.add(guard_id)
+        elif reason not in _LEAVING:
+            self.failed_at.add(guard_id)
 
 
 class AtMostOnceRunner:
@@ -253,8 +266,7 @@
     ) -> Outcome | VersionedRow:
         if reason == _SUPERSEDED:
             return _unknown(row, 'superseded', _STEP_RESOLVE)
-        if reason not in _LEAVING:
-            call.failed_at.add(row.guard_id)
+        call.avoid(row.guard_id, reason)
         if self._clock.now() < call.request.deadline:
             return claimed
         await self._ledger.drop(claimed)
--- a/dragonflynotch/entry/attempts.py
+++ b/dragonflynotch/entry/attempts.py
@@ -38,6 +38,7 @@
 _STRIKES = (GuardSilent(), GuardUnknown('not_remembered'))
 # Refusals that say nothing about the health of the minion.
 _FULL = 'no_free_slot'
+_NEUTRAL = frozenset(('deadline_passed', 'never'))
 _MINION_FAULT = 'minion_unreachable'
 
 
@@ -134,7 +135,7 @@
                 self._routing.record_success(target)
             case Proven(reason) if reason == _MINION_FAULT:
                 self._routing.record_failure(target, self._clock.now())
-            case Proven(reason) if reason != 'deadline_passed':
+            case Proven(reason) if reason not in _NEUTRAL:
                 self._routing.record_refusal(target, is_full=reason == _FULL)
             case Failed():
                 self._routing.record_failure(target, self._clock.now())
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -239,6 +239,7 @@
             'guards': [
                 {
                     'guard': guard.guard_id,
+                    'incarnation': guard.incarnation,
                     'is_ready': guard.is_ready,
                     'minion': guard.minion and guard.minion.minion_id,
                     'free_slots': guard.minion and guard.minion.free_slots,
--- a/dragonflynotch/entry/idempotent.py
+++ b/dragonflynotch/entry/idempotent.py
@@ -70,7 +70,7 @@
         last: Unknown | None = None
         number = 0
         while True:
-            target = await self._queue.acquire(ticket, failed_at)
+            target = await self._acquire(ticket, failed_at, number)
             if isinstance(target, NotRun):
                 return last or target
             number += 1
@@ -88,6 +88,17 @@
             if refusal is not None:
                 return last or refusal
 
+    async def _acquire(
+        self, ticket: QueueTicket, failed_at: set[str], number: int
+    ) -> Target | NotRun:
+        target = await self._queue.acquire(ticket, failed_at)
+        if isinstance(target, NotRun) and failed_at and number == 1:
+            # No other member is in use, so the first one gets a second try
+            # over a new connection.
+            failed_at.clear()
+            target = await self._queue.acquire(ticket, failed_at)
+        return target
+
     async def _attempt(
         self, target: Target, request: Request, number: int
     ) -> AttemptOutcome:
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -126,13 +126,14 @@
 
     def _describe(self, sequence: int) -> Announcement:
         settings = self._settings
+        address = settings.advertised or settings.listen
         return Announcement(
             guard_id=settings.guard_id,
             incarnation=self._incarnation,
             sequence=sequence,
             data_centre=settings.data_centre,
-            http_host=settings.listen.host,
-            http_port=settings.listen.port,
+            http_host=address.host,
+            http_port=address.port,
             state=self._state,
             minion=self._minion_state(),
             worker=self._worker_state(),
--- a/dragonflynotch/links/guard_link.py
+++ b/dragonflynotch/links/guard_link.py
@@ -125,10 +125,19 @@
                 keepalive_expiry=_IDLE_S,
             ),
         )
+        # Open connections may be silent, and this is found out by asking, so
+        # each question goes over a new one.
+        self._questions = httpx.AsyncClient(
+            trust_env=False,
+            limits=httpx.Limits(
+                max_connections=None, max_keepalive_connections=0
+            ),
+        )
 
     async def close(self) -> None:
         """Close idle connections."""
         await self._client.aclose()
+        await self._questions.aclose()
 
     async def run(
         self,
@@ -203,7 +212,9 @@
         body: bytes = b'',
     ) -> '_Reply':
         host, port = exchange.target.address
-        stream = self._client.stream(
+        is_question = exchange.step == _STEP_RESOLVE
+        client = self._questions if is_question else self._client
+        stream = client.stream(
             'POST',
             f'http://{host}:{port}{path}',
             content=body,
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -121,6 +121,8 @@
     entries: tuple[Address, ...]
     minion: MinionSettings | None = None
     worker: WorkerSettings | None = None
+    advertised: Address | None = None
+    """Address that entries connect to, if it is not ``listen``."""
     drain_notice_ms: int = 3000
     drain_limit_ms: int = 30_000
     tasks: TaskSettings = TaskSettings()
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,302 @@
+"""Entries and guards as processes, with stand-ins in the test process."""
+
+import hashlib
+import json
+import time
+import uuid
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from functools import partial
+
+import httpx
+import msgspec
+from msgspec.structs import replace
+
+from dragonflynotch.entry.server import HttpServer
+from dragonflynotch.records.settings import Address
+from dragonflynotch.testing.deployment import (
+    SitePlan,
+    free_ports,
+    plan_deployment,
+)
+from dragonflynotch.testing.object_store import (
+    MemoryObjectStore,
+    ObjectStoreApp,
+)
+from dragonflynotch.testing.table import MemoryTable, TableApp, TableFault
+from tests.processes import DaemonProcess, LoopThread, wait_until
+from tests.raw_minion import RawMinion
+from tests.relay import Relay, RelayMode
+
+HOST = '127.0.0.1'
+TOKEN = 'resort-token'
+CLASSES = {
+    'default': {'priority': 100},
+    'checklist': {'priority': 1},
+    'photo-check': {'priority': 900},
+}
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What a caller received; status 0 if the connection was lost."""
+
+    status: int
+    body: bytes
+    headers: httpx.Headers
+    elapsed_s: float
+
+    @property
+    def problem(self):
+        is_problem = self.status not in {0, 200}
+        return json.loads(self.body) if is_problem else {}
+
+    @property
+    def outcome(self):
+        return self.problem.get('outcome', 'answer' if self.status else 'lost')
+
+    @property
+    def reason(self):
+        return self.problem.get('reason', '')
+
+
+class Cluster:
+    """A deployment in one data centre.
+
+    Entries reach guards, and guards reach minions, through relays.
+    """
+
+    def __init__(self, directory, *, entries=1, guards=2, slots=8, **changes):
+        self.plan = plan_deployment(
+            (SitePlan('lautoka', entries=entries, guards=guards),)
+        )
+        self.loop = LoopThread()
+        self.table = MemoryTable()
+        self.objects = MemoryObjectStore()
+        self.minions = []
+        self.guard_relays = []
+        self.minion_relays = []
+        self._directory = directory
+        self._servers = []
+        self._pool = ThreadPoolExecutor(64)
+        self._client = httpx.Client(
+            trust_env=False,
+            timeout=30,
+            limits=httpx.Limits(max_connections=None),
+        )
+        self.guards = [
+            self._add_guard(guard, slots, changes) for guard in self.plan.guards
+        ]
+        self.entries = [
+            self._process('entry', entry.entry_id, entry)
+            for entry in self.plan.entries
+        ]
+
+    @property
+    def runs(self):
+        return sum((minion.runs for minion in self.minions), start=Counter())
+
+    def start(self):
+        self.loop.call(self._start_stand_ins())
+        for daemon in (*self.entries, *self.guards):
+            daemon.start()
+        self._wait_for_entries()
+        self.put_workspace(0)
+        self._wait_for_members()
+
+    def close(self):
+        self._pool.shutdown(cancel_futures=True)
+        for daemon in (*self.entries, *self.guards):
+            daemon.close()
+        self.loop.call(self._stop_stand_ins())
+        self.loop.close()
+        self._client.close()
+
+    def heal(self):
+        """Undo all faults and wait until every guard takes requests."""
+        self.table.fault = TableFault.none
+        self.table.delay_s = 0
+        for daemon in (*self.guards, *self.entries):
+            daemon.thaw()
+        has_faults = any(minion.fault for minion in self.minions)
+        for minion in self.minions:
+            minion.fault = ''
+            minion.delay_s = 0
+        for relay in (*self.guard_relays, *self.minion_relays):
+            relay.mode = RelayMode.forward
+        for entry in self.entries:
+            if not entry.is_running:
+                entry.start()
+        self._wait_for_entries()
+        self._restart_guards(is_forced=has_faults)
+
+    def _restart_guards(self, *, is_forced):
+        # A new incarnation ends an ejection.
+        old = set()
+        for guard, settings in zip(
+            self.guards, self._guard_settings, strict=True
+        ):
+            if is_forced or not guard.is_running:
+                old.add(settings.guard_id)
+                guard.close()
+        replaced = {
+            guard['incarnation']
+            for guard in self._members()
+            if guard['guard'] in old
+        }
+        for guard in self.guards:
+            if not guard.is_running:
+                guard.start()
+        self._wait_for_members(replaced)
+
+    def _wait_for_entries(self):
+        for number, _ in enumerate(self.entries):
+            wait_until(partial(self.is_ready, number), message='ready')
+
+    def _wait_for_members(self, replaced=frozenset()):
+        for number, _ in enumerate(self.entries):
+            wait_until(
+                partial(self._knows_all_guards, number, replaced),
+                message='all guards are members',
+            )
+
+    def _knows_all_guards(self, number, replaced):
+        ready = [
+            guard
+            for guard in self._members(number)
+            if guard['is_ready'] and guard['incarnation'] not in replaced
+        ]
+        return len(ready) == len(self.guards)
+
+    def _members(self, number=0):
+        url = self.plan.entries[number].operators.url
+        return self._client.get(f'{url}/v1/status').json()['guards']
+
+    def is_ready(self, number=0):
+        url = self.plan.entries[number].callers.url
+        try:
+            return self._client.get(f'{url}/ready').status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def put_workspace(self, revision, **limits):
+        spec = {
+            'token_digests': [hashlib.sha256(TOKEN.encode()).hexdigest()],
+            'classes': CLASSES,
+            'requests_per_second': 5000,
+            'burst': 5000,
+            **limits,
+        }
+        record = {
+            'schema_version': 2,
+            'kind': 'workspace',
+            'name': 'resort',
+            'spec': spec,
+        }
+        url = self.plan.entries[0].operators.url
+        reply = self._client.put(
+            f'{url}/v1/records/workspace/resort',
+            content=json.dumps(record),
+            headers={'If-Match': f'"{revision}"'},
+        )
+        assert reply.status_code == 200, reply.text
+
+    def send(
+        self,
+        body=None,
+        *,
+        entry=0,
+        key=None,
+        idempotent=False,
+        first=False,
+        deadline_ms=8000,
+        **headers,
+    ):
+        """Send one request of a caller and return what it received."""
+        unique = uuid.uuid4().hex
+        url = self.plan.entries[entry].callers.url
+        started = time.monotonic()
+        try:
+            reply = self._client.post(
+                f'{url}/v1/workspaces/resort/requests',
+                content=unique.encode() if body is None else body,
+                headers={
+                    'Authorization': f'Bearer {TOKEN}',
+                    'Idempotency-Key': key or unique,
+                    'Request-Idempotent': str(idempotent).lower(),
+                    'Request-First-Attempt': str(first).lower(),
+                    'Request-Deadline-Ms': str(deadline_ms),
+                    **{
+                        name.replace('_', '-'): text
+                        for name, text in headers.items()
+                    },
+                },
+            )
+        except httpx.HTTPError:
+            elapsed_s = time.monotonic() - started
+            return Reply(0, b'', httpx.Headers(), elapsed_s)
+        elapsed_s = time.monotonic() - started
+        return Reply(reply.status_code, reply.content, reply.headers, elapsed_s)
+
+    def begin(self, body=None, **arguments):
+        """Send a request in the background and return its future."""
+        return self._pool.submit(self.send, body, **arguments)
+
+    async def _start_stand_ins(self):
+        servers = (
+            HttpServer(TableApp(self.table), HOST, self.plan.table.port),
+            HttpServer(
+                ObjectStoreApp(self.objects), HOST, self.plan.object_store.port
+            ),
+        )
+        for server in servers:
+            server.start()
+            self._servers.append(server)
+        for guard, minion, to_guard, to_minion in self._wiring:
+            await minion.start(HOST, minion.port)
+            await to_guard.start(HOST, guard.advertised.port)
+            await to_minion.start(HOST, guard.minion.address.port)
+
+    async def _stop_stand_ins(self):
+        for server in self._servers:
+            await server.stop()
+        for _, *parts in self._wiring:
+            for part in parts:
+                await part.stop()
+
+    @property
+    def _wiring(self):
+        return zip(
+            self._guard_settings,
+            self.minions,
+            self.guard_relays,
+            self.minion_relays,
+            strict=True,
+        )
+
+    def _add_guard(self, guard, slots, changes):
+        if not self.minions:
+            self._guard_settings = []
+        advertised, minion_port = free_ports(2)
+        settings = replace(
+            guard,
+            worker=None,
+            advertised=Address(HOST, advertised),
+            minion=replace(guard.minion, slots=slots),
+            **changes,
+        )
+        minion = RawMinion(guard.minion.minion_id)
+        minion.port = minion_port
+        self.minions.append(minion)
+        self.guard_relays.append(Relay(guard.listen.pair))
+        self.minion_relays.append(Relay((HOST, minion_port)))
+        self._guard_settings.append(settings)
+        return self._process('guard', guard.guard_id, settings)
+
+    def _process(self, role, name, settings):
+        path = self._directory / f'{name}.json'
+        path.write_bytes(msgspec.json.encode(settings))
+        return DaemonProcess(
+            f'dragonflynotch.{role}', path, self._directory / f'{name}.log'
+        )
--- /dev/null
+++ b/tests/raw_minion.py
@@ -0,0 +1,80 @@
+"""A minion that answers with the wrong bytes, and counts what it runs."""
+
+import asyncio
+from collections import Counter
+
+from dragonflynotch.core.requests import content_digest
+
+
+def whole_answer(request_id, body):
+    head = (
+        f'HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n'
+        f'Content-Digest: {content_digest(body)}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+class RawMinion:
+    """Serves one request per connection; ``fault`` names what goes wrong."""
+
+    def __init__(self, name):
+        self.fault = ''
+        self.delay_s = 0
+        self.runs = Counter()
+        self._name = name
+        self._previous = whole_answer('none', b'ANSWER OF ANOTHER CALLER')
+        self._server = None
+
+    async def start(self, host, port):
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            await self._answer(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
+        headers = dict(line.lower().split(': ', 1) for line in head[1:] if line)
+        body = await reader.readexactly(int(headers['content-length']))
+        self.runs[body.decode('latin-1')] += 1
+        answer = whole_answer(
+            headers['request-id'], f'{self._name}: '.encode() + body.upper()
+        )
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        writer.write(self._sent(answer))
+        self._previous = answer
+        await writer.drain()
+
+    def _sent(self, answer):
+        match self.fault:
+            case 'crossed':
+                return self._previous
+            case 'late_and_crossed':
+                return self._previous + answer
+            case 'duplicated':
+                return answer + answer
+            case 'truncated':
+                return answer[:-3]
+            case 'half_with_length':
+                head, body = answer.split(b'\r\n\r\n')
+                shorter = body[: len(body) // 2]
+                old = f'Content-Length: {len(body)}'.encode()
+                new = f'Content-Length: {len(shorter)}'.encode()
+                return head.replace(old, new) + b'\r\n\r\n' + shorter
+            case 'failing':
+                return b'HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n'
+            case 'garbage':
+                return b'\x00\xff' * 4096
+            case 'endless':
+                return b'HTTP/1.1 200 OK\r\nX: ' + b'x' * 1_000_000
+            case _:
+                return answer
