--- a/dragonflynotch/entry/idempotent.py
+++ b/dragonflynotch/entry/idempotent.py
@@ -28,6 +28,8 @@
 # An attempt gets half of the time that is left, so that one silent minion
 # leaves time for another one.
 _ATTEMPT_SHARE = 0.5
+# A request that breaks each minion must not visit them all.
+_MAX_FAILURES = 3
 _SHORTEST_ATTEMPT = timedelta(milliseconds=500)
 _RETRIABLE_WITHOUT_BUDGET = frozenset(
     ('no_free_slot', 'draining', 'other_incarnation', 'guard_unreachable')
@@ -84,7 +86,9 @@
                 last = _unknown(target, outcome, handed_at)
             if _counts_as_failure(outcome):
                 failed_at.add(target.guard_id)
-            refusal = self._retry_refusal(request, outcome, target)
+            refusal = self._retry_refusal(
+                request, outcome, target, len(failed_at)
+            )
             if refusal is not None:
                 return last or refusal
 
@@ -119,12 +123,18 @@
         return outcome
 
     def _retry_refusal(
-        self, request: Request, outcome: AttemptOutcome, target: Target
+        self,
+        request: Request,
+        outcome: AttemptOutcome,
+        target: Target,
+        failures: int,
     ) -> NotRun | None:
         now = self._clock.now()
         reason = ''
         if now >= request.deadline:
             reason = 'deadline_passed'
+        elif failures >= _MAX_FAILURES:
+            reason = 'failed_repeatedly'
         elif _counts_as_failure(outcome) and not self._budget.take(now):
             reason = 'retry_budget_exhausted'
         if not reason:
--- a/dragonflynotch/guard/requests.py
+++ b/dragonflynotch/guard/requests.py
@@ -133,7 +133,7 @@
         self._slots = slots
         self._incarnation = incarnation
         self._clock = clock
-        self._memory = memory or AttemptMemory()
+        self._memory = AttemptMemory() if memory is None else memory
         self._running: set[str] = set()
         self._is_draining = False
         self._idle = asyncio.Event()
--- a/tests/raw_minion.py
+++ b/tests/raw_minion.py
@@ -25,14 +25,21 @@
         self._name = name
         self._previous = whole_answer('none', b'ANSWER OF ANOTHER CALLER')
         self._server = None
+        self._tasks = set()
 
     async def start(self, host, port):
         self._server = await asyncio.start_server(self._serve, host, port)
 
     async def stop(self):
         self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         try:
             await self._answer(reader, writer)
         except (OSError, asyncio.IncompleteReadError):
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -33,8 +33,9 @@
 
     async def stop(self):
         self._server.close()
-        for task in tuple(self._tasks):
+        for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def silence(self):
         """Stop forwarding on all open connections; new ones work."""
