Retry over new connections after a failed attempt

Cause: test_silent_connection_is_replaced[True] failed once in a full run: with all pooled connections silent, the second attempt went over a silent one too and no third member was left. Change: attempts after the first use a new connection, as questions do.

--- a/dragonflynotch/entry/at_most_once.py
+++ b/dragonflynotch/entry/at_most_once.py
@@ -204,7 +204,10 @@
             if not isinstance(claimed, VersionedRow):
                 return claimed
             outcome = await self._attempts.run(
-                target, call.request, _attempt_id(claimed)
+                target,
+                call.request,
+                _attempt_id(claimed),
+                is_retry=attempt > 1,
             )
         finally:
             self._queue.release(target)
--- a/dragonflynotch/entry/attempts.py
+++ b/dragonflynotch/entry/attempts.py
@@ -87,7 +87,12 @@
         self._clock = clock
 
     async def run(
-        self, target: Target, request: Request, attempt: str
+        self,
+        target: Target,
+        request: Request,
+        attempt: str,
+        *,
+        is_retry: bool = False,
     ) -> AttemptOutcome:
         """Return the outcome of one attempt.
 
@@ -99,12 +104,14 @@
             The request; its deadline limits the attempt.
         attempt : str
             Id of the attempt, never used before.
+        is_retry : bool
+            Whether an earlier attempt of the request failed.
         """
         now = self._clock.now()
         if now >= request.deadline:
             return Proven('deadline_passed')
         call = asyncio.create_task(
-            self._link.run(target, request, attempt, now)
+            self._link.run(target, request, attempt, now, is_retry=is_retry)
         )
         try:
             return await self._supervise(call, target, request, attempt)
--- a/dragonflynotch/entry/idempotent.py
+++ b/dragonflynotch/entry/idempotent.py
@@ -116,6 +116,7 @@
                 target,
                 replace(request, deadline=deadline),
                 f'{request.request_id}-{number}',
+                is_retry=number > 1,
             )
         finally:
             self._queue.release(target)
--- a/dragonflynotch/links/guard_link.py
+++ b/dragonflynotch/links/guard_link.py
@@ -67,6 +67,8 @@
         request: Request,
         attempt: str,
         now: datetime,
+        *,
+        is_retry: bool = False,
     ) -> HandOverReply:
         """Hand an attempt over and return what the guard says.
 
@@ -80,6 +82,9 @@
             Id of the attempt.
         now : datetime
             Current time.
+        is_retry : bool
+            Whether an attempt failed before; then a new connection is used,
+            because the open ones may be silent as well.
 
         Raises
         ------
@@ -126,8 +131,8 @@
             ),
         )
         # Open connections may be silent, and this is found out by asking, so
-        # each question goes over a new one.
-        self._questions = httpx.AsyncClient(
+        # questions and retries go over new ones.
+        self._new_connections = httpx.AsyncClient(
             trust_env=False,
             limits=httpx.Limits(
                 max_connections=None, max_keepalive_connections=0
@@ -137,7 +142,7 @@
     async def close(self) -> None:
         """Close idle connections."""
         await self._client.aclose()
-        await self._questions.aclose()
+        await self._new_connections.aclose()
 
     async def run(
         self,
@@ -145,6 +150,8 @@
         request: Request,
         attempt: str,
         now: datetime,
+        *,
+        is_retry: bool = False,
     ) -> HandOverReply:
         """Hand an attempt over and return what the guard says."""
         timeout = request.deadline - now
@@ -161,7 +168,14 @@
             'Content-Digest': content_digest(request.body),
         }
         reply = await self._post(
-            _Exchange(target, _STEP_RUN, timeout, attempt, request.request_id),
+            _Exchange(
+                target,
+                _STEP_RUN,
+                timeout,
+                attempt,
+                request.request_id,
+                is_new_connection=is_retry,
+            ),
             '/v1/requests',
             headers,
             request.body,
@@ -187,7 +201,13 @@
             'Request-Idempotent': _flag(is_set=is_idempotent),
         }
         reply = await self._post(
-            _Exchange(target, _STEP_RESOLVE, timeout, attempt),
+            _Exchange(
+                target,
+                _STEP_RESOLVE,
+                timeout,
+                attempt,
+                is_new_connection=True,
+            ),
             f'/v1/requests/{attempt}/resolve',
             headers,
         )
@@ -212,8 +232,8 @@
         body: bytes = b'',
     ) -> '_Reply':
         host, port = exchange.target.address
-        is_question = exchange.step == _STEP_RESOLVE
-        client = self._questions if is_question else self._client
+        is_new = exchange.is_new_connection
+        client = self._new_connections if is_new else self._client
         stream = client.stream(
             'POST',
             f'http://{host}:{port}{path}',
@@ -253,6 +273,7 @@
     timeout: timedelta
     attempt: str
     request_id: str = ''
+    is_new_connection: bool = False
 
     async def read(self, reply: httpx.Response) -> _Reply:
         """Return the whole reply, or raise so that the connection closes.
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -106,7 +106,7 @@
         self.calls = []
         self._healthy = healthy
 
-    async def run(self, target, request, attempt, now):
+    async def run(self, target, request, attempt, now, *, is_retry):
         self.calls.append(target.guard_id)
         if target.guard_id == self._healthy:
             return b'ok'
