--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -14,7 +14,12 @@
 from dragonflynotch.entry.configuration import ConfigurationService
 from dragonflynotch.entry.configuration_copies import ConfigurationCopies
 from dragonflynotch.entry.configuration_store import ConfigurationStore
+from dragonflynotch.entry.forwarded_jobs import (
+    ForwardingJobService,
+    LocalSchedulingPort,
+)
 from dragonflynotch.entry.health import Health
+from dragonflynotch.entry.job_api import create_job_router
 from dragonflynotch.entry.membership import MembershipListener
 from dragonflynotch.entry.operators import (
     OperatorServices,
@@ -27,6 +32,7 @@
 )
 from dragonflynotch.entry.registry import EntryRegistry
 from dragonflynotch.entry.request_path import RequestPath
+from dragonflynotch.entry.scheduling import Scheduling
 from dragonflynotch.entry.server import HttpServer
 from dragonflynotch.entry.sync import EntrySync, readable_versions
 from dragonflynotch.links.entry_link import EntryLinkServer, GrpcEntryLink
@@ -93,6 +99,23 @@
             self._own_versions,
             self._clock,
         )
+        self._scheduling = Scheduling(
+            settings,
+            self._identity.incarnation,
+            self._table,
+            self._clock,
+            self._configuration.view,
+        )
+        self._exchange.attach(
+            LocalSchedulingPort(self._scheduling.keeper, self._scheduling.jobs)
+        )
+        jobs = ForwardingJobService(
+            settings.data_centre,
+            self._scheduling.jobs,
+            self._remote,
+            self._exchange.link_to,
+            self._clock,
+        )
         started_at = self._clock.now()
         self._health = Health(
             lambda: self._configuration.is_ready,
@@ -106,7 +129,9 @@
             self._metrics,
         )
         self._callers = HttpServer(
-            self._requests.create_app(),
+            self._requests.create_app(
+                create_job_router(jobs, self._configuration.view),
+            ),
             *settings.callers.pair,
             drain_limit_s=settings.drain_limit_ms // 1000,
         )
@@ -144,6 +169,7 @@
         ]
         for peer in settings.peers:
             self._exchange.add_peer(f'{peer.host}:{peer.port}')
+        self._scheduling.start()
         self._requests.open()
         self._operators.start()
         self._callers.start()
@@ -154,6 +180,7 @@
         self._health.stop()
         self._exchange.is_stopping = True
         await asyncio.sleep(self._settings.stop_notice_ms / 1000)
+        await self._scheduling.stop()
         await self._callers.stop()
         await self._registry.remove()
         await self._operators.stop()
@@ -173,6 +200,7 @@
     ) -> None:
         self._configuration.notice_revision(announcement.configuration_revision)
         self._observe_target(guard)
+        self._scheduling.hear(guard, announcement.task_digest)
 
     def _observe_remote(self, guard: GuardInfo) -> None:
         if guard.data_centre != self._settings.data_centre:
@@ -202,6 +230,7 @@
             guard_id=announcement.guard_id,
             sequence=announcement.sequence,
             configuration_revision=self._configuration.log.revision,
+            owned_fence=self._scheduling.keeper.acknowledged_fence(),
             entries=tuple(
                 peer.announcements
                 for peer in self._remote.live(self._clock.now())
@@ -240,6 +269,8 @@
             'data_centre': self._settings.data_centre,
             'configuration_revision': self._configuration.log.revision,
             'is_table_reachable': self._exchange.is_table_reachable,
+            'owned_fence': self._scheduling.keeper.fence,
+            'is_deciding': self._scheduling.is_deciding,
             'guards': [
                 {
                     'guard': guard.guard_id,
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -24,6 +24,7 @@
     MinionState,
     WorkerState,
 )
+from dragonflynotch.observability.guard_metrics import GuardMetrics
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.platform.minion import HttpMinionClient
 from dragonflynotch.records.settings import GuardSettings
@@ -37,6 +38,9 @@
 _KEEP_ALIVE_S = 60
 _READABLE_SCHEMA_VERSIONS = (1, 2)
 
+# A worker that is silent at the start does not keep the minion away.
+_WORKER_WAIT = timedelta(seconds=1)
+
 _log = part_logger('guard')
 
 
@@ -57,7 +61,10 @@
             clock=self._clock,
         )
         self._keeper = create_task_keeper(
-            settings, self._incarnation, self._clock
+            settings,
+            self._incarnation,
+            self._clock,
+            lambda: self._announcer.announce(),
         )
         self._configuration = ConfigurationCopy(self._incarnation)
         self._announcer = Announcer(
@@ -75,6 +82,9 @@
                     self._configuration,
                     self._drain_requested.set,
                     task_api(self._keeper),
+                    GuardMetrics(
+                        settings.guard_id, settings.data_centre, self._gauges
+                    ),
                 ),
                 host=settings.listen.host,
                 port=settings.listen.port,
@@ -90,8 +100,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then drain and return."""
         server = asyncio.create_task(self._server._serve())
-        announcer = asyncio.create_task(self._announcer.run())
         keeper = asyncio.create_task(run_task_keeper(self._keeper))
+        announcer = asyncio.create_task(self._announce())
         _log.info('started guard {}', self._settings.guard_id)
         await _first_set(stop, self._drain_requested)
         await self._drain()
@@ -102,6 +112,11 @@
             await asyncio.gather(server, announcer, keeper)
         _log.info('stopped guard {}', self._settings.guard_id)
 
+    async def _announce(self) -> None:
+        if self._keeper is not None:
+            await self._keeper.wait_for_worker(_WORKER_WAIT)
+        await self._announcer.run()
+
     async def _drain(self) -> None:
         self._state = GuardState.draining
         self._runner.start_drain()
@@ -126,7 +141,7 @@
 
     def _describe(self, sequence: int) -> Announcement:
         settings = self._settings
-        address = settings.advertised or settings.listen
+        address = settings.advertise or settings.listen
         return Announcement(
             guard_id=settings.guard_id,
             incarnation=self._incarnation,
@@ -143,6 +158,17 @@
             task_digest=self._keeper.task_digest if self._keeper else 0,
         )
 
+    def _gauges(self) -> dict[str, int]:
+        keeper = self._keeper
+        return {
+            'ready': self._state is GuardState.ready,
+            'free_slots': self._runner.free_slots,
+            'worker_present': keeper is not None and keeper.is_worker_present,
+            'free_accelerators': keeper.free_accelerators if keeper else 0,
+            'highest_fence': keeper.highest_fence if keeper else 0,
+            'configuration_revision': self._configuration.seen_revision,
+        }
+
     def _on_acknowledgement(
         self, acknowledgement: Acknowledgement, sent_at: datetime
     ) -> None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -255,7 +255,7 @@
             self._servers.append(server)
         for guard, minion, to_guard, to_minion in self._wiring:
             await minion.start(HOST, minion.port)
-            await to_guard.start(HOST, guard.advertised.port)
+            await to_guard.start(HOST, guard.advertise.port)
             await to_minion.start(HOST, guard.minion.address.port)
 
     async def _stop_stand_ins(self):
@@ -282,7 +282,7 @@
         settings = replace(
             guard,
             worker=None,
-            advertised=Address(HOST, advertised),
+            advertise=Address(HOST, advertised),
             minion=replace(guard.minion, slots=slots),
             **changes,
         )
