--- a/dragonflynotch/core/handover.py
+++ b/dragonflynotch/core/handover.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 __all__ = (
+    'LEDGER_PREFIX',
     'NEVER_TRUSTED_FOR',
     'ROW_LIFETIME',
     'AskGuard',
@@ -43,6 +44,7 @@
 # forgot; 3 min are left for clocks of entries that differ.
 NEVER_TRUSTED_FOR = timedelta(minutes=12)
 ROW_LIFETIME = timedelta(hours=24)
+LEDGER_PREFIX = 'ledger/'
 
 
 class LedgerState(Enum):
@@ -116,7 +118,7 @@
 
 def ledger_key(workspace: str, idempotency_key: str) -> str:
     """Return the key of a ledger row."""
-    return f'ledger/{workspace}/{idempotency_key}'
+    return f'{LEDGER_PREFIX}{workspace}/{idempotency_key}'
 
 
 def attempt_id(key: str, row: LedgerRow) -> str:
--- a/dragonflynotch/entry/ledger.py
+++ b/dragonflynotch/entry/ledger.py
@@ -3,7 +3,7 @@
 import asyncio
 import uuid
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from dragonflynotch.core.errors import (
     DragonflynotchError,
@@ -12,6 +12,8 @@
     UncertainWriteError,
 )
 from dragonflynotch.core.handover import (
+    LEDGER_PREFIX,
+    ROW_LIFETIME,
     LedgerRow,
     StoredResult,
 )
@@ -164,6 +166,27 @@
         if current.row is not None:
             await self._try_write(current, current.row.as_unknown())
 
+    async def delete_expired(self, now: datetime) -> int:
+        """Delete the rows that were claimed more than 24 h ago.
+
+        Returns
+        -------
+        int
+            Number of deleted rows.
+
+        Raises
+        ------
+        PlatformUnavailableError, UncertainWriteError
+            If the table is down; the rest is deleted next time.
+        """
+        deleted = 0
+        for found in await self._table.scan(LEDGER_PREFIX):
+            current = _versioned(found.key, found)
+            if current.row and now - current.row.claimed_at > ROW_LIFETIME:
+                outcome = await self.write(current, None)
+                deleted += isinstance(outcome, VersionedRow)
+        return deleted
+
     async def close(self, limit: timedelta) -> None:
         """Wait for unfinished writes at most ``limit``, then cancel them."""
         if self._pending:
--- a/dragonflynotch/entry/request_path.py
+++ b/dragonflynotch/entry/request_path.py
@@ -9,6 +9,7 @@
 from litestar import Litestar, Router
 
 from dragonflynotch.core.clock import Clock
+from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.core.limits import RetryBudget
 from dragonflynotch.core.routing import RoutingTable, Target
 from dragonflynotch.core.workspaces import ConfigurationView
@@ -21,6 +22,7 @@
 from dragonflynotch.entry.ledger import Ledger
 from dragonflynotch.entry.target_queue import TargetQueue
 from dragonflynotch.links.guard_link import HttpGuardLink
+from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.observability.metrics import EntryMetrics
 from dragonflynotch.platform.http_object_store import HttpObjectStore
 from dragonflynotch.platform.http_table import HttpTableService
@@ -30,8 +32,11 @@
 
 _TABLE_TIMEOUT = timedelta(milliseconds=500)
 _OBJECT_TIMEOUT = timedelta(seconds=2)
+_CLEANUP_INTERVAL_S = 3600
 _LAST_WRITES = timedelta(seconds=2)
 
+_log = part_logger('entry.requests')
+
 
 class RequestPath:
     """Everything between the caller port and the guards.
@@ -81,7 +86,8 @@
         self._context = CallerContext(
             dispatcher, configuration, health, clock, metrics
         )
-        self._ticker: asyncio.Task[None] | None = None
+        self._clock = clock
+        self._tasks: tuple[asyncio.Task[None], ...] = ()
 
     def create_app(self, *routers: Router) -> Litestar:
         """Return the ASGI application for callers, with further ``routers``."""
@@ -89,7 +95,10 @@
 
     def open(self) -> None:
         """Start the background work."""
-        self._ticker = asyncio.create_task(self._queue.run())
+        self._tasks = (
+            asyncio.create_task(self._queue.run()),
+            asyncio.create_task(self._delete_expired_rows()),
+        )
 
     def observe(self, target: Target) -> None:
         """Take over an announcement and serve waiting requests."""
@@ -98,12 +107,22 @@
 
     async def close(self) -> None:
         """Finish unfinished writes and close all connections."""
-        if self._ticker is not None:
-            self._ticker.cancel()
+        for task in self._tasks:
+            task.cancel()
             with suppress(asyncio.CancelledError):
-                await self._ticker
+                await task
         await self._ledger.close(_LAST_WRITES)
         await self._link.close()
         await self._table.close()
         if self._objects is not None:
             await self._objects.close()
+
+    async def _delete_expired_rows(self) -> None:
+        random = Random()
+        while True:
+            # Entries that were started together do not scan together.
+            await asyncio.sleep(_CLEANUP_INTERVAL_S * (random.random() + 0.5))
+            try:
+                await self._ledger.delete_expired(self._clock.now())
+            except DragonflynotchError as error:
+                _log.info('expired ledger rows were not deleted: {}', error)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -142,7 +142,7 @@
                 guard.close()
         replaced = {
             guard['incarnation']
-            for guard in self._members()
+            for guard in self.members()
             if guard['guard'] in old
         }
         for guard in self.guards:
@@ -164,12 +164,12 @@
     def _knows_all_guards(self, number, replaced):
         ready = [
             guard
-            for guard in self._members(number)
+            for guard in self.members(number)
             if guard['is_ready'] and guard['incarnation'] not in replaced
         ]
         return len(ready) == len(self.guards)
 
-    def _members(self, number=0):
+    def members(self, number=0):
         url = self.plan.entries[number].operators.url
         return self._client.get(f'{url}/v1/status').json()['guards']
 
--- a/tests/failures/test_members.py
+++ b/tests/failures/test_members.py
@@ -3,10 +3,12 @@
 import socket
 import time
 from concurrent.futures import wait
+from functools import partial
 
 import httpx
 import pytest
 
+from dragonflynotch.core.requests import content_digest
 from dragonflynotch.testing.table import TableFault
 from tests.processes import wait_until
 
@@ -147,3 +149,45 @@
         answer = connection.recv(4096)
     assert answer.startswith(b'HTTP/1.1 413')
     assert b'application/problem+json' in answer
+
+
+def test_drain_is_announced_and_enforced_at_once(cluster):
+    """Guards against new work for a draining guard until its next period."""
+    for minion in cluster.minions:
+        minion.delay_s = 1.0
+    for number in range(2):
+        guard = cluster.plan.guards[number]
+        incarnation = next(
+            member['incarnation']
+            for member in cluster.members()
+            if member['guard'] == guard.guard_id
+        )
+        in_flight = [cluster.begin() for _ in range(6)]
+        wait_until(lambda: all(minion.runs for minion in cluster.minions))
+        httpx.post(f'{guard.listen.url}/v1/drain')
+        wait_until(partial(is_draining, cluster, guard), limit_s=0.2)
+        refused = httpx.post(
+            f'{guard.listen.url}/v1/requests',
+            headers={
+                'Request-Id': 'r',
+                'Attempt': 'a',
+                'Guard-Incarnation': str(incarnation),
+                'Request-Deadline-Ms': '1000',
+                'Request-Expires-At-Ms': str(int(time.time() * 1000)),
+                'Content-Digest': content_digest(b''),
+            },
+        )
+        assert refused.json() == {'outcome': 'refused', 'reason': 'draining'}
+        assert {future.result(10).status for future in in_flight} == {200}
+        assert cluster.guards[number].wait() == 0
+        cluster.heal()
+        for minion in cluster.minions:
+            minion.delay_s = 1.0
+            minion.runs.clear()
+
+
+def is_draining(cluster, guard):
+    return any(
+        member['guard'] == guard.guard_id and not member['is_ready']
+        for member in cluster.members()
+    )
