--- /dev/null
+++ b/tests/entry/test_health.py
@@ -0,0 +1,19 @@
+"""An entry is ready only while it can serve callers."""
+
+import pytest
+
+from dragonflynotch.entry.health import Health
+
+
+@pytest.mark.parametrize(
+    ('is_configured', 'knows_members', 'is_ready'),
+    [(True, True, True), (False, True, False), (True, False, False)],
+)
+def test_readiness_needs_configuration_and_members(
+    is_configured, knows_members, is_ready
+):
+    """Guards against callers sent to an entry that must refuse them."""
+    health = Health(lambda: is_configured, lambda: knows_members)
+    assert health.is_ready is is_ready
+    health.stop()
+    assert not health.is_ready
--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -46,7 +46,10 @@
 @pytest.mark.parametrize('idempotent', [True, False])
 def test_silent_connection_is_replaced(cluster, idempotent):
     """Guards against waiting for the deadline on a connection gone silent."""
-    cluster.send(idempotent=True)
+    for minion in cluster.minions:
+        minion.delay_s = 0.1
+    for future in [cluster.begin(idempotent=True) for _ in range(16)]:
+        assert future.result(10).status == 200
     before = sum(relay.connections for relay in cluster.guard_relays)
     silence_all(cluster)
     body = f'silent-{idempotent}'
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -16,6 +16,14 @@
     garble_answers = 'garble_answers'
 
 
+class Connection:
+    """State of one relayed connection."""
+
+    def __init__(self, mode):
+        self.mode = mode
+        self.is_silent = False
+
+
 class Relay:
     """Forwards connections to a target address."""
 
@@ -24,7 +32,7 @@
         self.connections = 0
         self.request_bytes = 0
         self._target = target
-        self._open = []
+        self._open = set()
         self._tasks = set()
         self._server = None
 
@@ -40,20 +48,21 @@
     def silence(self):
         """Stop forwarding on all open connections; new ones work."""
         for connection in self._open:
-            connection['silent'] = True
+            connection.is_silent = True
 
     async def _serve(self, reader, writer):
         self.connections += 1
         task = asyncio.current_task()
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        state = {'mode': self.mode, 'silent': False}
-        self._open.append(state)
+        state = Connection(self.mode)
+        self._open.add(state)
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 *self._target
             )
         except OSError:
+            self._open.discard(state)
             writer.transport.abort()
             return
         try:
@@ -64,24 +73,24 @@
         except (OSError, asyncio.CancelledError):
             pass
         finally:
-            self._open.remove(state)
+            self._open.discard(state)
             writer.transport.abort()
             target_writer.transport.abort()
 
     async def _requests(self, reader, writer, state):
         while chunk := await reader.read(65_536):
             self.request_bytes += len(chunk)
-            if state['silent'] or state['mode'] is RelayMode.hold_requests:
+            if state.is_silent or state.mode is RelayMode.hold_requests:
                 continue
             writer.write(chunk)
             await writer.drain()
-        if not state['silent']:
+        if not state.is_silent:
             raise ConnectionResetError
 
     async def _answers(self, reader, writer, state):
         while chunk := await reader.read(65_536):
-            mode = state['mode']
-            if state['silent'] or mode is RelayMode.lose_answers:
+            mode = state.mode
+            if state.is_silent or mode is RelayMode.lose_answers:
                 continue
             if mode is RelayMode.cut_answers:
                 raise ConnectionResetError
@@ -95,5 +104,5 @@
                 raise ConnectionResetError
             writer.write(chunk)
             await writer.drain()
-        if not state['silent']:
+        if not state.is_silent:
             raise ConnectionResetError
