--- a/dragonflynotch/guard/order_book.py
+++ b/dragonflynotch/guard/order_book.py
@@ -35,6 +35,8 @@
         Members of the guard.
     lease : TaskLease
         Lease and fences.
+    incarnation : int
+        Random number drawn at the start of the guard.
     refuse_prepare : callable
         Returns why the guard takes no new member; empty if it does.
     """
@@ -43,15 +45,27 @@
         self,
         table: MemberTable,
         lease: TaskLease,
+        incarnation: int,
         refuse_prepare: Callable[[], str],
     ) -> None:
         """Apply orders to ``table``."""
         self._table = table
         self._lease = lease
+        self._incarnation = incarnation
         self._refuse_prepare = refuse_prepare
 
-    def apply(self, batch: OrderBatch, now: datetime) -> OrderReply:
-        """Apply a batch, or refuse it whole by its fence or lease."""
+    def apply(self, batch: OrderBatch, leased_at: datetime) -> OrderReply:
+        """Apply a batch, or refuse it whole by receiver, fence or lease.
+
+        Parameters
+        ----------
+        batch : OrderBatch
+            Orders of one owner.
+        leased_at : datetime
+            When the lease must still hold for orders that start work.
+        """
+        if batch.incarnation != self._incarnation:
+            return OrderReply(self._lease.highest_fence, 'other_incarnation')
         if not self._lease.note_fence(batch.fence):
             return OrderReply(self._lease.highest_fence, 'fence_too_low')
         needs_lease = any(
@@ -60,7 +74,9 @@
         )
         # After a restart the guard does not know earlier fences; the lease
         # proves that the sender is still the owner.
-        if needs_lease and not self._lease.is_held_under(batch.fence, now):
+        if needs_lease and not self._lease.is_held_under(
+            batch.fence, leased_at
+        ):
             return OrderReply(self._lease.highest_fence, 'no_lease')
         refusals = []
         for order in batch.orders:
