--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -114,12 +114,6 @@
         """Whether the partition is owned and its records are loaded."""
         return self._owner.is_owner
 
-    def describe(self) -> JobOverview:
-        """Return what runs and what waits in the owned partition."""
-        if not self.is_deciding:
-            return JobOverview()
-        return describe_jobs(self._owner.jobs(), self._owner.waiting())
-
     def acknowledged_fence(self, guard_id: str) -> int:
         """Return the fence for an acknowledgement; 0 renews no task lease.
 
@@ -130,6 +124,12 @@
             return 0
         return self.keeper.acknowledged_fence()
 
+    def describe(self) -> JobOverview:
+        """Return what runs and what waits in the owned partition."""
+        if not self.is_deciding:
+            return JobOverview()
+        return describe_jobs(self._owner.jobs(), self._owner.waiting())
+
     def start(self) -> None:
         """Compete for the ownership and process inputs from now on."""
         self._tasks = [
