--- a/tests/failures/test_gangs.py
+++ b/tests/failures/test_gangs.py
@@ -24,7 +24,8 @@
 @pytest_asyncio.fixture(loop_scope='module', scope='module')
 async def site(tmp_path_factory):
     """Return a deployment; each test leaves it without faults."""
-    async with Deployment(tmp_path_factory.mktemp('site')) as site:
+    folder = tmp_path_factory.mktemp('site')
+    async with Deployment(folder, entries=2) as site:
         yield site
 
 
