--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -127,6 +127,13 @@
     assert bench.keeper.free_accelerators == 8
 
 
+async def test_order_for_a_former_process_is_refused(bench):
+    """Guards against a late order that reaches a restarted guard."""
+    batch = OrderBatch('entry-1', 3, (prepare(),), incarnation=2)
+    assert bench.keeper.accept(batch).reason == 'other_incarnation'
+    assert bench.keeper.free_accelerators == 8
+
+
 async def test_orders_without_a_lease_are_refused(bench):
     """Guards against a restarted guard that trusts an old owner."""
     bench.restart()
