--- a/dragonflynotch/core/policy.py
+++ b/dragonflynotch/core/policy.py
@@ -36,8 +36,14 @@
         Time after which a quarantined worker is tried again.
     bad_job_workers : int
         Distinct workers on which a job must fail to count as a bad job.
-    is_backfill_by_declared_time : bool
-        Use declared instead of learned run times; a baseline for benchmarks.
+    max_failures : int
+        Failed attempts after which a job is failed.
+    first_retry_delay : timedelta
+        Wait before the second retry of a failed job; doubles each time.
+    size_tolerance : float
+        Share above the declared size that counts as measurement error.
+    short_run : timedelta
+        Learned run time up to which a job without checkpoints may borrow.
     """
 
     prepare_timeout: timedelta = timedelta(seconds=5)
@@ -52,7 +58,21 @@
     quarantine_evidence: int = 3
     quarantine_period: timedelta = timedelta(minutes=10)
     bad_job_workers: int = 4
-    is_backfill_by_declared_time: bool = False
+    max_failures: int = 8
+    first_retry_delay: timedelta = timedelta(seconds=20)
+    size_tolerance: float = 0.05
+    short_run: timedelta = timedelta(minutes=30)
+
+    def retry_after(self, failures: int) -> timedelta:
+        """Return how long a job waits after so many failures.
+
+        The first retry is immediate; then the delay doubles, so that a job
+        does not use up its failures on one bad worker before other jobs have
+        shown that the worker is bad.
+        """
+        if failures <= 1:
+            return timedelta()
+        return self.first_retry_delay * (1 << (failures - 2))
 
     @property
     def reclaim_bound(self) -> timedelta:
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -1,10 +1,12 @@
 """State of a partition that its parts share."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from datetime import UTC, datetime
+from math import inf
 
+from dragonflynotch.core.absent import AbsentWorkers
 from dragonflynotch.core.actions import Action, WriteJob
 from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.inventory import Inventory
@@ -38,6 +40,7 @@
         self.is_owner = False
         self.fence = 0
         self.inventory = Inventory()
+        self.absent = AbsentWorkers()
         self.queue = WaitingQueue()
         self.jobs: dict[str, Job] = {}
         self.gangs: dict[str, Gang] = {}
@@ -45,6 +48,8 @@
         self.timers = Timers()
         self.capacity_version = 0
         self.accelerators_of: Counter[str] = Counter()
+        self.avoided: dict[str, frozenset[str]] = {}
+        self.max_accelerators: Mapping[str, int] = {}
         self.observers: list[GangObserver] = []
         self._actions: list[Action] = []
 
@@ -53,6 +58,7 @@
         self.queue = WaitingQueue()
         self.jobs.clear()
         self.gangs.clear()
+        self.avoided.clear()
         self.on_worker.clear()
         self.accelerators_of.clear()
         self.timers = Timers()
@@ -64,6 +70,11 @@
             self.inventory.add(worker)
         self.capacity_changed()
 
+    def quota_left(self, workspace: str) -> float:
+        """Return how many more accelerators a workspace may hold."""
+        limit = self.max_accelerators.get(workspace, inf)
+        return limit - self.accelerators_of[workspace]
+
     def emit(self, action: Action) -> None:
         """Add an action for the daemon."""
         self._actions.append(action)
@@ -82,6 +93,7 @@
         """Store a job and have its record written; forget it if final."""
         if job.state.is_final:
             self.jobs.pop(job.job_id, None)
+            self.avoided.pop(job.job_id, None)
         else:
             self.jobs[job.job_id] = job
         self.emit(WriteJob(job))
@@ -91,6 +103,17 @@
         """Change a job and have its record written."""
         return self.save(replace(self.jobs[job_id], **changes))  # type: ignore[arg-type]
 
+    def enqueue(self, job: Job) -> None:
+        """Let a job wait."""
+        self.queue.add(job, self.avoided.get(job.job_id, frozenset()))
+
+    def avoid(self, job: Job, worker_ids: frozenset[str]) -> None:
+        """Keep a job from some workers from now on, and from no others."""
+        self.avoided[job.job_id] = worker_ids
+        if self.queue.has(job.job_id):
+            self.queue.remove(job)
+            self.enqueue(job)
+
     def add_gang(self, gang: Gang) -> None:
         """Register a gang whose accelerators are already held."""
         self.gangs[gang.job_id] = gang
