--- a/tests/failures/test_gangs.py
+++ b/tests/failures/test_gangs.py
@@ -207,3 +207,18 @@
     site.start(guard)
     job_id = await started(site, 0.2)
     await site.until_state(job_id, 'finished')
+
+
+async def test_failing_worker_does_not_keep_a_job_from_finishing(site):
+    """Guards against retries for ever on a worker that fails everything."""
+    await site.set_worker(0, fails_everything=True)
+    # One job for each worker, so that one starts on the failing one.
+    replies = [
+        await site.submit(job_body(0.2, accelerators=8)) for _ in range(3)
+    ]
+    attempts = []
+    for reply in replies:
+        job = await site.until_state(reply.json()['job_id'], 'finished', 20)
+        attempts.append(job['attempt'])
+    assert 1 < max(attempts) < 10
+    await site.set_worker(0)
