Answer not_run after an unwritten claim only for a first attempt

Cause: the model checker found (NOT_RUN_AFTER_CLAIM) that another entry may claim the row after it was read as absent, so that not_run is false. Change: without Request-First-Attempt the outcome is unknown with the reason ledger_unavailable. The test that expected not_run for a call that may be a repeat now expects unknown and is joined by the case of a first attempt.

--- a/dragonflynotch/entry/at_most_once.py
+++ b/dragonflynotch/entry/at_most_once.py
@@ -220,7 +220,7 @@
         current: VersionedRow,
         attempt: int,
         target: Target,
-    ) -> VersionedRow | NotRun | None:
+    ) -> VersionedRow | NotRun | Unknown | None:
         row = next_claim(
             call.digest,
             attempt,
@@ -230,14 +230,7 @@
         try:
             claimed = await self._ledger.write(current, row)
         except (PlatformUnavailableError, UncertainWriteError) as error:
-            # Nothing is ever handed over under this claim.
-            return NotRun(
-                'claim_not_written',
-                str(error),
-                _RETRY_AFTER,
-                step=_STEP_LEDGER,
-                peer=error.peer,
-            )
+            return _claim_not_written(call, error)
         if isinstance(claimed, LostRace):
             return None
         self._known_claims[call.key] = row
@@ -327,6 +320,31 @@
         )
 
 
+def _claim_not_written(
+    call: _Call, error: PlatformUnavailableError | UncertainWriteError
+) -> NotRun | Unknown:
+    """Return the outcome of a call that never hands over under its claim.
+
+    Another call with the key may have claimed the row after it was read, so
+    only a first attempt is known not to run.
+    """
+    if call.request.is_first_attempt:
+        return NotRun(
+            'claim_not_written',
+            str(error),
+            _RETRY_AFTER,
+            step=_STEP_LEDGER,
+            peer=error.peer,
+        )
+    return Unknown(
+        'ledger_unavailable',
+        f'an earlier call with the key may run: {error}',
+        _RETRY_AFTER,
+        step=_STEP_LEDGER,
+        peer=error.peer,
+    )
+
+
 def _attempt_id(claimed: VersionedRow) -> str:
     if claimed.row is None:
         raise ValueError(f'row {claimed.key!r} holds no claim')
--- a/tests/failures/test_table.py
+++ b/tests/failures/test_table.py
@@ -56,8 +56,22 @@
     assert cluster.send(idempotent=True).status == 200
 
 
-def test_unreadable_claim_is_never_handed_over(cluster, monkeypatch):
-    """Guards against a run under a claim that may belong to another entry."""
+@pytest.mark.parametrize(
+    ('first', 'expected'),
+    [
+        (True, ('not_run', 'claim_not_written')),
+        # Another entry may have claimed the row after it was read.
+        (False, ('unknown', 'ledger_unavailable')),
+    ],
+)
+def test_unreadable_claim_is_never_handed_over(
+    cluster, monkeypatch, first, expected
+):
+    """Guards against a run under a claim that may belong to another entry,
+    and against "not run" for a key that another call may have claimed.
+    """
+    key = f'unread-{first}'
+    body = key.encode()
     commit = cluster.table.commit
 
     async def commit_then_fail(writes, token):
@@ -66,13 +80,13 @@
         raise UncertainWriteError('lost', step='commit', peer='table')
 
     monkeypatch.setattr(cluster.table, 'commit', commit_then_fail)
-    reply = cluster.send(b'unread', key='unread')
-    assert (reply.outcome, reply.reason) == ('not_run', 'claim_not_written')
+    reply = cluster.send(body, key=key, first=first)
+    assert (reply.outcome, reply.reason) == expected
     monkeypatch.undo()
     cluster.table.fault = TableFault.none
-    assert cluster.runs['unread'] == 0
-    assert cluster.send(b'unread', key='unread', entry=1).status == 200
-    assert cluster.runs['unread'] == 1
+    assert cluster.runs[key] == 0
+    assert cluster.send(body, key=key, entry=1).status == 200
+    assert cluster.runs[key] == 1
 
 
 def test_outage_after_the_run_does_not_hold_the_answer_back(cluster):
