--- a/dragonflynotch/core/fleet.py
+++ b/dragonflynotch/core/fleet.py
@@ -84,12 +84,15 @@
         for gang in self._state.gangs_on(worker_id):
             self._gangs.release_silent(gang, worker_id)
         self._state.inventory.remove(worker_id)
+        self._state.absent.add(worker.worker, self._state.now)
         if worker.successor is not None:
             self.join(worker.successor, is_verified=worker.is_verified)
 
     def cool_down(self, worker_id: str) -> None:
         """Place nothing on a worker for a while after it failed an order."""
-        worker = self._state.inventory[worker_id]
+        worker = self._state.inventory.find(worker_id)
+        if worker is None:
+            return
         until = self._state.now + self._state.policy.prepare_timeout
         worker.cooldown_until = until
         self._state.inventory.refresh(worker)
@@ -105,6 +108,20 @@
             self._state.inventory.refresh(worker)
             self._state.capacity_changed()
 
+    def quarantine(self, worker: WorkerState) -> None:
+        """Place nothing on a worker any more; its gangs go on."""
+        worker.is_quarantined = True
+        self._state.inventory.refresh(worker)
+        self._state.capacity_changed()
+        self.unbind(self._book.worker_gone(worker.worker.worker_id))
+
+    def end_quarantine(self, worker: WorkerState) -> None:
+        """Place gangs on a worker again."""
+        worker.is_quarantined = False
+        self._state.inventory.refresh(worker)
+        self._state.capacity_changed()
+        self.unbind(self._book.place_missing())
+
     def unbind(self, guarantees: set[int]) -> None:
         """Treat the gangs of moved or removed guarantees like any others."""
         if not guarantees:
@@ -127,6 +144,7 @@
 
     def _add(self, worker: Worker, is_verified: bool) -> None:
         state = self._state.inventory.add(worker)
+        self._state.absent.discard(worker.worker_id)
         state.is_verified = is_verified
         for gang in self._state.gangs_on(worker.worker_id):
             member = gang.members[worker.worker_id]
--- a/dragonflynotch/core/inventory.py
+++ b/dragonflynotch/core/inventory.py
@@ -98,6 +98,7 @@
         'lost_at',
         'reserved',
         'successor',
+        'urgent',
         'used',
         'worker',
     )
@@ -110,7 +111,8 @@
         self.general = _Amount()
         self.firm = _Amount()
         self.guaranteed = 0
-        self.claimed = 0
+        self.urgent = 0
+        self.claimed = _Amount()
         self.reserved = 0
         self.lost_at: datetime | None = None
         self.successor: Worker | None = None
@@ -138,12 +140,26 @@
         """Accelerators that no gang holds."""
         return self.worker.accelerators - self.used.accelerators
 
+    @property
+    def unclaimed(self) -> int:
+        """Accelerators that no gang holds and no claim covers."""
+        return max(0, self.idle - self.claimed.accelerators)
+
+    @property
+    def idle_amounts(self) -> tuple[int, int, int]:
+        """Accelerators, cores (in thousandths) and memory not in use."""
+        return (
+            self.idle,
+            self.worker.cores * _MILLI - self.used.millicores,
+            self.worker.memory_mb - self.used.memory_mb,
+        )
+
     @property
     def free(self) -> int:
         """Accelerators that may be lent now."""
         if not self.is_usable:
             return 0
-        return max(0, self.idle - self.claimed - self.reserved)
+        return max(0, self.unclaimed - self.reserved)
 
     @property
     def open(self) -> int:
@@ -156,6 +172,17 @@
         )
         return max(0, min(self.free, outside))
 
+    @property
+    def stoppable(self) -> int:
+        """Free accelerators outside of the urgent guarantees."""
+        outside = (
+            self.worker.accelerators
+            - self.urgent
+            - self.general.accelerators
+            - self.reserved
+        )
+        return max(0, min(self.free, outside))
+
     @property
     def spare_millicores(self) -> int:
         """Cores that the idle accelerators do not need."""
@@ -173,8 +200,9 @@
         use : Use
             Firm gangs leave the share of the guarantees untouched.
         """
-        cores = self.worker.cores * _MILLI - self.used.millicores
-        memory = self.worker.memory_mb - self.used.memory_mb
+        _, cores, memory = self.idle_amounts
+        cores -= self.claimed.millicores
+        memory -= self.claimed.memory_mb
         if use is Use.firm:
             cores = min(cores, self._outside_cores() - self.firm.millicores)
             memory = min(memory, self._outside_memory() - self.firm.memory_mb)
@@ -187,6 +215,19 @@
             ),
         )
 
+    def machine_limit(self, demand: Demand, accelerators: int) -> int:
+        """Return for how many accelerators the idle machine has all else."""
+        return min(
+            accelerators,
+            self.worker.cores * _MILLI // max(1, demand.millicores),
+            self.worker.memory_mb // max(1, demand.memory_mb),
+        )
+
+    def has_firm_room(self, accelerators: int) -> bool:
+        """Whether gangs that cannot be reclaimed may hold so many more."""
+        outside = self.worker.accelerators - self.guaranteed
+        return self.firm.accelerators + accelerators <= outside
+
     def share_covers(self, demand: Demand) -> bool:
         """Whether an accelerator's share of the worker meets the demand."""
         total = max(1, self.worker.accelerators)
@@ -258,7 +299,7 @@
     """All workers, with their free accelerators indexed.
 
     ``free`` counts what may be lent, ``open`` what lies outside of the
-    guarantees.
+    guarantees, ``stoppable`` what lies outside of the urgent ones.
     """
 
     def __init__(self) -> None:
@@ -285,6 +326,7 @@
         """Forget all workers."""
         self.free = CapacityMap()
         self.open = CapacityMap()
+        self.stoppable = CapacityMap()
         self._workers: dict[str, WorkerState] = {}
         self._by_cores = SortedList()
         self._cores_of: dict[str, int] = {}
@@ -305,6 +347,7 @@
         state = self._workers.pop(worker_id)
         self.free.remove(state.rack, worker_id)
         self.open.remove(state.rack, worker_id)
+        self.stoppable.remove(state.rack, worker_id)
         self._drop_cores(worker_id)
 
     def refresh(self, state: WorkerState) -> None:
@@ -312,6 +355,7 @@
         worker_id = state.worker.worker_id
         self.free.set(state.rack, worker_id, state.free)
         self.open.set(state.rack, worker_id, state.open)
+        self.stoppable.set(state.rack, worker_id, state.stoppable)
         cores = state.spare_millicores if state.is_usable else 0
         if self._cores_of.get(worker_id) != cores:
             self._drop_cores(worker_id)
--- a/dragonflynotch/core/jobs.py
+++ b/dragonflynotch/core/jobs.py
@@ -38,6 +38,18 @@
     normal = 'normal'
     batch = 'batch'
 
+    @property
+    def rank(self) -> int:
+        """Position in the order of importance; 0 is the most important."""
+        return _RANKS[self]
+
+
+_RANKS = {
+    PriorityClass.urgent: 0,
+    PriorityClass.normal: 1,
+    PriorityClass.batch: 2,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class JobSpec:
@@ -79,6 +91,11 @@
     deadline: datetime | None = None
     command: str = ''
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the job belongs to the most important class."""
+        return self.priority is PriorityClass.urgent
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -124,6 +141,8 @@
         Why the job ended or waits, in one sentence.
     failed_workers : tuple of str
         Distinct workers on which a member of the job failed.
+    failures : int
+        Attempts that ended with the failure of a member.
     is_cancel_requested : bool
         Whether the job ends as cancelled once its gang has stopped; kept in
         the record so that a new owner completes the cancellation.
@@ -141,4 +160,5 @@
     work_done: timedelta = timedelta()
     detail: str = ''
     failed_workers: tuple[str, ...] = field(default=())
+    failures: int = 0
     is_cancel_requested: bool = False
