--- a/dragonflynotch/core/deadlines.py
+++ b/dragonflynotch/core/deadlines.py
@@ -13,12 +13,13 @@
     confirm = 'confirm'
     stop = 'stop'
     checkpoint = 'checkpoint'
-    overrun = 'overrun'
     lease = 'lease'
     takeover = 'takeover'
     cooldown = 'cooldown'
     reservation = 'reservation'
     readmission = 'readmission'
+    guarantees = 'guarantees'
+    retry = 'retry'
 
 
 @dataclass(frozen=True, slots=True)
--- a/dragonflynotch/core/partition.py
+++ b/dragonflynotch/core/partition.py
@@ -1,18 +1,13 @@
 """Scheduling partition of a data centre: events in, actions out."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import datetime
 from typing import Any
 
 from dragonflynotch.core.actions import (
-    Accepted,
     Action,
-    AnswerSubmission,
-    NeverRunnable,
-    NotOwner,
 )
-from dragonflynotch.core.deadlines import Deadline, DeadlineKind
+from dragonflynotch.core.claims import Claims
 from dragonflynotch.core.events import (
     Event,
     GuaranteesChanged,
@@ -21,24 +16,35 @@
     MemberEvent,
     OwnershipGained,
     OwnershipLost,
+    QuotasChanged,
     TimerFired,
     WorkerJoined,
     WorkerLost,
     WorkerReported,
 )
-from dragonflynotch.core.feasibility import find_obstacle
+from dragonflynotch.core.expiry import Expiry
 from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
-from dragonflynotch.core.gangs import Outcome
+from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.guarantee_book import GuaranteeBook
+from dragonflynotch.core.health import Health
 from dragonflynotch.core.jobs import Job, JobState
 from dragonflynotch.core.member_events import MemberEvents
 from dragonflynotch.core.placement import FragmentationAwarePlacer, Placer
 from dragonflynotch.core.policy import PolicySettings
+from dragonflynotch.core.reservations import Reservations
+from dragonflynotch.core.runtimes import RunTimes
 from dragonflynotch.core.scheduler import Scheduler
+from dragonflynotch.core.sizes import Sizes
 from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.strays import Strays
+from dragonflynotch.core.submissions import Submissions
 from dragonflynotch.core.takeover import Takeover
-from dragonflynotch.core.waiting import WaitingJob
+from dragonflynotch.core.waiting import (
+    WaitingJob,
+    explain_claim,
+    explain_reservation,
+)
 
 __all__ = ('Partition',)
 
@@ -83,10 +89,41 @@
         self._gangs = GangControl(self._state)
         self._book = GuaranteeBook(self._state)
         self._fleet = Fleet(self._state, self._gangs, self._book)
-        self._members = MemberEvents(self._state, self._gangs, self._fleet)
-        self._takeover = Takeover(self._state, self._gangs, self._fleet)
-        self._scheduler = Scheduler(self._state, self._gangs, self._book)
+        self._strays = Strays(self._state)
+        self._health = Health(self._state, self._gangs, self._fleet)
+        self._members = MemberEvents(
+            self._state,
+            self._gangs,
+            self._health,
+            Sizes(self._state, self._gangs),
+            self._strays,
+        )
+        self._takeover = Takeover(self._state, self._gangs, self._strays)
+        self._claims = Claims(self._state, self._gangs, self._book)
+        self._run_times = RunTimes(self._state.policy.run_time_quantile)
+        self._reservations = Reservations(
+            self._state, self._gangs, self._claims, self._run_times
+        )
+        self._scheduler = Scheduler(
+            self._state,
+            self._gangs,
+            self._book,
+            self._claims,
+            self._reservations,
+            self._run_times,
+        )
+        self._submissions = Submissions(self._state, self._gangs, self._claims)
+        self._expiry = Expiry(
+            self._state,
+            self._gangs,
+            self._fleet,
+            self._takeover,
+            self._reservations,
+            self._health,
+        )
         self._state.observers.append(self._book.gang_ended)
+        self._state.observers.append(self._learn_run_time)
+        self._state.observers.append(self._health.gang_ended)
         self._handlers: dict[type, Callable[[Any], None]] = {
             WorkerJoined: self._worker_joined,
             WorkerLost: self._worker_lost,
@@ -94,19 +131,11 @@
             JobSubmitted: self._job_submitted,
             JobCancelled: self._job_cancelled,
             GuaranteesChanged: self._guarantees_changed,
+            QuotasChanged: self._quotas_changed,
             OwnershipGained: self._ownership_gained,
             OwnershipLost: self._ownership_lost,
             TimerFired: _do_nothing,
         }
-        self._deadline_handlers: dict[DeadlineKind, Callable[[str], None]] = {
-            DeadlineKind.prepare: self._not_prepared,
-            DeadlineKind.confirm: self._not_confirmed,
-            DeadlineKind.stop: self._not_stopped,
-            DeadlineKind.checkpoint: self._checkpoint_due,
-            DeadlineKind.lease: self._lease_expired,
-            DeadlineKind.cooldown: self._fleet.end_cooldown,
-            DeadlineKind.takeover: self._takeover_lease_over,
-        }
 
     @property
     def data_centre(self) -> str:
@@ -155,8 +184,9 @@
             self._member_event(event)
         else:
             self._handlers[type(event)](event)
-        self._expire_deadlines()
+        self._expiry.run()
         if self._state.is_owner:
+            self._takeover.release_inherited()
             self._scheduler.run()
         return self._state.drain()
 
@@ -174,7 +204,13 @@
         return tuple(sorted(waiting, key=_longest_wait_first))
 
     def _explain(self, job: Job, now: datetime) -> WaitingJob:
-        group = self._state.queue.group_of(job)
+        claim = self._claims.find(job.job_id)
+        if claim is not None:
+            return explain_claim(job, claim, self._book, now)
+        reservation = self._reservations.current
+        if reservation is not None and reservation.job_id == job.job_id:
+            return explain_reservation(job, reservation, now)
+        group = self._state.queue.group_of(job.job_id)
         reason = group.blocked_reason if group is not None else ''
         return WaitingJob(
             job.job_id,
@@ -183,6 +219,11 @@
             reason or job.detail or 'waits for its turn',
         )
 
+    def _learn_run_time(self, gang: Gang, job: Job) -> None:
+        if gang.started_at is not None and gang.is_complete:
+            ran = self._state.now - gang.started_at
+            self._run_times.observe(job.spec, gang.work_before + ran)
+
     def _member_event(self, event: MemberEvent) -> None:
         if self._state.is_owner:
             self._members.apply(event)
@@ -196,84 +237,41 @@
 
     def _worker_reported(self, event: WorkerReported) -> None:
         """Apply a report made under this ownership; others prove nothing."""
-        if self._state.is_owner and event.fence == self._state.fence:
-            self._takeover.verify(event)
-            self._members.report(event)
+        if not self._state.is_owner or event.fence != self._state.fence:
+            return
+        is_first = self._takeover.verify(event)
+        self._members.find_strays(event)
+        if not is_first:
+            self._members.compare(event)
 
     def _job_submitted(self, event: JobSubmitted) -> None:
-        job = event.job
-        verdict: Accepted | NeverRunnable | NotOwner = Accepted()
-        if not self._state.is_owner:
-            verdict = NotOwner()
-        elif job.job_id not in self._state.jobs:
-            obstacle = find_obstacle(
-                job.spec, self._state.inventory, self._state.placer
-            )
-            if obstacle is None:
-                self._state.queue.add(self._state.save(job))
-            else:
-                verdict = NeverRunnable(obstacle)
-        self._state.emit(AnswerSubmission(job.job_id, verdict))
+        self._submissions.submit(event.job)
 
     def _job_cancelled(self, event: JobCancelled) -> None:
-        job = self._state.jobs.get(event.job_id)
-        if job is None or not self._state.is_owner:
-            return
-        gang = self._state.gangs.get(event.job_id)
-        if gang is not None:
-            self._state.jobs[job.job_id] = replace(
-                job, is_cancel_requested=True
-            )
-            self._gangs.stop(gang, Outcome.cancel, _CANCELLED)
-            return
-        self._takeover.drop(job.job_id)
-        self._state.queue.remove(job)
-        self._state.change(
-            job.job_id,
-            state=JobState.cancelled,
-            ended_at=self._state.now,
-            detail=_CANCELLED,
-        )
+        self._submissions.cancel(event.job_id)
 
     def _guarantees_changed(self, event: GuaranteesChanged) -> None:
         self._fleet.unbind(self._book.replace(event.guarantees))
 
+    def _quotas_changed(self, event: QuotasChanged) -> None:
+        self._state.max_accelerators = dict(event.max_accelerators)
+        self._state.capacity_changed()
+
     def _ownership_gained(self, event: OwnershipGained) -> None:
         if event.fence > self._state.fence:
+            self._claims.clear()
+            self._reservations.clear()
             self._takeover.gain(event)
             self._book.start_again()
 
     def _ownership_lost(self, _event: OwnershipLost) -> None:
         self._state.is_owner = False
+        self._claims.clear()
+        self._reservations.clear()
+        self._strays.clear()
         self._state.reset()
         self._book.start_again()
 
-    def _expire_deadlines(self) -> None:
-        for deadline in self._state.timers.pop_due(self._state.now):
-            if isinstance(deadline, Deadline):
-                self._deadline_handlers[deadline.kind](deadline.subject)
-
-    def _not_prepared(self, job_id: str) -> None:
-        gang = self._state.gangs[job_id]
-        self._gangs.stop(gang, Outcome.requeue, 'members were not prepared')
-
-    def _not_confirmed(self, job_id: str) -> None:
-        gang = self._state.gangs[job_id]
-        self._gangs.stop(gang, Outcome.requeue, 'a start was not confirmed')
-
-    def _not_stopped(self, job_id: str) -> None:
-        self._gangs.stop_overdue(self._state.gangs[job_id])
-
-    def _checkpoint_due(self, job_id: str) -> None:
-        self._gangs.checkpoint(self._state.gangs[job_id])
-
-    def _lease_expired(self, worker_id: str) -> None:
-        self._fleet.lease_expired(worker_id)
-        self._takeover.forget(worker_id)
-
-    def _takeover_lease_over(self, _subject: str) -> None:
-        self._takeover.lease_over()
-
 
 def _do_nothing(_event: TimerFired) -> None:
     """Deadlines are handled after every event."""
@@ -281,6 +279,3 @@
 
 def _longest_wait_first(waiting: WaitingJob) -> tuple[float, str]:
     return (-waiting.waited.total_seconds(), waiting.job_id)
-
-
-_CANCELLED = 'cancelled on request'
--- a/dragonflynotch/core/takeover.py
+++ b/dragonflynotch/core/takeover.py
@@ -1,5 +1,7 @@
 """Rebuilding a partition from job records and reports of guards."""
 
+from dataclasses import replace
+
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.events import (
     MemberReport,
@@ -7,7 +9,6 @@
     OwnershipGained,
     WorkerReported,
 )
-from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import (
     Gang,
@@ -19,6 +20,7 @@
 from dragonflynotch.core.inventory import Allocation, Demand, Use
 from dragonflynotch.core.jobs import Job, JobState, Member
 from dragonflynotch.core.state import PartitionState
+from dragonflynotch.core.strays import Strays
 
 __all__ = ('Takeover',)
 
@@ -36,25 +38,24 @@
         State of the partition.
     gangs : GangControl
         Runs the gang protocol.
-    fleet : Fleet
-        Workers of the partition.
+    strays : Strays
+        Members that no attempt expects.
     """
 
     def __init__(
-        self, state: PartitionState, gangs: GangControl, fleet: Fleet
+        self, state: PartitionState, gangs: GangControl, strays: Strays
     ) -> None:
         """Keep the parts."""
         self._state = state
         self._gangs = gangs
-        self._fleet = fleet
+        self._strays = strays
         self._is_lease_over = True
-        self._inherited: dict[str, None] = {}
         self._unverified: dict[str, None] = {}
 
     @property
     def is_settled(self) -> bool:
         """Whether no task of an earlier owner can be unknown any more."""
-        return self._is_lease_over and not self._unverified
+        return self._is_lease_over and not self._unverified and not self._strays
 
     def gain(self, event: OwnershipGained) -> None:
         """Rebuild the state from the job records.
@@ -63,20 +64,26 @@
         """
         state = self._state
         state.reset()
+        self._strays.clear()
         state.is_owner = True
         state.fence = event.fence
         self._is_lease_over = event.fence <= _FIRST_FENCE
-        self._inherited.clear()
         self._unverified.clear()
         if not self._is_lease_over:
             self._distrust_workers()
         for job in event.jobs:
             self._inherit(job)
-        self.release_inherited()
 
     def needs_verification(self, worker_id: str) -> bool:
-        """Note a worker that joins; True if it must report first."""
-        if self._is_lease_over and worker_id not in self._unverified:
+        """Note a worker that joins; True if it must report first.
+
+        A worker that has reported under this ownership and joins again, for
+        example after a silence, need not do so a second time.
+        """
+        known = self._state.inventory.find(worker_id)
+        if known is not None:
+            return not known.is_verified
+        if self._is_lease_over:
             return False
         self._unverified[worker_id] = None
         return True
@@ -84,7 +91,8 @@
     def forget(self, worker_id: str) -> None:
         """Wait no longer for a worker, because its lease has expired."""
         self._unverified.pop(worker_id, None)
-        self.release_inherited()
+        if worker_id not in self._state.inventory:
+            self._strays.worker_removed(worker_id)
 
     def lease_over(self) -> None:
         """Give up the members of workers that were never heard."""
@@ -98,12 +106,11 @@
                         f'worker {worker_id} is silent since the takeover',
                     )
                     self._gangs.release_silent(gang, worker_id)
-        self.release_inherited()
 
-    def verify(self, report: WorkerReported) -> None:
-        """Take over what a guard holds, from its first report."""
+    def verify(self, report: WorkerReported) -> bool:
+        """Take over what a guard holds; True if it was its first report."""
         if report.worker_id not in self._unverified:
-            return
+            return False
         self._unverified.pop(report.worker_id)
         listed = {
             (member.job_id, member.attempt): member for member in report.members
@@ -111,27 +118,29 @@
         for gang in self._state.gangs_on(report.worker_id):
             member = listed.get((gang.job_id, gang.attempt))
             self._confirm(gang, report.worker_id, member)
+        self._state.settle_disputes(report.worker_id)
         self._note_attempts(report)
         worker = self._state.inventory.find(report.worker_id)
         if worker is not None:
             worker.is_verified = True
             self._state.inventory.refresh(worker)
             self._state.capacity_changed()
-        self.release_inherited()
-
-    def drop(self, job_id: str) -> bool:
-        """Forget an inherited job; True if it was one."""
-        if job_id in self._inherited:
-            self._inherited.pop(job_id)
-            return True
-        return False
+        return True
 
     def release_inherited(self) -> None:
         """Let the inherited jobs start once no old task can be unknown."""
-        if self.is_settled:
-            for job_id in self._inherited:
-                self._state.queue.add(self._state.jobs[job_id])
-            self._inherited.clear()
+        state = self._state
+        if not state.inherited or not self.is_settled:
+            return
+        held_back = tuple(state.held_back)
+        state.inherited.clear()
+        state.held_back.clear()
+        for job_id in held_back:
+            job = state.jobs[job_id]
+            floor = max(job.attempt, state.attempt_floor.get(job_id, 0))
+            state.jobs[job_id] = replace(job, attempt=floor)
+            state.enqueue(state.jobs[job_id])
+        state.attempt_floor.clear()
 
     def _distrust_workers(self) -> None:
         self._state.timers.set(
@@ -145,14 +154,15 @@
 
     def _inherit(self, job: Job) -> None:
         self._state.jobs[job.job_id] = job
+        self._state.inherited[job.job_id] = None
         if job.state is JobState.waiting or not job.members:
-            self._inherited[job.job_id] = None
+            self._state.enqueue(job)
             return
         gang = _rebuilt_gang(job)
-        for worker_id, member in gang.members.items():
-            if worker_id in self._state.inventory:
-                self._state.inventory.hold(member.allocation)
         self._state.add_gang(gang)
+        for worker_id in gang.members:
+            if worker_id in self._state.inventory:
+                self._state.hold_inherited(gang, worker_id)
         if job.is_cancel_requested:
             self._gangs.stop(gang, Outcome.cancel, job.detail)
         elif job.state is JobState.stopping:
@@ -168,6 +178,8 @@
             )
             return
         if gang.phase is not GangPhase.unconfirmed:
+            if state is MemberState.finished:
+                self._gangs.member_finished(gang, worker_id)
             return
         if state is MemberState.finished:
             member = gang.members[worker_id]
@@ -188,12 +200,10 @@
 
     def _note_attempts(self, report: WorkerReported) -> None:
         """Never use again an attempt number that an old owner has used."""
+        floor = self._state.attempt_floor
         for member in report.members:
-            job = self._state.jobs.get(member.job_id)
-            if job is None or job.job_id in self._state.gangs:
-                continue
-            if member.attempt > job.attempt:
-                self._state.change(job.job_id, attempt=member.attempt)
+            if member.attempt > floor.get(member.job_id, 0):
+                floor[member.job_id] = member.attempt
 
 
 def _rebuilt_gang(job: Job) -> Gang:
