--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -43,6 +43,9 @@
 __all__ = ('main',)
 
 _WARM_UP_S: Final = 4
+# The owner fetches the report of each guard that joins; the sample starts
+# after that.
+_WARM_UP_PER_PEER_S: Final = 0.05
 _DURATION_S: Final = 10
 _STOP_TIMEOUT_S: Final = 5
 _KB_PER_MB: Final = 1024
@@ -57,6 +60,7 @@
     cpu_share: float
     bytes_per_s: float
     messages_per_s: float
+    joining_cpu_s: float
 
 
 @contextmanager
@@ -95,7 +99,8 @@
 
 
 async def _sample(process_id: int, traffic: Traffic, peers: int) -> _Sample:
-    await asyncio.sleep(_WARM_UP_S)
+    joined_cpu_s = read_cpu_s(process_id)
+    await asyncio.sleep(_WARM_UP_S + _WARM_UP_PER_PEER_S * peers)
     start_s, start_cpu_s = time.monotonic(), read_cpu_s(process_id)
     start_bytes, start_messages = traffic.octets, traffic.messages
     await asyncio.sleep(_DURATION_S)
@@ -106,6 +111,7 @@
         cpu_share=(read_cpu_s(process_id) - start_cpu_s) / elapsed_s,
         bytes_per_s=(traffic.octets - start_bytes) / elapsed_s,
         messages_per_s=(traffic.messages - start_messages) / elapsed_s,
+        joining_cpu_s=start_cpu_s - joined_cpu_s,
     )
 
 
@@ -140,14 +146,15 @@
 def _print_samples(role: str, peers: str, samples: list[_Sample]) -> None:
     print(
         f'{role:6} {peers:>8} {"msg/s":>8} {"bytes/s":>9} {"core":>8} '
-        f'{"resident MB":>12} {"private MB":>11}',
+        f'{"resident MB":>12} {"private MB":>11} {"joining s":>10}',
     )
     for sample in samples:
         print(
             f'{role:6} {sample.peers:8} {sample.messages_per_s:8.1f} '
             f'{sample.bytes_per_s:9.0f} {sample.cpu_share:8.2%} '
             f'{sample.memory.resident_kb / _KB_PER_MB:12.1f} '
-            f'{sample.memory.private_kb / _KB_PER_MB:11.1f}',
+            f'{sample.memory.private_kb / _KB_PER_MB:11.1f} '
+            f'{sample.joining_cpu_s:10.2f}',
         )
 
 
