Keep refusals in the guard until their handover can't arrive

Cause: the guard evicted the refusal that it had promised as "never" when its memory was full; the handover of a paused entry, still before its deadline, was then accepted and the request ran twice (model handover, mutant FORGET_REFUSAL, 14 steps). An empty memory passed to the runner was replaced by a default one, since its length made it false. Ruled out: refusing handovers older than the memory by a sequence of announcements; three messages would carry it, and every eviction of an answer would refuse new work. Change: promised refusals are never evicted early and fill at most half of the memory; above that the answer is "unknown".

--- a/dragonflynotch/guard/memory.py
+++ b/dragonflynotch/guard/memory.py
@@ -40,9 +40,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RememberedRefusal:
-    """The attempt did not run and stays refused."""
+    """The attempt did not run and stays refused.
+
+    Parameters
+    ----------
+    reason : str
+        Why it was refused.
+    is_handover_pending : bool
+        Whether the handover may still arrive. Such a refusal is never evicted
+        before its time, else the late handover would run.
+    """
 
     reason: str
+    is_handover_pending: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +75,7 @@
             OrderedDict()
         )
         self._bytes = 0
+        self._pending = 0
         self._incomplete_until: datetime | None = None
 
     def __len__(self) -> int:
@@ -93,9 +104,22 @@
             return
         self._entries[attempt] = (now, remembered)
         self._bytes += _size(remembered)
+        self._pending += _is_pending(remembered)
         while self._is_over():
-            recorded_at = self._drop_oldest()
-            self._incomplete_until = recorded_at + self._limits.max_age
+            if not self._evict():
+                return
+
+    def can_keep_refusals(self) -> bool:
+        """Return whether another refusal of a pending handover fits."""
+        return self._pending < self._limits.max_entries // 2
+
+    def _evict(self) -> bool:
+        for attempt, (recorded_at, remembered) in self._entries.items():
+            if not _is_pending(remembered):
+                self._drop(attempt)
+                self._incomplete_until = recorded_at + self._limits.max_age
+                return True
+        return False
 
     def _is_over(self) -> bool:
         limits = self._limits
@@ -106,15 +130,22 @@
 
     def _expire(self, now: datetime) -> None:
         while self._entries:
-            recorded_at, _ = next(iter(self._entries.values()))
+            attempt, (recorded_at, _) = next(iter(self._entries.items()))
             if now - recorded_at <= self._limits.max_age:
                 return
-            self._drop_oldest()
+            self._drop(attempt)
 
-    def _drop_oldest(self) -> datetime:
-        _, (recorded_at, remembered) = self._entries.popitem(last=False)
+    def _drop(self, attempt: str) -> None:
+        _, remembered = self._entries.pop(attempt)
         self._bytes -= _size(remembered)
-        return recorded_at
+        self._pending -= _is_pending(remembered)
+
+
+def _is_pending(remembered: RememberedAttempt) -> bool:
+    return (
+        isinstance(remembered, RememberedRefusal)
+        and remembered.is_handover_pending
+    )
 
 
 def _size(remembered: RememberedAttempt) -> int:
--- a/dragonflynotch/guard/requests.py
+++ b/dragonflynotch/guard/requests.py
@@ -133,7 +133,7 @@
         self._slots = slots
         self._incarnation = incarnation
         self._clock = clock
-        self._memory = memory or AttemptMemory()
+        self._memory = AttemptMemory() if memory is None else memory
         self._running: set[str] = set()
         self._is_draining = False
         self._idle = asyncio.Event()
@@ -197,7 +197,11 @@
         if remembered is None:
             if not self._memory.is_complete(now):
                 return RunUnknown('memory_evicted')
-            remembered = RememberedRefusal('resolved_as_never')
+            if not self._memory.can_keep_refusals():
+                return RunUnknown('memory_full')
+            remembered = RememberedRefusal(
+                'resolved_as_never', is_handover_pending=True
+            )
             self._memory.record(attempt, remembered, now)
         return _resolution(remembered)
 
--- a/model/specifications/handover.pml
+++ b/model/specifications/handover.pml
@@ -34,8 +34,10 @@
  * the refusal of the repetition as proof. */
 /* mutant NEVER_AFTER_EVICTION breaks at_most_once: a guard answers "never" for
  * an attempt that it may have forgotten. */
-/* mutant ACCEPT_OLD breaks at_most_once: a guard accepts a handover that may be
- * older than its memory. */
+/* mutant ACCEPT_OLD breaks at_most_once: a guard accepts a handover whose
+ * deadline has passed, when it may have forgotten the refusal. */
+/* mutant FORGET_REFUSAL breaks at_most_once: a guard evicts the refusal of a
+ * handover that may still arrive in time. */
 /* mutant NOT_RUN_FOR_REPEAT breaks not_run_is_true: an entry that cannot read
  * the row answers "not run" also to a call that may be a repetition. */
 /* mutant NOT_RUN_AFTER_CLAIM breaks not_run_is_true: an entry whose claim is
@@ -65,7 +67,7 @@
 bool ran[CLAIMS];
 bool refused[CLAIMS];    /* recorded by the guard: will not run */
 bool no_place[CLAIMS];   /* the guard's refusal is in transit to the entry */
-bool old[CLAIMS];        /* the guard's memory may not reach back to it */
+bool old[CLAIMS];        /* its deadline has passed at the guard */
 bool forgotten[CLAIMS];
 bool restarted[CLAIMS];  /* the guard has another incarnation */
 byte runs;
@@ -157,13 +159,14 @@
               ran[claim[e]] && !forgotten[claim[e]] -> \
        row = (row_is(claim[e]) -> done : row); answer_result(e) } \
   :: d_step { step[e] == resolving && !restarted[claim[e]] && \
-              !ran[claim[e]] && !old[claim[e]] -> \
+              !ran[claim[e]] && !old[claim[e]] && !forgotten[claim[e]] -> \
        refused[claim[e]] = !NEVER_NOT_RECORDED; step[e] = proven } \
   :: d_step { step[e] == resolving && NEVER_AFTER_EVICTION && \
               !restarted[claim[e]] && forgotten[claim[e]] -> \
        step[e] = proven } \
   :: d_step { step[e] == resolving && \
-              (restarted[claim[e]] || old[claim[e]]) -> \
+              (restarted[claim[e]] || old[claim[e]] || \
+               forgotten[claim[e]]) -> \
        row = (row_is(claim[e]) -> unknown : row); answer_unknown(e) } \
   :: d_step { step[e] == resolving && RESTART_IS_NEVER && \
               restarted[claim[e]] -> step[e] = proven } \
@@ -180,8 +183,9 @@
               !row_is(own_claim(e, 2)) -> step[e] = reading } \
   :: d_step { step[e] == update_uncertain -> answer_unknown(e) }
 
-/* A handover that may be older than the guard's memory carries an old
- * announcement number of the guard and is refused. */
+/* A handover after its deadline is refused; refusals of handovers that may
+ * still arrive are kept until then. Answers may be evicted earlier, because
+ * their handover has arrived and is sent only once. */
 #define accepts(c) (!refused[c] && (NO_INCARNATION || !restarted[c]) && \
   (ACCEPT_OLD || !old[c]) && (!ran[c] || forgotten[c] || restarted[c]))
 
@@ -197,7 +201,7 @@
   :: d_step { claimed_once[c] && !restarted[c] -> \
        restarted[c] = true; refused[c] = false } \
   :: d_step { claimed_once[c] && !old[c] -> old[c] = true } \
-  :: d_step { old[c] && !forgotten[c] -> \
+  :: d_step { (old[c] || ran[c] || FORGET_REFUSAL) && !forgotten[c] -> \
        forgotten[c] = true; refused[c] = false }
 
 active proctype events() {
