Drive the handover with the events of the model

Cause: the ledger decisions and the guard's memory had tests of single cases only. Change: a derandomized hypothesis machine with two entries and two guards; one rule makes the next step of an entry. It does not reach an evicted refusal, an incomplete memory or an unknown outcome taken as "never"; these stay with the specification and tests/guard.

--- /dev/null
+++ b/tests/model/test_handover_machine.py
@@ -0,0 +1,203 @@
+"""Drives core/handover.py and the guard's memory as in handover.pml."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from dragonflynotch.core.clock import ManualClock
+from dragonflynotch.core.handover import (
+    AskGuard,
+    Claim,
+    GuardDone,
+    GuardGone,
+    GuardNever,
+    GuardSilent,
+    GuardUnknown,
+    LedgerRow,
+    MarkUnknown,
+    StoredResult,
+    UseAnswer,
+    attempt_id,
+    decide_on_resolution,
+    decide_on_row,
+    next_claim,
+)
+from dragonflynotch.guard.memory import (
+    AttemptMemory,
+    MemoryLimits,
+    RememberedAnswer,
+    RememberedRefusal,
+)
+
+KEY = 'ledger/resort/checklist'
+BODY_DIGEST = 'digest'
+DEADLINE = timedelta(minutes=10)
+CLOCK_TOLERANCE = timedelta(minutes=4)
+LIMITS = MemoryLimits(max_entries=4)
+RESULT = StoredResult('answer', 'minion-1', b'answer')
+GUARDS = ('guard-0', 'guard-1')
+
+entry_numbers = strategies.sampled_from((0, 1))
+guard_ids = strategies.sampled_from(GUARDS)
+
+
+@dataclass
+class Guard:
+    """A guard that runs a request at once."""
+
+    incarnation: int = 1
+    memory: AttemptMemory = field(default_factory=lambda: AttemptMemory(LIMITS))
+
+
+@dataclass
+class Entry:
+    """What an entry does for its call."""
+
+    step: str = 'idle'
+    row: LedgerRow | None = None
+    version: int = 0
+
+
+class Handover(RuleBasedStateMachine):
+    """Two calls with one key at two entries, two guards."""
+
+    @initialize()
+    def start(self):
+        self.clock = ManualClock()
+        self.guards = {name: Guard() for name in GUARDS}
+        self.entries = (Entry(), Entry())
+        self.row = None
+        self.version = 0
+        self.in_flight = []
+        self.runs = 0
+
+    def _claim(self, entry, attempt, guard_id):
+        incarnation = self.guards[guard_id].incarnation
+        entry.step = 'claiming'
+        entry.row = next_claim(
+            BODY_DIGEST, attempt, (guard_id, incarnation), self.clock.now()
+        )
+
+    def _commit(self, entry, row):
+        if entry.version != self.version:
+            return False
+        self.row = row
+        self.version += 1
+        entry.version = self.version
+        return True
+
+    @rule(
+        number=entry_numbers,
+        guard_id=guard_ids,
+        is_faulty=strategies.sampled_from((False, False, True)),
+    )
+    def make_step(self, number, guard_id, is_faulty):
+        """The next step of an entry; a fault loses the answer to it."""
+        entry = self.entries[number]
+        match entry.step:
+            case 'idle':
+                self._read_row(entry, guard_id)
+            case 'claiming':
+                self._write_claim(entry, is_faulty)
+            case 'holding':
+                self._hand_over(entry)
+            case 'resolving':
+                self._resolve(entry, guard_id, is_faulty)
+
+    def _read_row(self, entry, guard_id):
+        entry.version = self.version
+        match decide_on_row(self.row, BODY_DIGEST):
+            case Claim(attempt):
+                self._claim(entry, attempt, guard_id)
+            case AskGuard():
+                entry.step, entry.row = 'resolving', self.row
+
+    def _write_claim(self, entry, is_lost):
+        # An entry whose answer is lost never uses the claim.
+        is_written = self._commit(entry, entry.row)
+        is_held = is_written and not is_lost
+        entry.step = 'holding' if is_held else 'idle'
+
+    def _hand_over(self, entry):
+        entry.step = 'resolving'
+        expires_at = entry.row.claimed_at + DEADLINE
+        self.in_flight.append((entry.row, expires_at))
+
+    @precondition(lambda self: self.in_flight)
+    @rule(position=strategies.integers(0, 3))
+    def deliver(self, position):
+        row, expires_at = self.in_flight.pop(position % len(self.in_flight))
+        guard = self.guards[row.guard_id]
+        now = self.clock.now()
+        attempt = attempt_id(KEY, row)
+        if (
+            guard.incarnation == row.incarnation
+            and guard.memory.find(attempt, now) is None
+            and now <= expires_at + CLOCK_TOLERANCE
+        ):
+            self.runs += 1
+            guard.memory.record(attempt, RememberedAnswer('', b'answer'), now)
+
+    def _ask(self, row):
+        guard, now = self.guards[row.guard_id], self.clock.now()
+        if guard.incarnation != row.incarnation:
+            return GuardGone()
+        attempt = attempt_id(KEY, row)
+        found = guard.memory.find(attempt, now)
+        if isinstance(found, RememberedAnswer):
+            return GuardDone(found.body)
+        if found is None:
+            if not guard.memory.is_complete(now):
+                return GuardUnknown()
+            if not guard.memory.can_keep_refusals():
+                return GuardUnknown()
+            refusal = RememberedRefusal('never', is_handover_pending=True)
+            guard.memory.record(attempt, refusal, now)
+        return GuardNever()
+
+    def _resolve(self, entry, guard_id, is_silent):
+        word = GuardSilent() if is_silent else self._ask(entry.row)
+        entry.step = 'idle'
+        match decide_on_resolution(entry.row, word, self.clock.now()):
+            case UseAnswer():
+                self._commit(entry, entry.row.finished(RESULT))
+            case MarkUnknown():
+                self._commit(entry, entry.row.as_unknown())
+            case Claim(attempt):
+                self._claim(entry, attempt, guard_id)
+
+    @rule(guard_id=guard_ids)
+    def restart_guard(self, guard_id):
+        incarnation = self.guards[guard_id].incarnation + 1
+        self.guards[guard_id] = Guard(incarnation)
+
+    @rule(guard_id=guard_ids)
+    def fill_memory(self, guard_id):
+        now = self.clock.now()
+        for number in range(LIMITS.max_entries):
+            other = f'{now.isoformat()}-{number}'
+            answer = RememberedAnswer('', b'')
+            self.guards[guard_id].memory.record(other, answer, now)
+
+    @rule(minutes=strategies.sampled_from((1, 5)))
+    def pass_time(self, minutes):
+        self.clock.advance(timedelta(minutes=minutes))
+
+    @invariant()
+    def at_most_once(self):
+        """G5: the request runs at most once."""
+        assert self.runs <= 1
+
+
+TestHandover = Handover.TestCase
+TestHandover.settings = settings(
+    derandomize=True, max_examples=300, stateful_step_count=50, deadline=None
+)
