--- a/dragonflynotch/guard/requests.py
+++ b/dragonflynotch/guard/requests.py
@@ -197,7 +197,11 @@
         if remembered is None:
             if not self._memory.is_complete(now):
                 return RunUnknown('memory_evicted')
-            remembered = RememberedRefusal('resolved_as_never')
+            if not self._memory.can_keep_refusals():
+                return RunUnknown('memory_full')
+            remembered = RememberedRefusal(
+                'resolved_as_never', is_handover_pending=True
+            )
             self._memory.record(attempt, remembered, now)
         return _resolution(remembered)
 
