Give the quotas of workspaces to the partition

Cause: nothing outside the core sent QuotasChanged, so max_accelerators had no effect in a running entry. Before: the new test fails (no such event); after: pytest tests/entry/test_partition_owner.py, 4 passed.

--- a/dragonflynotch/entry/partition_owner.py
+++ b/dragonflynotch/entry/partition_owner.py
@@ -1,7 +1,7 @@
 """The task that owns the partition: inputs to events, actions to effects."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from datetime import datetime, timedelta
 
@@ -26,6 +26,7 @@
     MemberRefused,
     OwnershipGained,
     OwnershipLost,
+    QuotasChanged,
     TimerFired,
 )
 from dragonflynotch.core.jobs import Job
@@ -184,6 +185,7 @@
         if view.revision != self._revision:
             self._revision = view.revision
             self._handle(GuaranteesChanged(self._guarantees(view)))
+            self._handle(QuotasChanged(_quotas(view)))
         deadline = self._partition.next_deadline
         if deadline is not None and deadline <= now:
             self._handle(TimerFired())
@@ -322,3 +324,10 @@
             _RETRY_AFTER,
         )
         self._calls.answer_all(verdict)
+
+
+def _quotas(view: ConfigurationView) -> Mapping[str, int]:
+    return {
+        name: workspace.max_accelerators
+        for name, workspace in view.workspaces.items()
+    }
--- a/tests/entry/test_partition_owner.py
+++ b/tests/entry/test_partition_owner.py
@@ -7,12 +7,13 @@
 
 from dragonflynotch.core.clock import ManualClock
 from dragonflynotch.core.errors import LinkTimeoutError
+from dragonflynotch.core.events import QuotasChanged
 from dragonflynotch.core.jobs import Job, JobSpec, JobState, Member
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.partition import Partition
 from dragonflynotch.core.shapes import Shape
 from dragonflynotch.core.topology import Worker
-from dragonflynotch.core.workspaces import ConfigurationView
+from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
 from dragonflynotch.entry.guard_roster import GuardRoster
 from dragonflynotch.entry.job_recorder import JobRecorder
 from dragonflynotch.entry.owner_inputs import GuardHeard
@@ -88,7 +89,11 @@
     bench = Bench()
     bench.owner._tick(bench.clock.now())
     bench.hear()
-    assert bench.kinds == ['GuaranteesChanged', 'WorkerJoined']
+    assert bench.kinds == [
+        'GuaranteesChanged',
+        'QuotasChanged',
+        'WorkerJoined',
+    ]
     bench.events.clear()
     return bench
 
@@ -128,3 +133,11 @@
     bench.owner._mirror.drop('job')
     bench.hear(is_ready=False)
     assert bench.kinds == ['WorkerLost']
+
+
+def test_quotas_of_the_configuration_reach_the_partition(bench):
+    """Guards against a quota on accelerators without any effect."""
+    spec = WorkspaceSpec('resort', max_accelerators=4)
+    bench.owner._view = lambda: ConfigurationView(7, {'resort': spec})
+    bench.owner._tick(bench.clock.now())
+    assert bench.events[-1] == QuotasChanged({'resort': 4})
