Delete the records of jobs that ended a week ago

Change: the owner deletes them hourly together with their idempotency keys, in one conditional transaction for each job. Ruled out: deleting at the end of a job; a caller could then not read its outcome, and a repeated key would run it again. Before: no deletion; after: pytest tests/entry/test_job_cleanup.py, 4 passed.

--- /dev/null
+++ b/dragonflynotch/entry/job_cleanup.py
@@ -0,0 +1,92 @@
+"""Deletes the records of jobs that ended long ago."""
+
+import uuid
+from collections import defaultdict
+from datetime import datetime, timedelta
+
+import msgspec
+
+from dragonflynotch.core.jobs import Job
+from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.platform.table import (
+    ConditionalWrite,
+    Row,
+    TableService,
+)
+from dragonflynotch.records.job_rows import (
+    JOB_KEY_PREFIX,
+    decode_job_row,
+    decode_key_row,
+    job_rows_prefix,
+)
+
+__all__ = ('RECORD_RETENTION', 'delete_ended_jobs')
+
+# A takeover reads all records, so their number must not grow without bound.
+# An idempotency key is forgotten with the record of its job.
+RECORD_RETENTION = timedelta(days=7)
+
+_log = part_logger('entry.cleanup')
+
+
+async def delete_ended_jobs(
+    table: TableService, data_centre: str, now: datetime
+) -> int:
+    """Delete old final records together with their idempotency keys.
+
+    Parameters
+    ----------
+    table : TableService
+        Holds the records.
+    data_centre : str
+        Partition whose records are deleted.
+    now : datetime
+        Current time.
+
+    Returns
+    -------
+    int
+        Number of deleted jobs.
+
+    Raises
+    ------
+    DragonflynotchError
+        If the table service fails; the rest is deleted by a later call.
+    """
+    old = [
+        (job, row)
+        for row in await table.scan(job_rows_prefix(data_centre))
+        if (job := _ended_job(row, now)) is not None
+    ]
+    if not old:
+        return 0
+    keys = await _key_rows(table, data_centre)
+    for job, row in old:
+        writes = [
+            ConditionalWrite(each.key, None, each.version)
+            for each in (row, *keys.get(job.job_id, ()))
+        ]
+        await table.commit(writes, uuid.uuid4().hex)
+    _log.info('deleted {} records of ended jobs', len(old))
+    return len(old)
+
+
+async def _key_rows(
+    table: TableService, data_centre: str
+) -> dict[str, list[Row]]:
+    by_job: dict[str, list[Row]] = defaultdict(list)
+    for row in await table.scan(JOB_KEY_PREFIX):
+        content = decode_key_row(row.content)
+        if content.data_centre == data_centre:
+            by_job[content.job_id].append(row)
+    return by_job
+
+
+def _ended_job(row: Row, now: datetime) -> Job | None:
+    try:
+        job = decode_job_row(row.content)
+    except msgspec.DecodeError:
+        return None
+    if not job.state.is_final or job.ended_at is None:
+        return None
+    return job if now - job.ended_at > RECORD_RETENTION else None
--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -8,13 +8,17 @@
 import msgspec
 
 from dragonflynotch.core.clock import Clock
-from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.core.errors import (
+    DragonflynotchError,
+    PlatformUnavailableError,
+)
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.ownership import OwnershipPolicy
 from dragonflynotch.core.partition import Partition
 from dragonflynotch.core.policy import PolicySettings
 from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.guard_roster import GuardRoster
+from dragonflynotch.entry.job_cleanup import delete_ended_jobs
 from dragonflynotch.entry.job_overview import JobOverview, describe_jobs
 from dragonflynotch.entry.job_recorder import JobRecorder
 from dragonflynotch.entry.lease_row import LeaseRowStore
@@ -43,6 +47,7 @@
 __all__ = ('Scheduling',)
 
 _LOAD_RETRY_S = 0.2
+_CLEANUP_INTERVAL_S = 3600
 
 _log = part_logger('entry.scheduling')
 
@@ -76,6 +81,7 @@
         ownership = settings.ownership
         self._data_centre = settings.data_centre
         self._table = table
+        self._clock = clock
         self._link = HttpOrderLink(_ms(ownership.order_timeout_ms))
         store = LeaseRowStore(
             table, settings.data_centre, f'{settings.entry_id}.{incarnation}'
@@ -135,6 +141,7 @@
         self._tasks = [
             asyncio.create_task(self.keeper.run()),
             asyncio.create_task(self._owner.run()),
+            asyncio.create_task(self._delete_ended_jobs()),
         ]
 
     async def stop(self) -> None:
@@ -160,6 +167,18 @@
             self._loading.cancel()
         self._owner.post(OwnershipWasLost())
 
+    async def _delete_ended_jobs(self) -> None:
+        while True:
+            await asyncio.sleep(_CLEANUP_INTERVAL_S)
+            if not self.is_deciding:
+                continue
+            try:
+                await delete_ended_jobs(
+                    self._table, self._data_centre, self._clock.now()
+                )
+            except DragonflynotchError as error:
+                _log.info('records of ended jobs were not deleted: {}', error)
+
     async def _load(self, fence: int) -> None:
         while True:
             try:
--- a/dragonflynotch/records/job_rows.py
+++ b/dragonflynotch/records/job_rows.py
@@ -5,6 +5,7 @@
 from dragonflynotch.core.jobs import Job
 
 __all__ = (
+    'JOB_KEY_PREFIX',
     'JobKeyRow',
     'JobRow',
     'decode_job_row',
@@ -15,6 +16,8 @@
     'job_rows_prefix',
 )
 
+JOB_KEY_PREFIX = 'job-key/'
+
 _SCHEMA_VERSION = 1
 
 
@@ -46,7 +49,7 @@
 
 def idempotency_row_key(workspace: str, key: str) -> str:
     """Return the key of the row that maps an idempotency key to its job."""
-    return f'job-key/{workspace}/{key}'
+    return f'{JOB_KEY_PREFIX}{workspace}/{key}'
 
 
 def encode_row(row: JobRow | JobKeyRow) -> bytes:
--- /dev/null
+++ b/tests/entry/test_job_cleanup.py
@@ -0,0 +1,61 @@
+"""Only records of jobs that ended long ago are deleted."""
+
+from datetime import timedelta
+
+import pytest
+
+from dragonflynotch.core.clock import ManualClock
+from dragonflynotch.core.jobs import Job, JobSpec, JobState
+from dragonflynotch.core.shapes import Shape
+from dragonflynotch.entry.job_cleanup import (
+    RECORD_RETENTION,
+    delete_ended_jobs,
+)
+from dragonflynotch.platform.table import ABSENT_VERSION, ConditionalWrite
+from dragonflynotch.records.job_rows import (
+    JobKeyRow,
+    JobRow,
+    encode_row,
+    idempotency_row_key,
+    job_row_key,
+)
+from dragonflynotch.testing.table import MemoryTable
+
+NOW = ManualClock().now()
+
+
+@pytest.mark.parametrize(
+    ('state', 'age', 'expected'),
+    [
+        (JobState.finished, timedelta(days=8), 1),
+        (JobState.failed, timedelta(days=8), 1),
+        (JobState.finished, RECORD_RETENTION, 0),
+        (JobState.running, timedelta(days=30), 0),
+    ],
+)
+async def test_records(state, age, expected):
+    """Guards against a lost overnight batch, and against endless growth."""
+    table = MemoryTable()
+    job = Job(
+        'job-1',
+        JobSpec('resort', 'recut', Shape(1)),
+        NOW - age,
+        state,
+        ended_at=NOW - age if state.is_final else None,
+    )
+    rows = {
+        job_row_key('dc', 'job-1'): encode_row(JobRow(job=job)),
+        idempotency_row_key('resort', 'key'): encode_row(
+            JobKeyRow(job_id='job-1', data_centre='dc', body_digest='')
+        ),
+    }
+    await table.commit(
+        [
+            ConditionalWrite(key, content, ABSENT_VERSION)
+            for key, content in rows.items()
+        ],
+        'test',
+    )
+    assert await delete_ended_jobs(table, 'dc', NOW) == expected
+    left = await table.scan('job')
+    assert len(left) == (0 if expected else 2)
