--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 $(STAMP): requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
 format:
--- a/dragonflynotch/records/__init__.py
+++ b/dragonflynotch/records/__init__.py
@@ -1,1 +1,1 @@
-"""Validated models at the border: settings, records and HTTP bodies."""
+"""Validated models at the system boundary: settings, records, HTTP bodies."""
