Choose minions and renew remote members at constant cost

Change: random samples of the ready local members, probes from the set of ejected ones, one time for each entry that lists members. Ruled out: one time for each data centre; a member that only a silent entry lists would stay live by the digests of another one.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -16,6 +16,7 @@
 from dragonflynotch.core.routing import RoutingTable, Target
 from dragonflynotch.core.topology import Worker
 from dragonflynotch.entry.peers import RemoteEntries
+from dragonflynotch.entry.target_feed import TargetFeed
 from dragonflynotch.links.digest_codec import encode_member
 from dragonflynotch.links.entry_link_pb2 import Digest
 
@@ -81,7 +82,7 @@
 def _measure(count: int) -> tuple[float, float, float, int]:
     clock = ManualClock()
     table = RoutingTable('lautoka', Random(_SEED))
-    remote = RemoteEntries(lambda guard: table.observe(_target(guard)))
+    remote = RemoteEntries(TargetFeed('lautoka', table, lambda: None))
     guards = [_guard(number, clock) for number in range(count)]
     full = _digest(1, guards, clock)
     remote.apply(full, clock.now())
--- a/dragonflynotch/core/ejection.py
+++ b/dragonflynotch/core/ejection.py
@@ -57,10 +57,16 @@
         """Start without ejected members."""
         self._policy = policy or EjectionPolicy()
         self._records: dict[str, _Record] = {}
+        self._ejected: set[str] = set()
+
+    @property
+    def ejected(self) -> Set[str]:
+        """Members that get no regular requests."""
+        return self._ejected
 
     def is_ejected(self, guard_id: str) -> bool:
         """Return whether the member gets no regular requests."""
-        return self._record(guard_id).ejected_until is not None
+        return guard_id in self._ejected
 
     def needs_probe(self, guard_id: str, now: datetime) -> bool:
         """Return whether a probe request may be sent to an ejected member."""
@@ -86,6 +92,7 @@
         # so a member that alternates is ejected for longer each time.
         ejections = record.ejections if is_probe else record.ejections // 2
         self._records[guard_id] = _Record(ejections=ejections)
+        self._ejected.discard(guard_id)
 
     def record_failure(
         self, guard_id: str, now: datetime, members: Set[str]
@@ -115,6 +122,7 @@
     def forget(self, guard_id: str) -> None:
         """Drop what is known, because the member restarted or is gone."""
         self._records.pop(guard_id, None)
+        self._ejected.discard(guard_id)
 
     def _record(self, guard_id: str) -> _Record:
         return self._records.get(guard_id, _CLEAN)
@@ -140,3 +148,4 @@
             ejections=ejections,
             ejected_until=now + self._policy.ejection_time(ejections),
         )
+        self._ejected.add(guard_id)
--- a/dragonflynotch/core/routing.py
+++ b/dragonflynotch/core/routing.py
@@ -1,11 +1,13 @@
 """Choice of a minion for a request, from announced membership."""
 
-from collections.abc import Iterable, Set
+from collections.abc import Set
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from random import Random
 
 from dragonflynotch.core.ejection import EjectionPolicy, OutlierEjector
+from dragonflynotch.core.member_ids import MemberIds
+from dragonflynotch.core.renewals import Renewals
 
 __all__ = (
     'MEMBER_TTL',
@@ -19,6 +21,9 @@
 MEMBER_TTL = timedelta(seconds=2.2)
 REMOTE_MEMBER_TTL = timedelta(seconds=2.6)
 
+_SAMPLE_TRIES = 12
+# Up to this size all members are visited if no sampled one has a free slot.
+_SCAN_LIMIT = 512
 _NONE: Set[str] = frozenset()
 _RETRY_AFTER = timedelta(seconds=1)
 # Silent members stay known for as long as guards remember requests, so that a
@@ -98,10 +103,17 @@
         self._data_centre = data_centre
         self._random = random
         self._members: dict[str, _Member] = {}
+        self._ids = MemberIds()
+        self._renewals = Renewals()
         self._replaced: dict[str, set[int]] = {}
         self._ejector = OutlierEjector(ejection)
         self._forgot_at: datetime | None = None
 
+    @property
+    def renewals(self) -> Renewals:
+        """What the digests of other entries say of members."""
+        return self._renewals
+
     def observe(self, target: Target) -> None:
         """Take over a target's latest announcement; older ones are ignored."""
         guard_id = target.guard_id
@@ -122,6 +134,7 @@
             # A digest renews the age of a member whose state is unchanged.
             heard_at = max(member.target.heard_at, target.heard_at)
             member.target = replace(member.target, heard_at=heard_at)
+        self._ids.add(target.data_centre, guard_id)
         self._forget(target.heard_at)
 
     def live_targets(self, now: datetime) -> tuple[Target, ...]:
@@ -129,15 +142,7 @@
         return tuple(
             member.target
             for member in self._members.values()
-            if self._is_fresh(member.target, now)
-        )
-
-    def local_targets(self, now: datetime) -> tuple[Target, ...]:
-        """Return the live targets of this data centre, for digests."""
-        return tuple(
-            target
-            for target in self.live_targets(now)
-            if target.data_centre == self._data_centre
+            if self._is_fresh(member, now)
         )
 
     def known_target(self, guard_id: str) -> Target | None:
@@ -151,12 +156,8 @@
 
     def is_live(self, target: Target, now: datetime) -> bool:
         """Return whether this incarnation of a guard is within its time."""
-        known = self.known_target(target.guard_id)
-        return (
-            known is not None
-            and known.incarnation == target.incarnation
-            and self._is_fresh(known, now)
-        )
+        member = self._current(target)
+        return member is not None and self._is_fresh(member, now)
 
     def choose(
         self,
@@ -176,24 +177,16 @@
         is_idempotent : bool
             Whether the request may serve as a probe of an ejected member.
         """
-        ready = [
-            member
-            for member in self._members.values()
-            if member.target.is_ready
-            and member.target.guard_id not in excluded
-            and self._is_fresh(member.target, now)
-        ]
-        usable = [member for member in ready if self._is_usable(member)]
         if is_idempotent:
-            probe = self._probe_target(ready, now)
+            probe = self._probe_target(excluded, now)
             if probe is not None:
                 return self._take(probe)
-        if not usable:
-            return NoTarget('no_minion', _RETRY_AFTER)
-        free = [member for member in usable if member.free_slots > 0]
-        if not free:
-            return NoTarget('no_free_slot', _RETRY_AFTER)
-        return self._take(self._better_of_two(self._local_first(free)))
+        sampled = self._sample(self._data_centre, excluded, now)
+        if sampled:
+            return self._take(self._better_of_two(sampled))
+        if len(self._members) <= _SCAN_LIMIT:
+            return self._choose_from_all(excluded, now)
+        return self._choose_elsewhere(excluded, now)
 
     def release(self, target: Target) -> None:
         """Count the slot that ``choose`` used as free again."""
@@ -242,21 +235,80 @@
             return None
         return member
 
-    def _is_fresh(self, target: Target, now: datetime) -> bool:
-        is_local = target.data_centre == self._data_centre
-        limit = MEMBER_TTL if is_local else REMOTE_MEMBER_TTL
-        return now - target.heard_at <= limit
+    def _is_fresh(self, member: _Member, now: datetime) -> bool:
+        target = member.target
+        if target.data_centre == self._data_centre:
+            return now - target.heard_at <= MEMBER_TTL
+        if now - target.heard_at <= REMOTE_MEMBER_TTL:
+            return True
+        return self._renewals.is_fresh(target.guard_id, now, REMOTE_MEMBER_TTL)
+
+    def _is_ready(
+        self, member: _Member, excluded: Set[str], now: datetime
+    ) -> bool:
+        target = member.target
+        is_wanted = target.is_ready and target.guard_id not in excluded
+        return is_wanted and self._is_fresh(member, now)
 
     def _is_usable(self, member: _Member) -> bool:
         return not self._ejector.is_ejected(member.target.guard_id)
 
+    def _sample(
+        self, data_centre: str, excluded: Set[str], now: datetime
+    ) -> list[_Member]:
+        """Return up to two random members with a free slot.
+
+        Visiting all members took 11 ms for 17,000 of them.
+        """
+        found: list[_Member] = []
+        for guard_id in self._ids.sample(
+            data_centre, self._random, _SAMPLE_TRIES
+        ):
+            member = self._members[guard_id]
+            if (
+                self._is_ready(member, excluded, now)
+                and self._is_usable(member)
+                and member.free_slots > 0
+            ):
+                found.append(member)
+            if len(found) == 2:
+                break
+        return found
+
+    def _choose_elsewhere(
+        self, excluded: Set[str], now: datetime
+    ) -> Target | NoTarget:
+        for data_centre in self._ids.data_centres:
+            sampled = self._sample(data_centre, excluded, now)
+            if sampled:
+                return self._take(self._better_of_two(sampled))
+        return NoTarget('no_free_slot', _RETRY_AFTER)
+
+    def _choose_from_all(
+        self, excluded: Set[str], now: datetime
+    ) -> Target | NoTarget:
+        usable = [
+            member
+            for member in self._members.values()
+            if self._is_ready(member, excluded, now) and self._is_usable(member)
+        ]
+        if not usable:
+            return NoTarget('no_minion', _RETRY_AFTER)
+        free = [member for member in usable if member.free_slots > 0]
+        if not free:
+            return NoTarget('no_free_slot', _RETRY_AFTER)
+        return self._take(self._better_of_two(self._local_first(free)))
+
     def _probe_target(
-        self, ready: Iterable[_Member], now: datetime
+        self, excluded: Set[str], now: datetime
     ) -> _Member | None:
-        for member in ready:
-            guard_id = member.target.guard_id
-            if member.free_slots > 0 and self._ejector.needs_probe(
-                guard_id, now
+        for guard_id in self._ejector.ejected:
+            member = self._members.get(guard_id)
+            if (
+                member is not None
+                and self._is_ready(member, excluded, now)
+                and member.free_slots > 0
+                and self._ejector.needs_probe(guard_id, now)
             ):
                 self._ejector.start_probe(guard_id, now)
                 return member
@@ -283,7 +335,9 @@
             return
         self._forgot_at = now
         for guard_id, member in tuple(self._members.items()):
-            if now - member.target.heard_at > _KNOWN_FOR:
+            is_old = now - member.target.heard_at > _KNOWN_FOR
+            if is_old and not self._is_fresh(member, now):
                 self._members.pop(guard_id)
+                self._ids.discard(member.target.data_centre, guard_id)
                 self._replaced.pop(guard_id, None)
                 self._ejector.forget(guard_id)
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -11,7 +11,6 @@
 
 from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.core.membership import GuardInfo, Membership
-from dragonflynotch.core.routing import Target
 from dragonflynotch.entry.admission import TopologyAdmission
 from dragonflynotch.entry.configuration import ConfigurationService
 from dragonflynotch.entry.configuration_copies import ConfigurationCopies
@@ -37,6 +36,7 @@
 from dragonflynotch.entry.scheduling import Scheduling
 from dragonflynotch.entry.server import HttpServer
 from dragonflynotch.entry.sync import EntrySync, readable_versions
+from dragonflynotch.entry.target_feed import TargetFeed
 from dragonflynotch.links.entry_link import EntryLinkServer, GrpcEntryLink
 from dragonflynotch.links.messages import Acknowledgement, Announcement
 from dragonflynotch.observability.logs import part_logger
@@ -68,7 +68,22 @@
         self._metrics = EntryMetrics(settings.entry_id, settings.data_centre)
         self._table = HttpTableService(settings.table.url, _TABLE_TIMEOUT)
         self._membership = Membership()
-        self._remote = RemoteEntries(self._observe_remote)
+        started_at = self._clock.now()
+        self._health = Health(
+            lambda: self._configuration.is_ready,
+            lambda: self._clock.now() - started_at > _MEMBERS_HEARD_AFTER,
+        )
+        self._requests = RequestPath(
+            settings,
+            lambda: self._configuration.view(),
+            self._health,
+            self._clock,
+            self._metrics,
+        )
+        self._targets = TargetFeed(
+            settings.data_centre, self._requests.routing, self._requests.pump
+        )
+        self._remote = RemoteEntries(self._targets)
         self._registry = EntryRegistry(self._identity, self._table, self._clock)
         self._configuration = ConfigurationService(
             ConfigurationStore(self._table),
@@ -118,18 +133,6 @@
             self._exchange.link_to,
             self._clock,
         )
-        started_at = self._clock.now()
-        self._health = Health(
-            lambda: self._configuration.is_ready,
-            lambda: self._clock.now() - started_at > _MEMBERS_HEARD_AFTER,
-        )
-        self._requests = RequestPath(
-            settings,
-            self._configuration.view,
-            self._health,
-            self._clock,
-            self._metrics,
-        )
         self._callers = HttpServer(
             self._requests.create_app(
                 create_job_router(jobs, self._configuration.view),
@@ -201,31 +204,9 @@
         self, guard: GuardInfo, announcement: Announcement
     ) -> None:
         self._configuration.notice_revision(announcement.configuration_revision)
-        self._observe_target(guard)
+        self._targets.observe(guard)
         self._scheduling.hear(guard, announcement.task_digest)
 
-    def _observe_remote(self, guard: GuardInfo) -> None:
-        if guard.data_centre != self._settings.data_centre:
-            self._observe_target(guard)
-
-    def _observe_target(self, guard: GuardInfo) -> None:
-        if guard.minion is None:
-            return
-        self._requests.observe(
-            Target(
-                guard_id=guard.guard_id,
-                incarnation=guard.incarnation,
-                sequence=guard.sequence,
-                data_centre=guard.data_centre,
-                address=guard.address,
-                minion_id=guard.minion.minion_id,
-                slots=guard.minion.slots,
-                free_slots=guard.minion.free_slots,
-                is_ready=guard.is_ready,
-                heard_at=guard.heard_at,
-            )
-        )
-
     def _acknowledge(self, announcement: Announcement) -> Acknowledgement:
         return Acknowledgement(
             entry_id=self._settings.entry_id,
--- a/dragonflynotch/entry/peers.py
+++ b/dragonflynotch/entry/peers.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Any
 
@@ -37,6 +37,7 @@
     'PeerState',
     'SchedulingPort',
     'RemoteEntries',
+    'RemoteGuardObserver',
 )
 
 DIGEST_INTERVAL = timedelta(seconds=0.4)
@@ -106,12 +107,28 @@
     guards: dict[str, GuardInfo] = field(default_factory=dict)
 
 
+class RemoteGuardObserver(ABC):
+    """Receives what digests say of the guards of other entries."""
+
+    @abstractmethod
+    def guard_listed(self, entry_id: str, guard: GuardInfo) -> None:
+        """Take over a guard that is new or changed at an entry."""
+
+    @abstractmethod
+    def guard_unlisted(self, entry_id: str, guard: GuardInfo) -> None:
+        """Note that an entry lists a guard no more."""
+
+    @abstractmethod
+    def guards_renewed(self, entry_id: str, heard_at: datetime) -> None:
+        """Count all guards listed by an entry as heard at a time."""
+
+
 class RemoteEntries:
     """Digests received from the other entries."""
 
-    def __init__(self, observe: Callable[[GuardInfo], None]) -> None:
-        """Pass guards of other data centres on to ``observe``."""
-        self._observe = observe
+    def __init__(self, observer: RemoteGuardObserver) -> None:
+        """Pass changes on to ``observer``."""
+        self._observer = observer
         self._peers: dict[str, PeerState] = {}
 
     def live(self, now: datetime) -> tuple[PeerState, ...]:
@@ -135,13 +152,14 @@
         if not is_known_base:
             return 0 if digest.base > peer.applied else peer.applied
         if digest.base == 0:
-            peer.guards.clear()
+            self._unlist(peer, tuple(peer.guards))
         self._apply_members(peer, digest, now)
         peer.applied = digest.number
         return digest.number
 
     def _peer(self, digest: Digest, now: datetime) -> PeerState:
-        peer = self._peers.get(digest.entry_id)
+        known = self._peers.get(digest.entry_id)
+        peer = known
         if peer is None or peer.incarnation != digest.incarnation:
             peer = PeerState(
                 entry_id=digest.entry_id,
@@ -155,6 +173,8 @@
                 applied=0,
                 heard_at=now,
             )
+            if known is not None:
+                self._unlist(known, tuple(known.guards))
             self._peers[digest.entry_id] = peer
         peer.heard_at = now
         peer.owned_fence = digest.owned_fence
@@ -166,14 +186,21 @@
     def _apply_members(
         self, peer: PeerState, digest: Digest, now: datetime
     ) -> None:
-        for guard_id in digest.left:
-            peer.guards.pop(guard_id, None)
+        self._unlist(peer, digest.left)
         for member in digest.changed:
             guard = decode_member(member, peer.data_centre, now)
             peer.guards[guard.guard_id] = guard
+            self._observer.guard_listed(peer.entry_id, guard)
+        # One time for all members, so that the cost of a digest does not grow
+        # with the size of a data centre.
         heard_at = now - timedelta(milliseconds=digest.oldest_age_ms)
-        for guard in peer.guards.values():
-            self._observe(_heard_not_before(guard, heard_at))
+        self._observer.guards_renewed(peer.entry_id, heard_at)
+
+    def _unlist(self, peer: PeerState, guard_ids: Iterable[str]) -> None:
+        for guard_id in guard_ids:
+            guard = peer.guards.pop(guard_id, None)
+            if guard is not None:
+                self._observer.guard_unlisted(peer.entry_id, guard)
 
 
 class SchedulingPort(ABC):
@@ -375,7 +402,3 @@
         await link.push_configuration(update)
     except LinkError as error:
         _log.warning('configuration push failed: {}', error)
-
-
-def _heard_not_before(guard: GuardInfo, heard_at: datetime) -> GuardInfo:
-    return replace(guard, heard_at=max(guard.heard_at, heard_at))
--- a/dragonflynotch/entry/request_path.py
+++ b/dragonflynotch/entry/request_path.py
@@ -11,7 +11,7 @@
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.core.limits import RetryBudget
-from dragonflynotch.core.routing import RoutingTable, Target
+from dragonflynotch.core.routing import RoutingTable
 from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.at_most_once import AtMostOnceRunner
 from dragonflynotch.entry.attempts import AttemptRunner
@@ -89,6 +89,11 @@
         self._clock = clock
         self._tasks: tuple[asyncio.Task[None], ...] = ()
 
+    @property
+    def routing(self) -> RoutingTable:
+        """Known minions."""
+        return self._routing
+
     def create_app(self, *routers: Router) -> Litestar:
         """Return the ASGI application for callers, with further ``routers``."""
         return create_caller_app(self._context, *routers)
@@ -100,9 +105,8 @@
             asyncio.create_task(self._delete_expired_rows()),
         )
 
-    def observe(self, target: Target) -> None:
-        """Take over an announcement and serve waiting requests."""
-        self._routing.observe(target)
+    def pump(self) -> None:
+        """Serve waiting requests after a change of the known minions."""
         self._queue.pump()
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/entry/test_target_feed.py
@@ -0,0 +1,134 @@
+"""Remote minions are live exactly as long as an entry vouches for them."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from dragonflynotch.core.clock import ManualClock
+from dragonflynotch.core.membership import GuardInfo, Membership, MinionInfo
+from dragonflynotch.core.routing import RoutingTable, Target
+from dragonflynotch.entry.peers import RemoteEntries
+from dragonflynotch.entry.target_feed import TargetFeed
+from dragonflynotch.links.digest_codec import encode_member, milliseconds
+from dragonflynotch.links.entry_link_pb2 import Digest
+
+
+class Site:
+    """Entries of another data centre that send digests to this one."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.routing = RoutingTable('lautoka', Random(3))
+        self.remote = RemoteEntries(
+            TargetFeed('lautoka', self.routing, lambda: None)
+        )
+        self.senders = {'a': Membership(), 'b': Membership()}
+        self.applied = {'a': 0, 'b': 0}
+
+    def hear(self, sender, sequence=1, guard_id='guard-1'):
+        self.senders[sender].observe(
+            GuardInfo(
+                guard_id=guard_id,
+                incarnation=1,
+                sequence=sequence,
+                data_centre='nadi',
+                address=('127.0.0.1', 1),
+                is_ready=True,
+                minion=MinionInfo('minion-1', 8, 8),
+                worker=None,
+                free_accelerators=0,
+                schema_versions=(1, 2),
+                heard_at=self.clock.now(),
+            )
+        )
+
+    def digest(self, sender, incarnation=1):
+        now = self.clock.now()
+        membership = self.senders[sender]
+        membership.expire(now)
+        delta = membership.delta(self.applied[sender], now)
+        self.applied[sender] = self.remote.apply(
+            Digest(
+                entry_id=sender,
+                incarnation=incarnation,
+                data_centre='nadi',
+                number=delta.version,
+                base=delta.base,
+                changed=[encode_member(guard, now) for guard in delta.changed],
+                left=delta.left,
+                oldest_age_ms=milliseconds(delta.oldest_age),
+            ),
+            now,
+        )
+
+    def advance(self, seconds):
+        self.clock.advance(timedelta(seconds=seconds))
+
+    @property
+    def is_live(self):
+        return bool(self.routing.live_targets(self.clock.now()))
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+def test_unchanged_member_stays_live_by_digests_without_it(site):
+    """Guards against remote minions that expire without a change."""
+    for sequence in range(1, 12):
+        site.hear('a', sequence)
+        site.digest('a')
+        site.advance(0.7)
+    assert site.is_live
+    chosen = site.routing.choose(site.clock.now())
+    assert isinstance(chosen, Target)
+
+
+def test_silent_entry_ends_what_it_listed(site):
+    """Guards against remote members that nobody vouches for (G6)."""
+    site.hear('a')
+    site.digest('a')
+    site.advance(2.5)
+    assert site.is_live
+    site.advance(0.2)
+    assert not site.is_live
+
+
+def test_silent_guard_is_gone_within_3_s_although_its_entry_sends(site):
+    """Guards against an entry whose digests keep a dead member alive."""
+    site.hear('a', guard_id='live')
+    site.hear('a')
+    site.digest('a')
+    for sequence in range(2, 10):
+        site.advance(0.37)
+        site.hear('a', sequence, guard_id='live')
+        site.digest('a')
+    now = site.clock.now()
+    live = {target.guard_id for target in site.routing.live_targets(now)}
+    assert live == {'live'}
+
+
+def test_member_stays_while_one_of_two_entries_lists_it(site):
+    """Guards against losing remote minions when one entry stops."""
+    for sequence in range(1, 10):
+        site.hear('a', sequence)
+        site.hear('b', sequence)
+        if sequence == 1:
+            site.digest('a')
+        site.digest('b')
+        site.advance(0.5)
+    assert site.is_live
+
+
+def test_restarted_entry_lists_anew(site):
+    """Guards against members of a former process of an entry."""
+    site.hear('a')
+    site.digest('a')
+    site.senders['a'] = Membership()
+    site.applied['a'] = 0
+    for _ in range(4):
+        site.advance(0.7)
+        site.digest('a', incarnation=2)
+    assert not site.is_live
