--- a/dragonflynotch/core/fleet.py
+++ b/dragonflynotch/core/fleet.py
@@ -122,6 +122,10 @@
         self._state.capacity_changed()
         self.unbind(self._book.place_missing())
 
+    def place_guarantees(self) -> None:
+        """Search again for places of guarantees that have none."""
+        self.unbind(self._book.place_missing())
+
     def unbind(self, guarantees: set[int]) -> None:
         """Treat the gangs of moved or removed guarantees like any others."""
         if not guarantees:
@@ -147,9 +151,8 @@
         self._state.absent.discard(worker.worker_id)
         state.is_verified = is_verified
         for gang in self._state.gangs_on(worker.worker_id):
-            member = gang.members[worker.worker_id]
-            if member.holds:
-                state.hold(member.allocation)
+            if gang.members[worker.worker_id].holds:
+                self._state.hold_inherited(gang, worker.worker_id)
         self._state.inventory.refresh(state)
 
     def _replace(self, known: WorkerState, worker: Worker) -> None:
--- a/dragonflynotch/entry/attempts.py
+++ b/dragonflynotch/entry/attempts.py
@@ -38,6 +38,7 @@
 _STRIKES = (GuardSilent(), GuardUnknown('not_remembered'))
 # Refusals that say nothing about the health of the minion.
 _FULL = 'no_free_slot'
+_NEUTRAL = frozenset(('deadline_passed', 'never'))
 _MINION_FAULT = 'minion_unreachable'
 
 
@@ -86,7 +87,12 @@
         self._clock = clock
 
     async def run(
-        self, target: Target, request: Request, attempt: str
+        self,
+        target: Target,
+        request: Request,
+        attempt: str,
+        *,
+        is_retry: bool = False,
     ) -> AttemptOutcome:
         """Return the outcome of one attempt.
 
@@ -98,12 +104,14 @@
             The request; its deadline limits the attempt.
         attempt : str
             Id of the attempt, never used before.
+        is_retry : bool
+            Whether an earlier attempt of the request failed.
         """
         now = self._clock.now()
         if now >= request.deadline:
             return Proven('deadline_passed')
         call = asyncio.create_task(
-            self._link.run(target, request, attempt, now)
+            self._link.run(target, request, attempt, now, is_retry=is_retry)
         )
         try:
             return await self._supervise(call, target, request, attempt)
@@ -134,7 +142,7 @@
                 self._routing.record_success(target)
             case Proven(reason) if reason == _MINION_FAULT:
                 self._routing.record_failure(target, self._clock.now())
-            case Proven(reason) if reason != 'deadline_passed':
+            case Proven(reason) if reason not in _NEUTRAL:
                 self._routing.record_refusal(target, is_full=reason == _FULL)
             case Failed():
                 self._routing.record_failure(target, self._clock.now())
