--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -26,12 +26,9 @@
     OperatorServices,
     create_operator_app,
 )
-from dragonflynotch.entry.peers import (
-    EntryIdentity,
-    PeerExchange,
-    RemoteEntries,
-)
+from dragonflynotch.entry.peers import EntryIdentity, PeerExchange
 from dragonflynotch.entry.registry import EntryRegistry
+from dragonflynotch.entry.remote_entries import RemoteEntries
 from dragonflynotch.entry.request_path import RequestPath
 from dragonflynotch.entry.scheduling import Scheduling
 from dragonflynotch.entry.server import HttpServer
--- a/dragonflynotch/entry/forwarded_jobs.py
+++ b/dragonflynotch/entry/forwarded_jobs.py
@@ -17,11 +17,8 @@
 )
 from dragonflynotch.entry.owner_inputs import JobRefused, JobUnknown
 from dragonflynotch.entry.ownership import OwnershipKeeper
-from dragonflynotch.entry.peers import (
-    PeerState,
-    RemoteEntries,
-    SchedulingPort,
-)
+from dragonflynotch.entry.peers import SchedulingPort
+from dragonflynotch.entry.remote_entries import PeerState, RemoteEntries
 from dragonflynotch.links.digest_codec import milliseconds
 from dragonflynotch.links.entry_link import EntryLink
 from dragonflynotch.links.entry_link_pb2 import JobCall, JobReply
--- a/dragonflynotch/entry/peers.py
+++ b/dragonflynotch/entry/peers.py
@@ -2,19 +2,19 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Any
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.configuration import Changes
 from dragonflynotch.core.errors import LinkError
-from dragonflynotch.core.membership import GuardInfo, Membership
+from dragonflynotch.core.membership import Membership
 from dragonflynotch.entry.configuration import ConfigurationService
+from dragonflynotch.entry.remote_entries import RemoteEntries
 from dragonflynotch.links.digest_codec import (
     decode_configuration,
-    decode_member,
     encode_configuration,
     encode_member,
     milliseconds,
@@ -34,15 +34,10 @@
     'DIGEST_INTERVAL',
     'EntryIdentity',
     'PeerExchange',
-    'PeerState',
     'SchedulingPort',
-    'RemoteEntries',
-    'RemoteGuardObserver',
 )
 
 DIGEST_INTERVAL = timedelta(seconds=0.4)
-# A peer that sent no digest for this time is not counted as running.
-PEER_TTL = timedelta(seconds=3)
 
 _UNAVAILABLE = 503
 
@@ -61,148 +56,6 @@
     schema_versions: tuple[int, ...]
 
 
-@dataclass(slots=True)
-class PeerState:
-    """What another entry said last.
-
-    Parameters
-    ----------
-    entry_id : str
-        Unique name of the peer.
-    incarnation : int
-        Random number drawn at the start of the peer.
-    data_centre : str
-        Data centre of the peer.
-    link : tuple of (str, int)
-        Address of the peer's entry link.
-    announcements : tuple of (str, int)
-        Where guards send announcements to the peer.
-    applied : int
-        Number of the last digest of the peer that was applied.
-    heard_at : datetime
-        When that digest was received.
-    owned_fence : int
-        Fence of the partition that the peer owns; 0 for none.
-    is_table_reachable : bool
-        Whether the peer reaches the table service.
-    is_stopping : bool
-        Whether the peer is stopping as planned.
-    schema_versions : tuple of int
-        Record versions that the peer reads.
-    guards : dict of str to GuardInfo
-        Guards of the peer's data centre.
-    """
-
-    entry_id: str
-    incarnation: int
-    data_centre: str
-    link: tuple[str, int]
-    announcements: tuple[str, int]
-    applied: int
-    heard_at: datetime
-    owned_fence: int = 0
-    is_table_reachable: bool = True
-    is_stopping: bool = False
-    schema_versions: tuple[int, ...] = ()
-    guards: dict[str, GuardInfo] = field(default_factory=dict)
-
-
-class RemoteGuardObserver(ABC):
-    """Receives what digests say of the guards of other entries."""
-
-    @abstractmethod
-    def guard_listed(self, entry_id: str, guard: GuardInfo) -> None:
-        """Take over a guard that is new or changed at an entry."""
-
-    @abstractmethod
-    def guard_unlisted(self, entry_id: str, guard: GuardInfo) -> None:
-        """Note that an entry lists a guard no more."""
-
-    @abstractmethod
-    def guards_renewed(self, entry_id: str, heard_at: datetime) -> None:
-        """Count all guards listed by an entry as heard at a time."""
-
-
-class RemoteEntries:
-    """Digests received from the other entries."""
-
-    def __init__(self, observer: RemoteGuardObserver) -> None:
-        """Pass changes on to ``observer``."""
-        self._observer = observer
-        self._peers: dict[str, PeerState] = {}
-
-    def live(self, now: datetime) -> tuple[PeerState, ...]:
-        """Return the peers that sent a digest within the last 3 s."""
-        return tuple(
-            peer
-            for peer in self._peers.values()
-            if now - peer.heard_at <= PEER_TTL
-        )
-
-    def apply(self, digest: Digest, now: datetime) -> int:
-        """Apply a digest.
-
-        Returns
-        -------
-        int
-            Number of the digest that is in force; 0 if a full one is needed.
-        """
-        peer = self._peer(digest, now)
-        is_known_base = digest.base == 0 or digest.base == peer.applied
-        if not is_known_base:
-            return 0 if digest.base > peer.applied else peer.applied
-        if digest.base == 0:
-            self._unlist(peer, tuple(peer.guards))
-        self._apply_members(peer, digest, now)
-        peer.applied = digest.number
-        return digest.number
-
-    def _peer(self, digest: Digest, now: datetime) -> PeerState:
-        known = self._peers.get(digest.entry_id)
-        peer = known
-        if peer is None or peer.incarnation != digest.incarnation:
-            peer = PeerState(
-                entry_id=digest.entry_id,
-                incarnation=digest.incarnation,
-                data_centre=digest.data_centre,
-                link=(digest.link_host, digest.link_port),
-                announcements=(
-                    digest.announcements_host,
-                    digest.announcements_port,
-                ),
-                applied=0,
-                heard_at=now,
-            )
-            if known is not None:
-                self._unlist(known, tuple(known.guards))
-            self._peers[digest.entry_id] = peer
-        peer.heard_at = now
-        peer.owned_fence = digest.owned_fence
-        peer.is_table_reachable = digest.is_table_reachable
-        peer.is_stopping = digest.is_stopping
-        peer.schema_versions = tuple(digest.schema_versions)
-        return peer
-
-    def _apply_members(
-        self, peer: PeerState, digest: Digest, now: datetime
-    ) -> None:
-        self._unlist(peer, digest.left)
-        for member in digest.changed:
-            guard = decode_member(member, peer.data_centre, now)
-            peer.guards[guard.guard_id] = guard
-            self._observer.guard_listed(peer.entry_id, guard)
-        # One time for all members, so that the cost of a digest does not grow
-        # with the size of a data centre.
-        heard_at = now - timedelta(milliseconds=digest.oldest_age_ms)
-        self._observer.guards_renewed(peer.entry_id, heard_at)
-
-    def _unlist(self, peer: PeerState, guard_ids: Iterable[str]) -> None:
-        for guard_id in guard_ids:
-            guard = peer.guards.pop(guard_id, None)
-            if guard is not None:
-                self._observer.guard_unlisted(peer.entry_id, guard)
-
-
 class SchedulingPort(ABC):
     """What the exchange needs from the scheduling part of this entry."""
 
--- a/dragonflynotch/entry/sync.py
+++ b/dragonflynotch/entry/sync.py
@@ -9,11 +9,12 @@
 from dragonflynotch.core.membership import Membership
 from dragonflynotch.entry.configuration import ConfigurationService
 from dragonflynotch.entry.configuration_copies import ConfigurationCopies
-from dragonflynotch.entry.peers import PeerExchange, RemoteEntries
+from dragonflynotch.entry.peers import PeerExchange
 from dragonflynotch.entry.registry import (
     REGISTRATION_INTERVAL,
     EntryRegistry,
 )
+from dragonflynotch.entry.remote_entries import RemoteEntries
 from dragonflynotch.records.documents import READABLE_SCHEMA_VERSIONS
 
 __all__ = ('EntrySync', 'readable_versions')
