Refuse jobs that fit only on guarantees never lent to them

Cause: a long job that cannot be checkpointed and fits only where other workspaces hold guarantees was accepted and waited for ever. Change: it is refused as never runnable with the reason; jobs that may borrow, jobs inside an own guarantee and times in which workers are lost are not affected. Two tests of lending had such a job as their waiting one; they now keep the accelerators outside of the guarantee busy instead, so that the job waits for them and still must not borrow. Ruled out: waiting with a reason, which keeps a caller from choosing another shape.

--- a/dragonflynotch/core/partition.py
+++ b/dragonflynotch/core/partition.py
@@ -112,7 +112,13 @@
             self._reservations,
             self._run_times,
         )
-        self._submissions = Submissions(self._state, self._gangs, self._claims)
+        self._submissions = Submissions(
+            self._state,
+            self._gangs,
+            self._claims,
+            self._book,
+            self._run_times,
+        )
         self._expiry = Expiry(
             self._state,
             self._gangs,
--- a/dragonflynotch/core/submissions.py
+++ b/dragonflynotch/core/submissions.py
@@ -12,7 +12,10 @@
 from dragonflynotch.core.feasibility import find_obstacle
 from dragonflynotch.core.gang_control import GangControl
 from dragonflynotch.core.gangs import Outcome
+from dragonflynotch.core.guarantee_book import GuaranteeBook
 from dragonflynotch.core.jobs import Job, JobState
+from dragonflynotch.core.lending import find_lending_obstacle
+from dragonflynotch.core.runtimes import RunTimes
 from dragonflynotch.core.state import PartitionState
 
 __all__ = ('Submissions',)
@@ -31,6 +34,10 @@
         Stops the gangs of cancelled jobs.
     claims : Claims
         Accelerators that are being freed.
+    book : GuaranteeBook
+        Guarantees of the data centre.
+    run_times : RunTimes
+        Learned run times.
     """
 
     def __init__(
@@ -38,11 +45,15 @@
         state: PartitionState,
         gangs: GangControl,
         claims: Claims,
+        book: GuaranteeBook,
+        run_times: RunTimes,
     ) -> None:
         """Keep the parts."""
         self._state = state
         self._gangs = gangs
         self._claims = claims
+        self._book = book
+        self._run_times = run_times
 
     def submit(self, job: Job) -> None:
         """Answer a submission; a repeated one is accepted once."""
@@ -73,7 +84,11 @@
             return NotOwner()
         if job.job_id in self._state.jobs:
             return Accepted()
-        obstacle = find_obstacle(job.spec, self._state)
+        obstacle = find_obstacle(
+            job.spec, self._state
+        ) or find_lending_obstacle(
+            job.spec, self._state, self._book, self._run_times
+        )
         if obstacle is not None:
             return NeverRunnable(obstacle)
         waiting = replace(job, state=JobState.waiting)
