Drain with asyncio.timeout instead of asyncio.wait_for

Cause: asyncio.wait_for of Python 3.11 can lose a cancellation that arrives together with the result (docs/decisions/link.md). Change: one call; no other use is left. Measured: pytest tests/guard tests/failures/test_members.py pass.

--- a/dragonflynotch/guard/requests.py
+++ b/dragonflynotch/guard/requests.py
@@ -215,7 +215,8 @@
         """
         self.start_drain()
         try:
-            await asyncio.wait_for(self._idle.wait(), limit.total_seconds())
+            async with asyncio.timeout(limit.total_seconds()):
+                await self._idle.wait()
         except TimeoutError:
             return False
         return True
