Name outcome, step and peer in operator and job refusals

Cause: these refusals lacked the step and the peer, and some the outcome; a drain without an answer did not say that it may have taken effect.

--- a/dragonflynotch/entry/job_service.py
+++ b/dragonflynotch/entry/job_service.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.entry.owner_inputs import JobRefused, JobUnknown
 
 __all__ = (
@@ -25,6 +26,7 @@
 _HTTP_UNAVAILABLE = 503
 _HTTP_TIMEOUT = 504
 _FIRST_PROBLEM_STATUS = 300
+_SHOWN_CHARS = 200
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -117,6 +119,8 @@
     path: str = ''
     value: str = ''
     expected: str = ''
+    step: str = ''
+    peer: str = ''
 
 
 def problem_answer(
@@ -126,15 +130,24 @@
     *,
     outcome: str = 'not_run',
     retry_after: timedelta | None = None,
-    path: str = '',
-    value: str = '',
-    expected: str = '',
+    invalid: InvalidInputError | None = None,
+    step: str = 'decide on job',
+    peer: str = '',
 ) -> JobAnswer:
     """Return a problem document."""
     retry_after_ms = (retry_after or timedelta()) // _MILLISECOND
     problem = _Problem(
-        outcome, reason, detail, retry_after_ms, path, value, expected
+        outcome,
+        reason,
+        detail,
+        retry_after_ms,
+        step=step,
+        peer=peer,
     )
+    if invalid is not None:
+        problem.path = invalid.path
+        problem.value = repr(invalid.value)[:_SHOWN_CHARS]
+        problem.expected = invalid.expected
     return JobAnswer(status, msgspec.json.encode(problem), retry_after)
 
 
--- a/dragonflynotch/entry/local_jobs.py
+++ b/dragonflynotch/entry/local_jobs.py
@@ -111,9 +111,8 @@
                 _HTTP_BAD_REQUEST,
                 'malformed',
                 str(error),
-                path=error.path,
-                value=repr(error.value)[:200],
-                expected=error.expected,
+                invalid=error,
+                step='check job',
             )
         except PlatformUnavailableError as error:
             return problem_answer(
@@ -121,6 +120,8 @@
                 'table_unavailable',
                 str(error),
                 retry_after=_RETRY_AFTER,
+                step=error.step,
+                peer=error.peer,
             )
 
     async def _answer(self, command: JobCommand) -> JobAnswer:
--- a/dragonflynotch/entry/operators.py
+++ b/dragonflynotch/entry/operators.py
@@ -181,7 +181,15 @@
             try:
                 reply = await client.post(f'http://{host}:{port}/v1/drain')
             except httpx.HTTPError as error:
-                return _problem(_BAD_GATEWAY, 'no_answer', repr(error))
+                return _problem(
+                    _BAD_GATEWAY,
+                    'no_answer',
+                    repr(error),
+                    outcome='unknown',
+                    step='drain',
+                    peer=guard_id,
+                    retry_after=_DRAIN_TIMEOUT,
+                )
         return _json(
             _ACCEPTED, {'guard': guard_id, 'status': reply.status_code}
         )
@@ -260,7 +268,8 @@
             _UNAVAILABLE if is_temporary else _REFUSED,
             verdict.reason,
             verdict.detail,
-            outcome='not_run',
+            step='commit record' if is_temporary else 'check record',
+            peer='table service' if is_temporary else '',
             retry_after=verdict.retry_after,
         )
     return _problem(
@@ -268,6 +277,8 @@
         'uncertain_write',
         verdict.detail,
         outcome='unknown',
+        step='commit record',
+        peer='table service',
         retry_after=verdict.retry_after,
     )
 
@@ -288,11 +299,21 @@
     reason: str,
     detail: str,
     *,
+    outcome: str = 'not_run',
+    step: str = 'check request',
+    peer: str = '',
     retry_after: timedelta | None = None,
     **extra: object,
 ) -> Response[bytes]:
     headers = {}
-    content = {'reason': reason, 'detail': detail, **extra}
+    content = {
+        'outcome': outcome,
+        'reason': reason,
+        'detail': detail,
+        'step': step,
+        'peer': peer,
+        **extra,
+    }
     if retry_after is not None:
         content['retry_after_ms'] = int(retry_after.total_seconds() * 1000)
         headers['Retry-After'] = str(int(retry_after.total_seconds()))
