--- /dev/null
+++ b/dragonflynotch/control/configuration.py
@@ -0,0 +1,80 @@
+"""The configuration in force in this process."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.rows import RowChange, RowStore
+from dragonflynotch.control.watch import TableWatch
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.deployment import Deployment
+
+__all__ = ('ConfigurationWatch',)
+
+# A feed that delivers nothing while changes are made is noticed after this.
+_FEED_WAIT = timedelta(milliseconds=800)
+
+
+class ConfigurationWatch:
+    """Follows the operator's row; versions never go back.
+
+    Parameters
+    ----------
+    store : RowStore
+        Store with the row.
+    table, key : str
+        Place of the row.
+    decode : callable
+        Returns the deployment, or ``None`` for unreadable bytes.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        key: str,
+        decode: Callable[[bytes], Deployment | None],
+        clock: SteadyClock,
+    ) -> None:
+        """Create the watch; ``run`` starts it."""
+        self._key = key
+        self._decode = decode
+        self._deployment: Deployment | None = None
+        self._watch = TableWatch(
+            store, table, self._on_changes, clock, _FEED_WAIT
+        )
+
+    @property
+    def deployment(self) -> Deployment | None:
+        """Newest configuration, or ``None`` before the first."""
+        return self._deployment
+
+    @property
+    def age_ms(self) -> int:
+        """Upper bound on the age of the configuration, in milliseconds."""
+        return self._watch.age_ms
+
+    async def run(self) -> None:
+        """Follow the row until cancelled."""
+        await self._watch.run()
+
+    def _on_changes(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            if change.key == self._key and change.content is not None:
+                self._apply(change.content)
+
+    def _apply(self, content: bytes) -> None:
+        deployment = self._decode(content)
+        if deployment is None:
+            decision_log.record('configuration_unreadable', key=self._key)
+            return
+        current = self._deployment
+        if current is not None and deployment.version <= current.version:
+            return
+        self._deployment = deployment
+        decision_log.record(
+            'configuration_in_force',
+            version=deployment.version,
+            queues=len(deployment.queues),
+            workspaces=len(deployment.workspaces),
+        )
--- /dev/null
+++ b/dragonflynotch/control/leader.py
@@ -0,0 +1,313 @@
+"""Runs the scheduler while this node holds the scheduling lease."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from datetime import timedelta
+
+from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.leadership import Leadership, LeaseLostError
+from dragonflynotch.control.rows import (
+    RowChange,
+    RowName,
+    RowStore,
+    RowWrite,
+    Table,
+)
+from dragonflynotch.control.watch import TableWatch
+from dragonflynotch.core.errors import (
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.deployment import Deployment
+from dragonflynotch.workflows.jobs import JobSpec
+from dragonflynotch.workflows.records import (
+    Order,
+    ProgressRow,
+    Report,
+    decode_row,
+    encode_row,
+)
+from dragonflynotch.workflows.scheduler import (
+    Decisions,
+    Scheduler,
+    SchedulerSettings,
+)
+
+__all__ = ('Leader',)
+
+_FEED_WAIT = timedelta(milliseconds=1000)
+# Changes that arrive together are decided on together.
+_BATCH_S = 0.008
+# A round runs at least this often: deadlines pass without an event.
+_ROUND = timedelta(milliseconds=250)
+# The lease row is rewritten at least this often.
+_RENEWAL_MS = 600
+_CANDIDATE_PAUSE_S = 0.7
+# Replicas older than this could miss a cancellation; nothing is started.
+_FRESH_MS = 1800
+# Rows in a transaction, leaving room for conditions and the lease itself.
+_MAX_WRITES = 90
+# Clocks and the delay of answers are covered by this much.
+_AUTHORITY_MARGIN_MS = 500
+
+
+class Leader:
+    """Candidate for the lease and, while it holds it, the scheduler.
+
+    Parameters
+    ----------
+    store : RowStore
+        Store with jobs, reports and orders.
+    store_clock : StoreClock
+        Bounds on the time of the store.
+    leadership : Leadership
+        The lease.
+    deployment : callable
+        Returns the configuration in force, or ``None`` before the first.
+    settings : SchedulerSettings
+        Bounds of the scheduler.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        store_clock: StoreClock,
+        clock: SteadyClock,
+        leadership: Leadership,
+        deployment: Callable[[], Deployment | None],
+        settings: SchedulerSettings,
+    ) -> None:
+        """Create a candidate; ``run`` starts it."""
+        self._store = store
+        self._store_clock = store_clock
+        self._clock = clock
+        self._leadership = leadership
+        self._deployment = deployment
+        self._settings = settings
+
+    async def run(self) -> None:
+        """Campaign and schedule until cancelled."""
+        while True:
+            try:
+                if self._deployment() and await self._leadership.try_claim():
+                    await self._hold()
+            except (PlatformUnavailableError, UncertainWriteError) as error:
+                decision_log.record('campaign_failed', reason=str(error))
+            except LeaseLostError as error:
+                decision_log.record('scheduling_ended', holder=str(error))
+            await asyncio.sleep(_CANDIDATE_PAUSE_S)
+
+    async def _hold(self) -> None:
+        term = _Term(
+            self._store,
+            self._store_clock,
+            self._clock,
+            self._leadership,
+            self._deployment,
+            self._settings,
+        )
+        await term.run()
+
+
+class _Term:
+    """One period of holding the lease."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        store_clock: StoreClock,
+        clock: SteadyClock,
+        leadership: Leadership,
+        deployment: Callable[[], Deployment | None],
+        settings: SchedulerSettings,
+    ) -> None:
+        self._store_clock = store_clock
+        self._clock = clock
+        self._leadership = leadership
+        self._deployment = deployment
+        self._store = store
+        self._scheduler = Scheduler(settings)
+        self._jobs = TableWatch(
+            store, Table.jobs, self._on_jobs, clock, _FEED_WAIT
+        )
+        self._reports = TableWatch(
+            store, Table.reports, self._on_reports, clock, _FEED_WAIT
+        )
+        self._changed = asyncio.Event()
+        self._renewed_ms = clock.now_ms()
+        self._is_loading = True
+        self._loaded_reports: dict[str, tuple[Report, int]] = {}
+
+    async def run(self) -> None:
+        """Load all rows and schedule until the lease is lost."""
+        await self._load()
+        watches = [
+            asyncio.create_task(self._jobs.run()),
+            asyncio.create_task(self._reports.run()),
+        ]
+        try:
+            while True:
+                await self._round()
+                await self._wait()
+        finally:
+            for watch in watches:
+                watch.cancel()
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                await self._jobs.load()
+                orders = await self._store.read(Table.orders)
+                await self._reports.load()
+            except PlatformUnavailableError as error:
+                decision_log.record('takeover_read_failed', reason=str(error))
+                # Proves that the lease is still held.
+                await self._leadership.commit([], [])
+                continue
+            break
+        for row in orders.rows:
+            order = decode_row(row.content, Order)
+            minion_id, _, task = row.key.partition('/')
+            if order is None:
+                decision_log.record('order_unreadable', key=row.key)
+                continue
+            self._scheduler.restore_order(minion_id, task, order)
+        self._is_loading = False
+        for node, (report, version) in self._loaded_reports.items():
+            self._scheduler.report(node, report, version, self._now_ms())
+        self._scheduler.void_unknown_orders(self._now_ms())
+        decision_log.record(
+            'scheduling_started',
+            epoch=self._leadership.epoch,
+            orders=len(orders.rows),
+            reports=len(self._loaded_reports),
+        )
+
+    def _now_ms(self) -> int:
+        return self._store_clock.earliest_ms()
+
+    # ---- changes ---------------------------------------------------------
+
+    def _on_jobs(self, changes: tuple[RowChange, ...]) -> None:
+        cancelled = []
+        progress = {}
+        for change in changes:
+            job_id, _, kind = change.key.partition('/')
+            if change.content is None:
+                continue
+            if kind == 'spec':
+                spec = decode_row(change.content, JobSpec)
+                if spec is None:
+                    decision_log.record('job_unreadable', job=job_id)
+                else:
+                    self._scheduler.put_job(job_id, spec)
+            elif kind == 'cancel':
+                cancelled.append(job_id)
+            elif kind == 'progress' and self._is_loading:
+                progress[job_id] = decode_row(change.content, ProgressRow)
+        for job_id, row in progress.items():
+            if row is None:
+                decision_log.record('progress_unreadable', job=job_id)
+            else:
+                self._scheduler.restore_progress(job_id, row)
+        for job_id in cancelled:
+            self._scheduler.cancel(job_id)
+        self._changed.set()
+
+    def _on_reports(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            if change.content is None:
+                continue
+            report = decode_row(change.content, Report)
+            if report is None:
+                decision_log.record('report_unreadable', node=change.key)
+            elif self._is_loading:
+                self._loaded_reports[change.key] = (report, change.version)
+            else:
+                self._scheduler.report(
+                    change.key, report, change.version, self._now_ms()
+                )
+        self._changed.set()
+
+    # ---- rounds ----------------------------------------------------------
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(_ROUND.total_seconds()):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(_BATCH_S)
+        self._changed.clear()
+
+    async def _round(self) -> None:
+        await self._void_lost_guards()
+        deployment = self._deployment()
+        if deployment is not None:
+            self._scheduler.apply_deployment(deployment)
+        decisions = Decisions()
+        if self._is_fresh():
+            decisions = self._scheduler.decide(
+                self._now_ms(), int(time.time() * 1000)
+            )
+        is_due = self._clock.now_ms() - self._renewed_ms > _RENEWAL_MS
+        if decisions.is_empty and not is_due:
+            return
+        await self._write(decisions)
+        for line in decisions.log:
+            fields = {key: line[key] for key in line if key != 'event'}
+            decision_log.record(
+                str(line['event']), epoch=self._leadership.epoch, **fields
+            )
+
+    def _is_fresh(self) -> bool:
+        return max(self._jobs.age_ms, self._reports.age_ms) < _FRESH_MS
+
+    async def _write(self, decisions: Decisions) -> None:
+        """Write progress before the orders that follow from it."""
+        writes = [
+            RowWrite(RowName(Table.jobs, f'{job_id}/progress'), encode_row(row))
+            for job_id, row in decisions.progress.items()
+        ]
+        writes.extend(
+            RowWrite(
+                RowName(Table.orders, f'{minion_id}/{task}'),
+                None if order is None else encode_row(order),
+            )
+            for (minion_id, task), order in decisions.orders.items()
+        )
+        writes.extend(
+            RowWrite(RowName(Table.jobs, f'{job_id}/{kind}'), None)
+            for job_id in decisions.forgotten_jobs
+            for kind in ('spec', 'cancel', 'progress')
+        )
+        waiting = self._scheduler.waiting_by_queue()
+        for first in range(0, max(1, len(writes)), _MAX_WRITES):
+            await self._leadership.commit(
+                writes[first : first + _MAX_WRITES], [], waiting
+            )
+        self._renewed_ms = self._clock.now_ms()
+
+    async def _void_lost_guards(self) -> None:
+        """Give up the runs of guards whose authority has ended.
+
+        The report is overwritten under its version first, so a guard that
+        extends its authority at the same moment wins or loses as a whole.
+        """
+        now_ms = self._now_ms()
+        for node, worker in list(self._scheduler.workers.items()):
+            until_ms = worker.report.leased_until_ms + _AUTHORITY_MARGIN_MS
+            if now_ms < until_ms or not worker.minion_id:
+                continue
+            name = RowName(Table.reports, node)
+            empty = Report('', '', False, False, 0, worker.report.token)
+            is_written = await self._leadership.commit(
+                [RowWrite(name, encode_row(empty))], [(name, worker.version)]
+            )
+            if is_written:
+                decision_log.record(
+                    'guard_lost', guard=node, minion=worker.minion_id
+                )
+                self._scheduler.void_node(node, now_ms)
--- /dev/null
+++ b/dragonflynotch/control/report_writer.py
@@ -0,0 +1,145 @@
+"""Writes the report of a guard and keeps its authority over leases."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.rows import (
+    Conflict,
+    RowName,
+    RowStore,
+    RowWrite,
+    Table,
+)
+from dragonflynotch.core.errors import (
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.records import Report, decode_row, encode_row
+
+__all__ = ('ReportWriter',)
+
+# Keeps the report fresh enough to show a guard that has died.
+_REFRESH = timedelta(milliseconds=1500)
+# Ends of one moment go into one write.
+_BATCH_S = 0.01
+_RETRY_S = 0.2
+
+
+class ReportWriter:
+    """Keeps the row of one guard.
+
+    Each guard process takes a fencing token one above the last in its row, so
+    that delayed calls of an earlier process do nothing.
+
+    Parameters
+    ----------
+    node : str
+        Key of the row.
+    authority_ms : int
+        How long a written report allows the extension of leases.
+    describe : callable
+        Returns the report for a lease end in store time.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        store: RowStore,
+        store_clock: StoreClock,
+        clock: SteadyClock,
+        authority_ms: int,
+        describe: Callable[[int], Report | None],
+    ) -> None:
+        """Create the writer; ``run`` starts it."""
+        self._name = RowName(Table.reports, node)
+        self._store = store
+        self._store_clock = store_clock
+        self._clock = clock
+        self._authority_ms = authority_ms
+        self._describe = describe
+        self._token = 0
+        self._version: int | None = None
+        self._authority_store_ms = 0
+        self._requested = asyncio.Event()
+        self._last_error = ''
+
+    @property
+    def token(self) -> int:
+        """Fencing token of this process; 0 before the row was read."""
+        return self._token
+
+    def authority_local_ms(self) -> int:
+        """Return the local time at which the authority ends."""
+        left_ms = self._authority_store_ms - self._store_clock.latest_ms()
+        return self._clock.now_ms() + left_ms
+
+    def request(self) -> None:
+        """Ask for a write now."""
+        self._requested.set()
+
+    async def run(self) -> None:
+        """Write when asked and at least once in the refresh period."""
+        while True:
+            try:
+                await self._write()
+            except (PlatformUnavailableError, UncertainWriteError) as error:
+                self._note_error(str(error))
+                await asyncio.sleep(_RETRY_S)
+                continue
+            self._note_error('')
+            try:
+                async with asyncio.timeout(_REFRESH.total_seconds()):
+                    await self._requested.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(_BATCH_S)
+
+    async def _write(self) -> None:
+        if self._version is None:
+            await self._read()
+        self._requested.clear()
+        until_ms = self._store_clock.earliest_ms() + self._authority_ms
+        report = self._describe(until_ms)
+        if report is None:
+            return
+        report = msgspec.structs.replace(report, token=self._token)
+        expected = self._version or 0
+        # After an uncertain answer the version is unknown; the row is read
+        # again before the next write.
+        self._version = None
+        outcome = await self._store.commit(
+            [RowWrite(self._name, encode_row(report))],
+            [(self._name, expected)],
+        )
+        if isinstance(outcome, Conflict):
+            decision_log.record('report_conflict', version=expected)
+            return
+        self._version = outcome.version
+        self._authority_store_ms = until_ms
+
+    async def _read(self) -> None:
+        snapshot = await self._store.read(
+            self._name.table, self._name.key, f'{self._name.key}\0'
+        )
+        if not snapshot.rows:
+            self._version = 0
+            self._token = self._token or 1
+            return
+        row = snapshot.rows[0]
+        report = decode_row(row.content, Report)
+        self._version = row.version
+        if not self._token:
+            self._token = (report.token if report else 0) + 1
+
+    def _note_error(self, reason: str) -> None:
+        if bool(reason) != bool(self._last_error):
+            decision_log.record(
+                'report_written' if not reason else 'report_not_written',
+                reason=reason or self._last_error,
+            )
+        self._last_error = reason
--- a/dragonflynotch/entry/configuration_store.py
+++ b/dragonflynotch/entry/configuration_store.py
@@ -14,7 +14,7 @@
     StoredRecord,
 )
 from dragonflynotch.core.errors import UncertainWriteError
-from dragonflynotch.platform.table import (
+from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
     Row,
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -38,9 +38,9 @@
 from dragonflynotch.links.messages import Acknowledgement, Announcement
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.observability.metrics import EntryMetrics
-from dragonflynotch.platform.http_table import HttpTableService
 from dragonflynotch.records.documents import READABLE_SCHEMA_VERSIONS
 from dragonflynotch.records.settings import EntrySettings
+from dragonflynotch.services.http_table import HttpTableService
 
 __all__ = ('Entry',)
 
--- a/dragonflynotch/entry/job_cleanup.py
+++ b/dragonflynotch/entry/job_cleanup.py
@@ -8,17 +8,17 @@
 
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.table import (
-    ConditionalWrite,
-    Row,
-    TableService,
-)
 from dragonflynotch.records.job_rows import (
     JOB_KEY_PREFIX,
     decode_job_row,
     decode_key_row,
     job_rows_prefix,
 )
+from dragonflynotch.services.table import (
+    ConditionalWrite,
+    Row,
+    TableService,
+)
 
 __all__ = ('RECORD_RETENTION', 'delete_ended_jobs')
 
--- a/dragonflynotch/entry/job_recorder.py
+++ b/dragonflynotch/entry/job_recorder.py
@@ -9,14 +9,14 @@
 )
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.table import (
+from dragonflynotch.records.job_rows import JobRow, encode_row, job_row_key
+from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
     Row,
     WriteConflict,
     Written,
 )
-from dragonflynotch.records.job_rows import JobRow, encode_row, job_row_key
 
 __all__ = ('FlushResult', 'JobRecorder')
 
--- a/dragonflynotch/entry/lease_row.py
+++ b/dragonflynotch/entry/lease_row.py
@@ -12,7 +12,7 @@
     UncertainWriteError,
 )
 from dragonflynotch.core.ownership import LeaseRow
-from dragonflynotch.platform.table import (
+from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
     TableService,
--- a/dragonflynotch/entry/ledger.py
+++ b/dragonflynotch/entry/ledger.py
@@ -19,15 +19,15 @@
 )
 from dragonflynotch.core.requests import content_digest
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.object_store import ObjectStore
-from dragonflynotch.platform.table import (
+from dragonflynotch.records.ledger import decode_row, encode_row
+from dragonflynotch.services.object_store import ObjectStore
+from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
     Row,
     TableService,
     Written,
 )
-from dragonflynotch.records.ledger import decode_row, encode_row
 
 __all__ = ('Ledger', 'LostRace', 'VersionedRow')
 
--- a/dragonflynotch/entry/local_jobs.py
+++ b/dragonflynotch/entry/local_jobs.py
@@ -33,11 +33,6 @@
     SubmissionVerdict,
 )
 from dragonflynotch.entry.partition_owner import PartitionOwner
-from dragonflynotch.platform.table import (
-    ABSENT_VERSION,
-    ConditionalWrite,
-    TableService,
-)
 from dragonflynotch.records.job_rows import (
     JobKeyRow,
     decode_job_row,
@@ -48,6 +43,11 @@
     job_rows_prefix,
 )
 from dragonflynotch.records.jobs import JobStatusBody, parse_job_body
+from dragonflynotch.services.table import (
+    ABSENT_VERSION,
+    ConditionalWrite,
+    TableService,
+)
 
 __all__ = ('LocalJobService',)
 
--- a/dragonflynotch/entry/owner_inputs.py
+++ b/dragonflynotch/entry/owner_inputs.py
@@ -8,7 +8,7 @@
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.entry.guard_channel import ChannelEvent
 from dragonflynotch.entry.job_recorder import FlushResult
-from dragonflynotch.platform.table import ConditionalWrite
+from dragonflynotch.services.table import ConditionalWrite
 
 __all__ = (
     'Cancellation',
--- a/dragonflynotch/entry/ownership.py
+++ b/dragonflynotch/entry/ownership.py
@@ -37,7 +37,7 @@
     StoredLease,
 )
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.table import (
+from dragonflynotch.services.table import (
     ConditionalWrite,
     WriteConflict,
     Written,
--- a/dragonflynotch/entry/registry.py
+++ b/dragonflynotch/entry/registry.py
@@ -10,7 +10,7 @@
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.entry.peers import EntryIdentity
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.table import (
+from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
     Row,
--- a/dragonflynotch/entry/request_path.py
+++ b/dragonflynotch/entry/request_path.py
@@ -24,9 +24,9 @@
 from dragonflynotch.links.guard_link import HttpGuardLink
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.observability.metrics import EntryMetrics
-from dragonflynotch.platform.http_object_store import HttpObjectStore
-from dragonflynotch.platform.http_table import HttpTableService
 from dragonflynotch.records.settings import EntrySettings
+from dragonflynotch.services.http_object_store import HttpObjectStore
+from dragonflynotch.services.http_table import HttpTableService
 
 __all__ = ('RequestPath',)
 
--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/scheduling.py
@@ -33,7 +33,6 @@
 from dragonflynotch.entry.partition_owner import PartitionOwner
 from dragonflynotch.links.order_link import HttpOrderLink
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.table import TableService
 from dragonflynotch.records.job_rows import (
     decode_job_row,
     job_rows_prefix,
@@ -43,6 +42,7 @@
     OwnershipSettings,
     SchedulingSettings,
 )
+from dragonflynotch.services.table import TableService
 
 __all__ = ('Scheduling',)
 
--- a/dragonflynotch/guard/daemon.py
+++ b/dragonflynotch/guard/daemon.py
@@ -26,8 +26,8 @@
 )
 from dragonflynotch.observability.guard_metrics import GuardMetrics
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.minion import HttpMinionClient
 from dragonflynotch.records.settings import GuardSettings
+from dragonflynotch.services.minion import HttpMinionClient
 
 __all__ = ('Guard',)
 
--- a/dragonflynotch/guard/members.py
+++ b/dragonflynotch/guard/members.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from dragonflynotch.links.orders import MemberPhase, MemberStatus, PrepareOrder
-from dragonflynotch.platform.worker import LAPSE_LABEL, TaskPhase, TaskStatus
+from dragonflynotch.services.worker import LAPSE_LABEL, TaskPhase, TaskStatus
 
 __all__ = ('Member', 'MemberKey', 'MemberTable')
 
--- a/dragonflynotch/guard/reconciliation.py
+++ b/dragonflynotch/guard/reconciliation.py
@@ -4,7 +4,7 @@
 
 from dragonflynotch.guard.members import Member, MemberTable
 from dragonflynotch.links.orders import MemberPhase, PrepareOrder
-from dragonflynotch.platform.worker import (
+from dragonflynotch.services.worker import (
     CheckpointTask,
     ForgetTask,
     LaunchTask,
--- a/dragonflynotch/guard/requests.py
+++ b/dragonflynotch/guard/requests.py
@@ -17,7 +17,7 @@
     RememberedRefusal,
     RememberedUnknown,
 )
-from dragonflynotch.platform.minion import MinionClient
+from dragonflynotch.services.minion import MinionClient
 
 __all__ = (
     'HandOver',
--- a/dragonflynotch/guard/task_setup.py
+++ b/dragonflynotch/guard/task_setup.py
@@ -6,8 +6,8 @@
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.guard.order_api import TaskApi
 from dragonflynotch.guard.tasks import TaskKeeper, TaskPolicy
-from dragonflynotch.platform.worker import HttpWorkerRuntime
 from dragonflynotch.records.settings import GuardSettings, TaskSettings
+from dragonflynotch.services.worker import HttpWorkerRuntime
 
 __all__ = ('create_task_keeper', 'run_task_keeper', 'task_api')
 
--- a/dragonflynotch/guard/tasks.py
+++ b/dragonflynotch/guard/tasks.py
@@ -23,7 +23,7 @@
     OrderReply,
 )
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.platform.worker import WorkerRuntime, WorkerView
+from dragonflynotch.services.worker import WorkerRuntime, WorkerView
 
 __all__ = ('TaskKeeper', 'TaskPolicy')
 
--- a/dragonflynotch/links/http11.py
+++ b/dragonflynotch/links/http11.py
@@ -17,9 +17,11 @@
     NotSentError,
 )
 
-__all__ = ('HttpReply', 'exchange')
+__all__ = ('HttpReply', 'PartialReply', 'exchange')
 
 _READ_BYTES = 65_536
+# Above the largest page of rows that the platform's store answers with.
+_MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +137,7 @@
     connection: h11.Connection,
     max_body_bytes: int,
 ) -> HttpReply:
-    partial = _PartialReply(max_body_bytes)
+    partial = PartialReply(max_body_bytes)
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
@@ -146,10 +148,11 @@
             return reply
 
 
-class _PartialReply:
+class PartialReply:
     """Collects the events of one answer."""
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self, max_body_bytes: int = _MAX_BODY_BYTES) -> None:
+        """Start without an event."""
         self._max_body_bytes = max_body_bytes
         self._status = 0
         self._headers: dict[str, str] = {}
--- /dev/null
+++ b/dragonflynotch/links/http_pool.py
@@ -0,0 +1,170 @@
+"""HTTP/1.1 client with persistent connections to one peer.
+
+Light enough for the guard, which cannot afford ``httpx``.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+import h11
+
+from dragonflynotch.core.errors import (
+    LinkError,
+    LinkTimeoutError,
+    NotSentError,
+)
+from dragonflynotch.links.http11 import HttpReply, PartialReply
+
+__all__ = ('HttpPool',)
+
+_READ_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class _Connection:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    protocol: h11.Connection
+
+    @property
+    def is_usable(self) -> bool:
+        return not (self.writer.is_closing() or self.reader.at_eof())
+
+    def close(self) -> None:
+        self.writer.transport.abort()
+
+
+class HttpPool:
+    """Exchanges with one peer; a connection carries one exchange at a time.
+
+    A connection whose exchange failed is closed, so that a late answer cannot
+    reach another request.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        IP address and port of the peer.
+    max_idle : int
+        Connections that are kept open without an exchange.
+    """
+
+    def __init__(self, address: tuple[str, int], max_idle: int = 4) -> None:
+        """Create the pool; no connection is opened yet."""
+        self._address = address
+        self._max_idle = max_idle
+        self._idle: list[_Connection] = []
+        self._peer = f'{address[0]}:{address[1]}'
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b'',
+        headers: Sequence[tuple[str, str]] = (),
+        timeout: timedelta,
+    ) -> HttpReply:
+        """Send one request and return the whole answer.
+
+        Raises
+        ------
+        NotSentError
+            If no connection could be made.
+        LinkTimeoutError
+            If the exchange is not complete within ``timeout``.
+        LinkError
+            If the connection fails before the whole answer.
+        """
+        step = f'{method} {target}'
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ('Host', self._peer),
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+                *headers,
+            ],
+        )
+        connection: _Connection | None = None
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                connection = await self._connect(step)
+                reply = await _exchange(connection, request, body)
+        except TimeoutError as error:
+            self._discard(connection)
+            failure = LinkTimeoutError if connection else NotSentError
+            raise failure(
+                f'no answer within {timeout.total_seconds()} s',
+                step=step,
+                peer=self._peer,
+            ) from error
+        except (OSError, h11.ProtocolError, EOFError) as error:
+            self._discard(connection)
+            raise LinkError(
+                f'exchange failed: {error}', step=step, peer=self._peer
+            ) from error
+        except asyncio.CancelledError:
+            self._discard(connection)
+            raise
+        self._release(connection)
+        return reply
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def _connect(self, step: str) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                return connection
+            connection.close()
+        try:
+            reader, writer = await asyncio.open_connection(*self._address)
+        except OSError as error:
+            raise NotSentError(
+                f'connection failed: {error}', step=step, peer=self._peer
+            ) from error
+        return _Connection(reader, writer, h11.Connection(our_role=h11.CLIENT))
+
+    def _discard(self, connection: _Connection | None) -> None:
+        if connection is not None:
+            connection.close()
+
+    def _release(self, connection: _Connection) -> None:
+        protocol = connection.protocol
+        is_reusable = (
+            protocol.our_state is h11.DONE
+            and protocol.their_state is h11.DONE
+            and len(self._idle) < self._max_idle
+        )
+        if not is_reusable:
+            connection.close()
+            return
+        protocol.start_next_cycle()
+        self._idle.append(connection)
+
+
+async def _exchange(
+    connection: _Connection, request: h11.Request, body: bytes
+) -> HttpReply:
+    protocol = connection.protocol
+    parts = (request, h11.Data(data=body), h11.EndOfMessage())
+    connection.writer.write(
+        b''.join(protocol.send(part) or b'' for part in parts)
+    )
+    await connection.writer.drain()
+    partial = PartialReply()
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await connection.reader.read(_READ_BYTES))
+            continue
+        reply = partial.add(event)
+        if reply is not None:
+            return reply
--- /dev/null
+++ b/dragonflynotch/observability/job_metrics.py
@@ -0,0 +1,65 @@
+"""Metrics of the processes that accept, schedule and run jobs."""
+
+from collections.abc import Callable, Mapping
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ('JobMetrics',)
+
+_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
+
+
+class JobMetrics:
+    """Series of one process.
+
+    Parameters
+    ----------
+    node : str
+        Constant label.
+    read_gauges : callable
+        Returns the present reading of each gauge.
+    """
+
+    def __init__(
+        self, node: str, read_gauges: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Create the series."""
+        labels = {'node': node}
+        self._read_gauges = read_gauges
+        self._registry = Registry()
+        self._labels = labels
+        self._calls = Counter(
+            'dragonflynotch_calls_total',
+            'Calls by method and status.',
+            const_labels=labels,
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            'dragonflynotch_call_seconds',
+            'Time from the whole request to its answer.',
+            const_labels=labels,
+            registry=self._registry,
+            buckets=_BUCKETS_S,
+        )
+        self._gauges: dict[str, Gauge] = {}
+
+    def count_call(self, method: str, status: int, duration_s: float) -> None:
+        """Count one call and its duration, in seconds."""
+        self._calls.inc({'method': method, 'status': str(status)})
+        self._latency.observe({'method': method}, duration_s)
+
+    def render(self) -> bytes:
+        """Return all series as text."""
+        for name, reading in self._read_gauges().items():
+            gauge = self._gauges.get(name)
+            if gauge is None:
+                gauge = Gauge(
+                    f'dragonflynotch_{name}',
+                    name.replace('_', ' '),
+                    const_labels=self._labels,
+                    registry=self._registry,
+                )
+                self._gauges[name] = gauge
+            gauge.set({}, float(reading))
+        content, _ = render(self._registry, [])
+        return bytes(content)
--- a/dragonflynotch/platform/__init__.py
+++ b/dragonflynotch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Services of the platform, each behind one abstract base class."""
+"""Adapter to the users' platform: its settings, its wire and its programs."""
--- /dev/null
+++ b/dragonflynotch/platform/configuration.py
@@ -0,0 +1,100 @@
+"""Decodes the operator's configuration."""
+
+import msgspec
+
+from dragonflynotch.workflows.deployment import (
+    Deployment,
+    Queue,
+    Service,
+    Workspace,
+)
+
+__all__ = ('decode_deployment',)
+
+
+class _WireRoute(msgspec.Struct):
+    """A route is a queue; ``prefix`` ends with a slash."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 1
+    max_attempts: int = 1
+    stretch: float = 1
+    target_latency_ms: float = 0
+    public: bool = False
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    admission_check: bool = True
+
+
+class _WireTenant(msgspec.Struct):
+    """A tenant is a workspace; ``guaranteed`` counts ``gpu``."""
+
+    name: str
+    api_keys: list[str] = []
+    guaranteed: dict[str, float] = {}
+
+
+class _WireConfig(msgspec.Struct):
+    version: int
+    routes: list[msgspec.Raw] = []
+    services: list[msgspec.Raw] = []
+    tenants: list[msgspec.Raw] = []
+
+
+def decode_deployment(content: bytes) -> Deployment | None:
+    """Return the deployment, or ``None`` if the bytes cannot be read.
+
+    A part that cannot be read is left out; the others hold.
+    """
+    try:
+        config = msgspec.json.decode(content, type=_WireConfig)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    workspaces = {
+        tenant.name: Workspace(
+            tenant.name,
+            tuple(tenant.api_keys),
+            int(tenant.guaranteed.get('gpu', 0)),
+        )
+        for tenant in _readable(config.tenants, _WireTenant)
+    }
+    return Deployment(
+        config.version,
+        {
+            route.name: Queue(
+                route.name,
+                route.host,
+                route.prefix,
+                route.service,
+                route.priority,
+                route.max_attempts,
+                route.stretch,
+                int(route.target_latency_ms),
+                route.public,
+            )
+            for route in _readable(config.routes, _WireRoute)
+        },
+        {
+            service.name: Service(service.name, service.admission_check)
+            for service in _readable(config.services, _WireService)
+        },
+        workspaces,
+        {
+            key: workspace.name
+            for workspace in workspaces.values()
+            for key in workspace.keys
+        },
+    )
+
+
+def _readable(parts, model):  # type: ignore[no-untyped-def]
+    for part in parts:
+        try:
+            yield msgspec.json.decode(part, type=model)
+        except msgspec.DecodeError:
+            continue
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -1,72 +1,202 @@
-"""Interface and HTTP client of a minion, the back end that runs requests."""
+"""Client and heartbeats of the platform's minions."""
 
-from abc import ABC, abstractmethod
 from datetime import timedelta
+from typing import Any
 
+import msgspec
+
+from dragonflynotch.control.minions import (
+    Heartbeat,
+    MinionClient,
+    MinionState,
+    NoAnswer,
+    OtherIncarnation,
+    RefusalReason,
+    Started,
+    StartRefused,
+    StartRequest,
+    Stopped,
+    Unhealthy,
+)
 from dragonflynotch.core.errors import LinkError
-from dragonflynotch.core.requests import content_digest
-from dragonflynotch.links.http11 import exchange
+from dragonflynotch.links.http11 import HttpReply
+from dragonflynotch.links.http_pool import HttpPool
+from dragonflynotch.workflows.records import RunEnd, RunningTask
+
+__all__ = ('HttpMinionClient', 'decode_heartbeat')
+
+_OK = 200
+_BAD_REQUEST = 400
+_CONFLICT = 409
+_OTHER_INCARNATION = 421
+_REFUSALS = frozenset((429, 503))
+_INSTANCE_HEADER = 'Dragonflynotch-Expected-Instance'
+# The minion is on the same machine; a longer silence means a lost order.
+_CALL_TIMEOUT = timedelta(milliseconds=600)
+
 
-__all__ = ('HttpMinionClient', 'MinionClient')
+class _WireCapacity(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
 
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
-_HTTP_OK = 200
 
+class _WireHeartbeat(msgspec.Struct):
+    """``labels`` holds the kind of the worker and its rack, in this order."""
 
-class MinionClient(ABC):
-    """Runs requests on one minion."""
+    service: str
+    address: str
+    state: str
+    seq: int = 0
+    capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
+    labels: list[str] = []
+    remaining_ms: float = 0
 
-    @abstractmethod
-    async def run(
-        self, request_id: str, body: bytes, timeout: timedelta
-    ) -> bytes:
-        """Run a request and return the whole answer.
 
-        Raises
-        ------
-        LinkError
-            If no whole answer to this very request arrived. Whether the request
-            ran is then unknown.
-        """
+class _WireAnswer(msgspec.Struct):
+    """``running_count`` lists runs despite its name."""
+
+    clock_ms: int = 0
+    reason: str = ''
+    running_count: list[list[Any]] = []
+    ended: list[list[Any]] = []
+
+
+def decode_heartbeat(minion_id: str, body: bytes) -> Heartbeat | None:
+    """Return the heartbeat, or ``None`` if it names no usable minion."""
+    try:
+        beat = msgspec.json.decode(body, type=_WireHeartbeat)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    host, _, port = beat.address.rpartition(':')
+    if beat.state not in {'ready', 'draining'} or not port.isdecimal():
+        return None
+    return Heartbeat(
+        minion_id=minion_id,
+        service=beat.service,
+        address=(host, int(port)),
+        sequence=beat.seq,
+        is_draining=beat.state == 'draining',
+        labels=tuple(beat.labels),
+        rack=beat.labels[1] if len(beat.labels) > 1 else '',
+        capacity=(
+            beat.capacity.cpu,
+            beat.capacity.mem_mb,
+            beat.capacity.gpu,
+        ),
+        remaining_ms=int(beat.remaining_ms),
+    )
 
 
 class HttpMinionClient(MinionClient):
-    """Minion reached over HTTP.
-
-    The minion must echo ``Request-Id`` and send ``Content-Digest``, so that a
-    crossed or truncated answer is recognised.
-    """
-
-    def __init__(self, host: str, port: int) -> None:
-        """Talk to the minion at ``host:port``."""
-        self._address = (host, port)
-
-    async def run(
-        self, request_id: str, body: bytes, timeout: timedelta
-    ) -> bytes:
-        """Run a request and return the whole answer."""
-        reply = await exchange(
-            self._address,
-            'POST',
-            '/run',
-            headers=[
-                ('Request-Id', request_id),
-                ('Content-Digest', content_digest(body)),
-            ],
-            body=body,
-            timeout=timeout,
-            max_body_bytes=MAX_ANSWER_BYTES,
+    """Calls one incarnation of the minion on this machine."""
+
+    def __init__(self, heartbeat: Heartbeat) -> None:
+        """Create the client; no connection is opened yet."""
+        self._pool = HttpPool(heartbeat.address)
+        self._headers = ((_INSTANCE_HEADER, heartbeat.minion_id),)
+
+    async def look(
+        self, token: int, seen_up_to: int, lease_until_ms: int, wait_ms: int
+    ) -> MinionState | OtherIncarnation | Unhealthy | NoAnswer:
+        """Extend the lease and return the runs."""
+        body: dict[str, object] = {
+            'fencing_token': token,
+            'seen_upto': seen_up_to,
+        }
+        if lease_until_ms:
+            body['until_ms'] = lease_until_ms
+        if wait_ms:
+            body['wait_ms'] = wait_ms
+        outcome = await self._call(
+            'hold', body, _CALL_TIMEOUT + timedelta(milliseconds=wait_ms)
         )
-        problem = ''
-        if reply.status != _HTTP_OK:
-            problem = f'minion answered with status {reply.status}'
-        elif reply.headers.get('request-id') != request_id:
-            problem = 'answer belongs to another request'
-        elif reply.headers.get('content-digest') != content_digest(reply.body):
-            problem = 'answer does not match its digest'
-        if problem:
-            host, port = self._address
-            raise LinkError(
-                problem, step='run on minion', peer=f'{host}:{port}'
+        if isinstance(outcome, StartRefused):
+            return NoAnswer(f'refused: {outcome.reason.value}')
+        if not isinstance(outcome, _WireAnswer):
+            return outcome
+        try:
+            return MinionState(
+                outcome.clock_ms,
+                tuple(
+                    msgspec.convert(entry[:4], RunningTask)
+                    for entry in outcome.running_count
+                ),
+                tuple(
+                    msgspec.convert(entry[:5], RunEnd)
+                    for entry in outcome.ended
+                ),
+            )
+        except msgspec.ValidationError as error:
+            return NoAnswer(f'unreadable: {error}')
+
+    async def start(
+        self, request: StartRequest, token: int
+    ) -> Started | StartRefused | OtherIncarnation | Unhealthy | NoAnswer:
+        """Start a run; repeated calls for one run are harmless."""
+        body: dict[str, object] = {
+            'task': request.task,
+            'run': request.run,
+            'spec': request.payload,
+            'until_ms': request.lease_until_ms,
+            'fencing_token': token,
+        }
+        if request.checkpoint:
+            body['checkpoint'] = request.checkpoint
+        outcome = await self._call('run-start', body, _CALL_TIMEOUT)
+        if isinstance(outcome, _WireAnswer):
+            return Started(outcome.clock_ms)
+        return outcome
+
+    async def stop(
+        self, task: str, run: int, token: int
+    ) -> Stopped | StartRefused | OtherIncarnation | Unhealthy | NoAnswer:
+        """Stop a run; one that arrives later is refused."""
+        body: dict[str, object] = {
+            'task': task,
+            'run': run,
+            'fencing_token': token,
+        }
+        outcome = await self._call('run-stop', body, _CALL_TIMEOUT)
+        if isinstance(outcome, _WireAnswer):
+            return Stopped(outcome.clock_ms)
+        return outcome
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+    async def _call(
+        self, name: str, body: dict[str, object], timeout: timedelta
+    ) -> _WireAnswer | StartRefused | OtherIncarnation | Unhealthy | NoAnswer:
+        try:
+            reply = await self._pool.exchange(
+                'POST',
+                f'/dragonflynotch/{name}',
+                body=msgspec.json.encode(body),
+                headers=self._headers,
+                timeout=timeout,
             )
-        return reply.body
+        except LinkError as error:
+            return NoAnswer(str(error))
+        return _outcome(reply)
+
+
+def _outcome(
+    reply: HttpReply,
+) -> _WireAnswer | StartRefused | OtherIncarnation | Unhealthy | NoAnswer:
+    if reply.status == _OTHER_INCARNATION:
+        return OtherIncarnation()
+    if reply.status in _REFUSALS:
+        return Unhealthy()
+    if reply.status == _BAD_REQUEST:
+        return StartRefused(RefusalReason.invalid)
+    try:
+        answer = msgspec.json.decode(reply.body, type=_WireAnswer)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return NoAnswer(f'unreadable answer with status {reply.status}')
+    if reply.status == _OK:
+        return answer
+    if reply.status == _CONFLICT and answer.reason in RefusalReason:
+        return StartRefused(RefusalReason(answer.reason))
+    return NoAnswer(f'status {reply.status} {answer.reason!r}')
--- /dev/null
+++ b/dragonflynotch/platform/side.py
@@ -0,0 +1,41 @@
+"""Heartbeats of the minion on the platform's wire."""
+
+import re
+
+from dragonflynotch.control.guard import Guard
+from dragonflynotch.links.asgi import HttpCall, Reply
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.platform.minion import decode_heartbeat
+
+__all__ = ('SideApi',)
+
+_PATH = re.compile(
+    r'/dragonflynotch/Instances\.(?P<call>Heartbeat|Deregister)/(?P<id>.+)'
+)
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+
+
+class SideApi:
+    """Answers the minion on this machine."""
+
+    def __init__(self, guard: Guard) -> None:
+        """Pass heartbeats to ``guard``."""
+        self._guard = guard
+
+    async def __call__(self, call: HttpCall) -> Reply:
+        """Answer one call."""
+        match = _PATH.fullmatch(call.path)
+        if match is None:
+            return Reply(_NOT_FOUND)
+        minion_id = match['id']
+        if match['call'] == 'Deregister':
+            self._guard.on_departure(minion_id)
+            return Reply(_OK, b'{}')
+        heartbeat = decode_heartbeat(minion_id, call.body)
+        if heartbeat is None:
+            decision_log.record('heartbeat_unreadable', minion=minion_id)
+            return Reply(_BAD_REQUEST)
+        self._guard.on_heartbeat(heartbeat)
+        return Reply(_OK, b'{}', {'Content-Type': 'application/json'})
--- /dev/null
+++ b/dragonflynotch/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services of the platform, each behind one abstract base class."""
--- a/dragonflynotch/platform/http_object_store.py
+++ b/dragonflynotch/services/http_object_store.py
@@ -6,7 +6,7 @@
 import httpx
 
 from dragonflynotch.core.errors import PlatformUnavailableError
-from dragonflynotch.platform.object_store import ObjectStore
+from dragonflynotch.services.object_store import ObjectStore
 
 __all__ = ('HttpObjectStore',)
 
--- a/dragonflynotch/platform/http_table.py
+++ b/dragonflynotch/services/http_table.py
@@ -11,7 +11,7 @@
     PlatformUnavailableError,
     UncertainWriteError,
 )
-from dragonflynotch.platform.table import (
+from dragonflynotch.services.table import (
     ConditionalWrite,
     Row,
     TableService,
--- a/dragonflynotch/testing/object_store.py
+++ b/dragonflynotch/testing/object_store.py
@@ -14,7 +14,7 @@
     read_call,
     send_reply,
 )
-from dragonflynotch.platform.object_store import ObjectStore
+from dragonflynotch.services.object_store import ObjectStore
 
 __all__ = ('MemoryObjectStore', 'ObjectStoreApp', 'ObjectStoreFaults')
 
--- a/dragonflynotch/testing/table.py
+++ b/dragonflynotch/testing/table.py
@@ -21,8 +21,8 @@
     read_call,
     send_reply,
 )
-from dragonflynotch.platform.http_table import RowBody, WritesBody
-from dragonflynotch.platform.table import (
+from dragonflynotch.services.http_table import RowBody, WritesBody
+from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
     Row,
--- a/dragonflynotch/testing/worker.py
+++ b/dragonflynotch/testing/worker.py
@@ -16,8 +16,8 @@
     read_call,
     send_reply,
 )
-from dragonflynotch.platform.object_store import ObjectStore
-from dragonflynotch.platform.worker import (
+from dragonflynotch.services.object_store import ObjectStore
+from dragonflynotch.services.worker import (
     CheckpointTask,
     ForgetTask,
     LaunchTask,
--- a/dragonflynotch/testing/worker_task.py
+++ b/dragonflynotch/testing/worker_task.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from dragonflynotch.core.errors import PlatformUnavailableError
-from dragonflynotch.platform.object_store import ObjectStore
-from dragonflynotch.platform.worker import (
+from dragonflynotch.services.object_store import ObjectStore
+from dragonflynotch.services.worker import (
     LAPSE_LABEL,
     LaunchTask,
     TaskPhase,
--- /dev/null
+++ b/dragonflynotch/workflows/ranking.py
@@ -0,0 +1,74 @@
+"""Order in which waiting steps get room."""
+
+from dataclasses import dataclass
+
+from dragonflynotch.workflows.deployment import Queue
+from dragonflynotch.workflows.progress import Job, Step
+
+__all__ = ('Urgency', 'critical_path_ms', 'rank')
+
+# A job is worth something up to this multiple of its objective.
+_LATE_LIMIT = 3
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Urgency:
+    """Sort key of a waiting step; the smallest comes first.
+
+    Parameters
+    ----------
+    tier : int
+        0 for guaranteed work, 1 for work that can be on time, 2 for work that
+        can be late, 3 for work past its last moment.
+    last_start_ms : int
+        Store time by which the step should start.
+    """
+
+    tier: int
+    last_start_ms: int
+    job_id: str
+    occurrence: int
+    step: int
+
+
+def rank(
+    job: Job, step: Step, queue: Queue, now_ms: int, *, is_guaranteed: bool
+) -> Urgency:
+    """Return the urgency of a step.
+
+    Earliest last moment to start comes first, counted from the objective and,
+    once that is missed, from the end of the time in which the job still is of
+    some use.
+    """
+    path_ms = critical_path_ms(job)
+    objective_ms = queue.stretch * path_ms + queue.target_latency_ms
+    begin_ms = job.spec.accepted_ms
+    remaining_ms = path_ms
+    for tier, limit_ms in (
+        (1, objective_ms),
+        (2, _LATE_LIMIT * objective_ms),
+    ):
+        last_ms = int(begin_ms + limit_ms - remaining_ms)
+        if last_ms >= now_ms:
+            break
+    else:
+        tier = 3
+    return Urgency(
+        0 if is_guaranteed else tier,
+        last_ms,
+        job.job_id,
+        step.occurrence,
+        step.number,
+    )
+
+
+def critical_path_ms(job: Job) -> int:
+    """Return the longest chain of estimated run times of one occurrence."""
+    ends: list[int] = []
+    for step in job.spec.steps:
+        begin_ms = max(
+            (ends[number] for number in step.after if number < len(ends)),
+            default=0,
+        )
+        ends.append(begin_ms + step.estimated_ms)
+    return max(ends, default=0)
--- /dev/null
+++ b/dragonflynotch/workflows/records.py
@@ -0,0 +1,224 @@
+"""Rows by which entries, the scheduler and guards share state."""
+
+from enum import StrEnum
+from typing import TypeVar
+
+import msgspec
+
+from dragonflynotch.workflows.resources import Resources
+
+__all__ = (
+    'EndKind',
+    'JobState',
+    'LeaseRow',
+    'Order',
+    'ProgressRow',
+    'Rejection',
+    'Report',
+    'RunEnd',
+    'RunningTask',
+    'TaskRow',
+    'decode_row',
+    'encode_row',
+)
+
+_RowT = TypeVar('_RowT')
+
+
+class JobState(StrEnum):
+    """State of a job as callers see it."""
+
+    queued = 'queued'
+    running = 'running'
+    completed = 'completed'
+    failed = 'failed'
+    cancelled = 'cancelled'
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job has ended."""
+        return self not in {JobState.queued, JobState.running}
+
+
+class EndKind(StrEnum):
+    """How a run ended."""
+
+    done = 'done'
+    failed = 'failed'
+    stopped = 'stopped'
+    # The lease of the worker expired.
+    lapsed = 'lapsed'
+    # Another member of the gang ended.
+    broken = 'broken'
+    # The other members of the gang did not arrive in time.
+    alone = 'alone'
+
+
+class TaskRow(msgspec.Struct, array_like=True):
+    """Stored state of a task; tasks without a run are left out.
+
+    Parameters
+    ----------
+    name : str
+        Identifier of the task without the job.
+    run : int
+        Number of the last run.
+    failures : int
+        Runs that ended as failed.
+    is_done : bool
+        Whether a run completed.
+    checkpoint : str
+        Last checkpoint, or ``''``.
+    """
+
+    name: str
+    run: int
+    failures: int
+    is_done: bool
+    checkpoint: str = ''
+
+
+class ProgressRow(msgspec.Struct, omit_defaults=True):
+    """Stored progress of a job."""
+
+    state: JobState
+    tasks: list[TaskRow] = []
+    ended_ms: int = 0
+
+
+class LeaseRow(msgspec.Struct, omit_defaults=True):
+    """The right to schedule; each transaction of the holder rewrites it.
+
+    Parameters
+    ----------
+    holder : str
+        Node of the holder, or ``''`` after it gave up the lease.
+    epoch : int
+        Fencing token; grows with each change of the holder.
+    sequence : int
+        Number of the transaction within the epoch.
+    waiting : dict of str to int
+        Accepted jobs without a started task, by queue.
+    """
+
+    holder: str
+    epoch: int
+    sequence: int = 0
+    waiting: dict[str, int] = {}
+
+
+class Order(msgspec.Struct, omit_defaults=True):
+    """Order to a guard to run a task; the row stays until the run has ended.
+
+    Parameters
+    ----------
+    payload : str
+        Text passed to the task.
+    run : int
+        Number of the run.
+    start_by_ms : int
+        Store time after which the guard must not start the run.
+    checkpoint : str
+        Where to resume, or ``''``.
+    is_stopped : bool
+        Whether the run must be stopped.
+    """
+
+    payload: str
+    run: int
+    start_by_ms: int
+    checkpoint: str = ''
+    is_stopped: bool = False
+    needs: tuple[int, int, int] = (0, 0, 0)
+
+    @property
+    def resources(self) -> Resources:
+        """Resources that the run occupies."""
+        return Resources(*self.needs)
+
+
+class RunningTask(msgspec.Struct, array_like=True):
+    """A run that a minion reports as present."""
+
+    task: str
+    run: int
+    checkpoint: str
+    percent: int
+
+
+class RunEnd(msgspec.Struct, array_like=True):
+    """The end of a run; ``number`` grows within one incarnation."""
+
+    number: int
+    task: str
+    run: int
+    kind: EndKind
+    checkpoint: str
+
+
+class Rejection(msgspec.Struct, array_like=True):
+    """A run that was not started and never will be."""
+
+    task: str
+    run: int
+    reason: str
+
+
+class Report(msgspec.Struct, omit_defaults=True):
+    """State of one minion, written by the guard beside it.
+
+    Parameters
+    ----------
+    minion_id : str
+        Incarnation of the minion, or ``''`` before the first heartbeat.
+    service : str
+        Name of the service.
+    is_ready : bool
+        Whether new runs may be started.
+    is_live : bool
+        ``False`` once the lease of the incarnation has certainly expired.
+    leased_until_ms : int
+        Store time up to which the guard may extend the lease of the minion.
+    labels : tuple of str
+        Labels of the worker.
+    rack : str
+        Rack of the worker.
+    capacity : tuple of int
+        Millicores, megabytes and accelerators.
+    token : int
+        Fencing token of the guard process.
+    """
+
+    minion_id: str
+    service: str
+    is_ready: bool
+    is_live: bool
+    leased_until_ms: int
+    token: int
+    labels: tuple[str, ...] = ()
+    rack: str = ''
+    capacity: tuple[int, int, int] = (0, 0, 0)
+    running: list[RunningTask] = []
+    ended: list[RunEnd] = []
+    rejected: list[Rejection] = []
+
+    @property
+    def resources(self) -> Resources:
+        """Capacity of the worker."""
+        return Resources(*self.capacity)
+
+
+_encoder = msgspec.json.Encoder()
+
+
+def encode_row(row: msgspec.Struct) -> bytes:
+    """Return the stored form of a row."""
+    return _encoder.encode(row)
+
+
+def decode_row(content: bytes, model: type[_RowT]) -> _RowT | None:
+    """Return the row, or ``None`` if the bytes cannot be read."""
+    try:
+        return msgspec.json.decode(content, type=model)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/dragonflynotch/workflows/resources.py
@@ -0,0 +1,77 @@
+"""Amounts of processor, memory and accelerators."""
+
+from dataclasses import dataclass
+
+__all__ = ('NOTHING', 'Resources')
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """A vector of resources.
+
+    Parameters
+    ----------
+    millicores : int
+        Processor, in thousandths of a core.
+    memory_mb : int
+        Memory, in megabytes.
+    accelerators : int
+        Number of accelerators.
+    """
+
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: 'Resources') -> 'Resources':
+        """Return the sum."""
+        return Resources(
+            self.millicores + other.millicores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: 'Resources') -> 'Resources':
+        """Return the difference, which may be negative."""
+        return Resources(
+            self.millicores - other.millicores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def covers(self, other: 'Resources') -> bool:
+        """Return whether ``other`` fits."""
+        return (
+            self.millicores >= other.millicores
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
+
+    def count_of(self, other: 'Resources') -> int:
+        """Return how many times ``other`` fits."""
+        counts = [
+            available // needed
+            for available, needed in (
+                (self.millicores, other.millicores),
+                (self.memory_mb, other.memory_mb),
+                (self.accelerators, other.accelerators),
+            )
+            if needed > 0
+        ]
+        return max(0, min(counts)) if counts else _UNBOUNDED
+
+    def share_of(self, total: 'Resources') -> float:
+        """Return the dominant share of ``total``, from 0 to 1."""
+        return max(
+            used / whole if whole > 0 else float(used > 0)
+            for used, whole in (
+                (self.millicores, total.millicores),
+                (self.memory_mb, total.memory_mb),
+                (self.accelerators, total.accelerators),
+            )
+        )
+
+
+NOTHING = Resources()
+# A task without needs fits any number of times.
+_UNBOUNDED = 1_000_000
--- a/tests/entry/test_job_cleanup.py
+++ b/tests/entry/test_job_cleanup.py
@@ -11,7 +11,6 @@
     RECORD_RETENTION,
     delete_ended_jobs,
 )
-from dragonflynotch.platform.table import ABSENT_VERSION, ConditionalWrite
 from dragonflynotch.records.job_rows import (
     JobKeyRow,
     JobRow,
@@ -19,6 +18,7 @@
     idempotency_row_key,
     job_row_key,
 )
+from dragonflynotch.services.table import ABSENT_VERSION, ConditionalWrite
 from dragonflynotch.testing.table import MemoryTable
 
 NOW = ManualClock().now()
--- a/tests/entry/test_ledger.py
+++ b/tests/entry/test_ledger.py
@@ -8,7 +8,7 @@
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.core.handover import ledger_key, next_claim
 from dragonflynotch.entry.ledger import Ledger, LostRace, VersionedRow
-from dragonflynotch.platform.table import ConditionalWrite
+from dragonflynotch.services.table import ConditionalWrite
 from dragonflynotch.testing.object_store import (
     MemoryObjectStore,
     ObjectStoreFaults,
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -10,7 +10,7 @@
 from dragonflynotch.core.ownership import OwnershipPolicy
 from dragonflynotch.entry.lease_row import LeaseRowStore, NotOwnerError
 from dragonflynotch.entry.ownership import OwnershipKeeper, OwnershipListener
-from dragonflynotch.platform.table import ABSENT_VERSION, ConditionalWrite
+from dragonflynotch.services.table import ABSENT_VERSION, ConditionalWrite
 from dragonflynotch.testing.table import MemoryTable, TableFault
 
 JOB = ConditionalWrite('job/dc/1', b'{}', ABSENT_VERSION)
--- a/tests/guard/test_memory.py
+++ b/tests/guard/test_memory.py
@@ -13,7 +13,7 @@
     RequestRunner,
     RunUnknown,
 )
-from dragonflynotch.platform.minion import MinionClient
+from dragonflynotch.services.minion import MinionClient
 
 LIMITS = MemoryLimits(max_entries=4)
 DEADLINE = timedelta(seconds=60)
--- a/tests/guard/test_requests.py
+++ b/tests/guard/test_requests.py
@@ -22,7 +22,7 @@
     Running,
     RunUnknown,
 )
-from dragonflynotch.platform.minion import MinionClient
+from dragonflynotch.services.minion import MinionClient
 
 MINUTE = timedelta(minutes=1)
 
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -20,7 +20,7 @@
     StartOrder,
     StopOrder,
 )
-from dragonflynotch.platform.worker import WorkerCall, WorkerRuntime
+from dragonflynotch.services.worker import WorkerCall, WorkerRuntime
 from dragonflynotch.testing.object_store import MemoryObjectStore
 from dragonflynotch.testing.worker import WorkerApp
 
