--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -36,6 +36,8 @@
 _LOOK_WAIT_MS = 1000
 # While ends wait to be recorded the minion answers at once.
 _UNRECORDED_PAUSE_S = 0.1
+# A stop takes up to about this long before the run is gone.
+_STRAY_PAUSE_S = 0.5
 # Orders older than this are not followed to stop runs without an order.
 _FRESH_ORDERS_MS = 3000
 
@@ -95,7 +97,13 @@
             store, Table.orders, self._on_orders, clock, _FEED_WAIT
         )
         self._writer = ReportWriter(
-            node, store, store_clock, clock, limits.authority_ms, self._report
+            node,
+            store,
+            store_clock,
+            clock,
+            limits.authority_ms,
+            self._report,
+            self._on_previous_report,
         )
         self._all_orders: dict[str, Order] = {}
         self._book = OrderBook()
@@ -106,6 +114,8 @@
         self._calls: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
         self._identifying: str | None = None
+        self._has_departed = False
+        self._stopping_strays: set[tuple[str, int]] = set()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -146,12 +156,37 @@
             return
         decision_log.record('minion_left', minion=minion_id)
         self._forget_minion()
+        self._has_departed = True
         self._writer.request()
 
+    def _on_previous_report(self, report: Report) -> None:
+        """Look for the minion that an earlier process reported.
+
+        Its lease would run out before the next heartbeat and some retries.
+        """
+        host, _, port = report.address.rpartition(':')
+        if self._heartbeat is not None or not report.minion_id or not port:
+            return
+        self._spawn(
+            self._identify(
+                Heartbeat(
+                    minion_id=report.minion_id,
+                    service=report.service,
+                    address=(host, int(port)),
+                    sequence=0,
+                    is_draining=not report.is_ready and report.is_live,
+                    labels=report.labels,
+                    rack=report.rack,
+                    capacity=report.capacity,
+                )
+            )
+        )
+
     async def _identify(self, heartbeat: Heartbeat) -> None:
         minion = self._connect(heartbeat)
         outcome = await minion.look(self._writer.token, 0, 0, 0)
-        self._identifying = None
+        if self._identifying == heartbeat.minion_id:
+            self._identifying = None
         if not isinstance(outcome, MinionState):
             decision_log.record(
                 'heartbeat_ignored',
@@ -161,6 +196,7 @@
             minion.close()
             return
         self._forget_minion()
+        self._has_departed = False
         self._heartbeat = heartbeat
         self._minion = minion
         self._is_live = True
@@ -191,6 +227,7 @@
         self._heartbeat = None
         self._is_live = False
         self._book = OrderBook()
+        self._stopping_strays.clear()
         self._lease = MinionLease(self._clock)
 
     # ---- orders ----------------------------------------------------------
@@ -230,8 +267,10 @@
             elif entry.phase is Phase.new:
                 self._call(entry, self._start_order(entry))
         if self._orders.age_ms < _FRESH_ORDERS_MS:
-            for task, run in self._book.strays():
-                self._spawn(self._stop_stray(task, run))
+            for stray in self._book.strays():
+                if stray not in self._stopping_strays:
+                    self._stopping_strays.add(stray)
+                    self._spawn(self._stop_stray(*stray))
 
     def _call(self, entry: OrderEntry, work: object) -> None:
         entry.is_busy = True
@@ -241,9 +280,14 @@
     def _spawn(self, work: object) -> asyncio.Task[None]:
         task: asyncio.Task[None] = asyncio.ensure_future(work)  # type: ignore[arg-type]
         self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        task.add_done_callback(self._on_call_done)
         return task
 
+    def _on_call_done(self, task: asyncio.Task[None]) -> None:
+        self._calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            decision_log.record('call_failed', error=repr(task.exception()))
+
     async def _start_order(self, entry: OrderEntry) -> None:
         """Start a run, or make sure that it never starts."""
         while self._may_start(entry):
@@ -364,6 +408,8 @@
             run=run,
             outcome=_outcome_name(outcome),
         )
+        await asyncio.sleep(_STRAY_PAUSE_S)
+        self._stopping_strays.discard((task, run))
 
     async def _send_stop(
         self, task: str, run: int
@@ -454,6 +500,10 @@
     def _report(self, leased_until_ms: int) -> Report | None:
         heartbeat = self._heartbeat
         if heartbeat is None:
+            # Before the first heartbeat nothing is known, and the report of
+            # an earlier process stays true.
+            if not self._has_departed:
+                return None
             return Report('', '', False, False, leased_until_ms, 0)
         state = self._book.state
         return Report(
@@ -463,6 +513,7 @@
             is_live=self._is_live,
             leased_until_ms=leased_until_ms,
             token=0,
+            address='{}:{}'.format(*heartbeat.address),
             labels=heartbeat.labels,
             rack=heartbeat.rack,
             capacity=heartbeat.capacity,
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -43,7 +43,10 @@
     authority_ms : int
         How long a written report allows the extension of leases.
     describe : callable
-        Returns the report for a lease end in store time.
+        Returns the report for a lease end in store time, or ``None`` while
+        there is nothing to report.
+    on_previous : callable
+        Receives the report of an earlier process, once.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         clock: SteadyClock,
         authority_ms: int,
         describe: Callable[[int], Report | None],
+        on_previous: Callable[[Report], None],
     ) -> None:
         """Create the writer; ``run`` starts it."""
         self._name = RowName(Table.reports, node)
@@ -62,6 +66,7 @@
         self._clock = clock
         self._authority_ms = authority_ms
         self._describe = describe
+        self._on_previous = on_previous
         self._token = 0
         self._version: int | None = None
         self._authority_store_ms = 0
@@ -135,6 +140,8 @@
         self._version = row.version
         if not self._token:
             self._token = (report.token if report else 0) + 1
+            if report is not None:
+                self._on_previous(report)
 
     def _note_error(self, reason: str) -> None:
         if bool(reason) != bool(self._last_error):
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -30,6 +30,7 @@
 _CONFLICT = 409
 _OTHER_INCARNATION = 421
 _REFUSALS = frozenset((429, 503))
+_REASONS = frozenset(reason.value for reason in RefusalReason)
 _INSTANCE_HEADER = 'Dragonflynotch-Expected-Instance'
 # The minion is on the same machine; a longer silence means a lost order.
 _CALL_TIMEOUT = timedelta(milliseconds=600)
@@ -197,6 +198,6 @@
         return NoAnswer(f'unreadable answer with status {reply.status}')
     if reply.status == _OK:
         return answer
-    if reply.status == _CONFLICT and answer.reason in RefusalReason:
+    if reply.status == _CONFLICT and answer.reason in _REASONS:
         return StartRefused(RefusalReason(answer.reason))
     return NoAnswer(f'status {reply.status} {answer.reason!r}')
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -187,6 +187,8 @@
         Millicores, megabytes and accelerators.
     token : int
         Fencing token of the guard process.
+    address : str
+        Where the minion accepts calls; a restarted guard finds it here.
     """
 
     minion_id: str
@@ -195,6 +197,7 @@
     is_live: bool
     leased_until_ms: int
     token: int
+    address: str = ''
     labels: tuple[str, ...] = ()
     rack: str = ''
     capacity: tuple[int, int, int] = (0, 0, 0)
