--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -51,6 +51,8 @@
 _MAX_WRITES = 90
 # Clocks and the delay of answers are covered by this much.
 _AUTHORITY_MARGIN_MS = 500
+# Kinds of rows of a job, in the order in which they are taken.
+_JOB_ROWS = ('spec', 'progress', 'cancel')
 
 
 class Leader:
@@ -177,7 +179,7 @@
         self._is_loading = False
         for node, (report, version) in self._loaded_reports.items():
             self._scheduler.report(node, report, version, self._now_ms())
-        self._scheduler.void_unknown_orders(self._now_ms())
+        self._scheduler.void_unknown_orders()
         decision_log.record(
             'scheduling_started',
             epoch=self._leadership.epoch,
@@ -191,30 +193,29 @@
     # ---- changes ---------------------------------------------------------
 
     def _on_jobs(self, changes: tuple[RowChange, ...]) -> None:
-        cancelled = []
-        progress = {}
-        for change in changes:
-            job_id, _, kind = change.key.partition('/')
-            if change.content is None:
-                continue
-            if kind == 'spec':
-                spec = decode_row(change.content, JobSpec)
-                if spec is None:
-                    decision_log.record('job_unreadable', job=job_id)
-                else:
-                    self._scheduler.put_job(job_id, spec)
-            elif kind == 'cancel':
-                cancelled.append(job_id)
-            elif kind == 'progress' and self._is_loading:
-                progress[job_id] = decode_row(change.content, ProgressRow)
-        for job_id, row in progress.items():
-            if row is None:
-                decision_log.record('progress_unreadable', job=job_id)
+        # Jobs come first: progress and cancellations refer to them.
+        for kind in _JOB_ROWS:
+            for change in changes:
+                job_id, _, found = change.key.partition('/')
+                if found == kind and change.content is not None:
+                    self._on_job_row(job_id, kind, change.content)
+        self._changed.set()
+
+    def _on_job_row(self, job_id: str, kind: str, content: bytes) -> None:
+        if kind == 'spec':
+            spec = decode_row(content, JobSpec)
+            if spec is None:
+                decision_log.record('job_unreadable', job=job_id)
             else:
-                self._scheduler.restore_progress(job_id, row)
-        for job_id in cancelled:
+                self._scheduler.put_job(job_id, spec)
+        elif kind == 'cancel':
             self._scheduler.cancel(job_id)
-        self._changed.set()
+        elif kind == 'progress' and self._is_loading:
+            progress = decode_row(content, ProgressRow)
+            if progress is None:
+                decision_log.record('progress_unreadable', job=job_id)
+            else:
+                self._scheduler.restore_progress(job_id, progress)
 
     def _on_reports(self, changes: tuple[RowChange, ...]) -> None:
         for change in changes:
@@ -256,10 +257,9 @@
         if decisions.is_empty and not is_due:
             return
         await self._write(decisions)
-        for line in decisions.log:
-            fields = {key: line[key] for key in line if key != 'event'}
+        for line in decisions.lines:
             decision_log.record(
-                str(line['event']), epoch=self._leadership.epoch, **fields
+                line.event, epoch=self._leadership.epoch, **line.fields
             )
 
     def _is_fresh(self) -> bool:
@@ -310,4 +310,4 @@
                 decision_log.record(
                     'guard_lost', guard=node, minion=worker.minion_id
                 )
-                self._scheduler.void_node(node, now_ms)
+                self._scheduler.void_node(node)
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -86,7 +86,7 @@
             If the store does not answer.
         """
         row = await self._read()
-        version = row.version if row else ABSENT
+        version = _version(row)
         if version != self._version:
             self._version = version
             self._changed_ms = self._clock.now_ms()
@@ -153,15 +153,7 @@
             if isinstance(outcome, Committed):
                 self._accept(row, outcome.version)
                 return True
-            found = outcome.found.get(LEASE_NAME)
-            if (found.version if found else ABSENT) == self._version:
-                return False
-            current = _decode(found)
-            if _is_same(current, row) and found is not None:
-                self._accept(row, found.version)
-                return True
-            self._lose(current, found)
-            raise LeaseLostError(current.holder)
+            return self._settle_conflict(row, outcome.found.get(LEASE_NAME))
 
     async def release(self) -> None:
         """Give up the lease, so that a candidate need not wait."""
@@ -176,6 +168,18 @@
             decision_log.record('lease_not_released', reason=repr(error))
         self._is_holder = False
 
+    def _settle_conflict(self, row: LeaseRow, found: Row | None) -> bool:
+        if _version(found) == self._version:
+            # Another condition failed.
+            return False
+        current = _decode(found)
+        if not _is_same(current, row):
+            self._lose(current, found)
+            raise LeaseLostError(current.holder)
+        # An earlier attempt whose answer was lost took effect.
+        self._accept(row, _version(found))
+        return True
+
     def _accept(self, row: LeaseRow, version: int) -> None:
         self._row = row
         self._version = version
@@ -184,7 +188,7 @@
     def _lose(self, current: LeaseRow, found: Row | None) -> None:
         self._is_holder = False
         self._row = current
-        self._version = found.version if found else ABSENT
+        self._version = _version(found)
         self._changed_ms = self._clock.now_ms()
         decision_log.record(
             'lease_lost', holder=current.holder, epoch=current.epoch
@@ -197,6 +201,10 @@
         return snapshot.rows[0] if snapshot.rows else None
 
 
+def _version(row: Row | None) -> int:
+    return ABSENT if row is None else row.version
+
+
 def _decode(row: Row | None) -> LeaseRow:
     found = decode_row(row.content, LeaseRow) if row else None
     return found or LeaseRow('', 0)
--- /dev/null
+++ b/dragonflynotch/control/minion_session.py
@@ -0,0 +1,165 @@
+"""The known incarnation of a minion: its lease, its runs, its book."""
+
+from collections.abc import Callable
+
+from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.lease_arithmetic import MinionLease
+from dragonflynotch.control.minions import (
+    Heartbeat,
+    MinionClient,
+    MinionState,
+    NoAnswer,
+    OtherIncarnation,
+    Unhealthy,
+)
+from dragonflynotch.control.order_book import OrderBook
+from dragonflynotch.control.report_writer import ReportWriter
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.records import Report
+
+__all__ = ('MinionSession',)
+
+
+class MinionSession:
+    """One incarnation of the minion, while it is the present one.
+
+    Parameters
+    ----------
+    heartbeat : Heartbeat
+        Last heartbeat.
+    minion : MinionClient
+        Client of the incarnation.
+    writer : ReportWriter
+        Gives the fencing token and the authority to extend leases.
+    lease_ms : int
+        Length of the lease of the minion.
+    on_state : callable
+        Called after the runs were read or the minion was found to be lost.
+    """
+
+    def __init__(
+        self,
+        heartbeat: Heartbeat,
+        minion: MinionClient,
+        writer: ReportWriter,
+        clock: SteadyClock,
+        lease_ms: int,
+        on_state: Callable[[], None],
+    ) -> None:
+        """Start without having read the runs."""
+        self.heartbeat = heartbeat
+        self.minion = minion
+        self.book = OrderBook()
+        self._writer = writer
+        self._clock = clock
+        self._lease_ms = lease_ms
+        self._on_state = on_state
+        self._lease = MinionLease(clock)
+        # An earlier guard process may have extended the lease.
+        self._lease.assume_leased_until(clock.now_ms() + lease_ms)
+        self._is_live = True
+
+    @property
+    def is_live(self) -> bool:
+        """Whether runs of this incarnation may be present."""
+        return self._is_live
+
+    @property
+    def may_start(self) -> bool:
+        """Whether the minion takes new runs."""
+        return self._is_live and not self.heartbeat.is_draining
+
+    def grant(self, local_until_ms: int | None = None) -> int:
+        """Return the lease end for a call, on the minion's clock.
+
+        Parameters
+        ----------
+        local_until_ms : int, optional
+            Local time that the lease must not exceed.
+        """
+        until_ms = min(
+            self._clock.now_ms() + self._lease_ms,
+            self._writer.authority_local_ms(),
+        )
+        if local_until_ms is not None:
+            until_ms = min(until_ms, local_until_ms)
+        return self._lease.grant(until_ms)
+
+    async def look(self, wait_ms: int = 0, *, may_forget: bool = True) -> bool:
+        """Extend the lease and read the runs; ``False`` without an answer.
+
+        Parameters
+        ----------
+        wait_ms : int
+            How long the minion may wait for an end.
+        may_forget : bool
+            Whether the minion may forget ends that have been recorded.
+        """
+        seen = self.book.seen_up_to() if may_forget else 0
+        outcome = await self.minion.look(
+            self._writer.token, seen, self.grant(), wait_ms
+        )
+        if isinstance(outcome, MinionState):
+            self._observe(outcome)
+            return True
+        self._on_silence(outcome)
+        return False
+
+    def report(self, leased_until_ms: int) -> Report:
+        """Return what the scheduler has to know.
+
+        Parameters
+        ----------
+        leased_until_ms : int
+            Store time up to which leases may be extended.
+        """
+        heartbeat = self.heartbeat
+        state = self.book.state
+        host, port = heartbeat.address
+        return Report(
+            minion_id=heartbeat.minion_id,
+            service=heartbeat.service,
+            is_ready=self.may_start,
+            is_live=self._is_live,
+            leased_until_ms=leased_until_ms,
+            token=self._writer.token,
+            address=f'{host}:{port}',
+            labels=heartbeat.labels,
+            rack=heartbeat.rack,
+            capacity=heartbeat.capacity,
+            running=list(state.running) if state and self._is_live else [],
+            ended=self.book.unrecorded_ends(),
+            rejected=self.book.rejections(),
+        )
+
+    def _observe(self, state: MinionState) -> None:
+        known = {end.number for end in self.book.unrecorded_ends()}
+        self._lease.observe(state.clock_ms)
+        self.book.observe(state)
+        fresh = [
+            end
+            for end in self.book.unrecorded_ends()
+            if end.number not in known
+        ]
+        for end in fresh:
+            decision_log.record(
+                'run_ended', task=end.task, run=end.run, kind=end.kind.value
+            )
+        if fresh or not self._is_live:
+            self._is_live = True
+            self._writer.request()
+        self._on_state()
+
+    def _on_silence(
+        self, outcome: OtherIncarnation | Unhealthy | NoAnswer
+    ) -> None:
+        if not self._is_live:
+            return
+        if isinstance(outcome, OtherIncarnation) or self._lease.is_expired:
+            decision_log.record(
+                'minion_lost',
+                minion=self.heartbeat.minion_id,
+                outcome=type(outcome).__name__,
+            )
+            self._is_live = False
+            self._writer.request()
--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -39,6 +39,26 @@
     is_busy: bool = False
     is_stop_sent: bool = False
 
+    @property
+    def needs_stop(self) -> bool:
+        """Whether the run has to be stopped and is not yet."""
+        return (
+            self.order.is_stopped and not self.is_stop_sent and not self.is_busy
+        )
+
+    @property
+    def needs_start(self) -> bool:
+        """Whether the run has to be started."""
+        return (
+            self.phase is Phase.new
+            and not self.order.is_stopped
+            and not self.is_busy
+        )
+
+    def set_idle(self) -> None:
+        """Take note that no call is under way."""
+        self.is_busy = False
+
 
 @dataclass(slots=True)
 class OrderBook:
@@ -63,6 +83,18 @@
         """Drop an order; its end, if any, has been recorded."""
         self.entries.pop(task, None)
 
+    def is_current(self, entry: OrderEntry) -> bool:
+        """Return whether the order still stands."""
+        return self.entries.get(entry.task) is entry
+
+    def open_entries(self) -> list[OrderEntry]:
+        """Return the orders that may need a call."""
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.phase in {Phase.new, Phase.started}
+        ]
+
     def observe(self, state: MinionState) -> None:
         """Take what the minion runs and what has ended there."""
         self.state = state
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import msgspec
-
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.rows import (
     Conflict,
@@ -112,7 +110,6 @@
         report = self._describe(until_ms)
         if report is None:
             return
-        report = msgspec.structs.replace(report, token=self._token)
         expected = self._version or 0
         # After an uncertain answer the version is unknown; the row is read
         # again before the next write.
@@ -139,7 +136,7 @@
         report = decode_row(row.content, Report)
         self._version = row.version
         if not self._token:
-            self._token = (report.token if report else 0) + 1
+            self._token = 1 if report is None else report.token + 1
             if report is not None:
                 self._on_previous(report)
 
--- a/dragonflynotch/platform/__main__.py
+++ b/dragonflynotch/platform/__main__.py
@@ -13,7 +13,7 @@
 
 __all__ = ('main',)
 
-_PROGRAMS = {'front': FrontProgram, 'side': SideProgram}
+_PROGRAMS = ('front', 'side')
 _INVALID = 2
 
 
@@ -28,7 +28,10 @@
     loop.add_signal_handler(
         signal.SIGHUP, lambda: decision_log.record('reload_requested')
     )
-    await _PROGRAMS[name](settings).run(stop)
+    program = (
+        FrontProgram(settings) if name == 'front' else SideProgram(settings)
+    )
+    await program.run(stop)
 
 
 def main() -> None:
--- a/dragonflynotch/platform/configuration.py
+++ b/dragonflynotch/platform/configuration.py
@@ -1,7 +1,11 @@
 """Decodes the operator's configuration."""
 
+from collections.abc import Iterator, Sequence
+from typing import TypeVar
+
 import msgspec
 
+from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.deployment import (
     Deployment,
     Queue,
@@ -11,6 +15,8 @@
 
 __all__ = ('decode_deployment',)
 
+_PartT = TypeVar('_PartT')
+
 
 class _WireRoute(msgspec.Struct):
     """A route is a queue; ``prefix`` ends with a slash."""
@@ -92,9 +98,22 @@
     )
 
 
-def _readable(parts, model):  # type: ignore[no-untyped-def]
+def _readable(
+    parts: Sequence[msgspec.Raw], model: type[_PartT]
+) -> Iterator[_PartT]:
     for part in parts:
-        try:
-            yield msgspec.json.decode(part, type=model)
-        except msgspec.DecodeError:
-            continue
+        decoded = _decode_part(part, model)
+        if decoded is not None:
+            yield decoded
+
+
+def _decode_part(part: msgspec.Raw, model: type[_PartT]) -> _PartT | None:
+    try:
+        return msgspec.json.decode(part, type=model)
+    except msgspec.DecodeError as error:
+        decision_log.record(
+            'configuration_part_unreadable',
+            model=model.__name__,
+            error=str(error),
+        )
+        return None
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -19,6 +19,7 @@
 from dragonflynotch.platform.row_store import HttpRowStore
 from dragonflynotch.platform.settings import PlatformSettings
 from dragonflynotch.platform.side import SideApi
+from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.scheduler import SchedulerSettings
 
 __all__ = ('FrontProgram', 'SideProgram')
@@ -111,7 +112,7 @@
         watch.cancel()
         decision_log.record('stopped', program='front')
 
-    def _deployment(self):  # type: ignore[no-untyped-def]
+    def _deployment(self) -> Deployment | None:
         return self._configuration.deployment
 
     async def _ready(self, _: HttpCall) -> Reply:
--- /dev/null
+++ b/dragonflynotch/workflows/job_book.py
@@ -0,0 +1,133 @@
+"""All jobs that are kept, and what changed since the last write."""
+
+from collections import Counter
+
+from dragonflynotch.workflows.deployment import Deployment, Queue
+from dragonflynotch.workflows.jobs import JobSpec, parse_task_id
+from dragonflynotch.workflows.progress import Job, Step, Task
+from dragonflynotch.workflows.records import JobState, ProgressRow
+
+__all__ = ('FoundTask', 'JobBook')
+
+FoundTask = tuple[Job, Step, Task]
+_UNKNOWN_QUEUE = Queue('', '', '', '')
+
+
+class JobBook:
+    """Jobs by identifier, with the configuration that applies to them."""
+
+    def __init__(self) -> None:
+        """Start without jobs."""
+        self.deployment = Deployment(0)
+        self._jobs: dict[str, Job] = {}
+        self._open: dict[str, Job] = {}
+        self._cancelled: set[str] = set()
+        self._changed: set[str] = set()
+
+    def put(self, job_id: str, spec: JobSpec) -> None:
+        """Add an accepted job."""
+        if job_id not in self._jobs:
+            job = Job(job_id, spec)
+            self._jobs[job_id] = job
+            self._open[job_id] = job
+
+    def restore(self, job_id: str, row: ProgressRow) -> None:
+        """Take stored progress."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            return
+        job.restore(row)
+        if job.state.is_final:
+            self._open.pop(job_id, None)
+
+    def cancel(self, job_id: str) -> bool:
+        """Mark a job as cancelled; ``False`` if that changes nothing.
+
+        The mark is kept for a job that is not known yet.
+        """
+        is_new = job_id not in self._cancelled
+        self._cancelled.add(job_id)
+        return is_new and job_id in self._open
+
+    def is_cancelled(self, job: Job) -> bool:
+        """Return whether a caller cancelled the job."""
+        return job.job_id in self._cancelled
+
+    def open_jobs(self) -> list[Job]:
+        """Return the jobs that have not ended."""
+        return list(self._open.values())
+
+    def find(self, name: str) -> FoundTask | None:
+        """Return the task with this name, with its job and step."""
+        task_id = parse_task_id(name)
+        if task_id is None:
+            return None
+        job = self._jobs.get(task_id.job_id)
+        found = None if job is None else job.find(task_id)
+        if job is None or found is None:
+            return None
+        return (job, *found)
+
+    def mark_changed(self, job: Job) -> None:
+        """Have the progress of the job written."""
+        self._changed.add(job.job_id)
+
+    def end(self, job: Job, state: JobState, now_ms: int) -> None:
+        """Take note of the end of a job."""
+        self._open.pop(job.job_id, None)
+        job.state = state
+        job.ended_ms = now_ms
+        self.mark_changed(job)
+
+    def queue(self, job: Job) -> Queue:
+        """Return the queue of a job, or one of defaults once it is gone."""
+        return self.deployment.queues.get(job.spec.queue, _UNKNOWN_QUEUE)
+
+    def service(self, job: Job) -> str:
+        """Return the service that runs the job now."""
+        queue = self.deployment.queues.get(job.spec.queue)
+        return job.spec.service if queue is None else queue.service
+
+    def waiting_by_queue(self) -> dict[str, int]:
+        """Return the accepted jobs without a started task."""
+        return dict(
+            Counter(
+                job.spec.queue
+                for job in self._open.values()
+                if job.state is JobState.queued and not job.spec.repetitions
+            )
+        )
+
+    def urgent_accelerators(self) -> Counter[str]:
+        """Return what the open urgent jobs need at most, by workspace."""
+        demand: Counter[str] = Counter()
+        for job in self._open.values():
+            if self.queue(job).priority == 0:
+                demand[job.spec.workspace] += max(
+                    step.accelerators * step.count for step in job.spec.steps
+                )
+        return demand
+
+    def forget_ended(self, before_ms: int) -> list[str]:
+        """Drop jobs that ended before a time; returns their identifiers."""
+        old = [
+            job_id
+            for job_id, job in self._jobs.items()
+            if job.state.is_final
+            and job.ended_ms < before_ms
+            and not any(task.active for task in job.tasks())
+        ]
+        for job_id in old:
+            del self._jobs[job_id]
+            self._cancelled.discard(job_id)
+        return old
+
+    def take_changes(self) -> dict[str, ProgressRow]:
+        """Return the changed progress since the last call."""
+        rows = {
+            job_id: self._jobs[job_id].progress_row()
+            for job_id in self._changed
+            if job_id in self._jobs
+        }
+        self._changed.clear()
+        return rows
--- a/dragonflynotch/workflows/jobs.py
+++ b/dragonflynotch/workflows/jobs.py
@@ -1,6 +1,7 @@
 """Jobs as callers submit them: steps of identical tasks."""
 
-from typing import NamedTuple
+import re
+from dataclasses import dataclass
 
 import msgspec
 
@@ -8,10 +9,11 @@
 
 __all__ = ('JobSpec', 'StepSpec', 'TaskId', 'parse_task_id')
 
-_ID_PARTS = 4
+_TASK_NAME = re.compile(r'([^.]+)\.(\d+)\.(\d+)\.(\d+)', re.ASCII)
 
 
-class TaskId(NamedTuple):
+@dataclass(frozen=True, slots=True, order=True)
+class TaskId:
     """Name of a task."""
 
     job_id: str
@@ -26,12 +28,11 @@
 
 def parse_task_id(text: str) -> TaskId | None:
     """Return the identifier, or ``None`` if ``text`` is not one."""
-    parts = text.split('.')
-    if len(parts) != _ID_PARTS or not all(
-        part.isdecimal() for part in parts[1:]
-    ):
+    match = _TASK_NAME.fullmatch(text)
+    if match is None:
         return None
-    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    job_id, *numbers = match.groups()
+    return TaskId(job_id, *map(int, numbers))
 
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
--- /dev/null
+++ b/dragonflynotch/workflows/occupation.py
@@ -0,0 +1,76 @@
+"""What holds the room of workers, and what stopping it would lose."""
+
+from collections import defaultdict
+
+from dragonflynotch.workflows.job_book import FoundTask, JobBook
+from dragonflynotch.workflows.order_ledger import OrderLedger
+from dragonflynotch.workflows.records import Order
+from dragonflynotch.workflows.workers import Occupation
+
+__all__ = ('list_occupations',)
+
+_PERCENT = 100
+_MS_PER_S = 1000
+_MILLICORES = 1000
+# Cores that an accelerator is worth when lost work is compared.
+_CORES_PER_ACCELERATOR = 8
+# A run that has outlived its estimate is expected to end soon.
+_MIN_REMAINING_MS = 300
+# Resuming costs about as much as this much work.
+_RESTART_MS = 1000
+
+
+def list_occupations(
+    jobs: JobBook, orders: OrderLedger, now_ms: int, stop_ms: int
+) -> dict[str, list[Occupation]]:
+    """Return what holds room, by minion.
+
+    Parameters
+    ----------
+    stop_ms : int
+        Longest time that a stop takes.
+    """
+    held: dict[str, list[Occupation]] = defaultdict(list)
+    for (minion_id, name), order in orders:
+        found = jobs.find(name)
+        if found is not None:
+            held[minion_id].append(
+                _occupation(jobs, found, order, now_ms, stop_ms)
+            )
+    return held
+
+
+def _occupation(
+    jobs: JobBook, found: FoundTask, order: Order, now_ms: int, stop_ms: int
+) -> Occupation:
+    job, step, task = found
+    spec = step.spec
+    elapsed_ms = 0
+    percent = 0
+    if task.active is not None:
+        elapsed_ms = now_ms - task.active.ordered_ms
+        percent = task.active.percent
+    remaining_ms = spec.estimated_ms - elapsed_ms
+    if percent and elapsed_ms > 0:
+        remaining_ms = elapsed_ms * (_PERCENT - percent) // percent
+    if order.is_stopped:
+        remaining_ms = stop_ms
+    lost_ms = _RESTART_MS
+    if not spec.has_checkpoints:
+        lost_ms += elapsed_ms
+    cores = (
+        spec.millicores / _MILLICORES
+        + spec.accelerators * _CORES_PER_ACCELERATOR
+    )
+    return Occupation(
+        task.task_id,
+        order.resources,
+        now_ms + max(_MIN_REMAINING_MS, remaining_ms),
+        preemption_cost=cores * lost_ms / _MS_PER_S,
+        is_stopping=order.is_stopped,
+        is_preemptible=(
+            jobs.queue(job).priority > 0
+            and spec.max_unavailable is None
+            and not spec.is_long_running
+        ),
+    )
--- a/dragonflynotch/workflows/placement.py
+++ b/dragonflynotch/workflows/placement.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import repeat
 
 from dragonflynotch.workflows.progress import Step, Task
 from dragonflynotch.workflows.resources import Resources
@@ -169,11 +170,11 @@
     fits = []
     for name, members in racks.items():
         total = sum(
-            usable[worker.minion_id].count_of(needs) for worker in members
+            usable[member.minion_id].count_of(needs) for member in members
         )
         if total >= count:
             fits.append((total, name))
-    return [racks[name] for _, name in sorted(fits)]
+    return [racks[rack] for _, rack in sorted(fits)]
 
 
 def _fill(
@@ -199,7 +200,7 @@
         fitting = usable[worker.minion_id].count_of(spec.needs)
         if spec.max_per_worker:
             fitting = min(fitting, spec.max_per_worker)
-        chosen.extend([worker] * min(fitting, count - len(chosen)))
+        chosen.extend(repeat(worker, min(fitting, count - len(chosen))))
         if len(chosen) == count:
             return chosen
     return None
--- /dev/null
+++ b/dragonflynotch/workflows/placer.py
@@ -0,0 +1,198 @@
+"""Gives waiting steps their room, the most urgent first."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from dragonflynotch.workflows.decision_lines import DecisionLines
+from dragonflynotch.workflows.job_book import JobBook
+from dragonflynotch.workflows.order_ledger import OrderLedger
+from dragonflynotch.workflows.placement import (
+    Demand,
+    Room,
+    place_gang,
+    place_task,
+)
+from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
+from dragonflynotch.workflows.ranking import Urgency, rank
+from dragonflynotch.workflows.reclaim import choose_victims
+from dragonflynotch.workflows.records import JobState, Order
+from dragonflynotch.workflows.reserve import plan_reservation
+from dragonflynotch.workflows.run_tracker import RunTracker
+from dragonflynotch.workflows.workers import Occupation, Worker
+
+__all__ = ('Placer', 'WaitingStep')
+
+# Steps that keep room for themselves while they cannot start.
+_MAX_RESERVATIONS = 3
+
+Occupations = Mapping[str, Sequence[Occupation]]
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingStep:
+    """A step whose turn has come."""
+
+    urgency: Urgency
+    job: Job
+    step: Step
+
+
+class Placer:
+    """Turns waiting tasks into orders.
+
+    Parameters
+    ----------
+    start_window_ms : int
+        How long an order may wait at its guard before it expires.
+    """
+
+    def __init__(
+        self,
+        jobs: JobBook,
+        orders: OrderLedger,
+        tracker: RunTracker,
+        lines: DecisionLines,
+        start_window_ms: int,
+    ) -> None:
+        """Write orders to ``orders``."""
+        self._jobs = jobs
+        self._orders = orders
+        self._tracker = tracker
+        self._lines = lines
+        self._start_window_ms = start_window_ms
+
+    def place(self, room: Room, occupations: Occupations, wall_ms: int) -> None:
+        """Order what fits, and keep room for what is due but does not fit."""
+        for waiting in self._waiting_steps(room.now_ms, wall_ms):
+            demand = self._demand(waiting, room.now_ms)
+            if self._place_step(room, demand, waiting.job):
+                continue
+            if waiting.urgency.is_guaranteed:
+                self._reclaim(room, demand, occupations)
+            if len(room.reservations) < _MAX_RESERVATIONS:
+                reservation = plan_reservation(room, demand, occupations)
+                if reservation is not None:
+                    room.reservations.append(reservation)
+
+    def _waiting_steps(self, now_ms: int, wall_ms: int) -> list[WaitingStep]:
+        demand = self._jobs.urgent_accelerators()
+        waiting = []
+        for job in self._jobs.open_jobs():
+            is_guaranteed = self._is_guaranteed(job, demand)
+            for step in job.steps:
+                if (
+                    step.waiting_tasks
+                    and job.spec.due_ms(step.occurrence) <= wall_ms
+                    and job.is_reached(step)
+                ):
+                    urgency = rank(
+                        job,
+                        step,
+                        self._jobs.queue(job),
+                        now_ms,
+                        is_guaranteed=is_guaranteed,
+                    )
+                    waiting.append(WaitingStep(urgency, job, step))
+        waiting.sort(key=lambda entry: entry.urgency)
+        return waiting
+
+    def _is_guaranteed(self, job: Job, demand: Counter[str]) -> bool:
+        """Return whether the workspace's urgent work is in its guarantee."""
+        name = job.spec.workspace
+        workspace = self._jobs.deployment.workspaces.get(name)
+        return (
+            workspace is not None
+            and self._jobs.queue(job).priority == 0
+            and demand[name] <= workspace.guaranteed_accelerators
+        )
+
+    def _demand(self, waiting: WaitingStep, now_ms: int) -> Demand:
+        # Room on the right rack is worth waiting for about as long as the
+        # slower run would cost.
+        job, step = waiting.job, waiting.step
+        has_waited = now_ms - job.spec.accepted_ms > step.spec.estimated_ms
+        is_urgent = self._jobs.queue(job).priority == 0
+        return Demand(
+            step,
+            self._jobs.service(job),
+            step.spec.estimated_ms,
+            may_leave_data=has_waited,
+            may_span_racks=has_waited or is_urgent,
+        )
+
+    def _place_step(self, room: Room, demand: Demand, job: Job) -> bool:
+        if demand.step.spec.is_gang:
+            return self._place_gang(room, demand, job)
+        return self._place_tasks(room, demand, job)
+
+    def _place_gang(self, room: Room, demand: Demand, job: Job) -> bool:
+        workers = place_gang(room, demand)
+        if workers is None:
+            return False
+        run = max(task.run for task in demand.step.tasks) + 1
+        for task, worker in zip(demand.step.tasks, workers, strict=True):
+            self._order(room, job, demand.step, task, worker, run)
+        return True
+
+    def _place_tasks(self, room: Room, demand: Demand, job: Job) -> bool:
+        step = demand.step
+        on_step = Counter(
+            task.active.minion_id for task in step.tasks if task.active
+        )
+        for task in step.waiting_tasks:
+            worker = place_task(room, demand, task, on_step)
+            if worker is None:
+                return False
+            on_step[worker.minion_id] += 1
+            self._order(room, job, step, task, worker, task.run + 1)
+        return True
+
+    def _order(
+        self,
+        room: Room,
+        job: Job,
+        step: Step,
+        task: Task,
+        worker: Worker,
+        run: int,
+    ) -> None:
+        needs = step.spec.needs
+        room.take(worker, needs)
+        task.run = run
+        task.active = ActiveRun(
+            worker.minion_id, run, room.now_ms, moved_ms=room.now_ms
+        )
+        name = str(task.task_id)
+        self._orders.put(
+            (worker.minion_id, name),
+            Order(
+                payload=job.spec.payload,
+                run=run,
+                start_by_ms=room.now_ms + self._start_window_ms,
+                checkpoint=task.checkpoint,
+                needs=(needs.millicores, needs.memory_mb, needs.accelerators),
+            ),
+        )
+        job.state = JobState.running
+        self._jobs.mark_changed(job)
+        self._lines.record(
+            'run_ordered',
+            task=name,
+            run=run,
+            minion=worker.minion_id,
+            report_age_ms=room.now_ms - worker.reported_ms,
+            waited_ms=room.now_ms - job.spec.accepted_ms,
+        )
+
+    def _reclaim(
+        self, room: Room, demand: Demand, occupations: Occupations
+    ) -> None:
+        """Stop borrowers so that guaranteed work can start."""
+        for occupation in choose_victims(room, demand, occupations):
+            found = self._jobs.find(str(occupation.task_id))
+            if found is None:
+                continue
+            _, step, task = found
+            for member in step.tasks if step.spec.is_gang else (task,):
+                self._tracker.stop(member, 'guarantee_reclaimed')
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -38,6 +38,10 @@
     percent: int = 0
     moved_ms: int = 0
 
+    def is_run(self, minion_id: str, run: int) -> bool:
+        """Return whether this is the given run on the given minion."""
+        return self.minion_id == minion_id and self.run == run
+
 
 @dataclass(slots=True)
 class Task:
@@ -91,6 +95,14 @@
         """Return the failed runs that count against the limit."""
         return max((task.failures for task in self.tasks), default=0)
 
+    def has_failed(self, max_attempts: int) -> bool:
+        """Return whether the step cannot be completed any more."""
+        return (
+            self.attempts >= max_attempts
+            and not self.is_done
+            and not self.spec.is_long_running
+        )
+
     @property
     def waiting_tasks(self) -> list[Task]:
         """Tasks that could start now.
--- a/dragonflynotch/workflows/ranking.py
+++ b/dragonflynotch/workflows/ranking.py
@@ -9,6 +9,11 @@
 
 # A job is worth something up to this multiple of its objective.
 _LATE_LIMIT = 3
+# Tiers, the most urgent first.
+_GUARANTEED = 0
+_ON_TIME = 1
+_LATE = 2
+_PAST = 3
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -30,6 +35,11 @@
     occurrence: int
     step: int
 
+    @property
+    def is_guaranteed(self) -> bool:
+        """Whether the workspace is owed the room now."""
+        return self.tier == _GUARANTEED
+
 
 def rank(
     job: Job, step: Step, queue: Queue, now_ms: int, *, is_guaranteed: bool
@@ -42,20 +52,17 @@
     """
     path_ms = critical_path_ms(job)
     objective_ms = queue.stretch * path_ms + queue.target_latency_ms
-    begin_ms = job.spec.accepted_ms
-    remaining_ms = path_ms
-    for tier, limit_ms in (
-        (1, objective_ms),
-        (2, _LATE_LIMIT * objective_ms),
-    ):
-        last_ms = int(begin_ms + limit_ms - remaining_ms)
-        if last_ms >= now_ms:
-            break
-    else:
-        tier = 3
+    slack_ms = objective_ms - path_ms
+    on_time_ms = int(job.spec.accepted_ms + slack_ms)
+    late_ms = int(on_time_ms + (_LATE_LIMIT - 1) * objective_ms)
+    tier, last_start_ms = _PAST, late_ms
+    if now_ms <= on_time_ms:
+        tier, last_start_ms = _ON_TIME, on_time_ms
+    elif now_ms <= late_ms:
+        tier = _LATE
     return Urgency(
-        0 if is_guaranteed else tier,
-        last_ms,
+        _GUARANTEED if is_guaranteed else tier,
+        last_start_ms,
         job.job_id,
         step.occurrence,
         step.number,
--- a/dragonflynotch/workflows/reclaim.py
+++ b/dragonflynotch/workflows/reclaim.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 
 from dragonflynotch.workflows.placement import Demand, Room, fit_gang
+from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.workers import Occupation
 
 __all__ = ('choose_victims',)
@@ -22,10 +23,10 @@
         worker.minion_id: room.free[worker.minion_id]
         for worker in room.candidates(demand)
     }
-    for minion_id in free:
-        for occupation in occupations.get(minion_id, ()):
-            if occupation.is_stopping:
-                free[minion_id] += occupation.needs
+    for stopping in free:
+        for one in occupations.get(stopping, ()):
+            if one.is_stopping:
+                free[stopping] += one.needs
     if _fits(room, demand, free):
         return []
     borrowers = sorted(
@@ -55,10 +56,10 @@
     return needed
 
 
-def _fits(room: Room, demand: Demand, free: Mapping[str, object]) -> bool:
+def _fits(room: Room, demand: Demand, free: Mapping[str, Resources]) -> bool:
     spec = demand.step.spec
     if spec.is_gang:
-        return fit_gang(room, demand, free) is not None  # type: ignore[arg-type]
+        return fit_gang(room, demand, free) is not None
     waiting = len(demand.step.waiting_tasks)
-    fitting = sum(one.count_of(spec.needs) for one in free.values())  # type: ignore[attr-defined]
+    fitting = sum(one.count_of(spec.needs) for one in free.values())
     return fitting >= waiting
--- a/dragonflynotch/workflows/reserve.py
+++ b/dragonflynotch/workflows/reserve.py
@@ -9,7 +9,7 @@
     Room,
     fit_gang,
 )
-from dragonflynotch.workflows.resources import NOTHING, Resources
+from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.workers import Occupation
 
 __all__ = ('plan_reservation',)
@@ -63,13 +63,4 @@
         if fitting is None:
             return None
         counts = Counter((fitting,))
-    return {
-        minion_id: _times(needs, count) for minion_id, count in counts.items()
-    }
-
-
-def _times(needs: Resources, count: int) -> Resources:
-    total = NOTHING
-    for _ in range(count):
-        total += needs
-    return total
+    return {minion_id: needs * count for minion_id, count in counts.items()}
--- a/dragonflynotch/workflows/resources.py
+++ b/dragonflynotch/workflows/resources.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ('NOTHING', 'Resources')
+__all__ = ('Resources',)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +39,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def __mul__(self, count: int) -> 'Resources':
+        """Return the resources of ``count`` equal shares."""
+        return Resources(
+            self.millicores * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
     def covers(self, other: 'Resources') -> bool:
         """Return whether ``other`` fits."""
         return (
@@ -72,6 +80,5 @@
         )
 
 
-NOTHING = Resources()
 # A task without needs fits any number of times.
 _UNBOUNDED = 1_000_000
--- /dev/null
+++ b/dragonflynotch/workflows/run_tracker.py
@@ -0,0 +1,164 @@
+"""Takes note of what guards report about runs."""
+
+from dragonflynotch.workflows.decision_lines import DecisionLines
+from dragonflynotch.workflows.evidence import WorkerEvidence
+from dragonflynotch.workflows.job_book import JobBook
+from dragonflynotch.workflows.order_ledger import OrderLedger
+from dragonflynotch.workflows.progress import ActiveRun, Task
+from dragonflynotch.workflows.records import (
+    EndKind,
+    Order,
+    Rejection,
+    Report,
+    RunEnd,
+    RunningTask,
+)
+
+__all__ = ('RunTracker',)
+
+
+class RunTracker:
+    """Applies reports to jobs and orders.
+
+    Reports repeat everything that is not recorded yet, so each entry is
+    matched with its order and has an effect once.
+    """
+
+    def __init__(
+        self,
+        jobs: JobBook,
+        orders: OrderLedger,
+        evidence: WorkerEvidence,
+        lines: DecisionLines,
+    ) -> None:
+        """Update ``jobs`` and ``orders``."""
+        self._jobs = jobs
+        self._orders = orders
+        self._evidence = evidence
+        self._lines = lines
+
+    def apply(self, report: Report, now_ms: int) -> None:
+        """Take the report of a known incarnation."""
+        for end in report.ended:
+            self._apply_end(report.minion_id, end, now_ms)
+        for rejection in report.rejected:
+            self._apply_rejection(report.minion_id, rejection)
+        for running in report.running:
+            self._apply_running(report.minion_id, running, now_ms)
+        if not report.is_live:
+            self.void(report.minion_id, 'lease_expired')
+
+    def restore(
+        self, minion_id: str, name: str, order: Order, ordered_ms: int
+    ) -> None:
+        """Attach a stored order to its task."""
+        self._orders.restore((minion_id, name), order)
+        found = self._jobs.find(name)
+        if found is None:
+            return
+        task = found[2]
+        task.run = max(task.run, order.run)
+        task.active = ActiveRun(
+            minion_id,
+            order.run,
+            ordered_ms,
+            is_stopping=order.is_stopped,
+            moved_ms=order.start_by_ms,
+        )
+
+    def void(self, minion_id: str, reason: str) -> None:
+        """Give up all runs of an incarnation that certainly are gone."""
+        for name in self._orders.of_minion(minion_id):
+            self._orders.drop((minion_id, name))
+            found = self._jobs.find(name)
+            if found is None:
+                continue
+            job, step, task = found
+            if task.active is not None and task.active.minion_id == minion_id:
+                job.apply_end(step, task, EndKind.lapsed, '')
+                self._jobs.mark_changed(job)
+                self._lines.record(
+                    'run_lost', task=name, minion=minion_id, reason=reason
+                )
+
+    def stop(self, task: Task, reason: str) -> None:
+        """Order the active run of a task to stop."""
+        active = task.active
+        if active is None or active.is_stopping:
+            return
+        name = str(task.task_id)
+        if self._orders.stop((active.minion_id, name), active.run):
+            active.is_stopping = True
+            self._lines.record(
+                'stop_ordered', task=name, run=active.run, reason=reason
+            )
+
+    def _apply_end(self, minion_id: str, end: RunEnd, now_ms: int) -> None:
+        key = (minion_id, end.task)
+        if self._orders.find(key, end.run) is None:
+            return
+        self._orders.drop(key)
+        found = self._jobs.find(end.task)
+        if found is None:
+            return
+        job, step, task = found
+        if task.active is None or task.active.run != end.run:
+            return
+        was_done = task.is_done
+        job.apply_end(step, task, end.kind, end.checkpoint)
+        self._jobs.mark_changed(job)
+        self._lines.record(
+            'end_recorded',
+            task=end.task,
+            run=end.run,
+            kind=end.kind.value,
+            minion=minion_id,
+        )
+        if end.kind is EndKind.done:
+            self._evidence.note_success(minion_id, now_ms)
+        elif end.kind is EndKind.failed and not was_done:
+            self.blame(task, minion_id, now_ms)
+
+    def blame(self, task: Task, minion_id: str, now_ms: int) -> None:
+        """Hold a failed or stalled run against its worker."""
+        task.avoided.add(minion_id)
+        job_id = task.task_id.job_id
+        if self._evidence.note_failure(minion_id, job_id, now_ms):
+            self._lines.record('worker_excluded', minion=minion_id)
+
+    def _apply_rejection(self, minion_id: str, rejection: Rejection) -> None:
+        key = (minion_id, rejection.task)
+        if self._orders.find(key, rejection.run) is None:
+            return
+        self._orders.drop(key)
+        found = self._jobs.find(rejection.task)
+        if found is None:
+            return
+        job, _, task = found
+        if task.active is not None and task.active.run == rejection.run:
+            task.active = None
+            self._jobs.mark_changed(job)
+        self._lines.record(
+            'start_not_run',
+            task=rejection.task,
+            run=rejection.run,
+            reason=rejection.reason,
+            minion=minion_id,
+        )
+
+    def _apply_running(
+        self, minion_id: str, running: RunningTask, now_ms: int
+    ) -> None:
+        found = self._jobs.find(running.task)
+        if found is None:
+            return
+        job, step, task = found
+        active = task.active
+        if active is None or not active.is_run(minion_id, running.run):
+            return
+        if running.percent != active.percent or not active.is_present:
+            active.percent = running.percent
+            active.moved_ms = now_ms
+            active.is_present = True
+        if step.spec.has_checkpoints and running.checkpoint:
+            job.save_checkpoint(step, task, running.checkpoint)
--- a/dragonflynotch/workflows/workers.py
+++ b/dragonflynotch/workflows/workers.py
@@ -1,11 +1,10 @@
 """Workers as their guards report them."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from dragonflynotch.workflows.jobs import TaskId
 from dragonflynotch.workflows.records import Report
-from dragonflynotch.workflows.resources import NOTHING, Resources
+from dragonflynotch.workflows.resources import Resources
 
 __all__ = ('Occupation', 'Worker')
 
@@ -43,26 +42,8 @@
     report: Report
     version: int
     reported_ms: int
-    occupations: dict[TaskId, Occupation] = field(default_factory=dict)
 
     @property
     def minion_id(self) -> str:
         """Incarnation of the minion."""
         return self.report.minion_id
-
-    @property
-    def used(self) -> Resources:
-        """Resources of all ordered runs."""
-        return _total(self.occupations.values())
-
-    @property
-    def free(self) -> Resources:
-        """Resources without a run."""
-        return self.report.resources - self.used
-
-
-def _total(occupations: Iterable[Occupation]) -> Resources:
-    total = NOTHING
-    for occupation in occupations:
-        total += occupation.needs
-    return total
