--- a/dragonflynotch/control/configuration.py
+++ b/dragonflynotch/control/configuration.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock
-from dragonflynotch.control.rows import RowChange, RowStore
+from dragonflynotch.control.rows import RowChange, RowStore, Table
 from dragonflynotch.control.watch import TableWatch
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.deployment import Deployment
@@ -22,8 +22,10 @@
     ----------
     store : RowStore
         Store with the row.
-    table, key : str
-        Place of the row.
+    table : Table
+        Table of the row.
+    key : str
+        Key of the row.
     decode : callable
         Returns the deployment, or ``None`` for unreadable bytes.
     """
@@ -31,7 +33,7 @@
     def __init__(
         self,
         store: RowStore,
-        table: str,
+        table: Table,
         key: str,
         decode: Callable[[bytes], Deployment | None],
         clock: SteadyClock,
--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -16,10 +16,15 @@
 from dragonflynotch.control.order_book import OrderEntry
 from dragonflynotch.control.order_runner import OrderRunner, describe
 from dragonflynotch.control.report_writer import ReportWriter
-from dragonflynotch.control.rows import RowChange, RowStore, Table
+from dragonflynotch.control.rows import ORDERS, RowChange, RowStore
 from dragonflynotch.control.watch import TableWatch
 from dragonflynotch.observability.decisions import decision_log
-from dragonflynotch.workflows.records import Order, Report, decode_row
+from dragonflynotch.workflows.records import (
+    Order,
+    Report,
+    RunningTask,
+    decode_row,
+)
 
 __all__ = ('Guard', 'GuardLimits')
 
@@ -87,7 +92,7 @@
         self._connect = connect
         self._limits = limits
         self._orders = TableWatch(
-            store, Table.orders, self._on_orders, clock, _FEED_WAIT
+            store, ORDERS, self._on_orders, clock, _FEED_WAIT
         )
         self._writer = ReportWriter(
             node,
@@ -101,6 +106,7 @@
         self._order_rows: dict[str, Order] = {}
         self._session: MinionSession | None = None
         self._runner: OrderRunner | None = None
+        self._last_report: Report | None = None
         self._has_departed = False
         self._identifying: set[str] = set()
         self._stopping_strays: set[tuple[str, int]] = set()
@@ -152,6 +158,7 @@
 
         Its lease could run out before the next heartbeat.
         """
+        self._last_report = report
         host, _, port = report.address.rpartition(':')
         if self._session is not None or not report.minion_id or not port:
             return
@@ -207,6 +214,7 @@
             self._writer,
             self._clock,
             self._limits.minion_lease_ms,
+            self._abandoned_runs(heartbeat.minion_id),
             self._act,
         )
         prefix = f'{heartbeat.minion_id}/'
@@ -223,6 +231,13 @@
         )
         self._spawn(self._look())
 
+    def _abandoned_runs(self, minion_id: str) -> list[RunningTask]:
+        """Return what the last incarnation ran if it was another one."""
+        last = self._last_report
+        if last is None or last.minion_id == minion_id:
+            return []
+        return last.running or last.abandoned
+
     def _end_session(self) -> None:
         for call in self._calls:
             if call is not asyncio.current_task():
@@ -340,7 +355,8 @@
 
     def _report(self, leased_until_ms: int) -> Report | None:
         if self._session is not None:
-            return self._session.report(leased_until_ms)
+            self._last_report = self._session.report(leased_until_ms)
+            return self._last_report
         # Before the first heartbeat nothing is known, and the report of an
         # earlier process stays true.
         if not self._has_departed:
--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -8,11 +8,18 @@
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.leadership import Leadership, LeaseLostError
 from dragonflynotch.control.rows import (
+    ORDERS,
+    PROGRESS,
+    REPORTS,
+    SCHEDULER_PART,
+    SUBMISSIONS,
     RowChange,
     RowName,
     RowStore,
     RowWrite,
+    Snapshot,
     Table,
+    shard_of,
 )
 from dragonflynotch.control.watch import TableWatch
 from dragonflynotch.core.errors import (
@@ -51,8 +58,6 @@
 _MAX_WRITES = 90
 # Clocks and the delay of answers are covered by this much.
 _AUTHORITY_MARGIN_MS = 500
-# Kinds of rows of a job, in the order in which they are taken.
-_JOB_ROWS = ('spec', 'progress', 'cancel')
 
 
 class Leader:
@@ -131,11 +136,11 @@
         self._deployment = deployment
         self._store = store
         self._scheduler = Scheduler(settings)
-        self._jobs = TableWatch(
-            store, Table.jobs, self._on_jobs, clock, _FEED_WAIT
+        self._submissions = TableWatch(
+            store, SUBMISSIONS, self._on_submissions, clock, _FEED_WAIT
         )
         self._reports = TableWatch(
-            store, Table.reports, self._on_reports, clock, _FEED_WAIT
+            store, REPORTS, self._on_reports, clock, _FEED_WAIT
         )
         self._changed = asyncio.Event()
         self._renewed_ms = clock.now_ms()
@@ -146,7 +151,7 @@
         """Load all rows and schedule until the lease is lost."""
         await self._load()
         watches = [
-            asyncio.create_task(self._jobs.run()),
+            asyncio.create_task(self._submissions.run()),
             asyncio.create_task(self._reports.run()),
         ]
         try:
@@ -160,15 +165,24 @@
     async def _load(self) -> None:
         while True:
             try:
-                await self._jobs.load()
-                orders = await self._store.read(Table.orders)
-                await self._reports.load()
+                progress, orders, *_ = await asyncio.gather(
+                    self._read(PROGRESS),
+                    self._read(ORDERS),
+                    self._submissions.load(),
+                    self._reports.load(),
+                )
             except PlatformUnavailableError as error:
                 decision_log.record('takeover_read_failed', reason=str(error))
                 # Proves that the lease is still held.
                 await self._leadership.commit([], [])
                 continue
             break
+        for row in progress.rows:
+            stored = decode_row(row.content, ProgressRow)
+            if stored is None:
+                decision_log.record('progress_unreadable', job=row.key)
+            else:
+                self._scheduler.restore_progress(row.key, stored)
         for row in orders.rows:
             order = decode_row(row.content, Order)
             minion_id, _, task = row.key.partition('/')
@@ -187,35 +201,31 @@
             reports=len(self._loaded_reports),
         )
 
+    async def _read(self, table: Table) -> Snapshot:
+        return await self._store.read(table.name, SCHEDULER_PART)
+
     def _now_ms(self) -> int:
         return self._store_clock.earliest_ms()
 
     # ---- changes ---------------------------------------------------------
 
-    def _on_jobs(self, changes: tuple[RowChange, ...]) -> None:
-        # Jobs come first: progress and cancellations refer to them.
-        for kind in _JOB_ROWS:
-            for change in changes:
-                job_id, _, found = change.key.partition('/')
-                if found == kind and change.content is not None:
-                    self._on_job_row(job_id, kind, change.content)
+    def _on_submissions(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            job_id, _, kind = change.key.partition('/')
+            if change.content is None:
+                continue
+            if kind == 'cancel':
+                self._scheduler.cancel(job_id)
+            elif kind == 'spec':
+                self._put_job(job_id, change.content)
         self._changed.set()
 
-    def _on_job_row(self, job_id: str, kind: str, content: bytes) -> None:
-        if kind == 'spec':
-            spec = decode_row(content, JobSpec)
-            if spec is None:
-                decision_log.record('job_unreadable', job=job_id)
-            else:
-                self._scheduler.put_job(job_id, spec)
-        elif kind == 'cancel':
-            self._scheduler.cancel(job_id)
-        elif kind == 'progress' and self._is_loading:
-            progress = decode_row(content, ProgressRow)
-            if progress is None:
-                decision_log.record('progress_unreadable', job=job_id)
-            else:
-                self._scheduler.restore_progress(job_id, progress)
+    def _put_job(self, job_id: str, content: bytes) -> None:
+        spec = decode_row(content, JobSpec)
+        if spec is None:
+            decision_log.record('job_unreadable', job=job_id)
+        else:
+            self._scheduler.put_job(job_id, spec)
 
     def _on_reports(self, changes: tuple[RowChange, ...]) -> None:
         for change in changes:
@@ -263,25 +273,24 @@
             )
 
     def _is_fresh(self) -> bool:
-        return max(self._jobs.age_ms, self._reports.age_ms) < _FRESH_MS
+        return max(self._submissions.age_ms, self._reports.age_ms) < _FRESH_MS
 
     async def _write(self, decisions: Decisions) -> None:
         """Write progress before the orders that follow from it."""
         writes = [
-            RowWrite(RowName(Table.jobs, f'{job_id}/progress'), encode_row(row))
+            RowWrite(_own_row(PROGRESS, job_id), encode_row(row))
             for job_id, row in decisions.progress.items()
         ]
         writes.extend(
             RowWrite(
-                RowName(Table.orders, f'{minion_id}/{task}'),
+                _own_row(ORDERS, f'{minion_id}/{task}'),
                 None if order is None else encode_row(order),
             )
             for (minion_id, task), order in decisions.orders.items()
         )
         writes.extend(
-            RowWrite(RowName(Table.jobs, f'{job_id}/{kind}'), None)
+            RowWrite(_own_row(PROGRESS, job_id), None)
             for job_id in decisions.forgotten_jobs
-            for kind in ('spec', 'cancel', 'progress')
         )
         waiting = self._scheduler.waiting_by_queue()
         for first in range(0, max(1, len(writes)), _MAX_WRITES):
@@ -289,6 +298,23 @@
                 writes[first : first + _MAX_WRITES], [], waiting
             )
         self._renewed_ms = self._clock.now_ms()
+        for job_id in decisions.forgotten_jobs:
+            await self._forget_submission(job_id)
+
+    async def _forget_submission(self, job_id: str) -> None:
+        part = shard_of(job_id)
+        names = [
+            RowName(SUBMISSIONS.name, part, f'{job_id}/{kind}')
+            for kind in ('spec', 'cancel')
+        ]
+        try:
+            await self._store.commit(
+                [RowWrite(name, None) for name in names], []
+            )
+        except (PlatformUnavailableError, UncertainWriteError) as error:
+            decision_log.record(
+                'submission_kept', job=job_id, reason=str(error)
+            )
 
     async def _void_lost_guards(self) -> None:
         """Give up the runs of guards whose authority has ended.
@@ -301,7 +327,7 @@
             until_ms = worker.report.leased_until_ms + _AUTHORITY_MARGIN_MS
             if now_ms < until_ms or not worker.minion_id:
                 continue
-            name = RowName(Table.reports, node)
+            name = RowName(REPORTS.name, shard_of(node), node)
             empty = Report('', '', False, False, 0, worker.report.token)
             is_written = await self._leadership.commit(
                 [RowWrite(name, encode_row(empty))], [(name, worker.version)]
@@ -311,3 +337,7 @@
                     'guard_lost', guard=node, minion=worker.minion_id
                 )
                 self._scheduler.void_node(node)
+
+
+def _own_row(table: Table, key: str) -> RowName:
+    return RowName(table.name, SCHEDULER_PART, key)
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -7,12 +7,13 @@
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.rows import (
     ABSENT,
+    LEASE,
+    SCHEDULER_PART,
     Committed,
     Row,
     RowName,
     RowStore,
     RowWrite,
-    Table,
 )
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
@@ -27,7 +28,7 @@
 
 __all__ = ('LEASE_NAME', 'LeaseLostError', 'Leadership')
 
-LEASE_NAME = RowName(Table.lease, 'scheduler')
+LEASE_NAME = RowName(LEASE.name, SCHEDULER_PART, 'holder')
 
 # A candidate takes over when the row has not changed for this long. Running
 # tasks do not depend on the holder, so a late takeover only delays starts.
@@ -85,7 +86,7 @@
         PlatformUnavailableError
             If the store does not answer.
         """
-        row = await self._read()
+        row = await self._store.read_row(LEASE_NAME)
         version = _version(row)
         if version != self._version:
             self._version = version
@@ -194,12 +195,6 @@
             'lease_lost', holder=current.holder, epoch=current.epoch
         )
 
-    async def _read(self) -> Row | None:
-        snapshot = await self._store.read(
-            LEASE_NAME.table, LEASE_NAME.key, f'{LEASE_NAME.key}\0'
-        )
-        return snapshot.rows[0] if snapshot.rows else None
-
 
 def _version(row: Row | None) -> int:
     return ABSENT if row is None else row.version
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -1,6 +1,6 @@
 """The known incarnation of a minion: its lease, its runs, its book."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.lease_arithmetic import MinionLease
@@ -15,7 +15,7 @@
 from dragonflynotch.control.order_book import OrderBook
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.observability.decisions import decision_log
-from dragonflynotch.workflows.records import Report
+from dragonflynotch.workflows.records import Report, RunningTask
 
 __all__ = ('MinionSession',)
 
@@ -33,6 +33,8 @@
         Gives the fencing token and the authority to extend leases.
     lease_ms : int
         Length of the lease of the minion.
+    abandoned : sequence of RunningTask
+        Last known runs of the incarnation before this one.
     on_state : callable
         Called after the runs were read or the minion was found to be lost.
     """
@@ -44,6 +46,7 @@
         writer: ReportWriter,
         clock: SteadyClock,
         lease_ms: int,
+        abandoned: Sequence[RunningTask],
         on_state: Callable[[], None],
     ) -> None:
         """Start without having read the runs."""
@@ -53,6 +56,7 @@
         self._writer = writer
         self._clock = clock
         self._lease_ms = lease_ms
+        self._abandoned = list(abandoned)
         self._on_state = on_state
         self._lease = MinionLease(clock)
         # An earlier guard process may have extended the lease.
@@ -130,6 +134,7 @@
             running=list(state.running) if state and self._is_live else [],
             ended=self.book.unrecorded_ends(),
             rejected=self.book.rejections(),
+            abandoned=self._abandoned,
         )
 
     def _observe(self, state: MinionState) -> None:
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -6,11 +6,12 @@
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.rows import (
+    REPORTS,
     Conflict,
     RowName,
     RowStore,
     RowWrite,
-    Table,
+    shard_of,
 )
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
@@ -58,7 +59,7 @@
         on_previous: Callable[[Report], None],
     ) -> None:
         """Create the writer; ``run`` starts it."""
-        self._name = RowName(Table.reports, node)
+        self._name = RowName(REPORTS.name, shard_of(node), node)
         self._store = store
         self._store_clock = store_clock
         self._clock = clock
@@ -125,14 +126,11 @@
         self._authority_store_ms = until_ms
 
     async def _read(self) -> None:
-        snapshot = await self._store.read(
-            self._name.table, self._name.key, f'{self._name.key}\0'
-        )
-        if not snapshot.rows:
+        row = await self._store.read_row(self._name)
+        if row is None:
             self._version = 0
             self._token = self._token or 1
             return
-        row = snapshot.rows[0]
         report = decode_row(row.content, Report)
         self._version = row.version
         if not self._token:
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -4,9 +4,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from zlib import crc32
 
 __all__ = (
     'ABSENT',
+    'LEASE',
+    'ORDERS',
+    'PROGRESS',
+    'REPORTS',
+    'SCHEDULER_PART',
+    'SUBMISSIONS',
     'Changes',
     'Committed',
     'Conflict',
@@ -18,22 +25,43 @@
     'RowWrite',
     'Snapshot',
     'Table',
+    'shard_of',
 )
 
 ABSENT = 0
 
 
+# Part of all rows that the scheduler writes; transactions are atomic in it.
+SCHEDULER_PART = 'scheduler'
+# A part carries its transactions one after another, so what entries and guards
+# write is spread. On a slow store one part would serve two writes a second.
+_SHARDS = 8
+
+
+def shard_of(key: str) -> str:
+    """Return the part for the rows of a job or a guard."""
+    return f'shard-{crc32(key.encode()) % _SHARDS}'
+
+
+@dataclass(frozen=True, slots=True)
 class Table:
-    """Names of the tables."""
+    """A table with the parts that its rows are spread over."""
 
-    # Rows ID/spec and ID/cancel by entries, ID/progress by the scheduler.
-    jobs = 'jobs'
-    # One row for each guard, written by it.
-    reports = 'reports'
-    # Rows MINION/TASK, written by the scheduler.
-    orders = 'orders'
-    # The scheduling lease.
-    lease = 'lease'
+    name: str
+    parts: tuple[str, ...]
+
+
+_SHARD_NAMES = tuple(f'shard-{number}' for number in range(_SHARDS))
+# Rows ID/spec and ID/cancel, written once by entries.
+SUBMISSIONS = Table('submissions', _SHARD_NAMES)
+# One row for each guard, written by it.
+REPORTS = Table('reports', _SHARD_NAMES)
+# One row for each job, written by the scheduler.
+PROGRESS = Table('progress', (SCHEDULER_PART,))
+# Rows MINION/TASK, written by the scheduler.
+ORDERS = Table('orders', (SCHEDULER_PART,))
+# The scheduling lease.
+LEASE = Table('lease', (SCHEDULER_PART,))
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +69,7 @@
     """Place of a row."""
 
     table: str
+    part: str
     key: str
 
 
@@ -116,17 +145,28 @@
 
     @abstractmethod
     async def read(
-        self, table: str, first: str = '', last: str = ''
+        self, table: str, part: str, first: str = '', last: str = ''
     ) -> Snapshot:
         """Return the rows with ``first <= key < last``, in order."""
 
+    async def read_row(self, name: RowName) -> Row | None:
+        """Return one row, or ``None`` if it does not exist."""
+        # The smallest key above the one asked for ends the range.
+        snapshot = await self.read(
+            name.table, name.part, name.key, f'{name.key}\0'
+        )
+        return snapshot.rows[0] if snapshot.rows else None
+
     @abstractmethod
     async def commit(
         self,
         writes: Sequence[RowWrite],
         conditions: Sequence[tuple[RowName, int]],
     ) -> Committed | Conflict:
-        """Apply all writes if each row has its expected version."""
+        """Apply all writes if each row has its expected version.
+
+        All rows must be in one part.
+        """
 
     @abstractmethod
     async def changes(
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -10,11 +10,14 @@
 from dragonflynotch.control.leadership import LEASE_NAME
 from dragonflynotch.control.rows import (
     ABSENT,
+    PROGRESS,
+    SCHEDULER_PART,
+    SUBMISSIONS,
     Committed,
     RowName,
     RowStore,
     RowWrite,
-    Table,
+    shard_of,
 )
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
@@ -102,7 +105,7 @@
         row = msgspec.structs.replace(
             spec, accepted_ms=self._store_clock.earliest_ms()
         )
-        name = RowName(Table.jobs, f'{job_id}/spec')
+        name = _submission(job_id, 'spec')
         return await self._write_once(name, encode_row(row), limit)
 
     async def cancel(
@@ -116,40 +119,36 @@
             return Unknown(state.reason)
         if state.is_final:
             return Accepted()
-        name = RowName(Table.jobs, f'{job_id}/cancel')
+        name = _submission(job_id, 'cancel')
         return await self._write_once(name, b'{}', limit)
 
     async def state(self, job_id: str) -> JobState | NotFound | Unavailable:
         """Return the state of a job."""
         try:
-            # All rows of a job begin with its identifier and a slash.
-            snapshot = await self._store.read(
-                Table.jobs, f'{job_id}/', f'{job_id}0'
-            )
+            return await self._read_state(job_id)
         except PlatformUnavailableError as error:
             return Unavailable(str(error))
-        rows = {row.key.partition('/')[2]: row for row in snapshot.rows}
-        if 'spec' not in rows:
-            return NotFound()
-        progress = rows.get('progress')
-        row = decode_row(progress.content, ProgressRow) if progress else None
-        state = row.state if row else JobState.queued
-        if 'cancel' in rows and not state.is_final:
-            return JobState.cancelled
-        return state
 
     async def waiting(self, queue: str) -> int | Unavailable:
         """Return the number of accepted jobs without a started task."""
         try:
-            snapshot = await self._store.read(
-                LEASE_NAME.table, LEASE_NAME.key, f'{LEASE_NAME.key}\0'
-            )
+            row = await self._store.read_row(LEASE_NAME)
         except PlatformUnavailableError as error:
             return Unavailable(str(error))
-        if not snapshot.rows:
-            return 0
-        lease = decode_row(snapshot.rows[0].content, LeaseRow)
-        return lease.waiting.get(queue, 0) if lease else 0
+        lease = None if row is None else decode_row(row.content, LeaseRow)
+        return 0 if lease is None else lease.waiting.get(queue, 0)
+
+    async def _read_state(self, job_id: str) -> JobState | NotFound:
+        # Most jobs have started when they are asked for.
+        row = await self._store.read_row(
+            RowName(PROGRESS.name, SCHEDULER_PART, job_id)
+        )
+        progress = None if row is None else decode_row(row.content, ProgressRow)
+        if progress is not None:
+            return progress.state
+        if await self._store.read_row(_submission(job_id, 'spec')) is None:
+            return NotFound()
+        return JobState.queued
 
     async def _write_once(
         self, name: RowName, content: bytes, limit: timedelta
@@ -183,3 +182,7 @@
             if elapsed_ms > limit_ms:
                 return Unknown(reason) if is_uncertain else NotAccepted(reason)
             await asyncio.sleep(_RETRY_S)
+
+
+def _submission(job_id: str, kind: str) -> RowName:
+    return RowName(SUBMISSIONS.name, shard_of(job_id), f'{job_id}/{kind}')
--- a/dragonflynotch/control/watch.py
+++ b/dragonflynotch/control/watch.py
@@ -10,6 +10,7 @@
     HistoryLost,
     RowChange,
     RowStore,
+    Table,
 )
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.observability.decisions import decision_log
@@ -26,7 +27,7 @@
     ----------
     store : RowStore
         Source of the rows.
-    table : str
+    table : Table
         Table to follow.
     on_changes : callable
         Receives the changed rows. After a loss of history it receives all
@@ -36,14 +37,12 @@
     wait : timedelta
         Longest wait of one call. It bounds how long a feed that silently
         delivers nothing stays unnoticed.
-    first, last : str
-        Range of the keys; the feed itself cannot be narrowed.
     """
 
     def __init__(
         self,
         store: RowStore,
-        table: str,
+        table: Table,
         on_changes: Callable[[tuple[RowChange, ...]], None],
         clock: SteadyClock,
         wait: timedelta,
@@ -80,16 +79,23 @@
             If the store does not answer.
         """
         sent_ms = self._clock.now_ms()
-        snapshot = await self._store.read(self._table)
-        present = {row.key for row in snapshot.rows}
+        snapshots = await asyncio.gather(
+            *(
+                self._store.read(self._table.name, part)
+                for part in self._table.parts
+            )
+        )
+        rows = [row for snapshot in snapshots for row in snapshot.rows]
+        version = min(snapshot.version for snapshot in snapshots)
+        present = {row.key for row in rows}
         gone = [key for key in self._versions if key not in present]
         changes = [
             RowChange(row.key, row.content, row.version)
-            for row in snapshot.rows
+            for row in rows
             if self._versions.get(row.key) != row.version
         ]
-        changes.extend(RowChange(key, None, snapshot.version) for key in gone)
-        self._version = snapshot.version
+        changes.extend(RowChange(key, None, version) for key in gone)
+        self._version = version
         self._apply(tuple(changes))
         self._answered_ms = sent_ms
 
@@ -110,11 +116,11 @@
             return
         sent_ms = self._clock.now_ms()
         answer = await self._store.changes(
-            self._table, self._version, self._wait
+            self._table.name, self._version, self._wait
         )
         if isinstance(answer, HistoryLost):
             decision_log.record(
-                'history_lost', table=self._table, version=self._version
+                'history_lost', table=self._table.name, version=self._version
             )
             await self.load()
             return
@@ -148,6 +154,6 @@
         self._is_reachable = is_reachable
         decision_log.record(
             'store_regained' if is_reachable else 'store_lost',
-            table=self._table,
+            table=self._table.name,
             reason=reason,
         )
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -8,6 +8,7 @@
 from dragonflynotch.control.guard import Guard, GuardLimits
 from dragonflynotch.control.leader import Leader
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.rows import Table
 from dragonflynotch.control.submissions import JobDesk
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.http_server import HttpServer
@@ -24,10 +25,8 @@
 
 __all__ = ('FrontProgram', 'SideProgram')
 
-# All rows of one scheduling domain; transactions are atomic within it.
-_PART = 'main'
-_OPERATOR_PART = ''
-_OPERATOR_TABLE = 'op'
+# Written by the operator, without a part.
+_OPERATOR_TABLE = Table('op', ('',))
 _CONFIGURATION_KEY = 'config'
 _LONGEST_LEASE_MS = 6000
 _LEASE_SHARE = 0.95
@@ -52,10 +51,9 @@
         """Create the program from checked settings."""
         clock = BootClock()
         self._settings = settings
-        self._store = HttpRowStore(settings.store, _PART, clock)
-        operator = HttpRowStore(settings.store, _OPERATOR_PART, clock)
+        self._store = HttpRowStore(settings.store, clock)
         self._configuration = ConfigurationWatch(
-            operator,
+            self._store,
             _OPERATOR_TABLE,
             _CONFIGURATION_KEY,
             decode_deployment,
@@ -140,7 +138,7 @@
     def __init__(self, settings: PlatformSettings) -> None:
         """Create the program from checked settings."""
         clock = BootClock()
-        self._store = HttpRowStore(settings.store, _PART, clock)
+        self._store = HttpRowStore(settings.store, clock)
         longest_ms = min(_LONGEST_LEASE_MS, settings.bounds.minion_lease_ms)
         self._guard = Guard(
             settings.node,
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -76,24 +76,19 @@
     ----------
     address : tuple of (str, int)
         Address of the store.
-    part : str
-        Part that holds the rows. Transactions are atomic within a part.
     clock : SteadyClock
         Measures the calls.
     """
 
-    def __init__(
-        self, address: tuple[str, int], part: str, clock: SteadyClock
-    ) -> None:
+    def __init__(self, address: tuple[str, int], clock: SteadyClock) -> None:
         """Create the client; no connection is opened yet."""
         self._pool = HttpPool(address, max_idle=6)
-        self._part = part
         self._clock = clock
         self.time = StoreClock(clock)
         self.calls = 0
 
     async def read(
-        self, table: str, first: str = '', last: str = ''
+        self, table: str, part: str, first: str = '', last: str = ''
     ) -> Snapshot:
         """Return the rows with ``first <= key < last``, in order.
 
@@ -105,7 +100,7 @@
         version: int | None = None
         start = first
         while True:
-            query = {'table': table, 'part': self._part}
+            query = {'table': table, 'part': part}
             if start:
                 query['from'] = start
             if last:
@@ -129,18 +124,17 @@
         """Apply all writes if each row has its expected version."""
         body = _WireTransaction(
             expected_rev=[
-                self._wire_row(name, ver=version)
-                for name, version in conditions
+                _wire_row(name, ver=version) for name, version in conditions
             ],
             puts=[
-                self._wire_row(
+                _wire_row(
                     write.name, value=base64.b64encode(write.content).decode()
                 )
                 for write in writes
                 if write.content is not None
             ],
             remove=[
-                self._wire_row(write.name)
+                _wire_row(write.name)
                 for write in writes
                 if write.content is None
             ],
@@ -169,7 +163,7 @@
             return Committed(answer.ver)
         return Conflict(
             {
-                RowName(row.table, row.key): Row(
+                RowName(row.table, row.part, row.key): Row(
                     row.key, _decoded(row.value), row.ver or 0
                 )
                 for row in answer.rows
@@ -200,7 +194,6 @@
                     row.ver or 0,
                 )
                 for row in answer.rows
-                if row.part == self._part
             ),
             answer.ver,
         )
@@ -239,10 +232,11 @@
             self.time.observe(answer.now_ms, sent_ms)
         return answer
 
-    def _wire_row(
-        self, name: RowName, value: str | None = None, ver: int | None = None
-    ) -> _WireRow:
-        return _WireRow(name.table, name.key, self._part, value, ver)
+
+def _wire_row(
+    name: RowName, value: str | None = None, ver: int | None = None
+) -> _WireRow:
+    return _WireRow(name.table, name.key, name.part, value, ver)
 
 
 def _decoded(text: str | None) -> bytes:
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -189,6 +189,8 @@
         Fencing token of the guard process.
     address : str
         Where the minion accepts calls; a restarted guard finds it here.
+    abandoned : list of RunningTask
+        Runs of the incarnation before this one, with their checkpoints.
     """
 
     minion_id: str
@@ -204,6 +206,7 @@
     running: list[RunningTask] = []
     ended: list[RunEnd] = []
     rejected: list[Rejection] = []
+    abandoned: list[RunningTask] = []
 
     @property
     def resources(self) -> Resources:
--- a/dragonflynotch/workflows/run_tracker.py
+++ b/dragonflynotch/workflows/run_tracker.py
@@ -1,5 +1,7 @@
 """Takes note of what guards report about runs."""
 
+from collections.abc import Iterable
+
 from dragonflynotch.workflows.decision_lines import DecisionLines
 from dragonflynotch.workflows.evidence import WorkerEvidence
 from dragonflynotch.workflows.job_book import JobBook
@@ -48,6 +50,20 @@
         if not report.is_live:
             self.void(report.minion_id, 'lease_expired')
 
+    def save_abandoned(self, abandoned: Iterable[RunningTask]) -> None:
+        """Keep the checkpoints of runs whose incarnation is gone."""
+        for running in abandoned:
+            found = self._jobs.find(running.task)
+            if found is None or not running.checkpoint:
+                continue
+            job, step, task = found
+            if (
+                step.spec.has_checkpoints
+                and task.active is not None
+                and task.active.run == running.run
+            ):
+                job.save_checkpoint(step, task, running.checkpoint)
+
     def restore(
         self, minion_id: str, name: str, order: Order, ordered_ms: int
     ) -> None:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -132,6 +132,7 @@
         worker = self._workers.get(node)
         previous = '' if worker is None else worker.minion_id
         self._workers[node] = Worker(node, report, version, now_ms)
+        self._tracker.save_abandoned(report.abandoned)
         if previous and previous != report.minion_id:
             self._tracker.void(previous, 'incarnation_replaced')
         if report.minion_id:
