--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import traceback
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -52,6 +53,8 @@
 # The lease row is rewritten at least this often.
 _RENEWAL_MS = 600
 _CANDIDATE_PAUSE_S = 0.7
+# Leaves the lease to other candidates after an unexpected error.
+_FAILURE_PAUSE_S = 2
 # Replicas older than this could miss a cancellation; nothing is started.
 _FRESH_MS = 1800
 # Rows in a transaction, leaving room for conditions and the lease itself.
@@ -104,6 +107,13 @@
                 decision_log.record('campaign_failed', reason=str(error))
             except LeaseLostError as error:
                 decision_log.record('scheduling_ended', holder=str(error))
+            except Exception:
+                # Another node may do better; this one campaigns again.
+                decision_log.record(
+                    'scheduling_failed', error=traceback.format_exc()
+                )
+                await self._leadership.release()
+                await asyncio.sleep(_FAILURE_PAUSE_S)
             await asyncio.sleep(_CANDIDATE_PAUSE_S)
 
     async def _hold(self) -> None:
@@ -144,6 +154,7 @@
         )
         self._changed = asyncio.Event()
         self._renewed_ms = clock.now_ms()
+        self._write_ms = 0
         self._is_loading = True
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
@@ -222,7 +233,7 @@
 
     def _put_job(self, job_id: str, content: bytes) -> None:
         spec = decode_row(content, JobSpec)
-        if spec is None:
+        if spec is None or not spec.is_sound:
             decision_log.record('job_unreadable', job=job_id)
         else:
             self._scheduler.put_job(job_id, spec)
@@ -261,7 +272,7 @@
         decisions = Decisions()
         if self._is_fresh():
             decisions = self._scheduler.decide(
-                self._now_ms(), int(time.time() * 1000)
+                self._now_ms(), int(time.time() * 1000), self._write_ms
             )
         is_due = self._clock.now_ms() - self._renewed_ms > _RENEWAL_MS
         if decisions.is_empty and not is_due:
@@ -293,11 +304,13 @@
             for job_id in decisions.forgotten_jobs
         )
         waiting = self._scheduler.waiting_by_queue()
+        began_ms = self._clock.now_ms()
         for first in range(0, max(1, len(writes)), _MAX_WRITES):
             await self._leadership.commit(
                 writes[first : first + _MAX_WRITES], [], waiting
             )
         self._renewed_ms = self._clock.now_ms()
+        self._write_ms = self._renewed_ms - began_ms
         for job_id in decisions.forgotten_jobs:
             await self._forget_submission(job_id)
 
--- a/dragonflynotch/platform/jobs.py
+++ b/dragonflynotch/platform/jobs.py
@@ -59,9 +59,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
     steps = tuple(_step(step) for step in job.steps)
-    if not steps or any(step.count < 1 for step in steps):
-        return None
-    return JobSpec(
+    spec = JobSpec(
         queue=queue.name,
         workspace=workspace,
         service=queue.service,
@@ -71,6 +69,7 @@
         first_due_ms=job.first_run_ms,
         interval_ms=job.interval_ms,
     )
+    return spec if spec.is_sound else None
 
 
 def _step(step: _WireStep) -> StepSpec:
--- a/dragonflynotch/workflows/jobs.py
+++ b/dragonflynotch/workflows/jobs.py
@@ -87,6 +87,20 @@
     fills: bool = False
     max_unavailable: int | None = None
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether the step has tasks and asks for no negative amount."""
+        return self.count > 0 and not any(
+            amount < 0
+            for amount in (
+                self.millicores,
+                self.memory_mb,
+                self.accelerators,
+                self.estimated_ms,
+                self.max_per_worker,
+            )
+        )
+
     @property
     def needs(self) -> Resources:
         """Needs of one task that count against its worker."""
@@ -130,6 +144,14 @@
     first_due_ms: int = 0
     interval_ms: int = 0
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether all numbers make sense and steps follow earlier ones."""
+        return bool(self.steps) and all(
+            step.is_sound and all(0 <= one < number for one in step.after)
+            for number, step in enumerate(self.steps)
+        )
+
     @property
     def occurrences(self) -> int:
         """How many times the steps run."""
--- a/dragonflynotch/workflows/occupation.py
+++ b/dragonflynotch/workflows/occupation.py
@@ -68,6 +68,7 @@
         now_ms + max(_MIN_REMAINING_MS, remaining_ms),
         preemption_cost=cores * lost_ms / _MS_PER_S,
         is_stopping=order.is_stopped,
+        is_resumable=spec.has_checkpoints,
         is_preemptible=(
             jobs.queue(job).priority > 0
             and spec.max_unavailable is None
--- a/dragonflynotch/workflows/placement.py
+++ b/dragonflynotch/workflows/placement.py
@@ -9,7 +9,15 @@
 from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.workers import Worker
 
-__all__ = ('Demand', 'Reservation', 'Room', 'place_gang', 'place_task')
+__all__ = (
+    'Demand',
+    'Reservation',
+    'Room',
+    'fit_gang',
+    'fits_a_rack',
+    'place_gang',
+    'place_task',
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +142,19 @@
     return fit_gang(room, demand, usable)
 
 
+def fits_a_rack(room: Room, step: Step, service: str) -> bool:
+    """Return whether an empty rack would hold the gang."""
+    demand = Demand(step, service, 0)
+    capacity = {
+        worker.minion_id: worker.report.resources
+        for worker in room.candidates(demand)
+    }
+    workers = [room.workers[minion_id] for minion_id in capacity]
+    return bool(
+        _racks_by_fit(workers, capacity, step.spec.needs, len(step.tasks))
+    )
+
+
 def fit_gang(
     room: Room, demand: Demand, usable: Mapping[str, Resources]
 ) -> list[Worker] | None:
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -10,6 +10,7 @@
 from dragonflynotch.workflows.placement import (
     Demand,
     Room,
+    fits_a_rack,
     place_gang,
     place_task,
 )
@@ -17,14 +18,18 @@
 from dragonflynotch.workflows.ranking import Urgency, rank
 from dragonflynotch.workflows.reclaim import choose_victims
 from dragonflynotch.workflows.records import JobState, Order
-from dragonflynotch.workflows.reserve import plan_reservation
+from dragonflynotch.workflows.reserve import plan_reservations
 from dragonflynotch.workflows.run_tracker import RunTracker
 from dragonflynotch.workflows.workers import Occupation, Worker
 
 __all__ = ('Placer', 'WaitingStep')
 
 # Steps that keep room for themselves while they cannot start.
-_MAX_RESERVATIONS = 3
+_MAX_RESERVING_STEPS = 3
+# Calls to the store between a decision and its start.
+_SLOW_WRITES = 3
+# Urgent work that is owed room waits this long for a rack of its own.
+_URGENT_PATIENCE_MS = 1000
 
 Occupations = Mapping[str, Sequence[Occupation]]
 
@@ -61,19 +66,30 @@
         self._tracker = tracker
         self._lines = lines
         self._start_window_ms = start_window_ms
+        self._start_by_ms = 0
 
-    def place(self, room: Room, occupations: Occupations, wall_ms: int) -> None:
+    def place(
+        self,
+        room: Room,
+        occupations: Occupations,
+        wall_ms: int,
+        write_ms: int,
+    ) -> None:
         """Order what fits, and keep room for what is due but does not fit."""
+        # The order has to be written and read before it can be followed.
+        slow_ms = min(write_ms * _SLOW_WRITES, self._start_window_ms)
+        self._start_by_ms = room.now_ms + self._start_window_ms + slow_ms
+        reserving_steps = 0
         for waiting in self._waiting_steps(room.now_ms, wall_ms):
-            demand = self._demand(waiting, room.now_ms)
+            demand = self._demand(room, waiting)
             if self._place_step(room, demand, waiting.job):
                 continue
-            if waiting.urgency.is_guaranteed:
-                self._reclaim(room, demand, occupations)
-            if len(room.reservations) < _MAX_RESERVATIONS:
-                reservation = plan_reservation(room, demand, occupations)
-                if reservation is not None:
-                    room.reservations.append(reservation)
+            self._make_room(room, waiting, demand, occupations)
+            if reserving_steps < _MAX_RESERVING_STEPS:
+                reserving_steps += 1
+                room.reservations.extend(
+                    plan_reservations(room, demand, occupations)
+                )
 
     def _waiting_steps(self, now_ms: int, wall_ms: int) -> list[WaitingStep]:
         demand = self._jobs.urgent_accelerators()
@@ -107,18 +123,21 @@
             and demand[name] <= workspace.guaranteed_accelerators
         )
 
-    def _demand(self, waiting: WaitingStep, now_ms: int) -> Demand:
-        # Room on the right rack is worth waiting for about as long as the
-        # slower run would cost.
+    def _demand(self, room: Room, waiting: WaitingStep) -> Demand:
+        # The right rack is worth waiting for while the slower run elsewhere
+        # would cost more.
         job, step = waiting.job, waiting.step
-        has_waited = now_ms - job.spec.accepted_ms > step.spec.estimated_ms
-        is_urgent = self._jobs.queue(job).priority == 0
+        patience_ms = step.spec.estimated_ms
+        if waiting.urgency.is_guaranteed:
+            patience_ms = min(patience_ms, _URGENT_PATIENCE_MS)
+        has_waited = room.now_ms - job.spec.accepted_ms > patience_ms
+        service = self._jobs.service(job)
         return Demand(
             step,
-            self._jobs.service(job),
+            service,
             step.spec.estimated_ms,
             may_leave_data=has_waited,
-            may_span_racks=has_waited or is_urgent,
+            may_span_racks=has_waited or not fits_a_rack(room, step, service),
         )
 
     def _place_step(self, room: Room, demand: Demand, job: Job) -> bool:
@@ -169,7 +188,7 @@
             Order(
                 payload=job.spec.payload,
                 run=run,
-                start_by_ms=room.now_ms + self._start_window_ms,
+                start_by_ms=self._start_by_ms,
                 checkpoint=task.checkpoint,
                 needs=(needs.millicores, needs.memory_mb, needs.accelerators),
             ),
@@ -185,14 +204,27 @@
             waited_ms=room.now_ms - job.spec.accepted_ms,
         )
 
-    def _reclaim(
-        self, room: Room, demand: Demand, occupations: Occupations
+    def _make_room(
+        self,
+        room: Room,
+        waiting: WaitingStep,
+        demand: Demand,
+        occupations: Occupations,
     ) -> None:
-        """Stop borrowers so that guaranteed work can start."""
-        for occupation in choose_victims(room, demand, occupations):
+        """Stop less urgent runs for urgent work.
+
+        Guaranteed work takes whatever others borrow; other urgent work only
+        what loses nothing by a stop.
+        """
+        is_guaranteed = waiting.urgency.is_guaranteed
+        if not is_guaranteed and self._jobs.queue(waiting.job).priority:
+            return
+        for occupation in choose_victims(
+            room, demand, occupations, only_resumable=not is_guaranteed
+        ):
             found = self._jobs.find(str(occupation.task_id))
             if found is None:
                 continue
             _, step, task = found
             for member in step.tasks if step.spec.is_gang else (task,):
-                self._tracker.stop(member, 'guarantee_reclaimed')
+                self._tracker.stop(member, 'room_for_urgent_work')
--- a/dragonflynotch/workflows/reclaim.py
+++ b/dragonflynotch/workflows/reclaim.py
@@ -13,9 +13,19 @@
     room: Room,
     demand: Demand,
     occupations: Mapping[str, Sequence[Occupation]],
+    *,
+    only_resumable: bool = False,
 ) -> list[Occupation]:
     """Return the runs to stop, or none if that would not make room.
 
+    Parameters
+    ----------
+    only_resumable : bool
+        Whether to spare runs whose work would be lost.
+
+    Notes
+    -----
+
     Runs are taken in the order of the work that stopping them loses, until
     the step fits; then each that turned out not to be needed is spared.
     """
@@ -34,7 +44,9 @@
             (occupation.preemption_cost, minion_id, occupation)
             for minion_id in free
             for occupation in occupations.get(minion_id, ())
-            if occupation.is_preemptible and not occupation.is_stopping
+            if occupation.is_preemptible
+            and not occupation.is_stopping
+            and (occupation.is_resumable or not only_resumable)
         ),
         key=lambda entry: (entry[0], entry[1], entry[2].task_id),
     )
--- a/dragonflynotch/workflows/reserve.py
+++ b/dragonflynotch/workflows/reserve.py
@@ -12,18 +12,21 @@
 from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.workers import Occupation
 
-__all__ = ('plan_reservation',)
+__all__ = ('plan_reservations',)
 
+# Tasks of a step without a gang that room is kept for.
+_MAX_TASKS = 8
 
-def plan_reservation(
+
+def plan_reservations(
     room: Room,
     demand: Demand,
     occupations: Mapping[str, Sequence[Occupation]],
-) -> Reservation | None:
-    """Return the earliest room for a step, or ``None`` if there is none.
+) -> list[Reservation]:
+    """Return the earliest room for what a step still waits for.
 
     The runs on all workers are released in the order of their expected ends
-    until the step fits.
+    until the gang fits, or each waiting task has a place.
     """
     usable = {
         worker.minion_id: room.usable(worker, demand)
@@ -34,33 +37,32 @@
         for minion_id in usable
         for index, occupation in enumerate(occupations.get(minion_id, ()))
     )
+    planned: list[Reservation] = []
+    missing = min(len(demand.step.waiting_tasks), _MAX_TASKS)
     for end_ms, minion_id, index in releases:
         usable[minion_id] += occupations[minion_id][index].needs
-        reserved = _fit(room, demand, usable)
-        if reserved is not None:
-            return Reservation(end_ms, reserved)
-    return None
+        if demand.step.spec.is_gang:
+            reserved = _fit_gang(room, demand, usable)
+            if reserved is not None:
+                return [Reservation(end_ms, reserved)]
+            continue
+        needs = demand.step.spec.needs
+        count = min(missing, usable[minion_id].count_of(needs))
+        if count:
+            usable[minion_id] -= needs * count
+            missing -= count
+            planned.append(Reservation(end_ms, {minion_id: needs * count}))
+        if not missing:
+            break
+    return planned
 
 
-def _fit(
+def _fit_gang(
     room: Room, demand: Demand, usable: Mapping[str, Resources]
 ) -> dict[str, Resources] | None:
+    workers = fit_gang(room, demand, usable)
+    if workers is None:
+        return None
     needs = demand.step.spec.needs
-    if demand.step.spec.is_gang:
-        workers = fit_gang(room, demand, usable)
-        if workers is None:
-            return None
-        counts = Counter(worker.minion_id for worker in workers)
-    else:
-        fitting = next(
-            (
-                minion_id
-                for minion_id, free in usable.items()
-                if free.covers(needs)
-            ),
-            None,
-        )
-        if fitting is None:
-            return None
-        counts = Counter((fitting,))
+    counts = Counter(worker.minion_id for worker in workers)
     return {minion_id: needs * count for minion_id, count in counts.items()}
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -150,7 +150,7 @@
         for minion_id in self._orders.minions() - known:
             self._tracker.void(minion_id, 'incarnation_unknown')
 
-    def decide(self, now_ms: int, wall_ms: int) -> Decisions:
+    def decide(self, now_ms: int, wall_ms: int, write_ms: int = 0) -> Decisions:
         """Return what to write now.
 
         Parameters
@@ -159,6 +159,8 @@
             Time of the store.
         wall_ms : int
             Time since 1970, for jobs with a due time.
+        write_ms : int
+            How long the last write took. Orders of a slow store wait longer.
         """
         room = self._room(now_ms)
         self._supervisor.review(now_ms, set(room.free))
@@ -167,7 +169,7 @@
         occupations = list_occupations(
             self._jobs, self._orders, now_ms, self._settings.stop_ms
         )
-        self._placer.place(room, occupations, wall_ms)
+        self._placer.place(room, occupations, wall_ms, write_ms)
         return Decisions(
             self._jobs.take_changes(),
             self._orders.take_changes(),
--- a/dragonflynotch/workflows/workers.py
+++ b/dragonflynotch/workflows/workers.py
@@ -20,6 +20,8 @@
     preemption_cost: float = 0
     is_stopping: bool = False
     is_preemptible: bool = False
+    # A stop saves the work of the run.
+    is_resumable: bool = False
 
 
 @dataclass(slots=True)
