--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -32,6 +32,8 @@
 _FEED_WAIT = timedelta(milliseconds=1000)
 _RETRY_S = 0.1
 _LOOK_WAIT_MS = 1000
+# A lease is extended this often, so that a lost call does not end it.
+_LOOKS_PER_LEASE = 4
 # While ends wait to be recorded the minion answers at once.
 _UNRECORDED_PAUSE_S = 0.1
 # A stop takes up to about this long before the run is gone.
@@ -103,6 +105,9 @@
             self._report,
             self._on_previous_report,
         )
+        self._look_wait_ms = min(
+            _LOOK_WAIT_MS, limits.minion_lease_ms // _LOOKS_PER_LEASE
+        )
         self._order_rows: dict[str, Order] = {}
         self._session: MinionSession | None = None
         self._runner: OrderRunner | None = None
@@ -229,6 +234,7 @@
             self._clock,
             lambda: self._orders.age_ms,
         )
+        self._writer.request()
         self._spawn(self._look())
 
     def _abandoned_runs(self, minion_id: str) -> list[RunningTask]:
@@ -329,7 +335,7 @@
             if session is None or not self._writer.token:
                 await asyncio.sleep(_RETRY_S)
                 continue
-            wait_ms = _LOOK_WAIT_MS
+            wait_ms = self._look_wait_ms
             if session.book.unrecorded_ends():
                 await self._wait_for_orders()
                 wait_ms = 0
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -19,6 +19,10 @@
 
 __all__ = ('MinionSession',)
 
+# A call without an answer may have extended the lease. After this many the
+# lease is left to expire, so that its runs can start elsewhere.
+_MAX_UNANSWERED_LOOKS = 2
+
 
 class MinionSession:
     """One incarnation of the minion, while it is the present one.
@@ -61,6 +65,7 @@
         self._lease = MinionLease(clock)
         # An earlier guard process may have extended the lease.
         self._lease.assume_leased_until(clock.now_ms() + lease_ms)
+        self._unanswered_looks = 0
         self._is_live = True
 
     @property
@@ -81,6 +86,8 @@
         local_until_ms : int, optional
             Local time that the lease must not exceed.
         """
+        if self._unanswered_looks >= _MAX_UNANSWERED_LOOKS:
+            return 0
         until_ms = min(
             self._clock.now_ms() + self._lease_ms,
             self._writer.authority_local_ms(),
@@ -139,6 +146,7 @@
 
     def _observe(self, state: MinionState) -> None:
         known = {end.number for end in self.book.unrecorded_ends()}
+        self._unanswered_looks = 0
         self._lease.observe(state.clock_ms)
         self.book.observe(state)
         fresh = [
@@ -158,6 +166,7 @@
     def _on_silence(
         self, outcome: OtherIncarnation | Unhealthy | NoAnswer
     ) -> None:
+        self._unanswered_looks += 1
         if not self._is_live:
             return
         if isinstance(outcome, OtherIncarnation) or self._lease.is_expired:
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.rows import (
@@ -23,7 +22,10 @@
 __all__ = ('ReportWriter',)
 
 # Keeps the report fresh enough to show a guard that has died.
-_REFRESH = timedelta(milliseconds=1500)
+_REFRESH_MS = 1500
+# A few writes may be lost before the authority ends.
+_WRITES_PER_AUTHORITY = 6
+_MS_PER_S = 1000
 # Ends of one moment go into one write.
 _BATCH_S = 0.01
 _RETRY_S = 0.2
@@ -66,6 +68,9 @@
         self._authority_ms = authority_ms
         self._describe = describe
         self._on_previous = on_previous
+        self._refresh_s = (
+            min(_REFRESH_MS, authority_ms // _WRITES_PER_AUTHORITY) / _MS_PER_S
+        )
         self._token = 0
         self._version: int | None = None
         self._authority_store_ms = 0
@@ -97,7 +102,7 @@
                 continue
             self._note_error('')
             try:
-                async with asyncio.timeout(_REFRESH.total_seconds()):
+                async with asyncio.timeout(self._refresh_s):
                     await self._requested.wait()
             except TimeoutError:
                 continue
--- /dev/null
+++ b/dragonflynotch/testing/row_store.py
@@ -0,0 +1,189 @@
+"""Stand-in of the platform's row store, with faults on demand."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.rows import (
+    ABSENT,
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLost,
+    Row,
+    RowChange,
+    RowName,
+    RowStore,
+    RowWrite,
+    Snapshot,
+)
+from dragonflynotch.core.errors import (
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+
+__all__ = ('MemoryRowStore', 'StoreFault')
+
+_PEER = 'row store'
+_POLL_S = 0.002
+
+
+class StoreFault(Enum):
+    """What the stand-in does wrong."""
+
+    none = 'none'
+    # Refuses every call and does nothing.
+    down = 'down'
+    # Carries writes out and does not answer them.
+    lose_answers = 'lose_answers'
+    # Does not answer writes and carries them out when told to.
+    late = 'late'
+
+
+@dataclass(frozen=True, slots=True)
+class _Logged:
+    name: RowName
+    content: bytes | None
+    version: int
+
+
+class MemoryRowStore(RowStore):
+    """Row store in memory.
+
+    Set ``fault`` to make it fail, call ``apply_late`` to carry out what it
+    held back, and ``forget_history`` to cut the feeds.
+
+    Parameters
+    ----------
+    clock : SteadyClock
+        Clock of the store; answers carry its time.
+    """
+
+    def __init__(self, clock: SteadyClock) -> None:
+        """Create an empty store."""
+        self.fault = StoreFault.none
+        self.time = StoreClock(clock)
+        self.calls = 0
+        self._clock = clock
+        self._rows: dict[RowName, Row] = {}
+        self._version = 0
+        self._log: list[_Logged] = []
+        self._history_from = 0
+        self._late: list[
+            tuple[tuple[RowWrite, ...], tuple[tuple[RowName, int], ...]]
+        ] = []
+
+    async def read(
+        self, table: str, part: str, first: str = '', last: str = ''
+    ) -> Snapshot:
+        """Return the rows with ``first <= key < last``, in order."""
+        self._enter('read')
+        names = sorted(
+            (
+                name
+                for name in self._rows
+                if (name.table, name.part) == (table, part)
+                and name.key >= first
+                and (not last or name.key < last)
+            ),
+            key=lambda name: name.key,
+        )
+        return Snapshot(
+            tuple(self._rows[name] for name in names), self._version
+        )
+
+    async def commit(
+        self,
+        writes: Sequence[RowWrite],
+        conditions: Sequence[tuple[RowName, int]],
+    ) -> Committed | Conflict:
+        """Apply all writes if each row has its expected version."""
+        self._enter('commit')
+        if self.fault is StoreFault.late:
+            self._late.append((tuple(writes), tuple(conditions)))
+            raise _uncertain()
+        outcome = self._apply(writes, conditions)
+        if self.fault is StoreFault.lose_answers:
+            raise _uncertain()
+        return outcome
+
+    async def changes(
+        self, table: str, after: int, wait: timedelta
+    ) -> Changes | HistoryLost:
+        """Wait for changes of a table after a version."""
+        self._enter('feed')
+        polls = int(wait.total_seconds() / _POLL_S)
+        for _ in range(polls + 1):
+            if after < self._history_from:
+                return HistoryLost()
+            found = tuple(
+                RowChange(one.name.key, one.content, one.version)
+                for one in self._log
+                if one.name.table == table and one.version > after
+            )
+            if found:
+                break
+            await asyncio.sleep(_POLL_S)
+        self._enter('feed')
+        return Changes(found, self._version)
+
+    def apply_late(self) -> list[Committed | Conflict]:
+        """Carry out the writes that were held back."""
+        late = self._late
+        self._late = []
+        return [self._apply(*transaction) for transaction in late]
+
+    def forget_history(self) -> None:
+        """Drop the history of all feeds."""
+        self._log.clear()
+        self._history_from = self._version
+
+    def _apply(
+        self,
+        writes: Sequence[RowWrite],
+        conditions: Sequence[tuple[RowName, int]],
+    ) -> Committed | Conflict:
+        if any(
+            self._version_of(name) != version for name, version in conditions
+        ):
+            return Conflict(
+                {
+                    name: self._rows[name]
+                    for name, _ in conditions
+                    if name in self._rows
+                }
+            )
+        self._version += 1
+        for write in writes:
+            self._write(write)
+        return Committed(self._version)
+
+    def _write(self, write: RowWrite) -> None:
+        self._log.append(_Logged(write.name, write.content, self._version))
+        if write.content is None:
+            self._rows.pop(write.name, None)
+        else:
+            self._rows[write.name] = Row(
+                write.name.key, write.content, self._version
+            )
+
+    def _version_of(self, name: RowName) -> int:
+        row = self._rows.get(name)
+        return ABSENT if row is None else row.version
+
+    def _enter(self, step: str) -> None:
+        self.calls += 1
+        if self.fault is StoreFault.down:
+            raise PlatformUnavailableError(
+                'down on demand', step=step, peer=_PEER
+            )
+        self.time.observe(self._clock.now_ms(), self._clock.now_ms())
+
+
+def _uncertain() -> UncertainWriteError:
+    return UncertainWriteError(
+        'answer lost on demand', step='commit', peer=_PEER
+    )
--- /dev/null
+++ b/tests/control/conftest.py
@@ -0,0 +1,16 @@
+"""Fixtures of the control tests."""
+
+import pytest
+
+from dragonflynotch.control.clocks import ManualSteadyClock
+from dragonflynotch.testing.row_store import MemoryRowStore
+
+
+@pytest.fixture
+def clock():
+    return ManualSteadyClock(1_000_000)
+
+
+@pytest.fixture
+def store(clock):
+    return MemoryRowStore(clock)
--- /dev/null
+++ b/tests/control/test_leadership.py
@@ -0,0 +1,110 @@
+"""One scheduler at a time, proved by each of its transactions."""
+
+import asyncio
+
+import pytest
+
+from dragonflynotch.control.leadership import Leadership, LeaseLostError
+from dragonflynotch.control.rows import (
+    ABSENT,
+    ORDERS,
+    SCHEDULER_PART,
+    RowName,
+    RowWrite,
+)
+from dragonflynotch.testing.row_store import StoreFault
+
+ORDER = RowName(ORDERS.name, SCHEDULER_PART, 'm/t')
+TAKEOVER_MS = 2200
+
+
+@pytest.fixture
+def first(store, clock):
+    return Leadership('a', store, clock)
+
+
+@pytest.fixture
+def second(store, clock):
+    return Leadership('b', store, clock)
+
+
+async def test_second_candidate_waits_for_the_holder(first, second, clock):
+    """Two schedulers at once would order one task twice."""
+    assert await first.try_claim()
+    assert not await second.try_claim()
+    clock.advance(TAKEOVER_MS - 1)
+    await first.commit([], [])
+    assert not await second.try_claim()
+    clock.advance(TAKEOVER_MS + 1)
+    assert await second.try_claim()
+
+
+async def test_deposed_holder_writes_nothing(first, second, clock, store):
+    """A holder that stood still must not order with an old view."""
+    await first.try_claim()
+    await second.look()
+    clock.advance(TAKEOVER_MS + 1)
+    assert await second.try_claim()
+    with pytest.raises(LeaseLostError):
+        await first.commit([RowWrite(ORDER, b'x')], [])
+    assert await store.read_row(ORDER) is None
+    assert not first.is_holder
+
+
+async def test_released_lease_is_taken_at_once(first, second):
+    """A planned stop must not delay the start of jobs."""
+    await first.try_claim()
+    await first.release()
+    assert await second.try_claim()
+
+
+async def test_epoch_grows_with_each_holder(first, second):
+    """The epoch orders the decisions of different holders."""
+    await first.try_claim()
+    epoch = first.epoch
+    await first.release()
+    await second.try_claim()
+    assert second.epoch > epoch
+
+
+async def test_lost_answer_is_settled(first, store):
+    """A transaction whose answer was lost must not count as lost lease."""
+    await first.try_claim()
+    store.fault = StoreFault.lose_answers
+    write = asyncio.create_task(first.commit([RowWrite(ORDER, b'x')], []))
+    await asyncio.sleep(0.02)
+    store.fault = StoreFault.none
+    assert await write
+    assert first.is_holder
+    assert (await store.read_row(ORDER)).content == b'x'
+    assert await first.commit([RowWrite(ORDER, None)], [])
+
+
+async def test_transaction_carried_out_late_does_nothing(first, store):
+    """A held-back order must not appear after it was taken back."""
+    await first.try_claim()
+    store.fault = StoreFault.late
+    write = asyncio.create_task(first.commit([RowWrite(ORDER, b'x')], []))
+    await asyncio.sleep(0.02)
+    store.fault = StoreFault.none
+    assert await write
+    await first.commit([RowWrite(ORDER, None)], [])
+    store.apply_late()
+    assert await store.read_row(ORDER) is None
+    assert await first.commit([], [])
+
+
+async def test_failed_condition_keeps_the_lease(first, store):
+    """Another row that changed is no reason to step down."""
+    await first.try_claim()
+    assert not await first.commit([RowWrite(ORDER, b'x')], [(ORDER, 99)])
+    assert first.is_holder
+    assert await first.commit([RowWrite(ORDER, b'x')], [(ORDER, ABSENT)])
+
+
+async def test_holder_that_restarts_need_not_wait(first, store, clock):
+    """The restart of the holder's process must not delay starts."""
+    await first.try_claim()
+    assert await Leadership('a', store, clock).try_claim()
+    with pytest.raises(LeaseLostError):
+        await first.commit([], [])
--- /dev/null
+++ b/tests/control/test_submissions.py
@@ -0,0 +1,114 @@
+"""Jobs are accepted once, and what was refused never runs."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from dragonflynotch.control.rows import (
+    PROGRESS,
+    SCHEDULER_PART,
+    RowName,
+    RowWrite,
+)
+from dragonflynotch.control.submissions import (
+    Accepted,
+    JobDesk,
+    NotAccepted,
+    NotFound,
+    Unavailable,
+    Unknown,
+)
+from dragonflynotch.testing.row_store import StoreFault
+from dragonflynotch.workflows.jobs import JobSpec, StepSpec
+from dragonflynotch.workflows.records import (
+    JobState,
+    ProgressRow,
+    encode_row,
+)
+
+SPEC = JobSpec('queue', 'team', 'planner', 'text', (StepSpec(1),))
+LIMIT = timedelta(milliseconds=250)
+
+
+class MovingClock:
+    """A clock that follows the event loop."""
+
+    def now_ms(self):
+        return int(asyncio.get_running_loop().time() * 1000)
+
+
+@pytest.fixture
+def desk(store):
+    return JobDesk(store, store.time, MovingClock())
+
+
+async def test_repeated_submission_is_one_job(desk, store):
+    """A call that is repeated must not make a second job."""
+    assert await desk.submit('a', SPEC, LIMIT) == Accepted()
+    calls = store.calls
+    assert await desk.submit('a', SPEC, LIMIT) == Accepted()
+    assert store.calls == calls + 1
+    assert await desk.state('a') is JobState.queued
+
+
+async def test_refusal_means_that_nothing_was_written(desk, store):
+    """A job that was refused must not appear later."""
+    store.fault = StoreFault.down
+    outcome = await desk.submit('a', SPEC, timedelta(seconds=1))
+    assert isinstance(outcome, NotAccepted)
+    store.fault = StoreFault.none
+    assert await desk.state('a') == NotFound()
+
+
+@pytest.mark.parametrize('fault', [StoreFault.late, StoreFault.lose_answers])
+async def test_lost_answer_is_never_a_refusal(desk, store, fault):
+    """A write without an answer may be carried out: no refusal is true."""
+    store.fault = fault
+    submission = asyncio.create_task(desk.submit('a', SPEC, LIMIT))
+    await asyncio.sleep(0.05)
+    store.fault = StoreFault.down
+    assert isinstance(await submission, Unknown)
+
+
+async def test_lost_answer_is_found_by_the_next_attempt(desk, store):
+    """The caller of a stored job is told so within its deadline."""
+    store.fault = StoreFault.lose_answers
+    submission = asyncio.create_task(
+        desk.submit('a', SPEC, timedelta(seconds=2))
+    )
+    await asyncio.sleep(0.05)
+    store.fault = StoreFault.none
+    assert await submission == Accepted()
+
+
+async def test_state_follows_the_progress(desk, store):
+    """Callers see what the scheduler has recorded."""
+    await desk.submit('a', SPEC, LIMIT)
+    name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
+    row = ProgressRow(JobState.completed)
+    await store.commit([RowWrite(name, encode_row(row))], [])
+    assert await desk.state('a') is JobState.completed
+
+
+async def test_outage_is_not_an_unknown_job(desk, store):
+    """A job must not be denied because the store cannot be read."""
+    await desk.submit('a', SPEC, LIMIT)
+    store.fault = StoreFault.down
+    assert isinstance(await desk.state('a'), Unavailable)
+    assert isinstance(await desk.cancel('a', LIMIT), Unknown)
+
+
+async def test_unknown_job_cannot_be_cancelled(desk):
+    """A cancellation of nothing is answered as such."""
+    assert await desk.cancel('a', LIMIT) == NotFound()
+
+
+async def test_cancellation_of_an_ended_job_changes_nothing(desk, store):
+    """An ended job keeps its state."""
+    await desk.submit('a', SPEC, LIMIT)
+    name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
+    row = ProgressRow(JobState.completed)
+    await store.commit([RowWrite(name, encode_row(row))], [])
+    assert await desk.cancel('a', LIMIT) == Accepted()
+    assert await desk.state('a') is JobState.completed
--- /dev/null
+++ b/tests/workflows/site.py
@@ -0,0 +1,126 @@
+"""A small site for tests of the scheduler."""
+
+from dragonflynotch.workflows.deployment import Deployment, Queue, Workspace
+from dragonflynotch.workflows.jobs import JobSpec, StepSpec
+from dragonflynotch.workflows.records import EndKind, Report, RunEnd
+from dragonflynotch.workflows.scheduler import Scheduler, SchedulerSettings
+
+SERVICE = 'planner'
+DEPLOYMENT = Deployment(
+    1,
+    queues={
+        'urgent': Queue(
+            'urgent', 'h', '/u/', SERVICE, 0, max_attempts=2, stretch=1.5
+        ),
+        'normal': Queue(
+            'normal', 'h', '/n/', SERVICE, 1, max_attempts=2, stretch=3
+        ),
+        'batch': Queue(
+            'batch', 'h', '/b/', SERVICE, 2, max_attempts=2, stretch=3
+        ),
+    },
+    workspaces={'team': Workspace('team', ('key',), 8)},
+    workspace_by_key={'key': 'team'},
+)
+
+
+class Site:
+    """A scheduler with workers, driven step by step."""
+
+    def __init__(self, racks=('r1', 'r1', 'r2'), accelerators=8) -> None:
+        self.scheduler = Scheduler(SchedulerSettings())
+        self.scheduler.apply_deployment(DEPLOYMENT)
+        self.now_ms = 10_000
+        self.orders = {}
+        self.progress = {}
+        self.lines = []
+        self.ends = {}
+        self.rejected = {}
+        self.incarnations = {}
+        for number, rack in enumerate(racks):
+            node = f'n{number}'
+            self.incarnations[node] = (f'm{number}', rack, accelerators)
+        self.report_all()
+
+    def report(self, node, *, running=(), is_ready=True, is_live=True, **more):
+        minion, rack, accelerators = self.incarnations[node]
+        self.scheduler.report(
+            node,
+            Report(
+                minion_id=minion,
+                service=SERVICE,
+                is_ready=is_ready,
+                is_live=is_live,
+                leased_until_ms=self.now_ms + 15_000,
+                token=1,
+                labels=('a', rack),
+                rack=rack,
+                capacity=(64_000, 256_000, accelerators),
+                running=list(running),
+                ended=self.ends.get(node, []),
+                rejected=self.rejected.get(node, []),
+                **more,
+            ),
+            1,
+            self.now_ms,
+        )
+
+    def report_all(self):
+        for node in self.incarnations:
+            self.report(node)
+
+    def submit(self, job_id, queue='normal', *steps, **more):
+        self.scheduler.put_job(
+            job_id,
+            JobSpec(
+                queue=queue,
+                workspace='team',
+                service=SERVICE,
+                payload='text',
+                steps=steps or (StepSpec(1, 1000, 1000, 1, 2000),),
+                accepted_ms=self.now_ms,
+                **more,
+            ),
+        )
+
+    def decide(self, advance_ms=0, wall_ms=0):
+        self.now_ms += advance_ms
+        if advance_ms:
+            self.report_all()
+        decisions = self.scheduler.decide(self.now_ms, wall_ms)
+        for key, order in decisions.orders.items():
+            if order is None:
+                self.orders.pop(key, None)
+            else:
+                self.orders[key] = order
+        self.progress.update(decisions.progress)
+        self.lines.extend(decisions.lines)
+        return decisions
+
+    def end(self, task, kind=EndKind.done, checkpoint=''):
+        """Report the end of the ordered run of a task."""
+        minion, order = next(
+            (minion, order)
+            for (minion, name), order in self.orders.items()
+            if name == task
+        )
+        node = next(
+            node
+            for node, known in self.incarnations.items()
+            if known[0] == minion
+        )
+        ends = self.ends.setdefault(node, [])
+        ends.append(RunEnd(len(ends) + 1, task, order.run, kind, checkpoint))
+        self.report(node)
+        return self.decide()
+
+    def tasks(self):
+        """Names of the tasks with an order that is not to be stopped."""
+        return sorted(
+            name
+            for (_, name), order in self.orders.items()
+            if not order.is_stopped
+        )
+
+    def minion_of(self, task):
+        return next(minion for minion, name in self.orders if name == task)
--- /dev/null
+++ b/tests/workflows/test_scheduler.py
@@ -0,0 +1,464 @@
+"""Decisions about jobs of steps."""
+
+import pytest
+
+from dragonflynotch.workflows.jobs import JobSpec, StepSpec
+from dragonflynotch.workflows.records import (
+    EndKind,
+    JobState,
+    Order,
+    ProgressRow,
+    Rejection,
+    RunningTask,
+    TaskRow,
+)
+from tests.workflows.site import Site
+
+WHOLE = StepSpec(1, 8000, 8000, 8, 4000)
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+def test_completes_after_every_task_is_done(site):
+    """A job must not be shown as completed while a task is missing."""
+    site.submit('a', 'normal', StepSpec(2, 1000, 1000, 1, 2000))
+    site.decide()
+    site.end('a.0.0.0')
+    assert site.progress['a'].state is JobState.running
+    site.end('a.0.0.1')
+    assert site.progress['a'].state is JobState.completed
+    assert not site.orders
+
+
+def test_step_waits_for_the_steps_before_it(site):
+    """A task must not start before the steps it follows are done."""
+    first = StepSpec(2, 1000, 1000, 1, 2000)
+    site.submit('a', 'normal', first, StepSpec(1, 1000, 1000, 1, 2000, (0,)))
+    site.decide()
+    site.end('a.0.0.0')
+    assert site.tasks() == ['a.0.0.1']
+    site.end('a.0.0.1')
+    assert site.tasks() == ['a.0.1.0']
+
+
+def test_end_counts_once_however_often_it_is_reported(site):
+    """Reports repeat ends; a repeated failure must not use an attempt."""
+    site.submit('a')
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    site.report_all()
+    site.decide()
+    site.report_all()
+    site.decide()
+    assert site.progress['a'].state is JobState.running
+    assert site.tasks() == ['a.0.0.0']
+
+
+def test_fails_after_the_last_attempt(site):
+    """No run may start after the attempts of a task are used up."""
+    site.submit('a')
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('a.0.0.0', EndKind.failed)
+    assert site.progress['a'].state is JobState.failed
+    assert not site.tasks()
+
+
+@pytest.mark.parametrize(
+    'kind', [EndKind.lapsed, EndKind.stopped, EndKind.broken, EndKind.alone]
+)
+def test_only_failures_use_attempts(site, kind):
+    """A job must not fail because its workers were lost."""
+    site.submit('a')
+    site.decide()
+    for _ in range(5):
+        site.end('a.0.0.0', kind)
+    assert site.tasks() == ['a.0.0.0']
+
+
+def test_retry_avoids_the_worker_that_failed(site):
+    """One failing worker must not use up all attempts of a job."""
+    site.submit('a')
+    site.decide()
+    first = site.minion_of('a.0.0.0')
+    site.end('a.0.0.0', EndKind.failed)
+    assert site.minion_of('a.0.0.0') != first
+
+
+def test_worker_that_fails_two_jobs_is_left_out(site):
+    """A worker that fails all it starts must not get more work."""
+    small = StepSpec(1, 1000, 1000, 1, 2000)
+    site.submit('a', 'normal', small)
+    site.submit('b', 'normal', small)
+    site.decide()
+    bad = site.minion_of('a.0.0.0')
+    assert site.minion_of('b.0.0.0') == bad
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('b.0.0.0', EndKind.failed)
+    for number in range(6):
+        site.submit(f'c{number}', 'normal', small)
+    site.decide()
+    assert bad not in {minion for minion, _ in site.orders}
+
+
+def test_gang_starts_whole_or_not_at_all():
+    """A member must not start whose partners do not fit."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('a', 'normal', StepSpec(3, 1000, 1000, 8, 2000, is_gang=True))
+    site.decide()
+    assert not site.orders
+
+
+def test_gang_members_share_a_run_number(site):
+    """Members with different run numbers would not work together."""
+    gang = StepSpec(3, 1000, 1000, 8, 2000, is_gang=True)
+    site.submit('a', 'normal', gang)
+    site.decide()
+    site.end('a.0.0.1', EndKind.lapsed)
+    assert not site.tasks()
+    site.end('a.0.0.0', EndKind.stopped)
+    assert not site.tasks()
+    site.end('a.0.0.2', EndKind.stopped)
+    assert site.tasks() == ['a.0.0.0', 'a.0.0.1', 'a.0.0.2']
+    assert {order.run for order in site.orders.values()} == {2}
+
+
+def test_gang_run_counts_as_one_failure(site):
+    """Two members that fail in one run must not use two attempts."""
+    gang = StepSpec(2, 1000, 1000, 8, 2000, is_gang=True)
+    site.submit('a', 'normal', gang)
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('a.0.0.1', EndKind.failed)
+    assert site.progress['a'].state is JobState.running
+    assert len(site.tasks()) == 2
+
+
+def test_one_done_member_completes_its_gang(site):
+    """A gang whose other ends were lost must not run again."""
+    gang = StepSpec(2, 1000, 1000, 8, 2000, is_gang=True)
+    site.submit('a', 'normal', gang)
+    site.decide()
+    site.end('a.0.0.0')
+    assert site.progress['a'].state is JobState.completed
+
+
+def test_gang_prefers_one_rack(site):
+    """A gang that is slow across racks is kept on one."""
+    gang = StepSpec(2, 1000, 1000, 8, 4000, is_gang=True, wants_one_rack=True)
+    site.submit('a', 'normal', gang)
+    site.decide()
+    assert {minion for minion, _ in site.orders} == {'m0', 'm1'}
+
+
+def test_gang_waits_for_its_rack_but_not_for_ever(site):
+    """A gang must start across racks when no rack becomes free."""
+    site.submit('x', 'normal', StepSpec(1, 64_000, 1000, 1, 60_000))
+    site.decide()
+    gang = StepSpec(2, 1000, 1000, 8, 2000, is_gang=True, wants_one_rack=True)
+    site.submit('a', 'normal', gang)
+    site.decide()
+    assert site.tasks() == ['x.0.0.0']
+    site.decide(advance_ms=2500)
+    assert len(site.tasks()) == 3
+
+
+def test_waiting_gang_keeps_room_free():
+    """Small jobs must not starve a large gang."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'normal', StepSpec(1, 1000, 1000, 8, 4000))
+    site.decide()
+    site.submit('g', 'normal', StepSpec(2, 1000, 1000, 8, 9000, is_gang=True))
+    site.decide(advance_ms=100)
+    site.submit('s', 'batch', StepSpec(8, 1000, 1000, 1, 60_000))
+    site.decide(advance_ms=100)
+    assert site.tasks() == ['x.0.0.0']
+    site.end('x.0.0.0')
+    assert site.tasks() == ['g.0.0.0', 'g.0.0.1']
+
+
+def test_short_job_fills_the_room_kept_for_a_gang():
+    """Room that is kept may be used by runs that end in time."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'normal', StepSpec(1, 1000, 1000, 8, 9000))
+    site.decide()
+    site.submit('g', 'normal', StepSpec(2, 1000, 1000, 8, 9000, is_gang=True))
+    site.decide(advance_ms=100)
+    site.submit('s', 'batch', StepSpec(1, 1000, 1000, 1, 500))
+    site.decide(advance_ms=100)
+    assert 's.0.0.0' in site.tasks()
+
+
+def test_room_is_kept_for_every_task_of_an_urgent_job():
+    """Guards against one task of a step being served and the rest starved."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'batch', StepSpec(2, 1000, 1000, 8, 4000))
+    site.decide()
+    site.submit('u', 'urgent', StepSpec(2, 1000, 1000, 8, 2000))
+    site.submit('s', 'batch', StepSpec(16, 1000, 1000, 1, 60_000))
+    site.decide(advance_ms=100)
+    site.end('x.0.0.0')
+    site.end('x.0.0.1')
+    assert site.tasks() == ['u.0.0.0', 'u.0.0.1']
+
+
+def test_guarantee_takes_room_back_from_borrowers():
+    """A workspace within its guarantee must not wait for a borrower."""
+    site = Site(racks=('r1',))
+    site.submit('x', 'batch', WHOLE)
+    site.decide()
+    site.submit('u', 'urgent', WHOLE)
+    site.decide(advance_ms=100)
+    assert site.orders['m0', 'x.0.0.0'].is_stopped
+    assert not site.tasks()
+    site.end('x.0.0.0', EndKind.stopped)
+    assert site.tasks() == ['u.0.0.0']
+
+
+def test_work_beyond_the_guarantee_loses_nobody_work():
+    """Urgent work above its guarantee stops only what can resume."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'batch', WHOLE)
+    site.submit(
+        'y', 'batch', StepSpec(1, 8000, 8000, 8, 4000, has_checkpoints=True)
+    )
+    site.decide()
+    site.submit('u', 'urgent', StepSpec(2, 8000, 8000, 8, 4000))
+    site.submit('v', 'urgent', WHOLE)
+    site.decide(advance_ms=100)
+    stopped = {
+        name for (_, name), order in site.orders.items() if order.is_stopped
+    }
+    assert stopped == {'y.0.0.0'}
+
+
+def test_cancelled_job_stops_and_never_starts_again(site):
+    """Nothing of a cancelled job may start or run on."""
+    site.submit('a', 'normal', StepSpec(2, 1000, 1000, 1, 2000))
+    site.decide()
+    site.scheduler.cancel('a')
+    site.decide()
+    assert not site.tasks()
+    site.end('a.0.0.0', EndKind.stopped)
+    assert not site.tasks()
+    assert site.progress['a'].state is JobState.cancelled
+
+
+def test_cancellation_before_the_job_is_known_holds(site):
+    """The rows of a cancellation and its job may arrive in either order."""
+    site.scheduler.cancel('a')
+    site.submit('a')
+    site.decide()
+    assert not site.orders
+    assert site.progress['a'].state is JobState.cancelled
+
+
+def test_rejected_start_is_ordered_anew(site):
+    """A start that did not happen must not leave its task waiting."""
+    site.submit('a')
+    site.decide()
+    minion = site.minion_of('a.0.0.0')
+    node = minion.replace('m', 'n')
+    site.rejected[node] = [Rejection('a.0.0.0', 1, 'room')]
+    site.report(node)
+    site.decide()
+    [order] = site.orders.values()
+    assert order.run == 2
+
+
+def test_lost_worker_frees_its_tasks(site):
+    """Tasks of a lost incarnation must start elsewhere."""
+    site.submit('a')
+    site.decide()
+    minion = site.minion_of('a.0.0.0')
+    site.report(minion.replace('m', 'n'), is_live=False, is_ready=False)
+    site.decide()
+    assert site.minion_of('a.0.0.0') != minion
+
+
+def test_silent_guard_gets_no_new_work(site):
+    """Work must not be ordered from a guard that may be gone."""
+    for node in ('n1', 'n2'):
+        site.report(node)
+    site.now_ms += 5000
+    site.report('n2')
+    site.submit('a', 'normal', StepSpec(3, 1000, 1000, 8, 2000))
+    site.decide()
+    assert {minion for minion, _ in site.orders} == {'m2'}
+
+
+def test_silent_guard_keeps_its_runs(site):
+    """A run on a silent worker counts as running until its lease is over."""
+    site.submit('a')
+    site.decide()
+    minion = site.minion_of('a.0.0.0')
+    site.now_ms += 9000
+    site.decide()
+    assert site.minion_of('a.0.0.0') == minion
+
+
+def test_checkpoint_of_an_abandoned_run_is_used(site):
+    """Checkpoints must outlive the loss of a worker."""
+    step = StepSpec(1, 1000, 1000, 1, 2000, has_checkpoints=True)
+    site.submit('a', 'normal', step)
+    site.decide()
+    minion = site.minion_of('a.0.0.0')
+    node = minion.replace('m', 'n')
+    _, rack, accelerators = site.incarnations[node]
+    site.incarnations[node] = ('new', rack, accelerators)
+    site.report(node, abandoned=[RunningTask('a.0.0.0', 1, 'saved', 40)])
+    site.decide()
+    [order] = site.orders.values()
+    assert (order.run, order.checkpoint) == (2, 'saved')
+
+
+def test_checkpoint_is_not_passed_to_steps_without(site):
+    """A task that does not resume must not be given a checkpoint."""
+    site.submit('a')
+    site.decide()
+    site.end('a.0.0.0', EndKind.stopped, 'saved')
+    [order] = site.orders.values()
+    assert not order.checkpoint
+
+
+def test_run_that_stands_still_is_moved(site):
+    """A task that makes no progress must not hold its job for ever."""
+    site.submit('a', 'normal', StepSpec(1, 1000, 1000, 1, 1000))
+    site.decide()
+    minion = site.minion_of('a.0.0.0')
+    node = minion.replace('m', 'n')
+    for _ in range(8):
+        site.now_ms += 1000
+        site.report_all()
+        site.report(node, running=[RunningTask('a.0.0.0', 1, '', 30)])
+        site.decide()
+    assert site.orders[minion, 'a.0.0.0'].is_stopped
+    site.end('a.0.0.0', EndKind.stopped)
+    assert site.minion_of('a.0.0.0') != minion
+
+
+def test_slow_run_that_moves_is_left_alone(site):
+    """Slow workers are no reason to throw work away."""
+    site.submit('a', 'normal', StepSpec(1, 1000, 1000, 1, 1000))
+    site.decide()
+    minion = site.minion_of('a.0.0.0')
+    node = minion.replace('m', 'n')
+    for percent in range(1, 20):
+        site.now_ms += 1000
+        site.report(node, running=[RunningTask('a.0.0.0', 1, '', percent)])
+        site.decide()
+    assert site.tasks() == ['a.0.0.0']
+
+
+def test_limits_per_worker_and_labels_hold(site):
+    """Anti-affinity and constraints are conditions, not wishes."""
+    spread = StepSpec(3, 1000, 1000, 1, 2000, max_per_worker=1)
+    site.submit('a', 'normal', spread)
+    site.submit('b', 'normal', StepSpec(1, 1000, 1000, 1, 2000, constraint='x'))
+    site.decide()
+    minions = [minion for minion, _ in site.orders]
+    assert sorted(minions) == ['m0', 'm1', 'm2']
+
+
+def test_job_of_another_service_is_not_run_here(site):
+    """A queue that no longer leads to a service must not use it."""
+    site.scheduler.put_job('a', _spec_of('other'))
+    site.decide()
+    assert not site.orders
+
+
+def test_occurrences_start_when_due(site):
+    """An occurrence must not start before its time."""
+    site.submit(
+        'a',
+        'normal',
+        StepSpec(1, 1000, 1000, 1, 500),
+        repetitions=2,
+        first_due_ms=5000,
+        interval_ms=1000,
+    )
+    site.decide(wall_ms=4999)
+    assert not site.orders
+    site.decide(wall_ms=5000)
+    assert site.tasks() == ['a.0.0.0']
+    site.decide(wall_ms=6000)
+    assert site.tasks() == ['a.0.0.0', 'a.1.0.0']
+
+
+def test_long_running_task_starts_again_however_it_ends(site):
+    """A task that lasts ends only with its job."""
+    step = StepSpec(1, 1000, 1000, 1, 500, is_long_running=True)
+    site.submit('a', 'normal', step)
+    site.decide()
+    for kind in (EndKind.done, EndKind.failed, EndKind.failed, EndKind.failed):
+        site.end('a.0.0.0', kind)
+    assert site.tasks() == ['a.0.0.0']
+
+
+def test_takeover_starts_nothing_twice(site):
+    """The next holder must know every run that is under way."""
+    site.submit('a', 'normal', StepSpec(2, 1000, 1000, 1, 2000))
+    site.decide()
+    site.end('a.0.0.0')
+    successor = Site()
+    successor.now_ms = site.now_ms
+    successor.submit('a', 'normal', StepSpec(2, 1000, 1000, 1, 2000))
+    successor.scheduler.restore_progress('a', site.progress['a'])
+    for (minion, task), order in site.orders.items():
+        successor.scheduler.restore_order(minion, task, order)
+        successor.orders[minion, task] = order
+    successor.decide()
+    assert successor.orders == site.orders
+    successor.end('a.0.0.1')
+    assert successor.progress['a'].state is JobState.completed
+
+
+def test_takeover_gives_up_orders_of_unknown_incarnations(site):
+    """An order of an incarnation that is gone must not hold its task."""
+    site.submit('a')
+    site.scheduler.restore_progress(
+        'a',
+        ProgressRow(JobState.running, [TaskRow('0.0.0', 3, 1, False, '')]),
+    )
+    site.scheduler.restore_order('gone', 'a.0.0.0', Order('text', 3, 0))
+    site.scheduler.void_unknown_orders()
+    site.decide()
+    [order] = [one for key, one in site.orders.items() if key[0] != 'gone']
+    assert order.run == 4
+
+
+def test_orders_wait_longer_on_a_slow_store(site):
+    """Orders must not expire while a slow store delivers them."""
+    site.submit('a')
+    decisions = site.scheduler.decide(site.now_ms, 0, write_ms=500)
+    [order] = decisions.orders.values()
+    assert order.start_by_ms == site.now_ms + 3000
+
+
+def test_ended_job_is_forgotten_after_its_time(site):
+    """The store must not fill up with ended jobs."""
+    site.submit('a')
+    site.decide()
+    site.end('a.0.0.0')
+    assert site.decide(advance_ms=250_000).forgotten_jobs == ['a']
+
+
+def test_counts_jobs_without_a_start(site):
+    """The count of waiting jobs holds those that have not begun."""
+    site.submit('a', 'normal', StepSpec(1, 1000, 1000, 9, 500))
+    site.submit('b')
+    site.decide()
+    assert site.scheduler.waiting_by_queue() == {'normal': 1}
+
+
+def _spec_of(service):
+    return JobSpec(
+        queue='unknown',
+        workspace='team',
+        service=service,
+        payload='',
+        steps=(StepSpec(1, 1, 1, 1, 1),),
+    )
