--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -14,6 +14,7 @@
     REPORTS,
     SCHEDULER_PART,
     SUBMISSIONS,
+    Committed,
     RowChange,
     RowName,
     RowStore,
@@ -299,10 +300,10 @@
             )
             for (minion_id, task), order in decisions.orders.items()
         )
-        writes.extend(
-            RowWrite(_own_row(PROGRESS, job_id), None)
-            for job_id in decisions.forgotten_jobs
-        )
+        for job_id in decisions.forgotten_jobs:
+            # Progress goes last: a submission without it would run again.
+            if await self._forget_submission(job_id):
+                writes.append(RowWrite(_own_row(PROGRESS, job_id), None))
         waiting = self._scheduler.waiting_by_queue()
         began_ms = self._clock.now_ms()
         for first in range(0, max(1, len(writes)), _MAX_WRITES):
@@ -311,10 +312,8 @@
             )
         self._renewed_ms = self._clock.now_ms()
         self._write_ms = self._renewed_ms - began_ms
-        for job_id in decisions.forgotten_jobs:
-            await self._forget_submission(job_id)
 
-    async def _forget_submission(self, job_id: str) -> None:
+    async def _forget_submission(self, job_id: str) -> bool:
         part = shard_of(job_id)
         names = [
             RowName(SUBMISSIONS.name, part, f'{job_id}/{kind}')
@@ -328,6 +327,8 @@
             decision_log.record(
                 'submission_kept', job=job_id, reason=str(error)
             )
+            return False
+        return True
 
     async def _void_lost_guards(self) -> None:
         """Give up the runs of guards whose authority has ended.
@@ -342,10 +343,18 @@
                 continue
             name = RowName(REPORTS.name, shard_of(node), node)
             empty = Report('', '', False, False, 0, worker.report.token)
-            is_written = await self._leadership.commit(
-                [RowWrite(name, encode_row(empty))], [(name, worker.version)]
-            )
-            if is_written:
+            # Needs no lease: whoever writes it, the authority has ended.
+            try:
+                outcome = await self._store.commit(
+                    [RowWrite(name, encode_row(empty))],
+                    [(name, worker.version)],
+                )
+            except (PlatformUnavailableError, UncertainWriteError) as error:
+                decision_log.record(
+                    'guard_not_voided', guard=node, reason=str(error)
+                )
+                continue
+            if isinstance(outcome, Committed):
                 decision_log.record(
                     'guard_lost', guard=node, minion=worker.minion_id
                 )
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -140,7 +140,7 @@
     All methods raise ``PlatformUnavailableError`` if the store certainly did
     nothing. ``commit`` raises ``UncertainWriteError`` if the answer was lost:
     the writes may have taken effect, or may do so seconds later while their
-    conditions hold.
+    conditions hold. ``InvalidInputError`` means that the call itself is wrong.
     """
 
     @abstractmethod
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -21,6 +21,7 @@
     Snapshot,
 )
 from dragonflynotch.core.errors import (
+    InvalidInputError,
     LinkError,
     NotSentError,
     PlatformUnavailableError,
@@ -37,6 +38,8 @@
 _CONDITION_FAILED = 412
 # Statuses with which the store says that it did nothing.
 _REFUSALS = frozenset((429, 503, 507))
+# Statuses with which it says that the call can never succeed.
+_WRONG_CALLS = frozenset((400, 403, 404, 413))
 # A healthy call takes 10 ms and a slow store 0.5 to 1 s.
 _CALL_TIMEOUT = timedelta(milliseconds=1300)
 
@@ -154,6 +157,10 @@
             raise _uncertain(error) from error
         if reply.status in _REFUSALS:
             raise _unavailable('commit', reply.status)
+        if reply.status in _WRONG_CALLS:
+            raise InvalidInputError(
+                'rows-tx', reply.body.decode(errors='replace'), 'a valid call'
+            )
         if reply.status not in {_OK, _CONDITION_FAILED}:
             raise _uncertain(reply.status)
         answer = self._decode(reply, sent_ms)
--- a/dragonflynotch/testing/minion_model.py
+++ b/dragonflynotch/testing/minion_model.py
@@ -25,6 +25,7 @@
 _PERCENT = 100
 _POLL_S = 0.005
 _CLOCK_START_MS = 400_000
+_UNENDING_MS = 1_000_000_000
 
 
 class MinionFault(Enum):
@@ -69,6 +70,10 @@
         self.ends.append((task, run, kind))
 
 
+def _never_ends(_: str) -> int:
+    return _UNENDING_MS
+
+
 class MinionModel:
     """One incarnation of a minion.
 
@@ -83,7 +88,7 @@
         minion_id: str,
         clock: SteadyClock,
         log: RunLog,
-        duration_ms: Callable[[str], int] = lambda _: 1_000_000,
+        duration_ms: Callable[[str], int] | None = None,
     ) -> None:
         """Start without runs."""
         self.minion_id = minion_id
@@ -91,7 +96,7 @@
         self.is_crashed = False
         self._clock = clock
         self._log = log
-        self._duration_ms = duration_ms
+        self._duration_ms = duration_ms or _never_ends
         self._origin_ms = clock.now_ms() - _CLOCK_START_MS
         self._lease_until_ms = 0
         self._token = 0
--- a/dragonflynotch/testing/row_store.py
+++ b/dragonflynotch/testing/row_store.py
@@ -21,6 +21,7 @@
     Snapshot,
 )
 from dragonflynotch.core.errors import (
+    InvalidInputError,
     PlatformUnavailableError,
     UncertainWriteError,
 )
@@ -102,6 +103,10 @@
     ) -> Committed | Conflict:
         """Apply all writes if each row has its expected version."""
         self._enter('commit')
+        parts = {write.name.part for write in writes}
+        parts.update(name.part for name, _ in conditions)
+        if len(parts) > 1:
+            raise InvalidInputError('commit', parts, 'rows of one part')
         if self.fault is StoreFault.late:
             self._late.append((tuple(writes), tuple(conditions)))
             raise _uncertain()
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,139 @@
+"""Entries, guards and minions in one process over one store."""
+
+import asyncio
+from datetime import timedelta
+
+from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.guard import Guard, GuardLimits
+from dragonflynotch.control.leader import Leader
+from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.minions import Heartbeat
+from dragonflynotch.control.submissions import JobDesk
+from dragonflynotch.testing.minion_model import (
+    MinionModel,
+    ModelMinionClient,
+    RunLog,
+)
+from dragonflynotch.testing.row_store import MemoryRowStore
+from dragonflynotch.workflows.deployment import Deployment, Queue, Workspace
+from dragonflynotch.workflows.jobs import JobSpec, StepSpec
+from dragonflynotch.workflows.scheduler import SchedulerSettings
+
+LIMITS = GuardLimits(minion_lease_ms=800, authority_ms=2000)
+DEPLOYMENT = Deployment(
+    1,
+    queues={'q': Queue('q', 'h', '/q/', 'planner', 1, max_attempts=2)},
+    workspaces={'team': Workspace('team')},
+)
+CALL = timedelta(seconds=2)
+
+
+class LoopClock(SteadyClock):
+    """Time of the event loop."""
+
+    def now_ms(self):
+        return int(asyncio.get_running_loop().time() * 1000)
+
+
+class Cluster:
+    """Two candidates and three guards.
+
+    Parameters
+    ----------
+    duration_ms : int
+        How long each task runs.
+    """
+
+    def __init__(self, duration_ms=300):
+        self.clock = LoopClock()
+        self.store = MemoryRowStore(self.clock)
+        self.log = RunLog()
+        self.desk = JobDesk(self.store, self.store.time, self.clock)
+        self.models = {}
+        self.guards = {}
+        self._duration_ms = duration_ms
+        self._tasks = {}
+
+    def start(self):
+        for name in ('a', 'b'):
+            self.start_candidate(name)
+        for number in range(3):
+            self.add_minion(f'n{number}', f'm{number}')
+
+    def start_candidate(self, name):
+        leader = Leader(
+            self.store,
+            self.store.time,
+            self.clock,
+            Leadership(name, self.store, self.clock),
+            lambda: DEPLOYMENT,
+            SchedulerSettings(),
+        )
+        self._spawn(name, leader.run())
+
+    def add_minion(self, node, minion_id):
+        self.models[minion_id] = MinionModel(
+            minion_id, self.clock, self.log, lambda _: self._duration_ms
+        )
+        self.start_guard(node)
+        self.beat(node, minion_id)
+
+    def start_guard(self, node):
+        guard = Guard(
+            node,
+            self.store,
+            self.store.time,
+            self.clock,
+            lambda heartbeat: ModelMinionClient(
+                self.models[heartbeat.minion_id]
+            ),
+            LIMITS,
+        )
+        self.guards[node] = guard
+        self._spawn(node, guard.run())
+
+    def beat(self, node, minion_id, *, is_draining=False):
+        self.guards[node].on_heartbeat(
+            Heartbeat(
+                minion_id,
+                'planner',
+                ('127.0.0.1', 1),
+                2 if is_draining else 1,
+                is_draining,
+                labels=('a', 'r1'),
+                rack='r1',
+                capacity=(4000, 4000, 4),
+            )
+        )
+
+    async def kill(self, name):
+        """End a candidate or a guard without any farewell."""
+        task = self._tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def stop(self):
+        for name in list(self._tasks):
+            await self.kill(name)
+
+    async def submit(self, job_id, *steps):
+        spec = JobSpec('q', 'team', 'planner', 'text', steps)
+        return await self.desk.submit(job_id, spec, CALL)
+
+    async def wait_for_state(self, job_id, state, limit_s=15):
+        async with asyncio.timeout(limit_s):
+            while await self.desk.state(job_id) != state:
+                await asyncio.sleep(0.02)
+
+    async def wait_for_starts(self, count, limit_s=15):
+        async with asyncio.timeout(limit_s):
+            while len(self.log.starts) < count:
+                await asyncio.sleep(0.01)
+
+    def _spawn(self, name, work):
+        self._tasks[name] = asyncio.create_task(work)
+
+
+def tasks(count, accelerators=1, **more):
+    """A step of tasks that take little."""
+    return StepSpec(count, 100, 100, accelerators, 300, **more)
