--- a/dragonflynotch/workflows/occupation.py
+++ b/dragonflynotch/workflows/occupation.py
@@ -3,11 +3,12 @@
 from collections import defaultdict
 
 from dragonflynotch.workflows.job_book import FoundTask, JobBook
+from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.order_ledger import OrderLedger
 from dragonflynotch.workflows.records import Order
 from dragonflynotch.workflows.workers import Occupation
 
-__all__ = ('list_occupations',)
+__all__ = ('list_occupations', 'work_of')
 
 _PERCENT = 100
 _MS_PER_S = 1000
@@ -40,6 +41,18 @@
     return held
 
 
+def work_of(spec: StepSpec) -> float:
+    """Return the estimated work of a step, in core seconds."""
+    return _cores(spec) * spec.count * spec.estimated_ms / _MS_PER_S
+
+
+def _cores(spec: StepSpec) -> float:
+    return (
+        spec.millicores / _MILLICORES
+        + spec.accelerators * _CORES_PER_ACCELERATOR
+    )
+
+
 def _occupation(
     jobs: JobBook, found: FoundTask, order: Order, now_ms: int, stop_ms: int
 ) -> Occupation:
@@ -58,20 +71,15 @@
     lost_ms = _RESTART_MS
     if not spec.has_checkpoints:
         lost_ms += elapsed_ms
-    cores = (
-        spec.millicores / _MILLICORES
-        + spec.accelerators * _CORES_PER_ACCELERATOR
-    )
     return Occupation(
         task.task_id,
         order.resources,
         now_ms + max(_MIN_REMAINING_MS, remaining_ms),
-        preemption_cost=cores * lost_ms / _MS_PER_S,
+        preemption_cost=_cores(spec) * lost_ms / _MS_PER_S,
         is_stopping=order.is_stopped,
         is_resumable=spec.has_checkpoints,
+        priority=jobs.queue(job).priority,
         is_preemptible=(
-            jobs.queue(job).priority > 0
-            and spec.max_unavailable is None
-            and not spec.is_long_running
+            spec.max_unavailable is None and not spec.is_long_running
         ),
     )
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -6,6 +6,7 @@
 
 from dragonflynotch.workflows.decision_lines import DecisionLines
 from dragonflynotch.workflows.job_book import JobBook
+from dragonflynotch.workflows.occupation import work_of
 from dragonflynotch.workflows.order_ledger import OrderLedger
 from dragonflynotch.workflows.placement import (
     Demand,
@@ -16,7 +17,7 @@
 )
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
 from dragonflynotch.workflows.ranking import Urgency, rank
-from dragonflynotch.workflows.reclaim import choose_victims
+from dragonflynotch.workflows.reclaim import Claim, choose_victims
 from dragonflynotch.workflows.records import JobState, Order
 from dragonflynotch.workflows.reserve import plan_reservations
 from dragonflynotch.workflows.run_tracker import RunTracker
@@ -213,15 +214,18 @@
     ) -> None:
         """Stop less urgent runs for urgent work.
 
-        Guaranteed work takes whatever others borrow; other urgent work only
-        what loses nothing by a stop.
+        Guaranteed work takes whatever others borrow. Other work that is
+        urgent, or about to be late, may cost as much work as it is itself.
         """
-        is_guaranteed = waiting.urgency.is_guaranteed
-        if not is_guaranteed and self._jobs.queue(waiting.job).priority:
+        urgency = waiting.urgency
+        priority = self._jobs.queue(waiting.job).priority
+        if urgency.is_guaranteed:
+            claim = Claim(priority)
+        elif urgency.is_pressing(room.now_ms, priority):
+            claim = Claim(priority, work_of(waiting.step.spec))
+        else:
             return
-        for occupation in choose_victims(
-            room, demand, occupations, only_resumable=not is_guaranteed
-        ):
+        for occupation in choose_victims(room, demand, occupations, claim):
             found = self._jobs.find(str(occupation.task_id))
             if found is None:
                 continue
--- a/dragonflynotch/workflows/ranking.py
+++ b/dragonflynotch/workflows/ranking.py
@@ -9,6 +9,10 @@
 
 # A job is worth something up to this multiple of its objective.
 _LATE_LIMIT = 3
+# Stops take effect within less than this.
+_PRESSING_MS = 1500
+# Queues from this priority on can wait until their work is of no use.
+_PATIENT_PRIORITY = 2
 # Tiers, the most urgent first.
 _GUARANTEED = 0
 _ON_TIME = 1
@@ -40,6 +44,12 @@
         """Whether the workspace is owed the room now."""
         return self.tier == _GUARANTEED
 
+    def is_pressing(self, now_ms: int, priority: int) -> bool:
+        """Return whether waiting any longer would make the step late."""
+        if self.tier != _ON_TIME:
+            return False
+        return priority == 0 or now_ms > self.last_start_ms - _PRESSING_MS
+
 
 def rank(
     job: Job, step: Step, queue: Queue, now_ms: int, *, is_guaranteed: bool
@@ -55,6 +65,8 @@
     slack_ms = objective_ms - path_ms
     on_time_ms = int(job.spec.accepted_ms + slack_ms)
     late_ms = int(on_time_ms + (_LATE_LIMIT - 1) * objective_ms)
+    if queue.priority >= _PATIENT_PRIORITY:
+        on_time_ms = late_ms
     tier, last_start_ms = _PAST, late_ms
     if now_ms <= on_time_ms:
         tier, last_start_ms = _ON_TIME, on_time_ms
--- a/dragonflynotch/workflows/reclaim.py
+++ b/dragonflynotch/workflows/reclaim.py
@@ -1,31 +1,40 @@
 """Choice of borrowers that give way to guaranteed work."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from math import inf
 
 from dragonflynotch.workflows.placement import Demand, Room, fit_gang
 from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.workers import Occupation
 
-__all__ = ('choose_victims',)
+__all__ = ('Claim', 'choose_victims')
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What a waiting step may take from others.
+
+    Parameters
+    ----------
+    priority : int
+        Only runs of less urgent queues are stopped.
+    max_lost_work : float
+        Work that may be lost, in core seconds.
+    """
+
+    priority: int
+    max_lost_work: float = inf
 
 
 def choose_victims(
     room: Room,
     demand: Demand,
     occupations: Mapping[str, Sequence[Occupation]],
-    *,
-    only_resumable: bool = False,
+    claim: Claim,
 ) -> list[Occupation]:
     """Return the runs to stop, or none if that would not make room.
 
-    Parameters
-    ----------
-    only_resumable : bool
-        Whether to spare runs whose work would be lost.
-
-    Notes
-    -----
-
     Runs are taken in the order of the work that stopping them loses, until
     the step fits; then each that turned out not to be needed is spared.
     """
@@ -39,19 +48,45 @@
                 free[stopping] += one.needs
     if _fits(room, demand, free):
         return []
-    borrowers = sorted(
-        (
-            (occupation.preemption_cost, minion_id, occupation)
-            for minion_id in free
-            for occupation in occupations.get(minion_id, ())
-            if occupation.is_preemptible
-            and not occupation.is_stopping
-            and (occupation.is_resumable or not only_resumable)
-        ),
-        key=lambda entry: (entry[0], entry[1], entry[2].task_id),
+    victims = _needed_victims(
+        room, demand, free, _borrowers(free, occupations, claim)
+    )
+    lost_work = sum(victim.preemption_cost for victim in victims)
+    return victims if lost_work <= claim.max_lost_work else []
+
+
+def _borrowers(
+    minion_ids: Iterable[str],
+    occupations: Mapping[str, Sequence[Occupation]],
+    claim: Claim,
+) -> list[tuple[str, Occupation]]:
+    """Return what may be stopped, the cheapest first."""
+    found = [
+        (minion_id, occupation)
+        for minion_id in minion_ids
+        for occupation in occupations.get(minion_id, ())
+        if occupation.is_preemptible
+        and not occupation.is_stopping
+        and occupation.priority > claim.priority
+    ]
+    found.sort(
+        key=lambda entry: (
+            entry[1].preemption_cost,
+            entry[0],
+            entry[1].task_id,
+        )
     )
+    return found
+
+
+def _needed_victims(
+    room: Room,
+    demand: Demand,
+    free: dict[str, Resources],
+    borrowers: Sequence[tuple[str, Occupation]],
+) -> list[Occupation]:
     chosen: list[tuple[str, Occupation]] = []
-    for _, minion_id, occupation in borrowers:
+    for minion_id, occupation in borrowers:
         free[minion_id] += occupation.needs
         chosen.append((minion_id, occupation))
         if _fits(room, demand, free):
@@ -60,11 +95,11 @@
         return []
     needed: list[Occupation] = []
     # The costliest are spared first.
-    for minion_id, occupation in reversed(chosen):
-        free[minion_id] -= occupation.needs
+    for holder, candidate in reversed(chosen):
+        free[holder] -= candidate.needs
         if not _fits(room, demand, free):
-            free[minion_id] += occupation.needs
-            needed.append(occupation)
+            free[holder] += candidate.needs
+            needed.append(candidate)
     return needed
 
 
--- a/dragonflynotch/workflows/workers.py
+++ b/dragonflynotch/workflows/workers.py
@@ -19,6 +19,8 @@
     # Work that would be lost if the run were stopped, in core seconds.
     preemption_cost: float = 0
     is_stopping: bool = False
+    # Priority of the queue; 0 comes first.
+    priority: int = 0
     is_preemptible: bool = False
     # A stop saves the work of the run.
     is_resumable: bool = False
