--- a/dragonflynotch/links/http11.py
+++ b/dragonflynotch/links/http11.py
@@ -42,6 +42,7 @@
     body: bytes = b'',
     timeout: timedelta,
     max_body_bytes: int,
+    host: str | None = None,
 ) -> HttpReply:
     """Send one request on a new connection and return the whole answer.
 
@@ -62,6 +63,8 @@
         Limit for the whole exchange.
     max_body_bytes : int
         Largest accepted answer body.
+    host : str, optional
+        Name of the virtual host; the address of the peer by default.
 
     Returns
     -------
@@ -80,7 +83,7 @@
     peer = f'{address[0]}:{address[1]}'
     step = f'{method} {target}'
     all_headers = [
-        ('Host', peer),
+        ('Host', host or peer),
         ('Content-Length', str(len(body))),
         ('Connection', 'close'),
         *headers,
