--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -53,7 +53,7 @@
 _ROUND = timedelta(milliseconds=250)
 # The lease row is rewritten at least this often.
 _RENEWAL_MS = 600
-_CANDIDATE_PAUSE_S = 0.7
+_CANDIDATE_PAUSE_S = 0.4
 # Leaves the lease to other candidates after an unexpected error.
 _FAILURE_PAUSE_S = 2
 # Replicas older than this could miss a cancellation; nothing is started.
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -34,6 +34,7 @@
 # tasks do not depend on the holder, so a late takeover only delays starts.
 _TAKEOVER = timedelta(milliseconds=2200)
 _RETRY_S = 0.1
+_LONGEST_RETRY_S = 0.5
 
 
 class LeaseLostError(Exception):
@@ -139,17 +140,15 @@
         )
         all_writes = [*writes, RowWrite(LEASE_NAME, encode_row(row))]
         all_conditions = [*conditions, (LEASE_NAME, self._version)]
+        attempts = 0
         while True:
             try:
                 outcome = await self._store.commit(all_writes, all_conditions)
             except (PlatformUnavailableError, UncertainWriteError) as error:
-                decision_log.record(
-                    'transaction_repeated',
-                    epoch=row.epoch,
-                    sequence=row.sequence,
-                    reason=str(error),
-                )
-                await asyncio.sleep(_RETRY_S)
+                attempts += 1
+                if attempts == 1:
+                    self._note_repetition(row, error)
+                await asyncio.sleep(min(_RETRY_S * attempts, _LONGEST_RETRY_S))
                 continue
             if isinstance(outcome, Committed):
                 self._accept(row, outcome.version)
@@ -169,6 +168,14 @@
             decision_log.record('lease_not_released', reason=repr(error))
         self._is_holder = False
 
+    def _note_repetition(self, row: LeaseRow, error: Exception) -> None:
+        decision_log.record(
+            'transaction_repeated',
+            epoch=row.epoch,
+            sequence=row.sequence,
+            reason=str(error),
+        )
+
     def _settle_conflict(self, row: LeaseRow, found: Row | None) -> bool:
         if _version(found) == self._version:
             # Another condition failed.
--- a/dragonflynotch/observability/metrics.py
+++ b/dragonflynotch/observability/metrics.py
@@ -80,7 +80,7 @@
             self._latency.observe(labels, duration.total_seconds())
 
     def set_gauge(self, name: str, value: float) -> None:
-        """Set a gauge of the table in docs/operations.md."""
+        """Set a gauge of the table in docs/OPERATIONS.md."""
         self._gauges[name].set({}, value)
 
     def render(self) -> bytes:
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -27,6 +27,9 @@
 
 # Steps that keep room for themselves while they cannot start.
 _MAX_RESERVING_STEPS = 3
+# The wait of a step is logged this often.
+_NOTE_PERIOD_MS = 5000
+_MAX_NOTED_STEPS = 10_000
 # Calls to the store between a decision and its start.
 _SLOW_WRITES = 3
 # Urgent work that is owed room waits this long for a rack of its own.
@@ -68,6 +71,8 @@
         self._lines = lines
         self._start_window_ms = start_window_ms
         self._start_by_ms = 0
+        # When the wait of a step was logged last.
+        self._noted_ms: dict[Urgency, int] = {}
 
     def place(
         self,
@@ -85,6 +90,7 @@
             demand = self._demand(room, waiting)
             if self._place_step(room, demand, waiting.job):
                 continue
+            self._note_waiting(room, waiting)
             self._make_room(room, waiting, demand, occupations)
             if reserving_steps < _MAX_RESERVING_STEPS:
                 reserving_steps += 1
@@ -141,6 +147,27 @@
             may_span_racks=has_waited or not fits_a_rack(room, step, service),
         )
 
+    def _note_waiting(self, room: Room, waiting: WaitingStep) -> None:
+        urgency = waiting.urgency
+        noted_ms = self._noted_ms.get(urgency)
+        if noted_ms is not None and room.now_ms - noted_ms < _NOTE_PERIOD_MS:
+            return
+        if len(self._noted_ms) > _MAX_NOTED_STEPS:
+            self._noted_ms.clear()
+        self._noted_ms[urgency] = room.now_ms
+        spec = waiting.step.spec
+        self._lines.record(
+            'step_waits',
+            job=urgency.job_id,
+            step=urgency.step,
+            tier=urgency.tier,
+            tasks=len(waiting.step.waiting_tasks),
+            needs=(spec.millicores, spec.memory_mb, spec.accelerators),
+            workers=len(room.workers),
+            waited_ms=room.now_ms - waiting.job.spec.accepted_ms,
+            last_start_in_ms=urgency.last_start_ms - room.now_ms,
+        )
+
     def _place_step(self, room: Room, demand: Demand, job: Job) -> bool:
         if demand.step.spec.is_gang:
             return self._place_gang(room, demand, job)
--- a/dragonflynotch/workflows/ranking.py
+++ b/dragonflynotch/workflows/ranking.py
@@ -65,10 +65,10 @@
     slack_ms = objective_ms - path_ms
     on_time_ms = int(job.spec.accepted_ms + slack_ms)
     late_ms = int(on_time_ms + (_LATE_LIMIT - 1) * objective_ms)
-    if queue.priority >= _PATIENT_PRIORITY:
-        on_time_ms = late_ms
     tier, last_start_ms = _PAST, late_ms
-    if now_ms <= on_time_ms:
+    # Patient work loses little by being late, so late urgent work, which has
+    # less time left, comes before it.
+    if now_ms <= on_time_ms and queue.priority < _PATIENT_PRIORITY:
         tier, last_start_ms = _ON_TIME, on_time_ms
     elif now_ms <= late_ms:
         tier = _LATE
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -473,6 +473,18 @@
     assert site.scheduler.waiting_by_queue() == {'normal': 1}
 
 
+def test_late_urgent_work_comes_before_work_that_can_wait():
+    """After an outage urgent jobs must not wait behind batch work."""
+    site = Site(racks=('r1',))
+    site.submit('b', 'batch', WHOLE)
+    # Together the urgent jobs ask for more than the guarantee.
+    site.submit('u', 'urgent', WHOLE)
+    site.submit('v', 'urgent', WHOLE)
+    # All were accepted while no worker could be used.
+    site.decide(advance_ms=6000)
+    assert site.tasks() == ['u.0.0.0']
+
+
 def _spec_of(service):
     return JobSpec(
         queue='unknown',
