--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -14,6 +14,7 @@
     SCHEDULER_PART,
     SUBMISSIONS,
     Committed,
+    Conflict,
     RowName,
     RowStore,
     RowWrite,
@@ -43,6 +44,8 @@
 )
 
 _RETRY_S = 0.1
+# An entry hears from a sound store several times in this time.
+_SUSPICIOUS_SILENCE_MS = 1200
 # The store may refuse this entry and serve others, so it is not tried longer.
 _REFUSED_FOR = timedelta(milliseconds=300)
 
@@ -116,7 +119,7 @@
         if isinstance(state, NotFound):
             return state
         if isinstance(state, Unavailable):
-            return Unknown(state.reason)
+            return NotAccepted(state.reason)
         if state.is_final:
             return Accepted()
         name = _submission(job_id, 'cancel')
@@ -150,6 +153,21 @@
             return NotFound()
         return JobState.queued
 
+    async def _write(
+        self, name: RowName, content: bytes
+    ) -> Committed | Conflict:
+        """Write a row if it is absent, if the store seems to answer.
+
+        A write that gets no answer cannot be refused any more, so a store
+        that has been silent is read first: nothing is written while it does
+        not answer, and the caller can be told so at once.
+        """
+        if self._store_clock.age_ms > _SUSPICIOUS_SILENCE_MS:
+            await self._store.read_row(LEASE_NAME)
+        return await self._store.commit(
+            [RowWrite(name, content)], [(name, ABSENT)]
+        )
+
     async def _write_once(
         self, name: RowName, content: bytes, limit: timedelta
     ) -> Accepted | NotAccepted | Unknown:
@@ -158,9 +176,7 @@
         is_uncertain = False
         while True:
             try:
-                outcome = await self._store.commit(
-                    [RowWrite(name, content)], [(name, ABSENT)]
-                )
+                outcome = await self._write(name, content)
             except PlatformUnavailableError as error:
                 reason = str(error)
             except UncertainWriteError as error:
--- a/dragonflynotch/testing/row_store.py
+++ b/dragonflynotch/testing/row_store.py
@@ -42,6 +42,8 @@
     lose_answers = 'lose_answers'
     # Does not answer writes and carries them out when told to.
     late = 'late'
+    # Answers nothing and keeps writes, to carry them out when told to.
+    silent = 'silent'
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +109,7 @@
         parts.update(name.part for name, _ in conditions)
         if len(parts) > 1:
             raise InvalidInputError('commit', parts, 'rows of one part')
-        if self.fault is StoreFault.late:
+        if self.fault in {StoreFault.late, StoreFault.silent}:
             self._late.append((tuple(writes), tuple(conditions)))
             raise _uncertain()
         outcome = self._apply(writes, conditions)
@@ -181,7 +183,8 @@
 
     def _enter(self, step: str) -> None:
         self.calls += 1
-        if self.fault is StoreFault.down:
+        is_silent = self.fault is StoreFault.silent and step != 'commit'
+        if self.fault is StoreFault.down or is_silent:
             raise PlatformUnavailableError(
                 'down on demand', step=step, peer=_PEER
             )
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -71,6 +71,17 @@
     assert isinstance(await submission, Unknown)
 
 
+async def test_nothing_is_written_to_a_silent_store(desk, store, clock):
+    """During an outage callers get a true refusal, not a lost answer."""
+    await desk.state('a')
+    clock.advance(5000)
+    store.fault = StoreFault.silent
+    outcome = await desk.submit('a', SPEC, timedelta(seconds=1))
+    assert isinstance(outcome, NotAccepted)
+    store.fault = StoreFault.none
+    assert not store.apply_late()
+
+
 async def test_lost_answer_is_found_by_the_next_attempt(desk, store):
     """The caller of a stored job is told so within its deadline."""
     store.fault = StoreFault.lose_answers
@@ -96,7 +107,7 @@
     await desk.submit('a', SPEC, LIMIT)
     store.fault = StoreFault.down
     assert isinstance(await desk.state('a'), Unavailable)
-    assert isinstance(await desk.cancel('a', LIMIT), Unknown)
+    assert isinstance(await desk.cancel('a', LIMIT), NotAccepted)
 
 
 async def test_unknown_job_cannot_be_cancelled(desk):
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -93,3 +93,16 @@
         'end_recorded',
         'job_ended',
     } <= events
+
+
+async def test_stopped_guard_leaves_its_run_alone(programs):
+    """SIGTERM ends a side at once; its minion runs on for the next process."""
+    await programs.submit('front-1', JOB, 6)
+    async with asyncio.timeout(5):
+        while len(programs.site.runs.starts) < 6:
+            await asyncio.sleep(0.01)
+    async with asyncio.timeout(2):
+        assert await programs.terminate('side-1') == 0
+    await programs.start_program('side-1')
+    await programs.wait_for_state('front-1', JOB, 'completed')
+    assert len(programs.site.runs.starts) == 6
