--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -15,8 +15,8 @@
 from dragonflynotch.core.membership import GuardInfo, MinionInfo
 from dragonflynotch.core.routing import RoutingTable, Target
 from dragonflynotch.core.topology import Worker
-from dragonflynotch.entry.remote_entries import RemoteEntries
-from dragonflynotch.entry.target_feed import TargetFeed
+from dragonflynotch.entry.members.target_feed import TargetFeed
+from dragonflynotch.entry.peers.remote_entries import RemoteEntries
 from dragonflynotch.links.digest_codec import encode_member
 from dragonflynotch.links.entry_link_pb2 import Digest
 
--- a/dragonflynotch/cli/checks.py
+++ b/dragonflynotch/cli/checks.py
@@ -19,8 +19,8 @@
     READABLE_SETTINGS_VERSIONS,
     EntrySettings,
     GuardSettings,
-    load_settings,
 )
+from dragonflynotch.records.settings_files import load_settings
 
 __all__ = ('CheckSettingsCommand', 'VersionCommand')
 
--- /dev/null
+++ b/dragonflynotch/entry/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: store, copies and changes by operators."""
--- a/dragonflynotch/entry/configuration_copies.py
+++ b/dragonflynotch/entry/configuration/configuration_copies.py
@@ -10,7 +10,7 @@
 
 from dragonflynotch.core.configuration import Changes, Snapshot
 from dragonflynotch.core.membership import GuardInfo, Membership
-from dragonflynotch.entry.configuration import ConfigurationService
+from dragonflynotch.entry.configuration.in_force import ConfigurationService
 from dragonflynotch.links.configuration_messages import (
     decode_copy,
     encode_copy,
--- a/dragonflynotch/entry/configuration.py
+++ b/dragonflynotch/entry/configuration/in_force.py
@@ -21,7 +21,7 @@
 )
 from dragonflynotch.core.events import Guarantee
 from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
-from dragonflynotch.entry.configuration_store import (
+from dragonflynotch.entry.configuration.configuration_store import (
     ConfigurationStore,
     HeadMoved,
     RecordMoved,
--- a/dragonflynotch/entry/operators.py
+++ b/dragonflynotch/entry/configuration/operators.py
@@ -23,14 +23,14 @@
 from dragonflynotch.core.configuration import RecordKey
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.membership import Membership
-from dragonflynotch.entry.configuration import (
+from dragonflynotch.entry.configuration.in_force import (
     ConfigurationService,
     RecordAccepted,
     RecordConflict,
     RecordRefused,
     WriteVerdict,
 )
-from dragonflynotch.entry.health import Health
+from dragonflynotch.entry.members.health import Health
 from dragonflynotch.records.documents import MAX_DOCUMENT_BYTES
 
 __all__ = ('OperatorServices', 'create_operator_app')
--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -11,29 +11,33 @@
 
 from dragonflynotch.core.clock import SystemClock
 from dragonflynotch.core.membership import GuardInfo, Membership
-from dragonflynotch.entry.admission import TopologyAdmission
-from dragonflynotch.entry.configuration import ConfigurationService
-from dragonflynotch.entry.configuration_copies import ConfigurationCopies
-from dragonflynotch.entry.configuration_store import ConfigurationStore
-from dragonflynotch.entry.forwarded_jobs import (
-    ForwardingJobService,
-    LocalSchedulingPort,
+from dragonflynotch.entry.configuration.configuration_copies import (
+    ConfigurationCopies,
+)
+from dragonflynotch.entry.configuration.configuration_store import (
+    ConfigurationStore,
 )
-from dragonflynotch.entry.health import Health
-from dragonflynotch.entry.job_api import create_job_router
-from dragonflynotch.entry.membership import MembershipListener
-from dragonflynotch.entry.operators import (
+from dragonflynotch.entry.configuration.in_force import ConfigurationService
+from dragonflynotch.entry.configuration.operators import (
     OperatorServices,
     create_operator_app,
 )
-from dragonflynotch.entry.peers import EntryIdentity, PeerExchange
-from dragonflynotch.entry.registry import EntryRegistry
-from dragonflynotch.entry.remote_entries import RemoteEntries
-from dragonflynotch.entry.request_path import RequestPath
-from dragonflynotch.entry.scheduling import Scheduling
+from dragonflynotch.entry.jobs.forwarded_jobs import (
+    ForwardingJobService,
+    LocalSchedulingPort,
+)
+from dragonflynotch.entry.jobs.job_api import create_job_router
+from dragonflynotch.entry.members.health import Health
+from dragonflynotch.entry.members.membership import MembershipListener
+from dragonflynotch.entry.members.registry import EntryRegistry
+from dragonflynotch.entry.members.target_feed import TargetFeed
+from dragonflynotch.entry.partition.scheduling import Scheduling
+from dragonflynotch.entry.peers.exchange import EntryIdentity, PeerExchange
+from dragonflynotch.entry.peers.remote_entries import RemoteEntries
+from dragonflynotch.entry.peers.sync import EntrySync, readable_versions
+from dragonflynotch.entry.requests.admission import TopologyAdmission
+from dragonflynotch.entry.requests.request_path import RequestPath
 from dragonflynotch.entry.server import HttpServer
-from dragonflynotch.entry.sync import EntrySync, readable_versions
-from dragonflynotch.entry.target_feed import TargetFeed
 from dragonflynotch.links.entry_link import EntryLinkServer, GrpcEntryLink
 from dragonflynotch.links.messages import Acknowledgement, Announcement
 from dragonflynotch.observability.logs import part_logger
--- /dev/null
+++ b/dragonflynotch/entry/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: interface, records and overview."""
--- a/dragonflynotch/entry/forwarded_jobs.py
+++ b/dragonflynotch/entry/jobs/forwarded_jobs.py
@@ -7,7 +7,7 @@
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import LinkError, LinkRefusedError
-from dragonflynotch.entry.job_service import (
+from dragonflynotch.entry.jobs.job_service import (
     HTTP_OK,
     JobAnswer,
     JobCommand,
@@ -15,10 +15,10 @@
     JobService,
     refusal_answer,
 )
-from dragonflynotch.entry.owner_inputs import JobRefused, JobUnknown
-from dragonflynotch.entry.ownership import OwnershipKeeper
-from dragonflynotch.entry.peers import SchedulingPort
-from dragonflynotch.entry.remote_entries import PeerState, RemoteEntries
+from dragonflynotch.entry.partition.owner_inputs import JobRefused, JobUnknown
+from dragonflynotch.entry.partition.ownership import OwnershipKeeper
+from dragonflynotch.entry.peers.exchange import SchedulingPort
+from dragonflynotch.entry.peers.remote_entries import PeerState, RemoteEntries
 from dragonflynotch.links.digest_codec import milliseconds
 from dragonflynotch.links.entry_link import EntryLink
 from dragonflynotch.links.entry_link_pb2 import JobCall, JobReply
--- a/dragonflynotch/entry/job_api.py
+++ b/dragonflynotch/entry/jobs/job_api.py
@@ -12,14 +12,14 @@
 
 from dragonflynotch.core.requests import NotRun
 from dragonflynotch.core.workspaces import ConfigurationView
-from dragonflynotch.entry.identity import NotIdentified, identify
-from dragonflynotch.entry.job_service import (
+from dragonflynotch.entry.jobs.job_service import (
     JobAnswer,
     JobCommand,
     JobMethod,
     JobService,
 )
-from dragonflynotch.entry.problems import outcome_response
+from dragonflynotch.entry.requests.identity import NotIdentified, identify
+from dragonflynotch.entry.requests.problems import outcome_response
 
 __all__ = ('JobCalls', 'JobController', 'create_job_router')
 
--- a/dragonflynotch/entry/job_mirror.py
+++ b/dragonflynotch/entry/jobs/job_mirror.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from dragonflynotch.core.jobs import Job, JobState
-from dragonflynotch.entry.outbox import Outgoing
+from dragonflynotch.entry.partition.outbox import Outgoing
 from dragonflynotch.links.orders import (
     ConfirmOrder,
     GuardReport,
--- a/dragonflynotch/entry/job_service.py
+++ b/dragonflynotch/entry/jobs/job_service.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from dragonflynotch.core.errors import InvalidInputError
-from dragonflynotch.entry.owner_inputs import JobRefused, JobUnknown
+from dragonflynotch.entry.partition.owner_inputs import JobRefused, JobUnknown
 
 __all__ = (
     'JobAnswer',
--- a/dragonflynotch/entry/local_jobs.py
+++ b/dragonflynotch/entry/jobs/local_jobs.py
@@ -13,7 +13,7 @@
 )
 from dragonflynotch.core.jobs import Job, JobState
 from dragonflynotch.core.workspaces import ConfigurationView
-from dragonflynotch.entry.job_service import (
+from dragonflynotch.entry.jobs.job_service import (
     HTTP_ACCEPTED,
     HTTP_OK,
     JobAnswer,
@@ -23,7 +23,7 @@
     problem_answer,
     refusal_answer,
 )
-from dragonflynotch.entry.owner_inputs import (
+from dragonflynotch.entry.partition.owner_inputs import (
     Cancellation,
     CancelVerdict,
     JobAccepted,
@@ -32,7 +32,7 @@
     Submission,
     SubmissionVerdict,
 )
-from dragonflynotch.entry.partition_owner import PartitionOwner
+from dragonflynotch.entry.partition.partition_owner import PartitionOwner
 from dragonflynotch.records.job_rows import (
     JobKeyRow,
     decode_job_row,
--- /dev/null
+++ b/dragonflynotch/entry/members/__init__.py
@@ -0,0 +1,1 @@
+"""Guards and entries that are live, and those that leave."""
--- a/dragonflynotch/entry/drains.py
+++ b/dragonflynotch/entry/members/drains.py
@@ -3,11 +3,11 @@
 from datetime import datetime
 
 from dragonflynotch.core.events import Event
-from dragonflynotch.entry.guard_channel import ReportFetched
-from dragonflynotch.entry.guard_roster import GuardRoster
-from dragonflynotch.entry.job_mirror import JobMirror
-from dragonflynotch.entry.outbox import Outgoing
-from dragonflynotch.entry.owner_inputs import GuardHeard
+from dragonflynotch.entry.jobs.job_mirror import JobMirror
+from dragonflynotch.entry.members.guard_channel import ReportFetched
+from dragonflynotch.entry.members.guard_roster import GuardRoster
+from dragonflynotch.entry.partition.outbox import Outgoing
+from dragonflynotch.entry.partition.owner_inputs import GuardHeard
 from dragonflynotch.links.orders import CheckpointOrder
 
 __all__ = ('DrainCoordinator',)
--- a/dragonflynotch/entry/guard_roster.py
+++ b/dragonflynotch/entry/members/guard_roster.py
@@ -9,8 +9,11 @@
 from dragonflynotch.core.events import Event, WorkerJoined, WorkerLost
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.topology import Worker
-from dragonflynotch.entry.guard_channel import ChannelEvent, GuardChannel
-from dragonflynotch.entry.outbox import Outgoing
+from dragonflynotch.entry.members.guard_channel import (
+    ChannelEvent,
+    GuardChannel,
+)
+from dragonflynotch.entry.partition.outbox import Outgoing
 from dragonflynotch.links.order_link import OrderLink
 from dragonflynotch.observability.logs import part_logger
 
--- a/dragonflynotch/entry/registry.py
+++ b/dragonflynotch/entry/members/registry.py
@@ -8,7 +8,7 @@
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import DragonflynotchError
-from dragonflynotch.entry.peers import EntryIdentity
+from dragonflynotch.entry.peers.exchange import EntryIdentity
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.services.table import (
     ABSENT_VERSION,
--- a/dragonflynotch/entry/target_feed.py
+++ b/dragonflynotch/entry/members/target_feed.py
@@ -5,7 +5,7 @@
 
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.routing import RoutingTable, Target
-from dragonflynotch.entry.remote_entries import RemoteGuardObserver
+from dragonflynotch.entry.peers.remote_entries import RemoteGuardObserver
 
 __all__ = ('TargetFeed',)
 
--- /dev/null
+++ b/dragonflynotch/entry/partition/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of a partition and the scheduling in it."""
--- a/dragonflynotch/entry/outbox.py
+++ b/dragonflynotch/entry/partition/outbox.py
@@ -10,9 +10,9 @@
 
 from dragonflynotch.core.actions import Action, MemberOrder, WriteJob
 from dragonflynotch.core.jobs import Job, JobState
-from dragonflynotch.entry.job_recorder import FlushResult, JobRecorder
-from dragonflynotch.entry.lease_row import NotOwnerError
-from dragonflynotch.entry.order_mapping import order_for
+from dragonflynotch.entry.jobs.job_recorder import FlushResult, JobRecorder
+from dragonflynotch.entry.partition.lease_row import NotOwnerError
+from dragonflynotch.entry.partition.order_mapping import order_for
 from dragonflynotch.links.orders import ConfirmOrder, Order, PrepareOrder
 
 __all__ = ('Outbox', 'OutboxListener', 'Outgoing')
--- a/dragonflynotch/entry/owner_inputs.py
+++ b/dragonflynotch/entry/partition/owner_inputs.py
@@ -6,8 +6,8 @@
 
 from dragonflynotch.core.jobs import Job
 from dragonflynotch.core.membership import GuardInfo
-from dragonflynotch.entry.guard_channel import ChannelEvent
-from dragonflynotch.entry.job_recorder import FlushResult
+from dragonflynotch.entry.jobs.job_recorder import FlushResult
+from dragonflynotch.entry.members.guard_channel import ChannelEvent
 from dragonflynotch.services.table import ConditionalWrite
 
 __all__ = (
--- a/dragonflynotch/entry/ownership.py
+++ b/dragonflynotch/entry/partition/ownership.py
@@ -31,7 +31,7 @@
     restart_wait,
     takeover_row,
 )
-from dragonflynotch.entry.lease_row import (
+from dragonflynotch.entry.partition.lease_row import (
     LeaseRowStore,
     NotOwnerError,
     StoredLease,
--- a/dragonflynotch/entry/partition_owner.py
+++ b/dragonflynotch/entry/partition/partition_owner.py
@@ -33,17 +33,17 @@
 from dragonflynotch.core.partition import Partition
 from dragonflynotch.core.waiting import WaitingJob
 from dragonflynotch.core.workspaces import ConfigurationView
-from dragonflynotch.entry.drains import DrainCoordinator
-from dragonflynotch.entry.guard_channel import (
+from dragonflynotch.entry.jobs.job_mirror import JobMirror
+from dragonflynotch.entry.jobs.job_recorder import FlushResult, JobRecorder
+from dragonflynotch.entry.members.drains import DrainCoordinator
+from dragonflynotch.entry.members.guard_channel import (
     OrderRefused,
     OwnerSuperseded,
     ReportFetched,
 )
-from dragonflynotch.entry.guard_roster import GuardRoster
-from dragonflynotch.entry.job_mirror import JobMirror
-from dragonflynotch.entry.job_recorder import FlushResult, JobRecorder
-from dragonflynotch.entry.outbox import Outbox, OutboxListener
-from dragonflynotch.entry.owner_inputs import (
+from dragonflynotch.entry.members.guard_roster import GuardRoster
+from dragonflynotch.entry.partition.outbox import Outbox, OutboxListener
+from dragonflynotch.entry.partition.owner_inputs import (
     Cancellation,
     GuardHeard,
     JobAccepted,
@@ -55,8 +55,8 @@
     RecordsFlushed,
     Submission,
 )
-from dragonflynotch.entry.pending_calls import PendingCalls
-from dragonflynotch.entry.report_reader import ReportReader
+from dragonflynotch.entry.partition.report_reader import ReportReader
+from dragonflynotch.entry.requests.pending_calls import PendingCalls
 from dragonflynotch.links.orders import PrepareOrder
 from dragonflynotch.observability.logs import part_logger
 
--- a/dragonflynotch/entry/scheduling.py
+++ b/dragonflynotch/entry/partition/scheduling.py
@@ -17,20 +17,23 @@
 from dragonflynotch.core.partition import Partition
 from dragonflynotch.core.policy import PolicySettings
 from dragonflynotch.core.workspaces import ConfigurationView
-from dragonflynotch.entry.guard_roster import GuardRoster
-from dragonflynotch.entry.job_cleanup import delete_ended_jobs
-from dragonflynotch.entry.job_overview import JobOverview, describe_jobs
-from dragonflynotch.entry.job_recorder import JobRecorder
-from dragonflynotch.entry.lease_row import LeaseRowStore
-from dragonflynotch.entry.local_jobs import LocalJobService
-from dragonflynotch.entry.owner_inputs import (
+from dragonflynotch.entry.jobs.job_cleanup import delete_ended_jobs
+from dragonflynotch.entry.jobs.job_overview import JobOverview, describe_jobs
+from dragonflynotch.entry.jobs.job_recorder import JobRecorder
+from dragonflynotch.entry.jobs.local_jobs import LocalJobService
+from dragonflynotch.entry.members.guard_roster import GuardRoster
+from dragonflynotch.entry.partition.lease_row import LeaseRowStore
+from dragonflynotch.entry.partition.owner_inputs import (
     GuardHeard,
     OwnerInput,
     OwnershipLoaded,
     OwnershipWasLost,
 )
-from dragonflynotch.entry.ownership import OwnershipKeeper, OwnershipListener
-from dragonflynotch.entry.partition_owner import PartitionOwner
+from dragonflynotch.entry.partition.ownership import (
+    OwnershipKeeper,
+    OwnershipListener,
+)
+from dragonflynotch.entry.partition.partition_owner import PartitionOwner
 from dragonflynotch.links.order_link import HttpOrderLink
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.records.job_rows import (
--- /dev/null
+++ b/dragonflynotch/entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange with the other entries."""
--- a/dragonflynotch/entry/peers.py
+++ b/dragonflynotch/entry/peers/exchange.py
@@ -11,8 +11,8 @@
 from dragonflynotch.core.configuration import Changes
 from dragonflynotch.core.errors import LinkError
 from dragonflynotch.core.membership import Membership
-from dragonflynotch.entry.configuration import ConfigurationService
-from dragonflynotch.entry.remote_entries import RemoteEntries
+from dragonflynotch.entry.configuration.in_force import ConfigurationService
+from dragonflynotch.entry.peers.remote_entries import RemoteEntries
 from dragonflynotch.links.digest_codec import (
     decode_configuration,
     encode_configuration,
--- a/dragonflynotch/entry/sync.py
+++ b/dragonflynotch/entry/peers/sync.py
@@ -7,14 +7,16 @@
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.core.membership import Membership
-from dragonflynotch.entry.configuration import ConfigurationService
-from dragonflynotch.entry.configuration_copies import ConfigurationCopies
-from dragonflynotch.entry.peers import PeerExchange
-from dragonflynotch.entry.registry import (
+from dragonflynotch.entry.configuration.configuration_copies import (
+    ConfigurationCopies,
+)
+from dragonflynotch.entry.configuration.in_force import ConfigurationService
+from dragonflynotch.entry.members.registry import (
     REGISTRATION_INTERVAL,
     EntryRegistry,
 )
-from dragonflynotch.entry.remote_entries import RemoteEntries
+from dragonflynotch.entry.peers.exchange import PeerExchange
+from dragonflynotch.entry.peers.remote_entries import RemoteEntries
 from dragonflynotch.records.documents import READABLE_SCHEMA_VERSIONS
 
 __all__ = ('EntrySync', 'readable_versions')
--- /dev/null
+++ b/dragonflynotch/entry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: identity, quotas, ledger, hand-over."""
--- a/dragonflynotch/entry/admission.py
+++ b/dragonflynotch/entry/requests/admission.py
@@ -6,7 +6,7 @@
 from dragonflynotch.core.guarantees import NotAdmitted, admit_guarantees
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.placement import FragmentationAwarePlacer, Placer
-from dragonflynotch.entry.configuration import GuaranteeAdmission
+from dragonflynotch.entry.configuration.in_force import GuaranteeAdmission
 
 __all__ = ('TopologyAdmission',)
 
--- a/dragonflynotch/entry/at_most_once.py
+++ b/dragonflynotch/entry/requests/at_most_once.py
@@ -36,14 +36,14 @@
     content_digest,
 )
 from dragonflynotch.core.routing import RoutingTable, Target
-from dragonflynotch.entry.attempts import (
+from dragonflynotch.entry.requests.attempts import (
     AttemptOutcome,
     AttemptRunner,
     Proven,
     Succeeded,
 )
-from dragonflynotch.entry.ledger import Ledger, LostRace, VersionedRow
-from dragonflynotch.entry.target_queue import QueueTicket, TargetQueue
+from dragonflynotch.entry.requests.ledger import Ledger, LostRace, VersionedRow
+from dragonflynotch.entry.requests.target_queue import QueueTicket, TargetQueue
 
 __all__ = ('AtMostOnceRunner',)
 
--- a/dragonflynotch/entry/callers.py
+++ b/dragonflynotch/entry/requests/callers.py
@@ -25,11 +25,11 @@
 from dragonflynotch.core.requests import NotRun, Outcome, Unknown
 from dragonflynotch.core.requests import Request as CallerRequest
 from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
-from dragonflynotch.entry.dispatcher import Dispatcher
-from dragonflynotch.entry.headers import read_headers
-from dragonflynotch.entry.health import Health
-from dragonflynotch.entry.identity import NotIdentified, identify
-from dragonflynotch.entry.problems import (
+from dragonflynotch.entry.members.health import Health
+from dragonflynotch.entry.requests.dispatcher import Dispatcher
+from dragonflynotch.entry.requests.headers import read_headers
+from dragonflynotch.entry.requests.identity import NotIdentified, identify
+from dragonflynotch.entry.requests.problems import (
     malformed,
     outcome_name,
     outcome_response,
--- a/dragonflynotch/entry/dispatcher.py
+++ b/dragonflynotch/entry/requests/dispatcher.py
@@ -4,9 +4,9 @@
 from dragonflynotch.core.limits import WorkspaceQuota
 from dragonflynotch.core.requests import NotRun, Outcome, Request
 from dragonflynotch.core.workspaces import WorkspaceSpec
-from dragonflynotch.entry.at_most_once import AtMostOnceRunner
-from dragonflynotch.entry.idempotent import IdempotentRunner
-from dragonflynotch.entry.target_queue import TargetQueue
+from dragonflynotch.entry.requests.at_most_once import AtMostOnceRunner
+from dragonflynotch.entry.requests.idempotent import IdempotentRunner
+from dragonflynotch.entry.requests.target_queue import TargetQueue
 
 __all__ = ('Dispatcher',)
 
--- a/dragonflynotch/entry/idempotent.py
+++ b/dragonflynotch/entry/requests/idempotent.py
@@ -13,14 +13,14 @@
     Unknown,
 )
 from dragonflynotch.core.routing import Target
-from dragonflynotch.entry.attempts import (
+from dragonflynotch.entry.requests.attempts import (
     AttemptOutcome,
     AttemptRunner,
     Failed,
     Proven,
     Succeeded,
 )
-from dragonflynotch.entry.target_queue import QueueTicket, TargetQueue
+from dragonflynotch.entry.requests.target_queue import QueueTicket, TargetQueue
 
 __all__ = ('IdempotentRunner',)
 
--- a/dragonflynotch/entry/pending_calls.py
+++ b/dragonflynotch/entry/requests/pending_calls.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from dragonflynotch.entry.owner_inputs import (
+from dragonflynotch.entry.partition.owner_inputs import (
     Cancellation,
     JobAccepted,
     Submission,
--- a/dragonflynotch/entry/request_path.py
+++ b/dragonflynotch/entry/requests/request_path.py
@@ -13,14 +13,17 @@
 from dragonflynotch.core.limits import RetryBudget
 from dragonflynotch.core.routing import RoutingTable
 from dragonflynotch.core.workspaces import ConfigurationView
-from dragonflynotch.entry.at_most_once import AtMostOnceRunner
-from dragonflynotch.entry.attempts import AttemptRunner
-from dragonflynotch.entry.callers import CallerContext, create_caller_app
-from dragonflynotch.entry.dispatcher import Dispatcher
-from dragonflynotch.entry.health import Health
-from dragonflynotch.entry.idempotent import IdempotentRunner
-from dragonflynotch.entry.ledger import Ledger
-from dragonflynotch.entry.target_queue import TargetQueue
+from dragonflynotch.entry.members.health import Health
+from dragonflynotch.entry.requests.at_most_once import AtMostOnceRunner
+from dragonflynotch.entry.requests.attempts import AttemptRunner
+from dragonflynotch.entry.requests.callers import (
+    CallerContext,
+    create_caller_app,
+)
+from dragonflynotch.entry.requests.dispatcher import Dispatcher
+from dragonflynotch.entry.requests.idempotent import IdempotentRunner
+from dragonflynotch.entry.requests.ledger import Ledger
+from dragonflynotch.entry.requests.target_queue import TargetQueue
 from dragonflynotch.links.guard_link import HttpGuardLink
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.observability.metrics import EntryMetrics
--- a/dragonflynotch/observability/start.py
+++ b/dragonflynotch/observability/start.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from dragonflynotch.core.errors import InvalidInputError
-from dragonflynotch.records.settings import load_settings
+from dragonflynotch.records.settings_files import load_settings
 
 __all__ = ('StartOptions', 'read_start_options')
 
--- a/dragonflynotch/records/settings.py
+++ b/dragonflynotch/records/settings.py
@@ -1,13 +1,10 @@
 """Settings files of the daemons, validated with msgspec."""
 
 from ipaddress import ip_address
-from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated
 
 import msgspec
 
-from dragonflynotch.core.errors import InvalidInputError
-
 __all__ = (
     'Address',
     'EntrySettings',
@@ -18,13 +15,9 @@
     'SchedulingSettings',
     'TaskSettings',
     'WorkerSettings',
-    'load_settings',
-    'parse_settings',
 )
 
 
-SettingsT = TypeVar('SettingsT', bound=msgspec.Struct)
-
 READABLE_SETTINGS_VERSIONS = (1,)
 
 _Id = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
@@ -160,63 +153,3 @@
     drain_notice_ms: _Notice = 3000
     drain_limit_ms: _Milliseconds = 30_000
     tasks: TaskSettings = TaskSettings()
-
-
-def load_settings(path: Path, model: type[SettingsT]) -> SettingsT:
-    """Return the settings in a JSON file.
-
-    Raises
-    ------
-    InvalidInputError
-        If the file cannot be read or does not match the model; names the
-        path of the field, its value and what was expected, and for an
-        unknown field the nearest known one.
-    """
-    try:
-        content = path.read_bytes()
-    except OSError as error:
-        raise InvalidInputError(
-            str(path), error.strerror, 'a readable file'
-        ) from error
-    return parse_settings(content, model, str(path))
-
-
-def parse_settings(
-    content: bytes, model: type[SettingsT], source: str
-) -> SettingsT:
-    """Return the settings in a JSON text.
-
-    Parameters
-    ----------
-    content : bytes
-        JSON text.
-    model : type
-        ``EntrySettings`` or ``GuardSettings``.
-    source : str
-        Where the text is from, for error messages.
-
-    Raises
-    ------
-    InvalidInputError
-        If the text does not match the model.
-    """
-    # Imported here because the checks use the types of this module.
-    from dragonflynotch.records.settings_checks import (
-        check_consistency,
-        check_schema_version,
-    )
-
-    try:
-        raw = msgspec.json.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise InvalidInputError(source, str(error), 'JSON') from error
-    check_schema_version(raw, READABLE_SETTINGS_VERSIONS, source)
-    try:
-        settings = msgspec.json.decode(content, type=model)
-    except msgspec.ValidationError as error:
-        # Imported here because a guard that starts well does without it.
-        from dragonflynotch.records.settings_problems import describe_problem
-
-        raise describe_problem(error, raw, model, source) from error
-    check_consistency(settings, source)
-    return settings
--- a/tests/entry/test_configuration.py
+++ b/tests/entry/configuration/test_configuration.py
@@ -6,13 +6,15 @@
 import pytest
 
 from dragonflynotch.core.configuration import RecordKey
-from dragonflynotch.entry.configuration import (
+from dragonflynotch.entry.configuration.configuration_store import (
+    ConfigurationStore,
+)
+from dragonflynotch.entry.configuration.in_force import (
     ConfigurationService,
     GuaranteeAdmission,
     RecordAccepted,
     RecordRefused,
 )
-from dragonflynotch.entry.configuration_store import ConfigurationStore
 from dragonflynotch.testing.table import MemoryTable
 
 KEY = RecordKey('workspace', 'resort')
--- a/tests/entry/test_configuration_store.py
+++ b/tests/entry/configuration/test_configuration_store.py
@@ -7,7 +7,7 @@
     PlatformUnavailableError,
     UncertainWriteError,
 )
-from dragonflynotch.entry.configuration_store import (
+from dragonflynotch.entry.configuration.configuration_store import (
     ConfigurationStore,
     RecordMoved,
 )
--- a/tests/entry/test_job_cleanup.py
+++ b/tests/entry/jobs/test_job_cleanup.py
@@ -7,7 +7,7 @@
 from dragonflynotch.core.clock import ManualClock
 from dragonflynotch.core.jobs import Job, JobSpec, JobState
 from dragonflynotch.core.shapes import Shape
-from dragonflynotch.entry.job_cleanup import (
+from dragonflynotch.entry.jobs.job_cleanup import (
     RECORD_RETENTION,
     delete_ended_jobs,
 )
--- a/tests/entry/test_job_overview.py
+++ b/tests/entry/jobs/test_job_overview.py
@@ -5,7 +5,7 @@
 from dragonflynotch.core.jobs import Job, JobSpec, JobState
 from dragonflynotch.core.shapes import Proximity, Shape
 from dragonflynotch.core.waiting import WaitingJob
-from dragonflynotch.entry.job_overview import describe_jobs
+from dragonflynotch.entry.jobs.job_overview import describe_jobs
 
 _NOW = datetime(2026, 3, 1, tzinfo=UTC)
 
--- a/tests/entry/test_job_recorder.py
+++ b/tests/entry/jobs/test_job_recorder.py
@@ -10,7 +10,7 @@
 )
 from dragonflynotch.core.jobs import Job, JobSpec, JobState
 from dragonflynotch.core.shapes import Shape
-from dragonflynotch.entry.job_recorder import JobRecorder
+from dragonflynotch.entry.jobs.job_recorder import JobRecorder
 from dragonflynotch.records.job_rows import decode_job_row
 from dragonflynotch.services.table import ABSENT_VERSION, ConditionalWrite
 from dragonflynotch.testing.table import MemoryTable, TableFault
--- a/tests/entry/test_guard_channel.py
+++ b/tests/entry/members/test_guard_channel.py
@@ -7,7 +7,7 @@
 
 from dragonflynotch.core.clock import ManualClock
 from dragonflynotch.core.errors import LinkTimeoutError
-from dragonflynotch.entry.guard_channel import GuardChannel
+from dragonflynotch.entry.members.guard_channel import GuardChannel
 from dragonflynotch.links.order_link import OrderLink
 from dragonflynotch.links.orders import OrderReply, StartOrder
 
--- a/tests/entry/test_health.py
+++ b/tests/entry/members/test_health.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dragonflynotch.entry.health import Health
+from dragonflynotch.entry.members.health import Health
 
 
 @pytest.mark.parametrize(
--- a/tests/entry/test_target_feed.py
+++ b/tests/entry/members/test_target_feed.py
@@ -8,8 +8,8 @@
 from dragonflynotch.core.clock import ManualClock
 from dragonflynotch.core.membership import GuardInfo, Membership, MinionInfo
 from dragonflynotch.core.routing import RoutingTable, Target
-from dragonflynotch.entry.remote_entries import RemoteEntries
-from dragonflynotch.entry.target_feed import TargetFeed
+from dragonflynotch.entry.members.target_feed import TargetFeed
+from dragonflynotch.entry.peers.remote_entries import RemoteEntries
 from dragonflynotch.links.digest_codec import encode_member, milliseconds
 from dragonflynotch.links.entry_link_pb2 import Digest
 
--- a/tests/entry/test_outbox.py
+++ b/tests/entry/partition/test_outbox.py
@@ -13,9 +13,9 @@
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.core.jobs import Job, JobSpec, JobState, Member
 from dragonflynotch.core.shapes import Shape
-from dragonflynotch.entry.job_mirror import JobMirror
-from dragonflynotch.entry.job_recorder import JobRecorder
-from dragonflynotch.entry.outbox import Outbox, OutboxListener
+from dragonflynotch.entry.jobs.job_mirror import JobMirror
+from dragonflynotch.entry.jobs.job_recorder import JobRecorder
+from dragonflynotch.entry.partition.outbox import Outbox, OutboxListener
 from dragonflynotch.links.orders import (
     ConfirmOrder,
     GuardReport,
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/partition/test_ownership.py
@@ -8,8 +8,14 @@
 from dragonflynotch.core.clock import ManualClock
 from dragonflynotch.core.errors import UncertainWriteError
 from dragonflynotch.core.ownership import OwnershipPolicy
-from dragonflynotch.entry.lease_row import LeaseRowStore, NotOwnerError
-from dragonflynotch.entry.ownership import OwnershipKeeper, OwnershipListener
+from dragonflynotch.entry.partition.lease_row import (
+    LeaseRowStore,
+    NotOwnerError,
+)
+from dragonflynotch.entry.partition.ownership import (
+    OwnershipKeeper,
+    OwnershipListener,
+)
 from dragonflynotch.services.table import ABSENT_VERSION, ConditionalWrite
 from dragonflynotch.testing.table import MemoryTable, TableFault
 
--- a/tests/entry/test_partition_owner.py
+++ b/tests/entry/partition/test_partition_owner.py
@@ -14,10 +14,10 @@
 from dragonflynotch.core.shapes import Shape
 from dragonflynotch.core.topology import Worker
 from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
-from dragonflynotch.entry.guard_roster import GuardRoster
-from dragonflynotch.entry.job_recorder import JobRecorder
-from dragonflynotch.entry.owner_inputs import GuardHeard
-from dragonflynotch.entry.partition_owner import PartitionOwner
+from dragonflynotch.entry.jobs.job_recorder import JobRecorder
+from dragonflynotch.entry.members.guard_roster import GuardRoster
+from dragonflynotch.entry.partition.owner_inputs import GuardHeard
+from dragonflynotch.entry.partition.partition_owner import PartitionOwner
 from dragonflynotch.links.order_link import OrderLink
 from dragonflynotch.links.orders import CheckpointOrder
 from dragonflynotch.testing.table import MemoryTable
--- a/tests/entry/test_admission.py
+++ b/tests/entry/requests/test_admission.py
@@ -7,7 +7,7 @@
 from dragonflynotch.core.membership import GuardInfo
 from dragonflynotch.core.shapes import Proximity, Shape
 from dragonflynotch.core.topology import Worker
-from dragonflynotch.entry.admission import TopologyAdmission
+from dragonflynotch.entry.requests.admission import TopologyAdmission
 
 
 def guard(number):
--- a/tests/entry/test_ledger.py
+++ b/tests/entry/requests/test_ledger.py
@@ -7,7 +7,7 @@
 from dragonflynotch.core.clock import ManualClock
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.core.handover import ledger_key, next_claim
-from dragonflynotch.entry.ledger import Ledger, LostRace, VersionedRow
+from dragonflynotch.entry.requests.ledger import Ledger, LostRace, VersionedRow
 from dragonflynotch.services.table import ConditionalWrite
 from dragonflynotch.testing.object_store import (
     MemoryObjectStore,
--- a/tests/entry/test_requests.py
+++ b/tests/entry/requests/test_requests.py
@@ -13,11 +13,11 @@
 from dragonflynotch.core.requests import Answer, Request
 from dragonflynotch.core.routing import RoutingTable, Target
 from dragonflynotch.core.workspaces import ConfigurationView, WorkspaceSpec
-from dragonflynotch.entry.attempts import AttemptRunner
-from dragonflynotch.entry.headers import read_headers
-from dragonflynotch.entry.idempotent import IdempotentRunner
-from dragonflynotch.entry.identity import NotIdentified, identify
-from dragonflynotch.entry.target_queue import TargetQueue
+from dragonflynotch.entry.requests.attempts import AttemptRunner
+from dragonflynotch.entry.requests.headers import read_headers
+from dragonflynotch.entry.requests.idempotent import IdempotentRunner
+from dragonflynotch.entry.requests.identity import NotIdentified, identify
+from dragonflynotch.entry.requests.target_queue import TargetQueue
 from dragonflynotch.links.guard_link import GuardLink
 
 RESORT, PHOTO = 1, 900
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -5,7 +5,7 @@
 import pytest
 
 from dragonflynotch.core.requests import NotRun
-from dragonflynotch.entry.problems import outcome_name
+from dragonflynotch.entry.requests.problems import outcome_name
 from dragonflynotch.observability.metrics import EntryMetrics
 
 
--- a/tests/records/test_settings.py
+++ b/tests/records/test_settings.py
@@ -7,11 +7,8 @@
 import pytest
 
 from dragonflynotch.core.errors import InvalidInputError
-from dragonflynotch.records.settings import (
-    EntrySettings,
-    GuardSettings,
-    load_settings,
-)
+from dragonflynotch.records.settings import EntrySettings, GuardSettings
+from dragonflynotch.records.settings_files import load_settings
 from dragonflynotch.testing.deployment import SitePlan, plan_deployment
 
 _PLAN = plan_deployment((SitePlan('lautoka'),))
--- a/tests/testing/test_examples.py
+++ b/tests/testing/test_examples.py
@@ -11,11 +11,8 @@
 from dragonflynotch.core.placement import FragmentationAwarePlacer
 from dragonflynotch.core.topology import Worker
 from dragonflynotch.records.documents import parse_document, workspace_spec
-from dragonflynotch.records.settings import (
-    EntrySettings,
-    GuardSettings,
-    load_settings,
-)
+from dragonflynotch.records.settings import EntrySettings, GuardSettings
+from dragonflynotch.records.settings_files import load_settings
 from dragonflynotch.testing.examples import EXAMPLES, example_files
 
 _ROOT = Path(__file__).parents[2] / 'examples'
