--- a/dragonflynotch/workflows/occupation.py
+++ b/dragonflynotch/workflows/occupation.py
@@ -41,6 +41,13 @@
     return held
 
 
+def _group(found: FoundTask) -> str:
+    job, step, task = found
+    if step.spec.is_gang:
+        return f'{job.job_id}.{step.occurrence}.{step.number}'
+    return str(task.task_id)
+
+
 def work_of(spec: StepSpec) -> float:
     """Return the estimated work of a step, in core seconds."""
     return _cores(spec) * spec.count * spec.estimated_ms / _MS_PER_S
@@ -75,6 +82,7 @@
         task.task_id,
         order.resources,
         now_ms + max(_MIN_REMAINING_MS, remaining_ms),
+        group=_group(found),
         preemption_cost=_cores(spec) * lost_ms / _MS_PER_S,
         is_stopping=order.is_stopped,
         is_resumable=spec.has_checkpoints,
--- a/dragonflynotch/workflows/reclaim.py
+++ b/dragonflynotch/workflows/reclaim.py
@@ -1,7 +1,7 @@
 """Choice of borrowers that give way to guaranteed work."""
 
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from math import inf
 
 from dragonflynotch.workflows.placement import Demand, Room, fit_gang
@@ -27,6 +27,31 @@
     max_lost_work: float = inf
 
 
+@dataclass(slots=True)
+class _Victim:
+    """A run, or all members of a gang: stopping one stops the others."""
+
+    key: str
+    members: list[tuple[str, Occupation]] = field(default_factory=list)
+
+    @property
+    def cost(self) -> float:
+        """Work that a stop loses, in core seconds."""
+        return sum(one.preemption_cost for _, one in self.members)
+
+    def release(self, free: dict[str, Resources]) -> None:
+        """Add the room that a stop makes."""
+        for minion_id, one in self.members:
+            if minion_id in free:
+                free[minion_id] += one.needs
+
+    def take_back(self, free: dict[str, Resources]) -> None:
+        """Remove the room that a stop would make."""
+        for minion_id, one in self.members:
+            if minion_id in free:
+                free[minion_id] -= one.needs
+
+
 def choose_victims(
     room: Room,
     demand: Demand,
@@ -35,70 +60,65 @@
 ) -> list[Occupation]:
     """Return the runs to stop, or none if that would not make room.
 
-    Runs are taken in the order of the work that stopping them loses, until
-    the step fits; then each that turned out not to be needed is spared.
+    Runs and gangs are taken in the order of the work that stopping them
+    loses, until the step fits; then each that turned out not to be needed is
+    spared.
     """
     free = {
         worker.minion_id: room.free[worker.minion_id]
         for worker in room.candidates(demand)
     }
-    for stopping in free:
-        for one in occupations.get(stopping, ()):
-            if one.is_stopping:
-                free[stopping] += one.needs
+    for holder in free:
+        for occupation in occupations.get(holder, ()):
+            if occupation.is_stopping:
+                free[holder] += occupation.needs
     if _fits(room, demand, free):
         return []
     victims = _needed_victims(
-        room, demand, free, _borrowers(free, occupations, claim)
+        room, demand, free, _borrowers(occupations, claim)
     )
-    lost_work = sum(victim.preemption_cost for victim in victims)
-    return victims if lost_work <= claim.max_lost_work else []
+    if sum(victim.cost for victim in victims) > claim.max_lost_work:
+        return []
+    return [member for victim in victims for _, member in victim.members]
 
 
 def _borrowers(
-    minion_ids: Iterable[str],
-    occupations: Mapping[str, Sequence[Occupation]],
-    claim: Claim,
-) -> list[tuple[str, Occupation]]:
+    occupations: Mapping[str, Sequence[Occupation]], claim: Claim
+) -> list[_Victim]:
     """Return what may be stopped, the cheapest first."""
-    found = [
-        (minion_id, occupation)
-        for minion_id in minion_ids
-        for occupation in occupations.get(minion_id, ())
-        if occupation.is_preemptible
-        and not occupation.is_stopping
-        and occupation.priority > claim.priority
-    ]
-    found.sort(
-        key=lambda entry: (
-            entry[1].preemption_cost,
-            entry[0],
-            entry[1].task_id,
-        )
-    )
-    return found
+    found: dict[str, _Victim] = {}
+    for minion_id, held in occupations.items():
+        for one in held:
+            if (
+                one.is_preemptible
+                and not one.is_stopping
+                and one.priority > claim.priority
+            ):
+                victim = found.setdefault(one.group, _Victim(one.group))
+                victim.members.append((minion_id, one))
+    return sorted(found.values(), key=lambda victim: (victim.cost, victim.key))
 
 
 def _needed_victims(
     room: Room,
     demand: Demand,
     free: dict[str, Resources],
-    borrowers: Sequence[tuple[str, Occupation]],
-) -> list[Occupation]:
-    chosen: list[tuple[str, Occupation]] = []
-    for minion_id, occupation in borrowers:
-        free[minion_id] += occupation.needs
-        chosen.append((minion_id, occupation))
+    borrowers: Sequence[_Victim],
+) -> list[_Victim]:
+    chosen: list[_Victim] = []
+    for victim in borrowers:
+        victim.release(free)
+        chosen.append(victim)
         if _fits(room, demand, free):
             break
     else:
         return []
-    needed: list[Occupation] = []
+    needed: list[_Victim] = []
     # The costliest are spared first.
-    for holder, candidate in reversed(chosen):
-        free[holder] -= candidate.needs
+    for candidate in reversed(chosen):
+        candidate.take_back(free)
         if not _fits(room, demand, free):
-            free[holder] += candidate.needs
+            candidate.release(free)
             needed.append(candidate)
     return needed
 
--- a/dragonflynotch/workflows/workers.py
+++ b/dragonflynotch/workflows/workers.py
@@ -16,6 +16,8 @@
     task_id: TaskId
     needs: Resources
     expected_end_ms: int
+    # Runs of one group are stopped together: the members of a gang.
+    group: str
     # Work that would be lost if the run were stopped, in core seconds.
     preemption_cost: float = 0
     is_stopping: bool = False
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -485,6 +485,32 @@
     assert site.tasks() == ['u.0.0.0']
 
 
+def test_stopping_a_member_costs_the_work_of_its_gang():
+    """A gang must not be broken for work that is worth one of its members."""
+    site = Site()
+    gang = StepSpec(3, 8000, 8000, 8, 60_000, is_gang=True)
+    site.submit('g', 'batch', gang)
+    site.decide()
+    # Together they ask for more than the workspace is guaranteed.
+    site.submit('u', 'urgent', StepSpec(1, 8000, 8000, 8, 3000))
+    site.submit('v', 'urgent', StepSpec(1, 8000, 8000, 8, 3000))
+    site.decide(advance_ms=1000)
+    assert site.tasks() == ['g.0.0.0', 'g.0.0.1', 'g.0.0.2']
+
+
+def test_cheapest_run_is_stopped_first():
+    """A gang must not be stopped where a single run makes the room."""
+    site = Site()
+    gang = StepSpec(2, 8000, 8000, 8, 60_000, is_gang=True)
+    site.submit('g', 'batch', gang)
+    site.submit('s', 'batch', StepSpec(1, 8000, 8000, 8, 60_000))
+    site.decide()
+    site.submit('u', 'urgent', StepSpec(1, 8000, 8000, 8, 30_000))
+    site.submit('v', 'urgent', StepSpec(1, 8000, 8000, 8, 30_000))
+    site.decide(advance_ms=1000)
+    assert site.tasks() == ['g.0.0.0', 'g.0.0.1']
+
+
 def _spec_of(service):
     return JobSpec(
         queue='unknown',
