--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -36,7 +36,7 @@
 
 __all__ = (
     'Accepted',
-    'JobDesk',
+    'SubmissionService',
     'NotAccepted',
     'NotFound',
     'Unavailable',
@@ -81,7 +81,7 @@
     reason: str
 
 
-class JobDesk:
+class SubmissionService:
     """Serves callers from the rows; it does not need the scheduler."""
 
     def __init__(
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -8,9 +8,9 @@
 
 from dragonflynotch.control.submissions import (
     Accepted,
-    JobDesk,
     NotAccepted,
     NotFound,
+    SubmissionService,
     Unavailable,
     Unknown,
 )
@@ -44,7 +44,7 @@
 
     Parameters
     ----------
-    desk : JobDesk
+    submissions : SubmissionService
         Stores and reads jobs.
     deployment : callable
         Returns the configuration in force, or ``None`` before the first.
@@ -54,12 +54,12 @@
 
     def __init__(
         self,
-        desk: JobDesk,
+        submissions: SubmissionService,
         deployment: Callable[[], Deployment | None],
         metrics: JobMetrics,
     ) -> None:
-        """Serve from ``desk``."""
-        self._desk = desk
+        """Serve from ``submissions``."""
+        self._submissions = submissions
         self._deployment = deployment
         self._metrics = metrics
 
@@ -107,7 +107,7 @@
         spec = decode_job(call.body, queue, workspace)
         if spec is None:
             return _refusal(call, _BAD_REQUEST, 'not a job')
-        outcome = await self._desk.submit(job_id, spec, _time_left(call))
+        outcome = await self._submissions.submit(job_id, spec, _time_left(call))
         match outcome:
             case Accepted():
                 decision_log.record(
@@ -123,7 +123,7 @@
                 return _refusal(call, _TIMEOUT, reason)
 
     async def _state(self, call: HttpCall, job_id: str) -> Reply:
-        state = await self._desk.state(job_id)
+        state = await self._submissions.state(job_id)
         if isinstance(state, NotFound):
             return _refusal(call, _GONE, 'no such job')
         if isinstance(state, Unavailable):
@@ -131,7 +131,7 @@
         return Reply(_OK, msgspec.json.encode({'state': state.value}), _JSON)
 
     async def _cancel(self, call: HttpCall, job_id: str) -> Reply:
-        outcome = await self._desk.cancel(job_id, _time_left(call))
+        outcome = await self._submissions.cancel(job_id, _time_left(call))
         match outcome:
             case Accepted():
                 decision_log.record('cancel_accepted', job=job_id)
@@ -144,7 +144,7 @@
                 return _refusal(call, _TIMEOUT, reason)
 
     async def _count(self, call: HttpCall, queue: Queue) -> Reply:
-        waiting = await self._desk.waiting(queue.name)
+        waiting = await self._submissions.waiting(queue.name)
         if isinstance(waiting, Unavailable):
             return _refusal(call, _UNAVAILABLE, waiting.reason)
         return Reply(
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -9,7 +9,7 @@
 from dragonflynotch.control.leader import Leader
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.rows import Table
-from dragonflynotch.control.submissions import JobDesk
+from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.http_server import HttpServer
 from dragonflynotch.observability.decisions import decision_log
@@ -73,8 +73,8 @@
             ),
         )
         self._metrics = JobMetrics(settings.node, self._gauges)
-        desk = JobDesk(self._store, self._store.time, clock)
-        api = FrontApi(desk, self._deployment, self._metrics)
+        submissions = SubmissionService(self._store, self._store.time, clock)
+        api = FrontApi(submissions, self._deployment, self._metrics)
         self._is_stopping = False
         self._servers = [
             HttpServer(address, handler)
--- a/dragonflynotch/workflows/job_book.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -7,13 +7,13 @@
 from dragonflynotch.workflows.progress import Job, Step, Task
 from dragonflynotch.workflows.records import JobState, ProgressRow
 
-__all__ = ('FoundTask', 'JobBook')
+__all__ = ('FoundTask', 'JobRegistry')
 
 FoundTask = tuple[Job, Step, Task]
 _UNKNOWN_QUEUE = Queue('', '', '', '')
 
 
-class JobBook:
+class JobRegistry:
     """Jobs by identifier, with the configuration that applies to them."""
 
     def __init__(self) -> None:
--- a/dragonflynotch/workflows/occupation.py
+++ b/dragonflynotch/workflows/occupation.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from dragonflynotch.workflows.job_book import FoundTask, JobBook
+from dragonflynotch.workflows.job_registry import FoundTask, JobRegistry
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.order_ledger import OrderLedger
 from dragonflynotch.workflows.records import Order
@@ -22,7 +22,7 @@
 
 
 def list_occupations(
-    jobs: JobBook, orders: OrderLedger, now_ms: int, stop_ms: int
+    jobs: JobRegistry, orders: OrderLedger, now_ms: int, stop_ms: int
 ) -> dict[str, list[Occupation]]:
     """Return what holds room, by minion.
 
@@ -61,7 +61,7 @@
 
 
 def _occupation(
-    jobs: JobBook, found: FoundTask, order: Order, now_ms: int, stop_ms: int
+    jobs: JobRegistry, found: FoundTask, order: Order, now_ms: int, stop_ms: int
 ) -> Occupation:
     job, step, task = found
     spec = step.spec
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from dragonflynotch.workflows.decision_lines import DecisionLines
-from dragonflynotch.workflows.job_book import JobBook
+from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.occupation import work_of
 from dragonflynotch.workflows.order_ledger import OrderLedger
 from dragonflynotch.workflows.placement import (
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        jobs: JobBook,
+        jobs: JobRegistry,
         orders: OrderLedger,
         tracker: RunTracker,
         lines: DecisionLines,
--- a/dragonflynotch/workflows/run_tracker.py
+++ b/dragonflynotch/workflows/run_tracker.py
@@ -4,7 +4,7 @@
 
 from dragonflynotch.workflows.decision_lines import DecisionLines
 from dragonflynotch.workflows.evidence import WorkerEvidence
-from dragonflynotch.workflows.job_book import JobBook
+from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.order_ledger import OrderLedger
 from dragonflynotch.workflows.progress import ActiveRun, Task
 from dragonflynotch.workflows.records import (
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        jobs: JobBook,
+        jobs: JobRegistry,
         orders: OrderLedger,
         evidence: WorkerEvidence,
         lines: DecisionLines,
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -13,7 +13,7 @@
 )
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.evidence import WorkerEvidence
-from dragonflynotch.workflows.job_book import JobBook
+from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.occupation import list_occupations
 from dragonflynotch.workflows.order_ledger import OrderKey, OrderLedger
@@ -75,7 +75,7 @@
     def __init__(self, settings: SchedulerSettings) -> None:
         """Create a scheduler without jobs."""
         self._settings = settings
-        self._jobs = JobBook()
+        self._jobs = JobRegistry()
         self._orders = OrderLedger()
         self._workers: dict[str, Worker] = {}
         self._evidence = WorkerEvidence()
--- a/dragonflynotch/workflows/supervision.py
+++ b/dragonflynotch/workflows/supervision.py
@@ -1,7 +1,7 @@
 """Ends jobs, and stops runs that must not or cannot go on."""
 
 from dragonflynotch.workflows.decision_lines import DecisionLines
-from dragonflynotch.workflows.job_book import JobBook
+from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.progress import Job, Step, Task
 from dragonflynotch.workflows.records import JobState
 from dragonflynotch.workflows.run_tracker import RunTracker
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        jobs: JobBook,
+        jobs: JobRegistry,
         tracker: RunTracker,
         lines: DecisionLines,
         far_factor: float,
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -8,7 +8,7 @@
 from dragonflynotch.control.leader import Leader
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.minions import Heartbeat
-from dragonflynotch.control.submissions import JobDesk
+from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.testing.minion_model import (
     MinionModel,
     ModelMinionClient,
@@ -48,7 +48,9 @@
         self.clock = LoopClock()
         self.store = MemoryRowStore(self.clock)
         self.log = RunLog()
-        self.desk = JobDesk(self.store, self.store.time, self.clock)
+        self.submissions = SubmissionService(
+            self.store, self.store.time, self.clock
+        )
         self.models = {}
         self.guards = {}
         self._duration_ms = duration_ms
@@ -118,11 +120,11 @@
 
     async def submit(self, job_id, *steps):
         spec = JobSpec('q', 'team', 'planner', 'text', steps)
-        return await self.desk.submit(job_id, spec, CALL)
+        return await self.submissions.submit(job_id, spec, CALL)
 
     async def wait_for_state(self, job_id, state, limit_s=15):
         async with asyncio.timeout(limit_s):
-            while await self.desk.state(job_id) != state:
+            while await self.submissions.state(job_id) != state:
                 await asyncio.sleep(0.02)
 
     async def wait_for_starts(self, count, limit_s=15):
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -103,7 +103,7 @@
         model.fault = MinionFault.none
     await cluster.submit('a', tasks(2))
     await cluster.wait_for_starts(2)
-    assert await cluster.desk.cancel('a', _second()) == Accepted()
+    assert await cluster.submissions.cancel('a', _second()) == Accepted()
     await cluster.wait_for_state('a', JobState.cancelled)
     await asyncio.sleep(0.5)
     assert not any(cluster.log.active.values())
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -13,9 +13,9 @@
 )
 from dragonflynotch.control.submissions import (
     Accepted,
-    JobDesk,
     NotAccepted,
     NotFound,
+    SubmissionService,
     Unavailable,
     Unknown,
 )
@@ -39,87 +39,87 @@
 
 
 @pytest.fixture
-def desk(store):
-    return JobDesk(store, store.time, MovingClock())
+def submissions(store):
+    return SubmissionService(store, store.time, MovingClock())
 
 
-async def test_repeated_submission_is_one_job(desk, store):
+async def test_repeated_submission_is_one_job(submissions, store):
     """A call that is repeated must not make a second job."""
-    assert await desk.submit('a', SPEC, LIMIT) == Accepted()
+    assert await submissions.submit('a', SPEC, LIMIT) == Accepted()
     calls = store.calls
-    assert await desk.submit('a', SPEC, LIMIT) == Accepted()
+    assert await submissions.submit('a', SPEC, LIMIT) == Accepted()
     assert store.calls == calls + 1
-    assert await desk.state('a') is JobState.queued
+    assert await submissions.state('a') is JobState.queued
 
 
-async def test_refusal_means_that_nothing_was_written(desk, store):
+async def test_refusal_means_that_nothing_was_written(submissions, store):
     """A job that was refused must not appear later."""
     store.fault = StoreFault.down
-    outcome = await desk.submit('a', SPEC, timedelta(seconds=1))
+    outcome = await submissions.submit('a', SPEC, timedelta(seconds=1))
     assert isinstance(outcome, NotAccepted)
     store.fault = StoreFault.none
-    assert await desk.state('a') == NotFound()
+    assert await submissions.state('a') == NotFound()
 
 
 @pytest.mark.parametrize('fault', [StoreFault.late, StoreFault.lose_answers])
-async def test_lost_answer_is_never_a_refusal(desk, store, fault):
+async def test_lost_answer_is_never_a_refusal(submissions, store, fault):
     """A write without an answer may be carried out: no refusal is true."""
     store.fault = fault
-    submission = asyncio.create_task(desk.submit('a', SPEC, LIMIT))
+    submission = asyncio.create_task(submissions.submit('a', SPEC, LIMIT))
     await asyncio.sleep(0.05)
     store.fault = StoreFault.down
     assert isinstance(await submission, Unknown)
 
 
-async def test_nothing_is_written_to_a_silent_store(desk, store, clock):
+async def test_nothing_is_written_to_a_silent_store(submissions, store, clock):
     """During an outage callers get a true refusal, not a lost answer."""
-    await desk.state('a')
+    await submissions.state('a')
     clock.advance(5000)
     store.fault = StoreFault.silent
-    outcome = await desk.submit('a', SPEC, timedelta(seconds=1))
+    outcome = await submissions.submit('a', SPEC, timedelta(seconds=1))
     assert isinstance(outcome, NotAccepted)
     store.fault = StoreFault.none
     assert not store.apply_late()
 
 
-async def test_lost_answer_is_found_by_the_next_attempt(desk, store):
+async def test_lost_answer_is_found_by_the_next_attempt(submissions, store):
     """The caller of a stored job is told so within its deadline."""
     store.fault = StoreFault.lose_answers
     submission = asyncio.create_task(
-        desk.submit('a', SPEC, timedelta(seconds=2))
+        submissions.submit('a', SPEC, timedelta(seconds=2))
     )
     await asyncio.sleep(0.05)
     store.fault = StoreFault.none
     assert await submission == Accepted()
 
 
-async def test_state_follows_the_progress(desk, store):
+async def test_state_follows_the_progress(submissions, store):
     """Callers see what the scheduler has recorded."""
-    await desk.submit('a', SPEC, LIMIT)
+    await submissions.submit('a', SPEC, LIMIT)
     name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
     row = ProgressRow(JobState.completed)
     await store.commit([RowWrite(name, encode_row(row))], [])
-    assert await desk.state('a') is JobState.completed
+    assert await submissions.state('a') is JobState.completed
 
 
-async def test_outage_is_not_an_unknown_job(desk, store):
+async def test_outage_is_not_an_unknown_job(submissions, store):
     """A job must not be denied because the store cannot be read."""
-    await desk.submit('a', SPEC, LIMIT)
+    await submissions.submit('a', SPEC, LIMIT)
     store.fault = StoreFault.down
-    assert isinstance(await desk.state('a'), Unavailable)
-    assert isinstance(await desk.cancel('a', LIMIT), NotAccepted)
+    assert isinstance(await submissions.state('a'), Unavailable)
+    assert isinstance(await submissions.cancel('a', LIMIT), NotAccepted)
 
 
-async def test_unknown_job_cannot_be_cancelled(desk):
+async def test_unknown_job_cannot_be_cancelled(submissions):
     """A cancellation of nothing is answered as such."""
-    assert await desk.cancel('a', LIMIT) == NotFound()
+    assert await submissions.cancel('a', LIMIT) == NotFound()
 
 
-async def test_cancellation_of_an_ended_job_changes_nothing(desk, store):
+async def test_cancellation_of_an_ended_job_changes_nothing(submissions, store):
     """An ended job keeps its state."""
-    await desk.submit('a', SPEC, LIMIT)
+    await submissions.submit('a', SPEC, LIMIT)
     name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
     row = ProgressRow(JobState.completed)
     await store.commit([RowWrite(name, encode_row(row))], [])
-    assert await desk.cancel('a', LIMIT) == Accepted()
-    assert await desk.state('a') is JobState.completed
+    assert await submissions.cancel('a', LIMIT) == Accepted()
+    assert await submissions.state('a') is JobState.completed
