--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -58,6 +58,7 @@
 _FAILURE_PAUSE_S = 2
 # Replicas older than this could miss a cancellation; nothing is started.
 _FRESH_MS = 1800
+_SLOW_WRITES = 3
 # Rows in a transaction, leaving room for conditions and the lease itself.
 _MAX_WRITES = 90
 # Clocks and the delay of answers are covered by this much.
@@ -285,7 +286,9 @@
             )
 
     def _is_fresh(self) -> bool:
-        return max(self._submissions.age_ms, self._reports.age_ms) < _FRESH_MS
+        # Feeds of a slow store answer later, and are no staler for it.
+        limit_ms = _FRESH_MS + min(_SLOW_WRITES * self._write_ms, _FRESH_MS)
+        return max(self._submissions.age_ms, self._reports.age_ms) < limit_ms
 
     async def _write(self, decisions: Decisions) -> None:
         """Write progress before the orders that follow from it."""
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -76,7 +76,8 @@
         deployment = self._deployment()
         if deployment is None:
             return _refusal(call, _UNAVAILABLE, 'no configuration yet')
-        queue = deployment.queue_for(call.headers.get('host', ''), call.path)
+        host, _, _ = call.headers.get('host', '').partition(':')
+        queue = deployment.queue_for(host.lower(), call.path)
         if queue is None:
             return _refusal(call, _NOT_FOUND, 'no such queue')
         workspace = deployment.workspace_by_key.get(
--- a/dragonflynotch/workflows/evidence.py
+++ b/dragonflynotch/workflows/evidence.py
@@ -80,5 +80,4 @@
             and record.excluded_until_ms > now_ms
         ]
         out.sort(key=lambda one: -self._records[one].excluded_until_ms)
-        most = max(1, int(len(minion_ids) * _MAX_EXCLUDED_SHARE))
-        return set(out[:most])
+        return set(out[: int(len(minion_ids) * _MAX_EXCLUDED_SHARE)])
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dragonflynotch.testing.row_store import StoreFault
-from tests.platform.programs import HOST, Programs
+from tests.platform.programs import HOST, KEY, Programs
 
 JOB = '0123456789abcdef'
 OTHER = 'fedcba9876543210'
@@ -32,6 +32,11 @@
         {'pending_count': 0},
     )
     assert (await programs.call('front-1', 'GET', '/other/'))[0] == 404
+    with_port = (('Host', 'Site.Example:8521'), KEY)
+    status, _ = await programs.call(
+        'front-1', 'GET', '/queue/', headers=with_port
+    )
+    assert status == 200
     status, _ = await programs.call(
         'front-1', 'GET', f'/queue/{JOB}', headers=(HOST,)
     )
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -104,6 +104,18 @@
     assert bad not in {minion for minion, _ in site.orders}
 
 
+def test_last_worker_is_never_left_out():
+    """Evidence must not take a whole service out."""
+    site = Site(racks=('r1',))
+    small = StepSpec(1, 1000, 1000, 1, 2000)
+    site.submit('a', 'normal', small)
+    site.submit('b', 'normal', small)
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('b.0.0.0', EndKind.failed)
+    assert site.tasks() == ['a.0.0.0', 'b.0.0.0']
+
+
 def test_gang_starts_whole_or_not_at_all():
     """A member must not start whose partners do not fit."""
     site = Site(racks=('r1', 'r1'))
