--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -18,6 +18,10 @@
     await programs.start()
     yield programs
     await programs.stop()
+    # Shown only for a test that failed.
+    for name, path in programs.logs.items():
+        print(f'--- {name}')
+        print(path.read_text())
 
 
 async def test_job_is_served_over_the_wire(programs):
