--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import os
-import random
 import signal
-import socket
 import sys
 from datetime import timedelta
 
@@ -12,6 +10,7 @@
 
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.links.http11 import exchange
+from dragonflynotch.testing.deployment import free_ports
 from dragonflynotch.testing.platform_site import PlatformSite, SiteMinion
 
 SERVICE = 'planner'
@@ -21,22 +20,12 @@
 
 
 def free_port():
-    """Return a port below the range of outgoing connections.
-
-    Test runs beside this one look for ports too, so the search begins at
-    random.
-    """
-    for _ in range(1000):
-        port = random.randrange(20_000, 32_000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
+    """Return a loopback port that no other program of this run was given."""
+    while True:
+        [port] = free_ports(1)
         if port not in _given:
             _given.add(port)
             return port
-    raise OSError('no free port')
 
 
 _given = set()
