--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -31,6 +31,8 @@
 # A feed call ends this often, so that a silent feed is noticed.
 _FEED_WAIT = timedelta(milliseconds=1000)
 _RETRY_S = 0.1
+# The first report of a guard gives it its authority within about this time.
+_LEASE_RETRY_S = 0.05
 _LOOK_WAIT_MS = 1000
 # A lease is extended this often, so that a lost call does not end it.
 _LOOKS_PER_LEASE = 4
@@ -339,8 +341,8 @@
             if session.book.unrecorded_ends():
                 await self._wait_for_orders()
                 wait_ms = 0
-            if not await self._look(wait_ms):
-                await asyncio.sleep(_RETRY_S)
+            if not await self._look(wait_ms) or not session.has_lease:
+                await asyncio.sleep(_LEASE_RETRY_S)
 
     async def _wait_for_orders(self) -> None:
         self._orders_changed.clear()
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -66,6 +66,7 @@
         # An earlier guard process may have extended the lease.
         self._lease.assume_leased_until(clock.now_ms() + lease_ms)
         self._unanswered_looks = 0
+        self._has_lease = False
         self._is_live = True
 
     @property
@@ -73,6 +74,11 @@
         """Whether runs of this incarnation may be present."""
         return self._is_live
 
+    @property
+    def has_lease(self) -> bool:
+        """Whether the last call extended the lease."""
+        return self._has_lease
+
     @property
     def may_start(self) -> bool:
         """Whether the minion takes new runs."""
@@ -107,9 +113,12 @@
             Whether the minion may forget ends that have been recorded.
         """
         seen = self.book.seen_up_to() if may_forget else 0
+        until_ms = self.grant()
+        # A call that extends nothing must not delay the next one.
         outcome = await self.minion.look(
-            self._writer.token, seen, self.grant(), wait_ms
+            self._writer.token, seen, until_ms, wait_ms if until_ms else 0
         )
+        self._has_lease = bool(until_ms)
         if isinstance(outcome, MinionState):
             self._observe(outcome)
             return True
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -101,11 +101,15 @@
         )
 
     async def _try_start(self, entry: OrderEntry) -> StartOutcome:
+        # The lease in the call is short; without one of the minion the run
+        # would not outlive this process.
+        if not self._session.has_lease:
+            await self._session.look()
         # The lease in the call makes the minion refuse it after the last
         # moment for the start, also if this process stands still meanwhile.
         left_ms = entry.order.start_by_ms - self._store_clock.latest_ms()
         until_ms = self._session.grant(self._clock.now_ms() + left_ms)
-        if not until_ms:
+        if not until_ms or not self._session.has_lease:
             return Unhealthy()
         return await self._session.minion.start(
             StartRequest(
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -303,6 +303,21 @@
     assert not bench.log.starts
 
 
+async def test_new_run_outlives_its_guard(bench, minion):
+    """A guard that dies right after a start must not cost the run.
+
+    The lease in a start is short; that of the minion must be there before.
+    """
+    await bench.order('m1', window_ms=100)
+    async with asyncio.timeout(2):
+        while not bench.log.starts:
+            await asyncio.sleep(0.002)
+    await bench.stop_guard()
+    await asyncio.sleep(0.3)
+    minion.advance()
+    assert not bench.log.ends
+
+
 async def _last_report(bench):
     fault = bench.store.fault
     bench.store.fault = StoreFault.none
