--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -361,12 +361,14 @@
             wait_ms, may_forget=self._orders.is_loaded
         )
 
-    def _report(self, leased_until_ms: int) -> Report | None:
+    def _report(self, authority_end_ms: int) -> Report | None:
         if self._session is not None:
-            self._last_report = self._session.report(leased_until_ms)
+            self._last_report = self._session.report(authority_end_ms)
             return self._last_report
         # Before the first heartbeat nothing is known, and the report of an
         # earlier process stays true.
         if not self._has_departed:
             return None
-        return Report('', '', False, False, leased_until_ms, self._writer.token)
+        return Report(
+            '', '', False, False, authority_end_ms, self._writer.token
+        )
--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -341,8 +341,8 @@
         """
         now_ms = self._now_ms()
         for node, worker in list(self._scheduler.workers.items()):
-            until_ms = worker.report.leased_until_ms + _AUTHORITY_MARGIN_MS
-            if now_ms < until_ms or not worker.minion_id:
+            end_ms = worker.report.authority_end_ms + _AUTHORITY_MARGIN_MS
+            if now_ms < end_ms or not worker.minion_id:
                 continue
             name = RowName(REPORTS.name, shard_of(node), node)
             empty = Report('', '', False, False, 0, worker.report.token)
--- a/dragonflynotch/control/lease_arithmetic.py
+++ b/dragonflynotch/control/lease_arithmetic.py
@@ -41,20 +41,20 @@
         self._minion_ms = minion_ms
         self._received_ms = self._clock.now_ms()
 
-    def grant(self, local_until_ms: int) -> int:
-        """Return the minion time that is reached by ``local_until_ms``.
+    def grant(self, local_end_ms: int) -> int:
+        """Return the minion time that is reached by ``local_end_ms``.
 
         The grant counts as given, since a call without an answer may have
         arrived. Returns 0 if the time has passed or the clock is unknown.
         """
         if self._received_ms is None:
             return 0
-        span_ms = local_until_ms - self._received_ms
-        if span_ms <= 0 or local_until_ms <= self._clock.now_ms():
+        span_ms = local_end_ms - self._received_ms
+        if span_ms <= 0 or local_end_ms <= self._clock.now_ms():
             return 0
-        self._expires_ms = max(self._expires_ms, local_until_ms)
+        self._expires_ms = max(self._expires_ms, local_end_ms)
         return self._minion_ms + int(span_ms * _SLOW_CLOCK)
 
-    def assume_leased_until(self, local_until_ms: int) -> None:
+    def assume_leased_until(self, local_end_ms: int) -> None:
         """Count a lease that an earlier process may have granted."""
-        self._expires_ms = max(self._expires_ms, local_until_ms)
+        self._expires_ms = max(self._expires_ms, local_end_ms)
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -84,23 +84,23 @@
         """Whether the minion takes new runs."""
         return self._is_live and not self.heartbeat.is_draining
 
-    def grant(self, local_until_ms: int | None = None) -> int:
+    def grant(self, local_end_ms: int | None = None) -> int:
         """Return the lease end for a call, on the minion's clock.
 
         Parameters
         ----------
-        local_until_ms : int, optional
+        local_end_ms : int, optional
             Local time that the lease must not exceed.
         """
         if self._unanswered_looks >= _MAX_UNANSWERED_LOOKS:
             return 0
-        until_ms = min(
+        end_ms = min(
             self._clock.now_ms() + self._lease_ms,
             self._writer.authority_local_ms(),
         )
-        if local_until_ms is not None:
-            until_ms = min(until_ms, local_until_ms)
-        return self._lease.grant(until_ms)
+        if local_end_ms is not None:
+            end_ms = min(end_ms, local_end_ms)
+        return self._lease.grant(end_ms)
 
     async def look(self, wait_ms: int = 0, *, may_forget: bool = True) -> bool:
         """Extend the lease and read the runs; ``False`` without an answer.
@@ -113,24 +113,24 @@
             Whether the minion may forget ends that have been recorded.
         """
         seen = self.book.seen_up_to() if may_forget else 0
-        until_ms = self.grant()
+        end_ms = self.grant()
         # A call that extends nothing must not delay the next one.
         outcome = await self.minion.look(
-            self._writer.token, seen, until_ms, wait_ms if until_ms else 0
+            self._writer.token, seen, end_ms, wait_ms if end_ms else 0
         )
-        self._has_lease = bool(until_ms)
+        self._has_lease = bool(end_ms)
         if isinstance(outcome, MinionState):
             self._observe(outcome)
             return True
         self._on_silence(outcome)
         return False
 
-    def report(self, leased_until_ms: int) -> Report:
+    def report(self, authority_end_ms: int) -> Report:
         """Return what the scheduler has to know.
 
         Parameters
         ----------
-        leased_until_ms : int
+        authority_end_ms : int
             Store time up to which leases may be extended.
         """
         heartbeat = self.heartbeat
@@ -141,7 +141,7 @@
             service=heartbeat.service,
             is_ready=self.may_start,
             is_live=self._is_live,
-            leased_until_ms=leased_until_ms,
+            authority_end_ms=authority_end_ms,
             token=self._writer.token,
             address=f'{host}:{port}',
             labels=heartbeat.labels,
--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -116,13 +116,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRequest:
-    """A run to start; ``lease_until_ms`` is a time of the minion's clock."""
+    """A run to start; ``lease_end_ms`` is a time of the minion's clock."""
 
     task: str
     run: int
     payload: str
     checkpoint: str
-    lease_until_ms: int
+    lease_end_ms: int
 
 
 class MinionClient(ABC):
@@ -130,7 +130,7 @@
 
     @abstractmethod
     async def look(
-        self, token: int, seen_up_to: int, lease_until_ms: int, wait_ms: int
+        self, token: int, seen_up_to: int, lease_end_ms: int, wait_ms: int
     ) -> MinionState | OtherIncarnation | Unhealthy | NoAnswer:
         """Extend the lease and return the runs.
 
@@ -140,7 +140,7 @@
             Fencing token.
         seen_up_to : int
             Ends up to this number are forgotten by the minion.
-        lease_until_ms : int
+        lease_end_ms : int
             Time of the minion's clock; 0 extends nothing.
         wait_ms : int
             How long the minion may wait for an end.
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -108,8 +108,8 @@
         # The lease in the call makes the minion refuse it after the last
         # moment for the start, also if this process stands still meanwhile.
         left_ms = entry.order.start_by_ms - self._store_clock.latest_ms()
-        until_ms = self._session.grant(self._clock.now_ms() + left_ms)
-        if not until_ms or not self._session.has_lease:
+        end_ms = self._session.grant(self._clock.now_ms() + left_ms)
+        if not end_ms or not self._session.has_lease:
             return Unhealthy()
         return await self._session.minion.start(
             StartRequest(
@@ -117,7 +117,7 @@
                 entry.order.run,
                 entry.order.payload,
                 entry.order.checkpoint,
-                until_ms,
+                end_ms,
             ),
             self._writer.token,
         )
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -112,8 +112,8 @@
         if self._version is None:
             await self._read()
         self._requested.clear()
-        until_ms = self._store_clock.earliest_ms() + self._authority_ms
-        report = self._describe(until_ms)
+        end_ms = self._store_clock.earliest_ms() + self._authority_ms
+        report = self._describe(end_ms)
         if report is None:
             return
         expected = self._version or 0
@@ -128,7 +128,7 @@
             decision_log.record('report_conflict', version=expected)
             return
         self._version = outcome.version
-        self._authority_store_ms = until_ms
+        self._authority_store_ms = end_ms
 
     async def _read(self) -> None:
         row = await self._store.read_row(self._name)
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -98,15 +98,15 @@
         self._headers = ((_INSTANCE_HEADER, heartbeat.minion_id),)
 
     async def look(
-        self, token: int, seen_up_to: int, lease_until_ms: int, wait_ms: int
+        self, token: int, seen_up_to: int, lease_end_ms: int, wait_ms: int
     ) -> MinionState | OtherIncarnation | Unhealthy | NoAnswer:
         """Extend the lease and return the runs."""
         body: dict[str, object] = {
             'fencing_token': token,
             'seen_upto': seen_up_to,
         }
-        if lease_until_ms:
-            body['until_ms'] = lease_until_ms
+        if lease_end_ms:
+            body['until_ms'] = lease_end_ms
         if wait_ms:
             body['wait_ms'] = wait_ms
         outcome = await self._call(
@@ -139,7 +139,7 @@
             'task': request.task,
             'run': request.run,
             'spec': request.payload,
-            'until_ms': request.lease_until_ms,
+            'until_ms': request.lease_end_ms,
             'fencing_token': token,
         }
         if request.checkpoint:
--- a/dragonflynotch/testing/minion_model.py
+++ b/dragonflynotch/testing/minion_model.py
@@ -98,7 +98,7 @@
         self._log = log
         self._duration_ms = duration_ms or _never_ends
         self._origin_ms = clock.now_ms() - _CLOCK_START_MS
-        self._lease_until_ms = 0
+        self._lease_end_ms = 0
         self._token = 0
         self._runs: dict[str, _Run] = {}
         self._highest: dict[str, int] = {}
@@ -112,14 +112,14 @@
         return self._clock.now_ms() - self._origin_ms
 
     def look(
-        self, token: int, seen_up_to: int, lease_until_ms: int
+        self, token: int, seen_up_to: int, lease_end_ms: int
     ) -> MinionState | StartRefused:
         """Extend the lease and return the runs."""
         self.advance()
         if token < self._token:
             return StartRefused(RefusalReason.fence)
         self._token = token
-        self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
+        self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
         self._ends = [end for end in self._ends if end.number > seen_up_to]
         return MinionState(
             self.clock_ms,
@@ -145,9 +145,9 @@
             return Started(self.clock_ms)
         if request.run <= self._highest.get(request.task, 0):
             return StartRefused(RefusalReason.old)
-        if request.lease_until_ms <= self.clock_ms:
+        if request.lease_end_ms <= self.clock_ms:
             return StartRefused(RefusalReason.late)
-        self._lease_until_ms = max(self._lease_until_ms, request.lease_until_ms)
+        self._lease_end_ms = max(self._lease_end_ms, request.lease_end_ms)
         self._runs[request.task] = _Run(
             request.run, self.clock_ms, request.checkpoint
         )
@@ -178,7 +178,7 @@
 
     def advance(self) -> None:
         """End what is due and what has lost its lease."""
-        if self.clock_ms > self._lease_until_ms:
+        if self.clock_ms > self._lease_end_ms:
             for task in list(self._runs):
                 self.finish(task, EndKind.lapsed)
         for task, run in list(self._runs.items()):
@@ -217,7 +217,7 @@
         self._model = model
 
     async def look(
-        self, token: int, seen_up_to: int, lease_until_ms: int, wait_ms: int
+        self, token: int, seen_up_to: int, lease_end_ms: int, wait_ms: int
     ) -> MinionState | OtherIncarnation | Unhealthy | NoAnswer:
         """Extend the lease and return the runs."""
         limit_ms = self._model.clock_ms + wait_ms
@@ -225,7 +225,7 @@
             await asyncio.sleep(_POLL_S)
             if self._is_unreachable:
                 return NoAnswer('cut')
-            outcome = self._model.look(token, seen_up_to, lease_until_ms)
+            outcome = self._model.look(token, seen_up_to, lease_end_ms)
             if isinstance(outcome, StartRefused):
                 return NoAnswer(f'refused: {outcome.reason.value}')
             if outcome.ended or outcome.clock_ms >= limit_ms:
--- a/dragonflynotch/workflows/evidence.py
+++ b/dragonflynotch/workflows/evidence.py
@@ -17,7 +17,7 @@
 @dataclass(slots=True)
 class _Record:
     failed_jobs: dict[str, int] = field(default_factory=dict)
-    excluded_until_ms: int = 0
+    exclusion_end_ms: int = 0
     exclusion_ms: int = _FIRST_EXCLUSION_MS
     last_success_ms: int = 0
 
@@ -39,7 +39,7 @@
         record = self._records.setdefault(minion_id, _Record())
         record.failed_jobs.clear()
         record.last_success_ms = now_ms
-        record.excluded_until_ms = 0
+        record.exclusion_end_ms = 0
         record.exclusion_ms = _FIRST_EXCLUSION_MS
 
     def note_failure(self, minion_id: str, job_id: str, now_ms: int) -> bool:
@@ -59,8 +59,8 @@
         record.failed_jobs[job_id] = now_ms
         if len(record.failed_jobs) < _FAILED_JOBS:
             return False
-        is_new = record.excluded_until_ms <= now_ms
-        record.excluded_until_ms = now_ms + record.exclusion_ms
+        is_new = record.exclusion_end_ms <= now_ms
+        record.exclusion_end_ms = now_ms + record.exclusion_ms
         record.exclusion_ms = min(
             record.exclusion_ms * 2, _LONGEST_EXCLUSION_MS
         )
@@ -77,7 +77,7 @@
             minion_id
             for minion_id in minion_ids
             if (record := self._records.get(minion_id)) is not None
-            and record.excluded_until_ms > now_ms
+            and record.exclusion_end_ms > now_ms
         ]
-        out.sort(key=lambda one: -self._records[one].excluded_until_ms)
+        out.sort(key=lambda one: -self._records[one].exclusion_end_ms)
         return set(out[: int(len(minion_ids) * _MAX_EXCLUDED_SHARE)])
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -177,7 +177,7 @@
         Whether new runs may be started.
     is_live : bool
         ``False`` once the lease of the incarnation has certainly expired.
-    leased_until_ms : int
+    authority_end_ms : int
         Store time up to which the guard may extend the lease of the minion.
     labels : tuple of str
         Labels of the worker.
@@ -197,7 +197,7 @@
     service: str
     is_ready: bool
     is_live: bool
-    leased_until_ms: int
+    authority_end_ms: int
     token: int
     address: str = ''
     labels: tuple[str, ...] = ()
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -232,7 +232,7 @@
     bench.store.fault = StoreFault.down
     report = await _last_report(bench)
     await asyncio.sleep(0.05)
-    while bench.store.time.earliest_ms() < report.leased_until_ms:
+    while bench.store.time.earliest_ms() < report.authority_end_ms:
         await asyncio.sleep(0.02)
     minion.advance()
     assert bench.log.ends == [(TASK, 1, 'lapsed')]
--- a/tests/control/test_lease_arithmetic.py
+++ b/tests/control/test_lease_arithmetic.py
@@ -25,10 +25,10 @@
     clock.advance(delay_ms)
     lease.observe(1000)
     clock.advance(idle_ms)
-    until_ms = lease.grant(clock.now_ms() + lease_ms)
+    end_ms = lease.grant(clock.now_ms() + lease_ms)
     while not lease.is_expired:
         clock.advance(50)
-    assert 1000 + clock.now_ms() * rate >= until_ms
+    assert 1000 + clock.now_ms() * rate >= end_ms
 
 
 def test_nothing_is_granted_without_a_reading():
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -51,7 +51,7 @@
                 service=SERVICE,
                 is_ready=is_ready,
                 is_live=is_live,
-                leased_until_ms=self.now_ms + 15_000,
+                authority_end_ms=self.now_ms + 15_000,
                 token=1,
                 labels=('a', rack),
                 rack=rack,
