--- a/dragonflynotch/control/clocks.py
+++ b/dragonflynotch/control/clocks.py
@@ -7,6 +7,8 @@
 __all__ = ('BootClock', 'ManualSteadyClock', 'SteadyClock', 'StoreClock')
 
 _NS_PER_MS = 1_000_000
+# Two clocks that differ by 0.1% are 10 ms apart after this time.
+_LONGEST_READING_MS = 10_000
 
 
 class SteadyClock(ABC):
@@ -45,55 +47,69 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Reading:
-    store_ms: int
-    sent_ms: int
-    received_ms: int
+class _Offset:
+    """Time of the store less that of this process, at a local time."""
+
+    ms: int
+    local_ms: int
 
 
 class StoreClock:
     """Bounds on the steady time of the store.
 
     Each answer of the store carries its time, read between the sending of the
-    request and the receipt of the answer.
+    request and the receipt of the answer. The tightest readings of the last
+    while are kept for each bound: the answer to a request that waited says
+    little about the latest time.
     """
 
     def __init__(self, clock: SteadyClock) -> None:
         """Create the clock without a reading."""
         self._clock = clock
-        self._reading: _Reading | None = None
+        self._earliest: _Offset | None = None
+        self._latest: _Offset | None = None
+        self._received_ms: int | None = None
 
     @property
     def is_known(self) -> bool:
         """Whether the store has answered yet."""
-        return self._reading is not None
+        return self._received_ms is not None
 
     @property
     def age_ms(self) -> int:
         """Time since the last answer of the store."""
-        if self._reading is None:
-            return self._clock.now_ms()
-        return self._clock.now_ms() - self._reading.received_ms
+        return self._clock.now_ms() - (self._received_ms or 0)
 
     def observe(self, store_ms: int, sent_ms: int) -> None:
         """Take a reading from an answer to a request sent at ``sent_ms``."""
-        reading = _Reading(store_ms, sent_ms, self._clock.now_ms())
-        current = self._reading
-        if current is None or reading.store_ms >= current.store_ms:
-            self._reading = reading
+        now_ms = self._clock.now_ms()
+        self._received_ms = now_ms
+        earliest = _Offset(store_ms - now_ms, now_ms)
+        latest = _Offset(store_ms - sent_ms, now_ms)
+        if self._is_old(self._earliest) or (
+            self._earliest is not None and earliest.ms >= self._earliest.ms
+        ):
+            self._earliest = earliest
+        if self._is_old(self._latest) or (
+            self._latest is not None and latest.ms <= self._latest.ms
+        ):
+            self._latest = latest
 
     def earliest_ms(self) -> int:
         """Return a time that the store has certainly reached."""
-        if self._reading is None:
+        if self._earliest is None:
             return 0
-        return self._reading.store_ms + (
-            self._clock.now_ms() - self._reading.received_ms
-        )
+        return self._clock.now_ms() + self._earliest.ms
 
     def latest_ms(self) -> int:
         """Return a time that the store has certainly not passed."""
-        if self._reading is None:
+        if self._latest is None:
             return 0
-        return self._reading.store_ms + (
-            self._clock.now_ms() - self._reading.sent_ms
+        return self._clock.now_ms() + self._latest.ms
+
+    def _is_old(self, offset: _Offset | None) -> bool:
+        # Clocks drift apart, so old readings are given up.
+        return (
+            offset is None
+            or self._clock.now_ms() - offset.local_ms > _LONGEST_READING_MS
         )
--- a/tests/control/test_clocks.py
+++ b/tests/control/test_clocks.py
@@ -22,3 +22,27 @@
     store_clock.observe(5000, sent_ms=100)
     store_clock.observe(4000, sent_ms=90)
     assert store_clock.earliest_ms() == 5000
+
+
+def test_answer_that_waited_does_not_widen_the_bounds():
+    """A long poll must not make orders seem to have expired."""
+    clock = ManualSteadyClock(100)
+    store_clock = StoreClock(clock)
+    store_clock.observe(5000, sent_ms=100)
+    clock.advance(1000)
+    # Sent at 100 and answered after a wait of 1 s.
+    store_clock.observe(6000, sent_ms=100)
+    assert store_clock.earliest_ms() == 6000
+    assert store_clock.latest_ms() == 6000
+
+
+def test_old_readings_are_given_up():
+    """Clocks drift, so a tight bound does not stay true for ever."""
+    clock = ManualSteadyClock(0)
+    store_clock = StoreClock(clock)
+    store_clock.observe(5000, sent_ms=0)
+    clock.advance(20_000)
+    # The clock of the store runs faster by 100 ms in 20 s.
+    store_clock.observe(25_100, sent_ms=clock.now_ms() - 5)
+    assert store_clock.earliest_ms() == 25_100
+    assert store_clock.latest_ms() == 25_105
