--- a/benchmarks/link.py
+++ b/benchmarks/link.py
@@ -15,7 +15,7 @@
 from benchmarks.link_peers import Peer, connect_peer
 from benchmarks.link_servers import TRANSPORTS, sample_announcement
 from benchmarks.processes import Memory, read_cpu_s, read_memory
-from dragonflynotch.testing.deployment import free_ports
+from dragonflynotch.testing.ports import free_ports
 
 __all__ = ('main',)
 
--- a/dragonflynotch/testing/deployment.py
+++ b/dragonflynotch/testing/deployment.py
@@ -1,9 +1,7 @@
 """A whole deployment on loopback: settings for entries, guards, stand-ins."""
 
-import socket
 from collections.abc import Iterator
 from dataclasses import dataclass
-from random import SystemRandom
 
 from msgspec import structs
 
@@ -14,11 +12,11 @@
     MinionSettings,
     WorkerSettings,
 )
+from dragonflynotch.testing.ports import free_ports
 
-__all__ = ('DeploymentPlan', 'SitePlan', 'free_ports', 'plan_deployment')
+__all__ = ('DeploymentPlan', 'SitePlan', 'plan_deployment')
 
 _HOST = '127.0.0.1'
-_PORTS = range(20_000, 32_000)
 WORKERS_PER_RACK = 3
 
 
@@ -55,32 +53,6 @@
     guards: tuple[GuardSettings, ...]
 
 
-def free_ports(count: int) -> list[int]:
-    """Return loopback ports that were free a moment ago.
-
-    They lie below the range from which the operating system takes the ports
-    of outgoing connections; one of those could otherwise use a port before
-    its server is started.
-    """
-    candidates = SystemRandom().sample(_PORTS, len(_PORTS))
-    found: list[int] = []
-    for port in candidates:
-        if len(found) == count:
-            break
-        if _is_free(port):
-            found.append(port)
-    return found
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((_HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 def plan_deployment(
     sites: tuple[SitePlan, ...],
     *,
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -6,7 +6,7 @@
 
 from dragonflynotch.__main__ import run
 from dragonflynotch.cli.local import MainJobError
-from dragonflynotch.testing.deployment import free_ports
+from dragonflynotch.testing.ports import free_ports
 from tests.cli.shell import workspace_record
 
 _COMMANDS = (
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -15,15 +15,12 @@
 
 from dragonflynotch.entry.server import HttpServer
 from dragonflynotch.records.settings import Address
-from dragonflynotch.testing.deployment import (
-    SitePlan,
-    free_ports,
-    plan_deployment,
-)
+from dragonflynotch.testing.deployment import SitePlan, plan_deployment
 from dragonflynotch.testing.object_store import (
     MemoryObjectStore,
     ObjectStoreApp,
 )
+from dragonflynotch.testing.ports import free_ports
 from dragonflynotch.testing.table import MemoryTable, TableApp, TableFault
 from tests.processes import DaemonProcess, LoopThread, wait_until
 from tests.raw_minion import RawMinion
--- a/tests/gang_processes.py
+++ b/tests/gang_processes.py
@@ -19,11 +19,8 @@
     SchedulingSettings,
     TaskSettings,
 )
-from dragonflynotch.testing.deployment import (
-    SitePlan,
-    free_ports,
-    plan_deployment,
-)
+from dragonflynotch.testing.deployment import SitePlan, plan_deployment
+from dragonflynotch.testing.ports import free_ports
 
 SITE = 'lautoka'
 TOKEN = 'secret'
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -10,8 +10,8 @@
 
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.links.http11 import exchange
-from dragonflynotch.testing.deployment import free_ports
 from dragonflynotch.testing.platform_site import PlatformSite, SiteMinion
+from dragonflynotch.testing.ports import free_ports
 
 SERVICE = 'planner'
 KEY = ('Dragonflynotch-Credential', 'key')
