--- a/dragonflynotch/testing/ports.py
+++ b/dragonflynotch/testing/ports.py
@@ -3,6 +3,7 @@
 import fcntl
 import socket
 import tempfile
+from collections import deque
 from pathlib import Path
 from random import SystemRandom
 from typing import IO
@@ -25,16 +26,22 @@
 
     def __init__(self) -> None:
         self._lock: IO[bytes] | None = None
-        self._ports: range | None = None
+        self._ports: deque[int] = deque()
 
-    @property
-    def ports(self) -> range:
-        """Ports of the block; all ports if every block is taken."""
-        if self._ports is None:
-            self._ports = self._claim()
-        return self._ports
+    def take(self) -> int:
+        """Return the port that was given out the longest time ago.
+
+        A port is free until its server starts, so it must not be given out
+        twice in a row.
+        """
+        if not self._ports:
+            claimed = self._claim()
+            self._ports.extend(SystemRandom().sample(claimed, len(claimed)))
+        self._ports.rotate(-1)
+        return self._ports[-1]
 
     def _claim(self) -> range:
+        """Return a block; all ports if every block is taken."""
         folder = Path(tempfile.gettempdir()) / 'dragonflynotch-ports'
         folder.mkdir(exist_ok=True)
         firsts = list(_PORTS[::_BLOCK])
@@ -57,14 +64,15 @@
 def free_ports(count: int) -> list[int]:
     """Return loopback ports that were free a moment ago.
 
-    Other processes that use this function do not choose them.
+    Other processes that use this function do not choose them, and this one
+    does not return them again before it has gone through its block.
     """
-    candidates = SystemRandom().sample(_block.ports, len(_block.ports))
     found: list[int] = []
-    for port in candidates:
+    for _ in _PORTS:
         if len(found) == count:
             break
-        if _is_free(port):
+        port = _block.take()
+        if port not in found and _is_free(port):
             found.append(port)
     return found
 
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -19,20 +19,9 @@
 CALL = timedelta(seconds=3)
 
 
-def free_port():
-    """Return a loopback port that no other program of this run was given."""
-    while True:
-        [port] = free_ports(1)
-        if port not in _given:
-            _given.add(port)
-            return port
-
-
-_given = set()
-
-
 def loopback():
-    return '127.0.0.1', free_port()
+    [port] = free_ports(1)
+    return '127.0.0.1', port
 
 
 class Programs:
@@ -171,7 +160,7 @@
         await minion.start()
 
     def _write(self, name, fields):
-        port = free_port()
+        [port] = free_ports(1)
         self._settings[name] = self.site.write_settings(
             self._folder / f'{name}.conf',
             name,
--- a/tests/testing/test_ports.py
+++ b/tests/testing/test_ports.py
@@ -7,14 +7,20 @@
 
 PROGRAM = (
     'from dragonflynotch.testing.ports import free_ports\n'
-    'print(*free_ports(500), flush=True)\n'
+    'print(*free_ports(400), flush=True)\n'
     'input()\n'
 )
 
 
+def test_port_is_not_returned_again_before_its_server_starts():
+    """Two servers of one deployment must not be given one port."""
+    ports = [port for _ in range(100) for port in free_ports(2)]
+    assert len(set(ports)) == len(ports)
+
+
 def test_processes_beside_each_other_choose_other_ports():
     """Two test runs at once must not start servers on one port."""
-    own = set(free_ports(500))
+    own = set(free_ports(400))
     processes = [
         subprocess.Popen(
             [sys.executable, '-c', PROGRAM],
