Judge a gang's progress by the members that are behind

Cause: members of a gang on fast workers reach 100 percent and stay there until the slowest member is done. After 5 s the supervisor took them for stalled and stopped the whole gang, on its first run and on the next one too. The log line of such a stop now carries the percent and how long it stood still, and stops for urgent work carry the work that they lose.

--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -252,7 +252,18 @@
             claim = Claim(priority, work_of(waiting.step.spec))
         else:
             return
-        for occupation in choose_victims(room, demand, occupations, claim):
+        victims = choose_victims(room, demand, occupations, claim)
+        if victims:
+            self._lines.record(
+                'room_taken',
+                job=urgency.job_id,
+                step=urgency.step,
+                tier=urgency.tier,
+                stops=len(victims),
+                lost_core_s=round(sum(one.preemption_cost for one in victims)),
+                work_core_s=round(work_of(waiting.step.spec)),
+            )
+        for occupation in victims:
             found = self._jobs.find(str(occupation.task_id))
             if found is None:
                 continue
--- a/dragonflynotch/workflows/run_tracker.py
+++ b/dragonflynotch/workflows/run_tracker.py
@@ -97,8 +97,14 @@
                     'run_lost', task=name, minion=minion_id, reason=reason
                 )
 
-    def stop(self, task: Task, reason: str) -> None:
-        """Order the active run of a task to stop."""
+    def stop(self, task: Task, reason: str, **inputs: object) -> None:
+        """Order the active run of a task to stop.
+
+        Parameters
+        ----------
+        **inputs
+            What decided it, for the log.
+        """
         active = task.active
         if active is None or active.is_stopping:
             return
@@ -106,7 +112,11 @@
         if self._orders.stop((active.minion_id, name), active.run):
             active.is_stopping = True
             self._lines.record(
-                'stop_ordered', task=name, run=active.run, reason=reason
+                'stop_ordered',
+                task=name,
+                run=active.run,
+                reason=reason,
+                **inputs,
             )
 
     def _apply_end(self, minion_id: str, end: RunEnd, now_ms: int) -> None:
--- a/dragonflynotch/workflows/supervision.py
+++ b/dragonflynotch/workflows/supervision.py
@@ -78,7 +78,7 @@
             if step.spec.is_gang and not step.is_done:
                 self._stop_broken_gang(step)
             if not step.spec.is_long_running:
-                for task in step.tasks:
+                for task in _judged_by_progress(step):
                     self._stop_if_stalled(step, task, now_ms, fresh_minions)
 
     def _stop_broken_gang(self, step: Step) -> None:
@@ -100,4 +100,26 @@
         limit_ms = max(_MIN_STALL_MS, percent_ms * _STALL_FACTOR)
         if now_ms - active.moved_ms > limit_ms:
             self._tracker.blame(task, active.minion_id, now_ms)
-            self._tracker.stop(task, 'stalled')
+            self._tracker.stop(
+                task,
+                'stalled',
+                percent=active.percent,
+                still_ms=now_ms - active.moved_ms,
+                limit_ms=int(limit_ms),
+            )
+
+
+def _judged_by_progress(step: Step) -> list[Task]:
+    """Return the tasks whose progress shows whether they stand still.
+
+    Members of a gang end together, so those on fast workers stay at the last
+    percent until the slowest has come that far.
+    """
+    if not step.spec.is_gang:
+        return step.tasks
+    behind = [
+        task
+        for task in step.tasks
+        if task.active is not None and task.active.percent < _PERCENT
+    ]
+    return behind or step.tasks
