Add a fault soak of the platform deployment

Promises are checked while it runs, from what callers, minions and the store see; a run prints its schedule and findings and draws a picture.

The stand-in gains gangs, failing and standing minions and acknowledged ends. It answered a start that it carried out late with 503, which by the protocol means that nothing was done; it now answers 502.

--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of the platform deployment."""
--- /dev/null
+++ b/benchmarks/soak/__main__.py
@@ -0,0 +1,69 @@
+"""Command line of the fault soak."""
+
+import asyncio
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from benchmarks.soak.plan import plan_faults
+from benchmarks.soak.run import SoakResult, run_soak
+
+__all__ = ('Soak',)
+
+_FOUND = 1
+
+
+@cappa.command(name='benchmarks.soak')
+@dataclass
+class Soak:
+    """Run the platform's programs under random faults and check promises.
+
+    Exit code 1 means that a promise was broken.
+    """
+
+    seed: Annotated[int, cappa.Arg(long=True, help='First seed.')] = 1
+    seeds: Annotated[
+        int, cappa.Arg(long=True, help='Number of consecutive seeds.')
+    ] = 1
+    length: Annotated[
+        float, cappa.Arg(long=True, help='Seconds of load for each seed.')
+    ] = 25
+    keep: Annotated[
+        str, cappa.Arg(long=True, help='Folder for logs and pictures.')
+    ] = ''
+
+    def __call__(self) -> None:
+        """Run the seeds one after another."""
+        results = [
+            self._run(seed) for seed in range(self.seed, self.seed + self.seeds)
+        ]
+        if any(result.findings for result in results):
+            raise cappa.Exit(code=_FOUND)
+
+    def _run(self, seed: int) -> SoakResult:
+        faults = plan_faults(seed, self.length)
+        print(f'seed {seed}', *faults, sep='\n', flush=True)
+        if self.keep:
+            folder = Path(self.keep) / f'seed-{seed}'
+            folder.mkdir(parents=True, exist_ok=True)
+            result = asyncio.run(run_soak(seed, faults, self.length, folder))
+        else:
+            with tempfile.TemporaryDirectory() as name:
+                result = asyncio.run(
+                    run_soak(seed, faults, self.length, Path(name))
+                )
+        print(
+            f'seed {seed}: {result.faults} faults, {result.submitted} jobs '
+            f'submitted, {result.accepted} accepted, {result.completed} '
+            f'completed, {result.starts} starts, '
+            f'{len(result.findings)} findings',
+            flush=True,
+        )
+        return result
+
+
+if __name__ == '__main__':
+    cappa.invoke(Soak)
--- a/dragonflynotch/links/http_pool.py
+++ b/dragonflynotch/links/http_pool.py
@@ -48,12 +48,17 @@
         IP address and port of the peer.
     max_idle : int
         Connections that are kept open without an exchange.
+    host : str, optional
+        Host header, if it is not the address.
     """
 
-    def __init__(self, address: tuple[str, int], max_idle: int = 4) -> None:
+    def __init__(
+        self, address: tuple[str, int], max_idle: int = 4, host: str = ''
+    ) -> None:
         """Create the pool; no connection is opened yet."""
         self._address = address
         self._max_idle = max_idle
+        self._host = host or f'{address[0]}:{address[1]}'
         self._idle: list[_Connection] = []
         self._peer = f'{address[0]}:{address[1]}'
 
@@ -82,7 +87,7 @@
             method=method,
             target=target,
             headers=[
-                ('Host', self._peer),
+                ('Host', self._host),
                 ('Content-Type', 'application/json'),
                 ('Content-Length', str(len(body))),
                 *headers,
--- a/dragonflynotch/observability/decisions.py
+++ b/dragonflynotch/observability/decisions.py
@@ -38,9 +38,17 @@
         self._counts: dict[str, int] = {}
         self._dropped = 0
 
-    def start(self, node: str) -> None:
-        """Set the node name of all lines and make the output non-blocking."""
+    def start(self, node: str, descriptor: int | None = None) -> None:
+        """Set the node name of all lines and make the output non-blocking.
+
+        Parameters
+        ----------
+        descriptor : int, optional
+            Output from now on.
+        """
         self._node = node
+        if descriptor is not None:
+            self._descriptor = descriptor
         os.set_blocking(self._descriptor, False)
 
     def record(self, event: str, **fields: Any) -> None:
--- a/dragonflynotch/testing/minion_model.py
+++ b/dragonflynotch/testing/minion_model.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.clocks import BootClock, SteadyClock
 from dragonflynotch.control.minions import (
     MinionClient,
     MinionState,
@@ -18,6 +18,7 @@
     Stopped,
     Unhealthy,
 )
+from dragonflynotch.testing.gang_board import GangBoard
 from dragonflynotch.workflows.records import EndKind, RunEnd, RunningTask
 
 __all__ = ('MinionFault', 'MinionModel', 'ModelMinionClient', 'RunLog')
@@ -26,6 +27,7 @@
 _POLL_S = 0.005
 _CLOCK_START_MS = 400_000
 _UNENDING_MS = 1_000_000_000
+_FAILURE_MS = 100
 
 
 class MinionFault(Enum):
@@ -38,6 +40,10 @@
     late_starts = 'late_starts'
     # Starts are carried out and not answered.
     lose_answers = 'lose_answers'
+    # Every run fails soon after its start.
+    failing = 'failing'
+    # Runs make no progress.
+    stuck = 'stuck'
 
 
 @dataclass(slots=True)
@@ -49,8 +55,17 @@
 
 @dataclass(slots=True)
 class RunLog:
-    """All starts and ends on all stand-ins, to check what happened."""
+    """All starts and ends on all stand-ins, to check what happened.
 
+    Parameters
+    ----------
+    gangs : GangBoard
+        Gangs, whose members may run on several stand-ins.
+    overlaps : list of str
+        Tasks that were started while another run of them was present.
+    """
+
+    gangs: GangBoard = field(default_factory=lambda: GangBoard(BootClock()))
     active: dict[str, set[str]] = field(default_factory=dict)
     starts: list[tuple[str, int, str]] = field(default_factory=list)
     ends: list[tuple[str, int, str]] = field(default_factory=list)
@@ -63,12 +78,16 @@
             self.overlaps.append(task)
         running.add(minion_id)
         self.starts.append((task, run, minion_id))
+        self.gangs.begin(task, run)
 
     def end(self, task: str, run: int, minion_id: str, kind: str) -> None:
         """Take note of an end."""
         self.active.get(task, set()).discard(minion_id)
         self.ends.append((task, run, kind))
 
+    def acknowledge(self, end: RunEnd) -> None:
+        """Take note that a minion was told to forget an end."""
+
 
 def _never_ends(_: str) -> int:
     return _UNENDING_MS
@@ -120,7 +139,7 @@
             return StartRefused(RefusalReason.fence)
         self._token = token
         self._lease_end_ms = max(self._lease_end_ms, lease_end_ms)
-        self._ends = [end for end in self._ends if end.number > seen_up_to]
+        self._forget(seen_up_to)
         return MinionState(
             self.clock_ms,
             tuple(
@@ -175,6 +194,7 @@
             RunEnd(self._number, task, run.run, kind, run.checkpoint)
         )
         self._log.end(task, run.run, self.minion_id, kind.value)
+        self._log.gangs.leave(task, run.run, kind)
 
     def advance(self) -> None:
         """End what is due and what has lost its lease."""
@@ -182,14 +202,16 @@
             for task in list(self._runs):
                 self.finish(task, EndKind.lapsed)
         for task, run in list(self._runs.items()):
-            if self.clock_ms - run.began_ms >= self._duration_ms(task):
-                self.finish(task, EndKind.done)
+            kind = self._due_end(task, run)
+            if kind is not None:
+                self.finish(task, kind)
 
     def crash(self) -> None:
         """Lose everything."""
         self.is_crashed = True
         for task, run in self._runs.items():
             self._log.end(task, run.run, self.minion_id, 'crashed')
+            self._log.gangs.leave(task, run.run, None)
         self._runs.clear()
 
     def hold_back(self, request: StartRequest, token: int) -> None:
@@ -202,7 +224,28 @@
         self._late = []
         return [self.start(request, token) for request, token in late]
 
+    def _forget(self, seen_up_to: int) -> None:
+        kept = [end for end in self._ends if end.number > seen_up_to]
+        for forgotten in self._ends[: len(self._ends) - len(kept)]:
+            self._log.acknowledge(forgotten)
+        self._ends = kept
+
+    def _due_end(self, task: str, run: _Run) -> EndKind | None:
+        elapsed_ms = self.clock_ms - run.began_ms
+        if self.fault is MinionFault.failing and elapsed_ms > _FAILURE_MS:
+            return EndKind.failed
+        if self._log.gangs.is_gang(task):
+            return self._log.gangs.due_end(
+                task, run.run, elapsed_ms, self._duration_ms(task)
+            )
+        is_over = elapsed_ms >= self._duration_ms(task)
+        if is_over and self.fault is not MinionFault.stuck:
+            return EndKind.done
+        return None
+
     def _percent(self, task: str, run: _Run) -> int:
+        if self.fault is MinionFault.stuck:
+            return 0
         elapsed_ms = self.clock_ms - run.began_ms
         return min(
             _PERCENT - 1, elapsed_ms * _PERCENT // self._duration_ms(task)
--- a/dragonflynotch/testing/platform_site.py
+++ b/dragonflynotch/testing/platform_site.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import base64
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
 import msgspec
 
-from dragonflynotch.control.clocks import BootClock
+from dragonflynotch.control.clocks import BootClock, SteadyClock
 from dragonflynotch.control.minions import (
     MinionState,
     StartRefused,
@@ -27,6 +28,7 @@
 from dragonflynotch.core.errors import (
     DragonflynotchError,
     PlatformUnavailableError,
+    UncertainWriteError,
 )
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.http11 import exchange
@@ -38,7 +40,7 @@
 )
 from dragonflynotch.testing.row_store import MemoryRowStore
 
-__all__ = ('PlatformSite', 'SiteMinion')
+__all__ = ('PlatformSite', 'SiteMinion', 'SiteQueue')
 
 _JSON = {'Content-Type': 'application/json'}
 _OK = 200
@@ -47,6 +49,8 @@
 _GONE = 410
 _CONDITION_FAILED = 412
 _OTHER_INCARNATION = 421
+# Says nothing about whether the call was carried out.
+_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _HEARTBEAT_S = 0.3
 _CALL = timedelta(seconds=1)
@@ -55,6 +59,15 @@
 _PREFIX = '/dragonflynotch/'
 
 
+@dataclass(frozen=True, slots=True)
+class SiteQueue:
+    """A queue of the configuration."""
+
+    name: str
+    priority: int = 1
+    max_attempts: int = 2
+
+
 class PlatformSite:
     """The store of the platform with the configuration of the operator.
 
@@ -62,14 +75,18 @@
     ----------
     address : tuple of (str, int)
         Where the store listens.
+    runs : RunLog, optional
+        Takes the starts and ends of all minions.
     """
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self, address: tuple[str, int], runs: RunLog | None = None
+    ) -> None:
         """Create the store; ``start`` begins to serve."""
         self.address = address
         self.clock = BootClock()
         self.store = MemoryRowStore(self.clock)
-        self.runs = RunLog()
+        self.runs = RunLog() if runs is None else runs
         self._server = HttpServer(address, self._answer)
         self._serving: asyncio.Task[None] | None = None
 
@@ -86,24 +103,49 @@
 
     async def put_configuration(self, version: int, service: str) -> None:
         """Write a configuration with one queue and one workspace."""
+        await self.put_queues(
+            version, service, [SiteQueue('queue')], guaranteed=0
+        )
+
+    async def put_queues(
+        self,
+        version: int,
+        service: str,
+        queues: Sequence[SiteQueue],
+        guaranteed: int,
+    ) -> None:
+        """Write a configuration with one workspace.
+
+        Parameters
+        ----------
+        guaranteed : int
+            Accelerators that belong to the workspace's urgent jobs.
+        """
+        routes: list[dict[str, object]] = [
+            {
+                'name': queue.name,
+                'host': 'site.example',
+                'prefix': f'/{queue.name}/',
+                'service': service,
+                'priority': queue.priority,
+                'max_attempts': queue.max_attempts,
+                'stretch': 3,
+                'target_latency_ms': 1000,
+            }
+            for queue in queues
+        ]
+        routes.append({'name': 'unreadable', 'host': 5})
+        tenant = {
+            'name': 'team',
+            'api_keys': ['key'],
+            'guaranteed': {'gpu': guaranteed},
+        }
         content = msgspec.json.encode(
             {
                 'version': version,
-                'routes': [
-                    {
-                        'name': 'queue',
-                        'host': 'site.example',
-                        'prefix': '/queue/',
-                        'service': service,
-                        'priority': 1,
-                        'max_attempts': 2,
-                        'stretch': 3,
-                        'target_latency_ms': 1000,
-                    },
-                    {'name': 'unreadable', 'host': 5},
-                ],
+                'routes': routes,
                 'services': [{'name': service}],
-                'tenants': [{'name': 'team', 'api_keys': ['key']}],
+                'tenants': [tenant],
                 'unknown': True,
             }
         )
@@ -146,6 +188,8 @@
                     return await self._feed(call)
         except PlatformUnavailableError:
             return Reply(_UNAVAILABLE)
+        except UncertainWriteError:
+            return Reply(_BAD_GATEWAY)
         return Reply(_NOT_FOUND)
 
     async def _commit(self, call: HttpCall) -> Reply:
@@ -219,8 +263,10 @@
         Where it accepts calls.
     guard : tuple of (str, int)
         Where its guard takes heartbeats.
-    duration_ms : int
-        How long each task runs.
+    duration_ms : int or callable
+        How long each task runs, or a function of the task.
+    clock : SteadyClock, optional
+        Clock of the minion, if it differs from that of the store.
     """
 
     def __init__(
@@ -230,11 +276,15 @@
         service: str,
         address: tuple[str, int],
         guard: tuple[str, int],
-        duration_ms: int,
+        duration_ms: int | Callable[[str], int],
+        clock: SteadyClock | None = None,
     ) -> None:
         """Create the minion; ``start`` begins to serve."""
         self.model = MinionModel(
-            minion_id, site.clock, site.runs, lambda _: duration_ms
+            minion_id,
+            clock or site.clock,
+            site.runs,
+            duration_ms if callable(duration_ms) else lambda _: duration_ms,
         )
         self._service = service
         self._address = address
@@ -332,8 +382,11 @@
         token = int(str(body['fencing_token']))
         if self.model.fault is MinionFault.late_starts:
             self.model.hold_back(request, token)
-            return Reply(_UNAVAILABLE)
-        return self._reply(self.model.start(request, token), {})
+            return Reply(_BAD_GATEWAY)
+        outcome = self.model.start(request, token)
+        if self.model.fault is MinionFault.lose_answers:
+            return Reply(_BAD_GATEWAY)
+        return self._reply(outcome, {})
 
     def _reply(self, outcome: object, lists: Mapping[str, object]) -> Reply:
         body: dict[str, object] = {
