Answer a feed of the stand-in with the version of its last look

The stand-in's feed slept once more after its last look and then answered with the newest version, so a change in those 2 ms was neither returned nor repeated. Ruled out: the product's feed (both rows came in one feed; it asked after the version that it was given). The test fails without the change.

A soak that is terminated ends the processes that it has started.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the fault soak."""
 
 import asyncio
+import signal
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -8,7 +9,7 @@
 
 import cappa
 
-from benchmarks.soak.plan import plan_faults
+from benchmarks.soak.plan import Fault, plan_faults
 from benchmarks.soak.run import SoakResult, run_soak
 
 __all__ = ('Soak',)
@@ -49,12 +50,10 @@
         if self.keep:
             folder = Path(self.keep) / f'seed-{seed}'
             folder.mkdir(parents=True, exist_ok=True)
-            result = asyncio.run(run_soak(seed, faults, self.length, folder))
+            result = asyncio.run(self._run_in(folder, seed, faults))
         else:
             with tempfile.TemporaryDirectory() as name:
-                result = asyncio.run(
-                    run_soak(seed, faults, self.length, Path(name))
-                )
+                result = asyncio.run(self._run_in(Path(name), seed, faults))
         print(
             f'seed {seed}: {result.faults} faults, {result.submitted} jobs '
             f'submitted, {result.accepted} accepted, {result.completed} '
@@ -64,6 +63,17 @@
         )
         return result
 
+    async def _run_in(
+        self, folder: Path, seed: int, faults: tuple[Fault, ...]
+    ) -> SoakResult:
+        task = asyncio.current_task()
+        if task is not None:
+            # Ends the processes that the run has started, too.
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, task.cancel
+            )
+        return await run_soak(seed, faults, self.length, folder)
+
 
 if __name__ == '__main__':
     cappa.invoke(Soak)
--- a/dragonflynotch/testing/row_store.py
+++ b/dragonflynotch/testing/row_store.py
@@ -123,7 +123,7 @@
         """Wait for changes of a table after a version."""
         self._enter('feed')
         polls = int(wait.total_seconds() / _POLL_S)
-        for _ in range(polls + 1):
+        for poll in range(polls + 1):
             if after < self._history_from:
                 return HistoryLost()
             found = tuple(
@@ -131,7 +131,9 @@
                 for one in self._log
                 if one.name.table == table and one.version > after
             )
-            if found:
+            # Nothing may change between the last look and the answer, whose
+            # version says that the caller knows all changes up to it.
+            if found or poll == polls:
                 break
             await asyncio.sleep(_POLL_S)
         self._enter('feed')
