--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -222,6 +222,7 @@
             if kind == 'failed' and task.startswith(job.job_id)
         }
         if state == 'failed' and failed:
+            job.has_failed = True
             return
         self._timeline.find(
             'no job ends without cause', f'{job.job_id} {state}'
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -138,7 +138,8 @@
         except TimeoutError:
             self._timeline.find('planned stops end in time', process.name)
             return
-        if status and not is_starting:
+        # Another fault may have killed it meanwhile.
+        if status and not is_starting and status != -signal.SIGKILL:
             self._timeline.find(
                 'planned stops succeed', f'{process.name}: {status}'
             )
--- a/benchmarks/soak/jobs.py
+++ b/benchmarks/soak/jobs.py
@@ -44,6 +44,8 @@
     cancelled_s: float | None = None
     completed_s: float | None = None
     has_ended: bool = False
+    # A run of it failed, so its end as failed is true.
+    has_failed: bool = False
 
     @property
     def is_refused(self) -> bool:
--- a/benchmarks/soak/promises.py
+++ b/benchmarks/soak/promises.py
@@ -180,7 +180,7 @@
         if job.is_refused and job.job_id in started:
             timeline.find('refused jobs never run', job.job_id)
         is_owed = job.accepted_s is not None and job.cancel_sent_s is None
-        if is_owed and job.completed_s is None:
+        if is_owed and job.completed_s is None and not job.has_failed:
             timeline.find('accepted jobs are completed', job.job_id)
 
 
