Specify the rows and leases of the users' platform

model/specifications/rows.pml: orders, reports and the lease over rows, with lost and late transactions, a guard that stands still or restarts, and two schedulers.

It rests on one assumption that the code keeps and that was not written down: an order's window ends before the authority of the guard's report.

--- a/tests/model/test_catalogue.py
+++ b/tests/model/test_catalogue.py
@@ -14,6 +14,7 @@
     'gang',
     'handover',
     'ownership',
+    'rows',
     'task_lease',
 }
 
