Start the platform's programs in one place for the soak and the tests

tests/platform/programs.py and the soak each started and ended the processes with the same lines. SiteProcess serves both; no behaviour changes.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -7,7 +7,7 @@
 
 from benchmarks.soak.callers import Callers
 from benchmarks.soak.findings import Timeline
-from benchmarks.soak.fleet import Fleet, Process
+from benchmarks.soak.fleet import Fleet, LinkedProcess
 from benchmarks.soak.plan import Fault, FaultKind
 from dragonflynotch.testing.loopback_proxy import LinkFault
 from dragonflynotch.testing.minion_model import MinionFault
@@ -121,15 +121,15 @@
         elif fault.kind is FaultKind.callers_reset:
             _choose(self._fleet.doors, fault).reset()
 
-    def _process(self, fault: Fault) -> Process:
+    def _process(self, fault: Fault) -> LinkedProcess:
         return _choose(self._fleet.processes, fault)
 
-    async def _kill(self, process: Process, for_s: float) -> None:
+    async def _kill(self, process: LinkedProcess, for_s: float) -> None:
         await process.kill()
         await asyncio.sleep(for_s)
         await process.start()
 
-    async def _stop(self, process: Process, for_s: float) -> None:
+    async def _stop(self, process: LinkedProcess, for_s: float) -> None:
         process.send(signal.SIGCONT)
         is_starting = process.is_starting
         try:
@@ -153,7 +153,7 @@
         await self._stop(entry, fault.for_s)
         self._callers.expect_answers(number, is_leaving=False)
 
-    async def _freeze(self, process: Process, for_s: float) -> None:
+    async def _freeze(self, process: LinkedProcess, for_s: float) -> None:
         process.send(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         process.send(signal.SIGCONT)
@@ -175,7 +175,7 @@
         store.apply_late()
 
     async def _link_fault(
-        self, processes: list[Process], kind: LinkFault, for_s: float
+        self, processes: list[LinkedProcess], kind: LinkFault, for_s: float
     ) -> None:
         for process in processes:
             process.link.set_fault(kind)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -1,10 +1,7 @@
 """The processes of the soak with their links and minions."""
 
 import asyncio
-import os
 import signal
-import sys
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,14 +16,14 @@
     SiteQueue,
 )
 from dragonflynotch.testing.ports import free_ports
+from dragonflynotch.testing.site_process import SiteProcess
 
-__all__ = ('Fleet', 'Process')
+__all__ = ('Fleet', 'LinkedProcess')
 
 SERVICE = 'planner'
 _ENTRIES = 3
 _GUARDS = 4
 _HOST = '127.0.0.1'
-_STARTUP_S = 1.5
 # Minion clocks may be this much slow.
 _SLOWEST_CLOCK = 0.98
 
@@ -45,81 +42,15 @@
         return self._origin_ms + int(elapsed_ms * self._rate)
 
 
-class Process:
-    """One program, its settings and its link to the store.
-
-    Parameters
-    ----------
-    boot : int
-        Grows with each start.
-    """
+class LinkedProcess(SiteProcess):
+    """A program with its own link to the store."""
 
     def __init__(
         self, name: str, settings: Path, log: Path, link: LoopbackProxy
     ) -> None:
         """Create the process; ``start`` runs it."""
-        self.name = name
+        super().__init__(name, settings, log)
         self.link = link
-        self.boot = 0
-        self._settings = settings
-        self._log = log
-        self._process: asyncio.subprocess.Process | None = None
-        # Faults overlap: a start waits until the last process has ended.
-        self._changing = asyncio.Lock()
-        self._started_s: float = 0
-
-    @property
-    def is_starting(self) -> bool:
-        """Whether the program may not handle signals yet."""
-        return time.monotonic() - self._started_s < _STARTUP_S
-
-    async def start(self) -> None:
-        """Start the program unless it runs."""
-        async with self._changing:
-            if self._process is None:
-                self._process = await self._spawn()
-                self._started_s = time.monotonic()
-                self.boot += 1
-
-    async def kill(self) -> None:
-        """Kill the program if it runs."""
-        if self._process is not None:
-            self.send(signal.SIGKILL)
-        async with self._changing:
-            if self._process is not None:
-                self.send(signal.SIGKILL)
-                await self._process.wait()
-                self._process = None
-
-    async def terminate(self) -> int | None:
-        """Ask the program to leave; return its exit status."""
-        async with self._changing:
-            if self._process is None:
-                return None
-            self.send(signal.SIGTERM)
-            status = await self._process.wait()
-            self._process = None
-            return status
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal if the program runs."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
-
-    async def _spawn(self) -> asyncio.subprocess.Process:
-        with self._log.open('ab') as log:
-            return await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'dragonflynotch.platform',
-                self.name.partition('-')[0],
-                env={
-                    **os.environ,
-                    'DRAGONFLYNOTCH_SETTINGS': str(self._settings),
-                },
-                stdout=log,
-                stderr=log,
-            )
 
 
 @dataclass(slots=True)
@@ -153,8 +84,8 @@
     ) -> None:
         """Create the fleet; ``start`` runs it."""
         self.site = PlatformSite(_address(), runs)
-        self.entries: list[Process] = []
-        self.guards: list[Process] = []
+        self.entries: list[LinkedProcess] = []
+        self.guards: list[LinkedProcess] = []
         # What callers connect to, one for each entry.
         self.doors: list[LoopbackProxy] = []
         self.minions: list[SiteMinion] = []
@@ -165,7 +96,7 @@
         self._places: list[_MinionPlace] = []
 
     @property
-    def processes(self) -> list[Process]:
+    def processes(self) -> list[LinkedProcess]:
         """All programs."""
         return [*self.entries, *self.guards]
 
@@ -220,7 +151,7 @@
             await link.stop()
         await self.site.stop()
 
-    async def _create(self, name: str, listen: dict[str, str]) -> Process:
+    async def _create(self, name: str, listen: dict[str, str]) -> LinkedProcess:
         link = LoopbackProxy(_address(), self.site.address)
         await link.start()
         port = _address()[1]
@@ -234,7 +165,7 @@
             },
         )
         log = self._folder / f'{name}.log'
-        process = Process(name, settings, log, link)
+        process = LinkedProcess(name, settings, log, link)
         await process.start()
         return process
 
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -1,9 +1,6 @@
 """The programs of the deployment as processes against the stand-in."""
 
 import asyncio
-import os
-import signal
-import sys
 from datetime import timedelta
 
 import msgspec
@@ -12,6 +9,7 @@
 from dragonflynotch.links.http11 import exchange
 from dragonflynotch.testing.platform_site import PlatformSite, SiteMinion
 from dragonflynotch.testing.ports import free_ports
+from dragonflynotch.testing.site_process import SiteProcess
 
 SERVICE = 'planner'
 KEY = ('Dragonflynotch-Credential', 'key')
@@ -36,7 +34,6 @@
         self._folder = folder
         self._duration_ms = duration_ms
         self._processes = {}
-        self._settings = {}
 
     async def start(self):
         await self.site.start()
@@ -65,30 +62,13 @@
         await self.site.stop()
 
     async def start_program(self, name):
-        self.logs[name] = self._folder / f'{name}.log'
-        with self.logs[name].open('ab') as log:
-            self._processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'dragonflynotch.platform',
-                name.partition('-')[0],
-                env={
-                    **os.environ,
-                    'DRAGONFLYNOTCH_SETTINGS': str(self._settings[name]),
-                },
-                stdout=log,
-                stderr=log,
-            )
+        await self._processes[name].start()
 
     async def kill(self, name):
-        process = self._processes.pop(name)
-        process.kill()
-        await process.wait()
+        await self._processes[name].kill()
 
     async def terminate(self, name):
-        process = self._processes.pop(name)
-        process.send_signal(signal.SIGTERM)
-        return await process.wait()
+        return await self._processes[name].terminate()
 
     async def call(self, name, method, path, body=b'', headers=(HOST, KEY)):
         """Return the status and the body of an answer."""
@@ -161,11 +141,13 @@
 
     def _write(self, name, fields):
         [port] = free_ports(1)
-        self._settings[name] = self.site.write_settings(
+        settings = self.site.write_settings(
             self._folder / f'{name}.conf',
             name,
             {'port_range': f'{port},{port}', **fields},
         )
+        self.logs[name] = self._folder / f'{name}.log'
+        self._processes[name] = SiteProcess(name, settings, self.logs[name])
 
 
 def _text(address):
