Ask the minion for its runs before any order is judged

After all processes were killed, restarted guards registered their minions and got a change of orders before the first answer of the session. They took standing orders whose window had passed for never started, rejected them, and the scheduler, which takes its own lease back at once, started the tasks elsewhere while they still ran.

Ruled out: a stop that is not listed while it takes effect, and runs given up at the takeover (no run_lost line).

The guard now does nothing before the first answer, and asks the minion once more before it rejects an order; an unanswered question is repeated instead of leaving the order open.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -288,6 +288,9 @@
         """Start what is ordered, stop what is not."""
         if self._session is None or self._runner is None:
             return
+        if self._session.book.state is None:
+            # An earlier process may have started what is ordered.
+            return
         for entry in self._session.book.open_entries():
             if entry.needs_stop:
                 self._call(entry, self._runner.stop(entry))
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -82,8 +82,7 @@
             return
         entry.is_stop_sent = True
         entry.may_arrive = False
-        if await self._session.look():
-            self._reject(entry, 'stopped')
+        await self._reject_unless_run(entry, 'stopped')
 
     async def send_stop(
         self, task: str, run: int
@@ -135,9 +134,7 @@
             case StartRefused(reason=RefusalReason.old):
                 # An earlier call may have started the run, which has ended.
                 entry.may_arrive = False
-                if not await self._session.look():
-                    return False
-                self._reject(entry, RefusalReason.old.value)
+                await self._reject_unless_run(entry, RefusalReason.old.value)
             case StartRefused(reason=RefusalReason.late):
                 await self._session.look()
                 return False
@@ -156,12 +153,24 @@
             outcome = await self.send_stop(entry.task, entry.order.run)
             if isinstance(outcome, OtherIncarnation):
                 return
-            if isinstance(outcome, Stopped) and await self._session.look():
+            if isinstance(outcome, Stopped):
                 entry.may_arrive = False
                 break
             await asyncio.sleep(_RETRY_S)
         if not entry.may_arrive:
-            self._reject(entry, reason)
+            await self._reject_unless_run(entry, reason)
+
+    async def _reject_unless_run(self, entry: OrderEntry, reason: str) -> None:
+        """Reject an order that the minion refuses from now on.
+
+        An earlier call, perhaps of an earlier process, may have started the
+        run, so the minion is asked once more.
+        """
+        while self._session.is_live and entry.phase is Phase.new:
+            if await self._session.look():
+                self._reject(entry, reason)
+                return
+            await asyncio.sleep(_RETRY_S)
 
     def _may_still_arrive(self, entry: OrderEntry) -> bool:
         return (
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -324,3 +324,38 @@
     report = await bench.report()
     bench.store.fault = fault
     return report
+
+
+_look = ModelMinionClient.look
+
+
+async def _slow_look(client, *arguments):
+    await asyncio.sleep(0.02)
+    return await _look(client, *arguments)
+
+
+async def test_restarted_guard_keeps_a_run_whose_window_has_passed(
+    bench, monkeypatch
+):
+    """An order must not be rejected before the minion was asked for its runs.
+
+    A hunt found it on rwl-sched-grown (trouble-3, seed 516410226001): orders
+    that arrived between the registration of the minion and the first answer
+    made restarted guards reject runs that were present, and these were started
+    elsewhere.
+    """
+    bench.add_minion('m1')
+    bench.beat('m1')
+    await bench.order('m1', window_ms=200)
+    await bench.wait_for(has_run)
+    await bench.stop_guard()
+    await asyncio.sleep(0.2)
+    monkeypatch.setattr(ModelMinionClient, 'look', _slow_look)
+    bench.start_guard()
+    other = RowName(ORDERS.name, SCHEDULER_PART, 'm2/other.0.0.0')
+    order = encode_row(Order('text', 1, 0))
+    for _ in range(200):
+        await bench.store.commit([RowWrite(other, order)], [])
+        assert not (await bench.report()).rejected
+        await asyncio.sleep(0.002)
+    assert not bench.log.ends
