Let the soak's minions answer slowly and end every process it started

Cause: the soak did not find the fault of restarted guards, since its minions answered within milliseconds; they now take up to 60 ms.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -1,7 +1,6 @@
 """The processes of the soak with their links and minions."""
 
 import asyncio
-import signal
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -10,12 +9,9 @@
 from dragonflynotch.control.clocks import BootClock, SteadyClock
 from dragonflynotch.testing.loopback_proxy import LoopbackProxy
 from dragonflynotch.testing.minion_model import RunLog
-from dragonflynotch.testing.platform_site import (
-    PlatformSite,
-    SiteMinion,
-    SiteQueue,
-)
+from dragonflynotch.testing.platform_site import PlatformSite, SiteQueue
 from dragonflynotch.testing.ports import free_ports
+from dragonflynotch.testing.site_minion import SiteMinion
 from dragonflynotch.testing.site_process import SiteProcess
 
 __all__ = ('Fleet', 'LinkedProcess')
@@ -26,6 +22,8 @@
 _HOST = '127.0.0.1'
 # Minion clocks may be this much slow.
 _SLOWEST_CLOCK = 0.98
+# Orders that change between two answers of a minion must do no harm.
+_LONGEST_ANSWER_S = 0.06
 
 
 class _SlowClock(SteadyClock):
@@ -141,15 +139,19 @@
         self.minions[number] = await self._boot_minion(self._places[number])
 
     async def stop(self) -> None:
-        """End everything that was started."""
-        for process in self.processes:
-            process.send(signal.SIGCONT)
-            await process.kill()
-        for minion in self.minions:
-            await minion.stop()
-        for link in (*self.doors, *(one.link for one in self.processes)):
-            await link.stop()
+        """End everything that was started, whatever fails on the way."""
+        processes = self.processes
+        links = (*self.doors, *(process.link for process in processes))
+        outcomes = await asyncio.gather(
+            *(process.kill() for process in processes),
+            *(minion.stop() for minion in self.minions),
+            *(link.stop() for link in links),
+            return_exceptions=True,
+        )
         await self.site.stop()
+        for outcome in outcomes:
+            if isinstance(outcome, Exception):
+                raise outcome
 
     async def _create(self, name: str, listen: dict[str, str]) -> LinkedProcess:
         link = LoopbackProxy(_address(), self.site.address)
@@ -179,6 +181,7 @@
             place.guard,
             self._duration_ms,
             _SlowClock(self._random.uniform(_SLOWEST_CLOCK, 1)),
+            lambda: self._random.uniform(0, _LONGEST_ANSWER_S),
         )
         await minion.start()
         return minion
--- a/dragonflynotch/guard/tasks.py
+++ b/dragonflynotch/guard/tasks.py
@@ -241,7 +241,7 @@
         try:
             view = await self._worker.apply(
                 fence=self.highest_fence,
-                lease_until_ms=self._on_worker_clock(lease_until),
+                lease_end_ms=self._on_worker_clock(lease_until),
                 commands=commands,
             )
         except LinkError as error:
@@ -285,7 +285,7 @@
         return self._seen.view.clock_ms + rest // _MILLISECOND
 
     def _recover(self, view: WorkerView, asked_at: datetime) -> None:
-        rest_ms = max(view.lease_until_ms - view.clock_ms, 0)
+        rest_ms = max(view.lease_end_ms - view.clock_ms, 0)
         until = asked_at + rest_ms * _MILLISECOND
         self._worker_lease_until = until
         self._lease.adopt(until, view.highest_fence)
--- a/dragonflynotch/services/worker.py
+++ b/dragonflynotch/services/worker.py
@@ -102,11 +102,11 @@
 class WorkerCall(msgspec.Struct, frozen=True):
     """One call: fence, end of the lease on the worker's clock, commands.
 
-    ``lease_until_ms`` is 0 to leave the lease as it is.
+    ``lease_end_ms`` is 0 to leave the lease as it is.
     """
 
     fence: int = 0
-    lease_until_ms: int = 0
+    lease_end_ms: int = 0
     commands: tuple[TaskCommand, ...] = ()
 
 
@@ -129,7 +129,7 @@
     """All tasks of a worker with its clock, lease and highest fence."""
 
     clock_ms: int
-    lease_until_ms: int
+    lease_end_ms: int
     highest_fence: int
     tasks: tuple[TaskStatus, ...] = ()
 
@@ -146,7 +146,7 @@
         self,
         *,
         fence: int = 0,
-        lease_until_ms: int = 0,
+        lease_end_ms: int = 0,
         commands: Sequence[TaskCommand] = (),
     ) -> WorkerView:
         """Set the lease, carry out commands and return all tasks.
@@ -173,11 +173,11 @@
         self,
         *,
         fence: int = 0,
-        lease_until_ms: int = 0,
+        lease_end_ms: int = 0,
         commands: Sequence[TaskCommand] = (),
     ) -> WorkerView:
         """Set the lease, carry out commands and return all tasks."""
-        call = WorkerCall(fence, lease_until_ms, tuple(commands))
+        call = WorkerCall(fence, lease_end_ms, tuple(commands))
         reply = await exchange(
             self._address,
             'POST',
--- /dev/null
+++ b/dragonflynotch/testing/site_minion.py
@@ -0,0 +1,186 @@
+"""Stand-in of a minion of the users' platform over HTTP."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import msgspec
+
+from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.minions import (
+    MinionState,
+    StartRefused,
+    StartRequest,
+)
+from dragonflynotch.core.errors import DragonflynotchError
+from dragonflynotch.links.asgi import HttpCall, Reply
+from dragonflynotch.links.http11 import exchange
+from dragonflynotch.links.http_server import HttpServer
+from dragonflynotch.testing.minion_model import MinionFault, MinionModel
+from dragonflynotch.testing.platform_site import PlatformSite
+
+__all__ = ('SiteMinion',)
+
+_JSON = {'Content-Type': 'application/json'}
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+_OTHER_INCARNATION = 421
+# Says nothing about whether the call was carried out.
+_BAD_GATEWAY = 502
+_HEARTBEAT_S = 0.3
+_CALL = timedelta(seconds=1)
+_POLL_S = 0.005
+_MAX_ANSWER_BYTES = 65_536
+_PREFIX = '/dragonflynotch/'
+
+
+class SiteMinion:
+    """A minion that serves its guard and sends heartbeats.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Where it accepts calls.
+    guard : tuple of (str, int)
+        Where its guard takes heartbeats.
+    duration_ms : int or callable
+        How long each task runs, or a function of the task.
+    clock : SteadyClock, optional
+        Clock of the minion, if it differs from that of the store.
+    answer_delay_s : callable, optional
+        Returns how long the next answer takes.
+    """
+
+    def __init__(
+        self,
+        site: PlatformSite,
+        minion_id: str,
+        service: str,
+        address: tuple[str, int],
+        guard: tuple[str, int],
+        duration_ms: int | Callable[[str], int],
+        clock: SteadyClock | None = None,
+        answer_delay_s: Callable[[], float] | None = None,
+    ) -> None:
+        """Create the minion; ``start`` begins to serve."""
+        self.model = MinionModel(
+            minion_id,
+            clock or site.clock,
+            site.runs,
+            duration_ms if callable(duration_ms) else lambda _: duration_ms,
+        )
+        self._answer_delay_s = answer_delay_s
+        self._service = service
+        self._address = address
+        self._guard = guard
+        self._sequence = 0
+        self._server = HttpServer(address, self._answer)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to serve and to send heartbeats."""
+        self._tasks = [
+            asyncio.create_task(self._server.run()),
+            asyncio.create_task(self._beat_forever()),
+        ]
+        await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """End without a farewell."""
+        self.model.crash()
+        self._server.stop()
+        self._tasks[1].cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _beat_forever(self) -> None:
+        while True:
+            self._sequence += 1
+            body = {
+                'service': self._service,
+                'address': '{}:{}'.format(*self._address),
+                'zone': 'hall-a',
+                'version': 'v1',
+                'slots': 8,
+                'state': 'ready',
+                'capacity': {'cpu': 8000, 'mem_mb': 8000, 'gpu': 8},
+                'labels': ['a', 'r1'],
+                'seq': self._sequence,
+            }
+            try:
+                await exchange(
+                    self._guard,
+                    'POST',
+                    f'{_PREFIX}Instances.Heartbeat/{self.model.minion_id}',
+                    body=msgspec.json.encode(body),
+                    timeout=_CALL,
+                    max_body_bytes=_MAX_ANSWER_BYTES,
+                )
+            except DragonflynotchError:
+                # The guard may not have started yet; the next one may arrive.
+                await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(_HEARTBEAT_S)
+
+    async def _answer(self, call: HttpCall) -> Reply:
+        expected = call.headers.get('dragonflynotch-expected-instance')
+        if expected not in {None, self.model.minion_id}:
+            return Reply(_OTHER_INCARNATION)
+        if self._answer_delay_s is not None:
+            await asyncio.sleep(self._answer_delay_s())
+        body = msgspec.json.decode(call.body)
+        match call.path.removeprefix(_PREFIX):
+            case 'hold':
+                return await self._look(body)
+            case 'run-start':
+                return self._start(body)
+            case 'run-stop':
+                outcome = self.model.stop(
+                    body['task'], body['run'], body['fencing_token']
+                )
+                return self._reply(outcome, {})
+        return Reply(_NOT_FOUND)
+
+    async def _look(self, body: dict[str, int]) -> Reply:
+        limit_ms = self.model.clock_ms + body.get('wait_ms', 0)
+        while True:
+            outcome = self.model.look(
+                body['fencing_token'],
+                body['seen_upto'],
+                body.get('until_ms', 0),
+            )
+            if not isinstance(outcome, MinionState):
+                return self._reply(outcome, {})
+            if outcome.ended or outcome.clock_ms >= limit_ms:
+                lists = {
+                    'running_count': outcome.running,
+                    'ended': outcome.ended,
+                }
+                return self._reply(outcome, lists)
+            await asyncio.sleep(_POLL_S)
+
+    def _start(self, body: dict[str, object]) -> Reply:
+        request = StartRequest(
+            str(body['task']),
+            int(str(body['run'])),
+            str(body['spec']),
+            str(body.get('checkpoint', '')),
+            int(str(body['until_ms'])),
+        )
+        token = int(str(body['fencing_token']))
+        if self.model.fault is MinionFault.late_starts:
+            self.model.hold_back(request, token)
+            return Reply(_BAD_GATEWAY)
+        outcome = self.model.start(request, token)
+        if self.model.fault is MinionFault.lose_answers:
+            return Reply(_BAD_GATEWAY)
+        return self._reply(outcome, {})
+
+    def _reply(self, outcome: object, lists: Mapping[str, object]) -> Reply:
+        body: dict[str, object] = {
+            'clock_ms': self.model.clock_ms,
+            **lists,
+        }
+        if isinstance(outcome, StartRefused):
+            body['reason'] = outcome.reason.value
+            return Reply(_CONFLICT, msgspec.json.encode(body), _JSON)
+        return Reply(_OK, msgspec.json.encode(body), _JSON)
--- a/dragonflynotch/testing/worker.py
+++ b/dragonflynotch/testing/worker.py
@@ -73,7 +73,7 @@
         self.computed: Counter[str] = Counter()
         self._store = store
         self._usage_lag_s = usage_lag_s
-        self._lease_until_ms = 0
+        self._lease_end_ms = 0
         self._highest_fence = 0
         self._tasks: dict[tuple[str, int], SimulatedTask] = {}
         self._refused: set[tuple[str, int]] = set()
@@ -84,7 +84,7 @@
         """All tasks with the clock of the worker."""
         return WorkerView(
             _clock_ms(),
-            self._lease_until_ms,
+            self._lease_end_ms,
             self._highest_fence,
             tuple(task.status for task in self._tasks.values()),
         )
@@ -119,7 +119,7 @@
         if 0 < call.fence < self._highest_fence:
             return None
         self._highest_fence = max(self._highest_fence, call.fence)
-        self._lease_until_ms = max(self._lease_until_ms, call.lease_until_ms)
+        self._lease_end_ms = max(self._lease_end_ms, call.lease_end_ms)
         for command in call.commands:
             self._carry_out(command)
         if self.faults.loses_answers:
@@ -163,7 +163,7 @@
         task = SimulatedTask(
             command,
             self._store,
-            lambda: self._lease_until_ms / 1000,
+            lambda: self._lease_end_ms / 1000,
             self._usage_lag_s,
         )
         self._tasks[key] = task
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -39,8 +39,8 @@
     def __init__(self, app):
         self.app = app
 
-    async def apply(self, *, fence=0, lease_until_ms=0, commands=()):
-        call = WorkerCall(fence, lease_until_ms, tuple(commands))
+    async def apply(self, *, fence=0, lease_end_ms=0, commands=()):
+        call = WorkerCall(fence, lease_end_ms, tuple(commands))
         try:
             return await asyncio.wait_for(self.app.apply(call), 0.1)
         except TimeoutError as error:
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -7,8 +7,9 @@
 
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.links.http11 import exchange
-from dragonflynotch.testing.platform_site import PlatformSite, SiteMinion
+from dragonflynotch.testing.platform_site import PlatformSite
 from dragonflynotch.testing.ports import free_ports
+from dragonflynotch.testing.site_minion import SiteMinion
 from dragonflynotch.testing.site_process import SiteProcess
 
 SERVICE = 'planner'
