--- a/tests/benchmarks/soak/test_run.py
+++ b/tests/benchmarks/soak/test_run.py
@@ -1,9 +1,12 @@
-"""A short seeded run."""
+"""A short seeded run, and the seeds that once found a fault of the product."""
+
+import pytest
 
 from benchmarks.soak.plan import plan_faults
 from benchmarks.soak.run import run_soak
 
 SHORT_S = 7
+FULL_S = 25
 
 
 async def test_short_run_keeps_every_promise(tmp_path):
@@ -12,3 +15,12 @@
     assert not result.findings
     assert result.completed
     assert (tmp_path / 'run.svg').read_text().startswith('<svg')
+
+
+# 6: a restarted guard rejected runs that were present, as their orders changed
+# before the first answer of its minion.
+@pytest.mark.parametrize('seed', [6])
+async def test_seed_that_found_a_fault(seed, tmp_path):
+    """A fault that was mended must not come back."""
+    result = await run_soak(seed, plan_faults(seed, FULL_S), FULL_S, tmp_path)
+    assert not result.findings
