--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -61,7 +61,9 @@
 
     async def run(self, length_s: float) -> None:
         """Submit jobs and ask for their states for some time."""
-        self._callers = [SiteCaller(door.address) for door in self._fleet.doors]
+        self._callers = [
+            SiteCaller(link.address) for link in self._fleet.caller_links
+        ]
         urgent = asyncio.create_task(self._submit_urgent())
         versions = asyncio.create_task(self._watch_queues())
         try:
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -119,7 +119,7 @@
         elif fault.kind is FaultKind.link_reset:
             self._process(fault).link.reset()
         elif fault.kind is FaultKind.callers_reset:
-            _choose(self._fleet.doors, fault).reset()
+            _choose(self._fleet.caller_links, fault).reset()
 
     def _process(self, fault: Fault) -> LinkedProcess:
         return _choose(self._fleet.processes, fault)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -85,7 +85,7 @@
         self.entries: list[LinkedProcess] = []
         self.guards: list[LinkedProcess] = []
         # What callers connect to, one for each entry.
-        self.doors: list[LoopbackProxy] = []
+        self.caller_links: list[LoopbackProxy] = []
         self.minions: list[SiteMinion] = []
         self.version = 1
         self._folder = folder
@@ -108,11 +108,11 @@
         await self.site.start()
         await self.configure(queues, guaranteed)
         for number in range(_ENTRIES):
-            door = LoopbackProxy(_address(), _address())
-            await door.start()
-            self.doors.append(door)
+            link = LoopbackProxy(_address(), _address())
+            await link.start()
+            self.caller_links.append(link)
             listen = {
-                'listen.front': _text(door.target),
+                'listen.front': _text(link.target),
                 'listen.ready': _text(_address()),
             }
             self.entries.append(await self._create(f'front-{number}', listen))
@@ -141,7 +141,7 @@
     async def stop(self) -> None:
         """End everything that was started, whatever fails on the way."""
         processes = self.processes
-        links = (*self.doors, *(process.link for process in processes))
+        links = (*self.caller_links, *(process.link for process in processes))
         outcomes = await asyncio.gather(
             *(process.kill() for process in processes),
             *(minion.stop() for minion in self.minions),
--- a/benchmarks/soak/promises.py
+++ b/benchmarks/soak/promises.py
@@ -9,7 +9,7 @@
 from benchmarks.soak.findings import Timeline
 from benchmarks.soak.jobs import ACCELERATORS, URGENT, SoakJob
 from dragonflynotch.control.clocks import BootClock
-from dragonflynotch.testing.gang_board import GangBoard
+from dragonflynotch.testing.gang_registry import GangRegistry
 from dragonflynotch.testing.minion_model import RunLog
 from dragonflynotch.workflows.records import EndKind, RunEnd
 
@@ -37,7 +37,7 @@
 
     def __init__(self, timeline: Timeline, advance: Callable[[], None]) -> None:
         """Create checks without jobs."""
-        super().__init__(gangs=GangBoard(BootClock()))
+        super().__init__(gangs=GangRegistry(BootClock()))
         self.jobs: dict[str, SoakJob] = {}
         self.first_starts: dict[str, float] = {}
         self.done: set[str] = set()
--- a/dragonflynotch/testing/gang_board.py
+++ b/dragonflynotch/testing/gang_registry.py
@@ -5,7 +5,7 @@
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.workflows.records import EndKind
 
-__all__ = ('GangBoard',)
+__all__ = ('GangRegistry',)
 
 _GANG_TIMEOUT_MS = 3000
 
@@ -20,7 +20,7 @@
     end: EndKind | None = None
 
 
-class GangBoard:
+class GangRegistry:
     """What the members of each gang know of one another.
 
     Parameters
--- a/dragonflynotch/testing/minion_model.py
+++ b/dragonflynotch/testing/minion_model.py
@@ -18,7 +18,7 @@
     Stopped,
     Unhealthy,
 )
-from dragonflynotch.testing.gang_board import GangBoard
+from dragonflynotch.testing.gang_registry import GangRegistry
 from dragonflynotch.workflows.records import EndKind, RunEnd, RunningTask
 
 __all__ = ('MinionFault', 'MinionModel', 'ModelMinionClient', 'RunLog')
@@ -59,13 +59,15 @@
 
     Parameters
     ----------
-    gangs : GangBoard
+    gangs : GangRegistry
         Gangs, whose members may run on several stand-ins.
     overlaps : list of str
         Tasks that were started while another run of them was present.
     """
 
-    gangs: GangBoard = field(default_factory=lambda: GangBoard(BootClock()))
+    gangs: GangRegistry = field(
+        default_factory=lambda: GangRegistry(BootClock())
+    )
     active: dict[str, set[str]] = field(default_factory=dict)
     starts: list[tuple[str, int, str]] = field(default_factory=list)
     ends: list[tuple[str, int, str]] = field(default_factory=list)
