Log the room of waiting steps, the failures behind an order and job shapes

Cause: the logs could not tell whether a waiting step lacked room, met reserved room or was held by an old report; why a worker that had failed counted as sound; nor what an accepted job needs. Change: step_waits has the candidates, the tasks that fit in total, free and unreserved, and the age of the oldest report. run_ordered has the failures of the task and of the worker, and whether the worker is avoided. worker_failures_cleared is new; worker_excluded counts the failed jobs; job_accepted lists the steps. The wait log is a module of its own.

--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -19,6 +19,7 @@
 from dragonflynotch.observability.job_metrics import JobMetrics
 from dragonflynotch.platform.jobs import decode_job, is_job_id
 from dragonflynotch.workflows.deployment import Deployment, Queue
+from dragonflynotch.workflows.jobs import JobSpec
 
 __all__ = ('JobApi',)
 
@@ -30,6 +31,8 @@
 # In seconds. Most outages of the store are over within a few seconds, and
 # another node may still reach it.
 _RETRY_AFTER_HEADERS = {'Retry-After': '1'}
+# Most steps of a job that are logged.
+_MAX_LOGGED_STEPS = 8
 _OK = 200
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
@@ -129,6 +132,7 @@
                     job=job_id,
                     queue=queue.name,
                     workspace=workspace,
+                    steps=_logged_steps(spec),
                 )
                 return Reply(_OK, b'{}', _JSON_HEADERS)
             case NotAccepted(reason=reason):
@@ -171,6 +175,13 @@
 _JSON_HEADERS = {'Content-Type': 'application/json'}
 
 
+def _logged_steps(spec: JobSpec) -> list[dict[str, object]]:
+    """Return the first steps, without default values."""
+    return [
+        msgspec.to_builtins(step) for step in spec.steps[:_MAX_LOGGED_STEPS]
+    ]
+
+
 def _remaining_time(call: HttpCall) -> timedelta:
     header = call.headers.get(_DEADLINE_HEADER, '')
     limit = _DEFAULT_DEADLINE
--- a/dragonflynotch/workflows/placement.py
+++ b/dragonflynotch/workflows/placement.py
@@ -12,6 +12,7 @@
 __all__ = (
     'Demand',
     'Reservation',
+    'StepRoom',
     'WorkerPool',
     'fit_gang',
     'fits_one_rack',
@@ -58,6 +59,31 @@
     may_span_racks: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StepRoom:
+    """How many tasks of a step fit on its candidate workers.
+
+    Parameters
+    ----------
+    workers : int
+        Number of candidates.
+    fit_total : int
+        Tasks that would fit if the candidates were empty.
+    fit_free : int
+        Tasks that fit into the free resources, reserved ones included.
+    fit_unreserved : int
+        Tasks that fit into the resources that the step may use.
+    oldest_report_ms : int
+        Age of the oldest report that this is based on.
+    """
+
+    workers: int
+    fit_total: int
+    fit_free: int
+    fit_unreserved: int
+    oldest_report_ms: int
+
+
 @dataclass(slots=True)
 class WorkerPool:
     """Workers that may get new runs, with their free resources.
@@ -114,6 +140,32 @@
                 free -= reserved
         return free
 
+    def room_for(self, demand: Demand) -> StepRoom:
+        """Return how many tasks of the step fit on its candidates."""
+        spec = demand.step.spec
+        limit = spec.max_per_worker or len(demand.step.tasks)
+        candidates = self.candidates(demand)
+
+        def count(resources: Iterable[Resources]) -> int:
+            return sum(
+                min(limit, amount.fit_count(spec.needs)) for amount in resources
+            )
+
+        return StepRoom(
+            workers=len(candidates),
+            fit_total=count(worker.report.resources for worker in candidates),
+            fit_free=count(
+                self.free[worker.minion_id] for worker in candidates
+            ),
+            fit_unreserved=count(
+                self.available(worker, demand) for worker in candidates
+            ),
+            oldest_report_ms=max(
+                (self.now_ms - worker.reported_ms for worker in candidates),
+                default=0,
+            ),
+        )
+
     def allocate(self, worker: Worker, needs: Resources) -> None:
         """Take resources of a worker for a run."""
         self.free[worker.minion_id] -= needs
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
 from dragonflynotch.workflows.allocations import estimated_core_seconds
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
@@ -17,20 +16,17 @@
 )
 from dragonflynotch.workflows.preemption import PreemptionLimits, choose_victims
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
-from dragonflynotch.workflows.ranking import Urgency, compute_urgency
+from dragonflynotch.workflows.ranking import compute_urgency
 from dragonflynotch.workflows.records import JobState, Order
 from dragonflynotch.workflows.reservations import plan_reservations
 from dragonflynotch.workflows.run_tracker import RunTracker
+from dragonflynotch.workflows.wait_log import WaitingStep, WaitLog
 from dragonflynotch.workflows.workers import Allocation, Worker
 
-__all__ = ('Placer', 'WaitingStep')
+__all__ = ('Placer',)
 
 # Most steps per round that reserve resources because they cannot start yet.
 _MAX_RESERVING_STEPS = 3
-# Minimum time between two log entries about the same waiting step.
-_WAIT_LOG_INTERVAL_MS = 5000
-# All times of such entries are deleted when there are more than this.
-_MAX_WAIT_LOG_ENTRIES = 10_000
 # Store calls between the decision to start a run and its start.
 _STORE_CALLS_BEFORE_START = 3
 # How long guaranteed work waits for its data rack, or for one rack for a gang.
@@ -39,15 +35,6 @@
 Allocations = Mapping[str, Sequence[Allocation]]
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingStep:
-    """A step that is due and whose dependencies are done."""
-
-    urgency: Urgency
-    job: Job
-    step: Step
-
-
 class Placer:
     """Orders runs for waiting tasks.
 
@@ -73,8 +60,7 @@
         self._decision_log = decision_log
         self._start_timeout_ms = start_timeout_ms
         self._start_by_ms = 0
-        # Store time of the last log entry about a waiting step.
-        self._wait_logged_ms: dict[Urgency, int] = {}
+        self._wait_log = WaitLog(decision_log)
 
     def place(
         self,
@@ -100,7 +86,7 @@
             demand = self._demand(pool, waiting)
             if self._place_step(pool, demand, waiting.job):
                 continue
-            self._log_waiting(pool, waiting)
+            self._wait_log.record(pool, waiting, demand)
             self._preempt(pool, waiting, demand, allocations)
             if reserving_steps < _MAX_RESERVING_STEPS:
                 reserving_steps += 1
@@ -162,30 +148,6 @@
             may_span_racks=has_waited or not fits_one_rack(pool, step, service),
         )
 
-    def _log_waiting(self, pool: WorkerPool, waiting: WaitingStep) -> None:
-        urgency = waiting.urgency
-        logged_ms = self._wait_logged_ms.get(urgency)
-        if (
-            logged_ms is not None
-            and pool.now_ms - logged_ms < _WAIT_LOG_INTERVAL_MS
-        ):
-            return
-        if len(self._wait_logged_ms) > _MAX_WAIT_LOG_ENTRIES:
-            self._wait_logged_ms.clear()
-        self._wait_logged_ms[urgency] = pool.now_ms
-        spec = waiting.step.spec
-        self._decision_log.record(
-            'step_waits',
-            job=urgency.job_id,
-            step=urgency.step,
-            tier=urgency.tier,
-            tasks=len(waiting.step.waiting_tasks),
-            needs=(spec.millicores, spec.memory_mb, spec.accelerators),
-            workers=len(pool.workers),
-            waited_ms=pool.now_ms - waiting.job.spec.accepted_ms,
-            last_start_in_ms=urgency.last_start_ms - pool.now_ms,
-        )
-
     def _place_step(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
         if demand.step.spec.is_gang:
             return self._place_gang(pool, demand, job)
@@ -248,6 +210,9 @@
             minion=worker.minion_id,
             report_age_ms=pool.now_ms - worker.reported_ms,
             waited_ms=pool.now_ms - job.spec.accepted_ms,
+            task_failures=task.failures,
+            worker_failed_jobs=pool.failed_job_counts.get(worker.minion_id, 0),
+            is_avoided_worker=worker.minion_id in task.avoided_minions,
         )
 
     def _preempt(
--- a/dragonflynotch/workflows/run_tracker.py
+++ b/dragonflynotch/workflows/run_tracker.py
@@ -137,6 +137,7 @@
         if task.active is None or task.active.run != end.run:
             return
         was_done = task.is_done
+        ordered_ms = task.active.ordered_ms
         job.apply_end(step, task, end.kind, end.checkpoint)
         self._jobs.mark_changed(job)
         self._decision_log.record(
@@ -147,10 +148,22 @@
             minion=minion_id,
         )
         if end.kind is EndKind.done:
-            self._worker_health.record_success(minion_id, now_ms)
+            self._record_run_success(minion_id, ordered_ms, now_ms)
         elif end.kind is EndKind.failed and not was_done:
             self.record_run_failure(task, minion_id, now_ms)
 
+    def _record_run_success(
+        self, minion_id: str, ordered_ms: int, now_ms: int
+    ) -> None:
+        cleared = self._worker_health.record_success(minion_id, now_ms)
+        if cleared:
+            self._decision_log.record(
+                'worker_failures_cleared',
+                minion=minion_id,
+                failed_jobs=cleared,
+                run_age_ms=now_ms - ordered_ms,
+            )
+
     def record_run_failure(
         self, task: Task, minion_id: str, now_ms: int
     ) -> None:
@@ -161,7 +174,11 @@
         task.avoided_minions.add(minion_id)
         job_id = task.task_id.job_id
         if self._worker_health.record_failure(minion_id, job_id, now_ms):
-            self._decision_log.record('worker_excluded', minion=minion_id)
+            self._decision_log.record(
+                'worker_excluded',
+                minion=minion_id,
+                failed_jobs=self._worker_health.failed_job_count(minion_id),
+            )
 
     def _apply_rejection(self, minion_id: str, rejection: Rejection) -> None:
         key = (minion_id, rejection.task)
--- /dev/null
+++ b/dragonflynotch/workflows/wait_log.py
@@ -0,0 +1,64 @@
+"""Log entries about steps that wait, at most one per step and interval."""
+
+from dataclasses import dataclass
+
+from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
+from dragonflynotch.workflows.placement import Demand, WorkerPool
+from dragonflynotch.workflows.progress import Job, Step
+from dragonflynotch.workflows.ranking import Urgency
+
+__all__ = ('WaitLog', 'WaitingStep')
+
+# Minimum time between two log entries about the same waiting step.
+_LOG_INTERVAL_MS = 5000
+# All times of such entries are deleted when there are more than this.
+_MAX_LOGGED_STEPS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingStep:
+    """A step that is due and whose dependencies are done."""
+
+    urgency: Urgency
+    job: Job
+    step: Step
+
+
+class WaitLog:
+    """Records why steps wait, with the room that their workers have."""
+
+    def __init__(self, decision_log: DecisionLogBuffer) -> None:
+        """Create a log that adds its entries to ``decision_log``."""
+        self._decision_log = decision_log
+        # Store time of the last entry. A change of urgency is logged at once.
+        self._logged_ms: dict[Urgency, int] = {}
+
+    def record(
+        self, pool: WorkerPool, waiting: WaitingStep, demand: Demand
+    ) -> None:
+        """Record that a step waits, unless it was recorded recently."""
+        urgency = waiting.urgency
+        logged_ms = self._logged_ms.get(urgency)
+        if logged_ms is not None and pool.now_ms - logged_ms < _LOG_INTERVAL_MS:
+            return
+        if len(self._logged_ms) > _MAX_LOGGED_STEPS:
+            self._logged_ms.clear()
+        self._logged_ms[urgency] = pool.now_ms
+        spec = waiting.step.spec
+        room = pool.room_for(demand)
+        self._decision_log.record(
+            'step_waits',
+            job=urgency.job_id,
+            step=urgency.step,
+            tier=urgency.tier,
+            tasks=len(waiting.step.waiting_tasks),
+            needs=(spec.millicores, spec.memory_mb, spec.accelerators),
+            workers=len(pool.workers),
+            candidates=room.workers,
+            fit_total=room.fit_total,
+            fit_free=room.fit_free,
+            fit_unreserved=room.fit_unreserved,
+            oldest_report_ms=room.oldest_report_ms,
+            waited_ms=pool.now_ms - waiting.job.spec.accepted_ms,
+            last_start_in_ms=urgency.last_start_ms - pool.now_ms,
+        )
--- a/dragonflynotch/workflows/worker_health.py
+++ b/dragonflynotch/workflows/worker_health.py
@@ -38,13 +38,21 @@
         """Create an instance without any records."""
         self._records: dict[str, _WorkerRecord] = {}
 
-    def record_success(self, minion_id: str, now_ms: int) -> None:
-        """Record a completed run and end any exclusion of the worker."""
+    def record_success(self, minion_id: str, now_ms: int) -> int:
+        """Record a completed run and end any exclusion of the worker.
+
+        Returns
+        -------
+        int
+            Number of failed jobs that no longer count.
+        """
         record = self._records.setdefault(minion_id, _WorkerRecord())
+        cleared = len(record.failed_jobs)
         record.failed_jobs.clear()
         record.last_success_ms = now_ms
         record.exclusion_end_ms = 0
         record.exclusion_ms = _FIRST_EXCLUSION_MS
+        return cleared
 
     def record_failure(self, minion_id: str, job_id: str, now_ms: int) -> bool:
         """Record a failed or stalled run.
