--- /dev/null
+++ b/tests/workflows/test_retry_placement.py
@@ -0,0 +1,84 @@
+"""Choice of the worker for tasks that have failed."""
+
+import pytest
+
+from dragonflynotch.workflows.jobs import StepSpec
+from dragonflynotch.workflows.records import (
+    EndKind,
+    JobState,
+    ProgressRow,
+    decode_row,
+    encode_row,
+)
+from tests.workflows.site import Site
+
+SMALL_STEP = StepSpec(1, 1000, 1000, 1, 2000)
+WHOLE_WORKER_STEP = StepSpec(1, 1000, 1000, 8, 60_000)
+
+
+@pytest.fixture
+def site():
+    """Two workers, of which only m0 has room."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'normal', WHOLE_WORKER_STEP)
+    site.submit('y', 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    site.end('x.0.0.0' if site.minion_of('x.0.0.0') == 'm0' else 'y.0.0.0')
+    return site
+
+
+def running_on_m1(site):
+    return next(name for minion, name in site.orders if minion == 'm1')
+
+
+def test_attempts_are_not_spent_on_one_faulty_worker(site):
+    """A job must not fail because only the worker that failed it has room."""
+    site.submit('a')
+    site.decide()
+    assert site.minion_of('a.0.0.0') == 'm0'
+    site.end('a.0.0.0', EndKind.failed)
+    assert 'a.0.0.0' not in site.ordered_tasks()
+    assert site.progress['a'].state is JobState.running
+    site.end(running_on_m1(site))
+    assert site.minion_of('a.0.0.0') == 'm1'
+
+
+def test_success_of_an_older_run_does_not_hide_a_faulty_worker():
+    """Runs from before a worker became faulty must not clear its failures."""
+    site = Site()
+    site.submit('old', 'normal', SMALL_STEP)
+    site.decide()
+    faulty = site.minion_of('old.0.0.0')
+    for job in ('a', 'b'):
+        site.submit(job, 'normal', SMALL_STEP)
+    site.decide(advance_ms=100)
+    assert site.minion_of('b.0.0.0') == faulty
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('old.0.0.0')
+    site.end('b.0.0.0', EndKind.failed)
+    site.submit('c', 'normal', StepSpec(24, 1000, 1000, 1, 2000))
+    site.decide()
+    assert faulty not in {minion for minion, _ in site.orders}
+
+
+def test_takeover_remembers_which_worker_failed_a_task(site):
+    """A new holder must not spend the last attempt on the worker that failed."""
+    site.submit('a')
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    stored = decode_row(encode_row(site.progress['a']), ProgressRow)
+    successor = Site(racks=('r1', 'r1'))
+    successor.now_ms = site.now_ms
+    successor.submit('a')
+    successor.scheduler.restore_progress('a', stored)
+    successor.decide()
+    assert successor.minion_of('a.0.0.0') == 'm1'
+
+
+def test_task_returns_to_the_worker_that_failed_after_a_limited_time(site):
+    """A task must not wait without a bound for another worker."""
+    site.submit('a')
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    site.decide(advance_ms=16_000)
+    assert site.minion_of('a.0.0.0') == 'm0'
