Split the worker pool from the placement of tasks

Change: WorkerPool, Demand, Reservation and StepRoom are in workflows/worker_pool.py; placement keeps the choice of workers. No change of behaviour.

--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -8,8 +8,6 @@
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.order_registry import OrderRegistry
 from dragonflynotch.workflows.placement import (
-    Demand,
-    WorkerPool,
     fits_one_rack,
     place_gang,
     place_task,
@@ -21,6 +19,7 @@
 from dragonflynotch.workflows.reservations import plan_reservations
 from dragonflynotch.workflows.run_tracker import RunTracker
 from dragonflynotch.workflows.wait_log import WaitingStep, WaitLog
+from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.workers import Allocation, Worker
 
 __all__ = ('Placer',)
--- a/dragonflynotch/workflows/preemption.py
+++ b/dragonflynotch/workflows/preemption.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from dragonflynotch.workflows.placement import Demand, WorkerPool, fit_gang
+from dragonflynotch.workflows.placement import fit_gang
 from dragonflynotch.workflows.resources import Resources
+from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.workers import Allocation
 
 __all__ = ('PreemptionLimits', 'choose_victims')
--- a/dragonflynotch/workflows/reservations.py
+++ b/dragonflynotch/workflows/reservations.py
@@ -3,13 +3,13 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
-from dragonflynotch.workflows.placement import (
+from dragonflynotch.workflows.placement import fit_gang
+from dragonflynotch.workflows.resources import Resources
+from dragonflynotch.workflows.worker_pool import (
     Demand,
     Reservation,
     WorkerPool,
-    fit_gang,
 )
-from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.workers import Allocation
 
 __all__ = ('plan_reservations',)
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -16,12 +16,12 @@
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.order_registry import OrderKey, OrderRegistry
-from dragonflynotch.workflows.placement import WorkerPool
 from dragonflynotch.workflows.placer import Placer
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
 from dragonflynotch.workflows.run_tracker import RunTracker
 from dragonflynotch.workflows.supervision import Supervisor
 from dragonflynotch.workflows.worker_health import WorkerHealth
+from dragonflynotch.workflows.worker_pool import WorkerPool
 from dragonflynotch.workflows.workers import Worker
 
 __all__ = ('Decisions', 'Scheduler', 'SchedulerSettings')
--- /dev/null
+++ b/dragonflynotch/workflows/worker_pool.py
@@ -0,0 +1,160 @@
+"""Workers that may get new runs, and what steps may use of them."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from dragonflynotch.workflows.progress import Step
+from dragonflynotch.workflows.resources import Resources
+from dragonflynotch.workflows.workers import Worker
+
+__all__ = ('Demand', 'Reservation', 'StepRoom', 'WorkerPool')
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Resources reserved for a step that cannot start yet.
+
+    Parameters
+    ----------
+    start_ms : int
+        Expected start of the step. Until then, runs that end earlier may
+        use the resources.
+    resources : mapping
+        Reserved resources by minion.
+    """
+
+    start_ms: int
+    resources: Mapping[str, Resources]
+
+
+@dataclass(slots=True)
+class Demand:
+    """Placement requirements of a step.
+
+    Parameters
+    ----------
+    expected_ms : int
+        Estimated run time of a task.
+    may_leave_data_rack : bool
+        Whether the tasks may run on other racks than that of their data.
+    may_span_racks : bool
+        Whether the gang may be spread over racks.
+    """
+
+    step: Step
+    service: str
+    expected_ms: int
+    may_leave_data_rack: bool = False
+    may_span_racks: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StepRoom:
+    """How many tasks of a step fit on its candidate workers.
+
+    Parameters
+    ----------
+    workers : int
+        Number of candidates.
+    fit_total : int
+        Tasks that would fit if the candidates were empty.
+    fit_free : int
+        Tasks that fit into the free resources, reserved ones included.
+    fit_unreserved : int
+        Tasks that fit into the resources that the step may use.
+    oldest_report_ms : int
+        Age of the oldest report that this is based on.
+    """
+
+    workers: int
+    fit_total: int
+    fit_free: int
+    fit_unreserved: int
+    oldest_report_ms: int
+
+
+@dataclass(slots=True)
+class WorkerPool:
+    """Workers that may get new runs, with their free resources.
+
+    Built anew for each round of decisions and updated as tasks are placed.
+
+    Parameters
+    ----------
+    workers : dict
+        Workers by minion.
+    free : dict
+        Resources by minion that no order holds; reservations are not
+        subtracted. Also holds minions that are excluded from ``workers``.
+    now_ms : int
+        Store time of the round.
+    failed_job_counts : mapping
+        Recently failed jobs by minion; a lower count is preferred.
+    reservations : list of Reservation
+        Resources kept for steps that come earlier in the round.
+    """
+
+    workers: dict[str, Worker]
+    free: dict[str, Resources]
+    now_ms: int
+    failed_job_counts: Mapping[str, int] = field(default_factory=dict)
+    reservations: list[Reservation] = field(default_factory=list)
+
+    def candidates(self, demand: Demand) -> list[Worker]:
+        """Return the workers that the tasks of the step may run on."""
+        spec = demand.step.spec
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.report.service == demand.service
+            and (not spec.constraint or spec.constraint in worker.report.labels)
+            and (
+                not spec.data_rack
+                or demand.may_leave_data_rack
+                or worker.report.rack == spec.data_rack
+            )
+        ]
+
+    def available(self, worker: Worker, demand: Demand) -> Resources:
+        """Return the free resources of a worker without reserved ones.
+
+        A reservation counts if a task of the step, started now, would still
+        run when the reservation begins.
+        """
+        free = self.free[worker.minion_id]
+        end_ms = self.now_ms + demand.expected_ms
+        for reservation in self.reservations:
+            reserved = reservation.resources.get(worker.minion_id)
+            if reserved is not None and end_ms > reservation.start_ms:
+                free -= reserved
+        return free
+
+    def room_for(self, demand: Demand) -> StepRoom:
+        """Return how many tasks of the step fit on its candidates."""
+        spec = demand.step.spec
+        limit = spec.max_per_worker or len(demand.step.tasks)
+        candidates = self.candidates(demand)
+
+        def count(resources: Iterable[Resources]) -> int:
+            return sum(
+                min(limit, amount.fit_count(spec.needs)) for amount in resources
+            )
+
+        return StepRoom(
+            workers=len(candidates),
+            fit_total=count(worker.report.resources for worker in candidates),
+            fit_free=count(
+                self.free[worker.minion_id] for worker in candidates
+            ),
+            fit_unreserved=count(
+                self.available(worker, demand) for worker in candidates
+            ),
+            oldest_report_ms=max(
+                (self.now_ms - worker.reported_ms for worker in candidates),
+                default=0,
+            ),
+        )
+
+    def allocate(self, worker: Worker, needs: Resources) -> None:
+        """Take resources of a worker for a run."""
+        self.free[worker.minion_id] -= needs
--- a/tests/workflows/test_retry_placement.py
+++ b/tests/workflows/test_retry_placement.py
@@ -62,7 +62,7 @@
 
 
 def test_takeover_remembers_which_worker_failed_a_task(site):
-    """A new holder must not spend the last attempt on the worker that failed."""
+    """A new holder must not repeat a task on the worker that failed it."""
     site.submit('a')
     site.decide()
     site.end('a.0.0.0', EndKind.failed)
