Let a retry wait for another worker instead of the one that failed it

Cause: a worker on which a task had failed was only ranked last. A worker that fails all it starts is always free, so on a busy site it was the only one with room, and got every attempt of the task within 0.2 s. Change: a task avoids a worker for 15 s after a failure there (the window in which failures count), unless no other worker could run it even if empty. A gang avoids the workers of all its members. Long-running tasks, which have no limit of attempts, are not held. Reservations and preemption use the same candidates. The failures of a task are stored with its progress, so a takeover keeps them; earlier releases read the new rows and the other way round. Why it works: an attempt is only spent where there is evidence for a different outcome, and the wait is bounded.

--- a/dragonflynotch/workflows/placement.py
+++ b/dragonflynotch/workflows/placement.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import repeat
 
+from dragonflynotch.workflows.avoidance import avoided_by_task
 from dragonflynotch.workflows.progress import Step, Task
 from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
@@ -26,10 +27,12 @@
         Number of active tasks of the step by minion.
     """
     spec = demand.step.spec
+    avoided = avoided_by_task(pool, demand.step, demand.service, task)
     fitting = [
         (worker, pool.available(worker, demand))
         for worker in pool.candidates(demand)
-        if not (
+        if worker.minion_id not in avoided
+        and not (
             spec.max_per_worker
             and step_tasks_by_minion[worker.minion_id] >= spec.max_per_worker
         )
@@ -42,7 +45,7 @@
     worker, _ = min(
         fitting,
         key=lambda pair: (
-            pair[0].minion_id in task.avoided_minions,
+            pair[0].minion_id in task.failed_on,
             pool.failed_job_counts.get(pair[0].minion_id, 0),
             _leftover_share(pair[0], pair[1], spec.needs),
             pair[0].minion_id,
@@ -91,21 +94,21 @@
     """
     spec = demand.step.spec
     count = len(demand.step.tasks)
-    avoided_minions: set[str] = set()
+    failed_on: set[str] = set()
     for task in demand.step.tasks:
-        avoided_minions |= task.avoided_minions
+        failed_on |= task.failed_on.keys()
     workers = [pool.workers[minion_id] for minion_id in available]
     if spec.wants_one_rack:
         for rack in _racks_that_fit(workers, available, spec.needs, count):
             found = _assign_workers(
-                rack, available, demand, avoided_minions, pool.failed_job_counts
+                rack, available, demand, failed_on, pool.failed_job_counts
             )
             if found is not None:
                 return found
         if not demand.may_span_racks:
             return None
     return _assign_workers(
-        workers, available, demand, avoided_minions, pool.failed_job_counts
+        workers, available, demand, failed_on, pool.failed_job_counts
     )
 
 
@@ -133,7 +136,7 @@
     workers: Sequence[Worker],
     available: Mapping[str, Resources],
     demand: Demand,
-    avoided_minions: set[str],
+    failed_on: set[str],
     failed_job_counts: Mapping[str, int],
 ) -> list[Worker] | None:
     spec = demand.step.spec
@@ -141,7 +144,7 @@
     ordered = sorted(
         workers,
         key=lambda worker: (
-            worker.minion_id in avoided_minions,
+            worker.minion_id in failed_on,
             failed_job_counts.get(worker.minion_id, 0),
             _leftover_share(worker, available[worker.minion_id], spec.needs),
             worker.minion_id,
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 
 from dragonflynotch.workflows.allocations import estimated_core_seconds
+from dragonflynotch.workflows.avoidance import avoided_by_step
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.order_registry import OrderRegistry
@@ -145,6 +146,7 @@
             step.spec.estimated_ms,
             may_leave_data_rack=has_waited,
             may_span_racks=has_waited or not fits_one_rack(pool, step, service),
+            avoided_minions=avoided_by_step(pool, step, service),
         )
 
     def _place_step(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
@@ -211,7 +213,7 @@
             waited_ms=pool.now_ms - job.spec.accepted_ms,
             task_failures=task.failures,
             worker_failed_jobs=pool.failed_job_counts.get(worker.minion_id, 0),
-            is_avoided_worker=worker.minion_id in task.avoided_minions,
+            is_avoided_worker=worker.minion_id in task.failed_on,
         )
 
     def _preempt(
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -10,6 +10,7 @@
     ProgressRow,
     TaskRow,
 )
+from dragonflynotch.workflows.worker_health import FAILURE_WINDOW_MS
 
 __all__ = ('ActiveRun', 'Job', 'Step', 'Task')
 
@@ -55,9 +56,8 @@
     ----------
     failures : int
         Runs that ended as failed.
-    avoided_minions : set of str
-        Minions on which a run failed or stalled. They are used only if no
-        other worker fits.
+    failed_on : dict of str to int
+        Store time of the last failed or stalled run, by minion.
     """
 
     task_id: TaskId
@@ -66,13 +66,31 @@
     is_done: bool = False
     checkpoint: str = ''
     active: ActiveRun | None = None
-    avoided_minions: set[str] = field(default_factory=set)
+    failed_on: dict[str, int] = field(default_factory=dict)
 
     @property
     def is_waiting(self) -> bool:
         """Whether the task is not done and has no active run."""
         return not self.is_done and self.active is None
 
+    def record_failure(self, minion_id: str, now_ms: int) -> None:
+        """Record that a run failed or stalled on a minion."""
+        recent = self.recent_failures(now_ms)
+        self.failed_on = {
+            minion: at_ms
+            for minion, at_ms in self.failed_on.items()
+            if minion in recent
+        }
+        self.failed_on[minion_id] = now_ms
+
+    def recent_failures(self, now_ms: int) -> set[str]:
+        """Return the minions on which the task failed recently."""
+        return {
+            minion
+            for minion, at_ms in self.failed_on.items()
+            if now_ms - at_ms < FAILURE_WINDOW_MS
+        }
+
 
 @dataclass(slots=True)
 class Step:
@@ -183,6 +201,7 @@
             task.failures = stored.failures
             task.is_done = stored.is_done
             task.checkpoint = stored.checkpoint
+            task.failed_on = dict(stored.failed_on)
 
     def progress_row(self) -> ProgressRow:
         """Return the progress to store."""
@@ -195,6 +214,7 @@
                     task.failures,
                     task.is_done,
                     task.checkpoint,
+                    task.failed_on,
                 )
                 for task in self.tasks()
                 if task.run
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -69,6 +69,8 @@
         Whether a run completed.
     checkpoint : str
         Last checkpoint, or ``''``.
+    failed_on : dict of str to int
+        Store time of the last failed or stalled run, by minion.
     """
 
     name: str
@@ -76,6 +78,7 @@
     failures: int
     is_done: bool
     checkpoint: str = ''
+    failed_on: dict[str, int] = {}
 
 
 class ProgressRow(msgspec.Struct, omit_defaults=True):
--- a/dragonflynotch/workflows/run_tracker.py
+++ b/dragonflynotch/workflows/run_tracker.py
@@ -169,9 +169,9 @@
     ) -> None:
         """Record a failed or stalled run of a task on a worker.
 
-        Further runs of the task avoid the worker where possible.
+        Further runs of the task avoid the worker for some time.
         """
-        task.avoided_minions.add(minion_id)
+        task.record_failure(minion_id, now_ms)
         job_id = task.task_id.job_id
         if self._worker_health.record_failure(minion_id, job_id, now_ms):
             self._decision_log.record(
--- a/dragonflynotch/workflows/wait_log.py
+++ b/dragonflynotch/workflows/wait_log.py
@@ -55,6 +55,7 @@
             needs=(spec.millicores, spec.memory_mb, spec.accelerators),
             workers=len(pool.workers),
             candidates=room.workers,
+            avoided=sorted(demand.avoided_minions),
             fit_total=room.fit_total,
             fit_free=room.fit_free,
             fit_unreserved=room.fit_unreserved,
--- a/dragonflynotch/workflows/worker_health.py
+++ b/dragonflynotch/workflows/worker_health.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ('WorkerHealth',)
+__all__ = ('FAILURE_WINDOW_MS', 'WorkerHealth')
 
 # A worker is excluded once this many distinct jobs have failed on it without a
 # success in between.
 _MIN_FAILED_JOBS = 2
-# Failures that are this long ago or longer are not counted.
-_FAILURE_WINDOW_MS = 15_000
+# Failures that are this long ago or longer do not count against a worker.
+FAILURE_WINDOW_MS = 15_000
 _FIRST_EXCLUSION_MS = 6_000
 _MAX_EXCLUSION_MS = 60_000
 # Largest share of the usable workers that may be excluded at a time.
@@ -66,7 +66,7 @@
         record.failed_jobs = {
             job: at_ms
             for job, at_ms in record.failed_jobs.items()
-            if now_ms - at_ms < _FAILURE_WINDOW_MS
+            if now_ms - at_ms < FAILURE_WINDOW_MS
         }
         record.failed_jobs[job_id] = now_ms
         if len(record.failed_jobs) < _MIN_FAILED_JOBS:
--- a/dragonflynotch/workflows/worker_pool.py
+++ b/dragonflynotch/workflows/worker_pool.py
@@ -39,6 +39,8 @@
         Whether the tasks may run on other racks than that of their data.
     may_span_racks : bool
         Whether the gang may be spread over racks.
+    avoided_minions : frozenset of str
+        Minions that no waiting task of the step may use for now.
     """
 
     step: Step
@@ -46,6 +48,7 @@
     expected_ms: int
     may_leave_data_rack: bool = False
     may_span_racks: bool = False
+    avoided_minions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,7 @@
             worker
             for worker in self.workers.values()
             if worker.report.service == demand.service
+            and worker.minion_id not in demand.avoided_minions
             and (not spec.constraint or spec.constraint in worker.report.labels)
             and (
                 not spec.data_rack
--- a/tests/workflows/test_retry_placement.py
+++ b/tests/workflows/test_retry_placement.py
@@ -82,3 +82,47 @@
     site.end('a.0.0.0', EndKind.failed)
     site.decide(advance_ms=16_000)
     assert site.minion_of('a.0.0.0') == 'm0'
+
+
+def test_only_worker_that_can_run_a_task_is_not_avoided(site):
+    """A retry must not wait for workers on which it could never run."""
+    step = StepSpec(1, 1000, 1000, 1, 2000, constraint='r9')
+    site.incarnations['n2'] = ('m2', 'r9', 8)
+    site.report_all()
+    site.submit('a', 'normal', step)
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    assert site.minion_of('a.0.0.0') == 'm2'
+
+
+def test_gang_is_not_started_on_the_worker_that_failed_it():
+    """A gang must not spend its attempts on one faulty member."""
+    site = Site(racks=('r1', 'r1', 'r1'))
+    site.submit('x', 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    site.submit('g', 'normal', StepSpec(2, 1000, 1000, 8, 2000, is_gang=True))
+    site.decide()
+    faulty = site.minion_of('g.0.0.0')
+    site.end('g.0.0.0', EndKind.failed)
+    site.end('g.0.0.1', EndKind.broken)
+    assert site.ordered_tasks() == ['x.0.0.0']
+    site.end('x.0.0.0')
+    assert site.ordered_tasks() == ['g.0.0.0', 'g.0.0.1']
+    assert faulty not in {minion for minion, _ in site.orders}
+
+
+def test_long_running_task_does_not_wait_for_another_worker(site):
+    """A task without a limit of attempts must start again at once."""
+    step = StepSpec(1, 1000, 1000, 1, 2000, is_long_running=True)
+    site.submit('a', 'normal', step)
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    assert site.minion_of('a.0.0.0') == 'm0'
+
+
+def test_progress_stored_by_an_earlier_release_is_readable():
+    """A takeover from a holder of an earlier release must keep all jobs."""
+    row = decode_row(
+        b'{"state":"running","tasks":[["0.0.0",1,1,false,""]]}', ProgressRow
+    )
+    assert row.tasks[0].failed_on == {}
