Clear failures of a worker only by runs that began after them

Cause: any success cleared all failures of the worker and ended its exclusion. Change: a success clears the failures from before the run was ordered; later ones, and the exclusion, stay. Why it works: only a run that began after a failure shows that the worker is sound again.

--- a/dragonflynotch/workflows/run_tracker.py
+++ b/dragonflynotch/workflows/run_tracker.py
@@ -155,7 +155,7 @@
     def _record_run_success(
         self, minion_id: str, ordered_ms: int, now_ms: int
     ) -> None:
-        cleared = self._worker_health.record_success(minion_id, now_ms)
+        cleared = self._worker_health.record_success(minion_id, ordered_ms)
         if cleared:
             self._decision_log.record(
                 'worker_failures_cleared',
@@ -177,7 +177,9 @@
             self._decision_log.record(
                 'worker_excluded',
                 minion=minion_id,
-                failed_jobs=self._worker_health.failed_job_count(minion_id),
+                failed_jobs=self._worker_health.failed_job_count(
+                    minion_id, now_ms
+                ),
             )
 
     def _apply_rejection(self, minion_id: str, rejection: Rejection) -> None:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -221,7 +221,9 @@
             free,
             now_ms,
             {
-                minion_id: self._worker_health.failed_job_count(minion_id)
+                minion_id: self._worker_health.failed_job_count(
+                    minion_id, now_ms
+                )
                 for minion_id in workers
             },
         )
--- a/dragonflynotch/workflows/worker_health.py
+++ b/dragonflynotch/workflows/worker_health.py
@@ -22,7 +22,14 @@
     exclusion_end_ms: int = 0
     # Length of the next exclusion.
     exclusion_ms: int = _FIRST_EXCLUSION_MS
-    last_success_ms: int = 0
+
+    def recent_failures(self, now_ms: int) -> dict[str, int]:
+        """Return the failures within the window."""
+        return {
+            job: at_ms
+            for job, at_ms in self.failed_jobs.items()
+            if now_ms - at_ms < FAILURE_WINDOW_MS
+        }
 
 
 class WorkerHealth:
@@ -38,8 +45,17 @@
         """Create an instance without any records."""
         self._records: dict[str, _WorkerRecord] = {}
 
-    def record_success(self, minion_id: str, now_ms: int) -> int:
-        """Record a completed run and end any exclusion of the worker.
+    def record_success(self, minion_id: str, started_ms: int) -> int:
+        """Record a completed run.
+
+        Clears the failures from before the start of the run. Later failures
+        and the exclusion that results from them remain: a worker that became
+        faulty still completes the runs that it started before.
+
+        Parameters
+        ----------
+        started_ms : int
+            Store time at which the run was ordered.
 
         Returns
         -------
@@ -47,11 +63,16 @@
             Number of failed jobs that no longer count.
         """
         record = self._records.setdefault(minion_id, _WorkerRecord())
-        cleared = len(record.failed_jobs)
-        record.failed_jobs.clear()
-        record.last_success_ms = now_ms
-        record.exclusion_end_ms = 0
-        record.exclusion_ms = _FIRST_EXCLUSION_MS
+        remaining = {
+            job: at_ms
+            for job, at_ms in record.failed_jobs.items()
+            if at_ms > started_ms
+        }
+        cleared = len(record.failed_jobs) - len(remaining)
+        record.failed_jobs = remaining
+        if not remaining:
+            record.exclusion_end_ms = 0
+            record.exclusion_ms = _FIRST_EXCLUSION_MS
         return cleared
 
     def record_failure(self, minion_id: str, job_id: str, now_ms: int) -> bool:
@@ -63,11 +84,7 @@
             Whether this failure starts an exclusion of the worker.
         """
         record = self._records.setdefault(minion_id, _WorkerRecord())
-        record.failed_jobs = {
-            job: at_ms
-            for job, at_ms in record.failed_jobs.items()
-            if now_ms - at_ms < FAILURE_WINDOW_MS
-        }
+        record.failed_jobs = record.recent_failures(now_ms)
         record.failed_jobs[job_id] = now_ms
         if len(record.failed_jobs) < _MIN_FAILED_JOBS:
             return False
@@ -76,10 +93,10 @@
         record.exclusion_ms = min(record.exclusion_ms * 2, _MAX_EXCLUSION_MS)
         return is_new
 
-    def failed_job_count(self, minion_id: str) -> int:
-        """Return how many distinct jobs failed since the last success."""
+    def failed_job_count(self, minion_id: str, now_ms: int) -> int:
+        """Return how many distinct jobs failed recently without a success."""
         record = self._records.get(minion_id)
-        return len(record.failed_jobs) if record else 0
+        return len(record.recent_failures(now_ms)) if record else 0
 
     def excluded(self, minion_ids: list[str], now_ms: int) -> set[str]:
         """Return the workers to exclude, at most about a third of those given.
