Let only later gangs clear the failures of a worker in the partition

Change: FailureHistory keeps the time of each failure and drops those from before the start of the gang; readmission drops all. Ruled out: OutlierEjector. Result: test_success_of_an_older_gang_does_not_hide_a_bad_worker failed before (no quarantine after three failed jobs) and passes; tests/core pass.

--- a/dragonflynotch/core/failure_tracker.py
+++ b/dragonflynotch/core/failure_tracker.py
@@ -56,7 +56,7 @@
             return
         job = self._record_failure(gang, worker_id)
         cause = self._failure_history.record_failure(
-            gang.job_id, worker_id, job.failed_workers
+            gang.job_id, worker_id, job.failed_workers, self._state.now
         )
         outcome = Outcome.requeue
         if cause is FailureCause.bad_job:
@@ -81,7 +81,7 @@
         self._fleet.start_cooldown(worker_id)
         if worker_id in self._state.inventory:
             cause = self._failure_history.record_failure(
-                gang.job_id, worker_id, ()
+                gang.job_id, worker_id, (), self._state.now
             )
             if cause is FailureCause.bad_worker:
                 self._quarantine(worker_id)
@@ -96,16 +96,16 @@
                 self.order_failed(gang, worker_id)
 
     def gang_ended(self, gang: Gang, _job: Job) -> None:
-        """Clear the failures on the workers of a gang that completed."""
-        if gang.is_complete:
+        """Clear earlier failures on the workers of a gang that completed."""
+        if gang.is_complete and gang.started_at is not None:
             for worker_id in gang.members:
-                self._failure_history.record_success(worker_id)
+                self._failure_history.record_success(worker_id, gang.started_at)
 
     def readmit(self, worker_id: str) -> None:
         """End the quarantine of a worker, so that it receives work again."""
         worker = self._state.inventory.find(worker_id)
         if worker is not None and worker.is_quarantined:
-            self._failure_history.record_success(worker_id)
+            self._failure_history.forget_worker(worker_id)
             self._state.emit(ReadmitWorker(worker_id))
             self._fleet.end_quarantine(worker)
 
--- a/dragonflynotch/core/quarantine.py
+++ b/dragonflynotch/core/quarantine.py
@@ -1,5 +1,6 @@
 """Detection of bad workers and bad jobs from failures."""
 
+from datetime import datetime
 from enum import Enum
 
 __all__ = ('FailureHistory', 'FailureCause')
@@ -32,10 +33,15 @@
         """Create an empty record."""
         self._jobs_needed = jobs_needed
         self._workers_needed = workers_needed
-        self._failed_jobs: dict[str, dict[str, None]] = {}
+        # Time of the last failure, by worker and job.
+        self._failed_jobs: dict[str, dict[str, datetime]] = {}
 
     def record_failure(
-        self, job_id: str, worker_id: str, failed_workers: tuple[str, ...]
+        self,
+        job_id: str,
+        worker_id: str,
+        failed_workers: tuple[str, ...],
+        now: datetime,
     ) -> FailureCause:
         """Record a failure and return its presumed cause.
 
@@ -47,12 +53,14 @@
             Worker on which the member failed.
         failed_workers : tuple of str
             All distinct workers on which the job failed, this one included.
+        now : datetime
+            Time of the failure.
         """
         if len(failed_workers) >= self._workers_needed:
             self._drop_failures(job_id, failed_workers)
             return FailureCause.bad_job
         jobs = self._failed_jobs.setdefault(worker_id, {})
-        jobs[job_id] = None
+        jobs[job_id] = now
         if len(jobs) >= self._jobs_needed:
             return FailureCause.bad_worker
         return FailureCause.none
@@ -61,8 +69,26 @@
         """Return the jobs whose failures are counted for a worker."""
         return tuple(self._failed_jobs.get(worker_id, ()))
 
-    def record_success(self, worker_id: str) -> None:
-        """Drop the failures on a worker after a member succeeded there."""
+    def record_success(self, worker_id: str, started_at: datetime) -> None:
+        """Drop the failures on a worker from before a run that succeeded.
+
+        Later failures remain: a worker that became faulty may still complete
+        the runs that it started before.
+        """
+        remaining = {
+            job_id: failed_at
+            for job_id, failed_at in self._failed_jobs.get(
+                worker_id, {}
+            ).items()
+            if failed_at > started_at
+        }
+        if remaining:
+            self._failed_jobs[worker_id] = remaining
+        else:
+            self.forget_worker(worker_id)
+
+    def forget_worker(self, worker_id: str) -> None:
+        """Drop all failures on a worker."""
         self._failed_jobs.pop(worker_id, None)
 
     def _drop_failures(self, job_id: str, worker_ids: tuple[str, ...]) -> None:
--- a/tests/core/test_failure_tracker.py
+++ b/tests/core/test_failure_tracker.py
@@ -43,11 +43,11 @@
     return worker_id
 
 
-def fail_on(driver, worker_id, job_id, event=MemberFailed):
+def fail_on(driver, worker_id, job_id, event=MemberFailed, accelerators=8):
     """Submit jobs until one is placed on the worker, and let that one fail."""
-    driver.submit(job_id, 8, Proximity.worker)
+    driver.submit(job_id, accelerators, Proximity.worker)
     while driver.records[job_id].members[0].worker_id != worker_id:
-        driver.submit(f'{job_id}-other', 8, Proximity.worker)
+        driver.submit(f'{job_id}-other', accelerators, Proximity.worker)
         job_id = f'{job_id}-other'
     fail(driver, job_id, event)
     driver.finish(job_id)
@@ -68,6 +68,20 @@
     assert actions_of_type(driver, ReadmitWorker) == [ReadmitWorker('w0')]
 
 
+def test_success_of_an_older_gang_does_not_hide_a_bad_worker(driver):
+    """Guards against gangs from before a fault that clear its failures."""
+    driver.submit('old', 1, Proximity.worker)
+    worker_id = driver.records['old'].members[0].worker_id
+    for name in 'abc':
+        driver.advance(timedelta(seconds=6))
+        fail_on(driver, worker_id, name, accelerators=7)
+        if name == 'b':
+            driver.finish('old')
+    assert [
+        entry.worker_id for entry in actions_of_type(driver, QuarantineWorker)
+    ] == [worker_id]
+
+
 def test_failures_of_a_single_job_do_not_quarantine_its_worker():
     """Guards against quarantining healthy workers because of a bad job."""
     driver = Driver(WORKERS[:1])
