Log changes of readiness and how long a refused call was held

Change: readiness_changed, with the ages that decide it; call_refused has held_ms and deadline_ms. Refusals are a type of their own until they are logged and sent, in one place.

--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 import msgspec
@@ -33,6 +34,7 @@
 _RETRY_AFTER_HEADERS = {'Retry-After': '1'}
 # Most steps of a job that are logged.
 _MAX_LOGGED_STEPS = 8
+_MS_PER_S = 1000
 _OK = 200
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
@@ -43,6 +45,14 @@
 _GATEWAY_TIMEOUT = 504
 
 
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    """An error response and the reason for it."""
+
+    status: int
+    reason: str
+
+
 class JobApi:
     """Serves the requests of callers.
 
@@ -70,30 +80,29 @@
     async def __call__(self, call: HttpCall) -> Reply:
         """Return the response to a request."""
         started_s = time.monotonic()
-        reply = await self._dispatch(call)
-        self._metrics.count_call(
-            call.method, reply.status, time.monotonic() - started_s
+        outcome = await self._dispatch(call)
+        held_s = time.monotonic() - started_s
+        reply = (
+            _error_reply(call, outcome, held_s)
+            if isinstance(outcome, _Refusal)
+            else outcome
         )
+        self._metrics.count_call(call.method, reply.status, held_s)
         return reply
 
-    async def _dispatch(self, call: HttpCall) -> Reply:
+    async def _dispatch(self, call: HttpCall) -> Reply | _Refusal:
         deployment = self._deployment()
         if deployment is None:
-            return _error_reply(
-                call, _UNAVAILABLE, 'configuration not read yet'
-            )
+            return _Refusal(_UNAVAILABLE, 'configuration not read yet')
         host, _, _ = call.headers.get('host', '').partition(':')
         queue = deployment.queue_for(host.lower(), call.path)
         if queue is None:
-            return _error_reply(
-                call, _NOT_FOUND, 'no queue for this host and path'
-            )
+            return _Refusal(_NOT_FOUND, 'no queue for this host and path')
         workspace = deployment.workspace_by_key.get(
             call.headers.get(_CREDENTIAL_HEADER, '')
         )
         if workspace is None and not queue.is_public:
-            return _error_reply(
-                call,
+            return _Refusal(
                 _UNAUTHORIZED,
                 f'unknown credential at configuration {deployment.version}',
             )
@@ -101,8 +110,8 @@
         if not job_id:
             return await self._count_waiting(call, queue)
         if not is_job_id(job_id):
-            return _error_reply(
-                call, _NOT_FOUND, 'job identifier is not 16 hexadecimal digits'
+            return _Refusal(
+                _NOT_FOUND, 'job identifier is not 16 hexadecimal digits'
             )
         match call.method:
             case 'POST':
@@ -112,16 +121,14 @@
             case 'DELETE':
                 return await self._cancel(call, job_id)
             case _:
-                return _error_reply(
-                    call, _METHOD_NOT_ALLOWED, 'method not allowed'
-                )
+                return _Refusal(_METHOD_NOT_ALLOWED, 'method not allowed')
 
     async def _submit(
         self, call: HttpCall, queue: Queue, workspace: str, job_id: str
-    ) -> Reply:
+    ) -> Reply | _Refusal:
         spec = decode_job(call.body, queue, workspace)
         if spec is None:
-            return _error_reply(call, _BAD_REQUEST, 'body is not a valid job')
+            return _Refusal(_BAD_REQUEST, 'body is not a valid job')
         outcome = await self._submissions.submit(
             job_id, spec, _remaining_time(call)
         )
@@ -136,37 +143,41 @@
                 )
                 return Reply(_OK, b'{}', _JSON_HEADERS)
             case NotAccepted(reason=reason):
-                return _error_reply(call, _UNAVAILABLE, reason)
+                return _Refusal(_UNAVAILABLE, reason)
             case Unknown(reason=reason):
-                return _error_reply(call, _GATEWAY_TIMEOUT, reason)
+                return _Refusal(_GATEWAY_TIMEOUT, reason)
 
-    async def _read_state(self, call: HttpCall, job_id: str) -> Reply:
+    async def _read_state(
+        self, call: HttpCall, job_id: str
+    ) -> Reply | _Refusal:
         state = await self._submissions.state(job_id)
         if isinstance(state, NotFound):
-            return _error_reply(call, _GONE, 'no such job')
+            return _Refusal(_GONE, 'no such job')
         if isinstance(state, Unavailable):
-            return _error_reply(call, _UNAVAILABLE, state.reason)
+            return _Refusal(_UNAVAILABLE, state.reason)
         return Reply(
             _OK, msgspec.json.encode({'state': state.value}), _JSON_HEADERS
         )
 
-    async def _cancel(self, call: HttpCall, job_id: str) -> Reply:
+    async def _cancel(self, call: HttpCall, job_id: str) -> Reply | _Refusal:
         outcome = await self._submissions.cancel(job_id, _remaining_time(call))
         match outcome:
             case Accepted():
                 decision_log.record('cancel_accepted', job=job_id)
                 return Reply(_OK, b'{}', _JSON_HEADERS)
             case NotFound():
-                return _error_reply(call, _GONE, 'no such job')
+                return _Refusal(_GONE, 'no such job')
             case NotAccepted(reason=reason):
-                return _error_reply(call, _UNAVAILABLE, reason)
+                return _Refusal(_UNAVAILABLE, reason)
             case Unknown(reason=reason):
-                return _error_reply(call, _GATEWAY_TIMEOUT, reason)
+                return _Refusal(_GATEWAY_TIMEOUT, reason)
 
-    async def _count_waiting(self, call: HttpCall, queue: Queue) -> Reply:
+    async def _count_waiting(
+        self, call: HttpCall, queue: Queue
+    ) -> Reply | _Refusal:
         waiting = await self._submissions.waiting_jobs(queue.name)
         if isinstance(waiting, Unavailable):
-            return _error_reply(call, _UNAVAILABLE, waiting.reason)
+            return _Refusal(_UNAVAILABLE, waiting.reason)
         return Reply(
             _OK, msgspec.json.encode({'pending_count': waiting}), _JSON_HEADERS
         )
@@ -190,15 +201,17 @@
     return max(timedelta(), limit - _RESPONSE_MARGIN)
 
 
-def _error_reply(call: HttpCall, status: int, reason: str) -> Reply:
+def _error_reply(call: HttpCall, refusal: _Refusal, held_s: float) -> Reply:
     decision_log.record(
         'call_refused',
         method=call.method,
         path=call.path,
-        status=status,
-        reason=reason,
+        status=refusal.status,
+        reason=refusal.reason,
+        held_ms=round(held_s * _MS_PER_S),
+        deadline_ms=call.headers.get(_DEADLINE_HEADER, ''),
     )
     headers = dict(_JSON_HEADERS)
-    if status == _UNAVAILABLE:
+    if refusal.status == _UNAVAILABLE:
         headers.update(_RETRY_AFTER_HEADERS)
-    return Reply(status, b'{}', headers)
+    return Reply(refusal.status, b'{}', headers)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -80,6 +80,7 @@
         )
         api = JobApi(submissions, self._deployment, self._metrics)
         self._is_stopping = False
+        self._is_ready = False
         self._servers = [
             HttpServer(address, handler)
             for address, handler in (
@@ -123,6 +124,15 @@
             and self._configuration.deployment is not None
             and self._configuration.age_ms < _MAX_CONFIGURATION_AGE_MS
         )
+        if is_ready != self._is_ready:
+            self._is_ready = is_ready
+            decision_log.record(
+                'readiness_changed',
+                is_ready=is_ready,
+                is_stopping=self._is_stopping,
+                configuration_age_ms=self._configuration.age_ms,
+                store_age_ms=self._store.store_clock.age_ms,
+            )
         return Reply(_OK if is_ready else _UNAVAILABLE)
 
     def _gauges(self) -> dict[str, float]:
