--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -87,6 +87,26 @@
     assert not store.apply_deferred_commits()
 
 
+async def test_uncertain_call_is_returned_while_the_store_is_unreachable(
+    submissions, store, clock
+):
+    """An entry without the store must not use up the caller's time.
+
+    Another entry may reach the store, and settles the outcome by the same
+    identifier.
+    """
+    store.fault = StoreFault.late
+    submission = asyncio.create_task(
+        submissions.submit('a', SPEC, timedelta(seconds=3))
+    )
+    await asyncio.sleep(0.05)
+    store.fault = StoreFault.down
+    await asyncio.sleep(0.2)
+    clock.advance(600)
+    async with asyncio.timeout(1):
+        assert isinstance(await submission, Unknown)
+
+
 async def test_next_attempt_resolves_a_lost_response(submissions, store):
     """The caller learns within its deadline that the job is stored."""
     store.fault = StoreFault.lose_answers
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -76,7 +76,12 @@
 
     async def call(self, name, method, path, body=b'', headers=(HOST, KEY)):
         """Return the status and the decoded body of the response."""
-        reply = await exchange(
+        reply = await self.exchange(name, method, path, body, headers)
+        return reply.status, msgspec.json.decode(reply.body or b'{}')
+
+    async def exchange(self, name, method, path, body=b'', headers=(HOST, KEY)):
+        """Return the response to a caller's request."""
+        return await exchange(
             self.caller_addresses[name],
             method,
             path,
@@ -86,7 +91,6 @@
             max_body_bytes=65_536,
             host=dict(headers).get('Host'),
         )
-        return reply.status, msgspec.json.decode(reply.body or b'{}')
 
     async def submit(self, name, job_id, count=1):
         job = {
@@ -109,6 +113,10 @@
                 await asyncio.sleep(0.05)
 
     async def wait_until_ready(self, name, timeout_s=15):
+        await self.wait_for_readiness(name, 200, timeout_s)
+
+    async def wait_for_readiness(self, name, status, timeout_s):
+        """Wait until the readiness check answers with a status."""
         async with asyncio.timeout(timeout_s):
             while True:
                 try:
@@ -121,7 +129,7 @@
                     )
                 except DragonflynotchError:
                     reply = None
-                if reply is not None and reply.status == 200:
+                if reply is not None and reply.status == status:
                     return
                 await asyncio.sleep(0.05)
 
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -80,6 +80,23 @@
     assert (await programs.call('front-2', 'GET', f'/queue/{JOB_ID}'))[0] == 410
 
 
+async def test_front_without_the_store_gives_up_its_callers(programs):
+    """Guards against callers that stay with a front that has lost the store.
+
+    The front must leave the rotation and close the connections of its callers
+    soon, and be back once the store responds.
+    """
+    programs.site.store.fault = StoreFault.down
+    await programs.wait_for_readiness('front-1', 503, timeout_s=1.2)
+    reply = await programs.exchange('front-1', 'GET', f'/queue/{JOB_ID}')
+    assert reply.status == 503
+    assert reply.headers.get('connection') == 'close'
+    programs.site.store.fault = StoreFault.none
+    await programs.wait_for_readiness('front-1', 200, timeout_s=2)
+    reply = await programs.exchange('front-1', 'GET', f'/queue/{JOB_ID}')
+    assert reply.headers.get('connection') != 'close'
+
+
 async def test_planned_stop_leaves_with_success(programs):
     """Guards against a front that the platform must kill after SIGTERM.
 
