Let a front that has lost the store give up its callers

Cause: the front judged its store by age alone. It stayed ready for 2.5 s, kept its callers' connections, and held a submission whose write had been reset until the caller's deadline, so that no time was left for another front. Change: StoreHealth counts calls that fail in a row. After two failures and 0.5 s without a response, the front is not ready, closes its callers' connections after each response, reads before it writes, and returns a submission with an unknown outcome after 0.7 s. A slow store, whose calls do not fail, changes nothing. Tried first: the unknown outcome returned at once, or after 0.3 s. Why it works: a caller's attempts now outlast the two checks of the balancer.

--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -20,6 +20,7 @@
     RowWrite,
     shard_of,
 )
+from dragonflynotch.control.store_health import StoreHealth
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
     UncertainWriteError,
@@ -50,6 +51,10 @@
 # Attempts that the store certainly refused are repeated for this long only,
 # because the store may refuse this entry while it serves others.
 _REFUSED_RETRY_PERIOD = timedelta(milliseconds=300)
+# While the store is unreachable, an unknown outcome is returned after this
+# time. Several such attempts fit into the deadline of a caller, and by the last
+# ones the load balancer has removed this entry.
+_SETTLE_PERIOD = timedelta(milliseconds=700)
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,14 +89,31 @@
 
 
 class SubmissionService:
-    """Serves callers from the row store, without the scheduler."""
+    """Serves callers from the row store, without the scheduler.
+
+    Parameters
+    ----------
+    store : RowStore
+        Store of the jobs.
+    store_clock : StoreClock
+        Bounds on the time of the store.
+    health : StoreHealth
+        Whether the store can be reached.
+    clock : SteadyClock
+        Measures how long calls take.
+    """
 
     def __init__(
-        self, store: RowStore, store_clock: StoreClock, clock: SteadyClock
+        self,
+        store: RowStore,
+        store_clock: StoreClock,
+        health: StoreHealth,
+        clock: SteadyClock,
     ) -> None:
         """Create a service for the jobs in ``store``."""
         self._store = store
         self._store_clock = store_clock
+        self._health = health
         self._clock = clock
 
     async def submit(
@@ -160,36 +182,15 @@
             return NotFound()
         return JobState.queued
 
-    async def _write_if_absent(
-        self, name: RowName, content: bytes
-    ) -> Committed | Conflict:
-        """Write a row if it is absent and the store responds.
-
-        After a write without a response the call can no longer be refused. So
-        if the store has been silent, it is read first: while it does not
-        respond nothing is written, and the caller gets a definite refusal.
-        """
-        if self._store_clock.age_ms > _MAX_STORE_SILENCE_MS:
-            await self._store.read_row(LEASE_NAME)
-        return await self._store.commit(
-            [RowWrite(name, content)], [(name, ABSENT)]
-        )
-
     async def _write_with_retries(
         self, name: RowName, content: bytes, limit: timedelta
     ) -> Accepted | NotAccepted | Unknown:
         started_ms = self._clock.now_ms()
-        limit_ms = limit.total_seconds() * 1000
         is_uncertain = False
         while True:
-            try:
-                outcome = await self._write_if_absent(name, content)
-            except PlatformUnavailableError as error:
-                reason = str(error)
-            except UncertainWriteError as error:
-                is_uncertain = True
-                reason = str(error)
-            else:
+            outcome = await self._try_write(name, content)
+            is_uncertain = is_uncertain or isinstance(outcome, Unknown)
+            if isinstance(outcome, Committed | Conflict):
                 decision_log.record(
                     'row_stored',
                     row=name.key,
@@ -197,15 +198,48 @@
                     was_uncertain=is_uncertain,
                 )
                 return Accepted()
-            elapsed_ms = self._clock.now_ms() - started_ms
-            if not is_uncertain and elapsed_ms > (
-                _REFUSED_RETRY_PERIOD.total_seconds() * 1000
-            ):
-                return NotAccepted(reason)
-            if elapsed_ms > limit_ms:
+            elapsed = timedelta(milliseconds=self._clock.now_ms() - started_ms)
+            if elapsed > limit or self._should_give_up(is_uncertain, elapsed):
+                reason = outcome.reason
                 return Unknown(reason) if is_uncertain else NotAccepted(reason)
             await asyncio.sleep(_RETRY_DELAY_S)
 
+    def _should_give_up(self, is_uncertain: bool, elapsed: timedelta) -> bool:
+        """Return whether the caller should rather ask another entry.
+
+        An unknown outcome is settled by the next write that the store answers.
+        While this entry has lost the store, that is sooner at another one.
+        """
+        if not is_uncertain:
+            return elapsed > _REFUSED_RETRY_PERIOD
+        return elapsed > _SETTLE_PERIOD and not self._health.is_reachable
+
+    async def _try_write(
+        self, name: RowName, content: bytes
+    ) -> Committed | Conflict | NotAccepted | Unknown:
+        try:
+            return await self._write_if_absent(name, content)
+        except PlatformUnavailableError as error:
+            return NotAccepted(str(error))
+        except UncertainWriteError as error:
+            return Unknown(str(error))
+
+    async def _write_if_absent(
+        self, name: RowName, content: bytes
+    ) -> Committed | Conflict:
+        """Write a row if it is absent and the store responds.
+
+        After a write without a response the call can no longer be refused. So
+        if the store has been silent, it is read first: while it does not
+        respond nothing is written, and the caller gets a definite refusal.
+        """
+        is_silent = self._store_clock.age_ms > _MAX_STORE_SILENCE_MS
+        if is_silent or not self._health.is_reachable:
+            await self._store.read_row(LEASE_NAME)
+        return await self._store.commit(
+            [RowWrite(name, content)], [(name, ABSENT)]
+        )
+
 
 def _submission_row(job_id: str, kind: str) -> RowName:
     return RowName(SUBMISSIONS.name, shard_of(job_id), f'{job_id}/{kind}')
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -2,11 +2,12 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import msgspec
 
+from dragonflynotch.control.store_health import StoreHealth
 from dragonflynotch.control.submissions import (
     Accepted,
     NotAccepted,
@@ -62,6 +63,8 @@
         Stores and reads jobs.
     deployment : callable
         Returns the current configuration, or ``None`` before it was read.
+    store_health : StoreHealth
+        Whether the store can be reached.
     metrics : JobMetrics
         Counts the calls and their durations.
     """
@@ -70,11 +73,13 @@
         self,
         submissions: SubmissionService,
         deployment: Callable[[], Deployment | None],
+        store_health: StoreHealth,
         metrics: JobMetrics,
     ) -> None:
         """Create the handler; it needs no start."""
         self._submissions = submissions
         self._deployment = deployment
+        self._store_health = store_health
         self._metrics = metrics
 
     async def __call__(self, call: HttpCall) -> Reply:
@@ -88,7 +93,10 @@
             else outcome
         )
         self._metrics.count_call(call.method, reply.status, held_s)
-        return reply
+        if self._store_health.is_reachable:
+            return reply
+        # A new connection lets the load balancer choose another entry.
+        return replace(reply, headers={**reply.headers, 'Connection': 'close'})
 
     async def _dispatch(self, call: HttpCall) -> Reply | _Refusal:
         deployment = self._deployment()
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -76,9 +76,11 @@
         )
         self._metrics = JobMetrics(settings.node, self._gauges)
         submissions = SubmissionService(
-            self._store, self._store.store_clock, clock
+            self._store, self._store.store_clock, self._store.health, clock
+        )
+        api = JobApi(
+            submissions, self._deployment, self._store.health, self._metrics
         )
-        api = JobApi(submissions, self._deployment, self._metrics)
         self._is_stopping = False
         self._is_ready = False
         self._servers = [
@@ -123,6 +125,7 @@
             not self._is_stopping
             and self._configuration.deployment is not None
             and self._configuration.age_ms < _MAX_CONFIGURATION_AGE_MS
+            and self._store.health.is_reachable
         )
         if is_ready != self._is_ready:
             self._is_ready = is_ready
@@ -132,6 +135,7 @@
                 is_stopping=self._is_stopping,
                 configuration_age_ms=self._configuration.age_ms,
                 store_age_ms=self._store.store_clock.age_ms,
+                is_store_reachable=self._store.health.is_reachable,
             )
         return Reply(_OK if is_ready else _UNAVAILABLE)
 
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -20,6 +20,7 @@
     RowWrite,
     Snapshot,
 )
+from dragonflynotch.control.store_health import StoreHealth
 from dragonflynotch.core.errors import (
     InvalidInputError,
     LinkError,
@@ -89,6 +90,8 @@
     ----------
     store_clock : StoreClock
         Bounds on the time of the store, from its responses.
+    health : StoreHealth
+        Whether the store can be reached, from the outcome of the requests.
     call_count : int
         Requests sent so far.
     """
@@ -98,6 +101,7 @@
         self._pool = HttpPool(address, max_idle=6)
         self._clock = clock
         self.store_clock = StoreClock(clock)
+        self.health = StoreHealth(clock)
         self.call_count = 0
 
     async def read(
@@ -162,11 +166,11 @@
                 timeout=_CALL_TIMEOUT,
             )
         except NotSentError as error:
-            raise _unavailable_error('commit', error) from error
+            raise self._unavailable('commit', error) from error
         except LinkError as error:
-            raise _uncertain_error(error) from error
+            raise self._uncertain(error) from error
         if reply.status in _UNAVAILABLE_STATUSES:
-            raise _unavailable_error('commit', reply.status)
+            raise self._unavailable('commit', reply.status)
         if reply.status in _INVALID_CALL_STATUSES:
             raise InvalidInputError(
                 'rows-tx',
@@ -174,10 +178,10 @@
                 'a valid transaction',
             )
         if reply.status not in {_OK, _PRECONDITION_FAILED}:
-            raise _uncertain_error(reply.status)
+            raise self._uncertain(reply.status)
         answer = self._decode(reply, sent_ms)
         if answer is None:
-            raise _uncertain_error('malformed response')
+            raise self._uncertain('malformed response')
         if reply.status == _OK:
             return Committed(answer.ver)
         return Conflict(
@@ -203,6 +207,7 @@
         target = f'/dragonflynotch/rows-feed?{urlencode(query)}'
         reply, sent_ms = await self._fetch(target, wait + _CALL_TIMEOUT)
         if reply.status == _GONE:
+            self.health.record_response()
             return HistoryLost()
         answer = self._decode_read(reply, sent_ms)
         return Changes(
@@ -231,15 +236,15 @@
         try:
             reply = await self._pool.exchange('GET', target, timeout=timeout)
         except LinkError as error:
-            raise _unavailable_error('read', error) from error
+            raise self._unavailable('read', error) from error
         return reply, sent_ms
 
     def _decode_read(self, reply: HttpReply, sent_ms: int) -> _WireAnswer:
         if reply.status != _OK:
-            raise _unavailable_error('read', reply.status)
+            raise self._unavailable('read', reply.status)
         answer = self._decode(reply, sent_ms)
         if answer is None:
-            raise _unavailable_error('read', 'malformed response')
+            raise self._unavailable('read', 'malformed response')
         return answer
 
     def _decode(self, reply: HttpReply, sent_ms: int) -> _WireAnswer | None:
@@ -247,10 +252,30 @@
             answer = msgspec.json.decode(reply.body, type=_WireAnswer)
         except msgspec.DecodeError:
             return None
+        self.health.record_response()
         if answer.now_ms:
             self.store_clock.observe(answer.now_ms, sent_ms)
         return answer
 
+    def _unavailable(
+        self, step: str, cause: object
+    ) -> PlatformUnavailableError:
+        """Record a call that had no effect, and return the error for it."""
+        self.health.record_failure()
+        return PlatformUnavailableError(
+            f'row store is unavailable: {cause}', step=step, peer=_PEER
+        )
+
+    def _uncertain(self, cause: object) -> UncertainWriteError:
+        """Record a call without a response, and return the error for it."""
+        self.health.record_failure()
+        return UncertainWriteError(
+            'the commit may or may not have taken effect; '
+            f'error or HTTP status: {cause}',
+            step='commit',
+            peer=_PEER,
+        )
+
 
 def _wire_row(
     name: RowName, value: str | None = None, ver: int | None = None
@@ -263,18 +288,3 @@
         return base64.b64decode(text or '', validate=True)
     except ValueError:
         return b''
-
-
-def _unavailable_error(step: str, cause: object) -> PlatformUnavailableError:
-    return PlatformUnavailableError(
-        f'row store is unavailable: {cause}', step=step, peer=_PEER
-    )
-
-
-def _uncertain_error(cause: object) -> UncertainWriteError:
-    return UncertainWriteError(
-        'the commit may or may not have taken effect; '
-        f'error or HTTP status: {cause}',
-        step='commit',
-        peer=_PEER,
-    )
--- a/dragonflynotch/testing/row_store.py
+++ b/dragonflynotch/testing/row_store.py
@@ -21,6 +21,7 @@
     RowWrite,
     Snapshot,
 )
+from dragonflynotch.control.store_health import StoreHealth
 from dragonflynotch.core.errors import (
     InvalidInputError,
     PlatformUnavailableError,
@@ -69,6 +70,7 @@
         """Create an empty store."""
         self.fault = StoreFault.none
         self.store_clock = StoreClock(clock)
+        self.health = StoreHealth(clock)
         self.call_count = 0
         self._clock = clock
         self._rows: dict[RowName, Row] = {}
@@ -113,9 +115,11 @@
             raise InvalidInputError('commit', parts, 'rows of one part')
         if self.fault in {StoreFault.late, StoreFault.silent}:
             self._deferred_commits.append((tuple(writes), tuple(conditions)))
+            self.health.record_failure()
             raise _uncertain_write_error()
         outcome = self._apply(writes, conditions)
         if self.fault is StoreFault.lose_answers:
+            self.health.record_failure()
             raise _uncertain_write_error()
         return outcome
 
@@ -202,9 +206,11 @@
         self.call_count += 1
         is_silent = self.fault is StoreFault.silent and step != 'commit'
         if self.fault is StoreFault.down or is_silent:
+            self.health.record_failure()
             raise PlatformUnavailableError(
                 'unavailable (injected fault)', step=step, peer=_PEER
             )
+        self.health.record_response()
         self.store_clock.observe(self._clock.now_ms(), self._clock.now_ms())
 
 
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -49,7 +49,7 @@
         self.store = MemoryRowStore(self.clock)
         self.log = RunLog()
         self.submissions = SubmissionService(
-            self.store, self.store.store_clock, self.clock
+            self.store, self.store.store_clock, self.store.health, self.clock
         )
         self.models = {}
         self.guards = {}
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -40,7 +40,9 @@
 
 @pytest.fixture
 def submissions(store):
-    return SubmissionService(store, store.store_clock, LoopClock())
+    return SubmissionService(
+        store, store.store_clock, store.health, LoopClock()
+    )
 
 
 async def test_repeated_submission_creates_one_job(submissions, store):
@@ -107,6 +109,20 @@
         assert isinstance(await submission, Unknown)
 
 
+async def test_entry_reads_an_unreachable_store_before_it_writes(
+    submissions, store, clock
+):
+    """A write that fails would leave the outcome unknown for nothing."""
+    await submissions.state('a')
+    store.fault = StoreFault.down
+    for _ in range(2):
+        assert isinstance(await submissions.state('a'), Unavailable)
+    clock.advance(600)
+    store.fault = StoreFault.silent
+    outcome = await submissions.submit('a', SPEC, timedelta(seconds=1))
+    assert isinstance(outcome, NotAccepted)
+
+
 async def test_next_attempt_resolves_a_lost_response(submissions, store):
     """The caller learns within its deadline that the job is stored."""
     store.fault = StoreFault.lose_answers
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -7,6 +7,7 @@
 
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.links.http11 import exchange
+from dragonflynotch.links.http_pool import HttpPool
 from dragonflynotch.testing.platform_site import PlatformSite
 from dragonflynotch.testing.ports import free_ports
 from dragonflynotch.testing.site_minion import SiteMinion
@@ -76,12 +77,7 @@
 
     async def call(self, name, method, path, body=b'', headers=(HOST, KEY)):
         """Return the status and the decoded body of the response."""
-        reply = await self.exchange(name, method, path, body, headers)
-        return reply.status, msgspec.json.decode(reply.body or b'{}')
-
-    async def exchange(self, name, method, path, body=b'', headers=(HOST, KEY)):
-        """Return the response to a caller's request."""
-        return await exchange(
+        reply = await exchange(
             self.caller_addresses[name],
             method,
             path,
@@ -91,6 +87,11 @@
             max_body_bytes=65_536,
             host=dict(headers).get('Host'),
         )
+        return reply.status, msgspec.json.decode(reply.body or b'{}')
+
+    def open_connection(self, name):
+        """Return a client that keeps its connection to a front open."""
+        return HttpPool(self.caller_addresses[name], host=HOST[1])
 
     async def submit(self, name, job_id, count=1):
         job = {
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dragonflynotch.testing.row_store import StoreFault
-from tests.platform.programs import HOST, KEY, PlatformPrograms
+from tests.platform.programs import CALL_TIMEOUT, HOST, KEY, PlatformPrograms
 
 JOB_ID = '0123456789abcdef'
 # Identifier of a job that is never submitted.
@@ -86,15 +86,24 @@
     The front must leave the rotation and close the connections of its callers
     soon, and be back once the store responds.
     """
+    connection = programs.open_connection('front-1')
     programs.site.store.fault = StoreFault.down
     await programs.wait_for_readiness('front-1', 503, timeout_s=1.2)
-    reply = await programs.exchange('front-1', 'GET', f'/queue/{JOB_ID}')
+    reply = await _read_job(connection)
     assert reply.status == 503
     assert reply.headers.get('connection') == 'close'
     programs.site.store.fault = StoreFault.none
     await programs.wait_for_readiness('front-1', 200, timeout_s=2)
-    reply = await programs.exchange('front-1', 'GET', f'/queue/{JOB_ID}')
-    assert reply.headers.get('connection') != 'close'
+    reply = await _read_job(connection)
+    assert reply.status == 410
+    assert 'connection' not in reply.headers
+    connection.close()
+
+
+async def _read_job(connection):
+    return await connection.exchange(
+        'GET', f'/queue/{JOB_ID}', headers=[KEY], timeout=CALL_TIMEOUT
+    )
 
 
 async def test_planned_stop_leaves_with_success(programs):
