Do not refuse a submission while its earlier write is unsettled

Cause: whether a write was uncertain was kept for one call only. While the store is unreachable, a repeated call gets 504 again. Not covered: another front that cannot reach the store either doesn't know of the write and refuses; only the caller knows of its own 504.

--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -21,6 +21,7 @@
     shard_of,
 )
 from dragonflynotch.control.store_health import StoreHealth
+from dragonflynotch.control.unsettled_writes import UnsettledWrites
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
     UncertainWriteError,
@@ -115,6 +116,7 @@
         self._store_clock = store_clock
         self._health = health
         self._clock = clock
+        self._unsettled_writes = UnsettledWrites(clock)
 
     async def submit(
         self, job_id: str, spec: JobSpec, limit: timedelta
@@ -122,7 +124,8 @@
         """Store a job once, also if the call is repeated.
 
         A write without a response may still be carried out, so the result is
-        ``NotAccepted`` only if every attempt was certainly refused.
+        ``NotAccepted`` only if every attempt of this entry, in this call and in
+        recent ones, was certainly refused.
 
         Parameters
         ----------
@@ -186,11 +189,11 @@
         self, name: RowName, content: bytes, limit: timedelta
     ) -> Accepted | NotAccepted | Unknown:
         started_ms = self._clock.now_ms()
-        is_uncertain = False
         while True:
             outcome = await self._try_write(name, content)
-            is_uncertain = is_uncertain or isinstance(outcome, Unknown)
+            is_uncertain = self._unsettled_writes.contains(name)
             if isinstance(outcome, Committed | Conflict):
+                self._unsettled_writes.remove(name)
                 decision_log.record(
                     'row_stored',
                     row=name.key,
@@ -222,6 +225,7 @@
         except PlatformUnavailableError as error:
             return NotAccepted(str(error))
         except UncertainWriteError as error:
+            self._unsettled_writes.add(name)
             return Unknown(str(error))
 
     async def _write_if_absent(
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -109,6 +109,21 @@
         assert isinstance(await submission, Unknown)
 
 
+async def test_repeated_call_is_not_refused_while_its_write_is_unsettled(
+    submissions, store, clock
+):
+    """A job whose first write is carried out late must not be refused."""
+    store.fault = StoreFault.late
+    assert isinstance(await submissions.submit('a', SPEC, LIMIT), Unknown)
+    store.fault = StoreFault.down
+    clock.advance(5000)
+    limit = timedelta(seconds=2)
+    assert isinstance(await submissions.submit('a', SPEC, limit), Unknown)
+    assert isinstance(await submissions.submit('b', SPEC, limit), NotAccepted)
+    store.fault = StoreFault.none
+    assert await submissions.submit('a', SPEC, limit) == Accepted()
+
+
 async def test_entry_reads_an_unreachable_store_before_it_writes(
     submissions, store, clock
 ):
