Count a failed run of a gang once across a takeover

Cause: which runs of a gang had been counted was not stored. After a takeover a second member's failure of the same run was counted again. Change: last_failed_run is stored with each task in place of the set in memory; runs of a gang follow one another, so the last one is enough. Rows of earlier releases are readable.

--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -58,6 +58,8 @@
         Runs that ended as failed.
     failed_on : dict of str to int
         Store time of the last failed or stalled run, by minion.
+    last_failed_run : int
+        Last run that was counted as a failure of the gang; 0 if there is none.
     """
 
     task_id: TaskId
@@ -67,6 +69,7 @@
     checkpoint: str = ''
     active: ActiveRun | None = None
     failed_on: dict[str, int] = field(default_factory=dict)
+    last_failed_run: int = 0
 
     @property
     def is_waiting(self) -> bool:
@@ -100,9 +103,6 @@
     number: int
     occurrence: int
     tasks: list[Task]
-    # Failed runs of a gang: a run counts as one failure, however many of its
-    # members fail.
-    failed_runs: set[int] = field(default_factory=set)
 
     @property
     def is_done(self) -> bool:
@@ -202,6 +202,7 @@
             task.is_done = stored.is_done
             task.checkpoint = stored.checkpoint
             task.failed_on = dict(stored.failed_on)
+            task.last_failed_run = stored.last_failed_run
 
     def progress_row(self) -> ProgressRow:
         """Return the progress to store."""
@@ -215,6 +216,7 @@
                     task.is_done,
                     task.checkpoint,
                     task.failed_on,
+                    task.last_failed_run,
                 )
                 for task in self.tasks()
                 if task.run
@@ -241,10 +243,11 @@
     def _count_failure(self, step: Step, task: Task, run: int) -> None:
         if not step.spec.is_gang:
             task.failures += 1
-        elif run not in step.failed_runs:
-            step.failed_runs.add(run)
+        # A run of a gang counts once, however many of its members fail.
+        elif run > task.last_failed_run:
             for member in step.tasks:
                 member.failures += 1
+                member.last_failed_run = run
 
     def save_checkpoint(self, step: Step, task: Task, checkpoint: str) -> None:
         """Save a checkpoint; one from any member is valid for its gang."""
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -71,6 +71,8 @@
         Last checkpoint, or ``''``.
     failed_on : dict of str to int
         Store time of the last failed or stalled run, by minion.
+    last_failed_run : int
+        Last run that was counted as a failure of the gang; 0 if there is none.
     """
 
     name: str
@@ -79,6 +81,7 @@
     is_done: bool
     checkpoint: str = ''
     failed_on: dict[str, int] = {}
+    last_failed_run: int = 0
 
 
 class ProgressRow(msgspec.Struct, omit_defaults=True):
--- a/tests/workflows/test_retry_placement.py
+++ b/tests/workflows/test_retry_placement.py
@@ -120,6 +120,26 @@
     assert site.minion_of('a.0.0.0') == 'm0'
 
 
+def test_gang_failure_counts_once_across_a_takeover():
+    """A job must not fail because a new holder counts one run twice."""
+    gang = StepSpec(2, 1000, 1000, 8, 2000, is_gang=True)
+    site = Site()
+    site.submit('g', 'normal', gang)
+    site.decide()
+    site.end('g.0.0.0', EndKind.failed)
+    successor = Site()
+    successor.now_ms = site.now_ms
+    successor.submit('g', 'normal', gang)
+    successor.scheduler.restore_progress(
+        'g', decode_row(encode_row(site.progress['g']), ProgressRow)
+    )
+    for (minion, task), order in site.orders.items():
+        successor.scheduler.restore_order(minion, task, order)
+        successor.orders[minion, task] = order
+    successor.end('g.0.0.1', EndKind.failed)
+    assert successor.progress['g'].state is JobState.running
+
+
 def test_progress_stored_by_an_earlier_release_is_readable():
     """A takeover from a holder of an earlier release must keep all jobs."""
     row = decode_row(
