Let one overdue job at a time come before other work

Cause: a job that is too late to be useful ranks behind all other work without a bound (H4), and each round placed newer work first. Evidence: step_waits has fit_total 11, fit_free 0 and fit_unreserved 0 in every line, so the site is full of work that ranks higher: nothing was hidden (H6 dropped), and no room was left in gaps (H5 dropped). Change: the job that was accepted first, of those that have waited for six times their objective and 10 s or more, ranks before all but guaranteed work until it has ended. It stops no other runs. Jobs that fit nowhere or never end are left out. Tiers in step_waits are numbered anew. Tried first: all overdue jobs at the head of the late tier. Two tests fail on the code before and pass; two guard the bounds.

--- a/dragonflynotch/workflows/avoidance.py
+++ b/dragonflynotch/workflows/avoidance.py
@@ -5,11 +5,8 @@
 failed it has room, unless no other worker could run the task at all.
 """
 
-from collections.abc import Iterable
-
 from dragonflynotch.workflows.progress import Step, Task
-from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.workers import Worker
+from dragonflynotch.workflows.worker_pool import WorkerPool
 
 __all__ = ('avoided_by_step', 'avoided_by_task')
 
@@ -18,7 +15,7 @@
     pool: WorkerPool, step: Step, service: str, task: Task
 ) -> frozenset[str]:
     """Return the minions that a task of a step other than a gang avoids."""
-    return _avoided(pool, step, service, task.recent_failures(pool.now_ms), 1)
+    return _avoided(pool, step, service, task.recent_failures(pool.now_ms))
 
 
 def avoided_by_step(
@@ -33,41 +30,16 @@
     ]
     if not failures:
         return frozenset()
-    if step.spec.is_gang:
-        recent = set[str]().union(*failures)
-        return _avoided(pool, step, service, recent, len(step.tasks))
-    return _avoided(pool, step, service, set.intersection(*failures), 1)
+    combine = set.union if step.spec.is_gang else set.intersection
+    return _avoided(pool, step, service, combine(*failures))
 
 
 def _avoided(
-    pool: WorkerPool,
-    step: Step,
-    service: str,
-    recent_failures: set[str],
-    count: int,
+    pool: WorkerPool, step: Step, service: str, recent_failures: set[str]
 ) -> frozenset[str]:
-    """Return the minions to avoid if ``count`` tasks would fit on others."""
-    # The runs of a long-running task are not limited in number.
-    if not recent_failures or step.spec.is_long_running:
-        return frozenset()
+    """Return the minions to avoid, or none if no others could run the step."""
     avoided = frozenset(recent_failures)
-    demand = Demand(
-        step,
-        service,
-        expected_ms=0,
-        may_leave_data_rack=True,
-        may_span_racks=True,
-        avoided_minions=avoided,
-    )
-    if _capacity_for(step, pool.candidates(demand)) < count:
+    # The runs of a long-running task are not limited in number.
+    if not avoided or step.spec.is_long_running:
         return frozenset()
-    return avoided
-
-
-def _capacity_for(step: Step, workers: Iterable[Worker]) -> int:
-    """Return how many tasks of the step would fit on empty workers."""
-    limit = step.spec.max_per_worker or len(step.tasks)
-    return sum(
-        min(limit, worker.report.resources.fit_count(step.spec.needs))
-        for worker in workers
-    )
+    return avoided if pool.could_run(step, service, avoided) else frozenset()
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -8,6 +8,7 @@
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.order_registry import OrderRegistry
+from dragonflynotch.workflows.overdue import longest_overdue_job
 from dragonflynotch.workflows.placement import (
     fits_one_rack,
     place_gang,
@@ -82,7 +83,7 @@
             pool.now_ms + self._start_timeout_ms + store_delay_ms
         )
         reserving_steps = 0
-        for waiting in self._waiting_steps(pool.now_ms, wall_ms):
+        for waiting in self._waiting_steps(pool, wall_ms):
             demand = self._demand(pool, waiting)
             if self._place_step(pool, demand, waiting.job):
                 continue
@@ -94,8 +95,11 @@
                     plan_reservations(pool, demand, allocations)
                 )
 
-    def _waiting_steps(self, now_ms: int, wall_ms: int) -> list[WaitingStep]:
+    def _waiting_steps(
+        self, pool: WorkerPool, wall_ms: int
+    ) -> list[WaitingStep]:
         urgent_demand = self._jobs.urgent_accelerator_demand()
+        overdue_job = longest_overdue_job(self._jobs, pool)
         waiting = []
         for job in self._jobs.open_jobs():
             is_guaranteed = self._is_guaranteed(job, urgent_demand)
@@ -109,8 +113,9 @@
                         job,
                         step,
                         self._jobs.queue(job),
-                        now_ms,
+                        pool.now_ms,
                         is_guaranteed=is_guaranteed,
+                        is_overdue=job is overdue_job,
                     )
                     waiting.append(WaitingStep(urgency, job, step))
         waiting.sort(key=lambda entry: entry.urgency)
--- a/dragonflynotch/workflows/ranking.py
+++ b/dragonflynotch/workflows/ranking.py
@@ -5,7 +5,12 @@
 from dragonflynotch.workflows.deployment import Queue
 from dragonflynotch.workflows.progress import Job, Step
 
-__all__ = ('Urgency', 'compute_urgency', 'critical_path_ms')
+__all__ = (
+    'Urgency',
+    'compute_objective_ms',
+    'compute_urgency',
+    'critical_path_ms',
+)
 
 # Completing a job is useful until this multiple of its time objective.
 _USEFUL_OBJECTIVE_MULTIPLE = 3
@@ -16,9 +21,10 @@
 _DEFERRABLE_PRIORITY = 2
 # Tiers, the most urgent first.
 _TIER_GUARANTEED = 0
-_TIER_ON_TIME = 1
-_TIER_LATE = 2
-_TIER_EXPIRED = 3
+_TIER_OVERDUE = 1
+_TIER_ON_TIME = 2
+_TIER_LATE = 3
+_TIER_EXPIRED = 4
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -28,9 +34,10 @@
     Parameters
     ----------
     tier : int
-        0 for guaranteed work, 1 for work that can still meet its objective,
-        2 for work that may be late and is still useful, 3 for work that can
-        no longer complete in a useful time.
+        0 for guaranteed work, 1 for the overdue job that has waited longest, 2
+        for work that can still meet its objective, 3 for work that may be late
+        and is still useful, 4 for work that can no longer complete in a useful
+        time.
     last_start_ms : int
         Latest store time at which the job can start and still meet its
         objective or, once that is missed, still be useful.
@@ -61,17 +68,29 @@
 
 
 def compute_urgency(
-    job: Job, step: Step, queue: Queue, now_ms: int, *, is_guaranteed: bool
+    job: Job,
+    step: Step,
+    queue: Queue,
+    now_ms: int,
+    *,
+    is_guaranteed: bool,
+    is_overdue: bool,
 ) -> Urgency:
     """Return the urgency of a step.
 
     Within a tier, the step with the earliest latest start comes first. The
     latest start is computed from the time objective of the job or, once that
     is missed, from the end of the time in which the job is still useful.
+
+    Parameters
+    ----------
+    is_guaranteed : bool
+        Whether the guarantee of its workspace covers the job.
+    is_overdue : bool
+        Whether this is the overdue job that comes before other work.
     """
-    path_ms = critical_path_ms(job)
-    objective_ms = queue.stretch * path_ms + queue.target_latency_ms
-    slack_ms = objective_ms - path_ms
+    objective_ms = compute_objective_ms(job, queue)
+    slack_ms = objective_ms - critical_path_ms(job)
     on_time_ms = int(job.spec.accepted_ms + slack_ms)
     late_ms = int(on_time_ms + (_USEFUL_OBJECTIVE_MULTIPLE - 1) * objective_ms)
     tier, last_start_ms = _TIER_EXPIRED, late_ms
@@ -81,8 +100,12 @@
         tier, last_start_ms = _TIER_ON_TIME, on_time_ms
     elif now_ms <= late_ms:
         tier = _TIER_LATE
+    if is_guaranteed:
+        tier = _TIER_GUARANTEED
+    elif is_overdue:
+        tier = _TIER_OVERDUE
     return Urgency(
-        _TIER_GUARANTEED if is_guaranteed else tier,
+        tier,
         last_start_ms,
         job.job_id,
         step.occurrence,
@@ -90,6 +113,11 @@
     )
 
 
+def compute_objective_ms(job: Job, queue: Queue) -> float:
+    """Return the time objective of a job, counted from its acceptance."""
+    return queue.stretch * critical_path_ms(job) + queue.target_latency_ms
+
+
 def critical_path_ms(job: Job) -> int:
     """Return the estimated run time of the longest chain of steps."""
     ends: list[int] = []
--- a/dragonflynotch/workflows/worker_pool.py
+++ b/dragonflynotch/workflows/worker_pool.py
@@ -159,6 +159,34 @@
             ),
         )
 
+    def could_run(
+        self,
+        step: Step,
+        service: str,
+        avoided_minions: frozenset[str],
+    ) -> bool:
+        """Return whether a step could run if the workers were empty.
+
+        That is, all members of a gang, or one task of another step. Whether
+        they fit on the preferred racks does not matter.
+        """
+        spec = step.spec
+        demand = Demand(
+            step,
+            service,
+            expected_ms=0,
+            may_leave_data_rack=True,
+            may_span_racks=True,
+            avoided_minions=avoided_minions,
+        )
+        count = len(step.tasks)
+        limit = spec.max_per_worker or count
+        fitting = sum(
+            min(limit, worker.report.resources.fit_count(spec.needs))
+            for worker in self.candidates(demand)
+        )
+        return fitting >= count if spec.is_gang else fitting > 0
+
     def allocate(self, worker: Worker, needs: Resources) -> None:
         """Take resources of a worker for a run."""
         self.free[worker.minion_id] -= needs
--- a/tests/workflows/test_placer.py
+++ b/tests/workflows/test_placer.py
@@ -3,7 +3,7 @@
 import pytest
 
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
-from dragonflynotch.workflows.records import EndKind
+from dragonflynotch.workflows.records import EndKind, JobState
 from tests.workflows.site import Site
 
 WHOLE_WORKER_STEP = StepSpec(1, 8000, 8000, 8, 4000)
@@ -213,6 +213,62 @@
     assert site.ordered_tasks() == ['g.0.0.0', 'g.0.0.1']
 
 
+def test_overdue_job_is_not_starved_by_newer_work():
+    """A job that is too late must still finish while work keeps coming."""
+    site = Site(racks=('r1',))
+    site.submit('new', 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    site.submit('old', 'batch', WHOLE_WORKER_STEP, WHOLE_WORKER_STEP)
+    running = 'new.0.0.0'
+    # The objective of the old job is 3 x 4 s.
+    for number in range(30):
+        site.submit(f'n{number}', 'normal', WHOLE_WORKER_STEP)
+        site.decide(advance_ms=4000)
+        site.end(running)
+        [running] = site.ordered_tasks()
+    assert site.progress['old'].state is JobState.completed
+
+
+def test_overdue_job_stops_no_other_runs():
+    """Work that is too late to be useful must not destroy work in progress."""
+    site = Site(racks=('r1',))
+    site.submit('x', 'batch', StepSpec(1, 8000, 8000, 8, 600_000))
+    site.decide()
+    site.submit('old', 'normal', WHOLE_WORKER_STEP)
+    # In one step, so that the job is not about to be late in between.
+    site.decide(advance_ms=100_000)
+    assert site.ordered_tasks() == ['x.0.0.0']
+
+
+def test_one_overdue_job_at_a_time_comes_before_other_work():
+    """After an outage, overdue jobs must not hold up all other work."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'normal', StepSpec(2, 1000, 1000, 8, 200_000))
+    site.decide()
+    for name in ('old-1', 'old-2'):
+        site.submit(name, 'batch', WHOLE_WORKER_STEP)
+        site.decide(advance_ms=10)
+    site.decide(advance_ms=100_000)
+    site.submit('new', 'normal', WHOLE_WORKER_STEP)
+    site.end('x.0.0.0')
+    site.end('x.0.0.1')
+    assert site.ordered_tasks() == ['new.0.0.0', 'old-1.0.0.0']
+
+
+def test_overdue_job_that_fits_nowhere_does_not_hold_up_the_next_one():
+    """A job that can never run must not keep others from finishing."""
+    site = Site(racks=('r1',))
+    site.submit('x', 'normal', StepSpec(1, 1000, 1000, 8, 200_000))
+    site.decide()
+    site.submit('huge', 'batch', StepSpec(1, 1000, 1000, 9, 1000))
+    site.decide(advance_ms=10)
+    site.submit('old', 'batch', WHOLE_WORKER_STEP)
+    site.decide(advance_ms=100_000)
+    site.submit('new', 'normal', WHOLE_WORKER_STEP)
+    site.end('x.0.0.0')
+    assert site.ordered_tasks() == ['old.0.0.0']
+
+
 def _spec_for_service(service):
     return JobSpec(
         queue='unknown',
