Show readiness and the reach of the store in the metrics

Cause: whether a front had lost the store could be read from its logs only. Result: tests/platform pass.

--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -144,6 +144,8 @@
         return {
             'configuration_version': deployment.version if deployment else 0,
             'configuration_age_ms': self._configuration.age_ms,
+            'is_ready': self._is_ready,
+            'is_store_reachable': self._store.health.is_reachable,
             'is_scheduler': self._leadership.is_holder,
             'lease_epoch': self._leadership.epoch,
             'store_calls': self._store.call_count,
