--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -19,6 +19,7 @@
     Unavailable,
     Unknown,
 )
+from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.testing.row_store import StoreFault
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 from dragonflynotch.workflows.records import (
@@ -138,6 +139,23 @@
     assert isinstance(outcome, NotAccepted)
 
 
+async def test_silent_store_does_not_hold_a_caller_past_its_deadline(
+    submissions, store, clock, monkeypatch
+):
+    """A caller must get its refusal while it still waits for it."""
+
+    async def time_out(*_args):
+        await asyncio.sleep(1.3)
+        raise PlatformUnavailableError('no response', step='read', peer='')
+
+    await submissions.state('a')
+    clock.advance(5000)
+    monkeypatch.setattr(store, 'read', time_out)
+    async with asyncio.timeout(0.6):
+        outcome = await submissions.submit('a', SPEC, LIMIT)
+    assert isinstance(outcome, NotAccepted)
+
+
 async def test_next_attempt_resolves_a_lost_response(submissions, store):
     """The caller learns within its deadline that the job is stored."""
     store.fault = StoreFault.lose_answers
