Answer callers by their deadline while the store is silent

Cause: before a submission to a store that had been silent, the store was read for up to 1.3 s (the time limit of one store call), whatever the deadline of the caller. Reads for GET and DELETE and the write itself had the same fault: only the retries looked at the deadline.

Ruled out: a shorter time limit of store calls, since a slow store takes 0.5 to 1 s for a call that it carries out.

Change: each call of SubmissionService gets the time that the caller still waits, and every store call in it ends by then. A read that is cut off is a refusal; a write that is cut off is unknown and remembered as unsettled.

--- a/dragonflynotch/control/clocks.py
+++ b/dragonflynotch/control/clocks.py
@@ -3,8 +3,15 @@
 import time
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from datetime import timedelta
 
-__all__ = ('BootClock', 'ManualSteadyClock', 'SteadyClock', 'StoreClock')
+__all__ = (
+    'BootClock',
+    'Deadline',
+    'ManualSteadyClock',
+    'SteadyClock',
+    'StoreClock',
+)
 
 _NS_PER_MS = 1_000_000
 # Two clocks whose rates differ by 0.1% drift 10 ms apart in this time.
@@ -47,6 +54,39 @@
         self._now_ms += duration_ms
 
 
+class Deadline:
+    """End of the time that a caller gives to a call.
+
+    Parameters
+    ----------
+    clock : SteadyClock
+        Measures the time since the start of the call, which is now.
+    limit : timedelta
+        Time from the start of the call to the deadline.
+    """
+
+    def __init__(self, clock: SteadyClock, limit: timedelta) -> None:
+        """Start the call."""
+        self._clock = clock
+        self._limit = limit
+        self._started_ms = clock.now_ms()
+
+    @property
+    def elapsed(self) -> timedelta:
+        """Time since the start of the call."""
+        return timedelta(milliseconds=self._clock.now_ms() - self._started_ms)
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds until the deadline; 0 if it has passed."""
+        return max(timedelta(), self._limit - self.elapsed).total_seconds()
+
+    @property
+    def has_passed(self) -> bool:
+        """Whether the deadline has passed."""
+        return self.elapsed >= self._limit
+
+
 @dataclass(frozen=True, slots=True)
 class _Offset:
     """Offset of the store clock from the local clock, with its local time."""
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.clocks import Deadline, SteadyClock, StoreClock
 from dragonflynotch.control.leadership import LEASE_NAME
 from dragonflynotch.control.rows import (
     ABSENT,
@@ -56,6 +56,7 @@
 # time. Several such attempts fit into the deadline of a caller, and by the last
 # ones the load balancer has removed this entry.
 _SETTLE_PERIOD = timedelta(milliseconds=700)
+_NO_RESPONSE = 'no response of the row store before the deadline of the caller'
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,13 +141,23 @@
             spec, accepted_ms=self._store_clock.earliest_ms()
         )
         name = _submission_row(job_id, 'spec')
-        return await self._write_with_retries(name, encode_row(row), limit)
+        deadline = Deadline(self._clock, limit)
+        return await self._write_with_retries(name, encode_row(row), deadline)
 
     async def cancel(
         self, job_id: str, limit: timedelta
     ) -> Accepted | NotFound | NotAccepted | Unknown:
-        """Store the cancellation of a job."""
-        state = await self.state(job_id)
+        """Store the cancellation of a job.
+
+        Parameters
+        ----------
+        job_id : str
+            Identifier of the job.
+        limit : timedelta
+            Time until the caller stops waiting.
+        """
+        deadline = Deadline(self._clock, limit)
+        state = await self.state(job_id, limit)
         if isinstance(state, NotFound):
             return state
         if isinstance(state, Unavailable):
@@ -154,21 +165,31 @@
         if state.is_final:
             return Accepted()
         name = _submission_row(job_id, 'cancel')
-        return await self._write_with_retries(name, b'{}', limit)
+        return await self._write_with_retries(name, b'{}', deadline)
 
-    async def state(self, job_id: str) -> JobState | NotFound | Unavailable:
-        """Return the state of a job."""
+    async def state(
+        self, job_id: str, limit: timedelta
+    ) -> JobState | NotFound | Unavailable:
+        """Return the state of a job, within the time limit of the caller."""
         try:
-            return await self._read_state(job_id)
+            async with asyncio.timeout(limit.total_seconds()):
+                return await self._read_state(job_id)
         except PlatformUnavailableError as error:
             return Unavailable(str(error))
+        except TimeoutError:
+            return Unavailable(_NO_RESPONSE)
 
-    async def waiting_jobs(self, queue: str) -> int | Unavailable:
+    async def waiting_jobs(
+        self, queue: str, limit: timedelta
+    ) -> int | Unavailable:
         """Return how many accepted jobs of a queue have no started task."""
         try:
-            row = await self._store.read_row(LEASE_NAME)
+            async with asyncio.timeout(limit.total_seconds()):
+                row = await self._store.read_row(LEASE_NAME)
         except PlatformUnavailableError as error:
             return Unavailable(str(error))
+        except TimeoutError:
+            return Unavailable(_NO_RESPONSE)
         lease = None if row is None else decode_row(row.content, LeaseRow)
         return 0 if lease is None else lease.waiting.get(queue, 0)
 
@@ -186,11 +207,10 @@
         return JobState.queued
 
     async def _write_with_retries(
-        self, name: RowName, content: bytes, limit: timedelta
+        self, name: RowName, content: bytes, deadline: Deadline
     ) -> Accepted | NotAccepted | Unknown:
-        started_ms = self._clock.now_ms()
         while True:
-            outcome = await self._try_write(name, content)
+            outcome = await self._try_write(name, content, deadline)
             is_uncertain = self._unsettled_writes.contains(name)
             if isinstance(outcome, Committed | Conflict):
                 self._unsettled_writes.remove(name)
@@ -201,48 +221,59 @@
                     was_uncertain=is_uncertain,
                 )
                 return Accepted()
-            elapsed = timedelta(milliseconds=self._clock.now_ms() - started_ms)
-            if elapsed > limit or self._should_give_up(is_uncertain, elapsed):
+            if self._should_give_up(is_uncertain, deadline):
                 reason = outcome.reason
                 return Unknown(reason) if is_uncertain else NotAccepted(reason)
             await asyncio.sleep(_RETRY_DELAY_S)
 
-    def _should_give_up(self, is_uncertain: bool, elapsed: timedelta) -> bool:
+    def _should_give_up(self, is_uncertain: bool, deadline: Deadline) -> bool:
         """Return whether the caller should rather ask another entry.
 
         An unknown outcome is settled by the next write that the store answers.
         While this entry has lost the store, that is sooner at another one.
         """
+        if deadline.has_passed:
+            return True
         if not is_uncertain:
-            return elapsed > _REFUSED_RETRY_PERIOD
-        return elapsed > _SETTLE_PERIOD and not self._health.is_reachable
+            return deadline.elapsed > _REFUSED_RETRY_PERIOD
+        return (
+            deadline.elapsed > _SETTLE_PERIOD and not self._health.is_reachable
+        )
 
     async def _try_write(
-        self, name: RowName, content: bytes
+        self, name: RowName, content: bytes, deadline: Deadline
     ) -> Committed | Conflict | NotAccepted | Unknown:
+        """Write a row if it is absent and the store responds.
+
+        After a write without a response the call can no longer be refused. So
+        if the store has been silent, it is read first: while it does not
+        respond nothing is written, and the caller gets a definite refusal.
+        """
         try:
-            return await self._write_if_absent(name, content)
+            async with asyncio.timeout(deadline.remaining_s):
+                await self._probe_silent_store()
+        except PlatformUnavailableError as error:
+            return NotAccepted(str(error))
+        except TimeoutError:
+            return NotAccepted(_NO_RESPONSE)
+        try:
+            async with asyncio.timeout(deadline.remaining_s):
+                return await self._store.commit(
+                    [RowWrite(name, content)], [(name, ABSENT)]
+                )
         except PlatformUnavailableError as error:
             return NotAccepted(str(error))
         except UncertainWriteError as error:
             self._unsettled_writes.add(name)
             return Unknown(str(error))
+        except TimeoutError:
+            self._unsettled_writes.add(name)
+            return Unknown(_NO_RESPONSE)
 
-    async def _write_if_absent(
-        self, name: RowName, content: bytes
-    ) -> Committed | Conflict:
-        """Write a row if it is absent and the store responds.
-
-        After a write without a response the call can no longer be refused. So
-        if the store has been silent, it is read first: while it does not
-        respond nothing is written, and the caller gets a definite refusal.
-        """
+    async def _probe_silent_store(self) -> None:
         is_silent = self._store_clock.age_ms > _MAX_STORE_SILENCE_MS
         if is_silent or not self._health.is_reachable:
             await self._store.read_row(LEASE_NAME)
-        return await self._store.commit(
-            [RowWrite(name, content)], [(name, ABSENT)]
-        )
 
 
 def _submission_row(job_id: str, kind: str) -> RowName:
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -158,7 +158,7 @@
     async def _read_state(
         self, call: HttpCall, job_id: str
     ) -> Reply | _Refusal:
-        state = await self._submissions.state(job_id)
+        state = await self._submissions.state(job_id, _remaining_time(call))
         if isinstance(state, NotFound):
             return _Refusal(_GONE, 'no such job')
         if isinstance(state, Unavailable):
@@ -183,7 +183,9 @@
     async def _count_waiting(
         self, call: HttpCall, queue: Queue
     ) -> Reply | _Refusal:
-        waiting = await self._submissions.waiting_jobs(queue.name)
+        waiting = await self._submissions.waiting_jobs(
+            queue.name, _remaining_time(call)
+        )
         if isinstance(waiting, Unavailable):
             return _Refusal(_UNAVAILABLE, waiting.reason)
         return Reply(
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -124,7 +124,7 @@
 
     async def wait_for_state(self, job_id, state, limit_s=15):
         async with asyncio.timeout(limit_s):
-            while await self.submissions.state(job_id) != state:
+            while await self.submissions.state(job_id, CALL_TIMEOUT) != state:
                 await asyncio.sleep(0.02)
 
     async def wait_for_starts(self, count, limit_s=15):
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -52,7 +52,7 @@
     call_count = store.call_count
     assert await submissions.submit('a', SPEC, LIMIT) == Accepted()
     assert store.call_count == call_count + 1
-    assert await submissions.state('a') is JobState.queued
+    assert await submissions.state('a', LIMIT) is JobState.queued
 
 
 async def test_refusal_means_that_nothing_was_written(submissions, store):
@@ -61,7 +61,7 @@
     outcome = await submissions.submit('a', SPEC, timedelta(seconds=1))
     assert isinstance(outcome, NotAccepted)
     store.fault = StoreFault.none
-    assert await submissions.state('a') == NotFound()
+    assert await submissions.state('a', LIMIT) == NotFound()
 
 
 @pytest.mark.parametrize('fault', [StoreFault.late, StoreFault.lose_answers])
@@ -81,7 +81,7 @@
 
     A write to a silent store would leave the outcome unknown.
     """
-    await submissions.state('a')
+    await submissions.state('a', LIMIT)
     clock.advance(5000)
     store.fault = StoreFault.silent
     outcome = await submissions.submit('a', SPEC, timedelta(seconds=1))
@@ -129,10 +129,10 @@
     submissions, store, clock
 ):
     """A write that fails would leave the outcome unknown for nothing."""
-    await submissions.state('a')
+    await submissions.state('a', LIMIT)
     store.fault = StoreFault.down
     for _ in range(2):
-        assert isinstance(await submissions.state('a'), Unavailable)
+        assert isinstance(await submissions.state('a', LIMIT), Unavailable)
     clock.advance(600)
     store.fault = StoreFault.silent
     outcome = await submissions.submit('a', SPEC, timedelta(seconds=1))
@@ -148,7 +148,7 @@
         await asyncio.sleep(1.3)
         raise PlatformUnavailableError('no response', step='read', peer='')
 
-    await submissions.state('a')
+    await submissions.state('a', LIMIT)
     clock.advance(5000)
     monkeypatch.setattr(store, 'read', time_out)
     async with asyncio.timeout(0.6):
@@ -156,6 +156,39 @@
     assert isinstance(outcome, NotAccepted)
 
 
+async def test_slow_read_does_not_hold_a_caller_past_its_deadline(
+    submissions, store, monkeypatch
+):
+    """A caller that asks for a state must get a response while it waits."""
+
+    async def never_respond(*_args):
+        await asyncio.Event().wait()
+
+    await submissions.submit('a', SPEC, LIMIT)
+    monkeypatch.setattr(store, 'read', never_respond)
+    async with asyncio.timeout(0.6):
+        assert isinstance(await submissions.state('a', LIMIT), Unavailable)
+    async with asyncio.timeout(0.6):
+        waiting = await submissions.waiting_jobs('queue', LIMIT)
+    assert isinstance(waiting, Unavailable)
+    async with asyncio.timeout(0.6):
+        assert isinstance(await submissions.cancel('a', LIMIT), NotAccepted)
+
+
+async def test_write_without_response_is_unknown_at_the_deadline(
+    submissions, store, monkeypatch
+):
+    """A write cut off at the deadline must not be reported as refused."""
+
+    async def never_respond(*_args):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(store, 'commit', never_respond)
+    async with asyncio.timeout(0.6):
+        outcome = await submissions.submit('a', SPEC, LIMIT)
+    assert isinstance(outcome, Unknown)
+
+
 async def test_next_attempt_resolves_a_lost_response(submissions, store):
     """The caller learns within its deadline that the job is stored."""
     store.fault = StoreFault.lose_answers
@@ -173,14 +206,14 @@
     name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
     row = ProgressRow(JobState.completed)
     await store.commit([RowWrite(name, encode_row(row))], [])
-    assert await submissions.state('a') is JobState.completed
+    assert await submissions.state('a', LIMIT) is JobState.completed
 
 
 async def test_outage_is_not_reported_as_unknown_job(submissions, store):
     """A job must not count as missing because the store cannot be read."""
     await submissions.submit('a', SPEC, LIMIT)
     store.fault = StoreFault.down
-    assert isinstance(await submissions.state('a'), Unavailable)
+    assert isinstance(await submissions.state('a', LIMIT), Unavailable)
     assert isinstance(await submissions.cancel('a', LIMIT), NotAccepted)
 
 
@@ -196,4 +229,4 @@
     row = ProgressRow(JobState.completed)
     await store.commit([RowWrite(name, encode_row(row))], [])
     assert await submissions.cancel('a', LIMIT) == Accepted()
-    assert await submissions.state('a') is JobState.completed
+    assert await submissions.state('a', LIMIT) is JobState.completed
