--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -145,7 +145,7 @@
         return await self._write_with_retries(name, encode_row(row), deadline)
 
     async def cancel(
-        self, job_id: str, limit: timedelta
+        self, job_id: str, limit: timedelta, *, workspace: str | None = None
     ) -> Accepted | NotFound | NotAccepted | Unknown:
         """Store the cancellation of a job.
 
@@ -155,9 +155,12 @@
             Identifier of the job.
         limit : timedelta
             Time until the caller stops waiting.
+        workspace : str, optional
+            Workspace of the caller. The jobs of other workspaces do not exist
+            for it. By default, the caller may cancel any job.
         """
         deadline = Deadline(self._clock, limit)
-        state = await self.state(job_id, limit)
+        state = await self.state(job_id, limit, workspace=workspace)
         if isinstance(state, NotFound):
             return state
         if isinstance(state, Unavailable):
@@ -168,12 +171,23 @@
         return await self._write_with_retries(name, b'{}', deadline)
 
     async def state(
-        self, job_id: str, limit: timedelta
+        self, job_id: str, limit: timedelta, *, workspace: str | None = None
     ) -> JobState | NotFound | Unavailable:
-        """Return the state of a job, within the time limit of the caller."""
+        """Return the state of a job, within the time limit of the caller.
+
+        Parameters
+        ----------
+        job_id : str
+            Identifier of the job.
+        limit : timedelta
+            Time until the caller stops waiting.
+        workspace : str, optional
+            Workspace of the caller. The jobs of other workspaces do not exist
+            for it. By default, the caller may read any job.
+        """
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                return await self._read_state(job_id)
+                return await self._read_state(job_id, workspace)
         except PlatformUnavailableError as error:
             return Unavailable(str(error))
         except TimeoutError:
@@ -193,18 +207,26 @@
         lease = None if row is None else decode_row(row.content, LeaseRow)
         return 0 if lease is None else lease.waiting.get(queue, 0)
 
-    async def _read_state(self, job_id: str) -> JobState | NotFound:
+    async def _read_state(
+        self, job_id: str, workspace: str | None
+    ) -> JobState | NotFound:
         # Most jobs have started when their state is read, so their progress
         # is read first.
         row = await self._store.read_row(
             RowName(PROGRESS.name, SCHEDULER_PART, job_id)
         )
         progress = None if row is None else decode_row(row.content, ProgressRow)
+        if progress is not None and progress.workspace is not None:
+            if workspace in {None, progress.workspace}:
+                return progress.state
+            return NotFound()
+        row = await self._store.read_row(_submission_row(job_id, 'spec'))
+        spec = None if row is None else decode_row(row.content, JobSpec)
+        if spec is not None and workspace not in {None, spec.workspace}:
+            return NotFound()
         if progress is not None:
             return progress.state
-        if await self._store.read_row(_submission_row(job_id, 'spec')) is None:
-            return NotFound()
-        return JobState.queued
+        return NotFound() if row is None else JobState.queued
 
     async def _write_with_retries(
         self, name: RowName, content: bytes, deadline: Deadline
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -114,6 +114,8 @@
                 _UNAUTHORIZED,
                 f'unknown credential at configuration {deployment.version}',
             )
+        # The jobs of a public queue may be read and cancelled by anyone.
+        job_owner = None if queue.is_public else workspace
         job_id = call.path.removeprefix(queue.prefix)
         if not job_id:
             return await self._count_waiting(call, queue)
@@ -125,9 +127,9 @@
             case 'POST':
                 return await self._submit(call, queue, workspace or '', job_id)
             case 'GET':
-                return await self._read_state(call, job_id)
+                return await self._read_state(call, job_id, job_owner)
             case 'DELETE':
-                return await self._cancel(call, job_id)
+                return await self._cancel(call, job_id, job_owner)
             case _:
                 return _Refusal(_METHOD_NOT_ALLOWED, 'method not allowed')
 
@@ -156,7 +158,7 @@
                 return _Refusal(_GATEWAY_TIMEOUT, reason)
 
     async def _read_state(
-        self, call: HttpCall, job_id: str
+        self, call: HttpCall, job_id: str, workspace: str | None
     ) -> Reply | _Refusal:
         state = await self._submissions.state(job_id, _remaining_time(call))
         if isinstance(state, NotFound):
@@ -167,8 +169,12 @@
             _OK, msgspec.json.encode({'state': state.value}), _JSON_HEADERS
         )
 
-    async def _cancel(self, call: HttpCall, job_id: str) -> Reply | _Refusal:
-        outcome = await self._submissions.cancel(job_id, _remaining_time(call))
+    async def _cancel(
+        self, call: HttpCall, job_id: str, workspace: str | None
+    ) -> Reply | _Refusal:
+        outcome = await self._submissions.cancel(
+            job_id, _remaining_time(call), workspace=workspace
+        )
         match outcome:
             case Accepted():
                 decision_log.record('cancel_accepted', job=job_id)
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -222,6 +222,7 @@
                 if task.run
             ],
             ended_ms=self.ended_ms,
+            workspace=self.spec.workspace,
         )
 
     def apply_end(
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -85,11 +85,25 @@
 
 
 class ProgressRow(msgspec.Struct, omit_defaults=True):
-    """Stored progress of a job."""
+    """Stored progress of a job.
+
+    Parameters
+    ----------
+    state : JobState
+        State of the job.
+    tasks : list of TaskRow
+        Tasks that have had at least one run.
+    ended_ms : int
+        Store time of the end of the job; 0 before.
+    workspace : str or None
+        Workspace of the job. ``None`` in rows of releases that did not store
+        it.
+    """
 
     state: JobState
     tasks: list[TaskRow] = []
     ended_ms: int = 0
+    workspace: str | None = None
 
 
 class LeaseRow(msgspec.Struct, omit_defaults=True):
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -22,6 +22,7 @@
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.testing.row_store import StoreFault
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
+from dragonflynotch.workflows.progress import Job
 from dragonflynotch.workflows.records import (
     JobState,
     ProgressRow,
@@ -209,6 +210,41 @@
     assert await submissions.state('a', LIMIT) is JobState.completed
 
 
+@pytest.mark.parametrize('has_started', [False, True])
+async def test_job_of_another_workspace_cannot_be_read_or_cancelled(
+    submissions, store, has_started
+):
+    """A valid key of one workspace must give no access to the jobs of others.
+
+    Such a job looks like one that does not exist.
+    """
+    await submissions.submit('a', SPEC, LIMIT)
+    if has_started:
+        name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
+        row = Job('a', SPEC).progress_row()
+        await store.commit([RowWrite(name, encode_row(row))], [])
+    other = {'workspace': 'other'}
+    assert await submissions.state('a', LIMIT, **other) == NotFound()
+    assert await submissions.cancel('a', LIMIT, **other) == NotFound()
+    own = {'workspace': SPEC.workspace}
+    assert await submissions.state('a', LIMIT, **own) is JobState.queued
+    assert await submissions.cancel('a', LIMIT, **own) == Accepted()
+
+
+async def test_workspace_is_checked_for_progress_of_an_older_release(
+    submissions, store
+):
+    """During a rolling restart, progress rows lack the workspace."""
+    await submissions.submit('a', SPEC, LIMIT)
+    name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
+    row = ProgressRow(JobState.running)
+    await store.commit([RowWrite(name, encode_row(row))], [])
+    outcome = await submissions.state('a', LIMIT, workspace='other')
+    assert outcome == NotFound()
+    outcome = await submissions.state('a', LIMIT, workspace=SPEC.workspace)
+    assert outcome is JobState.running
+
+
 async def test_outage_is_not_reported_as_unknown_job(submissions, store):
     """A job must not count as missing because the store cannot be read."""
     await submissions.submit('a', SPEC, LIMIT)
