--- /dev/null
+++ b/benchmarks/workflows/__init__.py
@@ -0,0 +1,1 @@
+"""Replays seeded loads against the scheduler of jobs, without I/O."""
