Keep the room that is made for an urgent step for that step

Cause: runs that one step had stopped were still listed as running for the next step of the same round, which counted on the same room (three jobs within 1 ms took room by the same twelve stops). While the runs ended one by one, the freed part was given to whoever fitted into it, often to the tasks that had just been stopped, unless the step was among the three that may reserve.

Change: stops are marked in the plan of the round at once; a step that gets room reserves it until it starts, however many do; room reserved for earlier steps does not count for later ones.

A test was wrong: test_cheapest_run_is_stopped_first submitted two urgent steps of a whole worker each and expected that one stopped run is enough for both, which is this fault. It is as strict for one urgent step now, and test_one_stopped_run_is_not_counted_for_two_urgent_steps has two.

Failed before: the test named above and test_freed_room_is_kept_for_each_urgent_step_that_asked_for_it.

--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -1,7 +1,7 @@
 """Places waiting steps on workers, the most urgent first."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from dragonflynotch.workflows.allocations import estimated_core_seconds
 from dragonflynotch.workflows.avoidance import avoided_by_step
@@ -14,7 +14,11 @@
     place_gang,
     place_task,
 )
-from dragonflynotch.workflows.preemption import PreemptionLimits, choose_victims
+from dragonflynotch.workflows.preemption import (
+    PreemptionLimits,
+    plan_room,
+    stop_in_plan,
+)
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
 from dragonflynotch.workflows.ranking import compute_urgency
 from dragonflynotch.workflows.records import JobState, Order
@@ -33,7 +37,7 @@
 # How long guaranteed work waits for its data rack, or for one rack for a gang.
 _GUARANTEED_RACK_WAIT_MS = 1000
 
-Allocations = Mapping[str, Sequence[Allocation]]
+Allocations = dict[str, list[Allocation]]
 
 
 class Placer:
@@ -44,6 +48,8 @@
     start_timeout_ms : int
         How long a guard may delay the start of an ordered run before the
         order expires.
+    stop_ms : int
+        Longest time from the order to stop a run until the run has ended.
     """
 
     def __init__(
@@ -53,6 +59,7 @@
         tracker: RunTracker,
         decision_log: DecisionLogBuffer,
         start_timeout_ms: int,
+        stop_ms: int,
     ) -> None:
         """Create a placer that adds its orders to ``orders``."""
         self._jobs = jobs
@@ -60,6 +67,7 @@
         self._tracker = tracker
         self._decision_log = decision_log
         self._start_timeout_ms = start_timeout_ms
+        self._stop_ms = stop_ms
         self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
 
@@ -91,8 +99,8 @@
             if self._place_step(pool, demand, waiting.job):
                 continue
             self._wait_log.record(pool, waiting, demand)
-            self._preempt(pool, waiting, demand, allocations)
-            if may_reserve:
+            gets_room = self._make_room(pool, waiting, demand, allocations)
+            if may_reserve or gets_room:
                 reserving_steps += 1
                 pool.reservations.extend(
                     plan_reservations(pool, demand, allocations)
@@ -232,31 +240,44 @@
             is_avoided_worker=worker.minion_id in task.failed_on,
         )
 
-    def _preempt(
+    def _make_room(
         self,
         pool: WorkerPool,
         waiting: WaitingStep,
         demand: Demand,
         allocations: Allocations,
-    ) -> None:
-        """Stop less urgent runs to free resources for an urgent step."""
+    ) -> bool:
+        """Stop less urgent runs to free resources for an urgent step.
+
+        Returns
+        -------
+        bool
+            Whether the step fits once the stopping runs have ended.
+        """
         limits = self._preemption_limits(pool, waiting)
         if limits is None:
-            return
+            return False
+        plan = plan_room(pool, demand, allocations, limits)
+        if plan.victims:
+            self._stop_for(waiting, plan.victims)
+            stop_in_plan(allocations, plan.victims, pool.now_ms + self._stop_ms)
+        return plan.will_fit
+
+    def _stop_for(
+        self, waiting: WaitingStep, victims: Sequence[Allocation]
+    ) -> None:
         urgency = waiting.urgency
-        victims = choose_victims(pool, demand, allocations, limits)
-        if victims:
-            self._decision_log.record(
-                'room_taken',
-                job=urgency.job_id,
-                step=urgency.step,
-                tier=urgency.tier,
-                stops=len(victims),
-                lost_core_s=round(
-                    sum(victim.preemption_cost for victim in victims)
-                ),
-                work_core_s=round(estimated_core_seconds(waiting.step.spec)),
-            )
+        self._decision_log.record(
+            'room_taken',
+            job=urgency.job_id,
+            step=urgency.step,
+            tier=urgency.tier,
+            stops=len(victims),
+            lost_core_s=round(
+                sum(victim.preemption_cost for victim in victims)
+            ),
+            work_core_s=round(estimated_core_seconds(waiting.step.spec)),
+        )
         for allocation in victims:
             found = self._jobs.find(str(allocation.task_id))
             if found is None:
--- a/dragonflynotch/workflows/preemption.py
+++ b/dragonflynotch/workflows/preemption.py
@@ -1,7 +1,12 @@
-"""Choice of the runs to stop for a more urgent step."""
+"""Choice of the runs to stop for a more urgent step.
+
+Answers a burst of urgent work on a fleet that is full of less urgent runs. The
+room that is being made for one step is kept for it: neither counts for the
+next urgent step nor is given to work that was just stopped.
+"""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 from dragonflynotch.workflows.resources import Resources
@@ -9,7 +14,7 @@
 from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.workers import Allocation
 
-__all__ = ('PreemptionLimits', 'choose_victims')
+__all__ = ('PreemptionLimits', 'RoomPlan', 'plan_room', 'stop_in_plan')
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +34,23 @@
     max_lost_work: float = inf
 
 
+@dataclass(frozen=True, slots=True)
+class RoomPlan:
+    """How a step that does not fit gets room.
+
+    Parameters
+    ----------
+    will_fit : bool
+        Whether the step fits once the victims and the runs that are already
+        stopping have ended.
+    victims : list of Allocation
+        Runs to stop for it.
+    """
+
+    will_fit: bool
+    victims: list[Allocation] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class _Victim:
     """A run, or all runs of a gang, which can only be stopped together."""
@@ -58,22 +80,22 @@
                 step_fit.update(minion_id)
 
 
-def choose_victims(
+def plan_room(
     pool: WorkerPool,
     demand: Demand,
     allocations: Mapping[str, Sequence[Allocation]],
     limits: PreemptionLimits,
-) -> list[Allocation]:
+) -> RoomPlan:
     """Return the runs to stop so that a step fits.
 
     Runs and gangs are chosen in the order of the work lost by stopping them,
     until the step fits. Those without which it still fits are then left out.
-    The result is empty if the step fits once the runs that are already
-    stopping have ended, if it would not fit even then, or if too much work
-    would be lost.
+    Resources reserved for steps that come earlier do not count. There are no
+    victims if the step fits once the runs that are already stopping have
+    ended, if it would not fit even then, or if too much work would be lost.
     """
     free = {
-        worker.minion_id: pool.free[worker.minion_id]
+        worker.minion_id: pool.available(worker, demand)
         for worker in pool.candidates(demand)
     }
     for minion_id in free:
@@ -82,13 +104,32 @@
                 free[minion_id] += allocation.needs
     step_fit = StepFit(pool, demand, free)
     if step_fit.fits:
-        return []
+        return RoomPlan(will_fit=True)
     victims = _choose_needed(
         free, step_fit, _preemptible_runs(allocations, limits)
     )
-    if sum(victim.cost for victim in victims) > limits.max_lost_work:
-        return []
-    return [member for victim in victims for _, member in victim.members]
+    lost_work = sum(victim.cost for victim in victims)
+    if not victims or lost_work > limits.max_lost_work:
+        return RoomPlan(will_fit=False)
+    return RoomPlan(
+        will_fit=True,
+        victims=[run for victim in victims for _, run in victim.members],
+    )
+
+
+def stop_in_plan(
+    allocations: dict[str, list[Allocation]],
+    victims: Sequence[Allocation],
+    end_ms: int,
+) -> None:
+    """Mark runs as stopping, for the steps that are planned after this one."""
+    stopped = {victim.task_id for victim in victims}
+    for held in allocations.values():
+        for index, run in enumerate(held):
+            if run.task_id in stopped:
+                held[index] = replace(
+                    run, is_stopping=True, expected_end_ms=end_ms
+                )
 
 
 def _preemptible_runs(
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -97,6 +97,7 @@
             self._tracker,
             self._decision_log,
             settings.start_timeout_ms,
+            settings.stop_ms,
         )
 
     @property
--- a/tests/workflows/test_placer.py
+++ b/tests/workflows/test_placer.py
@@ -209,11 +209,47 @@
     site.submit('s', 'batch', StepSpec(1, 8000, 8000, 8, 60_000))
     site.decide()
     site.submit('u', 'urgent', StepSpec(1, 8000, 8000, 8, 30_000))
-    site.submit('v', 'urgent', StepSpec(1, 8000, 8000, 8, 30_000))
     site.decide(advance_ms=1000)
     assert site.ordered_tasks() == ['g.0.0.0', 'g.0.0.1']
 
 
+def test_one_stopped_run_is_not_counted_for_two_urgent_steps():
+    """Of two urgent steps, the second must not wait for the room of the first.
+
+    In a burst, several steps were given the room of the same stopped runs and
+    had to ask again one after the other.
+    """
+    site = Site(racks=('r1', 'r1'))
+    site.submit('a', 'batch', StepSpec(1, 8000, 8000, 8, 60_000))
+    site.submit('b', 'batch', StepSpec(1, 8000, 8000, 8, 60_000))
+    site.decide()
+    site.submit('u', 'urgent', StepSpec(1, 8000, 8000, 8, 30_000))
+    site.submit('v', 'urgent', StepSpec(1, 8000, 8000, 8, 30_000))
+    site.decide(advance_ms=1000)
+    assert site.ordered_tasks() == []
+
+
+def test_freed_room_is_kept_for_each_urgent_step_that_asked_for_it():
+    """Tasks that were just stopped must not start again in the freed room.
+
+    The urgent step then never got all of it, and the tasks were stopped again.
+    """
+    workers = 5
+    site = Site(racks=('r1',) * workers)
+    small = StepSpec(8, 1000, 1000, 1, 60_000)
+    for number in range(workers):
+        site.submit(f'b{number}', 'batch', small)
+    site.decide()
+    for number in range(workers):
+        site.submit(f'u{number}', 'urgent', StepSpec(1, 8000, 8000, 8, 30_000))
+    site.decide(advance_ms=1000)
+    assert site.ordered_tasks() == []
+    for number in range(workers):
+        for index in range(4):
+            site.end(f'b{number}.0.0.{index}', EndKind.stopped)
+    assert site.ordered_tasks() == []
+
+
 def test_overdue_job_is_not_starved_by_newer_work():
     """A job that is too late must still finish while work keeps coming."""
     site = Site(racks=('r1',))
