Order jobs by priority and the work they have left, not by latest start

Cause: under overload the order by latest start lets each job start when it is just too late, and one wide job ahead makes many small ones late.

The limit stays at the step's own work.

Change: among work that can be on time, and among late work that is still useful, the more urgent queue comes first, and in it the job with the least work left. The other tiers keep their order, so a job that waits for six times its objective still comes before this work.

Failed before: test_least_work_comes_first_under_overload and test_only_the_work_that_is_left_counts.

--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -298,7 +298,7 @@
         priority = self._jobs.queue(waiting.job).priority
         if waiting.urgency.is_guaranteed:
             return PreemptionLimits(priority)
-        if waiting.urgency.may_preempt(pool.now_ms, priority):
+        if waiting.urgency.may_preempt(pool.now_ms):
             return PreemptionLimits(
                 priority, estimated_core_seconds(waiting.step.spec)
             )
--- a/dragonflynotch/workflows/ranking.py
+++ b/dragonflynotch/workflows/ranking.py
@@ -1,7 +1,14 @@
-"""Order in which waiting steps get resources."""
+"""Order in which waiting steps get resources.
+
+Answers overload, when more work waits than can be on time. By the latest start
+alone, all jobs would start when they are already too late. Among jobs that can
+still be on time, or late and useful, the more urgent queue comes first, and
+within it the job with the least work left, so that most callers are served.
+"""
 
 from dataclasses import dataclass
 
+from dragonflynotch.workflows.allocations import estimated_core_seconds
 from dragonflynotch.workflows.deployment import Queue
 from dragonflynotch.workflows.progress import Job, Step
 
@@ -38,12 +45,19 @@
         for work that can still meet its objective, 3 for work that may be late
         and is still useful, 4 for work that can no longer complete in a useful
         time.
+    priority : int
+        Priority of the queue in tiers 2 and 3; 0 in the others.
+    work_left : float
+        Estimated work of the steps that are not done in tiers 2 and 3, in
+        core seconds; 0 in the others.
     last_start_ms : int
         Latest store time at which the job can start and still meet its
         objective or, once that is missed, still be useful.
     """
 
     tier: int
+    priority: int
+    work_left: float
     last_start_ms: int
     job_id: str
     occurrence: int
@@ -54,7 +68,7 @@
         """Whether the step is covered by the guarantee of its workspace."""
         return self.tier == _TIER_GUARANTEED
 
-    def may_preempt(self, now_ms: int, priority: int) -> bool:
+    def may_preempt(self, now_ms: int) -> bool:
         """Return whether other runs may be stopped to keep the step on time.
 
         Steps of the most urgent queues qualify at once, others only shortly
@@ -63,7 +77,8 @@
         if self.tier != _TIER_ON_TIME:
             return False
         return (
-            priority == 0 or now_ms > self.last_start_ms - _MAX_STOP_LATENCY_MS
+            self.priority == 0
+            or now_ms > self.last_start_ms - _MAX_STOP_LATENCY_MS
         )
 
 
@@ -78,9 +93,10 @@
 ) -> Urgency:
     """Return the urgency of a step.
 
-    Within a tier, the step with the earliest latest start comes first. The
-    latest start is computed from the time objective of the job or, once that
-    is missed, from the end of the time in which the job is still useful.
+    Within the tiers of work that may be on time or useful, the order is by
+    priority and work left, within the others by the latest start. The latest
+    start is computed from the time objective of the job or, once that is
+    missed, from the end of the time in which the job is still useful.
 
     Parameters
     ----------
@@ -104,8 +120,11 @@
         tier = _TIER_GUARANTEED
     elif is_overdue:
         tier = _TIER_OVERDUE
+    is_useful = tier in {_TIER_ON_TIME, _TIER_LATE}
     return Urgency(
         tier,
+        queue.priority if is_useful else 0,
+        _work_left(job) if is_useful else 0,
         last_start_ms,
         job.job_id,
         step.occurrence,
@@ -128,3 +147,11 @@
         )
         ends.append(start_ms + step.estimated_ms)
     return max(ends, default=0)
+
+
+def _work_left(job: Job) -> float:
+    return sum(
+        estimated_core_seconds(step.spec)
+        for step in job.steps
+        if not step.is_done
+    )
