Treat a malformed response of the table service as no response

Cause: the JSON and base64 of a response were decoded without a check, so a body that was cut off raised an error that no caller of the client expects and that ended the task that read the table.

Change: a malformed row or conflict counts as an unavailable service (a conflict is certain whatever its body says), a malformed answer to a commit as an uncertain write.

Result: tests/services/test_http_table.py, five cases; all fail before, four with an error of msgspec, one because bad base64 was read as no content.

--- a/dragonflynotch/services/http_table.py
+++ b/dragonflynotch/services/http_table.py
@@ -77,14 +77,20 @@
     async def read(self, key: str) -> Row | None:
         """Return a row, or ``None`` if it does not exist."""
         reply = await self._get('/v1/row', {'key': key})
-        body = msgspec.json.decode(reply, type=RowBody | None)
-        return None if body is None else _decode_row(body)
+        try:
+            body = msgspec.json.decode(reply, type=RowBody | None)
+            return None if body is None else _decode_row(body)
+        except ValueError as error:
+            raise _unavailable_error('read', error) from error
 
     async def scan(self, prefix: str) -> tuple[Row, ...]:
         """Return the rows whose keys start with ``prefix``, in order of key."""
         reply = await self._get('/v1/rows', {'prefix': prefix})
-        bodies = msgspec.json.decode(reply, type=list[RowBody])
-        return tuple(_decode_row(body) for body in bodies)
+        try:
+            bodies = msgspec.json.decode(reply, type=list[RowBody])
+            return tuple(_decode_row(body) for body in bodies)
+        except ValueError as error:
+            raise _unavailable_error('read', error) from error
 
     async def commit(
         self, writes: Sequence[ConditionalWrite], writer_token: str
@@ -102,19 +108,9 @@
         except httpx.HTTPError as error:
             raise _uncertain_error(error) from error
         if reply.status_code == httpx.codes.OK:
-            return Written(
-                msgspec.json.decode(reply.content, type=dict[str, int])
-            )
+            return _decode_written(reply.content)
         if reply.status_code == httpx.codes.CONFLICT:
-            rows = msgspec.json.decode(
-                reply.content, type=dict[str, RowBody | None]
-            )
-            return WriteConflict(
-                {
-                    key: None if row is None else _decode_row(row)
-                    for key, row in rows.items()
-                }
-            )
+            return _decode_conflict(reply.content)
         if reply.status_code == httpx.codes.SERVICE_UNAVAILABLE:
             raise _unavailable_error('commit', reply.status_code)
         raise _uncertain_error(reply.status_code)
@@ -129,10 +125,31 @@
         return reply.content
 
 
+def _decode_written(content: bytes) -> Written:
+    try:
+        return Written(msgspec.json.decode(content, type=dict[str, int]))
+    except msgspec.DecodeError as error:
+        raise _uncertain_error(error) from error
+
+
+def _decode_conflict(content: bytes) -> WriteConflict:
+    try:
+        rows = msgspec.json.decode(content, type=dict[str, RowBody | None])
+        return WriteConflict(
+            {
+                key: None if row is None else _decode_row(row)
+                for key, row in rows.items()
+            }
+        )
+    except ValueError as error:
+        # A conflict means that nothing was written, readable or not.
+        raise _unavailable_error('commit', error) from error
+
+
 def _decode_row(body: RowBody) -> Row:
     return Row(
         body.key,
-        base64.b64decode(body.content),
+        base64.b64decode(body.content, validate=True),
         body.version,
         body.writer_token,
     )
