Answer a digest that comes from the own address

Cause: on_digest looked up the link to the sender, and there is none to the own address, so a digest of a predecessor at the same address with a newer configuration failed with KeyError.

Change: the configuration is pulled only if there is a link.

Result: test_digest_from_the_own_address_is_answered, KeyError before.

--- a/dragonflynotch/entry/peers/exchange.py
+++ b/dragonflynotch/entry/peers/exchange.py
@@ -162,8 +162,13 @@
         address = f'{digest.link_host}:{digest.link_port}'
         self.add_peer(address)
         applied = self._remote.apply(digest, self._clock.now())
-        if self._configuration.observe_revision(digest.configuration_revision):
-            self._start_task(self._pull(self._links[address]))
+        is_behind = self._configuration.observe_revision(
+            digest.configuration_revision
+        )
+        # A predecessor at the own address has no link.
+        link = self.link_to(address)
+        if is_behind and link is not None:
+            self._start_task(self._pull(link))
         return DigestReply(
             grant_ms=milliseconds(self._grant_time(digest)),
             entry_id=self._identity.entry_id,
