Take changes of the settings file while a platform program runs

Cause: settings were read at the start only, and SIGHUP was logged and ignored, although the file may change with and without a signal.

Change: the file's attributes are read once a second, and on SIGHUP at once. A changed file is validated first; one that is missing, cut off or malformed is logged (settings_rejected) and the settings in force stay. Bounds take effect in place: for the scheduler from the next round on, for a guard with the minion's next incarnation. Other changes are logged by name (needs_restart) and take effect at the next start. No connection is closed and no call interrupted.

The product's own daemons still read their settings only at the start.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -125,6 +125,13 @@
         self._running_calls: set[asyncio.Task[object]] = set()
         self._orders_changed = asyncio.Event()
 
+    def apply_limits(self, limits: GuardLimits) -> None:
+        """Use these limits for the next incarnation of the minion.
+
+        The authority stays that of the start of this process.
+        """
+        self._limits = limits
+
     async def run(self) -> None:
         """Follow the orders and poll the minion until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -102,6 +102,13 @@
         self._leadership = leadership
         self._deployment = deployment
         self._settings = settings
+        self._term: _Term | None = None
+
+    def apply_settings(self, settings: SchedulerSettings) -> None:
+        """Use these settings from the next round of decisions on."""
+        self._settings = settings
+        if self._term is not None:
+            self._term.apply_settings(settings)
 
     async def run(self) -> None:
         """Compete for the lease and schedule until cancelled."""
@@ -123,7 +130,7 @@
             await asyncio.sleep(_CAMPAIGN_INTERVAL_S)
 
     async def _run_term(self) -> None:
-        term = _Term(
+        self._term = _Term(
             self._store,
             self._store_clock,
             self._clock,
@@ -131,7 +138,10 @@
             self._deployment,
             self._settings,
         )
-        await term.run()
+        try:
+            await self._term.run()
+        finally:
+            self._term = None
 
 
 class _Term:
@@ -164,6 +174,10 @@
         self._is_loading = True
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
+    def apply_settings(self, settings: SchedulerSettings) -> None:
+        """Use these settings from the next round of decisions on."""
+        self._scheduler.apply_settings(settings)
+
     async def run(self) -> None:
         """Load all rows and schedule until the lease is lost."""
         await self._load()
--- a/dragonflynotch/platform/__main__.py
+++ b/dragonflynotch/platform/__main__.py
@@ -10,6 +10,7 @@
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.platform.programs import FrontProgram, SideProgram
 from dragonflynotch.platform.settings import SETTINGS_VARIABLE, load_settings
+from dragonflynotch.platform.settings_watch import SettingsWatch
 
 __all__ = ('main',)
 
@@ -24,16 +25,16 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    # Settings are read only at the start, so SIGHUP is logged and ignored.
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: decision_log.record('reload_requested')
-    )
     program = (
         FrontProgram(settings)
         if program_name == 'front'
         else SideProgram(settings)
     )
+    watch = SettingsWatch(settings_path, settings, program.apply_bounds)
+    loop.add_signal_handler(signal.SIGHUP, watch.request_reload)
+    watching = asyncio.create_task(watch.run())
     await program.run(stop)
+    watching.cancel()
 
 
 def main() -> None:
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -68,11 +68,7 @@
             clock,
             self._leadership,
             self._deployment,
-            SchedulerSettings(
-                stop_ms=settings.bounds.max_stop_ms,
-                off_rack_slowdown=settings.bounds.off_rack_slowdown,
-                ended_job_retention_ms=settings.bounds.ended_state_ms * 2,
-            ),
+            _scheduler_settings(settings),
         )
         self._metrics = JobMetrics(settings.node, self._gauges)
         submissions = SubmissionService(
@@ -117,6 +113,10 @@
         configuration.cancel()
         decision_log.record('stopped', program='front')
 
+    def apply_bounds(self, settings: PlatformSettings) -> None:
+        """Use the bounds in ``settings`` from the next decision on."""
+        self._leader.apply_settings(_scheduler_settings(settings))
+
     def _deployment(self) -> Deployment | None:
         return self._configuration.deployment
 
@@ -159,18 +159,13 @@
         """Create the program from checked settings."""
         clock = BootClock()
         self._store = HttpRowStore(settings.store_address, clock)
-        max_lease_ms = min(
-            _MAX_MINION_LEASE_MS, settings.bounds.max_minion_lease_ms
-        )
         self._guard = Guard(
             settings.node,
             self._store,
             self._store.store_clock,
             clock,
             HttpMinionClient,
-            GuardLimits(
-                int(max_lease_ms * _MINION_LEASE_FRACTION), _AUTHORITY_MS
-            ),
+            _guard_limits(settings),
         )
         metrics = JobMetrics(settings.node, self._gauges)
         self._servers = [
@@ -206,10 +201,32 @@
         await asyncio.gather(*servers, return_exceptions=True)
         decision_log.record('stopped', program='side')
 
+    def apply_bounds(self, settings: PlatformSettings) -> None:
+        """Use the bounds in ``settings`` for the minion's next incarnation."""
+        self._guard.apply_limits(_guard_limits(settings))
+
     def _gauges(self) -> dict[str, float]:
         return {'store_calls': self._store.call_count}
 
 
+def _scheduler_settings(settings: PlatformSettings) -> SchedulerSettings:
+    bounds = settings.bounds
+    return SchedulerSettings(
+        stop_ms=bounds.max_stop_ms,
+        off_rack_slowdown=bounds.off_rack_slowdown,
+        ended_job_retention_ms=bounds.ended_state_ms * 2,
+    )
+
+
+def _guard_limits(settings: PlatformSettings) -> GuardLimits:
+    max_lease_ms = min(
+        _MAX_MINION_LEASE_MS, settings.bounds.max_minion_lease_ms
+    )
+    return GuardLimits(
+        int(max_lease_ms * _MINION_LEASE_FRACTION), _AUTHORITY_MS
+    )
+
+
 def _metrics_handler(metrics: JobMetrics) -> _Handler:
     async def serve_metrics(call: HttpCall) -> Reply:
         if call.path != _METRICS_PATH:
--- /dev/null
+++ b/dragonflynotch/platform/settings_watch.py
@@ -0,0 +1,96 @@
+"""Takes changes of the settings file while the process runs."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import fields
+from pathlib import Path
+
+from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.platform.settings import PlatformSettings, load_settings
+
+__all__ = ('SettingsWatch',)
+
+# The file may change without a signal, so its attributes are read this often.
+_CHECK_INTERVAL_S = 1
+
+
+class SettingsWatch:
+    """Reloads the settings when their file changes or on request.
+
+    A file that cannot be read or is invalid leaves the settings in force. A
+    reload closes no connection and interrupts no call: what cannot change in
+    place, such as an address to listen on, is logged and takes effect at the
+    next start.
+
+    Parameters
+    ----------
+    path : Path
+        Settings file.
+    settings : PlatformSettings
+        Settings in force.
+    apply_bounds : callable
+        Applies settings whose bounds have changed.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        settings: PlatformSettings,
+        apply_bounds: Callable[[PlatformSettings], None],
+    ) -> None:
+        """Create the watch; ``run`` starts it."""
+        self._path = path
+        self._settings = settings
+        self._apply_bounds = apply_bounds
+        self._requested = asyncio.Event()
+        self._version = self._file_version()
+
+    def request_reload(self) -> None:
+        """Reload the file at once, whether it has changed or not."""
+        self._requested.set()
+
+    async def run(self) -> None:
+        """Watch the file until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(_CHECK_INTERVAL_S):
+                    await self._requested.wait()
+            except TimeoutError:
+                pass
+            is_requested = self._requested.is_set()
+            self._requested.clear()
+            version = self._file_version()
+            if is_requested or version != self._version:
+                self._version = version
+                self._reload()
+
+    def _file_version(self) -> tuple[int, int, int] | None:
+        """Return what changes with the file, or ``None`` if there is none."""
+        try:
+            status = self._path.stat()
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size, status.st_ino
+
+    def _reload(self) -> None:
+        try:
+            settings = load_settings(self._path)
+        except (InvalidInputError, OSError, UnicodeDecodeError) as error:
+            decision_log.record('settings_rejected', reason=str(error))
+            return
+        changed = _changed_fields(self._settings, settings)
+        is_bounds_change = 'bounds' in changed
+        if is_bounds_change:
+            self._apply_bounds(settings)
+        self._settings = settings
+        decision_log.record(
+            'settings_reloaded',
+            applied=['bounds'] if is_bounds_change else [],
+            needs_restart=[name for name in changed if name != 'bounds'],
+        )
+
+
+def _changed_fields(old: PlatformSettings, new: PlatformSettings) -> list[str]:
+    names = [field.name for field in fields(PlatformSettings)]
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placer.py
@@ -66,8 +66,8 @@
         self._orders = orders
         self._tracker = tracker
         self._decision_log = decision_log
-        self._start_timeout_ms = start_timeout_ms
-        self._stop_ms = stop_ms
+        self.start_timeout_ms = start_timeout_ms
+        self.stop_ms = stop_ms
         self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
 
@@ -85,11 +85,9 @@
         # The guard can start the run only after the order has been written to
         # the store and read from it.
         store_delay_ms = min(
-            write_ms * _STORE_CALLS_BEFORE_START, self._start_timeout_ms
-        )
-        self._start_by_ms = (
-            pool.now_ms + self._start_timeout_ms + store_delay_ms
+            write_ms * _STORE_CALLS_BEFORE_START, self.start_timeout_ms
         )
+        self._start_by_ms = pool.now_ms + self.start_timeout_ms + store_delay_ms
         reserving_steps = 0
         for waiting in self._waiting_steps(pool, wall_ms):
             may_reserve = reserving_steps < _MAX_RESERVING_STEPS
@@ -260,7 +258,7 @@
         plan = plan_room(pool, demand, allocations, limits)
         if plan.victims:
             self._stop_for(waiting, plan.victims)
-            stop_in_plan(allocations, plan.victims, pool.now_ms + self._stop_ms)
+            stop_in_plan(allocations, plan.victims, pool.now_ms + self.stop_ms)
         return plan.will_fit
 
     def _stop_for(
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -109,6 +109,13 @@
         """Use this version of the configuration from now on."""
         self._jobs.deployment = deployment
 
+    def apply_settings(self, settings: SchedulerSettings) -> None:
+        """Use these settings from now on."""
+        self._settings = settings
+        self._supervisor.max_slowdown = settings.off_rack_slowdown
+        self._placer.start_timeout_ms = settings.start_timeout_ms
+        self._placer.stop_ms = settings.stop_ms
+
     def put_job(self, job_id: str, spec: JobSpec) -> None:
         """Add an accepted job."""
         self._jobs.put(job_id, spec)
--- a/dragonflynotch/workflows/supervision.py
+++ b/dragonflynotch/workflows/supervision.py
@@ -35,7 +35,7 @@
         self._jobs = jobs
         self._tracker = tracker
         self._decision_log = decision_log
-        self._max_slowdown = max_slowdown
+        self.max_slowdown = max_slowdown
 
     def review(self, now_ms: int, minions_with_reports: set[str]) -> None:
         """End jobs that are finished, and stop broken and stalled runs.
@@ -104,7 +104,7 @@
             return
         if active.minion_id not in minions_with_reports:
             return
-        percent_ms = step.spec.estimated_ms * self._max_slowdown / _PERCENT
+        percent_ms = step.spec.estimated_ms * self.max_slowdown / _PERCENT
         limit_ms = max(_MIN_STALL_MS, percent_ms * _STALL_FACTOR)
         if now_ms - active.progress_changed_ms > limit_ms:
             self._tracker.record_run_failure(task, active.minion_id, now_ms)
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -1,6 +1,7 @@
 """Runs the platform programs as processes against a simulated platform."""
 
 import asyncio
+import signal
 from datetime import timedelta
 
 import msgspec
@@ -72,6 +73,17 @@
     async def kill(self, name):
         await self._processes[name].kill()
 
+    def change_settings(self, name, old, new):
+        """Replace text in the settings file of a program and signal it."""
+        path = self._folder / f'{name}.conf'
+        path.write_text(path.read_text().replace(old, new))
+        self._processes[name].send(signal.SIGHUP)
+
+    async def wait_for_log(self, name, text, timeout_s=5):
+        async with asyncio.timeout(timeout_s):
+            while text not in self.log_paths[name].read_text():
+                await asyncio.sleep(0.05)
+
     async def terminate(self, name):
         return await self._processes[name].terminate()
 
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -106,6 +106,27 @@
     )
 
 
+@pytest.mark.parametrize('name', ['front-1', 'side-1'])
+async def test_reload_interrupts_no_call(programs, name):
+    """A change of the settings must not end a program or its connections."""
+    connection = programs.open_connection('front-1')
+    target = f'/queue/{OTHER}'
+
+    async def ask():
+        reply = await connection.exchange(
+            'GET', target, headers=(KEY,), timeout=CALL_TIMEOUT
+        )
+        return reply.status
+
+    assert await ask() == 410
+    programs.change_settings(name, 'node=', 'bounds.stop_ms=900\nnode=')
+    await programs.wait_for_log(name, '"event":"settings_reloaded"')
+    assert await ask() == 410
+    connection.close()
+    assert (await programs.submit('front-1', JOB_ID))[0] == 200
+    await programs.wait_for_state('front-1', JOB_ID, 'completed')
+
+
 async def test_planned_stop_leaves_with_success(programs):
     """Guards against a front that the platform must kill after SIGTERM.
 
