Show what decides the order of waiting steps and how long rounds take

Cause: the cost of a round on a large fleet was found with a profiler; no metric showed it. The order by priority and work left was not in the logs.

--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -65,6 +65,7 @@
 _MAX_ROWS_PER_WRITE = 90
 # Covers clock differences and response delays.
 _AUTHORITY_MARGIN_MS = 500
+_MS_PER_S = 1000
 
 
 class Leader:
@@ -84,6 +85,8 @@
         Returns the configuration in force, or ``None`` before the first.
     settings : SchedulerSettings
         Limits of the scheduler.
+    record_round : callable
+        Receives the duration of the decisions of each round, in seconds.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         leadership: Leadership,
         deployment: Callable[[], Deployment | None],
         settings: SchedulerSettings,
+        record_round: Callable[[float], None],
     ) -> None:
         """Create a candidate; ``run`` starts it."""
         self._store = store
@@ -102,6 +106,7 @@
         self._leadership = leadership
         self._deployment = deployment
         self._settings = settings
+        self._record_round = record_round
         self._term: _Term | None = None
 
     def apply_settings(self, settings: SchedulerSettings) -> None:
@@ -137,6 +142,7 @@
             self._leadership,
             self._deployment,
             self._settings,
+            self._record_round,
         )
         try:
             await self._term.run()
@@ -155,6 +161,7 @@
         leadership: Leadership,
         deployment: Callable[[], Deployment | None],
         settings: SchedulerSettings,
+        record_round: Callable[[float], None],
     ) -> None:
         self._store_clock = store_clock
         self._clock = clock
@@ -162,6 +169,7 @@
         self._deployment = deployment
         self._store = store
         self._scheduler = Scheduler(settings)
+        self._record_round = record_round
         self._submissions = TableWatch(
             store, SUBMISSIONS, self._on_submissions, clock, _FEED_TIMEOUT
         )
@@ -293,11 +301,7 @@
             self._scheduler.apply_deployment(deployment)
         decisions = Decisions()
         if self._are_replicas_fresh():
-            decisions = self._scheduler.decide(
-                self._store_now_ms(),
-                int(time.time() * 1000),
-                self._write_duration_ms,
-            )
+            decisions = self._decide()
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
         )
@@ -309,6 +313,16 @@
                 entry.event, epoch=self._leadership.epoch, **entry.fields
             )
 
+    def _decide(self) -> Decisions:
+        started_ms = self._clock.now_ms()
+        decisions = self._scheduler.decide(
+            self._store_now_ms(),
+            int(time.time() * _MS_PER_S),
+            self._write_duration_ms,
+        )
+        self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
+        return decisions
+
     def _are_replicas_fresh(self) -> bool:
         # A slow store answers feed calls late, which makes replicas seem older.
         limit_ms = _MAX_REPLICA_AGE_MS + min(
--- a/dragonflynotch/observability/job_metrics.py
+++ b/dragonflynotch/observability/job_metrics.py
@@ -41,6 +41,13 @@
             registry=self._registry,
             buckets=_BUCKETS_S,
         )
+        self._round_duration = Histogram(
+            'dragonflynotch_round_seconds',
+            'Time that the decisions of one scheduling round take.',
+            const_labels=labels,
+            registry=self._registry,
+            buckets=_BUCKETS_S,
+        )
         self._gauges: dict[str, Gauge] = {}
 
     def count_call(self, method: str, status: int, duration_s: float) -> None:
@@ -48,6 +55,10 @@
         self._calls.inc({'method': method, 'status': str(status)})
         self._latency.observe({'method': method}, duration_s)
 
+    def record_round(self, duration_s: float) -> None:
+        """Record how long the decisions of a round took, in seconds."""
+        self._round_duration.observe({}, duration_s)
+
     def render(self) -> bytes:
         """Return all series in the Prometheus text format."""
         for name, reading in self._read_gauges().items():
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -62,6 +62,7 @@
             clock,
         )
         self._leadership = Leadership(settings.node, self._store, clock)
+        self._metrics = JobMetrics(settings.node, self._gauges)
         self._leader = Leader(
             self._store,
             self._store.store_clock,
@@ -69,8 +70,8 @@
             self._leadership,
             self._deployment,
             _scheduler_settings(settings),
+            self._metrics.record_round,
         )
-        self._metrics = JobMetrics(settings.node, self._gauges)
         submissions = SubmissionService(
             self._store, self._store.store_clock, self._store.health, clock
         )
--- a/dragonflynotch/workflows/wait_log.py
+++ b/dragonflynotch/workflows/wait_log.py
@@ -55,6 +55,8 @@
             job=urgency.job_id,
             step=urgency.step,
             tier=urgency.tier,
+            priority=urgency.priority,
+            work_left_core_s=round(urgency.work_left),
             tasks=len(waiting.step.waiting_tasks),
             needs=(spec.millicores, spec.memory_mb, spec.accelerators),
             workers=len(pool.workers),
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -48,6 +48,8 @@
         self.clock = LoopClock()
         self.store = MemoryRowStore(self.clock)
         self.log = RunLog()
+        # Durations of the decisions of each round, in seconds.
+        self.round_durations = []
         self.submissions = SubmissionService(
             self.store, self.store.store_clock, self.store.health, self.clock
         )
@@ -70,6 +72,7 @@
             Leadership(name, self.store, self.clock),
             lambda: DEPLOYMENT,
             SchedulerSettings(),
+            self.round_durations.append,
         )
         self._spawn(name, leader.run())
 
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -29,6 +29,14 @@
     assert not cluster.log.overlapping_tasks
 
 
+async def test_duration_of_each_round_is_recorded(cluster):
+    """Rounds that take too long on a large fleet must be visible."""
+    await cluster.submit('a', tasks(1))
+    await cluster.wait_for_state('a', JobState.completed)
+    assert cluster.round_durations
+    assert all(duration_s < 1 for duration_s in cluster.round_durations)
+
+
 async def test_takeover_neither_loses_nor_repeats_runs(cluster):
     """The loss of the scheduler must not end or repeat a run."""
     await cluster.submit('a', tasks(4, 2))
--- a/tests/workflows/test_wait_log.py
+++ b/tests/workflows/test_wait_log.py
@@ -40,6 +40,18 @@
     assert len(entries(site, 'step_waits')) == 1
 
 
+def test_wait_names_what_decides_the_order():
+    """It must be visible why one of two waiting jobs comes first."""
+    site = Site(racks=('r1',))
+    site.submit('x', 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    site.submit('y', 'batch', StepSpec(2, 1000, 1000, 8, 4000))
+    site.decide(advance_ms=100)
+    [wait] = entries(site, 'step_waits')
+    # Two tasks of one core and eight accelerators, which count as 64 cores.
+    assert (wait['priority'], wait['work_left_core_s']) == (2, 520)
+
+
 def test_order_tells_of_earlier_failures():
     """A retry on the worker that failed must be visible in the logs."""
     site = Site(racks=('r1',))
