--- /dev/null
+++ b/dragonflynotch/control/leader_term.py
@@ -0,0 +1,365 @@
+"""Scheduling on the rows of the store while this node holds the lease."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.rows import (
+    ORDERS,
+    PROGRESS,
+    REPORTS,
+    SCHEDULER_PART,
+    SUBMISSIONS,
+    Committed,
+    RowChange,
+    RowName,
+    RowStore,
+    RowWrite,
+    Snapshot,
+    Table,
+    shard_of,
+)
+from dragonflynotch.control.watch import TableWatch
+from dragonflynotch.core.errors import (
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.deployment import Deployment
+from dragonflynotch.workflows.jobs import JobSpec
+from dragonflynotch.workflows.records import (
+    Order,
+    ProgressRow,
+    Report,
+    decode_row,
+    encode_row,
+)
+from dragonflynotch.workflows.scheduler import (
+    Decisions,
+    Scheduler,
+    SchedulerSettings,
+)
+
+__all__ = ('LeaderContext', 'LeaderTerm')
+
+# Longest wait for changes in one call of a change feed.
+_FEED_TIMEOUT = timedelta(milliseconds=1000)
+# Changes that arrive within this time are scheduled in one round.
+_BATCH_WINDOW_S = 0.008
+# A round runs at least this often: deadlines pass without a change of a row.
+_ROUND_INTERVAL = timedelta(milliseconds=250)
+# The lease row is rewritten at least this often.
+_RENEWAL_INTERVAL_MS = 600
+# Nothing is started from older replicas, which could lack a cancellation.
+_MAX_REPLICA_AGE_MS = 1800
+# The age limit rises by this many times the duration of the last write.
+_AGE_LIMIT_WRITE_FACTOR = 3
+# Leaves room in a transaction for conditions and the lease row.
+_MAX_ROWS_PER_WRITE = 90
+# Covers clock differences and response delays.
+_AUTHORITY_MARGIN_MS = 500
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderContext:
+    """What a node needs to schedule.
+
+    Parameters
+    ----------
+    store : RowStore
+        Store with jobs, reports and orders.
+    store_clock : StoreClock
+        Bounds on the time of the store.
+    clock : SteadyClock
+        Clock of this process.
+    leadership : Leadership
+        Scheduling lease.
+    deployment : callable
+        Returns the configuration in force, or ``None`` before the first.
+    record_round : callable
+        Receives the duration of the decisions of each round, in seconds.
+    """
+
+    store: RowStore
+    store_clock: StoreClock
+    clock: SteadyClock
+    leadership: Leadership
+    deployment: Callable[[], Deployment | None]
+    record_round: Callable[[float], None]
+
+
+class LeaderTerm:
+    """Scheduling from the claim of the lease until it is lost.
+
+    Parameters
+    ----------
+    context : LeaderContext
+        What the node schedules with.
+    settings : SchedulerSettings
+        Limits of the scheduler.
+    """
+
+    def __init__(
+        self, context: LeaderContext, settings: SchedulerSettings
+    ) -> None:
+        """Create the term; ``run`` starts it."""
+        self._store_clock = context.store_clock
+        self._clock = context.clock
+        self._leadership = context.leadership
+        self._deployment = context.deployment
+        self._store = context.store
+        self._record_round = context.record_round
+        self._scheduler = Scheduler(settings)
+        self._submissions = TableWatch(
+            context.store,
+            SUBMISSIONS,
+            self._on_submissions,
+            context.clock,
+            _FEED_TIMEOUT,
+        )
+        self._reports = TableWatch(
+            context.store,
+            REPORTS,
+            self._on_reports,
+            context.clock,
+            _FEED_TIMEOUT,
+        )
+        self._rows_changed = asyncio.Event()
+        self._lease_written_ms = context.clock.now_ms()
+        self._write_duration_ms = 0
+        self._is_loading = True
+        self._loaded_reports: dict[str, tuple[Report, int]] = {}
+
+    def apply_settings(self, settings: SchedulerSettings) -> None:
+        """Use these settings from the next round of decisions on."""
+        self._scheduler.apply_settings(settings)
+
+    async def run(self) -> None:
+        """Load all rows and schedule until the lease is lost."""
+        await self._load()
+        watches = [
+            asyncio.create_task(self._submissions.run()),
+            asyncio.create_task(self._reports.run()),
+        ]
+        try:
+            while True:
+                await self._run_round()
+                await self._wait_for_changes()
+        finally:
+            for watch in watches:
+                watch.cancel()
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                progress, orders, *_ = await asyncio.gather(
+                    self._read(PROGRESS),
+                    self._read(ORDERS),
+                    self._submissions.load(),
+                    self._reports.load(),
+                )
+            except PlatformUnavailableError as error:
+                decision_log.record('takeover_read_failed', reason=str(error))
+                # Renews the lease; raises LeaseLostError if it was lost.
+                await self._leadership.commit([], [])
+                continue
+            break
+        for row in progress.rows:
+            stored = decode_row(row.content, ProgressRow)
+            if stored is None:
+                decision_log.record('progress_unreadable', job=row.key)
+            else:
+                self._scheduler.restore_progress(row.key, stored)
+        for row in orders.rows:
+            order = decode_row(row.content, Order)
+            minion_id, _, task = row.key.partition('/')
+            if order is None:
+                decision_log.record('order_unreadable', key=row.key)
+                continue
+            self._scheduler.restore_order(minion_id, task, order)
+        self._is_loading = False
+        for node, (report, version) in self._loaded_reports.items():
+            self._scheduler.apply_report(
+                node, report, version, self._store_now_ms()
+            )
+        self._scheduler.remove_unknown_orders()
+        decision_log.record(
+            'scheduling_started',
+            epoch=self._leadership.epoch,
+            orders=len(orders.rows),
+            reports=len(self._loaded_reports),
+        )
+
+    async def _read(self, table: Table) -> Snapshot:
+        return await self._store.read(table.name, SCHEDULER_PART)
+
+    def _store_now_ms(self) -> int:
+        return self._store_clock.earliest_ms()
+
+    # ---- changes of rows -------------------------------------------------
+
+    def _on_submissions(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            job_id, _, kind = change.key.partition('/')
+            if change.content is None:
+                continue
+            if kind == 'cancel':
+                self._scheduler.cancel(job_id)
+            elif kind == 'spec':
+                self._put_job(job_id, change.content)
+        self._rows_changed.set()
+
+    def _put_job(self, job_id: str, content: bytes) -> None:
+        spec = decode_row(content, JobSpec)
+        if spec is None or not spec.is_valid:
+            decision_log.record('job_unreadable', job=job_id)
+        else:
+            self._scheduler.put_job(job_id, spec)
+
+    def _on_reports(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            if change.content is None:
+                continue
+            report = decode_row(change.content, Report)
+            if report is None:
+                decision_log.record('report_unreadable', node=change.key)
+            elif self._is_loading:
+                self._loaded_reports[change.key] = (report, change.version)
+            else:
+                self._scheduler.apply_report(
+                    change.key, report, change.version, self._store_now_ms()
+                )
+        self._rows_changed.set()
+
+    # ---- scheduling rounds -----------------------------------------------
+
+    async def _wait_for_changes(self) -> None:
+        try:
+            async with asyncio.timeout(_ROUND_INTERVAL.total_seconds()):
+                await self._rows_changed.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(_BATCH_WINDOW_S)
+        self._rows_changed.clear()
+
+    async def _run_round(self) -> None:
+        await self._expire_lost_guards()
+        deployment = self._deployment()
+        if deployment is not None:
+            self._scheduler.apply_deployment(deployment)
+        decisions = Decisions()
+        if self._are_replicas_fresh():
+            decisions = self._decide()
+        is_renewal_due = (
+            self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
+        )
+        if decisions.is_empty and not is_renewal_due:
+            return
+        await self._write(decisions)
+        for entry in decisions.log_entries:
+            decision_log.record(
+                entry.event, epoch=self._leadership.epoch, **entry.fields
+            )
+
+    def _decide(self) -> Decisions:
+        started_ms = self._clock.now_ms()
+        decisions = self._scheduler.decide(
+            self._store_now_ms(),
+            int(time.time() * _MS_PER_S),
+            self._write_duration_ms,
+        )
+        self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
+        return decisions
+
+    def _are_replicas_fresh(self) -> bool:
+        # A slow store answers feed calls late, which makes replicas seem older.
+        limit_ms = _MAX_REPLICA_AGE_MS + min(
+            _AGE_LIMIT_WRITE_FACTOR * self._write_duration_ms,
+            _MAX_REPLICA_AGE_MS,
+        )
+        return max(self._submissions.age_ms, self._reports.age_ms) < limit_ms
+
+    async def _write(self, decisions: Decisions) -> None:
+        """Write the progress of jobs before the orders that result from it."""
+        writes = [
+            RowWrite(_scheduler_row(PROGRESS, job_id), encode_row(row))
+            for job_id, row in decisions.progress.items()
+        ]
+        writes.extend(
+            RowWrite(
+                _scheduler_row(ORDERS, f'{minion_id}/{task}'),
+                None if order is None else encode_row(order),
+            )
+            for (minion_id, task), order in decisions.orders.items()
+        )
+        for job_id in decisions.expired_jobs:
+            # A submission without progress would run again, so the progress
+            # row is deleted only after the submission.
+            if await self._delete_submission(job_id):
+                writes.append(RowWrite(_scheduler_row(PROGRESS, job_id), None))
+        waiting = self._scheduler.waiting_by_queue()
+        started_ms = self._clock.now_ms()
+        for start in range(0, max(1, len(writes)), _MAX_ROWS_PER_WRITE):
+            await self._leadership.commit(
+                writes[start : start + _MAX_ROWS_PER_WRITE], [], waiting
+            )
+        self._lease_written_ms = self._clock.now_ms()
+        self._write_duration_ms = self._lease_written_ms - started_ms
+
+    async def _delete_submission(self, job_id: str) -> bool:
+        part = shard_of(job_id)
+        names = [
+            RowName(SUBMISSIONS.name, part, f'{job_id}/{kind}')
+            for kind in ('spec', 'cancel')
+        ]
+        try:
+            await self._store.commit(
+                [RowWrite(name, None) for name in names], []
+            )
+        except (PlatformUnavailableError, UncertainWriteError) as error:
+            decision_log.record(
+                'submission_kept', job=job_id, reason=str(error)
+            )
+            return False
+        return True
+
+    async def _expire_lost_guards(self) -> None:
+        """Discard the runs of guards whose authority has ended.
+
+        First replaces the guard's report, conditional on its version. If the
+        guard extends its authority at the same time, only one of the two
+        writes takes effect.
+        """
+        now_ms = self._store_now_ms()
+        for node, worker in list(self._scheduler.workers.items()):
+            end_ms = worker.report.authority_end_ms + _AUTHORITY_MARGIN_MS
+            if now_ms < end_ms or not worker.minion_id:
+                continue
+            name = RowName(REPORTS.name, shard_of(node), node)
+            empty = Report('', '', False, False, 0, worker.report.token)
+            # Not conditional on the lease: the authority of the guard has
+            # ended, whichever node writes this.
+            try:
+                outcome = await self._store.commit(
+                    [RowWrite(name, encode_row(empty))],
+                    [(name, worker.version)],
+                )
+            except (PlatformUnavailableError, UncertainWriteError) as error:
+                decision_log.record(
+                    'guard_not_voided', guard=node, reason=str(error)
+                )
+                continue
+            if isinstance(outcome, Committed):
+                decision_log.record(
+                    'guard_lost', guard=node, minion=worker.minion_id
+                )
+                self._scheduler.remove_lost_node(node)
+
+
+def _scheduler_row(table: Table, key: str) -> RowName:
+    return RowName(table.name, SCHEDULER_PART, key)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -7,6 +7,7 @@
 from dragonflynotch.control.configuration import ConfigurationWatch
 from dragonflynotch.control.guard import Guard, GuardLimits
 from dragonflynotch.control.leader import Leader
+from dragonflynotch.control.leader_term import LeaderContext
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.rows import Table
 from dragonflynotch.control.submissions import SubmissionService
@@ -64,13 +65,15 @@
         self._leadership = Leadership(settings.node, self._store, clock)
         self._metrics = JobMetrics(settings.node, self._gauges)
         self._leader = Leader(
-            self._store,
-            self._store.store_clock,
-            clock,
-            self._leadership,
-            self._deployment,
+            LeaderContext(
+                self._store,
+                self._store.store_clock,
+                clock,
+                self._leadership,
+                self._deployment,
+                self._metrics.record_round,
+            ),
             _scheduler_settings(settings),
-            self._metrics.record_round,
         )
         submissions = SubmissionService(
             self._store, self._store.store_clock, self._store.health, clock
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -6,6 +6,7 @@
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.guard import Guard, GuardLimits
 from dragonflynotch.control.leader import Leader
+from dragonflynotch.control.leader_term import LeaderContext
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.minions import Heartbeat
 from dragonflynotch.control.submissions import SubmissionService
@@ -66,13 +67,15 @@
 
     def start_candidate(self, name):
         leader = Leader(
-            self.store,
-            self.store.store_clock,
-            self.clock,
-            Leadership(name, self.store, self.clock),
-            lambda: DEPLOYMENT,
+            LeaderContext(
+                self.store,
+                self.store.store_clock,
+                self.clock,
+                Leadership(name, self.store, self.clock),
+                lambda: DEPLOYMENT,
+                self.round_durations.append,
+            ),
             SchedulerSettings(),
-            self.round_durations.append,
         )
         self._spawn(name, leader.run())
 
