Survive a reload request during the start of a platform program

Trace: the log of side-1 was empty; SIGHUP came while the modules were being imported, and its default action ended the process. The platform sends SIGHUP when it likes, so this is a fault of the program, and the test has to wait for the start besides.

The first check of the file compares it with the settings that were read, so a change during the start is not missed.

--- a/dragonflynotch/platform/command.py
+++ b/dragonflynotch/platform/command.py
@@ -1,4 +1,4 @@
-"""Entry point: ``python -m dragonflynotch.platform front|side``."""
+"""Command line of the platform programs."""
 
 import asyncio
 import os
@@ -52,7 +52,3 @@
     except InvalidInputError as error:
         sys.stderr.write(f'dragonflynotch: {error}\n')
         sys.exit(_EXIT_INVALID_INPUT)
-
-
-if __name__ == '__main__':
-    main()
--- a/dragonflynotch/platform/settings_watch.py
+++ b/dragonflynotch/platform/settings_watch.py
@@ -13,6 +13,7 @@
 
 # The file may change without a signal, so its attributes are read this often.
 _CHECK_INTERVAL_S = 1
+_NOT_CHECKED = (0, 0, 0)
 
 
 class SettingsWatch:
@@ -44,7 +45,9 @@
         self._settings = settings
         self._apply_bounds = apply_bounds
         self._requested = asyncio.Event()
-        self._version = self._file_version()
+        # Unknown at first, so that the first check finds a change between the
+        # reading of ``settings`` and the start of the watch.
+        self._version: tuple[int, int, int] | None = _NOT_CHECKED
 
     def request_reload(self) -> None:
         """Reload the file at once, whether it has changed or not."""
@@ -63,7 +66,7 @@
             version = self._file_version()
             if is_requested or version != self._version:
                 self._version = version
-                self._reload()
+                self._reload(is_requested=is_requested)
 
     def _file_version(self) -> tuple[int, int, int] | None:
         """Return what changes with the file, or ``None`` if there is none."""
@@ -73,13 +76,15 @@
             return None
         return status.st_mtime_ns, status.st_size, status.st_ino
 
-    def _reload(self) -> None:
+    def _reload(self, *, is_requested: bool) -> None:
         try:
             settings = load_settings(self._path)
         except (InvalidInputError, OSError, UnicodeDecodeError) as error:
             decision_log.record('settings_rejected', reason=str(error))
             return
         changed = _changed_fields(self._settings, settings)
+        if not changed and not is_requested:
+            return
         is_bounds_change = 'bounds' in changed
         if is_bounds_change:
             self._apply_bounds(settings)
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -79,6 +79,9 @@
         path.write_text(path.read_text().replace(old, new))
         self._processes[name].send(signal.SIGHUP)
 
+    def clear_log(self, name):
+        self.log_paths[name].write_text('')
+
     async def wait_for_log(self, name, text, timeout_s=5):
         async with asyncio.timeout(timeout_s):
             while text not in self.log_paths[name].read_text():
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -109,6 +109,7 @@
 @pytest.mark.parametrize('name', ['front-1', 'side-1'])
 async def test_reload_interrupts_no_call(programs, name):
     """A change of the settings must not end a program or its connections."""
+    await programs.wait_for_log(name, '"event":"started"', timeout_s=15)
     connection = programs.open_connection('front-1')
     target = f'/queue/{OTHER}'
 
@@ -127,6 +128,19 @@
     await programs.wait_for_state('front-1', JOB_ID, 'completed')
 
 
+async def test_reload_request_during_the_start_does_not_end_the_program(
+    programs,
+):
+    """Before the program handled SIGHUP, the signal ended the process."""
+    await programs.kill('front-1')
+    programs.clear_log('front-1')
+    await programs.start_program('front-1')
+    # The interpreter runs by now, and imports the modules of the program.
+    await asyncio.sleep(0.15)
+    programs.change_settings('front-1', 'node=', 'bounds.stop_ms=900\nnode=')
+    await programs.wait_for_log('front-1', '"event":"started"', timeout_s=15)
+
+
 async def test_planned_stop_leaves_with_success(programs):
     """Guards against a front that the platform must kill after SIGTERM.
 
--- a/tests/platform/test_settings_watch.py
+++ b/tests/platform/test_settings_watch.py
@@ -94,3 +94,19 @@
     entry = await reload.wait_for('settings_reloaded')
     assert entry['needs_restart'] == ['caller_address']
     assert not reload.applied
+
+
+async def test_change_before_the_start_of_the_watch_is_noticed(tmp_path):
+    """A file that changes while the program starts must not be missed."""
+    path = tmp_path / 'front.conf'
+    path.write_text(SETTINGS)
+    old = load_settings(path)
+    path.write_text(SETTINGS.replace('400', '900'))
+    applied = []
+    watch = SettingsWatch(path, old, applied.append)
+    task = asyncio.create_task(watch.run())
+    async with asyncio.timeout(5):
+        while not applied:
+            await asyncio.sleep(0.02)
+    task.cancel()
+    assert applied[0].bounds.max_stop_ms == 900
