End the term of a scheduler whose watch of the rows has failed

Cause: nobody looked at the two tasks that follow submissions and reports. If one ended by an unexpected error, the holder went on renewing the lease with an old copy of the rows, from which it decides nothing, and no other front could take over.

Change: a watch that ends, ends the term with its error; the lease is given up and another front claims it.

Whether this was the cause of LOST is not shown.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -133,6 +133,8 @@
         self._lease_written_ms = context.clock.now_ms()
         self._write_duration_ms = 0
         self._is_loading = True
+        # Whether the replicas were fresh enough to decide in the last round.
+        self._are_deciding = True
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
     def apply_settings(self, settings: SchedulerSettings) -> None:
@@ -147,9 +149,11 @@
             asyncio.create_task(self._reports.run()),
         ]
         try:
-            while True:
+            while not any(watch.done() for watch in watches):
                 await self._run_round()
                 await self._wait_for_changes()
+            # A watch only ends by an error, which ends the term.
+            await asyncio.gather(*watches)
         finally:
             for watch in watches:
                 watch.cancel()
@@ -282,7 +286,19 @@
             _AGE_LIMIT_WRITE_FACTOR * self._write_duration_ms,
             _MAX_REPLICA_AGE_MS,
         )
-        return max(self._submissions.age_ms, self._reports.age_ms) < limit_ms
+        submissions_age_ms = self._submissions.age_ms
+        reports_age_ms = self._reports.age_ms
+        are_fresh = max(submissions_age_ms, reports_age_ms) < limit_ms
+        if are_fresh != self._are_deciding:
+            self._are_deciding = are_fresh
+            decision_log.record(
+                'decisions_resumed' if are_fresh else 'decisions_paused',
+                epoch=self._leadership.epoch,
+                submissions_age_ms=submissions_age_ms,
+                reports_age_ms=reports_age_ms,
+                limit_ms=limit_ms,
+            )
+        return are_fresh
 
     async def _write(self, decisions: Decisions) -> None:
         """Write the progress of jobs before the orders that result from it."""
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -10,6 +10,7 @@
 from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import StoreFault
 from dragonflynotch.workflows.records import JobState
+from dragonflynotch.workflows.scheduler import Scheduler
 from tests.control.cluster import Cluster, tasks
 
 
@@ -29,6 +30,30 @@
     assert not cluster.log.overlapping_tasks
 
 
+async def test_scheduler_that_cannot_follow_the_rows_gives_up_the_lease(
+    cluster, monkeypatch
+):
+    """A holder whose watch has failed must not keep the lease and stand still.
+
+    It renewed the lease and never saw another job or report.
+    """
+    await cluster.submit('a', tasks(1))
+    await cluster.wait_for_state('a', JobState.completed)
+    apply_report = Scheduler.apply_report
+    calls = []
+
+    def fail_once(self, *args):
+        calls.append(args)
+        if len(calls) == 1:
+            raise KeyError('unexpected row')
+        return apply_report(self, *args)
+
+    monkeypatch.setattr(Scheduler, 'apply_report', fail_once)
+    await cluster.submit('b', tasks(1))
+    await cluster.wait_for_state('b', JobState.completed)
+    assert not cluster.log.overlapping_tasks
+
+
 async def test_duration_of_each_round_is_recorded(cluster):
     """Rounds that take too long on a large fleet must be visible."""
     await cluster.submit('a', tasks(1))
