Count the room of workers that are short of one resource

Cause: the sum by which a round passes over steps that cannot fit left out workers that are over-committed in any resource, so a step that doesn't need that resource could be passed over although it fits.

Change: only the negative amount counts as 0, so the sum stays an upper bound.

Result: test_worker_short_of_one_resource_counts_with_the_others fails before and passes now.

--- a/dragonflynotch/workflows/resources.py
+++ b/dragonflynotch/workflows/resources.py
@@ -47,6 +47,14 @@
             self.accelerators * count,
         )
 
+    def without_deficits(self) -> 'Resources':
+        """Return these resources with 0 in place of negative amounts."""
+        return Resources(
+            max(0, self.millicores),
+            max(0, self.memory_mb),
+            max(0, self.accelerators),
+        )
+
     def covers(self, other: 'Resources') -> bool:
         """Return whether ``other`` fits into these resources."""
         return (
--- a/dragonflynotch/workflows/worker_pool.py
+++ b/dragonflynotch/workflows/worker_pool.py
@@ -108,9 +108,8 @@
         """Sum up the free resources of the workers."""
         self._free_total = sum(
             (
-                self.free[minion_id]
+                self.free[minion_id].without_deficits()
                 for minion_id in self.workers
-                if self.free[minion_id].covers(Resources())
             ),
             Resources(),
         )
--- a/tests/workflows/test_step_fit.py
+++ b/tests/workflows/test_step_fit.py
@@ -113,3 +113,18 @@
     calls = count_fit_calls(monkeypatch)
     assert plan_reservations(pool, demand, allocations)
     assert len(calls) < 3 * workers * (runs + 1)
+
+
+def test_worker_short_of_one_resource_counts_with_the_others():
+    """A task must not wait for a resource that it does not need.
+
+    A worker that reports less memory than its runs hold still has accelerators.
+    """
+    pool = make_pool(1)
+    short_of_memory = WorkerPool(
+        pool.workers, {'m0': Resources(8000, -1000, 4)}, now_ms=0
+    )
+    step = StepSpec(2, 1000, 0, 2, is_gang=True)
+    assert short_of_memory.may_fit(make_demand(step).step)
+    step = StepSpec(3, 1000, 0, 2, is_gang=True)
+    assert not short_of_memory.may_fit(make_demand(step).step)
