Lay out the scheduler's modules by subject

Cause: workflows/ held 25 modules in one folder, and five parts are to be added to it. Change: ordering, placement and runs are folders of their own; placement.py is best_fit.py now. Nothing but names of modules changes.

--- a/benchmarks/workflows/replay.py
+++ b/benchmarks/workflows/replay.py
@@ -13,7 +13,6 @@
     rack_names,
 )
 from dragonflynotch.workflows.jobs import StepSpec, parse_task_id
-from dragonflynotch.workflows.order_registry import OrderKey
 from dragonflynotch.workflows.records import (
     EndKind,
     JobState,
@@ -22,6 +21,7 @@
     RunEnd,
     RunningTask,
 )
+from dragonflynotch.workflows.runs.order_registry import OrderKey
 from dragonflynotch.workflows.scheduler import Scheduler, SchedulerSettings
 
 __all__ = ('JobOutcome', 'ReplayResult', 'replay')
--- /dev/null
+++ b/dragonflynotch/workflows/ordering/__init__.py
@@ -0,0 +1,1 @@
+"""Order in which waiting steps get resources."""
--- a/dragonflynotch/workflows/overdue.py
+++ b/dragonflynotch/workflows/ordering/overdue.py
@@ -7,9 +7,9 @@
 """
 
 from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.ordering.ranking import compute_objective_ms
+from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.progress import Job
-from dragonflynotch.workflows.ranking import compute_objective_ms
-from dragonflynotch.workflows.worker_pool import WorkerPool
 
 __all__ = ('longest_overdue_job',)
 
--- a/dragonflynotch/workflows/ranking.py
+++ b/dragonflynotch/workflows/ordering/ranking.py
@@ -8,8 +8,10 @@
 
 from dataclasses import dataclass
 
-from dragonflynotch.workflows.allocations import estimated_core_seconds
 from dragonflynotch.workflows.deployment import Queue
+from dragonflynotch.workflows.placement.allocations import (
+    estimated_core_seconds,
+)
 from dragonflynotch.workflows.progress import Job, Step
 
 __all__ = (
--- a/dragonflynotch/workflows/wait_log.py
+++ b/dragonflynotch/workflows/ordering/wait_log.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
+from dragonflynotch.workflows.ordering.ranking import Urgency
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.progress import Job, Step
-from dragonflynotch.workflows.ranking import Urgency
-from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
 
 __all__ = ('WaitLog', 'WaitingStep')
 
--- a/dragonflynotch/workflows/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -4,9 +4,9 @@
 
 from dragonflynotch.workflows.job_registry import FoundTask, JobRegistry
 from dragonflynotch.workflows.jobs import StepSpec
-from dragonflynotch.workflows.order_registry import OrderRegistry
+from dragonflynotch.workflows.placement.workers import Allocation
 from dragonflynotch.workflows.records import Order
-from dragonflynotch.workflows.workers import Allocation
+from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 
 __all__ = ('estimated_core_seconds', 'list_allocations')
 
--- a/dragonflynotch/workflows/avoidance.py
+++ b/dragonflynotch/workflows/placement/avoidance.py
@@ -5,8 +5,8 @@
 failed it has room, unless no other worker could run the task at all.
 """
 
+from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.progress import Step, Task
-from dragonflynotch.workflows.worker_pool import WorkerPool
 
 __all__ = ('avoided_by_step', 'avoided_by_task')
 
--- a/dragonflynotch/workflows/placement.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import repeat
 
-from dragonflynotch.workflows.avoidance import avoided_by_task
+from dragonflynotch.workflows.placement.avoidance import avoided_by_task
+from dragonflynotch.workflows.placement.step_fit import StepFit
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Step, Task
 from dragonflynotch.workflows.resources import Resources
-from dragonflynotch.workflows.step_fit import StepFit
-from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.workers import Worker
 
 __all__ = ('fit_gang', 'fits_one_rack', 'place_gang', 'place_task')
 
--- a/dragonflynotch/workflows/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -3,30 +3,32 @@
 from collections import Counter
 from collections.abc import Sequence
 
-from dragonflynotch.workflows.allocations import estimated_core_seconds
-from dragonflynotch.workflows.avoidance import avoided_by_step
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
-from dragonflynotch.workflows.order_registry import OrderRegistry
-from dragonflynotch.workflows.overdue import longest_overdue_job
-from dragonflynotch.workflows.placement import (
+from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
+from dragonflynotch.workflows.ordering.ranking import compute_urgency
+from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
+from dragonflynotch.workflows.placement.allocations import (
+    estimated_core_seconds,
+)
+from dragonflynotch.workflows.placement.avoidance import avoided_by_step
+from dragonflynotch.workflows.placement.best_fit import (
     fits_one_rack,
     place_gang,
     place_task,
 )
-from dragonflynotch.workflows.preemption import (
+from dragonflynotch.workflows.placement.preemption import (
     PreemptionLimits,
     plan_room,
     stop_in_plan,
 )
+from dragonflynotch.workflows.placement.reservations import plan_reservations
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.workers import Allocation, Worker
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
-from dragonflynotch.workflows.ranking import compute_urgency
 from dragonflynotch.workflows.records import JobState, Order
-from dragonflynotch.workflows.reservations import plan_reservations
-from dragonflynotch.workflows.run_tracker import RunTracker
-from dragonflynotch.workflows.wait_log import WaitingStep, WaitLog
-from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.workers import Allocation, Worker
+from dragonflynotch.workflows.runs.order_registry import OrderRegistry
+from dragonflynotch.workflows.runs.run_tracker import RunTracker
 
 __all__ = ('Placer',)
 
--- a/dragonflynotch/workflows/preemption.py
+++ b/dragonflynotch/workflows/placement/preemption.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
+from dragonflynotch.workflows.placement.step_fit import StepFit
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.workers import Allocation
 from dragonflynotch.workflows.resources import Resources
-from dragonflynotch.workflows.step_fit import StepFit
-from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.workers import Allocation
 
 __all__ = ('PreemptionLimits', 'RoomPlan', 'plan_room', 'stop_in_plan')
 
--- a/dragonflynotch/workflows/reservations.py
+++ b/dragonflynotch/workflows/placement/reservations.py
@@ -3,15 +3,15 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
-from dragonflynotch.workflows.placement import fit_gang
-from dragonflynotch.workflows.resources import Resources
-from dragonflynotch.workflows.step_fit import StepFit
-from dragonflynotch.workflows.worker_pool import (
+from dragonflynotch.workflows.placement.best_fit import fit_gang
+from dragonflynotch.workflows.placement.step_fit import StepFit
+from dragonflynotch.workflows.placement.worker_pool import (
     Demand,
     Reservation,
     WorkerPool,
 )
-from dragonflynotch.workflows.workers import Allocation
+from dragonflynotch.workflows.placement.workers import Allocation
+from dragonflynotch.workflows.resources import Resources
 
 __all__ = ('plan_reservations',)
 
--- a/dragonflynotch/workflows/step_fit.py
+++ b/dragonflynotch/workflows/placement/step_fit.py
@@ -8,8 +8,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.resources import Resources
-from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
 
 __all__ = ('StepFit',)
 
--- a/dragonflynotch/workflows/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Step
 from dragonflynotch.workflows.resources import Resources
-from dragonflynotch.workflows.workers import Worker
 
 __all__ = ('Demand', 'Reservation', 'StepRoom', 'WorkerPool')
 
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -10,7 +10,7 @@
     ProgressRow,
     TaskRow,
 )
-from dragonflynotch.workflows.worker_health import FAILURE_WINDOW_MS
+from dragonflynotch.workflows.runs.worker_health import FAILURE_WINDOW_MS
 
 __all__ = ('ActiveRun', 'Job', 'Step', 'Task')
 
--- /dev/null
+++ b/dragonflynotch/workflows/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Runs on workers: their orders, progress, ends and failures."""
--- a/dragonflynotch/workflows/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -4,7 +4,6 @@
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
-from dragonflynotch.workflows.order_registry import OrderRegistry
 from dragonflynotch.workflows.progress import ActiveRun, Task
 from dragonflynotch.workflows.records import (
     EndKind,
@@ -14,7 +13,8 @@
     RunEnd,
     RunningTask,
 )
-from dragonflynotch.workflows.worker_health import WorkerHealth
+from dragonflynotch.workflows.runs.order_registry import OrderRegistry
+from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 
 __all__ = ('RunTracker',)
 
--- a/dragonflynotch/workflows/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -4,7 +4,7 @@
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.progress import Job, Step, Task
 from dragonflynotch.workflows.records import JobState
-from dragonflynotch.workflows.run_tracker import RunTracker
+from dragonflynotch.workflows.runs.run_tracker import RunTracker
 
 __all__ = ('Supervisor',)
 
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -7,7 +7,6 @@
 
 from dataclasses import dataclass, field
 
-from dragonflynotch.workflows.allocations import list_allocations
 from dragonflynotch.workflows.decision_log_buffer import (
     DecisionLogBuffer,
     DecisionLogEntry,
@@ -15,14 +14,15 @@
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
-from dragonflynotch.workflows.order_registry import OrderKey, OrderRegistry
-from dragonflynotch.workflows.placer import Placer
+from dragonflynotch.workflows.placement.allocations import list_allocations
+from dragonflynotch.workflows.placement.placer import Placer
+from dragonflynotch.workflows.placement.worker_pool import WorkerPool
+from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
-from dragonflynotch.workflows.run_tracker import RunTracker
-from dragonflynotch.workflows.supervision import Supervisor
-from dragonflynotch.workflows.worker_health import WorkerHealth
-from dragonflynotch.workflows.worker_pool import WorkerPool
-from dragonflynotch.workflows.workers import Worker
+from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
+from dragonflynotch.workflows.runs.run_tracker import RunTracker
+from dragonflynotch.workflows.runs.supervision import Supervisor
+from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 
 __all__ = ('Decisions', 'Scheduler', 'SchedulerSettings')
 
--- a/tests/workflows/test_placer.py
+++ b/tests/workflows/placement/test_placer.py
@@ -3,8 +3,8 @@
 import pytest
 
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
+from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.records import EndKind, JobState
-from dragonflynotch.workflows.worker_pool import WorkerPool
 from tests.workflows.site import Site
 
 WHOLE_WORKER_STEP = StepSpec(1, 8000, 8000, 8, 4000)
--- a/tests/workflows/test_step_fit.py
+++ b/tests/workflows/placement/test_step_fit.py
@@ -5,14 +5,14 @@
 import pytest
 
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
-from dragonflynotch.workflows.placement import fit_gang
+from dragonflynotch.workflows.placement.best_fit import fit_gang
+from dragonflynotch.workflows.placement.reservations import plan_reservations
+from dragonflynotch.workflows.placement.step_fit import StepFit
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.workers import Allocation, Worker
 from dragonflynotch.workflows.progress import Job
 from dragonflynotch.workflows.records import Report
-from dragonflynotch.workflows.reservations import plan_reservations
 from dragonflynotch.workflows.resources import Resources
-from dragonflynotch.workflows.step_fit import StepFit
-from dragonflynotch.workflows.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.workers import Allocation, Worker
 
 SERVICE = 'planner'
 TASK = Resources(8000, 1000, 1)
