Hide the state of a job from callers of other workspaces

Change: the handler passes the workspace on. DELETE already did.

Result: tests/platform/test_front.py, test_job_is_hidden_from_other_workspaces[GET], fails before (200 where 410 is expected) and passes now; the other three cases of the file pass on both.

--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -160,7 +160,9 @@
     async def _read_state(
         self, call: HttpCall, job_id: str, workspace: str | None
     ) -> Reply | _Refusal:
-        state = await self._submissions.state(job_id, _remaining_time(call))
+        state = await self._submissions.state(
+            job_id, _remaining_time(call), workspace=workspace
+        )
         if isinstance(state, NotFound):
             return _Refusal(_GONE, 'no such job')
         if isinstance(state, Unavailable):
