Release the runs of a worker that has been taken away

Cause: seven workers were taken away with 2.1 s of notice. Their minions ended at 10.4 s; the guards saw refused connections until their own machines were stopped at 13.99 s, and kept waiting for the lease of 5.7 s. Their last report gave them an authority of 15 s, so the scheduler declared them lost at 28.1 to 29.3 s: 23 runs, and the gangs that they belonged to, waited 18 s. An urgent job of 3 tasks accepted at 2.79 s ended at 37.1 s.

Ruled out: a shorter authority for all, which costs the runs that survive an outage of the store (docs/decisions/platform-scheduling.md).

Change: (1) a draining minion that has refused connections for 0.4 s has shut down, so its runs are reported as lost; a closed port alone, without the announced end, changes nothing. (2) A guard that is stopped as planned ends its authority with the leases of its minion; a guard that is restarted in time takes them over.

Result: tests/control/test_guard.py, test_drained_minion_is_lost_once_it_has_shut_down[True] and test_stopped_guard_gives_up_its_authority fail before and pass now; the tests of guards and of tests/platform/test_minion.py pass.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -139,6 +139,20 @@
             group.create_task(self._writer.run())
             group.create_task(self._poll_forever())
 
+    async def relinquish_authority(self) -> None:
+        """Give up the authority beyond the leases that the minion has.
+
+        For a planned stop, after ``run`` has ended. If no other guard takes
+        over the minion, its runs can be started elsewhere once these leases
+        have expired.
+        """
+        for call in self._running_calls:
+            call.cancel()
+        if self._session is not None:
+            await self._writer.relinquish_authority(
+                self._session.lease_end_local_ms
+            )
+
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Process a heartbeat of the minion on this machine."""
         session = self._session
--- a/dragonflynotch/control/lease_arithmetic.py
+++ b/dragonflynotch/control/lease_arithmetic.py
@@ -34,7 +34,12 @@
     @property
     def is_expired(self) -> bool:
         """Whether every granted lease has certainly expired."""
-        return self._clock.now_ms() > self._last_end_ms + _EXPIRY_MARGIN_MS
+        return self._clock.now_ms() > self.expired_at_ms
+
+    @property
+    def expired_at_ms(self) -> int:
+        """Local time after which every granted lease has expired."""
+        return self._last_end_ms + _EXPIRY_MARGIN_MS
 
     def observe(self, minion_ms: int) -> None:
         """Record the time of the minion's clock from a response."""
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -9,6 +9,7 @@
     MinionClient,
     MinionState,
     NoAnswer,
+    NotListening,
     OtherIncarnation,
     Unhealthy,
 )
@@ -22,6 +23,8 @@
 # A poll without a response may have extended the lease. After this many failed
 # polls the lease is left to expire, so that its runs can be started elsewhere.
 _MAX_FAILED_POLLS = 2
+# A minion that shuts down may close its port shortly before its runs end.
+_SHUTDOWN_DELAY_MS = 400
 
 
 class MinionSession:
@@ -68,6 +71,7 @@
         # An earlier guard process may have extended the lease.
         self._lease.assume_granted_until(clock.now_ms() + lease_ms)
         self._failed_polls = 0
+        self._closed_since_ms: int | None = None
         self._has_lease = False
         self._is_live = True
 
@@ -86,6 +90,11 @@
         """Whether the minion accepts new runs."""
         return self._is_live and not self.heartbeat.is_draining
 
+    @property
+    def lease_end_local_ms(self) -> int:
+        """Local time at which every lease of the minion has expired."""
+        return self._lease.expired_at_ms
+
     def grant(self, local_end_ms: int | None = None) -> int:
         """Return the lease end to send in a call, on the minion's clock.
 
@@ -169,6 +178,7 @@
     def _apply_state(self, state: MinionState) -> None:
         known_numbers = {end.number for end in self.orders.unrecorded_ends()}
         self._failed_polls = 0
+        self._closed_since_ms = None
         self._lease.observe(state.clock_ms)
         self.orders.update_state(state)
         new_ends = [
@@ -191,7 +201,11 @@
         self._failed_polls += 1
         if not self._is_live:
             return
-        if isinstance(outcome, OtherIncarnation) or self._lease.is_expired:
+        if (
+            isinstance(outcome, OtherIncarnation)
+            or self._lease.is_expired
+            or self._has_shut_down(outcome)
+        ):
             decision_log.record(
                 'minion_lost',
                 minion=self.heartbeat.minion_id,
@@ -199,3 +213,19 @@
             )
             self._is_live = False
             self._writer.request_write()
+
+    def _has_shut_down(
+        self, outcome: OtherIncarnation | Unhealthy | NoAnswer
+    ) -> bool:
+        """Return whether the process of a draining minion has ended.
+
+        Its runs end with it, so they need not be kept until the lease expires.
+        """
+        if not isinstance(outcome, NotListening):
+            self._closed_since_ms = None
+            return False
+        now_ms = self._clock.now_ms()
+        if self._closed_since_ms is None:
+            self._closed_since_ms = now_ms
+        closed_ms = now_ms - self._closed_since_ms
+        return self.heartbeat.is_draining and closed_ms >= _SHUTDOWN_DELAY_MS
--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -11,6 +11,7 @@
     'MinionClient',
     'MinionState',
     'NoAnswer',
+    'NotListening',
     'OtherIncarnation',
     'RefusalReason',
     'StartRefused',
@@ -118,6 +119,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class NotListening(NoAnswer):
+    """No process listens at the minion's address; the call had no effect."""
+
+
 @dataclass(frozen=True, slots=True)
 class StartRequest:
     """Run to start; ``lease_end_ms`` is a time of the minion's clock."""
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -29,6 +29,8 @@
 # Changes within this time are reported in one write.
 _BATCH_WINDOW_S = 0.01
 _RETRY_DELAY_S = 0.2
+# A planned stop does not wait longer than this for the store.
+_LAST_WRITE_TIMEOUT_S = 1
 
 
 class ReportWriter:
@@ -82,6 +84,7 @@
         self._token = 0
         self._version: int | None = None
         self._authority_end_ms = 0
+        self._max_authority_end_ms: int | None = None
         self._write_requested = asyncio.Event()
         self._last_error = ''
 
@@ -116,11 +119,37 @@
                 continue
             await asyncio.sleep(_BATCH_WINDOW_S)
 
+    async def relinquish_authority(self, local_end_ms: int) -> None:
+        """Report that the authority ends earlier; call after ``run`` ended.
+
+        Parameters
+        ----------
+        local_end_ms : int
+            Local time at which all leases that were extended have expired.
+        """
+        remaining_ms = max(0, local_end_ms - self._clock.now_ms())
+        end_ms = self._store_clock.latest_ms() + remaining_ms
+        self._max_authority_end_ms = end_ms
+        self._authority_end_ms = min(self._authority_end_ms, end_ms)
+        try:
+            async with asyncio.timeout(_LAST_WRITE_TIMEOUT_S):
+                await self._write()
+        except (
+            PlatformUnavailableError,
+            UncertainWriteError,
+            TimeoutError,
+        ) as error:
+            decision_log.record('authority_not_given_up', reason=repr(error))
+        else:
+            decision_log.record('authority_given_up', left_ms=remaining_ms)
+
     async def _write(self) -> None:
         if self._version is None:
             await self._read_row()
         self._write_requested.clear()
         end_ms = self._store_clock.earliest_ms() + self._authority_ms
+        if self._max_authority_end_ms is not None:
+            end_ms = min(end_ms, self._max_authority_end_ms)
         report = self._build_report(end_ms)
         if report is None:
             return
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -10,6 +10,7 @@
     MinionClient,
     MinionState,
     NoAnswer,
+    NotListening,
     OtherIncarnation,
     RefusalReason,
     Started,
@@ -186,6 +187,8 @@
                 timeout=timeout,
             )
         except LinkError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return NotListening(str(error))
             return NoAnswer(str(error))
         return _decode_reply(reply)
 
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -200,6 +200,8 @@
                 'guard_failed', error=repr(guard_task.exception())
             )
         guard_task.cancel()
+        await asyncio.gather(guard_task, return_exceptions=True)
+        await self._guard.relinquish_authority()
         for server in self._servers:
             server.stop()
         await asyncio.gather(*servers, return_exceptions=True)
--- a/dragonflynotch/testing/minion_model.py
+++ b/dragonflynotch/testing/minion_model.py
@@ -10,6 +10,7 @@
     MinionClient,
     MinionState,
     NoAnswer,
+    NotListening,
     OtherIncarnation,
     RefusalReason,
     Started,
@@ -280,6 +281,8 @@
         deadline_ms = self._model.clock_ms + wait_ms
         while True:
             await asyncio.sleep(_POLL_S)
+            if self._model.is_crashed:
+                return NotListening('connection refused')
             if self._is_unreachable:
                 return NoAnswer('minion unreachable')
             outcome = self._model.poll(token, recorded_up_to, lease_end_ms)
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -45,8 +45,9 @@
 class GuardHarness:
     """A guard with minion models and a store."""
 
-    def __init__(self):
+    def __init__(self, limits=LIMITS):
         self.clock = LoopClock()
+        self.limits = limits
         self.store = MemoryRowStore(self.clock)
         self.log = RunLog()
         self.models = {}
@@ -67,7 +68,7 @@
             lambda heartbeat: ModelMinionClient(
                 self.models[heartbeat.minion_id]
             ),
-            LIMITS,
+            self.limits,
         )
         self._task = asyncio.create_task(self.guard.run())
 
@@ -299,6 +300,79 @@
     assert harness.log.ends == [(TASK, 1, 'lapsed')]
 
 
+@pytest.mark.parametrize('is_draining', [True, False])
+async def test_drained_minion_is_lost_once_it_has_shut_down(is_draining):
+    """Runs of a removed worker must not be held until the lease expires.
+
+    A minion that announced its end and no longer listens has ended its runs.
+    Without the announcement the port may be closed for another reason.
+    """
+    harness = GuardHarness(GuardLimits(6000, 15_000))
+    harness.start_guard()
+    minion = harness.add_minion('m1')
+    harness.send_heartbeat('m1')
+    await harness.wait_for(lambda report: report.minion_id == 'm1')
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    harness.send_heartbeat('m1', 2, is_draining=is_draining)
+    minion.crash()
+    if is_draining:
+        await harness.wait_for(lambda report: not report.is_live)
+    else:
+        await asyncio.sleep(1)
+        assert (await harness.report()).is_live
+    await harness.stop_guard()
+
+
+async def test_shut_down_minion_counts_again_if_it_responds(harness, minion):
+    """A port that was closed for a moment must not end the session."""
+    harness.send_heartbeat('m1', 2, is_draining=True)
+    minion.is_crashed = True
+    await harness.wait_for(lambda report: not report.is_live)
+    minion.is_crashed = False
+    await harness.wait_for(lambda report: report.is_live)
+
+
+async def test_stopped_guard_gives_up_its_authority():
+    """A removed machine must not hold its runs for the whole authority.
+
+    The authority that is left covers the leases that the minion has.
+    """
+    limits = GuardLimits(minion_lease_ms=600, authority_ms=15_000)
+    harness = GuardHarness(limits)
+    harness.start_guard()
+    harness.add_minion('m1')
+    harness.send_heartbeat('m1')
+    await harness.wait_for(lambda report: report.minion_id == 'm1')
+    await harness.stop_guard()
+    await harness.guard.relinquish_authority()
+    now_ms = harness.store.store_clock.earliest_ms()
+    left_ms = (await harness.report()).authority_end_ms - now_ms
+    assert 0 < left_ms <= limits.minion_lease_ms + 500
+
+
+async def test_run_continues_when_its_guard_is_replaced(harness, minion):
+    """A restart of the guard must not cost the run that it gave up."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    await harness.stop_guard()
+    await harness.guard.relinquish_authority()
+    harness.start_guard()
+    await asyncio.sleep(2 * LIMITS.minion_lease_ms / 1000)
+    report = await harness.wait_for(is_task_running)
+    assert report.authority_end_ms > harness.store.store_clock.latest_ms()
+    assert not harness.log.ends
+
+
+@pytest.mark.parametrize('fault', [StoreFault.down, StoreFault.silent])
+async def test_guard_stops_while_the_store_is_away(harness, minion, fault):
+    """A planned stop must not wait for a store that does not respond."""
+    harness.store.fault = fault
+    await harness.stop_guard()
+    async with asyncio.timeout(2):
+        await harness.guard.relinquish_authority()
+
+
 async def test_draining_minion_starts_nothing(harness, minion):
     """A draining minion must get no new runs."""
     harness.send_heartbeat('m1', 2, is_draining=True)
