Judge a stall by progress that has been read from the minion

Cause: a guard that does not reach its minion reports the last progress it has read, and the scheduler took the repeated figure for a lack of progress.

Change: the report tells how old the runs in it are, and a run is stalled by the time between two readings of its progress, not by the time that passed. Reports of the release before count as read when they arrive, as until now.

Result: test_run_is_not_stalled_while_its_minion_cannot_be_read fails before and passes now; tests/workflows and tests/control/test_guard.py pass.

--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -72,6 +72,7 @@
         self._lease.assume_granted_until(clock.now_ms() + lease_ms)
         self._failed_polls = 0
         self._closed_since_ms: int | None = None
+        self._runs_read_ms = clock.now_ms()
         self._has_lease = False
         self._is_live = True
 
@@ -173,12 +174,14 @@
             ended=self.orders.unrecorded_ends(),
             rejected=self.orders.rejections(),
             abandoned=self._abandoned,
+            runs_age_ms=self._clock.now_ms() - self._runs_read_ms,
         )
 
     def _apply_state(self, state: MinionState) -> None:
         known_numbers = {end.number for end in self.orders.unrecorded_ends()}
         self._failed_polls = 0
         self._closed_since_ms = None
+        self._runs_read_ms = self._clock.now_ms()
         self._lease.observe(state.clock_ms)
         self.orders.update_state(state)
         new_ends = [
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -33,6 +33,8 @@
         Last reported progress.
     progress_changed_ms : int
         Store time at which the progress last changed.
+    progress_read_ms : int
+        Store time at which the guard last read the progress.
     """
 
     minion_id: str
@@ -42,6 +44,12 @@
     is_reported: bool = False
     percent: int = 0
     progress_changed_ms: int = 0
+    progress_read_ms: int = 0
+
+    @property
+    def still_ms(self) -> int:
+        """How long the progress is known not to have changed."""
+        return self.progress_read_ms - self.progress_changed_ms
 
     def matches(self, minion_id: str, run: int) -> bool:
         """Return whether this is the given run on the given minion."""
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -215,6 +215,9 @@
         from here.
     abandoned : list of RunningTask
         Runs of the previous incarnation, with their checkpoints.
+    runs_age_ms : int
+        How long before this report the minion last told its runs. 0 in rows
+        of releases that did not store it.
     """
 
     minion_id: str
@@ -231,6 +234,7 @@
     ended: list[RunEnd] = []
     rejected: list[Rejection] = []
     abandoned: list[RunningTask] = []
+    runs_age_ms: int = 0
 
     @property
     def resources(self) -> Resources:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -45,8 +45,9 @@
             self._apply_end(report.minion_id, end, now_ms)
         for rejection in report.rejected:
             self._apply_rejection(report.minion_id, rejection)
+        read_ms = now_ms - report.runs_age_ms
         for running in report.running:
-            self._apply_running(report.minion_id, running, now_ms)
+            self._apply_running(report.minion_id, running, read_ms)
         if not report.is_live:
             self.mark_lost(report.minion_id, 'lease_expired')
 
@@ -203,7 +204,7 @@
         )
 
     def _apply_running(
-        self, minion_id: str, running: RunningTask, now_ms: int
+        self, minion_id: str, running: RunningTask, read_ms: int
     ) -> None:
         found = self._jobs.find(running.task)
         if found is None:
@@ -214,7 +215,8 @@
             return
         if running.percent != active.percent or not active.is_reported:
             active.percent = running.percent
-            active.progress_changed_ms = now_ms
+            active.progress_changed_ms = read_ms
             active.is_reported = True
+        active.progress_read_ms = read_ms
         if step.spec.has_checkpoints and running.checkpoint:
             job.save_checkpoint(step, task, running.checkpoint)
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -106,13 +106,14 @@
             return
         percent_ms = step.spec.estimated_ms * self.max_slowdown / _PERCENT
         limit_ms = max(_MIN_STALL_MS, percent_ms * _STALL_FACTOR)
-        if now_ms - active.progress_changed_ms > limit_ms:
+        # A guard that does not reach its minion repeats the last progress.
+        if active.still_ms > limit_ms:
             self._tracker.record_run_failure(task, active.minion_id, now_ms)
             self._tracker.order_stop(
                 task,
                 'stalled',
                 percent=active.percent,
-                still_ms=now_ms - active.progress_changed_ms,
+                still_ms=active.still_ms,
                 limit_ms=int(limit_ms),
             )
 
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -290,6 +290,14 @@
     assert (await harness.report()).minion_id == 'm1'
 
 
+async def test_report_tells_the_age_of_the_runs(harness, minion):
+    """Progress that cannot be read must not look like a lack of progress."""
+    minion.fault = MinionFault.cut
+    await harness.wait_for(lambda report: report.runs_age_ms > 300)
+    minion.fault = MinionFault.none
+    await harness.wait_for(lambda report: report.runs_age_ms < 300)
+
+
 async def test_silent_minion_is_lost_only_after_its_lease(harness, minion):
     """An unreachable minion keeps its runs until its lease has expired."""
     await harness.order('m1')
--- a/tests/workflows/runs/test_supervision.py
+++ b/tests/workflows/runs/test_supervision.py
@@ -12,7 +12,7 @@
     return Site()
 
 
-def _report_gang(site, percents):
+def _report_gang(site, percents, **fields):
     """Report the progress of each member of gang ``a``."""
     running = {}
     for index, percent in enumerate(percents):
@@ -21,7 +21,7 @@
             RunningTask(task, 1, '', percent)
         )
     for minion, tasks in running.items():
-        site.report(minion.replace('m', 'n'), running=tasks)
+        site.report(minion.replace('m', 'n'), running=tasks, **fields)
 
 
 def _run_gang(site, percents_by_second):
@@ -50,3 +50,21 @@
     """A gang whose members all stay at 100 percent must be stopped."""
     _run_gang(site, [(100, 100)] * 8)
     assert not site.ordered_tasks()
+
+
+def test_run_is_not_stalled_while_its_minion_cannot_be_read(site):
+    """A minion that does not answer its guard for some time works on.
+
+    The guard repeats the last progress that it has read, which says nothing
+    about the time since.
+    """
+    _run_gang(site, [(10, 10)])
+    for second in range(1, 9):
+        site.now_ms += 1000
+        site.report_all()
+        _report_gang(site, (10, 10), runs_age_ms=second * 1000)
+        site.decide()
+    assert site.ordered_tasks() == ['a.0.0.0', 'a.0.0.1']
+    _report_gang(site, (10, 10))
+    site.decide()
+    assert not site.ordered_tasks()
