Report the data centre of a worker

An evacuation names a data centre, but reports did not carry it. The guard takes it from the heartbeat and, after a restart, from its last report. Rows written before remain readable; their workers have no known data centre. A value of another type counts as unknown, so that it does not make the whole heartbeat unreadable.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -191,6 +191,7 @@
                 labels=report.labels,
                 rack=report.rack,
                 capacity=report.capacity,
+                data_centre=report.data_centre,
             )
         )
 
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -164,6 +164,7 @@
             ended=self.orders.unrecorded_ends(),
             rejected=self.orders.rejections(),
             abandoned=self._abandoned,
+            data_centre=heartbeat.data_centre,
         )
 
     def _apply_state(self, state: MinionState) -> None:
--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -41,6 +41,8 @@
         Accelerator kind and rack of the worker.
     rack : str
         Rack of the worker, or ``''`` if unknown.
+    data_centre : str
+        Data centre of the worker, or ``''`` if unknown.
     capacity : tuple of int
         Millicores, megabytes and accelerators.
     remaining_ms : int
@@ -56,6 +58,7 @@
     rack: str = ''
     capacity: tuple[int, int, int] = (0, 0, 0)
     remaining_ms: int = 0
+    data_centre: str = ''
 
 
 class RefusalReason(StrEnum):
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -46,7 +46,10 @@
 
 
 class _WireHeartbeat(msgspec.Struct):
-    """Heartbeat; ``labels`` are the kind and the rack of the worker."""
+    """Heartbeat; ``labels`` are the kind and the rack of the worker.
+
+    ``zone`` is the data centre. A value of another type counts as unknown.
+    """
 
     service: str
     address: str
@@ -55,6 +58,7 @@
     capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     labels: list[str] = []
     remaining_ms: float = 0
+    zone: object = ''
 
 
 class _WireAnswer(msgspec.Struct):
@@ -93,6 +97,7 @@
             heartbeat.capacity.gpu,
         ),
         remaining_ms=int(heartbeat.remaining_ms),
+        data_centre=(heartbeat.zone if isinstance(heartbeat.zone, str) else ''),
     )
 
 
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -53,3 +53,8 @@
     def minion_id(self) -> str:
         """Identifier of the minion's incarnation."""
         return self.report.minion_id
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre of the worker, or ``''`` if unknown."""
+        return self.report.data_centre
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -206,6 +206,9 @@
         Labels of the worker.
     rack : str
         Rack of the worker.
+    data_centre : str
+        Data centre of the worker. ``''`` in rows of releases that did not
+        store it.
     capacity : tuple of int
         Millicores, megabytes and accelerators.
     token : int
@@ -231,6 +234,7 @@
     ended: list[RunEnd] = []
     rejected: list[Rejection] = []
     abandoned: list[RunningTask] = []
+    data_centre: str = ''
 
     @property
     def resources(self) -> Resources:
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -86,6 +86,7 @@
                 labels=('a', 'r1'),
                 rack='r1',
                 capacity=(1000, 1000, 8),
+                data_centre='hall-a',
             )
         )
 
@@ -255,6 +256,16 @@
     assert harness.log.starts == [(TASK, 1, 'm1')]
 
 
+async def test_data_centre_is_reported_by_a_restarted_guard(harness, minion):
+    """A worker without a data centre could not be evacuated or must be idle."""
+    await harness.wait_for(lambda report: report.data_centre == 'hall-a')
+    token = (await harness.report()).token
+    await harness.stop_guard()
+    harness.start_guard()
+    report = await harness.wait_for(lambda report: report.token > token)
+    assert report.data_centre == 'hall-a'
+
+
 async def test_restarted_guard_keeps_the_old_report_at_first(harness, minion):
     """A guard must not drop the runs of a minion that it has not polled yet."""
     await harness.order('m1')
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -175,6 +175,7 @@
                 'address': '10.0.0.1:80',
                 'state': 'draining',
                 'labels': ['a', 'r1-2'],
+                'zone': 'hall-a',
                 'capacity': {'cpu': 1, 'mem_mb': 2, 'gpu': 3},
                 'remaining_ms': 1500,
             }
@@ -182,10 +183,28 @@
     )
     assert heartbeat.is_draining
     assert heartbeat.rack == 'r1-2'
+    assert heartbeat.data_centre == 'hall-a'
     assert heartbeat.capacity == (1, 2, 3)
     assert heartbeat.address == ('10.0.0.1', 80)
 
 
+@pytest.mark.parametrize('fields', [{}, {'zone': 5}, {'zone': None}])
+def test_heartbeat_without_data_centre_is_decoded(fields):
+    """Guards against a worker that is lost for the lack of its data centre."""
+    heartbeat = decode_heartbeat(
+        'i-1',
+        encode(
+            {
+                'service': 's',
+                'address': '10.0.0.1:80',
+                'state': 'ready',
+                **fields,
+            }
+        ),
+    )
+    assert heartbeat.data_centre == ''
+
+
 def test_invalid_settings_are_refused(tmp_path):
     """Guards against errors in the settings that appear only in operation."""
     path = tmp_path / 'settings'
