Decide what an evacuation of a data centre closes and stops

Workers of an evacuated data centre leave the pool; orders there that have not started are stopped, a gang as a whole, and started runs continue. A worker whose data centre is unknown gets no run while there is any evacuation, since it may be in the one that is named.

With a bound, no order allows a start later than the time at which the requests were last known to be current, plus the bound, less a margin, and nothing is ordered when too little of that time is left. Without a bound, orders are as before.

The share of excluded workers is counted over the usable ones.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -79,17 +79,28 @@
         allocations: Allocations,
         wall_ms: int,
         write_ms: int,
+        latest_start_ms: int,
     ) -> None:
         """Order runs for steps that fit and reserve resources for others.
 
         A step that is urgent enough also stops runs of less urgent queues.
+
+        Parameters
+        ----------
+        latest_start_ms : int
+            Store time after which no run may start.
         """
+        if latest_start_ms <= pool.now_ms:
+            return
         # The guard can start the run only after the order has been written to
         # the store and read from it.
         store_delay_ms = min(
             write_ms * _STORE_CALLS_BEFORE_START, self.start_timeout_ms
         )
-        self._start_by_ms = pool.now_ms + self.start_timeout_ms + store_delay_ms
+        self._start_by_ms = min(
+            pool.now_ms + self.start_timeout_ms + store_delay_ms,
+            latest_start_ms,
+        )
         reserving_steps = 0
         for waiting in self._waiting_steps(pool, wall_ms):
             may_reserve = reserving_steps < _MAX_RESERVING_STEPS
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -12,6 +12,7 @@
     DecisionLogEntry,
 )
 from dragonflynotch.workflows.deployment import Deployment
+from dragonflynotch.workflows.evacuation import Evacuation, EvacuationRequests
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.placement.allocations import list_allocations
@@ -46,6 +47,9 @@
         on another rack than its data, before it can count as stalled.
     ended_job_retention_ms : int
         How long the state of a job is kept after its end.
+    evacuation_bound_ms : int or None
+        How long after the acknowledgement of an evacuation runs may still
+        start in the data centre; ``None`` does not limit them.
     """
 
     start_timeout_ms: int = 1500
@@ -53,6 +57,7 @@
     stop_ms: int = 400
     off_rack_slowdown: float = 3
     ended_job_retention_ms: int = 240_000
+    evacuation_bound_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +96,13 @@
             self._decision_log,
             settings.off_rack_slowdown,
         )
+        self._evacuation = Evacuation(
+            self._jobs,
+            self._orders,
+            self._tracker,
+            self._decision_log,
+            settings.evacuation_bound_ms,
+        )
         self._placer = Placer(
             self._jobs,
             self._orders,
@@ -105,6 +117,11 @@
         """Workers by the node of their guard."""
         return self._workers
 
+    @property
+    def evacuation_run_counts(self) -> dict[str, int]:
+        """Runs still ordered in each data centre that is evacuated."""
+        return self._evacuation.run_counts
+
     def apply_deployment(self, deployment: Deployment) -> None:
         """Use this version of the configuration from now on."""
         self._jobs.deployment = deployment
@@ -115,6 +132,11 @@
         self._supervisor.max_slowdown = settings.off_rack_slowdown
         self._placer.start_timeout_ms = settings.start_timeout_ms
         self._placer.stop_ms = settings.stop_ms
+        self._evacuation.bound_ms = settings.evacuation_bound_ms
+
+    def apply_evacuations(self, requests: EvacuationRequests) -> None:
+        """Use these requests of the operator from now on."""
+        self._evacuation.apply(requests)
 
     def put_job(self, job_id: str, spec: JobSpec) -> None:
         """Add an accepted job."""
@@ -182,6 +204,7 @@
             How long the last write to the store took. With a slow store,
             orders get more time before they expire.
         """
+        self._evacuation.review(self._workers.values(), now_ms)
         pool = self._available_pool(now_ms)
         self._supervisor.review(now_ms, set(pool.free))
         # Listed after the review, which may order runs to stop. Such runs
@@ -189,7 +212,13 @@
         allocations = list_allocations(
             self._jobs, self._orders, now_ms, self._settings.stop_ms
         )
-        self._placer.place(pool, allocations, wall_ms, write_ms)
+        self._placer.place(
+            pool,
+            allocations,
+            wall_ms,
+            write_ms,
+            self._evacuation.latest_start_ms(now_ms, write_ms),
+        )
         return Decisions(
             self._jobs.take_changes(),
             self._orders.take_changes(),
@@ -219,11 +248,16 @@
         for (ordered_from, _), order in self._orders:
             if ordered_from in free:
                 free[ordered_from] -= order.resources
-        excluded = self._worker_health.excluded(list(workers), now_ms)
+        usable = [
+            minion_id
+            for minion_id, worker in workers.items()
+            if not self._evacuation.is_cordoned(worker)
+        ]
+        excluded = self._worker_health.excluded(usable, now_ms)
         return WorkerPool(
             {
-                minion_id: worker
-                for minion_id, worker in workers.items()
+                minion_id: workers[minion_id]
+                for minion_id in usable
                 if minion_id not in excluded
             },
             free,
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -31,8 +31,14 @@
     ``orders`` and ``progress`` as if they had been stored.
     """
 
-    def __init__(self, racks=('r1', 'r1', 'r2'), accelerators=8) -> None:
-        self.scheduler = Scheduler(SchedulerSettings())
+    def __init__(
+        self,
+        racks=('r1', 'r1', 'r2'),
+        accelerators=8,
+        data_centres=(),
+        settings=None,
+    ) -> None:
+        self.scheduler = Scheduler(settings or SchedulerSettings())
         self.scheduler.apply_deployment(DEPLOYMENT)
         self.now_ms = 10_000
         self.orders = {}
@@ -41,6 +47,9 @@
         self.ends = {}
         self.rejected = {}
         self.incarnations = {}
+        self.data_centres = {
+            f'n{number}': name for number, name in enumerate(data_centres)
+        }
         for number, rack in enumerate(racks):
             node = f'n{number}'
             self.incarnations[node] = (f'm{number}', rack, accelerators)
@@ -65,6 +74,7 @@
                 running=list(running),
                 ended=self.ends.get(node, []),
                 rejected=self.rejected.get(node, []),
+                data_centre=self.data_centres.get(node, ''),
                 **fields,
             ),
             1,
