Follow the operator's evacuations and use them in scheduling

The watch of the operator's table passes the rows on, so no further feed is needed. It now also states when its rows were certainly current: the age used so far counts a response with changes as current when it arrives, which a slow link makes too young for a bound.

A row is in force whatever it contains, since its key says everything; a key without a name is logged and ignored. The scheduler decides nothing before these rows have been read. The bound is bounds.evacuate_ms; where it is absent, orders are as before. A gauge counts the runs left in each evacuated data centre.

--- a/dragonflynotch/control/configuration.py
+++ b/dragonflynotch/control/configuration.py
@@ -19,6 +19,9 @@
 class ConfigurationWatch:
     """Follows the configuration row and never returns to an older version.
 
+    Other rows of the same table are passed on to listeners, so that one feed
+    serves all of them.
+
     Parameters
     ----------
     store : RowStore
@@ -45,6 +48,7 @@
         self._key = key
         self._decode = decode
         self._deployment: Deployment | None = None
+        self._listeners: list[Callable[[tuple[RowChange, ...]], None]] = []
         self._watch = TableWatch(
             store, table, self._on_changes, clock, _FEED_TIMEOUT
         )
@@ -59,6 +63,23 @@
         """Upper bound on the age of the configuration, in milliseconds."""
         return self._watch.age_ms
 
+    @property
+    def confirmed_age_ms(self) -> int | None:
+        """Time since all rows of the table were certainly current.
+
+        In milliseconds; ``None`` until the table has been read.
+        """
+        return self._watch.confirmed_age_ms
+
+    def add_listener(
+        self, listener: Callable[[tuple[RowChange, ...]], None]
+    ) -> None:
+        """Pass on the changes of all rows of the table.
+
+        Must be called before ``run``, or the first rows are missed.
+        """
+        self._listeners.append(listener)
+
     async def run(self) -> None:
         """Follow the row until cancelled."""
         await self._watch.run()
@@ -67,6 +88,8 @@
         for change in changes:
             if change.key == self._key and change.content is not None:
                 self._put_in_force(change.content)
+        for listener in self._listeners:
+            listener(changes)
 
     def _put_in_force(self, content: bytes) -> None:
         deployment = self._decode(content)
--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -38,6 +38,16 @@
         self._settings = settings
         self._term: LeaderTerm | None = None
 
+    @property
+    def is_scheduling(self) -> bool:
+        """Whether this node schedules."""
+        return self._term is not None
+
+    @property
+    def evacuation_run_counts(self) -> dict[str, int]:
+        """Runs left in each evacuated data centre; empty unless scheduling."""
+        return {} if self._term is None else self._term.evacuation_run_counts
+
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from the next round of decisions on."""
         self._settings = settings
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -30,6 +30,7 @@
 )
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.deployment import Deployment
+from dragonflynotch.workflows.evacuation import EvacuationRequests
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import (
     Order,
@@ -85,6 +86,9 @@
         Returns the configuration in force, or ``None`` before the first.
     record_round : callable
         Receives the duration of the decisions of each round, in seconds.
+    evacuations : callable
+        Returns the evacuations that the operator requests, or ``None`` before
+        the operator's rows have been read.
     """
 
     store: RowStore
@@ -93,6 +97,7 @@
     leadership: Leadership
     deployment: Callable[[], Deployment | None]
     record_round: Callable[[float], None]
+    evacuations: Callable[[], EvacuationRequests | None]
 
 
 class LeaderTerm:
@@ -116,6 +121,7 @@
         self._deployment = context.deployment
         self._store = context.store
         self._record_round = context.record_round
+        self._evacuations = context.evacuations
         self._scheduler = Scheduler(settings)
         self._submissions = TableWatch(
             context.store,
@@ -139,6 +145,11 @@
         self._are_deciding = True
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
+    @property
+    def evacuation_run_counts(self) -> dict[str, int]:
+        """Runs still ordered in each data centre that is evacuated."""
+        return self._scheduler.evacuation_run_counts
+
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from the next round of decisions on."""
         self._scheduler.apply_settings(settings)
@@ -258,8 +269,12 @@
         deployment = self._deployment()
         if deployment is not None:
             self._scheduler.apply_deployment(deployment)
+        evacuations = self._evacuations()
         decisions = Decisions()
-        if self._are_replicas_fresh():
+        # Before the operator's rows are known, a run could be started in a
+        # data centre that is evacuated.
+        if evacuations is not None and self._are_replicas_fresh():
+            self._scheduler.apply_evacuations(evacuations)
             decisions = self._decide()
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
--- a/dragonflynotch/control/watch.py
+++ b/dragonflynotch/control/watch.py
@@ -57,6 +57,7 @@
         self._row_versions: dict[str, int] = {}
         self._version: int | None = None
         self._current_at_ms: int | None = None
+        self._confirmed_at_ms: int | None = None
         self._is_reachable = True
 
     @property
@@ -71,6 +72,17 @@
             return self._clock.now_ms()
         return self._clock.now_ms() - self._current_at_ms
 
+    @property
+    def confirmed_age_ms(self) -> int | None:
+        """Time since the replica was certainly current, in milliseconds.
+
+        Unlike ``age_ms``, does not rely on the store to send changes at once,
+        nor on a fast link. ``None`` until all rows have been read.
+        """
+        if self._confirmed_at_ms is None:
+            return None
+        return self._clock.now_ms() - self._confirmed_at_ms
+
     async def load(self) -> None:
         """Read all rows.
 
@@ -101,6 +113,7 @@
         self._version = version
         self._apply_changes(tuple(changes))
         self._current_at_ms = sent_ms
+        self._confirmed_at_ms = sent_ms
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -144,6 +157,7 @@
         self._current_at_ms = (
             self._clock.now_ms() if feed_changes.rows else sent_ms
         )
+        self._confirmed_at_ms = sent_ms
 
     def _apply_changes(self, changes: tuple[RowChange, ...]) -> None:
         for change in changes:
--- a/dragonflynotch/observability/job_metrics.py
+++ b/dragonflynotch/observability/job_metrics.py
@@ -18,14 +18,21 @@
         Name of the process, a constant label.
     read_gauges : callable
         Returns the current value of each gauge; called by each ``render``.
+    read_evacuations : callable, optional
+        Returns the runs left in each data centre that is evacuated. Called by
+        each ``render``.
     """
 
     def __init__(
-        self, node: str, read_gauges: Callable[[], Mapping[str, float]]
+        self,
+        node: str,
+        read_gauges: Callable[[], Mapping[str, float]],
+        read_evacuations: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         """Create the time series."""
         labels = {'node': node}
         self._read_gauges = read_gauges
+        self._read_evacuations = read_evacuations
         self._registry = Registry()
         self._labels = labels
         self._calls = Counter(
@@ -73,4 +80,22 @@
                 self._gauges[name] = gauge
             gauge.set({}, float(reading))
         content, _ = render(self._registry, [])
+        return bytes(content) + self._render_evacuations()
+
+    def _render_evacuations(self) -> bytes:
+        """Return a series for each evacuation, or nothing without any."""
+        run_counts = self._read_evacuations()
+        if not run_counts:
+            return b''
+        # Series cannot be removed from a registry once the evacuation ends.
+        registry = Registry()
+        gauge = Gauge(
+            'dragonflynotch_evacuation_runs',
+            'Runs left in a data centre that is evacuated.',
+            const_labels=self._labels,
+            registry=registry,
+        )
+        for data_centre, count in run_counts.items():
+            gauge.set({'data_centre': data_centre}, count)
+        content, _ = render(registry, [])
         return bytes(content)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -1,7 +1,7 @@
 """The two programs of the platform deployment, ``front`` and ``side``."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from dragonflynotch.control.clocks import BootClock
 from dragonflynotch.control.configuration import ConfigurationWatch
@@ -9,6 +9,7 @@
 from dragonflynotch.control.leader import Leader
 from dragonflynotch.control.leader_term import LeaderContext
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.operator_requests import EvacuationWatch
 from dragonflynotch.control.rows import Table
 from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.links.asgi import HttpCall, Reply
@@ -16,6 +17,7 @@
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.observability.job_metrics import JobMetrics
 from dragonflynotch.platform.configuration import decode_deployment
+from dragonflynotch.platform.evacuations import decode_evacuation
 from dragonflynotch.platform.front import JobApi
 from dragonflynotch.platform.minion import HttpMinionClient
 from dragonflynotch.platform.row_store import HttpRowStore
@@ -62,8 +64,13 @@
             decode_deployment,
             clock,
         )
+        evacuations = EvacuationWatch(
+            self._configuration, self._store.store_clock, decode_evacuation
+        )
         self._leadership = Leadership(settings.node, self._store, clock)
-        self._metrics = JobMetrics(settings.node, self._gauges)
+        self._metrics = JobMetrics(
+            settings.node, self._gauges, self._evacuation_run_counts
+        )
         self._leader = Leader(
             LeaderContext(
                 self._store,
@@ -72,6 +79,7 @@
                 self._leadership,
                 self._deployment,
                 self._metrics.record_round,
+                evacuations.requests,
             ),
             _scheduler_settings(settings),
         )
@@ -121,6 +129,9 @@
         """Use the bounds in ``settings`` from the next decision on."""
         self._leader.apply_settings(_scheduler_settings(settings))
 
+    def _evacuation_run_counts(self) -> Mapping[str, int]:
+        return self._leader.evacuation_run_counts
+
     def _deployment(self) -> Deployment | None:
         return self._configuration.deployment
 
@@ -219,6 +230,7 @@
         stop_ms=bounds.max_stop_ms,
         off_rack_slowdown=bounds.off_rack_slowdown,
         ended_job_retention_ms=bounds.ended_state_ms * 2,
+        evacuation_bound_ms=bounds.evacuation_bound_ms,
     )
 
 
--- a/dragonflynotch/platform/settings.py
+++ b/dragonflynotch/platform/settings.py
@@ -36,6 +36,10 @@
     off_rack_slowdown : float
         Factor by which the run time of a task grows on a rack other than that
         of its data (``bounds.far_x``).
+    evacuation_bound_ms : int or None
+        How long after the acknowledgement of an evacuation runs may still
+        start in the data centre (``bounds.evacuate_ms``); ``None`` in
+        deployments without evacuations.
     """
 
     max_minion_lease_ms: int
@@ -43,6 +47,7 @@
     termination_grace_ms: int
     ended_state_ms: int
     off_rack_slowdown: float
+    evacuation_bound_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +125,7 @@
                 off_rack_slowdown=self._parse(
                     float, 'bounds.far_x', self._fields.get('bounds.far_x', '3')
                 ),
+                evacuation_bound_ms=self._optional_number('bounds.evacuate_ms'),
             ),
             caller_address=self._address('listen.front'),
             readiness_address=self._address('listen.ready'),
@@ -138,6 +144,9 @@
         text = self._fields.get(name, str(default))
         return int(self._parse(float, name, text) * factor)
 
+    def _optional_number(self, name: str) -> int | None:
+        return self._number(name, 0) if name in self._fields else None
+
     def _parse(self, convert: type, name: str, text: str):  # type: ignore[no-untyped-def]
         try:
             return convert(text)
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -4,12 +4,16 @@
 from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.configuration import ConfigurationWatch
 from dragonflynotch.control.guard import Guard, GuardLimits
 from dragonflynotch.control.leader import Leader
 from dragonflynotch.control.leader_term import LeaderContext
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.minions import Heartbeat
+from dragonflynotch.control.operator_requests import EvacuationWatch
+from dragonflynotch.control.rows import RowName, RowWrite, Table
 from dragonflynotch.control.submissions import SubmissionService
+from dragonflynotch.platform.evacuations import decode_evacuation
 from dragonflynotch.testing.minion_model import (
     MinionModel,
     ModelMinionClient,
@@ -27,6 +31,7 @@
     workspaces={'team': Workspace('team')},
 )
 CALL_TIMEOUT = timedelta(seconds=2)
+OPERATOR_TABLE = Table('op', ('',))
 
 
 class LoopClock(SteadyClock):
@@ -43,9 +48,11 @@
     ----------
     duration_ms : int
         How long each task runs, in milliseconds.
+    settings : SchedulerSettings, optional
+        Limits of the schedulers.
     """
 
-    def __init__(self, duration_ms=300):
+    def __init__(self, duration_ms=300, settings=None):
         self.clock = LoopClock()
         self.store = MemoryRowStore(self.clock)
         self.log = RunLog()
@@ -55,8 +62,12 @@
             self.store, self.store.store_clock, self.store.health, self.clock
         )
         self.models = {}
+        self.leaders = {}
+        # Data centres by node, as in the heartbeats of the minions.
+        self.data_centres = {}
         self.guards = {}
         self._duration_ms = duration_ms
+        self._settings = settings or SchedulerSettings()
         self._tasks = {}
 
     def start(self):
@@ -66,6 +77,12 @@
             self.add_minion(f'n{number}', f'm{number}')
 
     def start_candidate(self, name):
+        operator_rows = ConfigurationWatch(
+            self.store, OPERATOR_TABLE, 'config', lambda _: None, self.clock
+        )
+        evacuations = EvacuationWatch(
+            operator_rows, self.store.store_clock, decode_evacuation
+        )
         leader = Leader(
             LeaderContext(
                 self.store,
@@ -74,10 +91,12 @@
                 Leadership(name, self.store, self.clock),
                 lambda: DEPLOYMENT,
                 self.round_durations.append,
+                evacuations.requests,
             ),
-            SchedulerSettings(),
+            self._settings,
         )
-        self._spawn(name, leader.run())
+        self.leaders[name] = leader
+        self._spawn(name, _run_all(operator_rows.run(), leader.run()))
 
     def add_minion(self, node, minion_id):
         self.models[minion_id] = MinionModel(
@@ -111,6 +130,7 @@
                 labels=('a', 'r1'),
                 rack='r1',
                 capacity=(4000, 4000, 4),
+                data_centre=self.data_centres.get(node, 'east'),
             )
         )
 
@@ -124,6 +144,11 @@
         for name in list(self._tasks):
             await self.kill(name)
 
+    async def request_evacuation(self, data_centre, content=b'{}'):
+        """Write the operator's row of an evacuation; ``None`` deletes it."""
+        name = RowName(OPERATOR_TABLE.name, '', f'evacuate/{data_centre}')
+        await self.store.commit([RowWrite(name, content)], [])
+
     async def submit(self, job_id, *steps):
         spec = JobSpec('q', 'team', 'planner', 'text', steps)
         return await self.submissions.submit(job_id, spec, CALL_TIMEOUT)
@@ -142,6 +167,12 @@
         self._tasks[name] = asyncio.create_task(coroutine)
 
 
+async def _run_all(*coroutines):
+    async with asyncio.TaskGroup() as group:
+        for coroutine in coroutines:
+            group.create_task(coroutine)
+
+
 def tasks(count, accelerators=1, **fields):
     """Return a step of short tasks with small resource needs."""
     return StepSpec(count, 100, 100, accelerators, 300, **fields)
--- a/tests/control/test_watch.py
+++ b/tests/control/test_watch.py
@@ -76,3 +76,35 @@
     await store.commit([RowWrite(row_name('a'), b'x')], [])
     await wait_for_replica()
     assert replica == {'a': b'x'}
+
+
+async def test_confirmed_age_starts_when_the_call_was_sent(
+    store, clock, monkeypatch
+):
+    """A response that took long may lack the rows written meanwhile."""
+    watch = TableWatch(store, SUBMISSIONS, lambda _: None, clock, FEED_TIMEOUT)
+    assert watch.confirmed_age_ms is None
+    read, changes = store.read, store.changes
+
+    async def read_slowly(*args):
+        snapshot = await read(*args)
+        clock.advance(100)
+        return snapshot
+
+    async def follow_slowly(*args):
+        feed_changes = await changes(*args)
+        clock.advance(700)
+        return feed_changes
+
+    monkeypatch.setattr(store, 'read', read_slowly)
+    await watch.load()
+    parts = len(SUBMISSIONS.parts)
+    assert watch.confirmed_age_ms == 100 * parts
+    monkeypatch.setattr(store, 'changes', follow_slowly)
+    await store.commit([RowWrite(row_name('a/spec'), b'x')], [])
+    task = asyncio.create_task(watch.run())
+    async with asyncio.timeout(2):
+        while watch.confirmed_age_ms == 100 * parts:
+            await asyncio.sleep(0.001)
+    assert watch.confirmed_age_ms >= 700
+    task.cancel()
--- /dev/null
+++ b/tests/observability/test_job_metrics.py
@@ -0,0 +1,17 @@
+"""Series of the processes that accept, schedule and run jobs."""
+
+from dragonflynotch.observability.job_metrics import JobMetrics
+
+
+def test_evacuation_is_shown_only_while_it_lasts():
+    """Guards against a data centre that seems to be evacuated for ever."""
+    run_counts = {}
+    metrics = JobMetrics('n', dict, lambda: run_counts)
+    assert b'evacuation' not in metrics.render()
+    run_counts.update({'hall-a': 3, 'hall-b': 0})
+    text = metrics.render().decode()
+    series = 'dragonflynotch_evacuation_runs{data_centre="hall-%s",node="n"} %d'
+    assert series % ('a', 3) in text
+    assert series % ('b', 0) in text
+    run_counts.clear()
+    assert b'evacuation' not in metrics.render()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,6 +5,7 @@
 
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.platform.configuration import decode_deployment
+from dragonflynotch.platform.evacuations import decode_evacuation
 from dragonflynotch.platform.jobs import decode_job, is_job_id
 from dragonflynotch.platform.minion import decode_heartbeat
 from dragonflynotch.platform.settings import load_settings
@@ -231,4 +232,30 @@
     assert settings.heartbeat_address == ('10.0.0.2', 2)
     assert settings.minion_address == ('10.0.0.2', 3)
     assert settings.bounds.ended_state_ms == 120_000
+    assert settings.bounds.evacuation_bound_ms is None
     assert settings.metrics_address == ('10.0.0.2', 7000)
+
+
+def test_bound_of_evacuations_is_read(tmp_path):
+    """Guards against starts in an evacuated data centre after the bound."""
+    path = tmp_path / 'settings'
+    path.write_text(
+        'node=n\nip=10.0.0.2\nport_range=7000,7015\n'
+        'platform.address=10.0.0.1:1\nbounds.evacuate_ms=5000\n'
+    )
+    assert load_settings(path).bounds.evacuation_bound_ms == 5000
+
+
+@pytest.mark.parametrize(
+    ('key', 'data_centre'),
+    [
+        ('evacuate/hall-a', 'hall-a'),
+        ('evacuate/', ''),
+        ('evacuate', None),
+        ('config', None),
+        ('other/evacuate/hall-a', None),
+    ],
+)
+def test_evacuation_is_decoded_from_its_key(key, data_centre):
+    """Guards against rows that are mistaken for evacuations, or overlooked."""
+    assert decode_evacuation(key) == data_centre
