Log the decisions of rounds that write no row

The entries of a round without a row to write and without a due renewal were dropped: the begin and the end of an evacuation at rest, and lines such as step_waits while nothing else happens.

step_waits lines can become more frequent; WaitLog limits them per step.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -279,9 +279,8 @@
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
         )
-        if decisions.is_empty and not is_renewal_due:
-            return
-        await self._write(decisions)
+        if not decisions.is_empty or is_renewal_due:
+            await self._write(decisions)
         for entry in decisions.log_entries:
             decision_log.record(
                 entry.event, epoch=self._leadership.epoch, **entry.fields
--- a/tests/control/test_evacuation.py
+++ b/tests/control/test_evacuation.py
@@ -216,6 +216,27 @@
     assert 'scheduling_failed' not in [event for event, _ in events]
 
 
+async def test_unknown_data_centre_is_recorded(cluster, events):
+    """A mistyped request must be visible and close no worker."""
+    await cluster.request_evacuation('esat')
+    await asyncio.sleep(FEED_DELAY_S)
+    assert await _run_job(cluster, 'a') == {'m0', 'm1', 'm2'}
+    assert 'evacuation_data_centre_unknown' in [event for event, _ in events]
+
+
+async def test_progress_is_recorded_while_nothing_else_happens(cluster, events):
+    """The log entries were lost in rounds that wrote no row."""
+    await asyncio.sleep(FEED_DELAY_S)
+    await cluster.request_evacuation('east')
+    await asyncio.sleep(1)
+    await cluster.request_evacuation('east', None)
+    await asyncio.sleep(1)
+    names = [event for event, _ in events if event.startswith('evacuation_')]
+    assert names.count('evacuation_began') == 1
+    assert names.count('evacuation_empty') == 1
+    assert names.count('evacuation_ended') == 1
+
+
 async def test_request_withdrawn_at_once_has_no_effect(cluster):
     """Workers must not stay closed by a request that no longer exists."""
     await cluster.request_evacuation('east')
