Print the evacuations in force and what is left there

An operator had only the series and the log of the node that schedules. python -m dragonflynotch.platform evacuations reads the rows and prints workers and runs left for each evacuated data centre. An end-to-end test follows an evacuation through the programs, with the bound from a reload.

--- /dev/null
+++ b/dragonflynotch/control/evacuation_status.py
@@ -0,0 +1,85 @@
+"""Progress of evacuations, read from the rows of the store."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from dragonflynotch.control.rows import (
+    ORDERS,
+    REPORTS,
+    Row,
+    RowStore,
+    Table,
+)
+from dragonflynotch.workflows.records import Report, decode_row
+
+__all__ = ('EvacuationStatus', 'read_evacuations')
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationStatus:
+    """Progress of one evacuation.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre that is evacuated.
+    workers : int
+        Workers there that have a minion.
+    runs : int
+        Runs ordered there that have not ended.
+    """
+
+    data_centre: str
+    workers: int
+    runs: int
+
+
+async def read_evacuations(
+    store: RowStore,
+    operator_table: Table,
+    decode: Callable[[str], str | None],
+) -> list[EvacuationStatus]:
+    """Return the evacuations in force, by name.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns the data centre of a key of the operator's table, if any.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If the store does not respond.
+    """
+    rows = await _read(store, operator_table)
+    requested = {name for row in rows if (name := decode(row.key))}
+    if not requested:
+        return []
+    # Orders are read before reports, so that no run is missed whose worker
+    # appears meanwhile.
+    orders = await _read(store, ORDERS)
+    reports = [
+        decode_row(row.content, Report) for row in await _read(store, REPORTS)
+    ]
+    data_centres = {
+        report.minion_id: report.data_centre
+        for report in reports
+        if report is not None and report.minion_id
+    }
+    workers = Counter(data_centres.values())
+    runs = Counter(
+        data_centres.get(row.key.partition('/')[0], '') for row in orders
+    )
+    return [
+        EvacuationStatus(name, workers[name], runs[name])
+        for name in sorted(requested)
+    ]
+
+
+async def _read(store: RowStore, table: Table) -> list[Row]:
+    rows: list[Row] = []
+    for part in table.parts:
+        snapshot = await store.read(table.name, part)
+        rows.extend(snapshot.rows)
+    return rows
--- a/dragonflynotch/platform/__main__.py
+++ b/dragonflynotch/platform/__main__.py
@@ -1,4 +1,4 @@
-"""Entry point: ``python -m dragonflynotch.platform front|side``."""
+"""Entry point: ``python -m dragonflynotch.platform front|side|evacuations``."""
 
 import signal
 
--- a/dragonflynotch/platform/command.py
+++ b/dragonflynotch/platform/command.py
@@ -6,8 +6,12 @@
 import sys
 from pathlib import Path
 
-from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.errors import (
+    InvalidInputError,
+    PlatformUnavailableError,
+)
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.platform.evacuations import evacuations_text
 from dragonflynotch.platform.programs import FrontProgram, SideProgram
 from dragonflynotch.platform.settings import SETTINGS_VARIABLE, load_settings
 from dragonflynotch.platform.settings_watch import SettingsWatch
@@ -15,7 +19,9 @@
 __all__ = ('main',)
 
 _PROGRAM_NAMES = ('front', 'side')
+_EVACUATIONS_COMMAND = 'evacuations'
 _EXIT_INVALID_INPUT = 2
+_EXIT_UNREACHABLE = 6
 
 
 async def _run(program_name: str, settings_path: Path) -> None:
@@ -37,18 +43,31 @@
     watching.cancel()
 
 
+async def _print_evacuations(settings_path: Path) -> None:
+    text = await evacuations_text(load_settings(settings_path))
+    sys.stdout.write(f'{text}\n')
+
+
 def main() -> None:
-    """Run the program named by the first command line argument."""
+    """Run the program or command named by the first argument."""
     program_name = sys.argv[1] if len(sys.argv) > 1 else ''
     settings_path = os.environ.get(SETTINGS_VARIABLE, '')
-    if program_name not in _PROGRAM_NAMES or not settings_path:
+    names = (*_PROGRAM_NAMES, _EVACUATIONS_COMMAND)
+    if program_name not in names or not settings_path:
         sys.stderr.write(
             f'usage: {SETTINGS_VARIABLE}=FILE '
-            'python -m dragonflynotch.platform front|side\n'
+            'python -m dragonflynotch.platform front|side|evacuations\n'
         )
         sys.exit(_EXIT_INVALID_INPUT)
     try:
-        asyncio.run(_run(program_name, Path(settings_path)))
+        asyncio.run(
+            _print_evacuations(Path(settings_path))
+            if program_name == _EVACUATIONS_COMMAND
+            else _run(program_name, Path(settings_path))
+        )
+    except PlatformUnavailableError as error:
+        sys.stderr.write(f'dragonflynotch: {error}\n')
+        sys.exit(_EXIT_UNREACHABLE)
     except InvalidInputError as error:
         sys.stderr.write(f'dragonflynotch: {error}\n')
         sys.exit(_EXIT_INVALID_INPUT)
--- a/dragonflynotch/platform/evacuations.py
+++ b/dragonflynotch/platform/evacuations.py
@@ -1,7 +1,15 @@
-"""Decodes the evacuations that the operator writes to the row store."""
+"""Evacuations that the operator writes to the row store, and their status."""
 
-__all__ = ('decode_evacuation',)
+from dragonflynotch.control.clocks import BootClock
+from dragonflynotch.control.evacuation_status import read_evacuations
+from dragonflynotch.control.rows import Table
+from dragonflynotch.platform.row_store import HttpRowStore
+from dragonflynotch.platform.settings import PlatformSettings
 
+__all__ = ('OPERATOR_TABLE', 'decode_evacuation', 'evacuations_text')
+
+# Table in which the operator writes; its rows have no part.
+OPERATOR_TABLE = Table('op', ('',))
 _KEY_PREFIX = 'evacuate/'
 
 
@@ -19,3 +27,23 @@
     if not key.startswith(_KEY_PREFIX):
         return None
     return key.removeprefix(_KEY_PREFIX)
+
+
+async def evacuations_text(settings: PlatformSettings) -> str:
+    """Return a line for each evacuation in force, with what is left there.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If the store does not respond.
+    """
+    store = HttpRowStore(settings.store_address, BootClock())
+    evacuations = await read_evacuations(
+        store, OPERATOR_TABLE, decode_evacuation
+    )
+    lines = [
+        f'{evacuation.data_centre}: {evacuation.workers} workers, '
+        f'{evacuation.runs} runs left'
+        for evacuation in evacuations
+    ]
+    return '\n'.join(lines) or 'no evacuation'
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -10,14 +10,16 @@
 from dragonflynotch.control.leader_term import LeaderContext
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.operator_requests import EvacuationWatch
-from dragonflynotch.control.rows import Table
 from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.http_server import HttpServer
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.observability.job_metrics import JobMetrics
 from dragonflynotch.platform.configuration import decode_deployment
-from dragonflynotch.platform.evacuations import decode_evacuation
+from dragonflynotch.platform.evacuations import (
+    OPERATOR_TABLE,
+    decode_evacuation,
+)
 from dragonflynotch.platform.front import JobApi
 from dragonflynotch.platform.minion import HttpMinionClient
 from dragonflynotch.platform.row_store import HttpRowStore
@@ -28,8 +30,6 @@
 
 __all__ = ('FrontProgram', 'SideProgram')
 
-# Table in which the operator writes the configuration; its rows have no part.
-_OPERATOR_TABLE = Table('op', ('',))
 _CONFIGURATION_KEY = 'config'
 _MAX_MINION_LEASE_MS = 6000
 # Fraction of the longest accepted lease that the guard asks for.
@@ -59,7 +59,7 @@
         self._store = HttpRowStore(settings.store_address, clock)
         self._configuration = ConfigurationWatch(
             self._store,
-            _OPERATOR_TABLE,
+            OPERATOR_TABLE,
             _CONFIGURATION_KEY,
             decode_deployment,
             clock,
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -11,9 +11,12 @@
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.minions import Heartbeat
 from dragonflynotch.control.operator_requests import EvacuationWatch
-from dragonflynotch.control.rows import RowName, RowWrite, Table
+from dragonflynotch.control.rows import RowName, RowWrite
 from dragonflynotch.control.submissions import SubmissionService
-from dragonflynotch.platform.evacuations import decode_evacuation
+from dragonflynotch.platform.evacuations import (
+    OPERATOR_TABLE,
+    decode_evacuation,
+)
 from dragonflynotch.testing.minion_model import (
     MinionModel,
     ModelMinionClient,
@@ -31,7 +34,6 @@
     workspaces={'team': Workspace('team')},
 )
 CALL_TIMEOUT = timedelta(seconds=2)
-OPERATOR_TABLE = Table('op', ('',))
 
 
 class LoopClock(SteadyClock):
--- a/tests/control/test_evacuation.py
+++ b/tests/control/test_evacuation.py
@@ -4,12 +4,20 @@
 
 import pytest
 
+from dragonflynotch.control.evacuation_status import (
+    EvacuationStatus,
+    read_evacuations,
+)
 from dragonflynotch.control.rows import RowName, RowWrite
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.platform.evacuations import (
+    OPERATOR_TABLE,
+    decode_evacuation,
+)
 from dragonflynotch.workflows.records import JobState
 from dragonflynotch.workflows.scheduler import SchedulerSettings
-from tests.control.cluster import OPERATOR_TABLE, Cluster, tasks
+from tests.control.cluster import Cluster, tasks
 
 BOUND_MS = 2000
 # Time for a row to reach the scheduler through an unhindered feed.
@@ -91,6 +99,12 @@
     return _minions_of(cluster, job_id)
 
 
+async def _read_status(cluster):
+    return await read_evacuations(
+        cluster.store, OPERATOR_TABLE, decode_evacuation
+    )
+
+
 async def test_runs_start_elsewhere_until_the_request_is_deleted(cluster):
     """A start there voids the day, and the workers must come back."""
     assert await _run_job(cluster, 'a') == {'m0', 'm1', 'm2'}
@@ -115,12 +129,16 @@
     assert {} in counts
     [count] = [count for count in counts if count]
     assert list(count) == ['east']
+    [status] = await _read_status(cluster)
+    assert (status.data_centre, status.workers) == ('east', 1)
+    assert status.runs == count['east']
     await cluster.wait_for_state('a', JobState.completed)
     async with asyncio.timeout(2):
         while {'east': 0} not in [
             leader.evacuation_run_counts for leader in cluster.leaders.values()
         ]:
             await asyncio.sleep(0.02)
+    assert await _read_status(cluster) == [EvacuationStatus('east', 1, 0)]
 
 
 async def test_leader_dies_before_its_first_order_after_the_request(cluster):
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -1,7 +1,9 @@
 """Runs the platform programs as processes against a simulated platform."""
 
 import asyncio
+import os
 import signal
+import sys
 from datetime import timedelta
 
 import msgspec
@@ -9,6 +11,7 @@
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.links.http11 import exchange
 from dragonflynotch.links.http_pool import HttpPool
+from dragonflynotch.platform.settings import SETTINGS_VARIABLE
 from dragonflynotch.testing.platform_site import PlatformSite
 from dragonflynotch.testing.ports import free_ports
 from dragonflynotch.testing.site_minion import SiteMinion
@@ -79,6 +82,24 @@
         path.write_text(path.read_text().replace(old, new))
         self._processes[name].send(signal.SIGHUP)
 
+    async def print_evacuations(self, name):
+        """Return the output of the command for evacuations."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'dragonflynotch.platform',
+            'evacuations',
+            env={
+                **os.environ,
+                SETTINGS_VARIABLE: str(self._folder / f'{name}.conf'),
+            },
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        async with asyncio.timeout(15):
+            output, _ = await process.communicate()
+        return process.returncode, output.decode()
+
     def clear_log(self, name):
         self.log_paths[name].write_text('')
 
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dragonflynotch.control.rows import RowName, RowWrite
 from dragonflynotch.testing.row_store import StoreFault
 from tests.platform.programs import CALL_TIMEOUT, HOST, KEY, PlatformPrograms
 
@@ -194,3 +195,33 @@
     await programs.start_program('side-1')
     await programs.wait_for_state('front-1', JOB_ID, 'completed')
     assert len(programs.site.runs.starts) == 6
+
+
+async def test_evacuation_is_followed_and_printed(programs):
+    """Guards against an evacuation that is lost between wire and scheduler.
+
+    Both minions are in ``hall-a``. The bound comes with a reload.
+    """
+    name = RowName('op', '', 'evacuate/hall-a')
+    assert await programs.print_evacuations('front-1') == (
+        0,
+        'no evacuation\n',
+    )
+    for front in ('front-1', 'front-2'):
+        programs.change_settings(
+            front, 'bounds.stop_ms', 'bounds.evacuate_ms=5000\nbounds.stop_ms'
+        )
+        await programs.wait_for_log(front, 'settings_reloaded')
+    await programs.site.store.commit([RowWrite(name, b'')], [])
+    await asyncio.sleep(0.5)
+    await programs.submit('front-1', JOB_ID, 2)
+    await asyncio.sleep(1.5)
+    assert not programs.site.runs.starts
+    assert await programs.print_evacuations('front-1') == (
+        0,
+        'hall-a: 2 workers, 0 runs left\n',
+    )
+    await programs.site.store.commit([RowWrite(name, None)], [])
+    await programs.wait_for_state('front-1', JOB_ID, 'completed')
+    programs.site.store.fault = StoreFault.down
+    assert (await programs.print_evacuations('front-1'))[0] == 6
