--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -175,6 +175,7 @@
             rejected=self.orders.rejections(),
             abandoned=self._abandoned,
             runs_age_ms=self._clock.now_ms() - self._runs_read_ms,
+            data_centre=heartbeat.data_centre,
         )
 
     def _apply_state(self, state: MinionState) -> None:
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -206,6 +206,9 @@
         Labels of the worker.
     rack : str
         Rack of the worker.
+    data_centre : str
+        Data centre of the worker. ``''`` in rows of releases that did not
+        store it.
     capacity : tuple of int
         Millicores, megabytes and accelerators.
     token : int
@@ -235,6 +238,7 @@
     rejected: list[Rejection] = []
     abandoned: list[RunningTask] = []
     runs_age_ms: int = 0
+    data_centre: str = ''
 
     @property
     def resources(self) -> Resources:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,6 +5,7 @@
 
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.platform.configuration import decode_deployment
+from dragonflynotch.platform.evacuations import decode_evacuation
 from dragonflynotch.platform.jobs import decode_job, is_job_id
 from dragonflynotch.platform.minion import decode_heartbeat
 from dragonflynotch.platform.settings import load_settings
@@ -175,6 +176,7 @@
                 'address': '10.0.0.1:80',
                 'state': 'draining',
                 'labels': ['a', 'r1-2'],
+                'zone': 'hall-a',
                 'capacity': {'cpu': 1, 'mem_mb': 2, 'gpu': 3},
                 'remaining_ms': 1500,
             }
@@ -182,10 +184,28 @@
     )
     assert heartbeat.is_draining
     assert heartbeat.rack == 'r1-2'
+    assert heartbeat.data_centre == 'hall-a'
     assert heartbeat.capacity == (1, 2, 3)
     assert heartbeat.address == ('10.0.0.1', 80)
 
 
+@pytest.mark.parametrize('fields', [{}, {'zone': 5}, {'zone': None}])
+def test_heartbeat_without_data_centre_is_decoded(fields):
+    """Guards against a worker that is lost for the lack of its data centre."""
+    heartbeat = decode_heartbeat(
+        'i-1',
+        encode(
+            {
+                'service': 's',
+                'address': '10.0.0.1:80',
+                'state': 'ready',
+                **fields,
+            }
+        ),
+    )
+    assert heartbeat.data_centre == ''
+
+
 def test_invalid_settings_are_refused(tmp_path):
     """Guards against errors in the settings that appear only in operation."""
     path = tmp_path / 'settings'
@@ -212,4 +232,30 @@
     assert settings.heartbeat_address == ('10.0.0.2', 2)
     assert settings.minion_address == ('10.0.0.2', 3)
     assert settings.bounds.ended_state_ms == 120_000
+    assert settings.bounds.evacuation_bound_ms is None
     assert settings.metrics_address == ('10.0.0.2', 7000)
+
+
+def test_bound_of_evacuations_is_read(tmp_path):
+    """Guards against starts in an evacuated data centre after the bound."""
+    path = tmp_path / 'settings'
+    path.write_text(
+        'node=n\nip=10.0.0.2\nport_range=7000,7015\n'
+        'platform.address=10.0.0.1:1\nbounds.evacuate_ms=5000\n'
+    )
+    assert load_settings(path).bounds.evacuation_bound_ms == 5000
+
+
+@pytest.mark.parametrize(
+    ('key', 'data_centre'),
+    [
+        ('evacuate/hall-a', 'hall-a'),
+        ('evacuate/', ''),
+        ('evacuate', None),
+        ('config', None),
+        ('other/evacuate/hall-a', None),
+    ],
+)
+def test_evacuation_is_decoded_from_its_key(key, data_centre):
+    """Guards against rows that are mistaken for evacuations, or overlooked."""
+    assert decode_evacuation(key) == data_centre
