Replace a leader whose load never completes

Cause: after a failed read a new holder renewed the lease and began the load again without a limit, so a front with a slow link kept the lease and issued no orders. A load that lasted longer than the takeover timeout without a failure lost the lease instead, since it was not renewed meanwhile.

Change: the load is given up after 4 s (more on a store that responds slowly to renewals, whose own time is not counted). The holder releases the lease and leaves a free lease to others for 6 s, unless nobody claims it within the takeover timeout. The number of hand-overs in a row is kept in the lease row and doubles the limit, so that slow candidates do not pass the lease on without end. Tables are read in sequence with a head start of 0.3 s each, and the lease is renewed every 0.6 s during the load. The decision on rounds that cannot keep up is added with its tests and is not used yet.

--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -3,6 +3,7 @@
 import asyncio
 import traceback
 
+from dragonflynotch.control.leader_pace import CannotKeepUpError
 from dragonflynotch.control.leader_term import LeaderContext, LeaderTerm
 from dragonflynotch.control.leadership import LeaseLostError
 from dragonflynotch.core.errors import (
@@ -68,5 +69,17 @@
         self._term = LeaderTerm(self._context, self._settings)
         try:
             await self._term.run()
+        except CannotKeepUpError as error:
+            await self._hand_over(str(error))
         finally:
             self._term = None
+
+    async def _hand_over(self, task: str) -> None:
+        leadership = self._context.leadership
+        decision_log.record(
+            'lease_handed_over',
+            epoch=leadership.epoch,
+            too_slow_for=task,
+            handovers=leadership.handovers + 1,
+        )
+        await leadership.hand_over()
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.leader_load import LeaderLoad
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.rows import (
     ORDERS,
@@ -161,20 +162,26 @@
                 watch.cancel()
 
     async def _load(self) -> None:
-        while True:
-            try:
-                progress, orders, *_ = await asyncio.gather(
-                    self._read(PROGRESS),
-                    self._read(ORDERS),
-                    self._submissions.load(),
-                    self._reports.load(),
-                )
-            except PlatformUnavailableError as error:
-                decision_log.record('takeover_read_failed', reason=str(error))
-                # Renews the lease; raises LeaseLostError if it was lost.
-                await self._leadership.commit([], [])
-                continue
-            break
+        tables: dict[str, Snapshot] = {}
+
+        async def read(table: Table) -> None:
+            tables[table.name] = await self._store.read(
+                table.name, SCHEDULER_PART
+            )
+
+        load = LeaderLoad(
+            self._leadership,
+            self._clock,
+            (
+                lambda: read(PROGRESS),
+                lambda: read(ORDERS),
+                self._submissions.load,
+                self._reports.load,
+            ),
+        )
+        await load.run()
+        progress = tables[PROGRESS.name]
+        orders = tables[ORDERS.name]
         for row in progress.rows:
             stored = decode_row(row.content, ProgressRow)
             if stored is None:
@@ -201,9 +208,6 @@
             reports=len(self._loaded_reports),
         )
 
-    async def _read(self, table: Table) -> Snapshot:
-        return await self._store.read(table.name, SCHEDULER_PART)
-
     def _store_now_ms(self) -> int:
         return self._store_clock.earliest_ms()
 
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -33,6 +33,8 @@
 # A candidate takes over the lease when its row has not changed for this long.
 # Running tasks do not depend on the holder: a late takeover only delays starts.
 _TAKEOVER_TIMEOUT = timedelta(milliseconds=2200)
+# After a hand-over the node leaves a free lease to the others for this long.
+_ABSTENTION = timedelta(seconds=6)
 _RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 0.5
 
@@ -69,6 +71,8 @@
         self._version = ABSENT
         self._row_changed_ms = clock.now_ms()
         self._is_holder = False
+        self._abstains_until_ms = clock.now_ms()
+        self._own_handovers = 0
 
     @property
     def is_holder(self) -> bool:
@@ -80,6 +84,16 @@
         """Fencing token of the last known holder."""
         return self._row.epoch
 
+    @property
+    def handovers(self) -> int:
+        """How many holders in a row were too slow, as last known."""
+        return self._row.handovers
+
+    @property
+    def own_handovers(self) -> int:
+        """How often this node released the lease because it was too slow."""
+        return self._own_handovers
+
     async def read_lease(self) -> LeaseRow:
         """Read the lease row.
 
@@ -100,13 +114,15 @@
         """Claim the lease if it is free or its holder no longer renews it."""
         lease = await self.read_lease()
         unchanged_ms = self._clock.now_ms() - self._row_changed_ms
-        is_free = not lease.holder or lease.holder == self._node
-        if (
-            not is_free
-            and unchanged_ms < _TAKEOVER_TIMEOUT.total_seconds() * 1000
-        ):
+        is_abandoned = unchanged_ms >= _milliseconds(_TAKEOVER_TIMEOUT)
+        if not is_abandoned and not self._may_claim_at_once(lease):
             return False
-        self._row = LeaseRow(self._node, lease.epoch + 1, waiting=lease.waiting)
+        self._row = LeaseRow(
+            self._node,
+            lease.epoch + 1,
+            waiting=lease.waiting,
+            handovers=lease.handovers,
+        )
         self._is_holder = True
         previous = lease.holder
         try:
@@ -155,6 +171,7 @@
             self._row.epoch,
             self._row.sequence + 1,
             self._row.waiting if waiting is None else waiting,
+            self._row.handovers,
         )
         all_writes = [*writes, RowWrite(LEASE_NAME, encode_row(row))]
         all_conditions = [*conditions, (LEASE_NAME, self._version)]
@@ -190,6 +207,32 @@
             decision_log.record('lease_not_released', reason=repr(error))
         self._is_holder = False
 
+    async def hand_over(self) -> None:
+        """Release the lease as too slow, and leave it to the others first.
+
+        For some seconds this node claims the lease only if no other candidate
+        does so within the time after which a silent holder is replaced.
+        """
+        self._own_handovers += 1
+        self._row.handovers += 1
+        await self.release()
+        self._abstains_until_ms = self._clock.now_ms() + _milliseconds(
+            _ABSTENTION
+        )
+
+    def settle(self) -> None:
+        """Discard earlier hand-overs, since this holder keeps up.
+
+        Takes effect with the next transaction.
+        """
+        self._row.handovers = 0
+
+    def _may_claim_at_once(self, lease: LeaseRow) -> bool:
+        """Whether the lease has no holder that could still renew it."""
+        if self._clock.now_ms() < self._abstains_until_ms:
+            return False
+        return not lease.holder or lease.holder == self._node
+
     def _record_retry(self, row: LeaseRow, error: Exception) -> None:
         decision_log.record(
             'transaction_repeated',
@@ -225,6 +268,10 @@
         )
 
 
+def _milliseconds(duration: timedelta) -> int:
+    return int(duration.total_seconds() * 1000)
+
+
 def _version_of(row: Row | None) -> int:
     return ABSENT if row is None else row.version
 
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -119,12 +119,15 @@
         Number of the transaction within the epoch.
     waiting : dict of str to int
         Number of accepted jobs without a started task, by queue.
+    handovers : int
+        How many holders in a row released the lease because they were too slow.
     """
 
     holder: str
     epoch: int
     sequence: int = 0
     waiting: dict[str, int] = {}
+    handovers: int = 0
 
 
 class Order(msgspec.Struct, omit_defaults=True):
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -65,13 +65,15 @@
         for number in range(3):
             self.add_minion(f'n{number}', f'm{number}')
 
-    def start_candidate(self, name):
+    def start_candidate(self, name, store=None):
+        """Start a candidate, which may see the store in its own way."""
+        store = store or self.store
         leader = Leader(
             LeaderContext(
-                self.store,
+                store,
                 self.store.store_clock,
                 self.clock,
-                Leadership(name, self.store, self.clock),
+                Leadership(name, store, self.clock),
                 lambda: DEPLOYMENT,
                 self.round_durations.append,
             ),
--- /dev/null
+++ b/tests/control/test_leader.py
@@ -0,0 +1,133 @@
+"""Tests of candidates that are too slow to hold the lease."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from dragonflynotch.control.rows import ORDERS
+from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.testing.row_store import MemoryRowStore
+from dragonflynotch.workflows.records import JobState
+from tests.control.cluster import Cluster, tasks
+
+
+class StoreWithoutTable(MemoryRowStore):
+    """Store as seen over a link on which one table never arrives."""
+
+    def __init__(self, store, table):
+        super().__init__(store._clock)
+        self.__dict__.update(store.__dict__)
+        self._store = store
+        self._table = table
+
+    async def read(self, table, part, first='', last=''):
+        if table == self._table:
+            await asyncio.sleep(0.2)
+            raise PlatformUnavailableError('no byte', step='read', peer='store')
+        return await self._store.read(table, part, first, last)
+
+    async def commit(self, writes, conditions):
+        return await self._store.commit(writes, conditions)
+
+    async def changes(self, table, after, wait):
+        return await self._store.changes(table, after, wait)
+
+
+@pytest.fixture
+def events(monkeypatch):
+    events = []
+    monkeypatch.setattr(
+        decision_log,
+        'record',
+        lambda event, **fields: events.append((event, fields)),
+    )
+    return events
+
+
+@pytest.fixture
+async def cluster():
+    cluster = Cluster()
+    yield cluster
+    await cluster.stop()
+
+
+def count(events, name):
+    return Counter(event for event, _ in events)[name]
+
+
+async def test_leader_whose_load_never_completes_is_replaced(cluster, events):
+    """A holder that never finishes loading must not keep the lease.
+
+    It renewed the lease and repeated the load until the end of the day, and no
+    order was issued.
+    """
+    cluster.start_candidate(
+        'a', store=StoreWithoutTable(cluster.store, ORDERS.name)
+    )
+    async with asyncio.timeout(3):
+        while not count(events, 'takeover_read_failed'):
+            await asyncio.sleep(0.02)
+    cluster.start_candidate('b')
+    cluster.add_minion('n0', 'm0')
+    await cluster.submit('j', tasks(1))
+    await cluster.wait_for_state('j', JobState.completed, limit_s=9)
+    assert count(events, 'lease_handed_over') == 1
+    assert count(events, 'scheduling_started') == 1
+
+
+async def test_load_is_not_given_up_while_the_store_is_down(cluster, events):
+    """An outage of the store is no reason to change the leader."""
+    cluster.start_candidate(
+        'a', store=StoreWithoutTable(cluster.store, ORDERS.name)
+    )
+    async with asyncio.timeout(3):
+        while not count(events, 'takeover_read_failed'):
+            await asyncio.sleep(0.02)
+    commit = cluster.store.commit
+    is_down = True
+
+    async def fail_commit(writes, conditions):
+        if is_down:
+            raise PlatformUnavailableError('down', step='commit', peer='store')
+        return await commit(writes, conditions)
+
+    cluster.store.commit = fail_commit
+    await asyncio.sleep(6)
+    is_down = False
+    await asyncio.sleep(1.5)
+    assert not count(events, 'lease_handed_over')
+
+
+async def test_lease_is_renewed_while_the_load_lasts(cluster, events):
+    """A load that takes longer than the takeover timeout keeps the lease.
+
+    Another candidate took over meanwhile, and its load began anew.
+    """
+
+    class SlowStore(StoreWithoutTable):
+        async def read(self, table, part, first='', last=''):
+            if table == self._table:
+                await asyncio.sleep(3)
+            return await self._store.read(table, part, first, last)
+
+    cluster.start_candidate('a', store=SlowStore(cluster.store, ORDERS.name))
+    await asyncio.sleep(0.3)
+    cluster.start_candidate('b')
+    async with asyncio.timeout(5):
+        while not count(events, 'scheduling_started'):
+            await asyncio.sleep(0.02)
+    assert count(events, 'lease_claimed') == 1
+    assert not count(events, 'lease_lost')
+
+
+async def test_first_election_has_one_winner(cluster, events):
+    """Several candidates of a fresh deployment must not replace each other."""
+    for name in ('a', 'b', 'c'):
+        cluster.start_candidate(name)
+    async with asyncio.timeout(3):
+        while not count(events, 'scheduling_started'):
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(1)
+    assert count(events, 'lease_claimed') == 1
--- /dev/null
+++ b/tests/control/test_leader_pace.py
@@ -0,0 +1,125 @@
+"""Tests of the decision that a holder of the lease is too slow."""
+
+from itertools import pairwise
+
+from dragonflynotch.control.leader_pace import (
+    CannotKeepUpError,
+    LoadBudget,
+    RoundPace,
+)
+
+
+def load_time_ms(budget, renewal_ms):
+    """Return the loading time after which the budget is used up."""
+    for count in range(1, 1000):
+        budget.record_load(600)
+        budget.record_renewal(renewal_ms)
+        try:
+            budget.check()
+        except CannotKeepUpError:
+            return count * 600
+    return None
+
+
+def test_load_is_limited_to_a_few_seconds():
+    """A load without an end must not keep other candidates waiting."""
+    assert 4000 <= load_time_ms(LoadBudget(0), 5) <= 5000
+
+
+def test_slow_store_has_a_longer_load():
+    """A store that answers after 1 s delays the load of every candidate."""
+    assert load_time_ms(LoadBudget(0), 1000) >= 8000
+
+
+def test_renewals_are_not_counted():
+    """An outage of the store, which stops renewals, uses up no budget."""
+    budget = LoadBudget(0)
+    budget.record_load(3900)
+    budget.record_renewal(30_000)
+    budget.check()
+
+
+def test_limits_grow_with_each_handover():
+    """Two candidates that are both slow must not pass the lease on for ever."""
+    times = [load_time_ms(LoadBudget(handovers), 5) for handovers in range(4)]
+    assert all(later >= 1.8 * earlier for earlier, later in pairwise(times))
+
+
+def rounds_until_given_up(pace, **fields):
+    for count in range(1, 1000):
+        try:
+            pace.record_round(**fields)
+        except CannotKeepUpError:
+            return count
+    return None
+
+
+def late(**changes):
+    fields = {
+        'duration_ms': 250,
+        'decision_ms': 10,
+        'write_ms': 10,
+        'are_replicas_fresh': True,
+    }
+    return fields | changes
+
+
+def test_rounds_on_time_keep_the_lease():
+    """A leader that keeps up must stay."""
+    pace = RoundPace(0)
+    assert rounds_until_given_up(pace, **late()) is None
+    assert pace.is_settled
+
+
+def test_slow_decisions_give_up_the_lease():
+    """A leader without enough processor time delays every start."""
+    fields = late(duration_ms=900, decision_ms=800)
+    assert 5 <= rounds_until_given_up(RoundPace(0), **fields) <= 7
+
+
+def test_feeds_that_lag_give_up_the_lease():
+    """A leader whose link cannot carry the feeds issues no orders."""
+    fields = late(are_replicas_fresh=False)
+    assert 20 <= rounds_until_given_up(RoundPace(0), **fields) <= 22
+
+
+def test_slow_store_is_no_reason_to_give_up():
+    """Feeds lag for every candidate while the store responds slowly."""
+    fields = late(are_replicas_fresh=False, write_ms=700)
+    assert rounds_until_given_up(RoundPace(0), **fields) is None
+
+
+def test_suspended_process_is_not_given_up_at_once():
+    """One long decision of a suspended process says nothing of its pace."""
+    pace = RoundPace(0)
+    pace.record_round(**late(duration_ms=60_000, decision_ms=60_000))
+    assert pace.late_ms <= 1000
+
+
+def test_rounds_on_time_make_up_for_late_ones():
+    """Rare slow rounds are no reason for a hand-over."""
+    pace = RoundPace(0)
+    for _ in range(100):
+        pace.record_round(**late(duration_ms=600, decision_ms=600))
+        for _ in range(4):
+            pace.record_round(**late())
+
+
+def test_patience_with_rounds_grows_with_each_handover():
+    """Two candidates that are both slow must not pass the lease on for ever."""
+    fields = late(are_replicas_fresh=False)
+    first, second = (
+        rounds_until_given_up(RoundPace(handovers), **fields)
+        for handovers in range(2)
+    )
+    assert second >= 1.9 * first
+
+
+def test_late_round_delays_settling():
+    """Hand-overs stay on record until the holder keeps up for long."""
+    pace = RoundPace(0)
+    for _ in range(39):
+        pace.record_round(**late())
+    pace.record_round(**late(decision_ms=600))
+    pace.record_round(**late())
+    assert not pace.is_settled
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -112,3 +112,79 @@
     assert await Leadership('a', store, clock).try_claim()
     with pytest.raises(LeaseLostError):
         await first.commit([], [])
+
+
+async def test_node_that_handed_over_leaves_the_lease_to_others(first, second):
+    """A holder that is too slow must not win the next election.
+
+    It would begin its load again, and no order would be issued.
+    """
+    await first.try_claim()
+    await first.hand_over()
+    assert not await first.try_claim()
+    assert await second.try_claim()
+    assert second.handovers == 1
+
+
+async def test_node_that_handed_over_claims_an_unclaimed_lease(
+    first, second, clock
+):
+    """Without other candidates the gap stays within the takeover timeout."""
+    await first.try_claim()
+    await first.hand_over()
+    clock.advance(TAKEOVER_MS - 1)
+    assert not await first.try_claim()
+    clock.advance(1)
+    assert await first.try_claim()
+
+
+async def test_node_that_handed_over_replaces_a_silent_holder(
+    first, second, clock
+):
+    """The abstention must not delay the takeover from a lost holder."""
+    await first.try_claim()
+    await first.hand_over()
+    await second.try_claim()
+    await first.read_lease()
+    clock.advance(TAKEOVER_MS)
+    assert await first.try_claim()
+
+
+async def test_abstention_ends(first, second, clock):
+    """A node that was slow once must not lose its place for good."""
+    await first.try_claim()
+    await first.hand_over()
+    clock.advance(5000)
+    await second.try_claim()
+    clock.advance(1000)
+    await second.release()
+    assert await first.try_claim()
+
+
+async def test_settled_holder_discards_earlier_handovers(first, second):
+    """Old hand-overs must not extend the limits of later holders."""
+    await first.try_claim()
+    await first.hand_over()
+    await second.try_claim()
+    second.settle()
+    await second.commit([], [])
+    assert (await first.read_lease()).handovers == 0
+
+
+async def test_lease_is_not_claimed_twice_after_a_failed_release(
+    first, second, clock, store
+):
+    """A hand-over that the store did not carry out must not end in two holders.
+
+    The row still names the node, which must neither take it for its own
+    nor for a free lease.
+    """
+    await first.try_claim()
+    store.fault = StoreFault.down
+    await first.hand_over()
+    store.fault = StoreFault.none
+    assert not await first.try_claim()
+    await second.read_lease()
+    clock.advance(TAKEOVER_MS)
+    assert await second.try_claim()
+    assert not await first.try_claim()
