Judge reads by byte progress and keep pages that were read

Cause: each page had 1.3 s in all, which a page of 1 MB exceeds over a link of 5 Mbit/s, and a failed page discarded all pages before it, in the load of a leader as well as in each replica of a guard or a front.

Change: a read fails after 1.3 s without a byte, or 9.3 s in all. The number of rows requested follows the transfer time of previous pages; the wait for the first byte does not count, so slow responses do not reduce it, and without a slow link no limit is sent. TableReader keeps pages across attempts with the version of the first page; a watch that has applied a feed response discards an incomplete reading. The load of a leader logs a repeated reason once. The stand-in of the platform serves pages with the published limits.

--- a/dragonflynotch/control/leader_load.py
+++ b/dragonflynotch/control/leader_load.py
@@ -17,6 +17,7 @@
 # of the time, the tables are then read side by side.
 _HEAD_START_S = 0.3
 _RETRY_DELAY_S = 0.1
+_MAX_RETRY_DELAY_S = 0.5
 _MS_PER_S = 1000
 
 _ReadTable = Callable[[], Awaitable[object]]
@@ -104,12 +105,19 @@
                 await asyncio.wait({reading}, timeout=_HEAD_START_S)
 
     async def _read_table(self, table: _ReadTable) -> None:
+        reason = ''
+        attempts = 0
         while True:
             try:
                 await table()
             except PlatformUnavailableError as error:
                 self._failures += 1
-                decision_log.record('takeover_read_failed', reason=str(error))
-                await asyncio.sleep(_RETRY_DELAY_S)
+                attempts += 1
+                if str(error) != reason:
+                    reason = str(error)
+                    decision_log.record('takeover_read_failed', reason=reason)
+                await asyncio.sleep(
+                    min(_RETRY_DELAY_S * attempts, _MAX_RETRY_DELAY_S)
+                )
             else:
                 return
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -20,10 +20,10 @@
     RowName,
     RowStore,
     RowWrite,
-    Snapshot,
     Table,
     shard_of,
 )
+from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
@@ -162,26 +162,22 @@
                 watch.cancel()
 
     async def _load(self) -> None:
-        tables: dict[str, Snapshot] = {}
-
-        async def read(table: Table) -> None:
-            tables[table.name] = await self._store.read(
-                table.name, SCHEDULER_PART
-            )
-
+        progress_reader = TableReader(self._store, PROGRESS, self._clock)
+        orders_reader = TableReader(self._store, ORDERS, self._clock)
         load = LeaderLoad(
             self._leadership,
             self._clock,
             (
-                lambda: read(PROGRESS),
-                lambda: read(ORDERS),
+                progress_reader.read,
+                orders_reader.read,
                 self._submissions.load,
                 self._reports.load,
             ),
         )
         await load.run()
-        progress = tables[PROGRESS.name]
-        orders = tables[ORDERS.name]
+        # All pages are there, so these calls return without a request.
+        progress = await progress_reader.read()
+        orders = await orders_reader.read()
         for row in progress.rows:
             stored = decode_row(row.content, ProgressRow)
             if stored is None:
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -18,6 +18,7 @@
     'Committed',
     'Conflict',
     'HistoryLost',
+    'Page',
     'Row',
     'RowChange',
     'RowName',
@@ -110,6 +111,18 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class Page:
+    """First rows of a range at one version.
+
+    ``next_first`` is the first key of the rest, ``None`` if there is no more.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    next_first: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Changes:
     """Rows that changed up to ``version``, in order."""
@@ -153,6 +166,16 @@
     ) -> Snapshot:
         """Return the rows with ``first <= key < last``, in order."""
 
+    async def read_page(
+        self, table: str, part: str, first: str = '', last: str = ''
+    ) -> Page:
+        """Return the first rows of ``read`` in one call.
+
+        A store without pages returns all rows.
+        """
+        snapshot = await self.read(table, part, first, last)
+        return Page(snapshot.rows, snapshot.version)
+
     async def read_row(self, name: RowName) -> Row | None:
         """Return one row, or ``None`` if it does not exist."""
         # The range ends before the smallest key above the requested one.
--- a/dragonflynotch/control/watch.py
+++ b/dragonflynotch/control/watch.py
@@ -12,6 +12,7 @@
     RowStore,
     Table,
 )
+from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.observability.decisions import decision_log
 
@@ -57,6 +58,8 @@
         self._row_versions: dict[str, int] = {}
         self._version: int | None = None
         self._current_at_ms: int | None = None
+        # Reading that has not been completed.
+        self._reader: TableReader | None = None
         self._is_reachable = True
 
     @property
@@ -74,20 +77,22 @@
     async def load(self) -> None:
         """Read all rows.
 
+        After a failure the next call continues with the pages that are
+        missing.
+
         Raises
         ------
         PlatformUnavailableError
             If the store does not respond.
         """
-        sent_ms = self._clock.now_ms()
-        snapshots = await asyncio.gather(
-            *(
-                self._store.read(self._table.name, part)
-                for part in self._table.parts
-            )
-        )
-        rows = [row for snapshot in snapshots for row in snapshot.rows]
-        version = min(snapshot.version for snapshot in snapshots)
+        reader = self._reader
+        if reader is None:
+            reader = TableReader(self._store, self._table, self._clock)
+            self._reader = reader
+        snapshot = await reader.read()
+        self._reader = None
+        rows = snapshot.rows
+        version = snapshot.version
         present_keys = {row.key for row in rows}
         deleted_keys = [
             key for key in self._row_versions if key not in present_keys
@@ -100,7 +105,7 @@
         changes.extend(RowChange(key, None, version) for key in deleted_keys)
         self._version = version
         self._apply_changes(tuple(changes))
-        self._current_at_ms = sent_ms
+        self._current_at_ms = reader.started_ms
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -130,6 +135,8 @@
         self._apply_feed(feed_changes, sent_ms)
 
     def _apply_feed(self, feed_changes: Changes, sent_ms: int) -> None:
+        # Pages of an incomplete reading are older than the feed from now on.
+        self._reader = None
         self._version = max(self._version or 0, feed_changes.version)
         self._apply_changes(
             tuple(
--- a/dragonflynotch/links/http11.py
+++ b/dragonflynotch/links/http11.py
@@ -26,11 +26,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
-    """A complete HTTP response; header names are lower case."""
+    """A complete HTTP response; header names are lower case.
+
+    ``transfer_s`` is the time between its first and its last bytes, in seconds,
+    if it was measured.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    transfer_s: float = 0
 
 
 async def exchange(
--- a/dragonflynotch/links/http_pool.py
+++ b/dragonflynotch/links/http_pool.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import h11
@@ -36,6 +36,40 @@
         self.writer.transport.abort()
 
 
+class _Progress:
+    """Time limit of one exchange, extended with each received byte."""
+
+    def __init__(self, timeout: timedelta, idle_timeout: timedelta) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._timeout_s = timeout.total_seconds()
+        self._idle_timeout_s = idle_timeout.total_seconds()
+        self._end_s = self._loop.time() + self._timeout_s
+        self._first_byte_s: float | None = None
+        self.limit = asyncio.timeout_at(self._next_end_s())
+
+    @property
+    def transfer_s(self) -> float:
+        """Time since the first byte, in seconds; 0 before it."""
+        if self._first_byte_s is None:
+            return 0
+        return self._loop.time() - self._first_byte_s
+
+    def record_bytes(self) -> None:
+        """Extend the limit after the receipt of bytes."""
+        if self._first_byte_s is None:
+            self._first_byte_s = self._loop.time()
+        self.limit.reschedule(self._next_end_s())
+
+    def describe_timeout(self) -> str:
+        """Return which limit was exceeded."""
+        if self._loop.time() < self._end_s:
+            return f'no byte of the response within {self._idle_timeout_s} s'
+        return f'no complete response within {self._timeout_s} s'
+
+    def _next_end_s(self) -> float:
+        return min(self._end_s, self._loop.time() + self._idle_timeout_s)
+
+
 class HttpPool:
     """Connection pool for one peer; one exchange at a time per connection.
 
@@ -70,15 +104,30 @@
         body: bytes = b'',
         headers: Sequence[tuple[str, str]] = (),
         timeout: timedelta,
+        idle_timeout: timedelta | None = None,
     ) -> HttpReply:
         """Send one request and return the complete response.
 
+        Parameters
+        ----------
+        method, target : str
+            Method and target of the request line.
+        body : bytes
+            Request body.
+        headers : sequence of (str, str)
+            Additional headers.
+        timeout : timedelta
+            Limit for the exchange, including the connection set-up.
+        idle_timeout : timedelta, optional
+            Longest time without a byte of the response; ``timeout`` by default.
+
         Raises
         ------
         NotSentError
             If no connection was established, so nothing was sent.
         LinkTimeoutError
-            If the exchange is not complete within ``timeout``.
+            If the exchange is not complete within ``timeout``, or no byte
+            arrives within ``idle_timeout``.
         LinkError
             If the connection fails before the response is complete.
         """
@@ -94,15 +143,16 @@
             ],
         )
         connection: _Connection | None = None
+        progress = _Progress(timeout, idle_timeout or timeout)
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with progress.limit:
                 connection = await self._connect(step)
-                reply = await _exchange(connection, request, body)
+                reply = await _exchange(connection, request, body, progress)
         except TimeoutError as error:
             self._discard(connection)
             failure = LinkTimeoutError if connection else NotSentError
             raise failure(
-                f'no complete response within {timeout.total_seconds()} s',
+                progress.describe_timeout(),
                 step=step,
                 peer=self._peer,
             ) from error
@@ -156,7 +206,10 @@
 
 
 async def _exchange(
-    connection: _Connection, request: h11.Request, body: bytes
+    connection: _Connection,
+    request: h11.Request,
+    body: bytes,
+    progress: _Progress,
 ) -> HttpReply:
     protocol = connection.protocol
     parts = (request, h11.Data(data=body), h11.EndOfMessage())
@@ -169,7 +222,8 @@
         event = protocol.next_event()
         if event is h11.NEED_DATA:
             protocol.receive_data(await connection.reader.read(_READ_BYTES))
+            progress.record_bytes()
             continue
         reply = partial.add(event)
         if reply is not None:
-            return reply
+            return replace(reply, transfer_s=progress.transfer_s)
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -13,6 +13,7 @@
     Committed,
     Conflict,
     HistoryLost,
+    Page,
     Row,
     RowChange,
     RowName,
@@ -24,12 +25,14 @@
 from dragonflynotch.core.errors import (
     InvalidInputError,
     LinkError,
+    LinkTimeoutError,
     NotSentError,
     PlatformUnavailableError,
     UncertainWriteError,
 )
 from dragonflynotch.links.http11 import HttpReply
 from dragonflynotch.links.http_pool import HttpPool
+from dragonflynotch.platform.page_size import PageSize
 
 __all__ = ('HttpRowStore',)
 
@@ -43,6 +46,8 @@
 _INVALID_CALL_STATUSES = frozenset((400, 403, 404, 413))
 # A call normally takes 10 ms, on a slow store 0.5 to 1 s.
 _CALL_TIMEOUT = timedelta(milliseconds=1300)
+# A page of 1 MB takes 1.6 s over a link of 5 Mbit/s that nothing else uses.
+_MAX_TRANSFER = timedelta(seconds=8)
 
 
 class _WireRow(msgspec.Struct, omit_defaults=True):
@@ -99,6 +104,7 @@
     def __init__(self, address: tuple[str, int], clock: SteadyClock) -> None:
         """Create the client; no connection is opened yet."""
         self._pool = HttpPool(address, max_idle=6)
+        self._page_size = PageSize()
         self._clock = clock
         self.store_clock = StoreClock(clock)
         self.health = StoreHealth(clock)
@@ -115,23 +121,45 @@
         """
         rows: list[Row] = []
         version: int | None = None
-        page_start = first
-        while True:
-            query = {'table': table, 'part': part}
-            if page_start:
-                query['from'] = page_start
-            if last:
-                query['target'] = last
-            answer = await self._get('/dragonflynotch/rows-get', query)
-            rows.extend(
-                Row(row.key, _decode_value(row.value), row.ver or 0)
-                for row in answer.rows
+        next_first: str | None = first
+        while next_first is not None:
+            page = await self.read_page(table, part, next_first, last)
+            rows.extend(page.rows)
+            version = page.version if version is None else version
+            next_first = page.next_first
+        return Snapshot(tuple(rows), version or 0)
+
+    async def read_page(
+        self, table: str, part: str, first: str = '', last: str = ''
+    ) -> Page:
+        """Return one page; over a slow link it has fewer rows."""
+        query = {'table': table, 'part': part}
+        if first:
+            query['from'] = first
+        if last:
+            query['target'] = last
+        limit = self._page_size.limit
+        if limit is not None:
+            query['limit'] = str(limit)
+        try:
+            answer, transfer_s = await self._get(
+                '/dragonflynotch/rows-get', query
             )
-            version = answer.ver if version is None else version
-            if not (answer.truncated and answer.rows):
-                return Snapshot(tuple(rows), version)
-            # The smallest key after the last one of this page.
-            page_start = answer.rows[-1].key + '\0'
+        except PlatformUnavailableError as error:
+            if isinstance(error.__cause__, LinkTimeoutError):
+                self._page_size.record_timeout()
+            raise
+        self._page_size.record_page(len(answer.rows), transfer_s)
+        rows = tuple(
+            Row(row.key, _decode_value(row.value), row.ver or 0)
+            for row in answer.rows
+        )
+        # A page as long as requested may have been cut by our limit.
+        is_cut = answer.truncated or len(rows) == limit
+        if not (is_cut and rows):
+            return Page(rows, answer.ver)
+        # The smallest key after the last one of this page.
+        return Page(rows, answer.ver, rows[-1].key + '\0')
 
     async def commit(
         self,
@@ -222,19 +250,26 @@
             answer.ver,
         )
 
-    async def _get(self, path: str, query: dict[str, str]) -> _WireAnswer:
+    async def _get(
+        self, path: str, query: dict[str, str]
+    ) -> tuple[_WireAnswer, float]:
         reply, sent_ms = await self._fetch(
             f'{path}?{urlencode(query)}', _CALL_TIMEOUT
         )
-        return self._decode_read(reply, sent_ms)
+        return self._decode_read(reply, sent_ms), reply.transfer_s
 
     async def _fetch(
-        self, target: str, timeout: timedelta
+        self, target: str, idle_timeout: timedelta
     ) -> tuple[HttpReply, int]:
         sent_ms = self._clock.now_ms()
         self.call_count += 1
         try:
-            reply = await self._pool.exchange('GET', target, timeout=timeout)
+            reply = await self._pool.exchange(
+                'GET',
+                target,
+                timeout=_MAX_TRANSFER + idle_timeout,
+                idle_timeout=idle_timeout,
+            )
         except LinkError as error:
             raise self._unavailable('read', error) from error
         return reply, sent_ms
--- a/dragonflynotch/testing/platform_site.py
+++ b/dragonflynotch/testing/platform_site.py
@@ -39,6 +39,7 @@
 # Leaves open whether the call was carried out.
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
+_MAX_PAGE_ROWS = 500
 _PATH_PREFIX = '/dragonflynotch/'
 
 
@@ -202,12 +203,18 @@
             query.get('from', ''),
             query.get('target', ''),
         )
+        limit = min(int(query.get('limit', _MAX_PAGE_ROWS)), _MAX_PAGE_ROWS)
         name = RowName(query['table'], query.get('part', ''), '')
         rows = [
             _wire_row(row.key, row.content, row.version, name)
-            for row in snapshot.rows
+            for row in snapshot.rows[:limit]
         ]
-        return self._reply(_OK, snapshot.version, rows)
+        return self._reply(
+            _OK,
+            snapshot.version,
+            rows,
+            is_truncated=len(snapshot.rows) > limit,
+        )
 
     async def _feed(self, call: HttpCall) -> Reply:
         query = call.query
@@ -226,13 +233,18 @@
         return self._reply(_OK, answer.version, rows)
 
     def _reply(
-        self, status: int, version: int, rows: Iterable[dict[str, object]]
+        self,
+        status: int,
+        version: int,
+        rows: Iterable[dict[str, object]],
+        *,
+        is_truncated: bool = False,
     ) -> Reply:
         body = {
             'ver': version,
             'now_ms': self.clock.now_ms(),
             'rows': list(rows),
-            'truncated': False,
+            'truncated': is_truncated,
         }
         return Reply(status, msgspec.json.encode(body), _JSON)
 
