--- a/tests/model/test_catalogue.py
+++ b/tests/model/test_catalogue.py
@@ -11,6 +11,7 @@
 EXPECTED_NAMES = {
     'borrowing',
     'configuration',
+    'election',
     'gang',
     'handover',
     'ownership',
