Halve the page size after a time-out instead of quartering it

Cause: a page that stalls is seldom too large, since arriving bytes extend its limit.

Change: half. The stand-in stalls every second request by count; the test switched it by polling, which depended on timing.

--- a/dragonflynotch/platform/page_size.py
+++ b/dragonflynotch/platform/page_size.py
@@ -9,7 +9,7 @@
 # A page takes about this long, so that a failed page loses little and other
 # calls of this process are not delayed for longer.
 _TRANSFER_S = 0.3
-_TIMEOUT_DIVISOR = 4
+_TIMEOUT_DIVISOR = 2
 # A few rows may arrive at once and seem to take no time.
 _GROWTH_FACTOR = 4
 
@@ -45,6 +45,6 @@
         )
 
     def record_timeout(self) -> None:
-        """Request much smaller pages after one that did not arrive in time."""
+        """Request smaller pages after one that did not arrive in time."""
         rows = (self._limit or _MAX_ROWS) // _TIMEOUT_DIVISOR
         self._limit = max(_MIN_ROWS, rows)
--- a/tests/platform/slow_store.py
+++ b/tests/platform/slow_store.py
@@ -30,6 +30,8 @@
         self.stall_after = None
         # Requests that are served before responses stall.
         self.calls_before_stall = 0
+        # Of the requests after those, one in this number stalls.
+        self.stall_every = 1
         self._server = None
         self._writers = []
         self._stopped = asyncio.Event()
@@ -68,6 +70,7 @@
         is_stalled = (
             self.stall_after is not None
             and len(self.queries) > self.calls_before_stall
+            and len(self.queries) % self.stall_every == 0
         )
         if is_stalled:
             response = response[: self.stall_after]
