Replace a leader whose rounds cannot keep up

Cause: a holder with too little processor time or link kept the lease as long as it could renew it, however late its decisions were.

Change: a round is late if its decisions took more than 0.5 s, or if the replicas were too old although the last write was prompt; a slow or silent store alone makes no round late. After a surplus of 5 s of late rounds, doubled with each hand-over in a row, the holder hands over. It discards earlier hand-overs after 10 s on time. The duration of loads is a metric, dragonflynotch_load_seconds.

Result: tests/control/test_leader.py covers a leader with slow decisions and one on a slow store.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -8,6 +8,7 @@
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.leader_load import LeaderLoad
+from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.rows import (
     ORDERS,
@@ -68,6 +69,10 @@
 _MS_PER_S = 1000
 
 
+def _ignore_duration(_: float) -> None:
+    """Take the place of a metric."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderContext:
     """What a node needs to schedule.
@@ -86,6 +91,8 @@
         Returns the configuration in force, or ``None`` before the first.
     record_round : callable
         Receives the duration of the decisions of each round, in seconds.
+    record_load : callable
+        Receives the duration of each completed load, in seconds.
     """
 
     store: RowStore
@@ -94,6 +101,7 @@
     leadership: Leadership
     deployment: Callable[[], Deployment | None]
     record_round: Callable[[float], None]
+    record_load: Callable[[float], None] = _ignore_duration
 
 
 class LeaderTerm:
@@ -117,6 +125,7 @@
         self._deployment = context.deployment
         self._store = context.store
         self._record_round = context.record_round
+        self._record_load = context.record_load
         self._scheduler = Scheduler(settings)
         self._submissions = TableWatch(
             context.store,
@@ -135,6 +144,9 @@
         self._rows_changed = asyncio.Event()
         self._lease_written_ms = context.clock.now_ms()
         self._write_duration_ms = 0
+        self._pace = RoundPace(context.leadership.handovers)
+        # End of the last round that was judged, without its writes.
+        self._paced_ms = context.clock.now_ms()
         self._is_loading = True
         # Whether the replicas were fresh enough to decide in the last round.
         self._are_deciding = True
@@ -174,7 +186,8 @@
                 self._reports.load,
             ),
         )
-        await load.run()
+        self._record_load(await load.run())
+        self._paced_ms = self._clock.now_ms()
         # All pages are there, so these calls return without a request.
         progress = await progress_reader.read()
         orders = await orders_reader.read()
@@ -259,8 +272,11 @@
         if deployment is not None:
             self._scheduler.apply_deployment(deployment)
         decisions = Decisions()
-        if self._are_replicas_fresh():
+        started_ms = self._clock.now_ms()
+        are_fresh = self._are_replicas_fresh()
+        if are_fresh:
             decisions = self._decide()
+        self._check_pace(started_ms, are_replicas_fresh=are_fresh)
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
         )
@@ -282,6 +298,20 @@
         self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
         return decisions
 
+    def _check_pace(self, started_ms: int, *, are_replicas_fresh: bool) -> None:
+        """Raise ``CannotKeepUpError`` if rounds have been late for too long."""
+        now_ms = self._clock.now_ms()
+        previous_ms = max(self._paced_ms, self._lease_written_ms)
+        self._paced_ms = now_ms
+        self._pace.record_round(
+            now_ms - previous_ms,
+            now_ms - started_ms,
+            self._write_duration_ms,
+            are_replicas_fresh=are_replicas_fresh,
+        )
+        if self._pace.is_settled:
+            self._leadership.settle()
+
     def _are_replicas_fresh(self) -> bool:
         # A slow store answers feed calls late, which makes replicas seem older.
         limit_ms = _MAX_REPLICA_AGE_MS + min(
--- a/dragonflynotch/observability/job_metrics.py
+++ b/dragonflynotch/observability/job_metrics.py
@@ -7,6 +7,7 @@
 __all__ = ('JobMetrics',)
 
 _BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
+_LOAD_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
 
 
 class JobMetrics:
@@ -48,6 +49,13 @@
             registry=self._registry,
             buckets=_BUCKETS_S,
         )
+        self._load_duration = Histogram(
+            'dragonflynotch_load_seconds',
+            'Time that a new holder of the lease takes to load the rows.',
+            const_labels=labels,
+            registry=self._registry,
+            buckets=_LOAD_BUCKETS_S,
+        )
         self._gauges: dict[str, Gauge] = {}
 
     def count_call(self, method: str, status: int, duration_s: float) -> None:
@@ -59,6 +67,10 @@
         """Record how long the decisions of a round took, in seconds."""
         self._round_duration.observe({}, duration_s)
 
+    def record_load(self, duration_s: float) -> None:
+        """Record how long a completed load took, in seconds."""
+        self._load_duration.observe({}, duration_s)
+
     def render(self) -> bytes:
         """Return all series in the Prometheus text format."""
         for name, reading in self._read_gauges().items():
--- a/tests/control/test_leader.py
+++ b/tests/control/test_leader.py
@@ -1,15 +1,18 @@
 """Tests of candidates that are too slow to hold the lease."""
 
 import asyncio
+import time
 from collections import Counter
 
 import pytest
 
+from dragonflynotch.control import leader_pace
 from dragonflynotch.control.rows import ORDERS
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.row_store import MemoryRowStore
 from dragonflynotch.workflows.records import JobState
+from dragonflynotch.workflows.scheduler import Scheduler
 from tests.control.cluster import Cluster, tasks
 
 
@@ -131,3 +134,65 @@
             await asyncio.sleep(0.02)
     await asyncio.sleep(1)
     assert count(events, 'lease_claimed') == 1
+
+
+async def test_leader_with_slow_decisions_is_replaced(
+    cluster, events, monkeypatch
+):
+    """A holder whose rounds cannot keep up must not keep the lease."""
+    monkeypatch.setattr(leader_pace, '_LATE_LIMIT_MS', 1000)
+    monkeypatch.setattr(leader_pace, '_SLOW_DECISION_MS', 100)
+    slow_schedulers = []
+    decide = Scheduler.decide
+
+    def decide_slowly(self, *args):
+        # The scheduler of the first term is the slow one.
+        if not slow_schedulers:
+            slow_schedulers.append(self)
+        if self in slow_schedulers:
+            time.sleep(0.15)
+        return decide(self, *args)
+
+    monkeypatch.setattr(Scheduler, 'decide', decide_slowly)
+    cluster.start_candidate('a')
+    cluster.start_candidate('b')
+    async with asyncio.timeout(8):
+        while count(events, 'scheduling_started') < 2:
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(2)
+    [fields] = [
+        fields for event, fields in events if event == 'lease_handed_over'
+    ]
+    assert fields['too_slow_for'] == 'rounds'
+    claims = [fields for event, fields in events if event == 'lease_claimed']
+    assert len(claims) == 2
+
+
+async def test_leader_on_a_slow_store_stays(cluster, events, monkeypatch):
+    """A store that responds slowly is no reason to change the leader."""
+    monkeypatch.setattr(leader_pace, '_LATE_LIMIT_MS', 1000)
+    store = cluster.store
+    commit, read, changes = store.commit, store.read, store.changes
+
+    async def commit_slowly(*args):
+        await asyncio.sleep(0.5)
+        return await commit(*args)
+
+    async def read_slowly(*args):
+        await asyncio.sleep(0.5)
+        return await read(*args)
+
+    async def follow_slowly(*args):
+        await asyncio.sleep(2)
+        return await changes(*args)
+
+    monkeypatch.setattr(store, 'commit', commit_slowly)
+    monkeypatch.setattr(store, 'read', read_slowly)
+    monkeypatch.setattr(store, 'changes', follow_slowly)
+    cluster.start_candidate('a')
+    async with asyncio.timeout(8):
+        while not count(events, 'decisions_paused'):
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(5)
+    assert not count(events, 'lease_handed_over')
+    assert not count(events, 'lease_lost')
