Let weak candidates wait before they claim the lease

Cause: each front claimed a free lease at its next reading, so a front with a link of 5 Mbit/s won as often as one with 100.

Limits that are missing or unreadable count as sufficient, so nothing changes without them. The metric dragonflynotch_lease_handovers counts a node's own hand-overs.

Result: new tests in tests/control and tests/platform/test_decoding.py pass. The share of elections that weak fronts win on a site was not measured.

--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -33,6 +33,7 @@
 # A candidate takes over the lease when its row has not changed for this long.
 # Running tasks do not depend on the holder: a late takeover only delays starts.
 _TAKEOVER_TIMEOUT = timedelta(milliseconds=2200)
+_NO_DELAY = timedelta()
 # After a hand-over the node leaves a free lease to the others for this long.
 _ABSTENTION = timedelta(seconds=6)
 _RETRY_DELAY_S = 0.1
@@ -60,9 +61,17 @@
         Store with the lease row.
     clock : SteadyClock
         Measures how long the row has not changed.
+    claim_delay : timedelta
+        How long this node waits before it claims a lease that it may claim.
     """
 
-    def __init__(self, node: str, store: RowStore, clock: SteadyClock) -> None:
+    def __init__(
+        self,
+        node: str,
+        store: RowStore,
+        clock: SteadyClock,
+        claim_delay: timedelta = _NO_DELAY,
+    ) -> None:
         """Create a candidate."""
         self._node = node
         self._store = store
@@ -71,6 +80,7 @@
         self._version = ABSENT
         self._row_changed_ms = clock.now_ms()
         self._is_holder = False
+        self._claim_delay = claim_delay
         self._abstains_until_ms = clock.now_ms()
         self._own_handovers = 0
 
@@ -117,6 +127,8 @@
         is_abandoned = unchanged_ms >= _milliseconds(_TAKEOVER_TIMEOUT)
         if not is_abandoned and not self._may_claim_at_once(lease):
             return False
+        if not await self._wait_for_others(lease):
+            return False
         self._row = LeaseRow(
             self._node,
             lease.epoch + 1,
@@ -233,6 +245,15 @@
             return False
         return not lease.holder or lease.holder == self._node
 
+    async def _wait_for_others(self, lease: LeaseRow) -> bool:
+        """Wait, and return whether no other candidate claimed the lease."""
+        if not self._claim_delay or lease.holder == self._node:
+            return True
+        version = self._version
+        await asyncio.sleep(self._claim_delay.total_seconds())
+        await self.read_lease()
+        return self._version == version
+
     def _record_retry(self, row: LeaseRow, error: Exception) -> None:
         decision_log.record(
             'transaction_repeated',
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from dragonflynotch.control.claim_delay import claim_delay
 from dragonflynotch.control.clocks import BootClock
 from dragonflynotch.control.configuration import ConfigurationWatch
 from dragonflynotch.control.guard import Guard, GuardLimits
@@ -62,7 +63,12 @@
             decode_deployment,
             clock,
         )
-        self._leadership = Leadership(settings.node, self._store, clock)
+        self._leadership = Leadership(
+            settings.node,
+            self._store,
+            clock,
+            claim_delay(settings.cores, settings.link_mbps),
+        )
         self._metrics = JobMetrics(settings.node, self._gauges)
         self._leader = Leader(
             LeaderContext(
@@ -72,6 +78,7 @@
                 self._leadership,
                 self._deployment,
                 self._metrics.record_round,
+                self._metrics.record_load,
             ),
             _scheduler_settings(settings),
         )
@@ -152,6 +159,7 @@
             'is_store_reachable': self._store.health.is_reachable,
             'is_scheduler': self._leadership.is_holder,
             'lease_epoch': self._leadership.epoch,
+            'lease_handovers': self._leadership.own_handovers,
             'store_calls': self._store.call_count,
         }
 
--- a/dragonflynotch/platform/settings.py
+++ b/dragonflynotch/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file of the platform: lines of the form ``a.b=value``."""
 
 from dataclasses import dataclass
+from math import isfinite
 from pathlib import Path
 
 from dragonflynotch.core.errors import InvalidInputError
@@ -68,6 +69,12 @@
         Address of the minion on this machine (``app``).
     service : str
         Service of the minion on this machine.
+    cores : float or None
+        Processor capacity of this process in cores (``limits.cores`` times
+        ``limits.cpu_share``), if it is limited.
+    link_mbps : float or None
+        Bandwidth of the link of this machine in Mbit/s
+        (``limits.link_mbps``), if it is limited.
     """
 
     node: str
@@ -79,6 +86,8 @@
     heartbeat_address: Address | None = None
     minion_address: Address | None = None
     service: str = ''
+    cores: float | None = None
+    link_mbps: float | None = None
 
 
 def load_settings(path: Path) -> PlatformSettings:
@@ -126,8 +135,28 @@
             heartbeat_address=self._address('listen.control'),
             minion_address=self._address('app'),
             service=self._fields.get('service', ''),
+            cores=self._cores(),
+            link_mbps=self._limit('limits.link_mbps'),
         )
 
+    def _cores(self) -> float | None:
+        cores = self._limit('limits.cores')
+        share = self._limit('limits.cpu_share')
+        if cores is None or share is None:
+            return cores or share
+        return cores * share
+
+    def _limit(self, name: str) -> float | None:
+        """Return a limit; one that is not a positive number counts as none.
+
+        Limits only order the candidates, so none prevents a start.
+        """
+        try:
+            limit = float(self._fields.get(name, ''))
+        except ValueError:
+            return None
+        return limit if limit > 0 and isfinite(limit) else None
+
     def _required_text(self, name: str) -> str:
         text = self._fields.get(name, '')
         if not text:
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -1,6 +1,7 @@
 """Tests of the scheduling lease."""
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 
@@ -188,3 +189,41 @@
     clock.advance(TAKEOVER_MS)
     assert await second.try_claim()
     assert not await first.try_claim()
+
+
+async def test_capable_candidate_wins_against_a_weak_one(store, clock, first):
+    """A weak candidate must not win because it reads the row first.
+
+    A front with a slow link won the election and could not schedule.
+    """
+    weak = Leadership('w', store, clock, timedelta(milliseconds=50))
+    claim = asyncio.create_task(weak.try_claim())
+    await asyncio.sleep(0.01)
+    assert await first.try_claim()
+    assert not await claim
+    assert first.is_holder
+    assert not weak.is_holder
+
+
+async def test_weak_candidate_claims_without_others(store, clock, first):
+    """A deployment with weak candidates only must still have a leader."""
+    await first.try_claim()
+    weak = Leadership('w', store, clock, timedelta(milliseconds=50))
+    assert not await weak.try_claim()
+    clock.advance(TAKEOVER_MS)
+    assert await weak.try_claim()
+
+
+async def test_weak_candidate_does_not_replace_a_holder_that_returns(
+    store, clock, first
+):
+    """A holder that renews its lease during the delay must stay the holder."""
+    await first.try_claim()
+    weak = Leadership('w', store, clock, timedelta(milliseconds=50))
+    await weak.read_lease()
+    clock.advance(TAKEOVER_MS)
+    claim = asyncio.create_task(weak.try_claim())
+    await asyncio.sleep(0.01)
+    await first.commit([], [])
+    assert not await claim
+    assert first.is_holder
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -213,3 +213,25 @@
     assert settings.minion_address == ('10.0.0.2', 3)
     assert settings.bounds.ended_state_ms == 120_000
     assert settings.metrics_address == ('10.0.0.2', 7000)
+
+
+@pytest.mark.parametrize(
+    'lines, cores, link_mbps',
+    [
+        ('', None, None),
+        ('limits.cores=2\nlimits.cpu_share=0.5\n', 1, None),
+        ('limits.cpu_share=0.39\nlimits.link_mbps=10\n', 0.39, 10),
+        ('limits.cores=4\n', 4, None),
+        ('limits.cores=many\nlimits.link_mbps=0\n', None, None),
+        ('limits.cores=nan\nlimits.link_mbps=inf\n', None, None),
+    ],
+)
+def test_limits_of_a_machine(tmp_path, lines, cores, link_mbps):
+    """Unreadable limits, which only order candidates, must not stop a start."""
+    path = tmp_path / 'settings'
+    path.write_text(
+        'node=n\nip=10.0.0.2\nport_range=7000,7015\n'
+        f'platform.address=10.0.0.1:1\n{lines}'
+    )
+    settings = load_settings(path)
+    assert (settings.cores, settings.link_mbps) == (cores, link_mbps)
