--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -7,6 +7,8 @@
 from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.leader_load import LeaderLoad
+from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.rows import (
     ORDERS,
@@ -19,10 +21,10 @@
     RowName,
     RowStore,
     RowWrite,
-    Snapshot,
     Table,
     shard_of,
 )
+from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
@@ -68,6 +70,10 @@
 _MS_PER_S = 1000
 
 
+def _ignore_duration(_: float) -> None:
+    """Take the place of a metric."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderContext:
     """What a node needs to schedule.
@@ -89,6 +95,8 @@
     evacuations : callable
         Returns the evacuations that the operator requests, or ``None`` before
         the operator's rows have been read.
+    record_load : callable
+        Receives the duration of each completed load, in seconds.
     """
 
     store: RowStore
@@ -98,6 +106,7 @@
     deployment: Callable[[], Deployment | None]
     record_round: Callable[[float], None]
     evacuations: Callable[[], EvacuationRequests | None]
+    record_load: Callable[[float], None] = _ignore_duration
 
 
 class LeaderTerm:
@@ -122,6 +131,7 @@
         self._store = context.store
         self._record_round = context.record_round
         self._evacuations = context.evacuations
+        self._record_load = context.record_load
         self._scheduler = Scheduler(settings)
         self._submissions = TableWatch(
             context.store,
@@ -140,6 +150,9 @@
         self._rows_changed = asyncio.Event()
         self._lease_written_ms = context.clock.now_ms()
         self._write_duration_ms = 0
+        self._pace = RoundPace(context.leadership.handovers)
+        # End of the last round that was judged, without its writes.
+        self._paced_ms = context.clock.now_ms()
         self._is_loading = True
         # Whether the replicas were fresh enough to decide in the last round.
         self._are_deciding = True
@@ -172,20 +185,23 @@
                 watch.cancel()
 
     async def _load(self) -> None:
-        while True:
-            try:
-                progress, orders, *_ = await asyncio.gather(
-                    self._read(PROGRESS),
-                    self._read(ORDERS),
-                    self._submissions.load(),
-                    self._reports.load(),
-                )
-            except PlatformUnavailableError as error:
-                decision_log.record('takeover_read_failed', reason=str(error))
-                # Renews the lease; raises LeaseLostError if it was lost.
-                await self._leadership.commit([], [])
-                continue
-            break
+        progress_reader = TableReader(self._store, PROGRESS, self._clock)
+        orders_reader = TableReader(self._store, ORDERS, self._clock)
+        load = LeaderLoad(
+            self._leadership,
+            self._clock,
+            (
+                progress_reader.read,
+                orders_reader.read,
+                self._submissions.load,
+                self._reports.load,
+            ),
+        )
+        self._record_load(await load.run())
+        self._paced_ms = self._clock.now_ms()
+        # All pages are there, so these calls return without a request.
+        progress = await progress_reader.read()
+        orders = await orders_reader.read()
         for row in progress.rows:
             stored = decode_row(row.content, ProgressRow)
             if stored is None:
@@ -212,9 +228,6 @@
             reports=len(self._loaded_reports),
         )
 
-    async def _read(self, table: Table) -> Snapshot:
-        return await self._store.read(table.name, SCHEDULER_PART)
-
     def _store_now_ms(self) -> int:
         return self._store_clock.earliest_ms()
 
@@ -271,11 +284,14 @@
             self._scheduler.apply_deployment(deployment)
         evacuations = self._evacuations()
         decisions = Decisions()
+        started_ms = self._clock.now_ms()
+        are_fresh = self._are_replicas_fresh()
         # Before the operator's rows are known, a run could be started in a
         # data centre that is evacuated.
-        if evacuations is not None and self._are_replicas_fresh():
+        if are_fresh and evacuations is not None:
             self._scheduler.apply_evacuations(evacuations)
             decisions = self._decide()
+        self._check_pace(started_ms, are_replicas_fresh=are_fresh)
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
         )
@@ -296,6 +312,20 @@
         self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
         return decisions
 
+    def _check_pace(self, started_ms: int, *, are_replicas_fresh: bool) -> None:
+        """Raise ``CannotKeepUpError`` if rounds have been late for too long."""
+        now_ms = self._clock.now_ms()
+        previous_ms = max(self._paced_ms, self._lease_written_ms)
+        self._paced_ms = now_ms
+        self._pace.record_round(
+            now_ms - previous_ms,
+            now_ms - started_ms,
+            self._write_duration_ms,
+            are_replicas_fresh=are_replicas_fresh,
+        )
+        if self._pace.is_settled:
+            self._leadership.settle()
+
     def _are_replicas_fresh(self) -> bool:
         # A slow store answers feed calls late, which makes replicas seem older.
         limit_ms = _MAX_REPLICA_AGE_MS + min(
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -1,6 +1,7 @@
 """Tests of the scheduling lease."""
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 
@@ -112,3 +113,117 @@
     assert await Leadership('a', store, clock).try_claim()
     with pytest.raises(LeaseLostError):
         await first.commit([], [])
+
+
+async def test_node_that_handed_over_leaves_the_lease_to_others(first, second):
+    """A holder that is too slow must not win the next election.
+
+    It would begin its load again, and no order would be issued.
+    """
+    await first.try_claim()
+    await first.hand_over()
+    assert not await first.try_claim()
+    assert await second.try_claim()
+    assert second.handovers == 1
+
+
+async def test_node_that_handed_over_claims_an_unclaimed_lease(
+    first, second, clock
+):
+    """Without other candidates the gap stays within the takeover timeout."""
+    await first.try_claim()
+    await first.hand_over()
+    clock.advance(TAKEOVER_MS - 1)
+    assert not await first.try_claim()
+    clock.advance(1)
+    assert await first.try_claim()
+
+
+async def test_node_that_handed_over_replaces_a_silent_holder(
+    first, second, clock
+):
+    """The abstention must not delay the takeover from a lost holder."""
+    await first.try_claim()
+    await first.hand_over()
+    await second.try_claim()
+    await first.read_lease()
+    clock.advance(TAKEOVER_MS)
+    assert await first.try_claim()
+
+
+async def test_abstention_ends(first, second, clock):
+    """A node that was slow once must not lose its place for good."""
+    await first.try_claim()
+    await first.hand_over()
+    clock.advance(5000)
+    await second.try_claim()
+    clock.advance(1000)
+    await second.release()
+    assert await first.try_claim()
+
+
+async def test_settled_holder_discards_earlier_handovers(first, second):
+    """Old hand-overs must not extend the limits of later holders."""
+    await first.try_claim()
+    await first.hand_over()
+    await second.try_claim()
+    second.settle()
+    await second.commit([], [])
+    assert (await first.read_lease()).handovers == 0
+
+
+async def test_lease_is_not_claimed_twice_after_a_failed_release(
+    first, second, clock, store
+):
+    """A hand-over that the store did not carry out must not end in two holders.
+
+    The row still names the node, which must neither take it for its own
+    nor for a free lease.
+    """
+    await first.try_claim()
+    store.fault = StoreFault.down
+    await first.hand_over()
+    store.fault = StoreFault.none
+    assert not await first.try_claim()
+    await second.read_lease()
+    clock.advance(TAKEOVER_MS)
+    assert await second.try_claim()
+    assert not await first.try_claim()
+
+
+async def test_capable_candidate_wins_against_a_weak_one(store, clock, first):
+    """A weak candidate must not win because it reads the row first.
+
+    A front with a slow link won the election and could not schedule.
+    """
+    weak = Leadership('w', store, clock, timedelta(milliseconds=50))
+    claim = asyncio.create_task(weak.try_claim())
+    await asyncio.sleep(0.01)
+    assert await first.try_claim()
+    assert not await claim
+    assert first.is_holder
+    assert not weak.is_holder
+
+
+async def test_weak_candidate_claims_without_others(store, clock, first):
+    """A deployment with weak candidates only must still have a leader."""
+    await first.try_claim()
+    weak = Leadership('w', store, clock, timedelta(milliseconds=50))
+    assert not await weak.try_claim()
+    clock.advance(TAKEOVER_MS)
+    assert await weak.try_claim()
+
+
+async def test_weak_candidate_does_not_replace_a_holder_that_returns(
+    store, clock, first
+):
+    """A holder that renews its lease during the delay must stay the holder."""
+    await first.try_claim()
+    weak = Leadership('w', store, clock, timedelta(milliseconds=50))
+    await weak.read_lease()
+    clock.advance(TAKEOVER_MS)
+    claim = asyncio.create_task(weak.try_claim())
+    await asyncio.sleep(0.01)
+    await first.commit([], [])
+    assert not await claim
+    assert first.is_holder
