Report when the worker of a draining minion leaves

The remaining time of a draining minion went no further than its heartbeat. The guard now writes the store time at which the worker leaves at the earliest into its report, rounded towards an earlier time, and rewrites the report when the notice begins, changes clearly or is withdrawn. A remaining time that cannot be read is unknown and no longer makes the whole heartbeat unreadable. A heartbeat without a remaining time counts as unknown, too; it was taken as 0.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any
 
@@ -147,18 +147,8 @@
         ):
             self._start_identification(heartbeat)
             return
-        if heartbeat.sequence < session.heartbeat.sequence:
-            return
-        was_draining = session.heartbeat.is_draining
-        session.heartbeat = heartbeat
-        if was_draining != heartbeat.is_draining:
-            decision_log.record(
-                'minion_draining',
-                minion=heartbeat.minion_id,
-                is_draining=heartbeat.is_draining,
-                remaining_ms=heartbeat.remaining_ms,
-            )
-            self._writer.request_write()
+        if heartbeat.sequence >= session.heartbeat.sequence:
+            session.update_heartbeat(heartbeat)
 
     def on_departure(self, minion_id: str) -> None:
         """Process the message of a minion that it is shutting down."""
@@ -191,9 +181,15 @@
                 labels=report.labels,
                 rack=report.rack,
                 capacity=report.capacity,
+                remaining_ms=self._remaining_ms(report),
             )
         )
 
+    def _remaining_ms(self, report: Report) -> int | None:
+        if report.leaves_at_ms is None:
+            return None
+        return max(0, report.leaves_at_ms - self._store_clock.latest_ms())
+
     def _start_identification(self, heartbeat: Heartbeat) -> None:
         if heartbeat.minion_id not in self._identifying:
             self._identifying.add(heartbeat.minion_id)
@@ -205,6 +201,7 @@
         The heartbeat alone is no proof: it may be a delayed one of an earlier
         incarnation.
         """
+        received_ms = self._clock.now_ms()
         minion = self._connect(heartbeat)
         outcome = await minion.poll(self._writer.token, 0, 0, 0)
         self._identifying.discard(heartbeat.minion_id)
@@ -216,6 +213,12 @@
             )
             minion.close()
             return
+        if heartbeat.remaining_ms is not None:
+            elapsed_ms = self._clock.now_ms() - received_ms
+            heartbeat = replace(
+                heartbeat,
+                remaining_ms=max(0, heartbeat.remaining_ms - elapsed_ms),
+            )
         self._begin_session(heartbeat, minion)
         decision_log.record(
             'minion_registered',
@@ -233,6 +236,7 @@
             minion,
             self._writer,
             self._clock,
+            self._store_clock,
             self._limits.minion_lease_ms,
             self._abandoned_runs(heartbeat.minion_id),
             self._reconcile,
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable, Sequence
 
-from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.departure_notice import DepartureNotice
 from dragonflynotch.control.lease_arithmetic import MinionLease
 from dragonflynotch.control.minions import (
     Heartbeat,
@@ -30,13 +31,15 @@
     Parameters
     ----------
     heartbeat : Heartbeat
-        Last heartbeat; the guard replaces it when a newer one arrives.
+        Last heartbeat.
     minion : MinionClient
         Client of the incarnation.
     writer : ReportWriter
         Provides the fencing token and the authority to extend leases.
     clock : SteadyClock
         Clock of this process.
+    store_clock : StoreClock
+        Bounds on the time of the store.
     lease_ms : int
         Duration of the minion's lease.
     abandoned : sequence of RunningTask
@@ -51,6 +54,7 @@
         minion: MinionClient,
         writer: ReportWriter,
         clock: SteadyClock,
+        store_clock: StoreClock,
         lease_ms: int,
         abandoned: Sequence[RunningTask],
         on_state: Callable[[], None],
@@ -70,6 +74,8 @@
         self._failed_polls = 0
         self._has_lease = False
         self._is_live = True
+        self._notice = DepartureNotice(clock, store_clock)
+        self._notice.observe(heartbeat)
 
     @property
     def is_live(self) -> bool:
@@ -86,6 +92,24 @@
         """Whether the minion accepts new runs."""
         return self._is_live and not self.heartbeat.is_draining
 
+    def update_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Use a newer heartbeat of the incarnation."""
+        previous = self.heartbeat
+        self.heartbeat = heartbeat
+        has_changed = previous.is_draining != heartbeat.is_draining
+        # A repeated heartbeat would seem to extend the notice.
+        if heartbeat.sequence > previous.sequence or has_changed:
+            has_changed |= self._notice.observe(heartbeat)
+        if has_changed:
+            decision_log.record(
+                'minion_draining',
+                minion=heartbeat.minion_id,
+                is_draining=heartbeat.is_draining,
+                remaining_ms=heartbeat.remaining_ms,
+                leaves_at_ms=self._notice.leaves_at_ms(),
+            )
+            self._writer.request_write()
+
     def grant(self, local_end_ms: int | None = None) -> int:
         """Return the lease end to send in a call, on the minion's clock.
 
@@ -164,6 +188,7 @@
             ended=self.orders.unrecorded_ends(),
             rejected=self.orders.rejections(),
             abandoned=self._abandoned,
+            leaves_at_ms=self._notice.leaves_at_ms(),
         )
 
     def _apply_state(self, state: MinionState) -> None:
--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -43,8 +43,8 @@
         Rack of the worker, or ``''`` if unknown.
     capacity : tuple of int
         Millicores, megabytes and accelerators.
-    remaining_ms : int
-        Time until a draining minion stops.
+    remaining_ms : int or None
+        Least time until a draining minion stops. ``None`` if it is unknown.
     """
 
     minion_id: str
@@ -55,7 +55,7 @@
     labels: tuple[str, ...] = ()
     rack: str = ''
     capacity: tuple[int, int, int] = (0, 0, 0)
-    remaining_ms: int = 0
+    remaining_ms: int | None = None
 
 
 class RefusalReason(StrEnum):
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -35,6 +35,8 @@
 # The minion is on the same machine, so a call that takes longer is taken as
 # lost.
 _CALL_TIMEOUT = timedelta(milliseconds=600)
+# A longer notice, of a day, does not come from a working minion.
+_MAX_REMAINING_MS = 86_400_000
 
 
 class _WireCapacity(msgspec.Struct):
@@ -46,7 +48,10 @@
 
 
 class _WireHeartbeat(msgspec.Struct):
-    """Heartbeat; ``labels`` are the kind and the rack of the worker."""
+    """Heartbeat; ``labels`` are the kind and the rack of the worker.
+
+    An unreadable ``remaining_ms`` must not make the heartbeat unreadable.
+    """
 
     service: str
     address: str
@@ -54,7 +59,7 @@
     seq: int = 0
     capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     labels: list[str] = []
-    remaining_ms: float = 0
+    remaining_ms: Any = None
 
 
 class _WireAnswer(msgspec.Struct):
@@ -92,10 +97,16 @@
             heartbeat.capacity.mem_mb,
             heartbeat.capacity.gpu,
         ),
-        remaining_ms=int(heartbeat.remaining_ms),
+        remaining_ms=_decode_remaining_ms(heartbeat.remaining_ms),
     )
 
 
+def _decode_remaining_ms(remaining: object) -> int | None:
+    if isinstance(remaining, bool) or not isinstance(remaining, int | float):
+        return None
+    return int(remaining) if 0 <= remaining <= _MAX_REMAINING_MS else None
+
+
 class HttpMinionClient(MinionClient):
     """Calls one incarnation of the minion on this machine over HTTP."""
 
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -53,3 +53,8 @@
     def minion_id(self) -> str:
         """Identifier of the minion's incarnation."""
         return self.report.minion_id
+
+    @property
+    def leaves_at_ms(self) -> int | None:
+        """Store time of its departure at the earliest; ``None`` if it stays."""
+        return self.report.leaves_at_ms
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -215,6 +215,9 @@
         from here.
     abandoned : list of RunningTask
         Runs of the previous incarnation, with their checkpoints.
+    leaves_at_ms : int or None
+        Store time at which the worker leaves at the earliest. ``None`` if it
+        stays, or if the time is not known.
     """
 
     minion_id: str
@@ -231,6 +234,7 @@
     ended: list[RunEnd] = []
     rejected: list[Rejection] = []
     abandoned: list[RunningTask] = []
+    leaves_at_ms: int | None = None
 
     @property
     def resources(self) -> Resources:
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -75,7 +75,9 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
-    def send_heartbeat(self, minion_id, sequence=1, *, is_draining=False):
+    def send_heartbeat(
+        self, minion_id, sequence=1, *, is_draining=False, remaining_ms=None
+    ):
         self.guard.on_heartbeat(
             Heartbeat(
                 minion_id,
@@ -86,6 +88,7 @@
                 labels=('a', 'r1'),
                 rack='r1',
                 capacity=(1000, 1000, 8),
+                remaining_ms=remaining_ms,
             )
         )
 
@@ -365,3 +368,54 @@
         assert not (await harness.report()).rejected
         await asyncio.sleep(0.002)
     assert not harness.log.ends
+
+
+async def test_report_carries_the_notice_until_it_is_withdrawn(harness):
+    """The scheduler must know when a worker leaves, and that it stays."""
+    harness.add_minion('m')
+    harness.send_heartbeat('m')
+    await harness.wait_for(lambda report: report.is_ready)
+    latest_ms = harness.store.store_clock.latest_ms() + 5500
+    harness.send_heartbeat('m', 2, is_draining=True, remaining_ms=5500)
+    # Well before the next periodic report.
+    report = await harness.wait_for(lambda report: report.leaves_at_ms, 0.2)
+    assert not report.is_ready
+    assert latest_ms - 100 < report.leaves_at_ms <= latest_ms + 20
+    harness.send_heartbeat('m', 3)
+    report = await harness.wait_for(lambda report: report.is_ready, 0.2)
+    assert report.leaves_at_ms is None
+
+
+async def test_restarted_guard_keeps_the_notice(harness):
+    """Reports between the restart and the next heartbeat must not drop it."""
+    harness.add_minion('m')
+    harness.send_heartbeat('m', 1, is_draining=True, remaining_ms=5500)
+    before = await harness.wait_for(lambda report: report.leaves_at_ms)
+    await harness.stop_guard()
+    harness.start_guard()
+    after = await harness.wait_for(
+        lambda report: report.token > before.token and report.minion_id
+    )
+    assert after.leaves_at_ms is not None
+    assert abs(after.leaves_at_ms - before.leaves_at_ms) < 100
+
+
+async def test_heartbeats_of_one_notice_do_not_rewrite_the_report(harness):
+    """A write for each heartbeat would load the store."""
+    harness.add_minion('m')
+    harness.send_heartbeat('m', 1, is_draining=True, remaining_ms=5500)
+    await harness.wait_for(lambda report: report.leaves_at_ms)
+    writes = []
+    commit = harness.store.commit
+
+    async def count_commit(*args):
+        writes.append(args)
+        return await commit(*args)
+
+    harness.store.commit = count_commit
+    for number in range(10):
+        await asyncio.sleep(0.02)
+        harness.send_heartbeat(
+            'm', 2 + number, is_draining=True, remaining_ms=5480 - 20 * number
+        )
+    assert len(writes) <= 2
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -184,6 +184,25 @@
     assert heartbeat.rack == 'r1-2'
     assert heartbeat.capacity == (1, 2, 3)
     assert heartbeat.address == ('10.0.0.1', 80)
+    assert heartbeat.remaining_ms == 1500
+
+
+@pytest.mark.parametrize('remaining', [None, 'soon', -1, True, 1e300, [1]])
+def test_unreadable_remaining_time_is_unknown(remaining):
+    """The rest of the heartbeat must remain in force."""
+    heartbeat = decode_heartbeat(
+        'i-1',
+        encode(
+            {
+                'service': 's',
+                'address': '10.0.0.1:80',
+                'state': 'draining',
+                'remaining_ms': remaining,
+            }
+        ),
+    )
+    assert heartbeat.is_draining
+    assert heartbeat.remaining_ms is None
 
 
 def test_invalid_settings_are_refused(tmp_path):
