Replay loads with workers that leave

Two load patterns: a quarter of the workers is withdrawn with 5.5 s of notice, and all workers are replaced one after another with a notice of 3 s and stays of up to 8 s longer. Lost and broken runs keep the checkpoints of each second.

--- a/benchmarks/workflows/loads.py
+++ b/benchmarks/workflows/loads.py
@@ -11,6 +11,7 @@
     'DEPLOYMENT',
     'LOADS',
     'Arrival',
+    'Departures',
     'JobClass',
     'LoadPattern',
     'generate_arrivals',
@@ -60,6 +61,32 @@
     checkpoint_share: float
 
 
+@dataclass(frozen=True, slots=True)
+class Departures:
+    """Workers that leave and are replaced by a new incarnation.
+
+    Parameters
+    ----------
+    share : float
+        Share of the workers that leave.
+    start_ms, interval_ms : int
+        Time of the first notice, and between two notices.
+    notice_ms : int
+        Notice that the workers announce.
+    extended_stay_ms : int
+        Longest time for which a worker stays after its notice.
+    absence_ms : int
+        Time until the replacement is present.
+    """
+
+    share: float
+    start_ms: int
+    interval_ms: int
+    notice_ms: int
+    extended_stay_ms: int
+    absence_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadPattern:
     """A fleet of equal workers and the jobs that arrive at it.
@@ -78,6 +105,8 @@
         Queue whose rate is multiplied during the burst, or ``''``.
     burst_factor : float
         Factor of the burst.
+    departures : Departures or None
+        Workers that leave, if any.
     """
 
     classes: tuple[JobClass, ...]
@@ -87,6 +116,7 @@
     rates: dict[str, float]
     burst_queue: str = ''
     burst_factor: float = 1
+    departures: Departures | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +203,24 @@
     'urgent overload': LoadPattern(
         _WIDE, 15, 128, 16, {'urgent': 1.2, 'normal': 0.1, 'batch': 0.1}
     ),
+    # A quarter of the workers is withdrawn at once.
+    'departures': LoadPattern(
+        _WIDE,
+        40,
+        128,
+        8,
+        {'urgent': 0.4, 'normal': 0.1, 'batch': 0.12},
+        departures=Departures(0.25, 15_000, 0, 5_500, 0, 20_000),
+    ),
+    # All workers are replaced one after another.
+    'rolling release': LoadPattern(
+        _WIDE,
+        40,
+        128,
+        8,
+        {'urgent': 0.4, 'normal': 0.1, 'batch': 0.12},
+        departures=Departures(1, 3_000, 1_200, 3_000, 8_000, 1_000),
+    ),
 }
 
 _ARRIVALS_START_MS = 0
--- a/benchmarks/workflows/replay.py
+++ b/benchmarks/workflows/replay.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
+from random import Random
 
 from benchmarks.workflows.loads import (
     DEPLOYMENT,
     Arrival,
+    Departures,
     LoadPattern,
     rack_names,
 )
@@ -65,6 +67,11 @@
         elapsed = (now_ms - self.work_started_ms) / self.slowdown
         return min(self.work_ms, self.saved_ms + int(max(0, elapsed)))
 
+    def last_checkpoint_ms(self, now_ms: int) -> int:
+        """Return the work that is saved while the run continues."""
+        done_ms = self.done_ms(now_ms)
+        return max(self.saved_ms, done_ms - done_ms % _CHECKPOINT_INTERVAL_MS)
+
 
 @dataclass(slots=True)
 class _Worker:
@@ -74,6 +81,8 @@
     runs: dict[str, _Run] = field(default_factory=dict)
     ended: list[RunEnd] = field(default_factory=list)
     end_count: int = 0
+    leaves_at_ms: int | None = None
+    has_left: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +147,9 @@
                 partial(self._report_regularly, worker),
             )
 
+        if load.departures is not None:
+            self._schedule_departures(load.departures)
+
     def run(self) -> ReplayResult:
         self._at(0, self._run_round)
         while self._events:
@@ -181,11 +193,63 @@
         self._round_at_ms = self._now_ms + _ROUND_INTERVAL_MS
         self._at(self._round_at_ms, self._run_round)
 
+    # ---- departures --------------------------------------------------------
+
+    def _schedule_departures(self, departures: Departures) -> None:
+        random = Random(len(self._arrivals))
+        leaving = random.sample(
+            list(self._workers.values()),
+            int(len(self._workers) * departures.share),
+        )
+        for number, worker in enumerate(leaving):
+            stay_ms = departures.notice_ms + random.randint(
+                0, departures.extended_stay_ms
+            )
+            notice_at_ms = departures.start_ms + number * departures.interval_ms
+            self._at(
+                notice_at_ms,
+                partial(self._give_notice, worker, departures.notice_ms),
+            )
+            self._at(notice_at_ms + stay_ms, partial(self._leave, worker))
+            self._at(
+                notice_at_ms + stay_ms + departures.absence_ms,
+                partial(self._replace, worker),
+            )
+
+    def _give_notice(self, worker: _Worker, notice_ms: int) -> None:
+        worker.leaves_at_ms = self._now_ms + notice_ms
+        self._at(self._now_ms + _REPORT_DELAY_MS, partial(self._report, worker))
+
+    def _leave(self, worker: _Worker) -> None:
+        """End all runs of a worker, and break the gangs of these runs."""
+        broken = [
+            member
+            for run in worker.runs.values()
+            if run.step.is_gang
+            for member in self._members(run.task)
+        ]
+        worker.has_left = True
+        self._at(self._now_ms + _REPORT_DELAY_MS, partial(self._report, worker))
+        for run in list(worker.runs.values()):
+            self._end(worker, run.task, run.order.run, EndKind.lapsed)
+        for member, run in broken:
+            if not member.has_left:
+                self._end(member, run.task, run.order.run, EndKind.broken)
+
+    def _replace(self, worker: _Worker) -> None:
+        replacement = _Worker(
+            worker.node, f'{worker.minion_id}-new', worker.rack
+        )
+        self._workers[replacement.minion_id] = replacement
+        self._report_regularly(replacement)
+
     # ---- workers -----------------------------------------------------------
 
     def _apply(self, key: OrderKey, order: Order) -> None:
         minion_id, task = key
         worker = self._workers[minion_id]
+        if worker.has_left:
+            return
         run = worker.runs.get(task)
         if order.is_stopped:
             self.result.stops += 1
@@ -249,7 +313,11 @@
         worker.end_count += 1
         saved_ms = run.saved_ms
         if run.step.has_checkpoints:
-            saved_ms = run.done_ms(self._now_ms)
+            saved_ms = (
+                run.last_checkpoint_ms(self._now_ms)
+                if kind in {EndKind.lapsed, EndKind.broken}
+                else run.done_ms(self._now_ms)
+            )
         self._account(run, kind, saved_ms)
         worker.ended.append(
             RunEnd(
@@ -273,6 +341,8 @@
         self.result.lost_core_s += cores * max(0, held_s - kept_s)
 
     def _report_regularly(self, worker: _Worker) -> None:
+        if worker.has_left:
+            return
         self._report(worker)
         self._at(
             self._now_ms + _REPORT_INTERVAL_MS,
@@ -294,8 +364,8 @@
             Report(
                 minion_id=worker.minion_id,
                 service='planner',
-                is_ready=True,
-                is_live=True,
+                is_ready=worker.leaves_at_ms is None,
+                is_live=not worker.has_left,
                 authority_end_ms=self._now_ms + 15_000,
                 token=1,
                 labels=('a', worker.rack),
@@ -307,6 +377,7 @@
                 ),
                 running=running,
                 ended=worker.ended,
+                leaves_at_ms=worker.leaves_at_ms,
             ),
             1,
             self._now_ms,
