Save runs with checkpoints before their worker leaves

No decision read the remaining time of a draining worker, so its runs went on until they were lost. Runs with checkpoints that cannot end in time by their progress, or else by their estimate, are now stopped at the end of the notice, gangs as a whole. Gangs without checkpoints that by their progress cannot complete are stopped at once if waiting steps have left room for them.

--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -38,6 +38,16 @@
         self._settings = settings
         self._term: LeaderTerm | None = None
 
+    @property
+    def moved_runs(self) -> int:
+        """Runs stopped in this term because a worker leaves; 0 without one."""
+        return 0 if self._term is None else self._term.moved_runs
+
+    @property
+    def leaving_workers(self) -> int:
+        """Workers that have announced their departure; 0 without a term."""
+        return 0 if self._term is None else self._term.leaving_workers
+
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from the next round of decisions on."""
         self._settings = settings
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -139,6 +139,19 @@
         self._are_deciding = True
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
+    @property
+    def moved_runs(self) -> int:
+        """Runs stopped in this term because a worker leaves."""
+        return self._scheduler.moved_runs
+
+    @property
+    def leaving_workers(self) -> int:
+        """Workers that have announced when they leave."""
+        return sum(
+            worker.leaves_at_ms is not None
+            for worker in self._scheduler.workers.values()
+        )
+
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from the next round of decisions on."""
         self._scheduler.apply_settings(settings)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -152,6 +152,8 @@
             'is_store_reachable': self._store.health.is_reachable,
             'is_scheduler': self._leadership.is_holder,
             'lease_epoch': self._leadership.epoch,
+            'leaving_workers': self._leader.leaving_workers,
+            'moved_runs': self._leader.moved_runs,
             'store_calls': self._store.call_count,
         }
 
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -33,6 +33,8 @@
         Last reported progress.
     progress_changed_ms : int
         Store time at which the progress last changed.
+    first_percent, first_percent_ms : int
+        First progress above 0 that was reported, and its store time.
     """
 
     minion_id: str
@@ -42,6 +44,8 @@
     is_reported: bool = False
     percent: int = 0
     progress_changed_ms: int = 0
+    first_percent: int = 0
+    first_percent_ms: int = 0
 
     def matches(self, minion_id: str, run: int) -> bool:
         """Return whether this is the given run on the given minion."""
--- /dev/null
+++ b/dragonflynotch/workflows/runs/expected_end.py
@@ -0,0 +1,40 @@
+"""When a run is expected to end, by its progress or by its estimate."""
+
+from dragonflynotch.workflows.jobs import StepSpec
+from dragonflynotch.workflows.progress import ActiveRun
+
+__all__ = ('end_by_estimate', 'end_by_progress')
+
+_PERCENT = 100
+# Percentages are whole numbers, so a speed from fewer is too uncertain.
+_MIN_PERCENT_CHANGE = 3
+
+
+def end_by_progress(run: ActiveRun, *, is_resumed: bool) -> int | None:
+    """Return the expected end in store time, or ``None`` without progress.
+
+    Parameters
+    ----------
+    is_resumed : bool
+        Whether the run began with a checkpoint. Its first percentage then
+        says nothing about its speed.
+    """
+    if run.percent >= _PERCENT:
+        return run.progress_changed_ms
+    change = run.percent - run.first_percent
+    duration_ms = run.progress_changed_ms - run.first_percent_ms
+    if change < _MIN_PERCENT_CHANGE:
+        if is_resumed:
+            return None
+        change = run.percent
+        duration_ms = run.progress_changed_ms - run.ordered_ms
+    if change <= 0 or duration_ms <= 0:
+        return None
+    remaining_percent = _PERCENT - run.percent
+    return run.progress_changed_ms + duration_ms * remaining_percent // change
+
+
+def end_by_estimate(run: ActiveRun, spec: StepSpec, now_ms: int) -> int | None:
+    """Return the end by the caller's estimate, or ``None`` once it is past."""
+    end_ms = run.ordered_ms + spec.estimated_ms
+    return end_ms if end_ms > now_ms else None
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -216,5 +216,8 @@
             active.percent = running.percent
             active.progress_changed_ms = now_ms
             active.is_reported = True
+            if running.percent and not active.first_percent:
+                active.first_percent = running.percent
+                active.first_percent_ms = now_ms
         if step.spec.has_checkpoints and running.checkpoint:
             job.save_checkpoint(step, task, running.checkpoint)
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -19,6 +19,7 @@
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
+from dragonflynotch.workflows.runs.departures import Departures
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 from dragonflynotch.workflows.runs.supervision import Supervisor
@@ -99,12 +100,24 @@
             settings.start_timeout_ms,
             settings.stop_ms,
         )
+        self._departures = Departures(
+            self._jobs,
+            self._orders,
+            self._tracker,
+            self._decision_log,
+            settings.stop_ms,
+        )
 
     @property
     def workers(self) -> dict[str, Worker]:
         """Workers by the node of their guard."""
         return self._workers
 
+    @property
+    def moved_runs(self) -> int:
+        """Runs stopped since the creation because a worker leaves."""
+        return self._departures.moved_runs
+
     def apply_deployment(self, deployment: Deployment) -> None:
         """Use this version of the configuration from now on."""
         self._jobs.deployment = deployment
@@ -115,6 +128,7 @@
         self._supervisor.max_slowdown = settings.off_rack_slowdown
         self._placer.start_timeout_ms = settings.start_timeout_ms
         self._placer.stop_ms = settings.stop_ms
+        self._departures.stop_ms = settings.stop_ms
 
     def put_job(self, job_id: str, spec: JobSpec) -> None:
         """Add an accepted job."""
@@ -190,6 +204,7 @@
             self._jobs, self._orders, now_ms, self._settings.stop_ms
         )
         self._placer.place(pool, allocations, wall_ms, write_ms)
+        self._departures.review(pool, self._workers.values(), write_ms)
         return Decisions(
             self._jobs.take_changes(),
             self._orders.take_changes(),
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -100,7 +100,9 @@
         self.guards[node] = guard
         self._spawn(node, guard.run())
 
-    def send_heartbeat(self, node, minion_id, *, is_draining=False):
+    def send_heartbeat(
+        self, node, minion_id, *, is_draining=False, remaining_ms=None
+    ):
         self.guards[node].on_heartbeat(
             Heartbeat(
                 minion_id,
@@ -111,6 +113,7 @@
                 labels=('a', 'r1'),
                 rack='r1',
                 capacity=(4000, 4000, 4),
+                remaining_ms=remaining_ms,
             )
         )
 
