--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -16,7 +16,6 @@
 from dragonflynotch.workflows.placement.best_fit import (
     fit_gang,
     fits_one_rack,
-    place_task,
 )
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
@@ -45,7 +44,7 @@
     go_on = 'go_on'
     # Stopped while its checkpoint can be saved.
     save = 'save'
-    # Stopped because it can start elsewhere.
+    # A gang without checkpoints, stopped because it can start elsewhere.
     move = 'move'
 
 
@@ -268,20 +267,11 @@
 
 
 def _take_room(pool: WorkerPool, demand: Demand, tasks: list[Task]) -> bool:
-    """Take the resources that the runs need elsewhere, if there are enough.
+    """Take the resources that a gang needs elsewhere, if there are enough.
 
-    Members of a gang on workers that stay make room for the gang when they
-    stop.
+    Members on workers that stay make room for it when they stop.
     """
     needs = demand.step.spec.needs
-    if not demand.step.spec.is_gang:
-        active = Counter(
-            task.active.minion_id for task in demand.step.tasks if task.active
-        )
-        worker = place_task(pool, demand, tasks[0], active)
-        if worker is not None:
-            pool.allocate(worker, needs)
-        return worker is not None
     held = Counter(task.active.minion_id for task in tasks if task.active)
     available = {
         worker.minion_id: pool.available(worker, demand)
