--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable, Sequence
 
-from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.departure_notice import DepartureNotice
 from dragonflynotch.control.lease_arithmetic import MinionLease
 from dragonflynotch.control.minions import (
     Heartbeat,
@@ -33,13 +34,15 @@
     Parameters
     ----------
     heartbeat : Heartbeat
-        Last heartbeat; the guard replaces it when a newer one arrives.
+        Last heartbeat.
     minion : MinionClient
         Client of the incarnation.
     writer : ReportWriter
         Provides the fencing token and the authority to extend leases.
     clock : SteadyClock
         Clock of this process.
+    store_clock : StoreClock
+        Bounds on the time of the store.
     lease_ms : int
         Duration of the minion's lease.
     abandoned : sequence of RunningTask
@@ -54,6 +57,7 @@
         minion: MinionClient,
         writer: ReportWriter,
         clock: SteadyClock,
+        store_clock: StoreClock,
         lease_ms: int,
         abandoned: Sequence[RunningTask],
         on_state: Callable[[], None],
@@ -75,6 +79,8 @@
         self._runs_read_ms = clock.now_ms()
         self._has_lease = False
         self._is_live = True
+        self._notice = DepartureNotice(clock, store_clock)
+        self._notice.observe(heartbeat)
 
     @property
     def is_live(self) -> bool:
@@ -96,6 +102,24 @@
         """Local time at which every lease of the minion has expired."""
         return self._lease.expired_at_ms
 
+    def update_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Use a newer heartbeat of the incarnation."""
+        previous = self.heartbeat
+        self.heartbeat = heartbeat
+        has_changed = previous.is_draining != heartbeat.is_draining
+        # A repeated heartbeat would seem to extend the notice.
+        if heartbeat.sequence > previous.sequence or has_changed:
+            has_changed |= self._notice.observe(heartbeat)
+        if has_changed:
+            decision_log.record(
+                'minion_draining',
+                minion=heartbeat.minion_id,
+                is_draining=heartbeat.is_draining,
+                remaining_ms=heartbeat.remaining_ms,
+                leaves_at_ms=self._notice.leaves_at_ms(),
+            )
+            self._writer.request_write()
+
     def grant(self, local_end_ms: int | None = None) -> int:
         """Return the lease end to send in a call, on the minion's clock.
 
@@ -176,6 +200,7 @@
             abandoned=self._abandoned,
             runs_age_ms=self._clock.now_ms() - self._runs_read_ms,
             data_centre=heartbeat.data_centre,
+            leaves_at_ms=self._notice.leaves_at_ms(),
         )
 
     def _apply_state(self, state: MinionState) -> None:
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -171,6 +171,8 @@
             'is_scheduler': self._leadership.is_holder,
             'lease_epoch': self._leadership.epoch,
             'lease_handovers': self._leadership.own_handovers,
+            'leaving_workers': self._leader.leaving_workers,
+            'moved_runs': self._leader.moved_runs,
             'store_calls': self._store.call_count,
         }
 
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -224,6 +224,9 @@
     runs_age_ms : int
         How long before this report the minion last told its runs. 0 in rows
         of releases that did not store it.
+    leaves_at_ms : int or None
+        Store time at which the worker leaves at the earliest. ``None`` if it
+        stays, or if the time is not known.
     """
 
     minion_id: str
@@ -242,6 +245,7 @@
     abandoned: list[RunningTask] = []
     runs_age_ms: int = 0
     data_centre: str = ''
+    leaves_at_ms: int | None = None
 
     @property
     def resources(self) -> Resources:
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -123,7 +123,9 @@
         self.guards[node] = guard
         self._spawn(node, guard.run())
 
-    def send_heartbeat(self, node, minion_id, *, is_draining=False):
+    def send_heartbeat(
+        self, node, minion_id, *, is_draining=False, remaining_ms=None
+    ):
         self.guards[node].on_heartbeat(
             Heartbeat(
                 minion_id,
@@ -135,6 +137,7 @@
                 rack='r1',
                 capacity=(4000, 4000, 4),
                 data_centre=self.data_centres.get(node, 'east'),
+                remaining_ms=remaining_ms,
             )
         )
 
