Take a minion for ended only after the departure it announced

Cause: released the runs of a draining minion once its port had been closed for 0.4 s, also before the announced departure and without an announced time. A minion that crashes meanwhile, or closes its port for longer, could still have runs under its lease (found in review). The last report of a stopping guard was logged as written when it met a conflict, and a heartbeat could begin a session after it.

Change: the announced time must have passed; otherwise the lease decides. A conflict is tried once more and logged. Heartbeats end before the report.

--- a/dragonflynotch/control/departure_notice.py
+++ b/dragonflynotch/control/departure_notice.py
@@ -30,6 +30,13 @@
         self._store_clock = store_clock
         self._leaves_local_ms: int | None = None
 
+    @property
+    def has_passed(self) -> bool:
+        """Whether the worker may have left; ``False`` if that is not known."""
+        if self._leaves_local_ms is None:
+            return False
+        return self._clock.now_ms() >= self._leaves_local_ms
+
     def observe(self, heartbeat: Heartbeat) -> bool:
         """Update the time from a heartbeat that was just received.
 
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -246,9 +246,10 @@
     def _has_shut_down(
         self, outcome: OtherIncarnation | Unhealthy | NoAnswer
     ) -> bool:
-        """Return whether the process of a draining minion has ended.
+        """Return whether the minion has ended as it announced.
 
         Its runs end with it, so they need not be kept until the lease expires.
+        A port that is closed before the announced time shows no such end.
         """
         if not isinstance(outcome, NotListening):
             self._closed_since_ms = None
@@ -257,4 +258,4 @@
         if self._closed_since_ms is None:
             self._closed_since_ms = now_ms
         closed_ms = now_ms - self._closed_since_ms
-        return self.heartbeat.is_draining and closed_ms >= _SHUTDOWN_DELAY_MS
+        return self._notice.has_passed and closed_ms >= _SHUTDOWN_DELAY_MS
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -133,17 +133,25 @@
         self._authority_end_ms = min(self._authority_end_ms, end_ms)
         try:
             async with asyncio.timeout(_LAST_WRITE_TIMEOUT_S):
-                await self._write()
+                is_written = await self._write()
+                if not is_written:
+                    # The row was changed by a write of ``run`` that was still
+                    # under way.
+                    is_written = await self._write()
         except (
             PlatformUnavailableError,
             UncertainWriteError,
             TimeoutError,
         ) as error:
             decision_log.record('authority_not_given_up', reason=repr(error))
-        else:
-            decision_log.record('authority_given_up', left_ms=remaining_ms)
+            return
+        decision_log.record(
+            'authority_given_up' if is_written else 'authority_not_given_up',
+            left_ms=remaining_ms,
+        )
 
-    async def _write(self) -> None:
+    async def _write(self) -> bool:
+        """Write the report; return whether it was written."""
         if self._version is None:
             await self._read_row()
         self._write_requested.clear()
@@ -152,7 +160,7 @@
             end_ms = min(end_ms, self._max_authority_end_ms)
         report = self._build_report(end_ms)
         if report is None:
-            return
+            return False
         expected = self._version or 0
         # Unless the commit succeeds, the version stays unknown and the row is
         # read again before the next write.
@@ -163,9 +171,10 @@
         )
         if isinstance(outcome, Conflict):
             decision_log.record('report_conflict', version=expected)
-            return
+            return False
         self._version = outcome.version
         self._authority_end_ms = end_ms
+        return True
 
     async def _read_row(self) -> None:
         row = await self._store.read_row(self._name)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -221,10 +221,11 @@
                 'guard_failed', error=repr(guard_task.exception())
             )
         guard_task.cancel()
-        await asyncio.gather(guard_task, return_exceptions=True)
-        await self._guard.relinquish_authority()
+        # A later heartbeat would start a session that the last report lacks.
         for server in self._servers:
             server.stop()
+        await asyncio.gather(guard_task, return_exceptions=True)
+        await self._guard.relinquish_authority()
         await asyncio.gather(*servers, return_exceptions=True)
         decision_log.record('stopped', program='side')
 
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -322,12 +322,20 @@
     assert harness.log.ends == [(TASK, 1, 'lapsed')]
 
 
-@pytest.mark.parametrize('is_draining', [True, False])
-async def test_drained_minion_is_lost_once_it_has_shut_down(is_draining):
+@pytest.mark.parametrize(
+    ('drain', 'is_lost'),
+    [
+        ({'is_draining': True, 'remaining_ms': 200}, True),
+        ({'is_draining': True, 'remaining_ms': 5000}, False),
+        ({'is_draining': True}, False),
+        ({'is_draining': False}, False),
+    ],
+)
+async def test_minion_that_ended_as_announced_is_lost(drain, is_lost):
     """Runs of a removed worker must not be held until the lease expires.
 
-    A minion that announced its end and no longer listens has ended its runs.
-    Without the announcement the port may be closed for another reason.
+    A minion that no longer listens after the time that it announced has ended
+    its runs. At any other time its port may be closed for another reason.
     """
     harness = GuardHarness(GuardLimits(6000, 15_000))
     harness.start_guard()
@@ -336,9 +344,9 @@
     await harness.wait_for(lambda report: report.minion_id == 'm1')
     await harness.order('m1')
     await harness.wait_for(is_task_running)
-    harness.send_heartbeat('m1', 2, is_draining=is_draining)
+    harness.send_heartbeat('m1', 2, **drain)
     minion.crash()
-    if is_draining:
+    if is_lost:
         await harness.wait_for(lambda report: not report.is_live)
     else:
         await asyncio.sleep(1)
@@ -348,7 +356,7 @@
 
 async def test_shut_down_minion_counts_again_if_it_responds(harness, minion):
     """A port that was closed for a moment must not end the session."""
-    harness.send_heartbeat('m1', 2, is_draining=True)
+    harness.send_heartbeat('m1', 2, is_draining=True, remaining_ms=0)
     minion.is_crashed = True
     await harness.wait_for(lambda report: not report.is_live)
     minion.is_crashed = False
