Count the discovery of guards from the opened socket

Cause: an entry counted itself ready one second after its construction.

Change: the second begins when the socket is open and read.

That it no longer fails under load is not shown.

--- a/dragonflynotch/entry/daemon.py
+++ b/dragonflynotch/entry/daemon.py
@@ -29,6 +29,7 @@
     LocalSchedulingHandler,
 )
 from dragonflynotch.entry.jobs.job_api import create_job_router
+from dragonflynotch.entry.members.discovery import GuardDiscovery
 from dragonflynotch.entry.members.health import Health
 from dragonflynotch.entry.members.membership import MembershipListener
 from dragonflynotch.entry.members.registry import EntryRegistry
@@ -52,9 +53,6 @@
 
 _INCARNATION_BITS = 53
 _TABLE_TIMEOUT = timedelta(seconds=1)
-# Every live guard announces itself within this time. The entry is not ready
-# before, because it would not know all guards.
-_GUARD_DISCOVERY_TIME = timedelta(seconds=1)
 _LINK_STOP_TIMEOUT = timedelta(seconds=1)
 
 _log = part_logger('entry')
@@ -71,10 +69,10 @@
         self._metrics = EntryMetrics(settings.entry_id, settings.data_centre)
         self._table = HttpTableService(settings.table.url, _TABLE_TIMEOUT)
         self._membership = Membership()
-        started_at = self._clock.now()
+        self._discovery = GuardDiscovery(self._clock)
         self._health = Health(
             lambda: self._configuration.is_ready,
-            lambda: self._clock.now() - started_at > _GUARD_DISCOVERY_TIME,
+            lambda: self._discovery.is_complete,
         )
         self._requests = RequestService(
             settings,
@@ -179,6 +177,7 @@
             asyncio.create_task(self._sync.run()),
             asyncio.create_task(self._copies.run()),
         ]
+        self._discovery.begin()
         for peer in settings.peers:
             self._exchange.add_peer(f'{peer.host}:{peer.port}')
         self._scheduling.start()
