Move no gang while starts are paused

While the evacuation requests are outdated the placement makes no orders, so the pool looked empty and a gang without checkpoints was stopped for room in which nothing could start. Runs with checkpoints are still saved. latest_start_ms returns None instead of 0 while starts are paused.

--- a/dragonflynotch/workflows/evacuation.py
+++ b/dragonflynotch/workflows/evacuation.py
@@ -106,10 +106,11 @@
             return False
         return not worker.data_centre or worker.data_centre in requested
 
-    def latest_start_ms(self, now_ms: int, write_ms: int) -> int:
+    def latest_start_ms(self, now_ms: int, write_ms: int) -> int | None:
         """Return the store time after which no ordered run may start.
 
-        Returns 0 if too little time is left to order any run.
+        Returns ``None`` while starts are paused, since too little time is left
+        to order any run.
 
         Parameters
         ----------
@@ -132,7 +133,7 @@
                 remaining_ms=latest_ms - now_ms,
                 bound_ms=self.bound_ms,
             )
-        return 0 if is_paused else latest_ms
+        return None if is_paused else latest_ms
 
     def review(self, workers: Iterable[Worker], now_ms: int) -> None:
         """Stop the orders that have not started, and record the progress."""
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -79,7 +79,7 @@
         allocations: Allocations,
         wall_ms: int,
         write_ms: int,
-        latest_start_ms: int,
+        latest_start_ms: int | None,
     ) -> None:
         """Order runs for steps that fit and reserve resources for others.
 
@@ -87,10 +87,10 @@
 
         Parameters
         ----------
-        latest_start_ms : int
-            Store time after which no run may start.
+        latest_start_ms : int or None
+            Store time after which no run may start; ``None`` orders none.
         """
-        if latest_start_ms <= pool.now_ms:
+        if latest_start_ms is None or latest_start_ms <= pool.now_ms:
             return
         # The guard can start the run only after the order has been written to
         # the store and read from it.
--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -138,7 +138,12 @@
         return self._moved_runs
 
     def review(
-        self, pool: WorkerPool, workers: Iterable[Worker], write_ms: int
+        self,
+        pool: WorkerPool,
+        workers: Iterable[Worker],
+        write_ms: int,
+        *,
+        may_start: bool = True,
     ) -> None:
         """Order the runs that cannot complete to stop.
 
@@ -151,6 +156,9 @@
             All workers, including those that leave.
         write_ms : int
             How long the last write to the store took.
+        may_start : bool
+            Whether runs may start in this round. If not, waiting steps have
+            not been placed either, so free resources are no room for a gang.
         """
         leaving = {
             worker.minion_id: worker.leaves_at_ms
@@ -172,8 +180,9 @@
                 step, tasks, leaves_at_ms, stop_delay_ms, pool.now_ms
             )
             action = choose_action(outlook, pool.now_ms)
-            if action is DepartureAction.move and not _take_room(
-                pool, self._demand(pool, job, step), tasks
+            if action is DepartureAction.move and not (
+                may_start
+                and _take_room(pool, self._demand(pool, job, step), tasks)
             ):
                 continue
             if action is not DepartureAction.go_on:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -226,14 +226,20 @@
         allocations = list_allocations(
             self._jobs, self._orders, now_ms, self._settings.stop_ms
         )
+        latest_start_ms = self._evacuation.latest_start_ms(now_ms, write_ms)
         self._placer.place(
             pool,
             allocations,
             wall_ms,
             write_ms,
-            self._evacuation.latest_start_ms(now_ms, write_ms),
+            latest_start_ms,
+        )
+        self._departures.review(
+            pool,
+            self._workers.values(),
+            write_ms,
+            may_start=latest_start_ms is not None,
         )
-        self._departures.review(pool, self._workers.values(), write_ms)
         return Decisions(
             self._jobs.take_changes(),
             self._orders.take_changes(),
--- a/tests/workflows/runs/test_departures.py
+++ b/tests/workflows/runs/test_departures.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dragonflynotch.workflows.evacuation import EvacuationRequests
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 from dragonflynotch.workflows.records import EndKind, RunningTask
 from dragonflynotch.workflows.runs.departures import (
@@ -9,6 +10,7 @@
     RunOutlook,
     choose_action,
 )
+from dragonflynotch.workflows.scheduler import SchedulerSettings
 from tests.workflows.site import SERVICE, Site
 
 STOP_DELAY_MS = 900
@@ -209,6 +211,31 @@
     assert not _stopped(site)
 
 
+@pytest.mark.parametrize(
+    ('has_checkpoints', 'notice_ms', 'stopped'),
+    [(False, NOTICE_MS, 0), (True, STOP_DELAY_MS, 2)],
+)
+def test_gang_is_only_saved_while_starts_are_paused(
+    has_checkpoints, notice_ms, stopped
+):
+    """A gang was stopped for room in which nothing could start."""
+    bound_ms = 5000
+    site = Site(
+        racks=('r1',) * 4,
+        settings=SchedulerSettings(evacuation_bound_ms=bound_ms),
+    )
+    known = EvacuationRequests(frozenset(), site.now_ms)
+    site.scheduler.apply_evacuations(known)
+    site.submit('a', 'normal', _gang(has_checkpoints=has_checkpoints))
+    site.decide()
+    _run_for(site, 3, 2)
+    site.now_ms += bound_ms
+    site.report_all()
+    _leave(site, site.minion_of('a.0.0.0'), notice_ms=notice_ms)
+    site.decide()
+    assert len(_stopped(site)) == stopped
+
+
 def test_room_that_another_step_waits_for_is_no_room(site):
     """A moved gang must not wait behind the step that takes its room."""
     site.submit('a', 'normal', _gang())
