Avoid failed workers when a gang is to be moved

The workers that a gang avoids were taken from its waiting tasks, and a gang with active runs has none. It was stopped for room on a worker on which it had just failed, and then waited. The test failed before.

--- a/dragonflynotch/workflows/placement/avoidance.py
+++ b/dragonflynotch/workflows/placement/avoidance.py
@@ -23,11 +23,11 @@
 ) -> frozenset[str]:
     """Return the minions that all waiting tasks of a step avoid.
 
-    The members of a gang fail together and so avoid the same minions.
+    The members of a gang fail together and so avoid the same minions, also
+    while they run: a gang can be moved.
     """
-    failures = [
-        task.recent_failures(pool.now_ms) for task in step.waiting_tasks
-    ]
+    tasks = step.tasks if step.spec.is_gang else step.waiting_tasks
+    failures = [task.recent_failures(pool.now_ms) for task in tasks]
     if not failures:
         return frozenset()
     combine = set.union if step.spec.is_gang else set.intersection
--- a/tests/workflows/runs/test_departures.py
+++ b/tests/workflows/runs/test_departures.py
@@ -248,6 +248,23 @@
     assert 'b.0.0.0' in site.ordered_tasks()
 
 
+def test_room_on_a_worker_that_the_gang_avoids_is_no_room(site):
+    """A gang was stopped for a worker on which it had just failed."""
+    site.submit('a', 'normal', _gang())
+    site.decide()
+    avoided = site.minion_of('a.0.0.0')
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('a.0.0.1', EndKind.stopped)
+    site.submit('b', 'normal', _step())
+    site.decide()
+    assert len(site.ordered_tasks()) == 3
+    assert avoided not in {minion for minion, _ in site.orders}
+    _run_for(site, 3, 2)
+    _leave(site, site.minion_of('a.0.0.0'))
+    site.decide()
+    assert not _stopped(site)
+
+
 def test_room_counts_once(site):
     """Two gangs must not be stopped for the same room."""
     site.submit('a', 'normal', _gang(1))
