Save stalled runs before their worker leaves

An end expected from progress lay in the past once a run had stalled, and counted as an end before the departure. Runs with checkpoints were then lost with the worker. Such an end is unknown now. The test failed before.

--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -216,7 +216,7 @@
     ) -> RunOutlook:
         """Return the outlook; a gang ends with its slowest member."""
         runs = [(task, task.active) for task in tasks if task.active]
-        ends = [self._end_by_progress(task, run) for task, run in runs]
+        ends = [self._end_by_progress(task, run, now_ms) for task, run in runs]
         has_progress = None not in ends
         if not has_progress:
             ends = [end_by_estimate(run, step.spec, now_ms) for _, run in runs]
@@ -230,10 +230,12 @@
             is_gang=step.spec.is_gang,
         )
 
-    def _end_by_progress(self, task: Task, run: ActiveRun) -> int | None:
+    def _end_by_progress(
+        self, task: Task, run: ActiveRun, now_ms: int
+    ) -> int | None:
         order = self._orders.find((run.minion_id, str(task.task_id)), run.run)
         is_resumed = order is not None and bool(order.checkpoint)
-        return end_by_progress(run, is_resumed=is_resumed)
+        return end_by_progress(run, now_ms, is_resumed=is_resumed)
 
     def _demand(self, pool: WorkerPool, job: Job, step: Step) -> Demand:
         service = self._jobs.service(job)
--- a/dragonflynotch/workflows/runs/expected_end.py
+++ b/dragonflynotch/workflows/runs/expected_end.py
@@ -10,9 +10,14 @@
 _MIN_PERCENT_CHANGE = 3
 
 
-def end_by_progress(run: ActiveRun, *, is_resumed: bool) -> int | None:
+def end_by_progress(
+    run: ActiveRun, now_ms: int, *, is_resumed: bool
+) -> int | None:
     """Return the expected end in store time, or ``None`` without progress.
 
+    An expected end that has passed says that the run has slowed down or
+    stalled, so nothing is known of its end either.
+
     Parameters
     ----------
     is_resumed : bool
@@ -31,7 +36,8 @@
     if change <= 0 or duration_ms <= 0:
         return None
     remaining_percent = _PERCENT - run.percent
-    return run.progress_changed_ms + duration_ms * remaining_percent // change
+    end_ms = run.progress_changed_ms + duration_ms * remaining_percent // change
+    return end_ms if end_ms > now_ms else None
 
 
 def end_by_estimate(run: ActiveRun, spec: StepSpec, now_ms: int) -> int | None:
--- a/tests/workflows/runs/test_departures.py
+++ b/tests/workflows/runs/test_departures.py
@@ -183,6 +183,21 @@
     assert not _stopped(site)
 
 
+def test_stalled_run_is_saved(site):
+    """An expected end that has passed counted as an end in time."""
+    site.submit('a', 'normal', _step(has_checkpoints=True))
+    site.decide()
+    _run_for(site, 5, 10)
+    [(minion, name)] = site.orders
+    running = [RunningTask(name, 1, '', 50)]
+    for _ in range(20):
+        site.now_ms += 1000
+        site.report(minion.replace('m', 'n'), running=running)
+    _leave(site, minion, notice_ms=STOP_DELAY_MS, running=running)
+    site.decide()
+    assert _stopped(site) == ['a.0.0.0']
+
+
 @pytest.mark.parametrize(
     ('percent_by_second', 'stopped'), [(2, 2), (7, 0), (0, 0)]
 )
