Expect no end from less than 10% since the order

Without two percentages the end was extrapolated from as little as 1% over a time that includes the start delay: 1% after 1 s gave an end at 100 s, so a gang without checkpoints was moved that might end in time.

--- a/dragonflynotch/workflows/runs/expected_end.py
+++ b/dragonflynotch/workflows/runs/expected_end.py
@@ -8,6 +8,8 @@
 _PERCENT = 100
 # Percentages are whole numbers, so a speed from fewer is too uncertain.
 _MIN_PERCENT_CHANGE = 3
+# Below this the start delay makes up too much of the time since the order.
+_MIN_PERCENT_SINCE_ORDER = 10
 
 
 def end_by_progress(
@@ -29,11 +31,11 @@
     change = run.percent - run.first_percent
     duration_ms = run.progress_changed_ms - run.first_percent_ms
     if change < _MIN_PERCENT_CHANGE:
-        if is_resumed:
+        if is_resumed or run.percent < _MIN_PERCENT_SINCE_ORDER:
             return None
         change = run.percent
         duration_ms = run.progress_changed_ms - run.ordered_ms
-    if change <= 0 or duration_ms <= 0:
+    if duration_ms <= 0:
         return None
     remaining_percent = _PERCENT - run.percent
     end_ms = run.progress_changed_ms + duration_ms * remaining_percent // change
