Review only orders of active runs on leaving workers

With two stored orders for one task, the order on a leaving worker led to a run elsewhere; the minimum of no departure times ended the leader's term. The test failed with that ValueError before.

--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -193,8 +193,12 @@
     ) -> list[tuple[Job, Step, list[Task]]]:
         """Return the runs and gangs that a departure concerns."""
         found: dict[str, tuple[Job, Step, list[Task]]] = {}
-        for (minion_id, name), _ in self._orders:
-            entry = None if minion_id not in leaving else self._jobs.find(name)
+        for (minion_id, name), order in self._orders:
+            entry = (
+                self._find_active(minion_id, name, order.run)
+                if minion_id in leaving
+                else None
+            )
             if entry is None:
                 continue
             job, step, task = entry
@@ -206,6 +210,18 @@
                 found[str(tasks[0].task_id)] = (job, step, tasks)
         return list(found.values())
 
+    def _find_active(
+        self, minion_id: str, name: str, run: int
+    ) -> tuple[Job, Step, Task] | None:
+        """Return the task of an order if this is its active run.
+
+        The order of an earlier run may still be stored for another worker.
+        """
+        found = self._jobs.find(name)
+        if found is None or found[2].active is None:
+            return None
+        return found if found[2].active.matches(minion_id, run) else None
+
     def _outlook(
         self,
         step: Step,
--- a/tests/workflows/runs/test_departures.py
+++ b/tests/workflows/runs/test_departures.py
@@ -4,7 +4,7 @@
 
 from dragonflynotch.workflows.evacuation import EvacuationRequests
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
-from dragonflynotch.workflows.records import EndKind, RunningTask
+from dragonflynotch.workflows.records import EndKind, Order, RunningTask
 from dragonflynotch.workflows.runs.departures import (
     DepartureAction,
     RunOutlook,
@@ -374,3 +374,13 @@
     third = _take_over(second, spec, at_ms=second.now_ms + 2000)
     _leave(third, leaving, notice_ms=STOP_DELAY_MS - 2000)
     assert not third.decide().orders
+
+
+def test_second_stored_order_of_a_task_is_ignored(site):
+    """The order of an earlier run on a leaving worker ended the term."""
+    site.submit('a', 'normal', _step(has_checkpoints=True))
+    for run, minion in enumerate(('m0', 'm1'), start=1):
+        order = Order('text', run, site.now_ms, needs=(1000, 1000, 8))
+        site.scheduler.restore_order(minion, 'a.0.0.0', order)
+    _leave(site, 'm0', notice_ms=STOP_DELAY_MS)
+    assert not site.decide().orders
