Hold back the empty report for unknown data centres

Workers of unknown data centre are cordoned, but their runs were counted nowhere, so evacuation_empty came while runs could still be in the data centre. The command line shows their number when it is above 0.

--- a/dragonflynotch/control/evacuation_status.py
+++ b/dragonflynotch/control/evacuation_status.py
@@ -28,11 +28,14 @@
         Workers there that have a minion.
     runs : int
         Runs ordered there that have not ended.
+    runs_of_unknown_data_centre : int
+        Such runs that may be there: no report tells their data centre.
     """
 
     data_centre: str
     workers: int
     runs: int
+    runs_of_unknown_data_centre: int
 
 
 async def read_evacuations(
@@ -72,7 +75,7 @@
         data_centres.get(row.key.partition('/')[0], '') for row in orders
     )
     return [
-        EvacuationStatus(name, workers[name], runs[name])
+        EvacuationStatus(name, workers[name], runs[name], runs[''])
         for name in sorted(requested)
     ]
 
--- a/dragonflynotch/platform/evacuations.py
+++ b/dragonflynotch/platform/evacuations.py
@@ -1,7 +1,10 @@
 """Evacuations that the operator writes to the row store, and their status."""
 
 from dragonflynotch.control.clocks import BootClock
-from dragonflynotch.control.evacuation_status import read_evacuations
+from dragonflynotch.control.evacuation_status import (
+    EvacuationStatus,
+    read_evacuations,
+)
 from dragonflynotch.control.rows import Table
 from dragonflynotch.platform.row_store import HttpRowStore
 from dragonflynotch.platform.settings import PlatformSettings
@@ -41,9 +44,16 @@
     evacuations = await read_evacuations(
         store, OPERATOR_TABLE, decode_evacuation
     )
-    lines = [
-        f'{evacuation.data_centre}: {evacuation.workers} workers, '
-        f'{evacuation.runs} runs left'
-        for evacuation in evacuations
-    ]
+    lines = [_status_line(evacuation) for evacuation in evacuations]
     return '\n'.join(lines) or 'no evacuation'
+
+
+def _status_line(status: EvacuationStatus) -> str:
+    line = (
+        f'{status.data_centre}: {status.workers} workers, '
+        f'{status.runs} runs left'
+    )
+    unknown_runs = status.runs_of_unknown_data_centre
+    if unknown_runs:
+        line += f', {unknown_runs} runs in an unknown data centre'
+    return line
--- a/dragonflynotch/workflows/evacuation.py
+++ b/dragonflynotch/workflows/evacuation.py
@@ -208,7 +208,8 @@
         }
         for name, progress in self._progress.items():
             progress.is_known |= name in cordoned.values()
-            is_empty = progress.is_known and not counts[name]
+            # Workers of unknown data centre may be in this one.
+            is_empty = progress.is_known and not counts[name] + counts['']
             if is_empty and not progress.is_empty:
                 self._decision_log.record('evacuation_empty', data_centre=name)
             progress.is_empty = is_empty
--- a/tests/control/test_evacuation.py
+++ b/tests/control/test_evacuation.py
@@ -138,7 +138,20 @@
             leader.evacuation_run_counts for leader in cluster.leaders.values()
         ]:
             await asyncio.sleep(0.02)
-    assert await _read_status(cluster) == [EvacuationStatus('east', 1, 0)]
+    assert await _read_status(cluster) == [EvacuationStatus('east', 1, 0, 0)]
+
+
+async def test_runs_in_an_unknown_data_centre_are_shown():
+    """They may be in the evacuated data centre and were shown nowhere."""
+    cluster = Cluster(duration_ms=1000)
+    cluster.data_centres = {'n0': 'east', 'n1': '', 'n2': 'west'}
+    cluster.start()
+    await cluster.submit('a', tasks(12))
+    await cluster.wait_for_starts(12)
+    await cluster.request_evacuation('east')
+    [status] = await _read_status(cluster)
+    await cluster.stop()
+    assert status.runs_of_unknown_data_centre == 4
 
 
 async def test_leader_dies_before_its_first_order_after_the_request(cluster):
--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -190,6 +190,20 @@
     assert len(site.orders) == 2
 
 
+def test_run_in_an_unknown_data_centre_delays_empty():
+    """The data centre could be switched off with runs still in it."""
+    site = _site('east', '')
+    _fill(site, count=2)
+    _report_running(site)
+    _request(site, 'east')
+    for minion in ('m0', 'm1'):
+        site.decide()
+        assert 'evacuation_empty' not in _events(site)
+        [name] = [name for on, name in site.orders if on == minion]
+        site.end(name)
+    assert _events(site).count('evacuation_empty') == 1
+
+
 def test_begin_empty_and_end_are_recorded_once(site):
     """An operator must see when the data centre can be switched off."""
     _fill(site)
