--- a/tests/control/test_departures.py
+++ b/tests/control/test_departures.py
@@ -51,8 +51,12 @@
 async def test_new_leader_moves_the_gang(cluster):
     """A leader that dies right after the notice must not cost the gang."""
     leaving = await _start_gang(cluster, has_checkpoints=True)
-    await cluster.kill('a')
     _announce_departure(cluster, leaving)
+    scheduling = [
+        name for name, leader in cluster.leaders.items() if leader.is_scheduling
+    ]
+    assert len(scheduling) == 1
+    await cluster.kill(scheduling[0])
     await _expect_gang_elsewhere(cluster, leaving)
 
 
