--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -102,16 +102,18 @@
 
 def test_unstarted_gang_is_moved_as_a_whole():
     """A gang must not be split by an evacuation of some of its workers."""
-    site = _site('east', 'west', 'north', 'north')
+    site = _site('east', 'west', 'north', 'north', 'north')
     gang = StepSpec(4, 1000, 1000, 8, 2000, is_gang=True)
     site.submit('a', 'normal', gang)
     site.decide()
+    assert 'east' in _data_centres_of_orders(site)
     _request(site, 'east')
     site.decide()
     assert all(order.is_stopped for order in site.orders.values())
     for index in range(4):
         site.end(f'a.0.0.{index}', EndKind.stopped)
-    assert not site.orders
+    assert {minion for minion, _ in site.orders} == {'m1', 'm2', 'm3', 'm4'}
+    assert len(site.ordered_tasks()) == 4
 
 
 def test_gang_with_a_started_member_continues(site):
