--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -50,9 +50,9 @@
         return {} if self._term is None else self._term.evacuation_run_counts
 
     @property
-    def moved_runs(self) -> int:
+    def departure_stops(self) -> int:
         """Runs stopped in this term because a worker leaves; 0 without one."""
-        return 0 if self._term is None else self._term.moved_runs
+        return 0 if self._term is None else self._term.departure_stops
 
     @property
     def leaving_workers(self) -> int:
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -164,9 +164,9 @@
         return self._scheduler.evacuation_run_counts
 
     @property
-    def moved_runs(self) -> int:
+    def departure_stops(self) -> int:
         """Runs stopped in this term because a worker leaves."""
-        return self._scheduler.moved_runs
+        return self._scheduler.departure_stops
 
     @property
     def leaving_workers(self) -> int:
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -172,7 +172,7 @@
             'lease_epoch': self._leadership.epoch,
             'lease_handovers': self._leadership.own_handovers,
             'leaving_workers': self._leader.leaving_workers,
-            'moved_runs': self._leader.moved_runs,
+            'departure_stops': self._leader.departure_stops,
             'store_calls': self._store.call_count,
         }
 
--- a/dragonflynotch/workflows/evacuation.py
+++ b/dragonflynotch/workflows/evacuation.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class _Progress:
+class _EvacuationState:
     # Whether any worker of the data centre has been seen since the beginning.
     is_known: bool = False
     is_empty: bool = False
@@ -82,7 +82,7 @@
         self._decision_log = decision_log
         self._requests: EvacuationRequests | None = None
         # Evacuations that have begun, by data centre.
-        self._progress: dict[str, _Progress] = {}
+        self._progress: dict[str, _EvacuationState] = {}
         self._run_counts: dict[str, int] = {}
         self._is_paused = False
 
@@ -164,7 +164,7 @@
             self._decision_log.record('evacuation_ended', data_centre=ended)
         present = Counter(worker.data_centre for worker in workers)
         for name in sorted(self._requested - self._progress.keys()):
-            self._progress[name] = _Progress()
+            self._progress[name] = _EvacuationState()
             self._decision_log.record(
                 'evacuation_began',
                 data_centre=name,
@@ -179,8 +179,8 @@
                 )
 
     def _may_still_start(self, order: Order, now_ms: int) -> bool:
-        # A run that could have started until then may have, and its guard has
-        # not reported it yet.
+        # Once its start window has passed, a run may have started unreported,
+        # so its order is left alone.
         return not order.is_stopped and order.start_by_ms > now_ms
 
     def _stop_unless_started(self, key: OrderKey, order: Order) -> None:
--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -1,4 +1,4 @@
-"""Decides what becomes of runs on workers that leave.
+"""Stops or keeps runs on leaving workers.
 
 Answers workers that are withdrawn at short notice, and rolling releases. The
 notice is a minimum, so what can still complete continues. All inputs are in
@@ -41,7 +41,7 @@
 class DepartureAction(StrEnum):
     """What is done with the runs of a leaving worker."""
 
-    go_on = 'go_on'
+    keep_running = 'keep_running'
     # Stopped while its checkpoint can be saved.
     save = 'save'
     # A gang without checkpoints, stopped because it can start elsewhere.
@@ -93,9 +93,9 @@
         in_time_ms = max(outlook.leaves_at_ms, now_ms + stop_delay_ms)
         end_ms = outlook.expected_end_ms
         if end_ms is not None and end_ms <= in_time_ms:
-            return DepartureAction.go_on
+            return DepartureAction.keep_running
         if now_ms < outlook.last_stop_ms:
-            return DepartureAction.go_on
+            return DepartureAction.keep_running
         return DepartureAction.save
     # Once the notice is over, nothing tells how long the worker stays.
     if (
@@ -104,7 +104,7 @@
         and now_ms < outlook.leaves_at_ms
     ):
         return DepartureAction.move
-    return DepartureAction.go_on
+    return DepartureAction.keep_running
 
 
 class Departures:
@@ -130,12 +130,12 @@
         self._tracker = tracker
         self._decision_log = decision_log
         self.stop_ms = stop_ms
-        self._moved_runs = 0
+        self._departure_stops = 0
 
     @property
-    def moved_runs(self) -> int:
+    def departure_stops(self) -> int:
         """Runs that were stopped because a worker leaves."""
-        return self._moved_runs
+        return self._departure_stops
 
     def review(
         self,
@@ -185,7 +185,7 @@
                 and _take_room(pool, self._demand(pool, job, step), tasks)
             ):
                 continue
-            if action is not DepartureAction.go_on:
+            if action is not DepartureAction.keep_running:
                 self._stop(tasks, action, outlook, pool.now_ms)
 
     def _affected(
@@ -275,7 +275,7 @@
     ) -> None:
         end_ms = outlook.expected_end_ms
         for task in tasks:
-            self._moved_runs += 1
+            self._departure_stops += 1
             self._tracker.order_stop(
                 task,
                 'worker_leaves',
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -131,9 +131,9 @@
         return self._evacuation.run_counts
 
     @property
-    def moved_runs(self) -> int:
+    def departure_stops(self) -> int:
         """Runs stopped since the creation because a worker leaves."""
-        return self._departures.moved_runs
+        return self._departures.departure_stops
 
     def apply_deployment(self, deployment: Deployment) -> None:
         """Use this version of the configuration from now on."""
--- a/tests/workflows/runs/test_departures.py
+++ b/tests/workflows/runs/test_departures.py
@@ -78,35 +78,35 @@
     ('fields', 'now_ms', 'action'),
     [
         # Ends before its worker leaves.
-        ({'expected_end_ms': 9_900}, 5_000, DepartureAction.go_on),
-        ({'expected_end_ms': 9_900}, 9_500, DepartureAction.go_on),
+        ({'expected_end_ms': 9_900}, 5_000, DepartureAction.keep_running),
+        ({'expected_end_ms': 9_900}, 9_500, DepartureAction.keep_running),
         # Nothing else may use its room until it must be saved.
-        ({}, 5_000, DepartureAction.go_on),
-        ({'expected_end_ms': None}, 5_000, DepartureAction.go_on),
+        ({}, 5_000, DepartureAction.keep_running),
+        ({'expected_end_ms': None}, 5_000, DepartureAction.keep_running),
         # The checkpoint can only just be saved.
         ({}, 9_100, DepartureAction.save),
         ({'expected_end_ms': None}, 9_100, DepartureAction.save),
         # Stays after its notice: saved, unless a stop takes as long.
         ({}, 20_000, DepartureAction.save),
-        ({'expected_end_ms': 20_500}, 20_000, DepartureAction.go_on),
+        ({'expected_end_ms': 20_500}, 20_000, DepartureAction.keep_running),
         # Without checkpoints all work done would be lost.
         ({'has_checkpoints': False}, 5_000, DepartureAction.move),
         (
             {'has_checkpoints': False, 'expected_end_ms': 17_000},
             5_000,
-            DepartureAction.go_on,
+            DepartureAction.keep_running,
         ),
         (
             {'has_checkpoints': False, 'has_progress': False},
             5_000,
-            DepartureAction.go_on,
+            DepartureAction.keep_running,
         ),
         (
             {'has_checkpoints': False, 'is_gang': False},
             5_000,
-            DepartureAction.go_on,
+            DepartureAction.keep_running,
         ),
-        ({'has_checkpoints': False}, 10_000, DepartureAction.go_on),
+        ({'has_checkpoints': False}, 10_000, DepartureAction.keep_running),
     ],
 )
 def test_action(fields, now_ms, action):
