--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -1,4 +1,4 @@
-"""Decides what becomes of runs on workers that leave.
+"""Stops or keeps runs on leaving workers.
 
 Answers workers that are withdrawn at short notice, and rolling releases. The
 notice is a minimum, so what can still complete continues. All inputs are in
@@ -41,7 +41,7 @@
 class DepartureAction(StrEnum):
     """What is done with the runs of a leaving worker."""
 
-    go_on = 'go_on'
+    keep_running = 'keep_running'
     # Stopped while its checkpoint can be saved.
     save = 'save'
     # A gang without checkpoints, stopped because it can start elsewhere.
@@ -93,9 +93,9 @@
         in_time_ms = max(outlook.leaves_at_ms, now_ms + stop_delay_ms)
         end_ms = outlook.expected_end_ms
         if end_ms is not None and end_ms <= in_time_ms:
-            return DepartureAction.go_on
+            return DepartureAction.keep_running
         if now_ms < outlook.last_stop_ms:
-            return DepartureAction.go_on
+            return DepartureAction.keep_running
         return DepartureAction.save
     # Once the notice is over, nothing tells how long the worker stays.
     if (
@@ -104,7 +104,7 @@
         and now_ms < outlook.leaves_at_ms
     ):
         return DepartureAction.move
-    return DepartureAction.go_on
+    return DepartureAction.keep_running
 
 
 class Departures:
@@ -130,15 +130,20 @@
         self._tracker = tracker
         self._decision_log = decision_log
         self.stop_ms = stop_ms
-        self._moved_runs = 0
+        self._departure_stops = 0
 
     @property
-    def moved_runs(self) -> int:
+    def departure_stops(self) -> int:
         """Runs that were stopped because a worker leaves."""
-        return self._moved_runs
+        return self._departure_stops
 
     def review(
-        self, pool: WorkerPool, workers: Iterable[Worker], write_ms: int
+        self,
+        pool: WorkerPool,
+        workers: Iterable[Worker],
+        write_ms: int,
+        *,
+        may_start: bool = True,
     ) -> None:
         """Order the runs that cannot complete to stop.
 
@@ -151,6 +156,9 @@
             All workers, including those that leave.
         write_ms : int
             How long the last write to the store took.
+        may_start : bool
+            Whether runs may start in this round. If not, waiting steps have
+            not been placed either, so free resources are no room for a gang.
         """
         leaving = {
             worker.minion_id: worker.leaves_at_ms
@@ -172,11 +180,12 @@
                 step, tasks, leaves_at_ms, stop_delay_ms, pool.now_ms
             )
             action = choose_action(outlook, pool.now_ms)
-            if action is DepartureAction.move and not _take_room(
-                pool, self._demand(pool, job, step), tasks
+            if action is DepartureAction.move and not (
+                may_start
+                and _take_room(pool, self._demand(pool, job, step), tasks)
             ):
                 continue
-            if action is not DepartureAction.go_on:
+            if action is not DepartureAction.keep_running:
                 self._stop(tasks, action, outlook, pool.now_ms)
 
     def _affected(
@@ -184,8 +193,12 @@
     ) -> list[tuple[Job, Step, list[Task]]]:
         """Return the runs and gangs that a departure concerns."""
         found: dict[str, tuple[Job, Step, list[Task]]] = {}
-        for (minion_id, name), _ in self._orders:
-            entry = None if minion_id not in leaving else self._jobs.find(name)
+        for (minion_id, name), order in self._orders:
+            entry = (
+                self._find_active(minion_id, name, order.run)
+                if minion_id in leaving
+                else None
+            )
             if entry is None:
                 continue
             job, step, task = entry
@@ -197,6 +210,18 @@
                 found[str(tasks[0].task_id)] = (job, step, tasks)
         return list(found.values())
 
+    def _find_active(
+        self, minion_id: str, name: str, run: int
+    ) -> tuple[Job, Step, Task] | None:
+        """Return the task of an order if this is its active run.
+
+        The order of an earlier run may still be stored for another worker.
+        """
+        found = self._jobs.find(name)
+        if found is None or found[2].active is None:
+            return None
+        return found if found[2].active.matches(minion_id, run) else None
+
     def _outlook(
         self,
         step: Step,
@@ -207,7 +232,7 @@
     ) -> RunOutlook:
         """Return the outlook; a gang ends with its slowest member."""
         runs = [(task, task.active) for task in tasks if task.active]
-        ends = [self._end_by_progress(task, run) for task, run in runs]
+        ends = [self._end_by_progress(task, run, now_ms) for task, run in runs]
         has_progress = None not in ends
         if not has_progress:
             ends = [end_by_estimate(run, step.spec, now_ms) for _, run in runs]
@@ -221,10 +246,12 @@
             is_gang=step.spec.is_gang,
         )
 
-    def _end_by_progress(self, task: Task, run: ActiveRun) -> int | None:
+    def _end_by_progress(
+        self, task: Task, run: ActiveRun, now_ms: int
+    ) -> int | None:
         order = self._orders.find((run.minion_id, str(task.task_id)), run.run)
         is_resumed = order is not None and bool(order.checkpoint)
-        return end_by_progress(run, is_resumed=is_resumed)
+        return end_by_progress(run, now_ms, is_resumed=is_resumed)
 
     def _demand(self, pool: WorkerPool, job: Job, step: Step) -> Demand:
         service = self._jobs.service(job)
@@ -248,7 +275,7 @@
     ) -> None:
         end_ms = outlook.expected_end_ms
         for task in tasks:
-            self._moved_runs += 1
+            self._departure_stops += 1
             self._tracker.order_stop(
                 task,
                 'worker_leaves',
--- a/tests/workflows/runs/test_departures.py
+++ b/tests/workflows/runs/test_departures.py
@@ -2,13 +2,15 @@
 
 import pytest
 
+from dragonflynotch.workflows.evacuation import EvacuationRequests
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
-from dragonflynotch.workflows.records import EndKind, RunningTask
+from dragonflynotch.workflows.records import EndKind, Order, RunningTask
 from dragonflynotch.workflows.runs.departures import (
     DepartureAction,
     RunOutlook,
     choose_action,
 )
+from dragonflynotch.workflows.scheduler import SchedulerSettings
 from tests.workflows.site import SERVICE, Site
 
 STOP_DELAY_MS = 900
@@ -76,35 +78,35 @@
     ('fields', 'now_ms', 'action'),
     [
         # Ends before its worker leaves.
-        ({'expected_end_ms': 9_900}, 5_000, DepartureAction.go_on),
-        ({'expected_end_ms': 9_900}, 9_500, DepartureAction.go_on),
+        ({'expected_end_ms': 9_900}, 5_000, DepartureAction.keep_running),
+        ({'expected_end_ms': 9_900}, 9_500, DepartureAction.keep_running),
         # Nothing else may use its room until it must be saved.
-        ({}, 5_000, DepartureAction.go_on),
-        ({'expected_end_ms': None}, 5_000, DepartureAction.go_on),
+        ({}, 5_000, DepartureAction.keep_running),
+        ({'expected_end_ms': None}, 5_000, DepartureAction.keep_running),
         # The checkpoint can only just be saved.
         ({}, 9_100, DepartureAction.save),
         ({'expected_end_ms': None}, 9_100, DepartureAction.save),
         # Stays after its notice: saved, unless a stop takes as long.
         ({}, 20_000, DepartureAction.save),
-        ({'expected_end_ms': 20_500}, 20_000, DepartureAction.go_on),
+        ({'expected_end_ms': 20_500}, 20_000, DepartureAction.keep_running),
         # Without checkpoints all work done would be lost.
         ({'has_checkpoints': False}, 5_000, DepartureAction.move),
         (
             {'has_checkpoints': False, 'expected_end_ms': 17_000},
             5_000,
-            DepartureAction.go_on,
+            DepartureAction.keep_running,
         ),
         (
             {'has_checkpoints': False, 'has_progress': False},
             5_000,
-            DepartureAction.go_on,
+            DepartureAction.keep_running,
         ),
         (
             {'has_checkpoints': False, 'is_gang': False},
             5_000,
-            DepartureAction.go_on,
+            DepartureAction.keep_running,
         ),
-        ({'has_checkpoints': False}, 10_000, DepartureAction.go_on),
+        ({'has_checkpoints': False}, 10_000, DepartureAction.keep_running),
     ],
 )
 def test_action(fields, now_ms, action):
@@ -181,6 +183,21 @@
     assert not _stopped(site)
 
 
+def test_stalled_run_is_saved(site):
+    """An expected end that has passed counted as an end in time."""
+    site.submit('a', 'normal', _step(has_checkpoints=True))
+    site.decide()
+    _run_for(site, 5, 10)
+    [(minion, name)] = site.orders
+    running = [RunningTask(name, 1, '', 50)]
+    for _ in range(20):
+        site.now_ms += 1000
+        site.report(minion.replace('m', 'n'), running=running)
+    _leave(site, minion, notice_ms=STOP_DELAY_MS, running=running)
+    site.decide()
+    assert _stopped(site) == ['a.0.0.0']
+
+
 @pytest.mark.parametrize(
     ('percent_by_second', 'stopped'), [(2, 2), (7, 0), (0, 0)]
 )
@@ -209,6 +226,31 @@
     assert not _stopped(site)
 
 
+@pytest.mark.parametrize(
+    ('has_checkpoints', 'notice_ms', 'stopped'),
+    [(False, NOTICE_MS, 0), (True, STOP_DELAY_MS, 2)],
+)
+def test_gang_is_only_saved_while_starts_are_paused(
+    has_checkpoints, notice_ms, stopped
+):
+    """A gang was stopped for room in which nothing could start."""
+    bound_ms = 5000
+    site = Site(
+        racks=('r1',) * 4,
+        settings=SchedulerSettings(evacuation_bound_ms=bound_ms),
+    )
+    known = EvacuationRequests(frozenset(), site.now_ms)
+    site.scheduler.apply_evacuations(known)
+    site.submit('a', 'normal', _gang(has_checkpoints=has_checkpoints))
+    site.decide()
+    _run_for(site, 3, 2)
+    site.now_ms += bound_ms
+    site.report_all()
+    _leave(site, site.minion_of('a.0.0.0'), notice_ms=notice_ms)
+    site.decide()
+    assert len(_stopped(site)) == stopped
+
+
 def test_room_that_another_step_waits_for_is_no_room(site):
     """A moved gang must not wait behind the step that takes its room."""
     site.submit('a', 'normal', _gang())
@@ -221,6 +263,23 @@
     assert 'b.0.0.0' in site.ordered_tasks()
 
 
+def test_room_on_a_worker_that_the_gang_avoids_is_no_room(site):
+    """A gang was stopped for a worker on which it had just failed."""
+    site.submit('a', 'normal', _gang())
+    site.decide()
+    avoided = site.minion_of('a.0.0.0')
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('a.0.0.1', EndKind.stopped)
+    site.submit('b', 'normal', _step())
+    site.decide()
+    assert len(site.ordered_tasks()) == 3
+    assert avoided not in {minion for minion, _ in site.orders}
+    _run_for(site, 3, 2)
+    _leave(site, site.minion_of('a.0.0.0'))
+    site.decide()
+    assert not _stopped(site)
+
+
 def test_room_counts_once(site):
     """Two gangs must not be stopped for the same room."""
     site.submit('a', 'normal', _gang(1))
@@ -315,3 +374,13 @@
     third = _take_over(second, spec, at_ms=second.now_ms + 2000)
     _leave(third, leaving, notice_ms=STOP_DELAY_MS - 2000)
     assert not third.decide().orders
+
+
+def test_second_stored_order_of_a_task_is_ignored(site):
+    """The order of an earlier run on a leaving worker ended the term."""
+    site.submit('a', 'normal', _step(has_checkpoints=True))
+    for run, minion in enumerate(('m0', 'm1'), start=1):
+        order = Order('text', run, site.now_ms, needs=(1000, 1000, 8))
+        site.scheduler.restore_order(minion, 'a.0.0.0', order)
+    _leave(site, 'm0', notice_ms=STOP_DELAY_MS)
+    assert not site.decide().orders
