Keep a candidate alive after a failed release of the lease

Any error of the store other than a time-out ended the front's candidacy for good while it released the lease, and a failed hand-over skipped the abstention. The row known to the node was changed before the transaction, so after a failed release it showed a free lease that the store did not have. A hand-over was given up before its first call ended, so its count could be lost.

Release, hand-over and claim now build a new row and take it over once the store has; any error of the release is logged; the abstention begins before the release, and a hand-over allows one whole call.

--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -36,6 +36,9 @@
 _NO_DELAY = timedelta()
 # After a hand-over the node leaves a free lease to the others for this long.
 _ABSTENTION = timedelta(seconds=6)
+_RELEASE_TIMEOUT_S = 1
+# Covers a whole call, since the next holder has to learn of the hand-over.
+_HANDOVER_TIMEOUT_S = 1.5
 _RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 0.5
 
@@ -129,18 +132,20 @@
             return False
         if not await self._wait_for_others(lease):
             return False
-        self._row = LeaseRow(
+        row = LeaseRow(
             self._node,
             lease.epoch + 1,
+            sequence=1,
             waiting=lease.waiting,
             handovers=lease.handovers,
         )
-        self._is_holder = True
         previous = lease.holder
         try:
-            await self.commit([], [])
+            self._is_holder = await self._commit_lease(row, [], [])
         except LeaseLostError:
             return False
+        if not self._is_holder:
+            return False
         decision_log.record(
             'lease_claimed',
             epoch=self._row.epoch,
@@ -185,39 +190,11 @@
             self._row.waiting if waiting is None else waiting,
             self._row.handovers,
         )
-        all_writes = [*writes, RowWrite(LEASE_NAME, encode_row(row))]
-        all_conditions = [*conditions, (LEASE_NAME, self._version)]
-        attempts = 0
-        while True:
-            try:
-                outcome = await self._store.commit(all_writes, all_conditions)
-            except (PlatformUnavailableError, UncertainWriteError) as error:
-                attempts += 1
-                if attempts == 1:
-                    self._record_retry(row, error)
-                await asyncio.sleep(
-                    min(_RETRY_DELAY_S * attempts, _MAX_RETRY_DELAY_S)
-                )
-                continue
-            if isinstance(outcome, Committed):
-                self._set_lease(row, outcome.version)
-                return True
-            return self._resolve_conflict(
-                row, outcome.current_rows.get(LEASE_NAME)
-            )
+        return await self._commit_lease(row, writes, conditions)
 
     async def release(self) -> None:
         """Release the lease so that a candidate can claim it at once."""
-        if not self._is_holder:
-            return
-        self._row.holder = ''
-        self._row.epoch += 1
-        try:
-            async with asyncio.timeout(1):
-                await self.commit([], [])
-        except (TimeoutError, LeaseLostError) as error:
-            decision_log.record('lease_not_released', reason=repr(error))
-        self._is_holder = False
+        await self._release(self._row.handovers, _RELEASE_TIMEOUT_S)
 
     async def hand_over(self) -> None:
         """Release the lease as too slow, and leave it to the others first.
@@ -226,11 +203,10 @@
         does so within the time after which a silent holder is replaced.
         """
         self._own_handovers += 1
-        self._row.handovers += 1
-        await self.release()
         self._abstains_until_ms = self._clock.now_ms() + _milliseconds(
             _ABSTENTION
         )
+        await self._release(self._row.handovers + 1, _HANDOVER_TIMEOUT_S)
 
     def settle(self) -> None:
         """Discard earlier hand-overs, since this holder keeps up.
@@ -239,6 +215,52 @@
         """
         self._row.handovers = 0
 
+    async def _release(self, handovers: int, timeout_s: float) -> None:
+        if not self._is_holder:
+            return
+        row = LeaseRow(
+            '',
+            self._row.epoch + 1,
+            self._row.sequence + 1,
+            self._row.waiting,
+            handovers,
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._commit_lease(row, [], [])
+        except Exception as error:
+            # Without a release, others take over after the takeover timeout.
+            decision_log.record('lease_not_released', reason=repr(error))
+        finally:
+            self._is_holder = False
+
+    async def _commit_lease(
+        self,
+        row: LeaseRow,
+        writes: Sequence[RowWrite],
+        conditions: Sequence[tuple[RowName, int]],
+    ) -> bool:
+        all_writes = [*writes, RowWrite(LEASE_NAME, encode_row(row))]
+        all_conditions = [*conditions, (LEASE_NAME, self._version)]
+        attempts = 0
+        while True:
+            try:
+                outcome = await self._store.commit(all_writes, all_conditions)
+            except (PlatformUnavailableError, UncertainWriteError) as error:
+                attempts += 1
+                if attempts == 1:
+                    self._record_retry(row, error)
+                await asyncio.sleep(
+                    min(_RETRY_DELAY_S * attempts, _MAX_RETRY_DELAY_S)
+                )
+                continue
+            if isinstance(outcome, Committed):
+                self._set_lease(row, outcome.version)
+                return True
+            return self._resolve_conflict(
+                row, outcome.current_rows.get(LEASE_NAME)
+            )
+
     def _may_claim_at_once(self, lease: LeaseRow) -> bool:
         """Whether the lease has no holder that could still renew it."""
         if self._clock.now_ms() < self._abstains_until_ms:
--- a/tests/control/test_leader.py
+++ b/tests/control/test_leader.py
@@ -8,7 +8,10 @@
 
 from dragonflynotch.control import leader_pace
 from dragonflynotch.control.rows import ORDERS
-from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.core.errors import (
+    InvalidInputError,
+    PlatformUnavailableError,
+)
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.row_store import MemoryRowStore
 from dragonflynotch.workflows.records import JobState
@@ -196,3 +199,26 @@
     await asyncio.sleep(5)
     assert not count(events, 'lease_handed_over')
     assert not count(events, 'lease_lost')
+
+
+async def test_candidate_competes_again_after_unreadable_answers(
+    cluster, events, monkeypatch
+):
+    """An error while the lease is released must not end the candidacy."""
+    cluster.start_candidate('a')
+    async with asyncio.timeout(3):
+        while not count(events, 'scheduling_started'):
+            await asyncio.sleep(0.02)
+
+    async def fail_commit(writes, conditions):
+        raise InvalidInputError('$.version', None, 'a number')
+
+    with monkeypatch.context() as context:
+        context.setattr(cluster.store, 'commit', fail_commit)
+        async with asyncio.timeout(3):
+            while not count(events, 'scheduling_failed'):
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
+    async with asyncio.timeout(5):
+        while count(events, 'scheduling_started') < 2:
+            await asyncio.sleep(0.02)
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from dragonflynotch.control.leadership import Leadership, LeaseLostError
+from dragonflynotch.control.leadership import (
+    LEASE_NAME,
+    Leadership,
+    LeaseLostError,
+)
 from dragonflynotch.control.rows import (
     ABSENT,
     ORDERS,
@@ -13,7 +17,9 @@
     RowName,
     RowWrite,
 )
+from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.testing.row_store import StoreFault
+from dragonflynotch.workflows.records import encode_row
 
 ORDER = RowName(ORDERS.name, SCHEDULER_PART, 'm/t')
 TAKEOVER_MS = 2200
@@ -227,3 +233,72 @@
     await first.commit([], [])
     assert not await claim
     assert first.is_holder
+
+
+async def fail_commit(writes, conditions):
+    """Take the place of a call with a response that cannot be decoded."""
+    raise InvalidInputError('$.version', None, 'a number')
+
+
+async def test_failed_release_raises_no_error(first, store, monkeypatch):
+    """An unreadable response to the release ended the front's candidacy."""
+    await first.try_claim()
+    monkeypatch.setattr(store, 'commit', fail_commit)
+    await first.release()
+    assert not first.is_holder
+
+
+async def test_node_abstains_after_a_failed_hand_over(
+    first, store, monkeypatch
+):
+    """A holder that is too slow must not claim its lease again at once."""
+    await first.try_claim()
+    with monkeypatch.context() as context:
+        context.setattr(store, 'commit', fail_commit)
+        await first.hand_over()
+    assert not first.is_holder
+    assert not await first.try_claim()
+
+
+async def test_failed_release_changes_no_known_row(first, store):
+    """A candidate must decide by the row in the store.
+
+    After a failed release the node saw a free lease of the next epoch, which
+    the store did not have.
+    """
+    await first.try_claim()
+    held = (await store.read_row(LEASE_NAME)).content
+    store.fault = StoreFault.down
+    await first.hand_over()
+    store.fault = StoreFault.none
+    assert encode_row(await first.read_lease()) == held
+
+
+async def test_hand_over_waits_for_a_whole_call(first, second, store):
+    """The next holder must know of the hand-over, or its limits do not grow.
+
+    The release was given up before its first call ended.
+    """
+    await first.try_claim()
+    commit = store.commit
+
+    async def commit_slowly(writes, conditions):
+        await asyncio.sleep(1.2)
+        return await commit(writes, conditions)
+
+    store.commit = commit_slowly
+    await first.hand_over()
+    store.commit = commit
+    assert await second.try_claim()
+    assert second.handovers == 1
+
+
+async def test_failed_claim_makes_no_holder(first, store, monkeypatch):
+    """A node must not take itself for the holder before the store agrees."""
+    with monkeypatch.context() as context:
+        context.setattr(store, 'commit', fail_commit)
+        with pytest.raises(InvalidInputError):
+            await first.try_claim()
+    assert not first.is_holder
+    assert not (await first.read_lease()).holder
+    assert await first.try_claim()
