Count renewals of the lease as part of a load

The load continues while the lease is renewed, but only the time between renewals was counted, and slow renewals raised the limit. With renewals of 1 s a load lasted over 20 s. Each renewal now counts with up to 1 s.

--- a/dragonflynotch/control/leader_pace.py
+++ b/dragonflynotch/control/leader_pace.py
@@ -41,8 +41,8 @@
 class LoadBudget:
     """Time that a new holder may take to load the rows.
 
-    Time that renewals of the lease take is not counted, so a store that does
-    not respond at all uses up none of it.
+    A renewal of the lease counts as one call of limited duration: the load
+    continues meanwhile, and a store that does not respond uses up little.
 
     Parameters
     ----------
@@ -73,8 +73,9 @@
         self._used_ms += duration_ms
 
     def record_renewal(self, duration_ms: int) -> None:
-        """Account for the response time that a renewal of the lease shows."""
+        """Count a renewal of the lease, which shows the response time."""
         self._call_ms = min(duration_ms, _MAX_CALL_MS)
+        self._used_ms += self._call_ms
 
     def check(self) -> None:
         """Check the budget.
