--- a/dragonflynotch/control/claim_delay.py
+++ b/dragonflynotch/control/claim_delay.py
@@ -5,8 +5,9 @@
 __all__ = ('claim_delay',)
 
 # Longer than the interval at which candidates read the lease row, so that a
-# capable candidate claims first.
-_MAX_DELAY = timedelta(milliseconds=450)
+# capable candidate claims before any weak one.
+_MIN_DELAY = timedelta(milliseconds=410)
+_MAX_DELAY = timedelta(milliseconds=490)
 # The decisions of a round use one core at most.
 _NEEDED_CORES = 1
 # Rows of several MB are loaded within the limit of a load.
@@ -28,4 +29,6 @@
         1 if link_mbps is None else link_mbps / _NEEDED_LINK_MBPS,
         1,
     )
-    return _MAX_DELAY * (1 - sufficient)
+    if sufficient == 1:
+        return timedelta()
+    return _MIN_DELAY + (_MAX_DELAY - _MIN_DELAY) * (1 - sufficient)
