Test that pages older than the feed are read again

The test could not fail for its reason: the reading of a watch without history begins anew anyway. It now fails a reading of a loaded watch, lets the feed overtake it, and requires that all pages are read again. It fails if the watch keeps its incomplete reading.

--- a/tests/control/test_table_reader.py
+++ b/tests/control/test_table_reader.py
@@ -115,12 +115,18 @@
         store, SUBMISSIONS, apply, clock, timedelta(milliseconds=20)
     )
     await watch.load()
+    pages_per_reading = store.pages
+    store.failing_page = 2 * pages_per_reading
+    with pytest.raises(PlatformUnavailableError):
+        await watch.load()
+    for key in KEYS:
+        await store.commit([RowWrite(row_name(key), b'z')], [])
     following = asyncio.create_task(watch.run())
-    store.failing_page = store.pages + 10
-    store.truncate_history()
-    await store.commit([RowWrite(row_name(KEYS[0]), b'y')], [])
-    await asyncio.sleep(0.3)
-    await store.commit([RowWrite(row_name(KEYS[0]), b'z')], [])
-    await asyncio.sleep(0.3)
+    await asyncio.sleep(0.1)
     following.cancel()
-    assert replica[KEYS[0]] == b'z'
+    assert replica == dict.fromkeys(KEYS, b'z')
+    store.pages = 0
+    store.failing_page = None
+    await watch.load()
+    assert store.pages == pages_per_reading
+    assert replica == dict.fromkeys(KEYS, b'z')
