Hand over when the operator's rows are too old to start runs

Without the operator's rows, or with rows older than the bound of evacuations, no run may start, but these rounds counted as on time, so a leader with a stalled operator feed kept the lease. They now count like rounds with old replicas.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -133,6 +133,7 @@
         self._evacuations = context.evacuations
         self._record_load = context.record_load
         self._scheduler = Scheduler(settings)
+        self._evacuation_bound_ms = settings.evacuation_bound_ms
         self._submissions = TableWatch(
             context.store,
             SUBMISSIONS,
@@ -179,6 +180,7 @@
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from the next round of decisions on."""
         self._scheduler.apply_settings(settings)
+        self._evacuation_bound_ms = settings.evacuation_bound_ms
 
     async def run(self) -> None:
         """Load all rows and schedule until the lease is lost."""
@@ -304,7 +306,10 @@
         if are_fresh and evacuations is not None:
             self._scheduler.apply_evacuations(evacuations)
             decisions = self._decide()
-        self._check_pace(started_ms, are_replicas_fresh=are_fresh)
+        self._check_pace(
+            started_ms,
+            are_replicas_fresh=are_fresh and self._allow_starts(evacuations),
+        )
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
         )
@@ -359,6 +364,15 @@
             )
         return are_fresh
 
+    def _allow_starts(self, evacuations: EvacuationRequests | None) -> bool:
+        """Whether the operator's rows are recent enough to start runs."""
+        if evacuations is None:
+            return False
+        if self._evacuation_bound_ms is None:
+            return True
+        age_ms = self._store_now_ms() - evacuations.current_at_ms
+        return age_ms < self._evacuation_bound_ms
+
     async def _write(self, decisions: Decisions) -> None:
         """Write the progress of jobs before the orders that result from it."""
         writes = [
--- a/tests/control/test_leader.py
+++ b/tests/control/test_leader.py
@@ -13,9 +13,10 @@
     PlatformUnavailableError,
 )
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.platform.evacuations import OPERATOR_TABLE
 from dragonflynotch.testing.row_store import MemoryRowStore
 from dragonflynotch.workflows.records import JobState
-from dragonflynotch.workflows.scheduler import Scheduler
+from dragonflynotch.workflows.scheduler import Scheduler, SchedulerSettings
 from tests.control.cluster import Cluster, tasks
 
 
@@ -222,3 +223,42 @@
     async with asyncio.timeout(5):
         while count(events, 'scheduling_started') < 2:
             await asyncio.sleep(0.02)
+
+
+class StoreWithStalledFeed(StoreWithoutTable):
+    """Store as seen over a link on which one feed stalls after the load."""
+
+    async def read(self, table, part, first='', last=''):
+        return await self._store.read(table, part, first, last)
+
+    async def changes(self, table, after, wait):
+        if table == self._table:
+            await asyncio.Event().wait()
+        return await self._store.changes(table, after, wait)
+
+
+async def test_leader_whose_operator_feed_stalls_is_replaced(
+    events, monkeypatch
+):
+    """A holder that starts nothing must not keep the lease.
+
+    Without recent rows of the operator no run may be started, but these rounds
+    counted as on time.
+    """
+    monkeypatch.setattr(leader_pace, '_LATE_LIMIT_MS', 1000)
+    cluster = Cluster(settings=SchedulerSettings(evacuation_bound_ms=2000))
+    cluster.start_candidate(
+        'a', store=StoreWithStalledFeed(cluster.store, OPERATOR_TABLE.name)
+    )
+    async with asyncio.timeout(3):
+        while not count(events, 'scheduling_started'):
+            await asyncio.sleep(0.02)
+    cluster.start_candidate('b')
+    async with asyncio.timeout(8):
+        while count(events, 'scheduling_started') < 2:
+            await asyncio.sleep(0.02)
+    await cluster.stop()
+    [fields] = [
+        fields for event, fields in events if event == 'lease_handed_over'
+    ]
+    assert fields['too_slow_for'] == 'feeds'
