Use the usual terms in the model and design of elections

The reason for the head start of a table named only the slow store; on a slow link the tables are read side by side too. The model of elections has the same states and results as before.

--- a/dragonflynotch/control/leader_load.py
+++ b/dragonflynotch/control/leader_load.py
@@ -13,8 +13,9 @@
 
 # The lease is renewed this often while the load lasts.
 _RENEWAL_INTERVAL_S = 0.6
-# A table is read alone for this long. On a slow store, where waiting takes most
-# of the time, the tables are then read side by side.
+# A table is read alone for this long, then the next one side by side with it.
+# This shortens the load on a store that responds slowly; on a slow link the
+# table that is needed first only gets a head start.
 _HEAD_START_S = 0.3
 _RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 0.5
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -156,7 +156,7 @@
         self._paced_ms = context.clock.now_ms()
         self._is_loading = True
         # Whether the replicas were fresh enough to decide in the last round.
-        self._are_deciding = True
+        self._were_replicas_fresh = True
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
     @property
@@ -353,8 +353,8 @@
         submissions_age_ms = self._submissions.age_ms
         reports_age_ms = self._reports.age_ms
         are_fresh = max(submissions_age_ms, reports_age_ms) < limit_ms
-        if are_fresh != self._are_deciding:
-            self._are_deciding = are_fresh
+        if are_fresh != self._were_replicas_fresh:
+            self._were_replicas_fresh = are_fresh
             decision_log.record(
                 'decisions_resumed' if are_fresh else 'decisions_paused',
                 epoch=self._leadership.epoch,
--- a/model/specifications/election.pml
+++ b/model/specifications/election.pml
@@ -12,7 +12,7 @@
 #define NEVER 9         /* a load that never completes */
 #define DELAY 1         /* wait of a weak candidate before its claim */
 #define SILENCE 3       /* a lease that is free for longer has no other taker */
-#define ABSTENTION 8    /* how long a node stands back after a hand-over */
+#define ABSTENTION 8    /* how long a node abstains after a hand-over */
 #define DOUBLINGS 3
 /* The longest case: loads of 2, 4 and 8 ticks are given up, the fourth
  * completes after 6, and the lease is free for up to 4 ticks in between. */
@@ -40,7 +40,7 @@
 byte need[2];           /* ticks that the load of a candidate takes */
 bool weak[2];           /* the candidate waits before it claims */
 bool alive[2] = true;
-byte away[2];           /* ticks left of the abstention */
+byte abstention[2];     /* ticks left of the abstention */
 byte loaded;            /* ticks of the present load */
 bool deciding;
 byte handovers;
@@ -49,13 +49,13 @@
 
 #define ALLOWED (FIXED_LIMIT -> LIMIT : LIMIT << handovers)
 #define WAITING_TIME(c) (weak[c] -> DELAY : 0)
-#define STANDS_BACK(c) (away[c] > 0 && (ENDLESS_ABSTENTION || free < SILENCE))
-#define MAY_CLAIM(c) (holder == NOBODY && alive[c] && !STANDS_BACK(c) && free >= WAITING_TIME(c))
+#define ABSTAINS(c) (abstention[c] > 0 && (ENDLESS_ABSTENTION || free < SILENCE))
+#define MAY_CLAIM(c) (holder == NOBODY && alive[c] && !ABSTAINS(c) && free >= WAITING_TIME(c))
 #define IS_LOADED (holder != NOBODY && !deciding && loaded >= need[holder])
 #define IS_TOO_SLOW (holder != NOBODY && !deciding && !IS_LOADED && !NO_LOAD_LIMIT && loaded >= ALLOWED)
 
 inline hand_over() {
-  away[holder] = (NO_ABSTENTION -> 0 : ABSTENTION);
+  abstention[holder] = (NO_ABSTENTION -> 0 : ABSTENTION);
   holder = NOBODY; loaded = 0; free = 0;
   if
   :: handovers < DOUBLINGS -> handovers++
@@ -106,11 +106,11 @@
   :: d_step { !MAY_CLAIM(0) && !MAY_CLAIM(1) && !IS_LOADED && !IS_TOO_SLOW ->
        c = 0;                               /* one tick passes */
        if
-       :: away[0] > 0 -> away[0]--
+       :: abstention[0] > 0 -> abstention[0]--
        :: else
        fi;
        if
-       :: away[1] > 0 -> away[1]--
+       :: abstention[1] > 0 -> abstention[1]--
        :: else
        fi;
        if
