--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -190,6 +190,8 @@
     async with asyncio.timeout(5):
         while len(programs.site.runs.starts) < 6:
             await asyncio.sleep(0.01)
+    # The tasks may all run on the other side before this one handles signals.
+    await programs.wait_for_log('side-1', '"event":"started"', timeout_s=15)
     async with asyncio.timeout(2):
         assert await programs.terminate('side-1') == 0
     await programs.start_program('side-1')
