--- a/dragonflynotch/workflows/evacuation.py
+++ b/dragonflynotch/workflows/evacuation.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class _Progress:
+class _EvacuationState:
     # Whether any worker of the data centre has been seen since the beginning.
     is_known: bool = False
     is_empty: bool = False
@@ -82,7 +82,7 @@
         self._decision_log = decision_log
         self._requests: EvacuationRequests | None = None
         # Evacuations that have begun, by data centre.
-        self._progress: dict[str, _Progress] = {}
+        self._progress: dict[str, _EvacuationState] = {}
         self._run_counts: dict[str, int] = {}
         self._is_paused = False
 
@@ -106,10 +106,11 @@
             return False
         return not worker.data_centre or worker.data_centre in requested
 
-    def latest_start_ms(self, now_ms: int, write_ms: int) -> int:
+    def latest_start_ms(self, now_ms: int, write_ms: int) -> int | None:
         """Return the store time after which no ordered run may start.
 
-        Returns 0 if too little time is left to order any run.
+        Returns ``None`` while starts are paused, since too little time is left
+        to order any run.
 
         Parameters
         ----------
@@ -132,7 +133,7 @@
                 remaining_ms=latest_ms - now_ms,
                 bound_ms=self.bound_ms,
             )
-        return 0 if is_paused else latest_ms
+        return None if is_paused else latest_ms
 
     def review(self, workers: Iterable[Worker], now_ms: int) -> None:
         """Stop the orders that have not started, and record the progress."""
@@ -163,7 +164,7 @@
             self._decision_log.record('evacuation_ended', data_centre=ended)
         present = Counter(worker.data_centre for worker in workers)
         for name in sorted(self._requested - self._progress.keys()):
-            self._progress[name] = _Progress()
+            self._progress[name] = _EvacuationState()
             self._decision_log.record(
                 'evacuation_began',
                 data_centre=name,
@@ -178,8 +179,8 @@
                 )
 
     def _may_still_start(self, order: Order, now_ms: int) -> bool:
-        # A run that could have started until then may have, and its guard has
-        # not reported it yet.
+        # Once its start window has passed, a run may have started unreported,
+        # so its order is left alone.
         return not order.is_stopped and order.start_by_ms > now_ms
 
     def _stop_unless_started(self, key: OrderKey, order: Order) -> None:
@@ -207,7 +208,8 @@
         }
         for name, progress in self._progress.items():
             progress.is_known |= name in cordoned.values()
-            is_empty = progress.is_known and not counts[name]
+            # Workers of unknown data centre may be in this one.
+            is_empty = progress.is_known and not counts[name] + counts['']
             if is_empty and not progress.is_empty:
                 self._decision_log.record('evacuation_empty', data_centre=name)
             progress.is_empty = is_empty
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -58,3 +58,8 @@
     def data_centre(self) -> str:
         """Data centre of the worker, or ``''`` if unknown."""
         return self.report.data_centre
+
+    @property
+    def leaves_at_ms(self) -> int | None:
+        """Store time of its departure at the earliest; ``None`` if it stays."""
+        return self.report.leaves_at_ms
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -35,6 +35,8 @@
         Store time at which the progress last changed.
     progress_read_ms : int
         Store time at which the guard last read the progress.
+    first_percent, first_percent_ms : int
+        First progress above 0 that was reported, and its store time.
     """
 
     minion_id: str
@@ -45,6 +47,8 @@
     percent: int = 0
     progress_changed_ms: int = 0
     progress_read_ms: int = 0
+    first_percent: int = 0
+    first_percent_ms: int = 0
 
     @property
     def still_ms(self) -> int:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -20,6 +20,7 @@
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
+from dragonflynotch.workflows.runs.departures import Departures
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 from dragonflynotch.workflows.runs.supervision import Supervisor
@@ -111,6 +112,13 @@
             settings.start_timeout_ms,
             settings.stop_ms,
         )
+        self._departures = Departures(
+            self._jobs,
+            self._orders,
+            self._tracker,
+            self._decision_log,
+            settings.stop_ms,
+        )
 
     @property
     def workers(self) -> dict[str, Worker]:
@@ -122,6 +130,11 @@
         """Runs still ordered in each data centre that is evacuated."""
         return self._evacuation.run_counts
 
+    @property
+    def departure_stops(self) -> int:
+        """Runs stopped since the creation because a worker leaves."""
+        return self._departures.departure_stops
+
     def apply_deployment(self, deployment: Deployment) -> None:
         """Use this version of the configuration from now on."""
         self._jobs.deployment = deployment
@@ -133,6 +146,7 @@
         self._placer.start_timeout_ms = settings.start_timeout_ms
         self._placer.stop_ms = settings.stop_ms
         self._evacuation.bound_ms = settings.evacuation_bound_ms
+        self._departures.stop_ms = settings.stop_ms
 
     def apply_evacuations(self, requests: EvacuationRequests) -> None:
         """Use these requests of the operator from now on."""
@@ -212,12 +226,19 @@
         allocations = list_allocations(
             self._jobs, self._orders, now_ms, self._settings.stop_ms
         )
+        latest_start_ms = self._evacuation.latest_start_ms(now_ms, write_ms)
         self._placer.place(
             pool,
             allocations,
             wall_ms,
             write_ms,
-            self._evacuation.latest_start_ms(now_ms, write_ms),
+            latest_start_ms,
+        )
+        self._departures.review(
+            pool,
+            self._workers.values(),
+            write_ms,
+            may_start=latest_start_ms is not None,
         )
         return Decisions(
             self._jobs.take_changes(),
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -76,7 +76,9 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
-    def send_heartbeat(self, minion_id, sequence=1, *, is_draining=False):
+    def send_heartbeat(
+        self, minion_id, sequence=1, *, is_draining=False, remaining_ms=None
+    ):
         self.guard.on_heartbeat(
             Heartbeat(
                 minion_id,
@@ -88,6 +90,7 @@
                 rack='r1',
                 capacity=(1000, 1000, 8),
                 data_centre='hall-a',
+                remaining_ms=remaining_ms,
             )
         )
 
@@ -319,12 +322,20 @@
     assert harness.log.ends == [(TASK, 1, 'lapsed')]
 
 
-@pytest.mark.parametrize('is_draining', [True, False])
-async def test_drained_minion_is_lost_once_it_has_shut_down(is_draining):
+@pytest.mark.parametrize(
+    ('drain', 'is_lost'),
+    [
+        ({'is_draining': True, 'remaining_ms': 200}, True),
+        ({'is_draining': True, 'remaining_ms': 5000}, False),
+        ({'is_draining': True}, False),
+        ({'is_draining': False}, False),
+    ],
+)
+async def test_minion_that_ended_as_announced_is_lost(drain, is_lost):
     """Runs of a removed worker must not be held until the lease expires.
 
-    A minion that announced its end and no longer listens has ended its runs.
-    Without the announcement the port may be closed for another reason.
+    A minion that no longer listens after the time that it announced has ended
+    its runs. At any other time its port may be closed for another reason.
     """
     harness = GuardHarness(GuardLimits(6000, 15_000))
     harness.start_guard()
@@ -333,9 +344,9 @@
     await harness.wait_for(lambda report: report.minion_id == 'm1')
     await harness.order('m1')
     await harness.wait_for(is_task_running)
-    harness.send_heartbeat('m1', 2, is_draining=is_draining)
+    harness.send_heartbeat('m1', 2, **drain)
     minion.crash()
-    if is_draining:
+    if is_lost:
         await harness.wait_for(lambda report: not report.is_live)
     else:
         await asyncio.sleep(1)
@@ -345,7 +356,7 @@
 
 async def test_shut_down_minion_counts_again_if_it_responds(harness, minion):
     """A port that was closed for a moment must not end the session."""
-    harness.send_heartbeat('m1', 2, is_draining=True)
+    harness.send_heartbeat('m1', 2, is_draining=True, remaining_ms=0)
     minion.is_crashed = True
     await harness.wait_for(lambda report: not report.is_live)
     minion.is_crashed = False
@@ -458,3 +469,54 @@
         assert not (await harness.report()).rejected
         await asyncio.sleep(0.002)
     assert not harness.log.ends
+
+
+async def test_report_carries_the_notice_until_it_is_withdrawn(harness):
+    """The scheduler must know when a worker leaves, and that it stays."""
+    harness.add_minion('m')
+    harness.send_heartbeat('m')
+    await harness.wait_for(lambda report: report.is_ready)
+    latest_ms = harness.store.store_clock.latest_ms() + 5500
+    harness.send_heartbeat('m', 2, is_draining=True, remaining_ms=5500)
+    # Well before the next periodic report.
+    report = await harness.wait_for(lambda report: report.leaves_at_ms, 0.2)
+    assert not report.is_ready
+    assert latest_ms - 100 < report.leaves_at_ms <= latest_ms + 20
+    harness.send_heartbeat('m', 3)
+    report = await harness.wait_for(lambda report: report.is_ready, 0.2)
+    assert report.leaves_at_ms is None
+
+
+async def test_restarted_guard_keeps_the_notice(harness):
+    """Reports between the restart and the next heartbeat must not drop it."""
+    harness.add_minion('m')
+    harness.send_heartbeat('m', 1, is_draining=True, remaining_ms=5500)
+    before = await harness.wait_for(lambda report: report.leaves_at_ms)
+    await harness.stop_guard()
+    harness.start_guard()
+    after = await harness.wait_for(
+        lambda report: report.token > before.token and report.minion_id
+    )
+    assert after.leaves_at_ms is not None
+    assert abs(after.leaves_at_ms - before.leaves_at_ms) < 100
+
+
+async def test_heartbeats_of_one_notice_do_not_rewrite_the_report(harness):
+    """A write for each heartbeat would load the store."""
+    harness.add_minion('m')
+    harness.send_heartbeat('m', 1, is_draining=True, remaining_ms=5500)
+    await harness.wait_for(lambda report: report.leaves_at_ms)
+    writes = []
+    commit = harness.store.commit
+
+    async def count_commit(*args):
+        writes.append(args)
+        return await commit(*args)
+
+    harness.store.commit = count_commit
+    for number in range(10):
+        await asyncio.sleep(0.02)
+        harness.send_heartbeat(
+            'm', 2 + number, is_draining=True, remaining_ms=5480 - 20 * number
+        )
+    assert len(writes) <= 2
