Add load patterns in which wide gangs find no whole workers

Wide urgent gangs wait while narrow batch runs hold a part of every worker; the five patterns do not show it. 'narrow burst' has a burst of batch tasks of one accelerator before wide gangs. 'urgent waves' has workers that differ in speed by a factor of two, a tail of run times of seven times the mean, and estimates that are wrong by up to 90%. A gang runs at the speed of its slowest worker. The five patterns are generated as before.

--- a/benchmarks/workflows/loads.py
+++ b/benchmarks/workflows/loads.py
@@ -15,6 +15,7 @@
     'LoadPattern',
     'generate_arrivals',
     'rack_names',
+    'slowdowns',
 )
 
 _SERVICE = 'planner'
@@ -62,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadPattern:
-    """A fleet of equal workers and the jobs that arrive at it.
+    """A fleet of workers and the jobs that arrive at it.
 
     Parameters
     ----------
@@ -78,6 +79,12 @@
         Queue whose rate is multiplied during the burst, or ``''``.
     burst_factor : float
         Factor of the burst.
+    bursts_ms : tuple of tuple of int
+        Start and end of each burst.
+    max_slowdown : float
+        Run time on the slowest workers, as a multiple of that on the fastest.
+    tail_share, tail_factor : float
+        Share of the jobs whose run time is multiplied, and the factor.
     """
 
     classes: tuple[JobClass, ...]
@@ -87,6 +94,10 @@
     rates: dict[str, float]
     burst_queue: str = ''
     burst_factor: float = 1
+    bursts_ms: tuple[tuple[int, int], ...] = ((5_000, 12_000),)
+    max_slowdown: float = 1
+    tail_share: float = 0
+    tail_factor: float = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +150,17 @@
     JobClass('normal', 3, 0.9, 13, 52, 17_000, True, 0.9, 0.45),
     JobClass('batch', 1, 0.3, 38, 11, 12_000, False, 0.9, 0.45),
 )
+# Batch steps of one accelerator for each task, and gangs of whole workers.
+_WIDE_AND_NARROW = (
+    JobClass('urgent', 4, 0.8, 5, 4, 5000, True, 0.5, 0),
+    JobClass('normal', 3, 0.9, 6.5, 4, 17_000, True, 0.9, 0.45),
+    JobClass('batch', 1, 0.3, 50, 3, 15_000, False, 0.9, 0.45),
+)
+_POORLY_ESTIMATED = (
+    JobClass('urgent', 4, 0.8, 5, 8, 4200, True, 0.9, 0),
+    JobClass('normal', 3, 0.9, 6.5, 14, 18_800, True, 0.9, 0.45),
+    JobClass('batch', 1, 0.3, 50, 6, 13_000, False, 0.9, 0.45),
+)
 
 LOADS = {
     # Few workers, a burst of urgent gangs.
@@ -173,12 +195,35 @@
     'urgent overload': LoadPattern(
         _WIDE, 15, 128, 16, {'urgent': 1.2, 'normal': 0.1, 'batch': 0.1}
     ),
+    # Narrow batch tasks occupy a part of every worker when wide gangs arrive.
+    'narrow burst': LoadPattern(
+        _WIDE_AND_NARROW,
+        40,
+        32,
+        8,
+        {'urgent': 0.35, 'normal': 0.1, 'batch': 0.12},
+        'batch',
+        5,
+        bursts_ms=((1_000, 7_000),),
+    ),
+    # Waves of urgent gangs on workers of different speeds; estimates are poor.
+    'urgent waves': LoadPattern(
+        _POORLY_ESTIMATED,
+        36,
+        128,
+        9,
+        {'urgent': 0.25, 'normal': 0.08, 'batch': 0.12},
+        'urgent',
+        4,
+        bursts_ms=((6_000, 11_000), (20_000, 25_000), (34_000, 39_000)),
+        max_slowdown=2,
+        tail_share=0.04,
+        tail_factor=7,
+    ),
 }
 
 _ARRIVALS_START_MS = 0
 _ARRIVALS_END_MS = 45_000
-_BURST_START_MS = 5_000
-_BURST_END_MS = 12_000
 # Shares of the gangs that want one rack, and of other jobs with a data rack.
 _ONE_RACK_SHARE = 0.7
 _DATA_RACK_SHARE = 0.12
@@ -192,7 +237,10 @@
         at_ms = float(_ARRIVALS_START_MS)
         while True:
             rate = load.rates[job_class.queue]
-            is_burst = _BURST_START_MS <= at_ms < _BURST_END_MS
+            is_burst = any(
+                start_ms <= at_ms < end_ms
+                for start_ms, end_ms in load.bursts_ms
+            )
             if is_burst and job_class.queue == load.burst_queue:
                 rate *= load.burst_factor
             at_ms += random.expovariate(rate) * _MS_PER_S
@@ -211,6 +259,8 @@
         load.workers if job_class.is_gang else load.workers * 8,
     )
     run_ms = job_class.work_ms * random.lognormvariate(0, 0.3)
+    if load.tail_share and random.random() < load.tail_share:
+        run_ms *= load.tail_factor
     error = random.uniform(-job_class.estimate_error, job_class.estimate_error)
     step = StepSpec(
         count=width,
@@ -254,6 +304,14 @@
     )
 
 
+def slowdowns(load: LoadPattern) -> Sequence[float]:
+    """Return the run time on each worker relative to the mean."""
+    # Neighbours differ, so that each rack has workers of all speeds.
+    steps = 3
+    spread = (load.max_slowdown - 1) / (load.max_slowdown + 1)
+    return [1 + spread * (number % steps - 1) for number in range(load.workers)]
+
+
 def rack_names(load: LoadPattern) -> Sequence[str]:
     """Return the rack of each worker."""
     return [
--- a/benchmarks/workflows/replay.py
+++ b/benchmarks/workflows/replay.py
@@ -11,6 +11,7 @@
     Arrival,
     LoadPattern,
     rack_names,
+    slowdowns,
 )
 from dragonflynotch.workflows.jobs import StepSpec, parse_task_id
 from dragonflynotch.workflows.records import (
@@ -71,6 +72,7 @@
     node: str
     minion_id: str
     rack: str
+    slowdown: float
     runs: dict[str, _Run] = field(default_factory=dict)
     ended: list[RunEnd] = field(default_factory=list)
     end_count: int = 0
@@ -127,8 +129,10 @@
         self._scheduler = Scheduler(SchedulerSettings(stop_ms=_STOP_MS))
         self._scheduler.apply_deployment(DEPLOYMENT)
         self._workers = {
-            f'm{number}': _Worker(f'n{number}', f'm{number}', rack)
-            for number, rack in enumerate(rack_names(load))
+            f'm{number}': _Worker(f'n{number}', f'm{number}', rack, slowdown)
+            for number, (rack, slowdown) in enumerate(
+                zip(rack_names(load), slowdowns(load), strict=True)
+            )
         }
         for arrival in arrivals:
             self._at(arrival.at_ms, partial(self._submit, arrival))
@@ -206,7 +210,12 @@
             self._begin_gang(task, step)
         else:
             is_off_rack = bool(step.data_rack) and step.data_rack != worker.rack
-            self._begin(worker, worker.runs[task], is_off_rack=is_off_rack)
+            self._begin(
+                worker.runs[task],
+                worker,
+                worker.slowdown,
+                is_off_rack=is_off_rack,
+            )
 
     def _begin_gang(self, task: str, step: StepSpec) -> None:
         """Start the work of a gang once all of its members are present."""
@@ -215,11 +224,17 @@
             return
         racks = {worker.rack for worker, _ in members}
         is_off_rack = step.wants_one_rack and len(racks) > 1
+        # The members wait for the slowest of them.
+        slowdown = max(worker.slowdown for worker, _ in members)
         for worker, run in members:
-            self._begin(worker, run, is_off_rack=is_off_rack)
+            self._begin(run, worker, slowdown, is_off_rack=is_off_rack)
 
-    def _begin(self, worker: _Worker, run: _Run, *, is_off_rack: bool) -> None:
-        run.slowdown = _OFF_RACK_SLOWDOWN if is_off_rack else 1
+    def _begin(
+        self, run: _Run, worker: _Worker, slowdown: float, *, is_off_rack: bool
+    ) -> None:
+        run.slowdown = slowdown
+        if is_off_rack:
+            run.slowdown *= _OFF_RACK_SLOWDOWN
         restore_ms = _RESTORE_MS if run.saved_ms else 0
         run.work_started_ms = self._now_ms + restore_ms
         remaining_ms = (run.work_ms - run.saved_ms) * run.slowdown
