Choose the runs that make room by worker

The runs that cost least one by one were stopped until a step fitted, so runs of a whole worker were stopped where one run of another worker cost less, and the room of all members of a gang was not compared with that of single runs. Now each worker's cheapest way to one, two or more tasks is computed, a gang costs once and all of its room counts, and a gang that wants one rack gets the rack where that costs least.

--- a/dragonflynotch/workflows/placement/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -87,6 +87,7 @@
         is_stopping=order.is_stopped,
         is_resumable=spec.has_checkpoints,
         priority=jobs.queue(job).priority,
+        preemptions=task.preemptions,
         is_preemptible=(
             spec.max_unavailable is None and not spec.is_long_running
         ),
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -282,9 +282,31 @@
             found = self._jobs.find(str(allocation.task_id))
             if found is None:
                 continue
-            _, step, task = found
+            job, step, task = found
             for member in step.tasks if step.spec.is_gang else (task,):
-                self._tracker.order_stop(member, 'room_for_urgent_work')
+                self._stop_run(waiting, job, member, allocation)
+
+    def _stop_run(
+        self,
+        waiting: WaitingStep,
+        job: Job,
+        task: Task,
+        allocation: Allocation,
+    ) -> None:
+        if task.active is None or task.active.is_stopping:
+            return
+        self._tracker.order_stop(
+            task,
+            'room_for_urgent_work',
+            for_job=waiting.urgency.job_id,
+            minion=task.active.minion_id,
+            lost_core_s=round(allocation.preemption_cost, 1),
+            is_resumable=allocation.is_resumable,
+            percent=task.active.percent,
+            preemptions=task.preemptions,
+        )
+        task.preemptions += 1
+        self._jobs.mark_changed(job)
 
     def _preemption_limits(
         self, pool: WorkerPool, waiting: WaitingStep
--- a/dragonflynotch/workflows/placement/preemption.py
+++ b/dragonflynotch/workflows/placement/preemption.py
@@ -10,6 +10,10 @@
 from math import inf
 
 from dragonflynotch.workflows.placement.step_fit import StepFit
+from dragonflynotch.workflows.placement.victim_search import (
+    Victim,
+    VictimSearch,
+)
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.placement.workers import Allocation
 from dragonflynotch.workflows.resources import Resources
@@ -51,45 +55,15 @@
     victims: list[Allocation] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class _Victim:
-    """A run, or all runs of a gang, which can only be stopped together."""
-
-    key: str
-    members: list[tuple[str, Allocation]] = field(default_factory=list)
-
-    @property
-    def cost(self) -> float:
-        """Work lost if these runs are stopped, in core seconds."""
-        return sum(run.preemption_cost for _, run in self.members)
-
-    def release(self, free: dict[str, Resources], step_fit: StepFit) -> None:
-        """Add the resources of these runs to ``free``."""
-        for minion_id, run in self.members:
-            if minion_id in free:
-                free[minion_id] += run.needs
-                step_fit.update(minion_id)
-
-    def undo_release(
-        self, free: dict[str, Resources], step_fit: StepFit
-    ) -> None:
-        """Subtract the resources of these runs from ``free`` again."""
-        for minion_id, run in self.members:
-            if minion_id in free:
-                free[minion_id] -= run.needs
-                step_fit.update(minion_id)
-
-
 def plan_room(
     pool: WorkerPool,
     demand: Demand,
     allocations: Mapping[str, Sequence[Allocation]],
     limits: PreemptionLimits,
 ) -> RoomPlan:
-    """Return the runs to stop so that a step fits.
+    """Return the runs to stop so that a step fits, at the least loss.
 
-    Runs and gangs are chosen in the order of the work lost by stopping them,
-    until the step fits. Those without which it still fits are then left out.
+    A gang that wants one rack gets room on the rack where that costs least.
     Resources reserved for steps that come earlier do not count. There are no
     victims if the step fits once the runs that are already stopping have
     ended, if it would not fit even then, or if too much work would be lost.
@@ -105,8 +79,8 @@
     step_fit = StepFit(pool, demand, free)
     if step_fit.fits:
         return RoomPlan(will_fit=True)
-    victims = _choose_needed(
-        free, step_fit, _preemptible_runs(allocations, limits)
+    victims = _choose_victims(
+        pool, demand, free, _preemptible_runs(allocations, limits)
     )
     lost_work = sum(victim.cost for victim in victims)
     if not victims or lost_work > limits.max_lost_work:
@@ -134,9 +108,13 @@
 
 def _preemptible_runs(
     allocations: Mapping[str, Sequence[Allocation]], limits: PreemptionLimits
-) -> list[_Victim]:
-    """Return the runs and gangs that may be stopped, cheapest first."""
-    found: dict[str, _Victim] = {}
+) -> dict[str, list[Victim]]:
+    """Return the runs and gangs that may be stopped, by minion.
+
+    Those of a minion are in the order of the work lost.
+    """
+    found: dict[str, Victim] = {}
+    by_minion: dict[str, dict[str, Victim]] = {}
     for minion_id, held in allocations.items():
         for run in held:
             if (
@@ -144,33 +122,51 @@
                 and not run.is_stopping
                 and run.priority > limits.priority
             ):
-                victim = found.setdefault(run.group, _Victim(run.group))
-                victim.members.append((minion_id, run))
-    return sorted(found.values(), key=lambda victim: (victim.cost, victim.key))
+                victim = found.setdefault(run.group, Victim(run.group))
+                victim.add(minion_id, run)
+                by_minion.setdefault(minion_id, {})[run.group] = victim
+    return {
+        minion: sorted(victims.values(), key=_by_cost)
+        for minion, victims in by_minion.items()
+    }
+
 
+def _by_cost(victim: Victim) -> tuple[float, str]:
+    return (victim.weight, victim.key)
 
-def _choose_needed(
+
+def _choose_victims(
+    pool: WorkerPool,
+    demand: Demand,
     free: dict[str, Resources],
-    step_fit: StepFit,
-    candidates_by_cost: Sequence[_Victim],
-) -> list[_Victim]:
-    """Return the victims that are needed for the step to fit, or none.
+    victims_by_minion: Mapping[str, Sequence[Victim]],
+) -> list[Victim]:
+    """Return the victims that are needed for the step to fit, or none."""
+    plans = [
+        VictimSearch(
+            part, StepFit(pool, demand, part), victims_by_minion
+        ).choose()
+        for part in _parts(pool, demand, free)
+    ]
+    return min(
+        filter(None, plans),
+        key=lambda plan: sum(victim.weight for victim in plan),
+        default=[],
+    )
+
+
+def _parts(
+    pool: WorkerPool, demand: Demand, free: dict[str, Resources]
+) -> list[dict[str, Resources]]:
+    """Return the resources that the step may use together.
 
-    Adds their resources to ``free``.
+    Each rack is a part if the step must run on one rack.
     """
-    chosen: list[_Victim] = []
-    for victim in candidates_by_cost:
-        victim.release(free, step_fit)
-        chosen.append(victim)
-        if step_fit.fits:
-            break
-    else:
-        return []
-    needed: list[_Victim] = []
-    # Try to do without the most expensive ones first.
-    for candidate in reversed(chosen):
-        candidate.undo_release(free, step_fit)
-        if not step_fit.fits:
-            candidate.release(free, step_fit)
-            needed.append(candidate)
-    return needed
+    spec = demand.step.spec
+    if not spec.is_gang or not spec.wants_one_rack or demand.may_span_racks:
+        return [free]
+    parts: dict[str, dict[str, Resources]] = {}
+    for minion_id, amount in free.items():
+        rack = pool.workers[minion_id].report.rack
+        parts.setdefault(rack, {})[minion_id] = amount
+    return list(parts.values())
--- a/dragonflynotch/workflows/placement/step_fit.py
+++ b/dragonflynotch/workflows/placement/step_fit.py
@@ -61,11 +61,22 @@
             )
         return self._total >= self._wanted
 
+    @property
+    def missing(self) -> int:
+        """Number of tasks that do not fit, whatever their racks."""
+        return max(0, self._wanted - self._total)
+
+    def count(self, minion_id: str) -> int:
+        """Return how many tasks fit on a minion."""
+        return self._counts.get(minion_id, 0)
+
+    def count_in(self, amount: Resources) -> int:
+        """Return how many tasks would fit on a worker with these resources."""
+        return min(self._limit, amount.fit_count(self._needs))
+
     def update(self, minion_id: str) -> None:
         """Count again what fits on a minion whose resources changed."""
-        fitting = min(
-            self._limit, self._available[minion_id].fit_count(self._needs)
-        )
+        fitting = self.count_in(self._available[minion_id])
         change = fitting - self._counts.get(minion_id, 0)
         if change:
             self._counts[minion_id] = fitting
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -26,6 +26,8 @@
     is_preemptible: bool = False
     # Whether the task can resume from a checkpoint after a stop.
     is_resumable: bool = False
+    # Earlier runs of the task that were stopped to make room.
+    preemptions: int = 0
 
 
 @dataclass(slots=True)
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -60,6 +60,8 @@
         Store time of the last failed or stalled run, by minion.
     last_failed_run : int
         Last run that was counted as a failure of the gang; 0 if there is none.
+    preemptions : int
+        Runs that were stopped to make room for other steps.
     """
 
     task_id: TaskId
@@ -70,6 +72,7 @@
     active: ActiveRun | None = None
     failed_on: dict[str, int] = field(default_factory=dict)
     last_failed_run: int = 0
+    preemptions: int = 0
 
     @property
     def is_waiting(self) -> bool:
@@ -203,6 +206,7 @@
             task.checkpoint = stored.checkpoint
             task.failed_on = dict(stored.failed_on)
             task.last_failed_run = stored.last_failed_run
+            task.preemptions = stored.preemptions
 
     def progress_row(self) -> ProgressRow:
         """Return the progress to store."""
@@ -217,6 +221,7 @@
                     task.checkpoint,
                     task.failed_on,
                     task.last_failed_run,
+                    task.preemptions,
                 )
                 for task in self.tasks()
                 if task.run
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -73,6 +73,8 @@
         Store time of the last failed or stalled run, by minion.
     last_failed_run : int
         Last run that was counted as a failure of the gang; 0 if there is none.
+    preemptions : int
+        Runs that were stopped to make room for other steps.
     """
 
     name: str
@@ -82,6 +84,7 @@
     checkpoint: str = ''
     failed_on: dict[str, int] = {}
     last_failed_run: int = 0
+    preemptions: int = 0
 
 
 class ProgressRow(msgspec.Struct, omit_defaults=True):
