--- a/dragonflynotch/workflows/placement/preemption.py
+++ b/dragonflynotch/workflows/placement/preemption.py
@@ -20,6 +20,10 @@
 
 __all__ = ('PreemptionLimits', 'RoomPlan', 'plan_room', 'stop_in_plan')
 
+# A gang that needs this many workers or more gets room by worker. For smaller
+# steps on a small fleet that leaves less room to the others.
+_MIN_WIDE_WORKERS = 4
+
 
 @dataclass(frozen=True, slots=True)
 class PreemptionLimits:
@@ -142,6 +146,11 @@
     victims_by_minion: Mapping[str, Sequence[Victim]],
 ) -> list[Victim]:
     """Return the victims that are needed for the step to fit, or none."""
+    if not _is_wide(pool, demand, free):
+        search = VictimSearch(
+            free, StepFit(pool, demand, free), victims_by_minion
+        )
+        return search.choose_singly()
     plans = [
         VictimSearch(
             part, StepFit(pool, demand, part), victims_by_minion
@@ -155,6 +164,22 @@
     )
 
 
+def _is_wide(
+    pool: WorkerPool, demand: Demand, free: Mapping[str, Resources]
+) -> bool:
+    """Return whether a step is a gang that needs several whole workers."""
+    spec = demand.step.spec
+    most_per_worker = max(
+        (
+            pool.workers[minion_id].report.resources.fit_count(spec.needs)
+            for minion_id in free
+        ),
+        default=0,
+    )
+    count = len(demand.step.tasks)
+    return spec.is_gang and count > most_per_worker * (_MIN_WIDE_WORKERS - 1)
+
+
 def _parts(
     pool: WorkerPool, demand: Demand, free: dict[str, Resources]
 ) -> list[dict[str, Resources]]:
--- a/dragonflynotch/workflows/placement/victim_search.py
+++ b/dragonflynotch/workflows/placement/victim_search.py
@@ -132,7 +132,23 @@
                 touched |= self._release(victim)
             if not self._step_fit.fits:
                 self._add_options(options, touched)
-        return self._drop_unneeded() if self._step_fit.fits else []
+        if not self._step_fit.fits:
+            return []
+        by_weight = sorted(self._chosen.values(), key=_by_weight)
+        return self._drop_unneeded(reversed(by_weight))
+
+    def choose_singly(self) -> list[Victim]:
+        """Return the victims that are needed, the least work lost first."""
+        victims = {
+            victim.key: victim
+            for held in self._by_minion.values()
+            for victim in held
+        }
+        for candidate in sorted(victims.values(), key=_by_cost):
+            self._release(candidate)
+            if self._step_fit.fits:
+                return self._drop_unneeded(reversed(self._chosen.values()))
+        return []
 
     def _add_options(
         self,
@@ -214,17 +230,21 @@
                 self._free[minion_id] -= victim.needs_on(minion_id)
                 self._step_fit.update(minion_id)
 
-    def _drop_unneeded(self) -> list[Victim]:
+    def _drop_unneeded(self, dearest_first: Iterable[Victim]) -> list[Victim]:
         """Return the chosen victims without which the step does not fit."""
         needed = []
         # Try to do without the most expensive ones first.
-        by_cost = sorted(
-            self._chosen.values(),
-            key=lambda victim: (victim.weight, victim.key),
-        )
-        for candidate in reversed(by_cost):
+        for candidate in list(dearest_first):
             self._undo_release(candidate)
             if not self._step_fit.fits:
                 self._release(candidate)
                 needed.append(candidate)
         return needed
+
+
+def _by_cost(victim: Victim) -> tuple[float, str]:
+    return (victim.cost, victim.key)
+
+
+def _by_weight(victim: Victim) -> tuple[float, str]:
+    return (victim.weight, victim.key)
