Replay workspaces that compete for accelerators

The replays had four equal workspaces, so they could not show what a workspace that floods the queues costs the others. The arrivals of the other patterns are the same as before.

--- a/benchmarks/workflows/loads.py
+++ b/benchmarks/workflows/loads.py
@@ -1,9 +1,11 @@
 """Seeded arrivals of jobs, by load pattern."""
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, replace
 from random import Random
 
+import msgspec
+
 from dragonflynotch.workflows.deployment import Deployment, Queue, Workspace
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 
@@ -11,6 +13,7 @@
     'DEPLOYMENT',
     'LOADS',
     'Arrival',
+    'Flood',
     'JobClass',
     'LoadPattern',
     'generate_arrivals',
@@ -22,6 +25,12 @@
 _RACK_PREFIX = 'rack-'
 # Accelerators that a task of a gang asks for; larger ones are more frequent.
 _GANG_ACCELERATORS = (1, 2, 4, 8, 8)
+# Guaranteed accelerators of ten workspaces, two of which are large.
+_COMPETING_GUARANTEES = {
+    'large-0': 24,
+    'large-1': 16,
+    **{f'small-{number}': 8 if number < 4 else 0 for number in range(8)},
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +69,25 @@
     checkpoint_share: float
 
 
+@dataclass(frozen=True, slots=True)
+class Flood:
+    """Small jobs that one workspace submits in addition to its others.
+
+    Parameters
+    ----------
+    rate : float
+        Jobs a second of each class.
+    start_ms, end_ms : int
+        Time of the first and of the last submission.
+    """
+
+    workspace: str
+    classes: tuple[JobClass, ...]
+    rate: float
+    start_ms: int
+    end_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadPattern:
     """A fleet of equal workers and the jobs that arrive at it.
@@ -78,6 +106,10 @@
         Queue whose rate is multiplied during the burst, or ``''``.
     burst_factor : float
         Factor of the burst.
+    workspaces : tuple of str
+        Workspace of a job; one that is listed more often has more jobs.
+    flood : Flood or None
+        Jobs with which one workspace floods the queues.
     """
 
     classes: tuple[JobClass, ...]
@@ -87,6 +119,8 @@
     rates: dict[str, float]
     burst_queue: str = ''
     burst_factor: float = 1
+    workspaces: tuple[str, ...] = tuple(f'team-{one}' for one in range(4))
+    flood: Flood | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +159,11 @@
         ),
     },
     workspaces={
-        f'team-{number}': Workspace(f'team-{number}') for number in range(4)
+        name: Workspace(name, guaranteed_accelerators=guaranteed)
+        for name, guaranteed in (
+            *((f'team-{number}', 0) for number in range(4)),
+            *_COMPETING_GUARANTEES.items(),
+        )
     },
 )
 
@@ -139,6 +177,15 @@
     JobClass('normal', 3, 0.9, 13, 52, 17_000, True, 0.9, 0.45),
     JobClass('batch', 1, 0.3, 38, 11, 12_000, False, 0.9, 0.45),
 )
+_COMPETING = (
+    JobClass('urgent', 4, 0.8, 3, 3, 4000, True, 0.2, 0),
+    JobClass('normal', 3, 0.9, 4, 3, 8000, True, 0.9, 0.45),
+    JobClass('batch', 1, 0.3, 12, 2, 8000, False, 0.9, 0.45),
+)
+_SMALL = (
+    JobClass('urgent', 1, 0.2, 1, 2, 4000, True, 0.2, 0),
+    JobClass('normal', 1, 0.3, 1, 2, 4000, True, 0.9, 0.45),
+)
 
 LOADS = {
     # Few workers, a burst of urgent gangs.
@@ -173,6 +220,20 @@
     'urgent overload': LoadPattern(
         _WIDE, 15, 128, 16, {'urgent': 1.2, 'normal': 0.1, 'batch': 0.1}
     ),
+    # Ten workspaces of uneven demand; a small one floods two queues.
+    'competing': LoadPattern(
+        _COMPETING,
+        24,
+        32,
+        8,
+        {'urgent': 1, 'normal': 0.6, 'batch': 0.3},
+        workspaces=(
+            *('large-0',) * 6,
+            *('large-1',) * 4,
+            *(f'small-{number // 2}' for number in range(16)),
+        ),
+        flood=Flood('small-7', _SMALL, 6, 8_000, 20_000),
+    ),
 }
 
 _ARRIVALS_START_MS = 0
@@ -199,9 +260,29 @@
             if at_ms > _ARRIVALS_END_MS:
                 break
             arrivals.append(_arrival(load, job_class, int(at_ms), random))
+    if load.flood is not None:
+        arrivals.extend(_flood_arrivals(load, load.flood, random))
     return sorted(arrivals, key=lambda arrival: arrival.at_ms)
 
 
+def _flood_arrivals(
+    load: LoadPattern, flood: Flood, random: Random
+) -> Iterator[Arrival]:
+    for job_class in flood.classes:
+        at_ms = float(flood.start_ms)
+        while True:
+            at_ms += random.expovariate(flood.rate) * _MS_PER_S
+            if at_ms > flood.end_ms:
+                break
+            arrival = _arrival(load, job_class, int(at_ms), random)
+            yield replace(
+                arrival,
+                spec=msgspec.structs.replace(
+                    arrival.spec, workspace=flood.workspace
+                ),
+            )
+
+
 def _arrival(
     load: LoadPattern, job_class: JobClass, at_ms: int, random: Random
 ) -> Arrival:
@@ -234,7 +315,7 @@
         f'{random.getrandbits(64):016x}',
         JobSpec(
             job_class.queue,
-            f'team-{random.randrange(4)}',
+            random.choice(load.workspaces),
             _SERVICE,
             'text',
             (step,),
--- a/benchmarks/workflows/replay.py
+++ b/benchmarks/workflows/replay.py
@@ -81,6 +81,7 @@
     """Outcome of one job; ``value`` is what was earned of ``owed``."""
 
     queue: str
+    workspace: str
     owed: float
     value: float
     is_on_time: bool
@@ -332,6 +333,7 @@
         value = arrival.late_value if is_useful else 0
         return JobOutcome(
             queue.name,
+            arrival.spec.workspace,
             arrival.value,
             arrival.value if is_on_time else value,
             is_on_time,
--- a/tests/benchmarks/workflows/test_replay.py
+++ b/tests/benchmarks/workflows/test_replay.py
@@ -1,5 +1,7 @@
 """Tests of the replay of loads against the scheduler."""
 
+from dataclasses import replace
+
 import pytest
 
 from benchmarks.workflows.loads import LOADS, generate_arrivals
@@ -27,3 +29,14 @@
     arrivals = generate_arrivals(load, seed)[:2]
     outcomes = replay(load, arrivals).outcomes
     assert all(outcome.is_completed for outcome in outcomes)
+
+
+def test_flood_leaves_the_other_arrivals_unchanged():
+    """The jobs of the other workspaces must be comparable without the flood."""
+    load = LOADS['competing']
+    usual = generate_arrivals(replace(load, flood=None), 3)
+    flooded = generate_arrivals(load, 3)
+    added = [arrival for arrival in flooded if arrival not in usual]
+    assert [arrival for arrival in flooded if arrival in usual] == usual
+    assert len(added) > 100
+    assert {arrival.spec.workspace for arrival in added} == {'small-7'}
