Let workspaces take turns with overdue jobs

The overdue job that comes before other work was the one accepted first, so after a flood all overdue jobs of one workspace came before those of the others, and the wait of a wide job had no bound but the length of the flood. Workspaces now take turns: with W workspaces that have overdue jobs, the first of each waits for at most W - 1 others. A job keeps its turn until it ends. With one workspace the order is as before.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -5,7 +5,7 @@
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
-from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
+from dragonflynotch.workflows.ordering.overdue import OverdueTurns
 from dragonflynotch.workflows.ordering.ranking import compute_urgency
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
 from dragonflynotch.workflows.placement.allocations import (
@@ -71,6 +71,7 @@
         self.start_timeout_ms = start_timeout_ms
         self.stop_ms = stop_ms
         self._start_by_ms = 0
+        self._overdue_turns = OverdueTurns()
         self._wait_log = WaitLog(decision_log)
 
     def place(
@@ -118,7 +119,7 @@
         self, pool: WorkerPool, wall_ms: int
     ) -> list[WaitingStep]:
         urgent_demand = self._jobs.urgent_accelerator_demand()
-        overdue_job = longest_overdue_job(self._jobs, pool)
+        overdue_job = self._overdue_turns.choose(self._jobs, pool)
         waiting = []
         for job in self._jobs.open_jobs():
             is_guaranteed = self._is_guaranteed(job, urgent_demand)
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -75,12 +75,14 @@
         for node in self.incarnations:
             self.report(node)
 
-    def submit(self, job_id, queue='normal', *steps, **fields):
+    def submit(
+        self, job_id, queue='normal', *steps, workspace='team', **fields
+    ):
         self.scheduler.put_job(
             job_id,
             JobSpec(
                 queue=queue,
-                workspace='team',
+                workspace=workspace,
                 service=SERVICE,
                 payload='text',
                 steps=steps or (StepSpec(1, 1000, 1000, 1, 2000),),
