Put workspaces above their share behind the others

By work left alone, a workspace that floods a queue with small jobs came before all wider jobs of the others. Within a tier and a priority, steps of workspaces that hold or lately held over twice their weighted dominant share now come later, in levels of a factor of two. This applies only while several workspaces wait for more than there is room for; two tests replay the same arrivals with and without shares.

Levels that count waiting steps and other limits were tried and dropped, see docs/decisions/platform-scheduling.md.

--- a/dragonflynotch/workflows/ordering/ranking.py
+++ b/dragonflynotch/workflows/ordering/ranking.py
@@ -49,6 +49,9 @@
         time.
     priority : int
         Priority of the queue in tiers 2 and 3; 0 in the others.
+    share_level : int
+        By the share of the workspace under competition, see
+        ``ordering/shares.py``; 0 otherwise.
     work_left : float
         Estimated work of the steps that are not done in tiers 2 and 3, in
         core seconds; 0 in the others.
@@ -59,12 +62,18 @@
 
     tier: int
     priority: int
+    share_level: int
     work_left: float
     last_start_ms: int
     job_id: str
     occurrence: int
     step: int
 
+    @property
+    def has_share_level(self) -> bool:
+        """Whether the share of the workspace counts in this tier."""
+        return self.tier in {_TIER_ON_TIME, _TIER_LATE}
+
     @property
     def is_guaranteed(self) -> bool:
         """Whether the step is covered by the guarantee of its workspace."""
@@ -126,6 +135,7 @@
     return Urgency(
         tier,
         queue.priority if is_useful else 0,
+        0,
         _work_left(job) if is_useful else 0,
         last_start_ms,
         job.job_id,
--- a/dragonflynotch/workflows/ordering/wait_log.py
+++ b/dragonflynotch/workflows/ordering/wait_log.py
@@ -14,6 +14,8 @@
 # All times of such entries are deleted when there are more than this.
 _MAX_LOGGED_STEPS = 10_000
 
+_LogKey = tuple[int, int, float, tuple[str, int, int]]
+
 
 @dataclass(frozen=True, slots=True)
 class WaitingStep:
@@ -31,11 +33,11 @@
         """Create a log that adds its entries to ``decision_log``."""
         self._decision_log = decision_log
         # Store time of the last entry. A change of urgency is logged at once.
-        self._logged_ms: dict[Urgency, int] = {}
+        self._logged_ms: dict[_LogKey, int] = {}
 
     def is_due(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
         """Return whether the wait of a step has not been recorded recently."""
-        logged_ms = self._logged_ms.get(waiting.urgency)
+        logged_ms = self._logged_ms.get(_log_key(waiting.urgency))
         return logged_ms is None or pool.now_ms - logged_ms >= _LOG_INTERVAL_MS
 
     def record(
@@ -47,7 +49,7 @@
         urgency = waiting.urgency
         if len(self._logged_ms) > _MAX_LOGGED_STEPS:
             self._logged_ms.clear()
-        self._logged_ms[urgency] = pool.now_ms
+        self._logged_ms[_log_key(urgency)] = pool.now_ms
         spec = waiting.step.spec
         room = pool.room_for(demand)
         self._decision_log.record(
@@ -56,6 +58,8 @@
             step=urgency.step,
             tier=urgency.tier,
             priority=urgency.priority,
+            workspace=waiting.job.spec.workspace,
+            share_level=urgency.share_level,
             work_left_core_s=round(urgency.work_left),
             tasks=len(waiting.step.waiting_tasks),
             needs=(spec.millicores, spec.memory_mb, spec.accelerators),
@@ -69,3 +73,13 @@
             waited_ms=pool.now_ms - waiting.job.spec.accepted_ms,
             last_start_in_ms=urgency.last_start_ms - pool.now_ms,
         )
+
+
+def _log_key(urgency: Urgency) -> _LogKey:
+    """Return the urgency without the share level, which changes often."""
+    return (
+        urgency.tier,
+        urgency.priority,
+        urgency.work_left,
+        (urgency.job_id, urgency.occurrence, urgency.step),
+    )
--- a/dragonflynotch/workflows/placement/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -90,4 +90,5 @@
         is_preemptible=(
             spec.max_unavailable is None and not spec.is_long_running
         ),
+        workspace=job.spec.workspace,
     )
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -1,12 +1,14 @@
 """Places waiting steps on workers, the most urgent first."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.ordering.fair_order import FairOrder
 from dragonflynotch.workflows.ordering.overdue import OverdueTurns
 from dragonflynotch.workflows.ordering.ranking import compute_urgency
+from dragonflynotch.workflows.ordering.shares import RecentUsage, WorkspaceShare
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
 from dragonflynotch.workflows.placement.allocations import (
     estimated_core_seconds,
@@ -60,6 +62,7 @@
         orders: OrderRegistry,
         tracker: RunTracker,
         decision_log: DecisionLogBuffer,
+        usage: RecentUsage,
         start_timeout_ms: int,
         stop_ms: int,
     ) -> None:
@@ -68,12 +71,18 @@
         self._orders = orders
         self._tracker = tracker
         self._decision_log = decision_log
+        self._fair_order = FairOrder(usage, self._weight, decision_log)
         self.start_timeout_ms = start_timeout_ms
         self.stop_ms = stop_ms
         self._start_by_ms = 0
         self._overdue_turns = OverdueTurns()
         self._wait_log = WaitLog(decision_log)
 
+    @property
+    def shares(self) -> Mapping[str, WorkspaceShare]:
+        """Shares of the workspaces in the last round."""
+        return self._fair_order.shares
+
     def place(
         self,
         pool: WorkerPool,
@@ -137,9 +146,17 @@
                         is_guaranteed=is_guaranteed,
                         is_overdue=job is overdue_job,
                     )
-                    waiting.append(WaitingStep(urgency, job, step))
-        waiting.sort(key=lambda entry: entry.urgency)
-        return waiting
+                    waiting.append(
+                        (
+                            self._jobs.service(job),
+                            WaitingStep(urgency, job, step),
+                        )
+                    )
+        return self._fair_order.sort(waiting, pool)
+
+    def _weight(self, workspace: str) -> float:
+        found = self._jobs.deployment.workspaces.get(workspace)
+        return 0 if found is None else found.guaranteed_accelerators
 
     def _is_guaranteed(self, job: Job, urgent_demand: Counter[str]) -> bool:
         """Return whether the guarantee of its workspace covers the job.
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -26,6 +26,7 @@
     is_preemptible: bool = False
     # Whether the task can resume from a checkpoint after a stop.
     is_resumable: bool = False
+    workspace: str = ''
 
 
 @dataclass(slots=True)
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -5,6 +5,7 @@
 from the stored rows.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from dragonflynotch.workflows.decision_log_buffer import (
@@ -14,6 +15,8 @@
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
+from dragonflynotch.workflows.ordering.fair_order import total_resources
+from dragonflynotch.workflows.ordering.shares import RecentUsage, WorkspaceShare
 from dragonflynotch.workflows.placement.allocations import list_allocations
 from dragonflynotch.workflows.placement.placer import Placer
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
@@ -91,11 +94,13 @@
             self._decision_log,
             settings.off_rack_slowdown,
         )
+        self._usage = RecentUsage()
         self._placer = Placer(
             self._jobs,
             self._orders,
             self._tracker,
             self._decision_log,
+            self._usage,
             settings.start_timeout_ms,
             settings.stop_ms,
         )
@@ -105,6 +110,16 @@
         """Workers by the node of their guard."""
         return self._workers
 
+    @property
+    def usage(self) -> RecentUsage:
+        """Shares that workspaces hold and held."""
+        return self._usage
+
+    @property
+    def shares(self) -> Mapping[str, WorkspaceShare]:
+        """Shares of the workspaces in the last round."""
+        return self._placer.shares
+
     def apply_deployment(self, deployment: Deployment) -> None:
         """Use this version of the configuration from now on."""
         self._jobs.deployment = deployment
@@ -189,6 +204,15 @@
         allocations = list_allocations(
             self._jobs, self._orders, now_ms, self._settings.stop_ms
         )
+        self._usage.update(
+            (
+                (held.workspace, held.needs)
+                for held_by_minion in allocations.values()
+                for held in held_by_minion
+            ),
+            total_resources(pool),
+            now_ms,
+        )
         self._placer.place(pool, allocations, wall_ms, write_ms)
         return Decisions(
             self._jobs.take_changes(),
--- a/tests/benchmarks/workflows/test_replay.py
+++ b/tests/benchmarks/workflows/test_replay.py
@@ -6,6 +6,7 @@
 
 from benchmarks.workflows.loads import LOADS, generate_arrivals
 from benchmarks.workflows.replay import replay
+from dragonflynotch.workflows.ordering.fair_order import FairOrder
 
 
 def test_arrivals_repeat_for_a_seed():
@@ -40,3 +41,26 @@
     assert [arrival for arrival in flooded if arrival in usual] == usual
     assert len(added) > 100
     assert {arrival.spec.workspace for arrival in added} == {'small-7'}
+
+
+def test_order_of_one_workspace_ignores_shares(monkeypatch):
+    """Under overload by one workspace, the order must stay that by work."""
+    load = replace(LOADS['overload'], workspaces=('team-0',))
+    arrivals = generate_arrivals(load, 1)[:25]
+    expected = replay(load, arrivals)
+    monkeypatch.setattr(FairOrder, 'sort', _sort_by_urgency)
+    assert replay(load, arrivals) == expected
+
+
+def test_order_with_room_for_all_ignores_shares(monkeypatch):
+    """Where less is waiting than there is room, nothing may change."""
+    load = replace(LOADS['competing'], flood=None, workers=200)
+    arrivals = generate_arrivals(load, 1)[:40]
+    expected = replay(load, arrivals)
+    monkeypatch.setattr(FairOrder, 'sort', _sort_by_urgency)
+    assert replay(load, arrivals) == expected
+
+
+def _sort_by_urgency(self, waiting, pool):
+    entries = [entry for _, entry in waiting]
+    return sorted(entries, key=lambda entry: entry.urgency)
