Keep the usage of workspaces over a change of leader and show it

The recent shares were known to the leader alone, so a flood counted anew with each change of leader. Metrics show the current, recent and entitled share of each workspace.

--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -70,3 +70,5 @@
             await self._term.run()
         finally:
             self._term = None
+            # The next holder of the lease reports the shares.
+            self._context.record_shares({})
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -23,6 +23,7 @@
     Table,
     shard_of,
 )
+from dragonflynotch.control.usage_row import UsageRowWriter, restore_usage
 from dragonflynotch.control.watch import TableWatch
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
@@ -31,6 +32,7 @@
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.jobs import JobSpec
+from dragonflynotch.workflows.ordering.shares import WorkspaceShare
 from dragonflynotch.workflows.records import (
     Order,
     ProgressRow,
@@ -85,6 +87,8 @@
         Returns the configuration in force, or ``None`` before the first.
     record_round : callable
         Receives the duration of the decisions of each round, in seconds.
+    record_shares : callable
+        Receives the shares of the workspaces after each round.
     """
 
     store: RowStore
@@ -93,6 +97,9 @@
     leadership: Leadership
     deployment: Callable[[], Deployment | None]
     record_round: Callable[[float], None]
+    record_shares: Callable[[Mapping[str, WorkspaceShare]], None] = (
+        lambda shares: None
+    )
 
 
 class LeaderTerm:
@@ -116,6 +123,7 @@
         self._deployment = context.deployment
         self._store = context.store
         self._record_round = context.record_round
+        self._record_shares = context.record_shares
         self._scheduler = Scheduler(settings)
         self._submissions = TableWatch(
             context.store,
@@ -131,6 +139,7 @@
             context.clock,
             _FEED_TIMEOUT,
         )
+        self._usage_writer = UsageRowWriter()
         self._rows_changed = asyncio.Event()
         self._lease_written_ms = context.clock.now_ms()
         self._write_duration_ms = 0
@@ -188,6 +197,9 @@
                 decision_log.record('order_unreadable', key=row.key)
                 continue
             self._scheduler.restore_order(minion_id, task, order)
+        await restore_usage(
+            self._store, self._scheduler.usage, self._store_now_ms()
+        )
         self._is_loading = False
         for node, (report, version) in self._loaded_reports.items():
             self._scheduler.apply_report(
@@ -279,6 +291,7 @@
             int(time.time() * _MS_PER_S),
             self._write_duration_ms,
         )
+        self._record_shares(self._scheduler.shares)
         self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
         return decisions
 
@@ -320,6 +333,11 @@
             # row is deleted only after the submission.
             if await self._delete_submission(job_id):
                 writes.append(RowWrite(_scheduler_row(PROGRESS, job_id), None))
+        writes.extend(
+            self._usage_writer.take_write(
+                self._scheduler.usage, self._store_now_ms()
+            )
+        )
         waiting = self._scheduler.waiting_by_queue()
         started_ms = self._clock.now_ms()
         for start in range(0, max(1, len(writes)), _MAX_ROWS_PER_WRITE):
--- a/dragonflynotch/observability/job_metrics.py
+++ b/dragonflynotch/observability/job_metrics.py
@@ -4,6 +4,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from dragonflynotch.workflows.ordering.shares import WorkspaceShare
+
 __all__ = ('JobMetrics',)
 
 _BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
@@ -48,6 +50,16 @@
             registry=self._registry,
             buckets=_BUCKETS_S,
         )
+        self._shares = {
+            kind: Gauge(
+                f'dragonflynotch_workspace_{kind}_share',
+                f'{kind.capitalize()} share of all resources by workspace.',
+                const_labels=labels,
+                registry=self._registry,
+            )
+            for kind in ('current', 'recent', 'entitled')
+        }
+        self._share_names: set[str] = set()
         self._gauges: dict[str, Gauge] = {}
 
     def count_call(self, method: str, status: int, duration_s: float) -> None:
@@ -59,6 +71,17 @@
         """Record how long the decisions of a round took, in seconds."""
         self._round_duration.observe({}, duration_s)
 
+    def record_shares(self, shares: Mapping[str, WorkspaceShare]) -> None:
+        """Record the shares of workspaces; those that are absent have none."""
+        none = WorkspaceShare(0, 0, 0)
+        self._share_names |= shares.keys()
+        for name in self._share_names:
+            share = shares.get(name, none)
+            labels = {'workspace': name}
+            self._shares['current'].set(labels, share.current)
+            self._shares['recent'].set(labels, share.recent)
+            self._shares['entitled'].set(labels, share.entitled)
+
     def render(self) -> bytes:
         """Return all series in the Prometheus text format."""
         for name, reading in self._read_gauges().items():
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -72,6 +72,7 @@
                 self._leadership,
                 self._deployment,
                 self._metrics.record_round,
+                self._metrics.record_shares,
             ),
             _scheduler_settings(settings),
         )
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -18,6 +18,7 @@
     'RunEnd',
     'RunningTask',
     'TaskRow',
+    'UsageRow',
     'decode_row',
     'encode_row',
 )
@@ -127,6 +128,24 @@
     waiting: dict[str, int] = {}
 
 
+class UsageRow(msgspec.Struct):
+    """Recent usage of workspaces, kept for the next scheduler.
+
+    Parameters
+    ----------
+    version : int
+        Version of the format.
+    stored_ms : int
+        Store time of the shares.
+    shares : dict of str to float
+        Decayed mean of the dominant share of each workspace.
+    """
+
+    version: int
+    stored_ms: int
+    shares: dict[str, float]
+
+
 class Order(msgspec.Struct, omit_defaults=True):
     """Order to a guard to run a task; stored until the run has ended.
 
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -7,10 +7,11 @@
 
 from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
 from dragonflynotch.control.submissions import Accepted
+from dragonflynotch.control.usage_row import USAGE_NAME
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import StoreFault
-from dragonflynotch.workflows.records import JobState
+from dragonflynotch.workflows.records import JobState, UsageRow, decode_row
 from dragonflynotch.workflows.scheduler import Scheduler
 from tests.control.cluster import Cluster, tasks
 
@@ -89,6 +90,18 @@
     assert not cluster.log.overlapping_tasks
 
 
+async def test_usage_of_workspaces_is_stored_for_the_next_scheduler(cluster):
+    """After a takeover, a workspace must not seem to have run nothing."""
+    await cluster.submit('a', tasks(4, 2))
+    await cluster.wait_for_state('a', JobState.completed)
+    await cluster.submit('b', tasks(1))
+    async with asyncio.timeout(10):
+        while await cluster.store.read_row(USAGE_NAME) is None:
+            await asyncio.sleep(0.05)
+    row = await cluster.store.read_row(USAGE_NAME)
+    assert 'team' in decode_row(row.content, UsageRow).shares
+
+
 async def test_waiting_jobs_start_soon_after_the_loss_of_the_scheduler(
     cluster,
 ):
