--- a/dragonflynotch/control/leader_pace.py
+++ b/dragonflynotch/control/leader_pace.py
@@ -128,7 +128,7 @@
         decision_ms: int,
         write_ms: int,
         *,
-        are_replicas_fresh: bool,
+        could_decide: bool,
     ) -> None:
         """Count one round.
 
@@ -140,8 +140,9 @@
             Time that the decisions took.
         write_ms : int
             Time that the last write took.
-        are_replicas_fresh : bool
-            Whether the replicas were recent enough to decide.
+        could_decide : bool
+            Whether all rows, also the operator's, were recent enough to start
+            runs.
 
         Raises
         ------
@@ -149,15 +150,13 @@
             If rounds have been late for too long.
         """
         counted_ms = min(duration_ms, _MAX_COUNTED_MS)
-        self._stale_ms = (
-            0 if are_replicas_fresh else self._stale_ms + counted_ms
-        )
+        self._stale_ms = 0 if could_decide else self._stale_ms + counted_ms
         is_excused = (
             write_ms > _PROMPT_WRITE_MS and self._stale_ms <= _MAX_EXCUSED_MS
         )
         if decision_ms > _SLOW_DECISION_MS:
             self._record_late(counted_ms, 'rounds')
-        elif are_replicas_fresh:
+        elif could_decide:
             self._late_ms = max(0, self._late_ms - counted_ms)
             self._on_time_ms += counted_ms
         elif not is_excused:
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -71,7 +71,7 @@
 
 
 def _ignore_duration(_: float) -> None:
-    """Take the place of a metric."""
+    """Discard the duration; used if no metric is given."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,7 +308,8 @@
             decisions = self._decide()
         self._check_pace(
             started_ms,
-            are_replicas_fresh=are_fresh and self._allow_starts(evacuations),
+            could_decide=are_fresh
+            and self._are_operator_rows_recent(evacuations),
         )
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
@@ -330,7 +331,7 @@
         self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
         return decisions
 
-    def _check_pace(self, started_ms: int, *, are_replicas_fresh: bool) -> None:
+    def _check_pace(self, started_ms: int, *, could_decide: bool) -> None:
         """Raise ``CannotKeepUpError`` if rounds have been late for too long."""
         now_ms = self._clock.now_ms()
         previous_ms = max(self._paced_ms, self._lease_written_ms)
@@ -339,7 +340,7 @@
             now_ms - previous_ms,
             now_ms - started_ms,
             self._write_duration_ms,
-            are_replicas_fresh=are_replicas_fresh,
+            could_decide=could_decide,
         )
         if self._pace.is_settled:
             self._leadership.settle()
@@ -364,8 +365,14 @@
             )
         return are_fresh
 
-    def _allow_starts(self, evacuations: EvacuationRequests | None) -> bool:
-        """Whether the operator's rows are recent enough to start runs."""
+    def _are_operator_rows_recent(
+        self, evacuations: EvacuationRequests | None
+    ) -> bool:
+        """Return whether the operator's rows are younger than the bound.
+
+        Without the margins of ``Evacuation``, so that the lease is handed over
+        only once no run can start any more.
+        """
         if evacuations is None:
             return False
         if self._evacuation_bound_ms is None:
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -34,7 +34,8 @@
 # Running tasks do not depend on the holder: a late takeover only delays starts.
 _TAKEOVER_TIMEOUT = timedelta(milliseconds=2200)
 _NO_DELAY = timedelta()
-# After a hand-over the node leaves a free lease to the others for this long.
+# Longer than the takeover timeout plus the largest claim delay, so that every
+# other candidate can claim the lease first.
 _ABSTENTION = timedelta(seconds=6)
 _RELEASE_TIMEOUT_S = 1
 # Covers a whole call, since the next holder has to learn of the hand-over.
--- a/dragonflynotch/entry/members/discovery.py
+++ b/dragonflynotch/entry/members/discovery.py
@@ -26,7 +26,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether every live guard has announced itself since the begin."""
+        """Whether every live guard has announced itself since ``begin``."""
         if self._began_at is None:
             return False
         return self._clock.now() - self._began_at > _DISCOVERY_TIME
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -36,7 +36,7 @@
 # The minion is on the same machine, so a call that takes longer is taken as
 # lost.
 _CALL_TIMEOUT = timedelta(milliseconds=600)
-# A longer notice, of a day, does not come from a working minion.
+# One day; a longer notice is taken as unreadable.
 _MAX_REMAINING_MS = 86_400_000
 
 
@@ -61,7 +61,7 @@
     seq: int = 0
     capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     labels: list[str] = []
-    remaining_ms: Any = None
+    remaining_ms: object = None
     zone: object = ''
 
 
--- a/dragonflynotch/platform/page_size.py
+++ b/dragonflynotch/platform/page_size.py
@@ -9,6 +9,7 @@
 # A page takes about this long, so that a failed page loses little and other
 # calls of this process are not delayed for longer.
 _TRANSFER_S = 0.3
+# The speed of the link is not known after a time-out.
 _TIMEOUT_DIVISOR = 2
 # A few rows may arrive at once and seem to take no time.
 _GROWTH_FACTOR = 4
@@ -22,7 +23,7 @@
     """
 
     def __init__(self) -> None:
-        """Start without a limit of our own."""
+        """Start without a limit."""
         self._limit: int | None = None
 
     @property
@@ -31,7 +32,10 @@
         return self._limit
 
     def record_page(self, rows: int, transfer_s: float) -> None:
-        """Adapt the limit to a page, of which the transfer took this long."""
+        """Adapt the limit to a page of ``rows`` rows.
+
+        ``transfer_s`` is the time from its first to its last byte, in seconds.
+        """
         if rows < min(_MIN_ROWS, self._limit or _MIN_ROWS):
             # Too small to tell the speed of the link.
             return
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -44,9 +44,11 @@
 _UNAVAILABLE_STATUSES = frozenset((429, 503, 507))
 # Statuses for calls that would fail again if repeated.
 _INVALID_CALL_STATUSES = frozenset((400, 403, 404, 413))
-# A call normally takes 10 ms, on a slow store 0.5 to 1 s.
+# Limit of a write, and of the time without a byte in a read. A call normally
+# takes 10 ms, on a slow store 0.5 to 1 s.
 _CALL_TIMEOUT = timedelta(milliseconds=1300)
-# A page of 1 MB takes 1.6 s over a link of 5 Mbit/s that nothing else uses.
+# Added to the idle limit of a read. A page of 1 MB takes 1.6 s over a free link
+# of 5 Mbit/s, and several reads share the link.
 _MAX_TRANSFER = timedelta(seconds=8)
 
 
--- a/dragonflynotch/platform/settings.py
+++ b/dragonflynotch/platform/settings.py
@@ -155,7 +155,8 @@
     def _limit(self, name: str) -> float | None:
         """Return a limit; one that is not a positive number counts as none.
 
-        Limits only order the candidates, so none prevents a start.
+        The limits only decide which candidate claims the lease first, so an
+        unreadable one does not prevent a start.
         """
         try:
             limit = float(self._fields.get(name, ''))
--- a/dragonflynotch/workflows/evacuation.py
+++ b/dragonflynotch/workflows/evacuation.py
@@ -37,7 +37,7 @@
     data_centres : frozenset of str
         Data centres to evacuate.
     current_at_ms : int
-        Store time at which this was certainly the whole of the requests.
+        Store time, in milliseconds, at which these were certainly all requests.
     """
 
     data_centres: frozenset[str]
--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -62,6 +62,10 @@
         Expected end, or ``None`` if it is not known.
     has_progress : bool
         Whether the end is expected from reported progress.
+    has_checkpoints : bool
+        Whether the run can resume from a checkpoint.
+    is_gang : bool
+        Whether these are all members of a gang.
     """
 
     leaves_at_ms: int
--- a/model/specifications/election.pml
+++ b/model/specifications/election.pml
@@ -11,7 +11,7 @@
 #define LIMIT 2         /* ticks allowed for the first load */
 #define NEVER 9         /* a load that never completes */
 #define DELAY 1         /* wait of a weak candidate before its claim */
-#define SILENCE 3       /* a lease that is free for longer has no other taker */
+#define SILENCE 3       /* takeover time in ticks; then abstaining nodes claim too */
 #define ABSTENTION 8    /* how long a node abstains after a hand-over */
 #define DOUBLINGS 3
 /* The longest case: loads of 2, 4 and 8 ticks are given up, the fourth
--- a/tests/control/test_departure_notice.py
+++ b/tests/control/test_departure_notice.py
@@ -55,7 +55,7 @@
     assert harness.notice.leaves_at_ms() == 110_000
 
 
-def test_end_of_the_notice_is_kept_while_the_worker_lives_on(harness):
+def test_end_of_the_notice_is_kept_while_the_worker_stays(harness):
     """A worker that stays on must not be reported anew at each heartbeat."""
     harness.observe(1000)
     for _ in range(5):
@@ -64,7 +64,7 @@
     assert harness.notice.leaves_at_ms() == 102_000
 
 
-def test_withdrawn_notice_is_forgotten(harness):
+def test_withdrawn_notice_is_discarded(harness):
     """The runs of a worker that stays must not be moved."""
     harness.observe(5000)
     assert harness.observe(0, is_draining=False)
--- a/tests/control/test_evacuation.py
+++ b/tests/control/test_evacuation.py
@@ -106,7 +106,7 @@
 
 
 async def test_runs_start_elsewhere_until_the_request_is_deleted(cluster):
-    """A start there voids the day, and the workers must come back."""
+    """No run may start there, and the workers must be used again."""
     assert await _run_job(cluster, 'a') == {'m0', 'm1', 'm2'}
     await cluster.request_evacuation('east')
     await asyncio.sleep(FEED_DELAY_S)
--- a/tests/control/test_leader_pace.py
+++ b/tests/control/test_leader_pace.py
@@ -73,7 +73,7 @@
         'duration_ms': 250,
         'decision_ms': 10,
         'write_ms': 10,
-        'are_replicas_fresh': True,
+        'could_decide': True,
     }
     return fields | changes
 
@@ -93,13 +93,13 @@
 
 def test_feeds_that_lag_give_up_the_lease():
     """A leader whose link cannot carry the feeds issues no orders."""
-    fields = late(are_replicas_fresh=False)
+    fields = late(could_decide=False)
     assert 20 <= rounds_until_given_up(RoundPace(0), **fields) <= 22
 
 
 def test_slow_store_is_no_reason_to_give_up_at_once():
     """Feeds lag for every candidate while the store responds slowly."""
-    fields = late(are_replicas_fresh=False, write_ms=700)
+    fields = late(could_decide=False, write_ms=700)
     pace = RoundPace(0)
     for _ in range(40):
         pace.record_round(**fields)
@@ -111,7 +111,7 @@
     pace = RoundPace(0)
     for _ in range(20):
         for _ in range(39):
-            pace.record_round(**late(are_replicas_fresh=False, write_ms=700))
+            pace.record_round(**late(could_decide=False, write_ms=700))
         pace.record_round(**late(write_ms=700))
     assert pace.late_ms == 0
 
@@ -121,7 +121,7 @@
 
     Each round with a slow write counted as on time, for 1,000 s.
     """
-    fields = late(are_replicas_fresh=False, write_ms=300)
+    fields = late(could_decide=False, write_ms=300)
     assert 59 <= rounds_until_given_up(RoundPace(0), **fields) <= 62
 
 
@@ -129,10 +129,10 @@
     """Rounds without decisions must not discard late ones or hand-overs."""
     pace = RoundPace(0)
     for _ in range(8):
-        pace.record_round(**late(are_replicas_fresh=False))
+        pace.record_round(**late(could_decide=False))
     late_ms = pace.late_ms
     for _ in range(32):
-        pace.record_round(**late(are_replicas_fresh=False, write_ms=300))
+        pace.record_round(**late(could_decide=False, write_ms=300))
     assert pace.late_ms == late_ms > 0
     assert not pace.is_settled
 
@@ -153,9 +153,9 @@
             pace.record_round(**late())
 
 
-def test_patience_with_rounds_grows_with_each_handover():
+def test_limit_of_late_rounds_grows_with_each_handover():
     """Two candidates that are both slow must not pass the lease on for ever."""
-    fields = late(are_replicas_fresh=False)
+    fields = late(could_decide=False)
     first, second = (
         rounds_until_given_up(RoundPace(handovers), **fields)
         for handovers in range(2)
--- a/tests/platform/test_slow_link.py
+++ b/tests/platform/test_slow_link.py
@@ -64,8 +64,10 @@
     assert loop.time() - started_s < 1
 
 
-async def test_trickling_response_ends(slow_store, client, monkeypatch):
-    """A response that trickles must not hold a call without an end."""
+async def test_slow_response_is_limited_in_total(
+    slow_store, client, monkeypatch
+):
+    """A response that arrives byte by byte must not exceed the total limit."""
     monkeypatch.setattr(row_store, '_MAX_TRANSFER', timedelta(seconds=0.3))
     slow_store.bytes_per_s = 2000
     with pytest.raises(PlatformUnavailableError, match='no complete'):
--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -69,7 +69,7 @@
 
 
 def test_no_run_is_ordered_in_an_evacuated_data_centre(site):
-    """A later start there voids the whole day."""
+    """A start after the bound breaks the guarantee given to the operator."""
     _request(site, 'east')
     _fill(site)
     assert _data_centres_of_orders(site) == {'west'}
