--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -10,26 +10,21 @@
 from dragonflynotch.control.leader_load import LeaderLoad
 from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.row_cleanup import delete_submission, void_report
 from dragonflynotch.control.rows import (
     ORDERS,
     PROGRESS,
     REPORTS,
     SCHEDULER_PART,
     SUBMISSIONS,
-    Committed,
     RowChange,
     RowName,
     RowStore,
     RowWrite,
     Table,
-    shard_of,
 )
 from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
-from dragonflynotch.core.errors import (
-    PlatformUnavailableError,
-    UncertainWriteError,
-)
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.evacuation import EvacuationRequests
@@ -396,7 +391,7 @@
         for job_id in decisions.expired_jobs:
             # A submission without progress would run again, so the progress
             # row is deleted only after the submission.
-            if await self._delete_submission(job_id):
+            if await delete_submission(self._store, job_id):
                 writes.append(RowWrite(_scheduler_row(PROGRESS, job_id), None))
         waiting = self._scheduler.waiting_by_queue()
         started_ms = self._clock.now_ms()
@@ -407,53 +402,14 @@
         self._lease_written_ms = self._clock.now_ms()
         self._write_duration_ms = self._lease_written_ms - started_ms
 
-    async def _delete_submission(self, job_id: str) -> bool:
-        part = shard_of(job_id)
-        names = [
-            RowName(SUBMISSIONS.name, part, f'{job_id}/{kind}')
-            for kind in ('spec', 'cancel')
-        ]
-        try:
-            await self._store.commit(
-                [RowWrite(name, None) for name in names], []
-            )
-        except (PlatformUnavailableError, UncertainWriteError) as error:
-            decision_log.record(
-                'submission_kept', job=job_id, reason=str(error)
-            )
-            return False
-        return True
-
     async def _expire_lost_guards(self) -> None:
-        """Discard the runs of guards whose authority has ended.
-
-        First replaces the guard's report, conditional on its version. If the
-        guard extends its authority at the same time, only one of the two
-        writes takes effect.
-        """
+        """Discard the runs of guards whose authority has ended."""
         now_ms = self._store_now_ms()
         for node, worker in list(self._scheduler.workers.items()):
             end_ms = worker.report.authority_end_ms + _AUTHORITY_MARGIN_MS
             if now_ms < end_ms or not worker.minion_id:
                 continue
-            name = RowName(REPORTS.name, shard_of(node), node)
-            empty = Report('', '', False, False, 0, worker.report.token)
-            # Not conditional on the lease: the authority of the guard has
-            # ended, whichever node writes this.
-            try:
-                outcome = await self._store.commit(
-                    [RowWrite(name, encode_row(empty))],
-                    [(name, worker.version)],
-                )
-            except (PlatformUnavailableError, UncertainWriteError) as error:
-                decision_log.record(
-                    'guard_not_voided', guard=node, reason=str(error)
-                )
-                continue
-            if isinstance(outcome, Committed):
-                decision_log.record(
-                    'guard_lost', guard=node, minion=worker.minion_id
-                )
+            if await void_report(self._store, node, worker):
                 self._scheduler.remove_lost_node(node)
 
 
--- /dev/null
+++ b/dragonflynotch/control/row_cleanup.py
@@ -0,0 +1,72 @@
+"""Rows of other writers that the leader deletes or replaces.
+
+These writes are not conditional on the lease: what they depend on has ended for
+certain, whichever node writes them.
+"""
+
+from dragonflynotch.control.rows import (
+    REPORTS,
+    SUBMISSIONS,
+    Committed,
+    RowName,
+    RowStore,
+    RowWrite,
+    shard_of,
+)
+from dragonflynotch.core.errors import (
+    PlatformUnavailableError,
+    UncertainWriteError,
+)
+from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.placement.workers import Worker
+from dragonflynotch.workflows.records import Report, encode_row
+
+__all__ = ('delete_submission', 'void_report')
+
+
+async def delete_submission(store: RowStore, job_id: str) -> bool:
+    """Delete the rows of a job that ended long ago.
+
+    Returns
+    -------
+    bool
+        Whether the rows have certainly been deleted.
+    """
+    part = shard_of(job_id)
+    names = [
+        RowName(SUBMISSIONS.name, part, f'{job_id}/{kind}')
+        for kind in ('spec', 'cancel')
+    ]
+    try:
+        await store.commit([RowWrite(name, None) for name in names], [])
+    except (PlatformUnavailableError, UncertainWriteError) as error:
+        decision_log.record('submission_kept', job=job_id, reason=str(error))
+        return False
+    return True
+
+
+async def void_report(store: RowStore, node: str, worker: Worker) -> bool:
+    """Replace the report of a guard whose authority has ended.
+
+    The write is conditional on the version of the report. If the guard extends
+    its authority at the same time, only one of the two writes takes effect.
+
+    Returns
+    -------
+    bool
+        Whether the report was replaced, so that the runs of the worker have
+        certainly ended.
+    """
+    name = RowName(REPORTS.name, shard_of(node), node)
+    empty = Report('', '', False, False, 0, worker.report.token)
+    try:
+        outcome = await store.commit(
+            [RowWrite(name, encode_row(empty))], [(name, worker.version)]
+        )
+    except (PlatformUnavailableError, UncertainWriteError) as error:
+        decision_log.record('guard_not_voided', guard=node, reason=str(error))
+        return False
+    if not isinstance(outcome, Committed):
+        return False
+    decision_log.record('guard_lost', guard=node, minion=worker.minion_id)
+    return True
