--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -10,26 +10,21 @@
 from dragonflynotch.control.leader_load import LeaderLoad
 from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.row_cleanup import delete_submission, void_report
 from dragonflynotch.control.rows import (
     ORDERS,
     PROGRESS,
     REPORTS,
     SCHEDULER_PART,
     SUBMISSIONS,
-    Committed,
     RowChange,
     RowName,
     RowStore,
     RowWrite,
     Table,
-    shard_of,
 )
 from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
-from dragonflynotch.core.errors import (
-    PlatformUnavailableError,
-    UncertainWriteError,
-)
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.evacuation import EvacuationRequests
@@ -71,7 +66,7 @@
 
 
 def _ignore_duration(_: float) -> None:
-    """Take the place of a metric."""
+    """Discard the duration; used if no metric is given."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,7 +303,8 @@
             decisions = self._decide()
         self._check_pace(
             started_ms,
-            are_replicas_fresh=are_fresh and self._allow_starts(evacuations),
+            could_decide=are_fresh
+            and self._are_operator_rows_recent(evacuations),
         )
         is_renewal_due = (
             self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
@@ -330,7 +326,7 @@
         self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
         return decisions
 
-    def _check_pace(self, started_ms: int, *, are_replicas_fresh: bool) -> None:
+    def _check_pace(self, started_ms: int, *, could_decide: bool) -> None:
         """Raise ``CannotKeepUpError`` if rounds have been late for too long."""
         now_ms = self._clock.now_ms()
         previous_ms = max(self._paced_ms, self._lease_written_ms)
@@ -339,7 +335,7 @@
             now_ms - previous_ms,
             now_ms - started_ms,
             self._write_duration_ms,
-            are_replicas_fresh=are_replicas_fresh,
+            could_decide=could_decide,
         )
         if self._pace.is_settled:
             self._leadership.settle()
@@ -364,8 +360,14 @@
             )
         return are_fresh
 
-    def _allow_starts(self, evacuations: EvacuationRequests | None) -> bool:
-        """Whether the operator's rows are recent enough to start runs."""
+    def _are_operator_rows_recent(
+        self, evacuations: EvacuationRequests | None
+    ) -> bool:
+        """Return whether the operator's rows are younger than the bound.
+
+        Without the margins of ``Evacuation``, so that the lease is handed over
+        only once no run can start any more.
+        """
         if evacuations is None:
             return False
         if self._evacuation_bound_ms is None:
@@ -389,7 +391,7 @@
         for job_id in decisions.expired_jobs:
             # A submission without progress would run again, so the progress
             # row is deleted only after the submission.
-            if await self._delete_submission(job_id):
+            if await delete_submission(self._store, job_id):
                 writes.append(RowWrite(_scheduler_row(PROGRESS, job_id), None))
         waiting = self._scheduler.waiting_by_queue()
         started_ms = self._clock.now_ms()
@@ -400,53 +402,14 @@
         self._lease_written_ms = self._clock.now_ms()
         self._write_duration_ms = self._lease_written_ms - started_ms
 
-    async def _delete_submission(self, job_id: str) -> bool:
-        part = shard_of(job_id)
-        names = [
-            RowName(SUBMISSIONS.name, part, f'{job_id}/{kind}')
-            for kind in ('spec', 'cancel')
-        ]
-        try:
-            await self._store.commit(
-                [RowWrite(name, None) for name in names], []
-            )
-        except (PlatformUnavailableError, UncertainWriteError) as error:
-            decision_log.record(
-                'submission_kept', job=job_id, reason=str(error)
-            )
-            return False
-        return True
-
     async def _expire_lost_guards(self) -> None:
-        """Discard the runs of guards whose authority has ended.
-
-        First replaces the guard's report, conditional on its version. If the
-        guard extends its authority at the same time, only one of the two
-        writes takes effect.
-        """
+        """Discard the runs of guards whose authority has ended."""
         now_ms = self._store_now_ms()
         for node, worker in list(self._scheduler.workers.items()):
             end_ms = worker.report.authority_end_ms + _AUTHORITY_MARGIN_MS
             if now_ms < end_ms or not worker.minion_id:
                 continue
-            name = RowName(REPORTS.name, shard_of(node), node)
-            empty = Report('', '', False, False, 0, worker.report.token)
-            # Not conditional on the lease: the authority of the guard has
-            # ended, whichever node writes this.
-            try:
-                outcome = await self._store.commit(
-                    [RowWrite(name, encode_row(empty))],
-                    [(name, worker.version)],
-                )
-            except (PlatformUnavailableError, UncertainWriteError) as error:
-                decision_log.record(
-                    'guard_not_voided', guard=node, reason=str(error)
-                )
-                continue
-            if isinstance(outcome, Committed):
-                decision_log.record(
-                    'guard_lost', guard=node, minion=worker.minion_id
-                )
+            if await void_report(self._store, node, worker):
                 self._scheduler.remove_lost_node(node)
 
 
