--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -85,7 +85,7 @@
         self._row_changed_ms = clock.now_ms()
         self._is_holder = False
         self._claim_delay = claim_delay
-        self._abstains_until_ms = clock.now_ms()
+        self._abstention_end_ms = clock.now_ms()
         self._own_handovers = 0
 
     @property
@@ -204,7 +204,7 @@
         does so within the time after which a silent holder is replaced.
         """
         self._own_handovers += 1
-        self._abstains_until_ms = self._clock.now_ms() + _milliseconds(
+        self._abstention_end_ms = self._clock.now_ms() + _milliseconds(
             _ABSTENTION
         )
         await self._release(self._row.handovers + 1, _HANDOVER_TIMEOUT_S)
@@ -264,7 +264,7 @@
 
     def _may_claim_at_once(self, lease: LeaseRow) -> bool:
         """Whether the lease has no holder that could still renew it."""
-        if self._clock.now_ms() < self._abstains_until_ms:
+        if self._clock.now_ms() < self._abstention_end_ms:
             return False
         return not lease.holder or lease.holder == self._node
 
