Report crashes of minions with the runs that were on them

Ruled out: the scheduler alone; it does not see when a start was sent, nor that connections were closed. Change: the guard observes how the minion stopped responding, logs minion_ended with the runs and their ages, and reports crashes until they have been read; a restarted guard keeps them. Decisions stay as they were.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.crash_history import CrashHistory
 from dragonflynotch.control.minion_session import MinionSession
 from dragonflynotch.control.minions import (
     Heartbeat,
@@ -14,6 +15,7 @@
     MinionState,
 )
 from dragonflynotch.control.order_book import OrderEntry
+from dragonflynotch.control.order_replica import OrderReplica
 from dragonflynotch.control.order_runner import OrderRunner, describe_outcome
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.control.rows import ORDERS, RowChange, RowStore
@@ -115,16 +117,22 @@
         self._poll_wait_ms = min(
             _MAX_POLL_WAIT_MS, limits.minion_lease_ms // _POLLS_PER_LEASE
         )
-        self._orders_by_key: dict[str, Order] = {}
+        self._orders = OrderReplica()
         self._session: MinionSession | None = None
         self._runner: OrderRunner | None = None
         self._last_report: Report | None = None
         self._has_minion_left = False
+        self._crashes = CrashHistory()
         self._identifying: set[str] = set()
         self._stopping_unordered: set[tuple[str, int]] = set()
         self._running_calls: set[asyncio.Task[object]] = set()
         self._orders_changed = asyncio.Event()
 
+    @property
+    def minion_crashes(self) -> int:
+        """Crashes of the minion that this process has observed."""
+        return self._crashes.total
+
     def apply_limits(self, limits: GuardLimits) -> None:
         """Use these limits for the next incarnation of the minion.
 
@@ -182,6 +190,7 @@
         The minion's lease could expire before its next heartbeat arrives.
         """
         self._last_report = report
+        self._crashes.restore(report.crashes)
         host, _, port = report.address.rpartition(':')
         if self._session is not None or not report.minion_id or not port:
             return
@@ -244,6 +253,9 @@
     def _begin_session(
         self, heartbeat: Heartbeat, minion: MinionClient
     ) -> None:
+        if self._session is not None:
+            self._session.mark_replaced()
+            self._crashes.add(self._session.crash)
         self._end_session()
         self._has_minion_left = False
         session = MinionSession(
@@ -256,10 +268,8 @@
             self._abandoned_runs(heartbeat.minion_id),
             self._reconcile,
         )
-        prefix = f'{heartbeat.minion_id}/'
-        for key, order in self._orders_by_key.items():
-            if key.startswith(prefix):
-                session.orders.put(key.removeprefix(prefix), order)
+        for task, order in self._orders.orders_of(heartbeat.minion_id).items():
+            session.orders.put(task, order)
         self._session = session
         self._runner = OrderRunner(
             session,
@@ -298,16 +308,15 @@
                 order = decode_row(change.content, Order)
                 if order is None:
                     decision_log.record('order_unreadable', key=change.key)
-            if order is None:
-                self._orders_by_key.pop(change.key, None)
-            else:
-                self._orders_by_key[change.key] = order
-            self._update_session_order(change.key, order)
+            minion_id, _, task = change.key.partition('/')
+            self._orders.update(minion_id, task, order)
+            self._update_session_order(minion_id, task, order)
         self._orders_changed.set()
         self._reconcile()
 
-    def _update_session_order(self, key: str, order: Order | None) -> None:
-        minion_id, _, task = key.partition('/')
+    def _update_session_order(
+        self, minion_id: str, task: str, order: Order | None
+    ) -> None:
         session = self._session
         if session is None or session.heartbeat.minion_id != minion_id:
             return
@@ -401,12 +410,23 @@
 
     def _build_report(self, authority_end_ms: int) -> Report | None:
         if self._session is not None:
-            self._last_report = self._session.report(authority_end_ms)
+            self._crashes.add(self._session.crash)
+        crashes = self._crashes.recent(
+            self._store_clock.latest_ms(), self._orders.has_orders
+        )
+        if self._session is not None:
+            self._last_report = self._session.report(authority_end_ms, crashes)
             return self._last_report
         # Before the first session the report of an earlier guard process is
         # kept, since its runs may still be present.
         if not self._has_minion_left:
             return None
         return Report(
-            '', '', False, False, authority_end_ms, self._writer.token
+            '',
+            '',
+            False,
+            False,
+            authority_end_ms,
+            self._writer.token,
+            crashes=crashes,
         )
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.crash_detector import CrashDetector
 from dragonflynotch.control.departure_notice import DepartureNotice
 from dragonflynotch.control.lease_arithmetic import MinionLease
 from dragonflynotch.control.minions import (
@@ -17,6 +18,7 @@
 from dragonflynotch.control.order_book import OrderBook
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.crash_records import MinionCrash
 from dragonflynotch.workflows.records import Report, RunningTask
 
 __all__ = ('MinionSession',)
@@ -81,6 +83,15 @@
         self._is_live = True
         self._notice = DepartureNotice(clock, store_clock)
         self._notice.observe(heartbeat)
+        self._crash_detector = CrashDetector(
+            heartbeat.minion_id, clock, store_clock
+        )
+        self._crash: MinionCrash | None = None
+
+    @property
+    def crash(self) -> MinionCrash | None:
+        """How this incarnation crashed, once it has certainly ended."""
+        return self._crash
 
     @property
     def is_live(self) -> bool:
@@ -102,6 +113,11 @@
         """Local time at which every lease of the minion has expired."""
         return self._lease.expired_at_ms
 
+    def mark_replaced(self) -> None:
+        """Record that another incarnation of the minion has started."""
+        if self._is_live:
+            self._mark_ended(is_replaced=True)
+
     def update_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Use a newer heartbeat of the incarnation."""
         previous = self.heartbeat
@@ -172,13 +188,17 @@
         self._on_failed_poll(outcome)
         return False
 
-    def report(self, authority_end_ms: int) -> Report:
+    def report(
+        self, authority_end_ms: int, crashes: list[MinionCrash]
+    ) -> Report:
         """Return the report for the scheduler.
 
         Parameters
         ----------
         authority_end_ms : int
             Store time until which the guard may extend leases.
+        crashes : list of MinionCrash
+            Recent crashes, also of earlier incarnations.
         """
         heartbeat = self.heartbeat
         state = self.orders.state
@@ -201,11 +221,13 @@
             runs_age_ms=self._clock.now_ms() - self._runs_read_ms,
             data_centre=heartbeat.data_centre,
             leaves_at_ms=self._notice.leaves_at_ms(),
+            crashes=crashes,
         )
 
     def _apply_state(self, state: MinionState) -> None:
         known_numbers = {end.number for end in self.orders.unrecorded_ends()}
         self._failed_polls = 0
+        self._crash_detector.record_response()
         self._closed_since_ms = None
         self._runs_read_ms = self._clock.now_ms()
         self._lease.observe(state.clock_ms)
@@ -221,6 +243,7 @@
             )
         if new_ends or not self._is_live:
             self._is_live = True
+            self._crash = None
             self._writer.request_write()
         self._on_state()
 
@@ -228,6 +251,8 @@
         self, outcome: OtherIncarnation | Unhealthy | NoAnswer
     ) -> None:
         self._failed_polls += 1
+        if not isinstance(outcome, Unhealthy):
+            self._crash_detector.record_failure(outcome)
         if not self._is_live:
             return
         if (
@@ -240,9 +265,17 @@
                 minion=self.heartbeat.minion_id,
                 outcome=type(outcome).__name__,
             )
-            self._is_live = False
+            self._mark_ended(is_replaced=isinstance(outcome, OtherIncarnation))
             self._writer.request_write()
 
+    def _mark_ended(self, *, is_replaced: bool) -> None:
+        self._is_live = False
+        self._crash = self._crash_detector.find_crash(
+            self.orders,
+            is_announced=self.heartbeat.is_draining,
+            is_replaced=is_replaced,
+        )
+
     def _has_shut_down(
         self, outcome: OtherIncarnation | Unhealthy | NoAnswer
     ) -> bool:
--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -7,8 +7,10 @@
 from dragonflynotch.workflows.records import RunEnd, RunningTask
 
 __all__ = (
+    'ConnectionClosed',
     'Heartbeat',
     'MinionClient',
+    'MinionOutcome',
     'MinionState',
     'NoAnswer',
     'NotListening',
@@ -127,6 +129,16 @@
     """No process listens at the minion's address; the call had no effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionClosed(NoAnswer):
+    """The peer closed the connection; the call may have taken effect."""
+
+
+# Outcome of a call that the addressed incarnation did not carry out, or of
+# which that is unknown.
+MinionOutcome = OtherIncarnation | Unhealthy | NoAnswer
+
+
 @dataclass(frozen=True, slots=True)
 class StartRequest:
     """Run to start; ``lease_end_ms`` is a time of the minion's clock."""
--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -39,6 +39,8 @@
         Whether a call for this order is in progress.
     is_stop_confirmed : bool
         Whether the minion has confirmed the stop of the run.
+    first_sent_ms : int or None
+        Local time of the first start call that may have been carried out.
     """
 
     task: str
@@ -48,6 +50,7 @@
     is_start_uncertain: bool = False
     is_busy: bool = False
     is_stop_confirmed: bool = False
+    first_sent_ms: int | None = None
 
     @property
     def needs_stop(self) -> bool:
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -7,6 +7,7 @@
 from dragonflynotch.control.minion_session import MinionSession
 from dragonflynotch.control.minions import (
     NoAnswer,
+    NotListening,
     OtherIncarnation,
     RefusalReason,
     Started,
@@ -117,7 +118,9 @@
         end_ms = self._session.grant(self._clock.now_ms() + remaining_ms)
         if not end_ms or not self._session.has_lease:
             return Unhealthy()
-        return await self._session.minion.start(
+        if entry.first_sent_ms is None:
+            entry.first_sent_ms = self._clock.now_ms()
+        outcome = await self._session.minion.start(
             StartRequest(
                 entry.task,
                 entry.order.run,
@@ -127,6 +130,9 @@
             ),
             self._writer.token,
         )
+        if _had_no_effect(outcome) and not entry.is_start_uncertain:
+            entry.first_sent_ms = None
+        return outcome
 
     async def _apply_outcome(
         self, entry: OrderEntry, outcome: StartOutcome
@@ -204,6 +210,10 @@
         self._writer.request_write()
 
 
+def _had_no_effect(outcome: StartOutcome) -> bool:
+    return isinstance(outcome, StartRefused | Unhealthy | NotListening)
+
+
 def describe_outcome(outcome: object) -> str:
     """Return the text of a call outcome for the decision log."""
     if isinstance(outcome, StartRefused):
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dragonflynotch.control.minions import (
+    ConnectionClosed,
     Heartbeat,
     MinionClient,
     MinionState,
@@ -19,7 +20,11 @@
     Stopped,
     Unhealthy,
 )
-from dragonflynotch.core.errors import LinkError
+from dragonflynotch.core.errors import (
+    LinkError,
+    LinkTimeoutError,
+    NotSentError,
+)
 from dragonflynotch.links.http11 import HttpReply
 from dragonflynotch.links.http_pool import HttpPool
 from dragonflynotch.workflows.records import RunEnd, RunningTask
@@ -201,12 +206,18 @@
                 timeout=timeout,
             )
         except LinkError as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
-                return NotListening(str(error))
-            return NoAnswer(str(error))
+            return _describe_failure(error)
         return _decode_reply(reply)
 
 
+def _describe_failure(error: LinkError) -> NoAnswer:
+    if isinstance(error.__cause__, ConnectionRefusedError):
+        return NotListening(str(error))
+    if isinstance(error, LinkTimeoutError | NotSentError):
+        return NoAnswer(str(error))
+    return ConnectionClosed(str(error))
+
+
 def _decode_reply(
     reply: HttpReply,
 ) -> _WireAnswer | StartRefused | OtherIncarnation | Unhealthy | NoAnswer:
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -234,7 +234,10 @@
         self._guard.apply_limits(_guard_limits(settings))
 
     def _gauges(self) -> dict[str, float]:
-        return {'store_calls': self._store.call_count}
+        return {
+            'store_calls': self._store.call_count,
+            'minion_crashes': self._guard.minion_crashes,
+        }
 
 
 def _scheduler_settings(settings: PlatformSettings) -> SchedulerSettings:
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dragonflynotch.workflows.crash_records import MinionCrash
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = (
@@ -227,6 +228,9 @@
     leaves_at_ms : int or None
         Store time at which the worker leaves at the earliest. ``None`` if it
         stays, or if the time is not known.
+    crashes : list of MinionCrash
+        Recent crashes of minions of this guard. Empty in rows of releases
+        that did not store them.
     """
 
     minion_id: str
@@ -246,6 +250,7 @@
     runs_age_ms: int = 0
     data_centre: str = ''
     leaves_at_ms: int | None = None
+    crashes: list[MinionCrash] = []
 
     @property
     def resources(self) -> Resources:
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -293,6 +293,69 @@
     assert [running.task for running in report.abandoned] == [TASK]
 
 
+async def test_crash_is_reported_with_the_runs_on_the_minion(harness, minion):
+    """The scheduler cannot count crashes that it is not told of."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    minion.crash()
+    await asyncio.sleep(0.05)
+    harness.add_minion('m2')
+    harness.send_heartbeat('m2')
+    report = await harness.wait_for(lambda report: report.minion_id == 'm2')
+    assert [crash.minion_id for crash in report.crashes] == ['m1']
+    assert [(run.task, run.run) for run in report.crashes[0].runs] == [
+        (TASK, 1)
+    ]
+    assert harness.guard.minion_crashes == 1
+
+
+async def test_crash_is_reported_by_a_restarted_guard(harness, minion):
+    """A restart of the guard must not lose the count of crashes."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    minion.crash()
+    await harness.wait_for(lambda report: report.crashes)
+    await harness.stop_guard()
+    harness.start_guard()
+    harness.add_minion('m2')
+    await asyncio.sleep(0.1)
+    harness.send_heartbeat('m2')
+    report = await harness.wait_for(lambda report: report.minion_id == 'm2')
+    assert [crash.minion_id for crash in report.crashes] == ['m1']
+
+
+@pytest.mark.parametrize('is_departed', [False, True])
+async def test_planned_end_is_not_reported_as_a_crash(
+    harness, minion, is_departed
+):
+    """A planned stop of a minion must not count against its runs."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    harness.send_heartbeat('m1', 2, is_draining=True, remaining_ms=0)
+    if is_departed:
+        harness.guard.on_departure('m1')
+    minion.crash()
+    harness.add_minion('m2')
+    harness.send_heartbeat('m2')
+    report = await harness.wait_for(lambda report: report.minion_id == 'm2')
+    assert not report.crashes
+
+
+async def test_minion_reborn_out_of_reach_is_not_reported_as_a_crash(
+    harness, minion
+):
+    """What ended a minion that was cut off is not known."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    minion.fault = MinionFault.cut
+    await asyncio.sleep(0.2)
+    minion.crash()
+    harness.add_minion('m2')
+    harness.send_heartbeat('m2')
+    report = await harness.wait_for(lambda report: report.minion_id == 'm2')
+    assert not report.crashes
+
+
 async def test_delayed_heartbeat_of_a_crashed_minion_is_ignored(
     harness, minion
 ):
