--- a/dragonflynotch/testing/minion_model.py
+++ b/dragonflynotch/testing/minion_model.py
@@ -7,6 +7,7 @@
 
 from dragonflynotch.control.clocks import BootClock, SteadyClock
 from dragonflynotch.control.minions import (
+    ConnectionClosed,
     MinionClient,
     MinionState,
     NoAnswer,
@@ -71,6 +72,8 @@
         Task, run and kind of each end.
     overlapping_tasks : list of str
         Tasks that were started while another run of the same task was active.
+    crashing_tasks : set of str
+        Tasks that crash each stand-in that starts them.
     """
 
     gangs: GangRegistry = field(
@@ -80,6 +83,7 @@
     starts: list[tuple[str, int, str]] = field(default_factory=list)
     ends: list[tuple[str, int, str]] = field(default_factory=list)
     overlapping_tasks: list[str] = field(default_factory=list)
+    crashing_tasks: set[str] = field(default_factory=set)
 
     def record_start(self, task: str, run: int, minion_id: str) -> None:
         """Record the start of a run."""
@@ -186,6 +190,8 @@
             request.run, self.clock_ms, request.checkpoint
         )
         self._run_log.record_start(request.task, request.run, self.minion_id)
+        if request.task in self._run_log.crashing_tasks:
+            self.crash()
         return Started(self.clock_ms)
 
     def stop(self, task: str, run: int, token: int) -> Stopped | StartRefused:
@@ -301,6 +307,8 @@
             self._model.defer_start(request, token)
             return NoAnswer('start deferred')
         outcome = self._model.start(request, token)
+        if self._model.is_crashed:
+            return ConnectionClosed('minion crashed')
         if self._model.fault is MinionFault.lose_answers:
             return NoAnswer('answer dropped')
         return outcome
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -34,6 +34,8 @@
     workspaces={'team': Workspace('team')},
 )
 CALL_TIMEOUT = timedelta(seconds=2)
+# Time from the crash of a minion to the start of its next incarnation, about.
+RESTART_DELAY_S = 0.15
 
 
 class LoopClock(SteadyClock):
@@ -103,9 +105,7 @@
         self._spawn(name, _run_all(operator_rows.run(), leader.run()))
 
     def add_minion(self, node, minion_id):
-        self.models[minion_id] = MinionModel(
-            minion_id, self.clock, self.log, lambda _: self._duration_ms
-        )
+        self.models[minion_id] = self._create_model(minion_id)
         self.start_guard(node)
         self.send_heartbeat(node, minion_id)
 
@@ -141,6 +141,30 @@
             )
         )
 
+    async def restart_crashed_minions(self):
+        """Start a new incarnation soon after each crash, until cancelled."""
+        running = {f'n{number}': f'm{number}' for number in range(3)}
+        crashes = 0
+        while True:
+            for node, minion_id in running.items():
+                if self.models[minion_id].is_crashed:
+                    crashes += 1
+                    running[node] = f'{node}-{crashes}'
+                    self.models[running[node]] = self._create_model(
+                        running[node]
+                    )
+            await asyncio.sleep(RESTART_DELAY_S)
+            for node, minion_id in running.items():
+                if node in self._tasks:
+                    self.send_heartbeat(node, minion_id)
+
+    def current_leader(self):
+        return next(
+            name
+            for name, leader in self.leaders.items()
+            if leader.is_scheduling
+        )
+
     async def kill(self, name):
         """End a candidate or a guard without a clean shutdown."""
         task = self._tasks.pop(name)
@@ -170,6 +194,11 @@
             while len(self.log.starts) < count:
                 await asyncio.sleep(0.01)
 
+    def _create_model(self, minion_id):
+        return MinionModel(
+            minion_id, self.clock, self.log, lambda _: self._duration_ms
+        )
+
     def _spawn(self, name, coroutine):
         self._tasks[name] = asyncio.create_task(coroutine)
 
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -1,5 +1,6 @@
 """A simulated site with a scheduler and a few workers, without I/O."""
 
+from dragonflynotch.workflows.crash_records import MinionCrash, RunAtCrash
 from dragonflynotch.workflows.deployment import Deployment, Queue, Workspace
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 from dragonflynotch.workflows.records import EndKind, Report, RunEnd
@@ -47,6 +48,7 @@
         self.ends = {}
         self.rejected = {}
         self.incarnations = {}
+        self.crashes = {}
         self.data_centres = {
             f'n{number}': name for number, name in enumerate(data_centres)
         }
@@ -75,6 +77,7 @@
                 ended=self.ends.get(node, []),
                 rejected=self.rejected.get(node, []),
                 data_centre=self.data_centres.get(node, ''),
+                crashes=self.crashes.get(node, []),
                 **fields,
             ),
             1,
@@ -130,6 +133,34 @@
         self.report(node)
         return self.decide()
 
+    def crash(self, node, *, ages=(), default_age_ms=10, restart_ms=3_000):
+        """Crash the minion of a node, report its next one, then decide.
+
+        Parameters
+        ----------
+        ages : mapping, optional
+            How long runs had been there, by task, in milliseconds.
+        """
+        minion, rack, accelerators = self.incarnations[node]
+        ages = dict(ages)
+        runs = [
+            RunAtCrash(task, order.run, ages.get(task, default_age_ms))
+            for (ordered_from, task), order in self.orders.items()
+            if ordered_from == minion
+        ]
+        crash = MinionCrash(minion, self.now_ms, runs)
+        self.crashes.setdefault(node, []).append(crash)
+        self.incarnations[node] = (f'{minion}+', rack, accelerators)
+        return self.decide(restart_ms)
+
+    def node_of(self, task):
+        minion = self.minion_of(task)
+        return next(
+            node
+            for node, known in self.incarnations.items()
+            if known[0] == minion
+        )
+
     def ordered_tasks(self):
         """Identifiers of the tasks that are ordered to run, without stops."""
         return sorted(
