Give up tasks that crash the minions that start them

Callers saw jobs that never ended, and other jobs lost their runs again and again. Cause: a run that ends with its minion was recorded as lapsed, which counts for nothing, so nothing bounded how often it was started. The class of fault is a retry without a budget: whoever caused the loss is not asked. Ruled out: a count lost in a takeover (there was none), faulty workers (the crashes follow the task). Ends as announced, lost machines and cut-off minions don't count, and neither do members of a gang elsewhere.

--- a/dragonflynotch/workflows/crash_records.py
+++ b/dragonflynotch/workflows/crash_records.py
@@ -1,8 +1,19 @@
 """Stored records of crashed minions and of the runs that were on them."""
 
+from enum import StrEnum
+
 import msgspec
 
-__all__ = ('MinionCrash', 'RunAtCrash')
+__all__ = ('CrashEvidence', 'MinionCrash', 'RunAtCrash', 'TaskCrash')
+
+
+class CrashEvidence(StrEnum):
+    """How clearly a crash shows that a task caused it."""
+
+    # Runs of other jobs may have caused it as well.
+    weak = 'weak'
+    # Only runs of the job of this task had just started.
+    strong = 'strong'
 
 
 class RunAtCrash(msgspec.Struct, array_like=True, frozen=True):
@@ -39,3 +50,27 @@
     minion_id: str
     at_ms: int
     runs: list[RunAtCrash]
+
+
+class TaskCrash(msgspec.Struct, array_like=True, frozen=True):
+    """A crash that a task may have caused.
+
+    Parameters
+    ----------
+    node : str
+        Node of the guard of the minion.
+    minion_id : str
+        Identifier of the incarnation.
+    run : int
+        Number of the run.
+    at_ms : int
+        Store time of the crash.
+    evidence : CrashEvidence
+        How clearly it shows that this task was the cause.
+    """
+
+    node: str
+    minion_id: str
+    run: int
+    at_ms: int
+    evidence: CrashEvidence
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from dragonflynotch.workflows.crash_records import TaskCrash
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec, TaskId
 from dragonflynotch.workflows.records import (
     EndKind,
@@ -10,6 +11,7 @@
     ProgressRow,
     TaskRow,
 )
+from dragonflynotch.workflows.runs.crash_budget import is_given_up
 from dragonflynotch.workflows.runs.worker_health import FAILURE_WINDOW_MS
 
 __all__ = ('ActiveRun', 'Job', 'Step', 'Task')
@@ -72,6 +74,8 @@
         Store time of the last failed or stalled run, by minion.
     last_failed_run : int
         Last run that was counted as a failure of the gang; 0 if there is none.
+    crashes : list of TaskCrash
+        Crashes of minions that the task may have caused.
     """
 
     task_id: TaskId
@@ -82,6 +86,7 @@
     active: ActiveRun | None = None
     failed_on: dict[str, int] = field(default_factory=dict)
     last_failed_run: int = 0
+    crashes: list[TaskCrash] = field(default_factory=list)
 
     @property
     def is_waiting(self) -> bool:
@@ -139,6 +144,15 @@
             and not self.spec.is_long_running
         )
 
+    @property
+    def is_given_up(self) -> bool:
+        """Whether a task crashed too many minions to be started again."""
+        return any(
+            is_given_up(task.crashes, is_long_running=self.spec.is_long_running)
+            for task in self.tasks
+            if task.crashes and not task.is_done
+        )
+
     @property
     def waiting_tasks(self) -> list[Task]:
         """Tasks that could start now.
@@ -175,6 +189,8 @@
             for occurrence in range(spec.occurrences)
             for number, step in enumerate(spec.steps)
         ]
+        # Whether any task may have crashed a minion.
+        self.has_suspects = False
         self._by_task_id = {
             task.task_id: (step, task)
             for step in self.steps
@@ -215,6 +231,8 @@
             task.checkpoint = stored.checkpoint
             task.failed_on = dict(stored.failed_on)
             task.last_failed_run = stored.last_failed_run
+            task.crashes = list(stored.crashes)
+            self.has_suspects |= bool(task.crashes)
 
     def progress_row(self) -> ProgressRow:
         """Return the progress to store."""
@@ -229,6 +247,7 @@
                     task.checkpoint,
                     task.failed_on,
                     task.last_failed_run,
+                    task.crashes,
                 )
                 for task in self.tasks()
                 if task.run
@@ -237,6 +256,11 @@
             workspace=self.spec.workspace,
         )
 
+    def record_crash(self, task: Task, crash: TaskCrash) -> None:
+        """Record that a task may have crashed a minion."""
+        task.crashes.append(crash)
+        self.has_suspects = True
+
     def apply_end(
         self, step: Step, task: Task, kind: EndKind, checkpoint: str
     ) -> None:
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from dragonflynotch.workflows.crash_records import MinionCrash
+from dragonflynotch.workflows.crash_records import MinionCrash, TaskCrash
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = (
@@ -74,6 +74,9 @@
         Store time of the last failed or stalled run, by minion.
     last_failed_run : int
         Last run that was counted as a failure of the gang; 0 if there is none.
+    crashes : list of TaskCrash
+        Crashes of minions that the task may have caused. Empty in rows of
+        releases that did not store them.
     """
 
     name: str
@@ -83,6 +86,7 @@
     checkpoint: str = ''
     failed_on: dict[str, int] = {}
     last_failed_run: int = 0
+    crashes: list[TaskCrash] = []
 
 
 class ProgressRow(msgspec.Struct, omit_defaults=True):
--- /dev/null
+++ b/dragonflynotch/workflows/runs/crash_tracker.py
@@ -0,0 +1,70 @@
+"""Records the crashes of minions for the tasks that may have caused them."""
+
+from collections.abc import Iterable
+
+from dragonflynotch.workflows.crash_records import (
+    CrashEvidence,
+    MinionCrash,
+    RunAtCrash,
+    TaskCrash,
+)
+from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
+from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.runs.crash_budget import find_suspects
+
+__all__ = ('CrashTracker',)
+
+
+class CrashTracker:
+    """Applies the crashes in the reports of guards to jobs.
+
+    The records are stored with the progress of the jobs, in the transaction
+    that removes the orders of the lost runs. Guards repeat a crash in their
+    reports, so each is recorded once for each task.
+    """
+
+    def __init__(
+        self, jobs: JobRegistry, decision_log: DecisionLogBuffer
+    ) -> None:
+        """Create a tracker that updates ``jobs``."""
+        self._jobs = jobs
+        self._decision_log = decision_log
+
+    def apply(self, node: str, crashes: Iterable[MinionCrash]) -> None:
+        """Record the crashes of minions of a node that are not known yet."""
+        for crash in crashes:
+            suspects, evidence = find_suspects(crash)
+            for run in suspects:
+                self._record(node, crash, run, evidence)
+
+    def _record(
+        self,
+        node: str,
+        crash: MinionCrash,
+        run: RunAtCrash,
+        evidence: CrashEvidence,
+    ) -> None:
+        found = self._jobs.find(run.task)
+        if found is None:
+            return
+        job, _, task = found
+        if job.state.is_final or task.is_done:
+            return
+        if any(known.minion_id == crash.minion_id for known in task.crashes):
+            return
+        job.record_crash(
+            task,
+            TaskCrash(node, crash.minion_id, run.run, crash.at_ms, evidence),
+        )
+        self._jobs.mark_changed(job)
+        self._decision_log.record(
+            'crash_recorded',
+            task=run.task,
+            run=run.run,
+            node=node,
+            minion=crash.minion_id,
+            evidence=evidence.value,
+            run_age_ms=run.age_ms,
+            runs_on_minion=len(crash.runs),
+            crashes=len(task.crashes),
+        )
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -65,7 +65,9 @@
         if self._jobs.is_cancelled(job):
             return JobState.cancelled
         limit = max(1, self._jobs.queue(job).max_attempts)
-        if any(step.has_failed(limit) for step in job.steps):
+        if any(
+            step.has_failed(limit) or step.is_given_up for step in job.steps
+        ):
             return JobState.failed
         if all(step.is_done for step in job.steps):
             return JobState.completed
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -20,6 +20,7 @@
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
+from dragonflynotch.workflows.runs.crash_tracker import CrashTracker
 from dragonflynotch.workflows.runs.departures import Departures
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
@@ -91,6 +92,7 @@
         self._tracker = RunTracker(
             self._jobs, self._orders, self._worker_health, self._decision_log
         )
+        self._crash_tracker = CrashTracker(self._jobs, self._decision_log)
         self._supervisor = Supervisor(
             self._jobs,
             self._tracker,
@@ -184,6 +186,7 @@
         worker = self._workers.get(node)
         previous = '' if worker is None else worker.minion_id
         self._workers[node] = Worker(node, report, version, now_ms)
+        self._crash_tracker.apply(node, report.crashes)
         self._tracker.save_abandoned_checkpoints(report.abandoned)
         if previous and previous != report.minion_id:
             self._tracker.mark_lost(previous, 'incarnation_replaced')
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -139,7 +139,8 @@
         Parameters
         ----------
         ages : mapping, optional
-            How long runs had been there, by task, in milliseconds.
+            How long runs had been there, by task, in milliseconds; ``None``
+            for those that had not started.
         """
         minion, rack, accelerators = self.incarnations[node]
         ages = dict(ages)
@@ -147,6 +148,7 @@
             RunAtCrash(task, order.run, ages.get(task, default_age_ms))
             for (ordered_from, task), order in self.orders.items()
             if ordered_from == minion
+            and ages.get(task, default_age_ms) is not None
         ]
         crash = MinionCrash(minion, self.now_ms, runs)
         self.crashes.setdefault(node, []).append(crash)
