Start suspected tasks apart from other runs

Callers of healthy jobs would have seen them fail. Cause: a round starts several runs on a worker at once, so those beside a task that crashes its minion became suspects with it, again and again on the same worker. The rank of workers stood twice and is one class now; it is the same as before while nothing is suspected.

--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -63,6 +63,10 @@
         """Return the jobs that have not ended."""
         return list(self._open.values())
 
+    def has_suspects(self) -> bool:
+        """Return whether any task of an open job may have crashed a minion."""
+        return any(job.has_suspects for job in self._open.values())
+
     def find(self, name: str) -> FoundTask | None:
         """Return the task with this identifier, with its job and step."""
         task_id = parse_task_id(name)
--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -5,8 +5,12 @@
 from itertools import repeat
 
 from dragonflynotch.workflows.placement.avoidance import avoided_by_task
+from dragonflynotch.workflows.placement.recent_starts import must_start_apart
 from dragonflynotch.workflows.placement.step_fit import StepFit
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.worker_preference import (
+    WorkerPreference,
+)
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Step, Task
 from dragonflynotch.workflows.resources import Resources
@@ -29,6 +33,7 @@
     """
     spec = demand.step.spec
     avoided = avoided_by_task(pool, demand.step, demand.service, task)
+    avoided |= _avoided_starts(pool, demand, [task])
     fitting = [
         (worker, pool.available(worker, demand))
         for worker in pool.candidates(demand)
@@ -43,15 +48,8 @@
     ]
     if not fitting:
         return None
-    worker, _ = min(
-        fitting,
-        key=lambda pair: (
-            pair[0].minion_id in task.failed_on,
-            pool.failed_job_counts.get(pair[0].minion_id, 0),
-            _leftover_share(pair[0], pair[1], spec.needs),
-            pair[0].minion_id,
-        ),
-    )
+    preference = WorkerPreference(pool, spec.needs, [task])
+    worker, _ = min(fitting, key=lambda pair: preference.rank(*pair))
     return worker
 
 
@@ -60,13 +58,26 @@
 
     The result is ``None`` if not all members fit.
     """
+    avoided = _avoided_starts(pool, demand, demand.step.tasks)
     available = {
         worker.minion_id: pool.available(worker, demand)
         for worker in pool.candidates(demand)
+        if worker.minion_id not in avoided
     }
     return fit_gang(pool, demand, available)
 
 
+def _avoided_starts(
+    pool: WorkerPool, demand: Demand, tasks: list[Task]
+) -> set[str]:
+    """Return the minions on which tasks must not start so soon."""
+    if must_start_apart(tasks, pool.now_ms):
+        return pool.recent_starts.minions
+    if demand.may_join_suspects:
+        return set()
+    return pool.recent_starts.suspect_minions
+
+
 def fits_one_rack(pool: WorkerPool, step: Step, service: str) -> bool:
     """Return whether all tasks would fit on one rack if it were empty."""
     demand = Demand(step, service, 0)
@@ -97,22 +108,15 @@
         return None
     spec = demand.step.spec
     count = len(demand.step.tasks)
-    failed_on: set[str] = set()
-    for task in demand.step.tasks:
-        failed_on |= task.failed_on.keys()
     workers = [pool.workers[minion_id] for minion_id in available]
     if spec.wants_one_rack:
         for rack in _racks_that_fit(workers, available, spec.needs, count):
-            found = _assign_workers(
-                rack, available, demand, failed_on, pool.failed_job_counts
-            )
+            found = _assign_workers(pool, rack, available, demand)
             if found is not None:
                 return found
         if not demand.may_span_racks:
             return None
-    return _assign_workers(
-        workers, available, demand, failed_on, pool.failed_job_counts
-    )
+    return _assign_workers(pool, workers, available, demand)
 
 
 def _racks_that_fit(
@@ -136,22 +140,17 @@
 
 
 def _assign_workers(
+    pool: WorkerPool,
     workers: Sequence[Worker],
     available: Mapping[str, Resources],
     demand: Demand,
-    failed_on: set[str],
-    failed_job_counts: Mapping[str, int],
 ) -> list[Worker] | None:
     spec = demand.step.spec
     count = len(demand.step.tasks)
+    preference = WorkerPreference(pool, spec.needs, demand.step.tasks)
     ordered = sorted(
         workers,
-        key=lambda worker: (
-            worker.minion_id in failed_on,
-            failed_job_counts.get(worker.minion_id, 0),
-            _leftover_share(worker, available[worker.minion_id], spec.needs),
-            worker.minion_id,
-        ),
+        key=lambda worker: preference.rank(worker, available[worker.minion_id]),
     )
     chosen: list[Worker] = []
     for worker in ordered:
@@ -162,11 +161,3 @@
         if len(chosen) == count:
             return chosen
     return None
-
-
-def _leftover_share(worker: Worker, free: Resources, needs: Resources) -> float:
-    """Return the share of the worker that would stay free.
-
-    Choosing the worker with the smallest share is best-fit packing.
-    """
-    return (free - needs).dominant_share_of(worker.report.resources)
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -22,6 +22,7 @@
     plan_room,
     stop_in_plan,
 )
+from dragonflynotch.workflows.placement.recent_starts import find_recent_starts
 from dragonflynotch.workflows.placement.reservations import plan_reservations
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.placement.workers import Allocation, Worker
@@ -101,6 +102,9 @@
             pool.now_ms + self.start_timeout_ms + store_delay_ms,
             latest_start_ms,
         )
+        pool.recent_starts = find_recent_starts(
+            self._jobs, self._orders, pool.now_ms
+        )
         reserving_steps = 0
         for waiting in self._waiting_steps(pool, wall_ms):
             may_reserve = reserving_steps < _MAX_RESERVING_STEPS
@@ -182,6 +186,7 @@
             may_leave_data_rack=has_waited,
             may_span_racks=has_waited or not fits_one_rack(pool, step, service),
             avoided_minions=avoided_by_step(pool, step, service),
+            may_join_suspects=waiting.urgency.is_guaranteed,
         )
 
     def _place_step(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
@@ -222,6 +227,7 @@
     ) -> None:
         needs = step.spec.needs
         pool.allocate(worker, needs)
+        pool.recent_starts.add(worker.minion_id, is_suspect=bool(task.crashes))
         task.run = run
         task.active = ActiveRun(
             worker.minion_id, run, pool.now_ms, progress_changed_ms=pool.now_ms
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from dragonflynotch.workflows.placement.recent_starts import RecentStarts
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Step
 from dragonflynotch.workflows.resources import Resources
@@ -41,6 +42,9 @@
         Whether the gang may be spread over racks.
     avoided_minions : frozenset of str
         Minions that no waiting task of the step may use for now.
+    may_join_suspects : bool
+        Whether the tasks may start on a worker on which a suspected task has
+        just started.
     """
 
     step: Step
@@ -49,6 +53,7 @@
     may_leave_data_rack: bool = False
     may_span_racks: bool = False
     avoided_minions: frozenset[str] = frozenset()
+    may_join_suspects: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +100,8 @@
         Recently failed jobs by minion; a lower count is preferred.
     reservations : list of Reservation
         Resources kept for steps that come earlier in the round.
+    recent_starts : RecentStarts
+        Runs that were started a short time ago, also in this round.
     """
 
     workers: dict[str, Worker]
@@ -102,6 +109,7 @@
     now_ms: int
     failed_job_counts: Mapping[str, int] = field(default_factory=dict)
     reservations: list[Reservation] = field(default_factory=list)
+    recent_starts: RecentStarts = field(default_factory=RecentStarts)
     _free_total: Resources = field(init=False)
 
     def __post_init__(self) -> None:
--- /dev/null
+++ b/dragonflynotch/workflows/placement/worker_preference.py
@@ -0,0 +1,61 @@
+"""Order in which workers that fit are chosen for the tasks of a step."""
+
+from collections.abc import Iterable, Sequence
+
+from dragonflynotch.workflows.placement.worker_pool import WorkerPool
+from dragonflynotch.workflows.placement.workers import Worker
+from dragonflynotch.workflows.progress import Task
+from dragonflynotch.workflows.resources import Resources
+
+__all__ = ('WorkerPreference',)
+
+_Rank = tuple[bool, bool, int, float, str]
+
+
+class WorkerPreference:
+    """Ranks workers for tasks that start together.
+
+    Workers on which the tasks did not fail come first, then the one that is
+    filled best. Suspected tasks instead prefer other workers than those that
+    they may have crashed, and the emptiest, where a crash ends fewest runs.
+
+    Parameters
+    ----------
+    tasks : sequence of Task
+        One task, or the members of a gang.
+    """
+
+    def __init__(
+        self, pool: WorkerPool, needs: Resources, tasks: Sequence[Task]
+    ) -> None:
+        """Collect where the tasks failed and which minions they crashed."""
+        self._pool = pool
+        self._needs = needs
+        self._failed_on = _union(task.failed_on for task in tasks)
+        self._crashed_nodes = {
+            crash.node for task in tasks for crash in task.crashes
+        }
+
+    def rank(self, worker: Worker, free: Resources) -> _Rank:
+        """Return the sort key of a worker; the lowest is preferred.
+
+        Parameters
+        ----------
+        free : Resources
+            Resources of the worker that the tasks may use.
+        """
+        minion_id = worker.minion_id
+        leftover = (free - self._needs).dominant_share_of(
+            worker.report.resources
+        )
+        return (
+            worker.node in self._crashed_nodes,
+            minion_id in self._failed_on,
+            self._pool.failed_job_counts.get(minion_id, 0),
+            -leftover if self._crashed_nodes else leftover,
+            minion_id,
+        )
+
+
+def _union(groups: Iterable[Iterable[str]]) -> set[str]:
+    return {name for group in groups for name in group}
