Tell callers why a job failed

Cause: a job that was given up was shown as failed without a reason, like one whose own runs failed. Change: the reason is stored with the progress, returned as reason by GET and logged with job_ended. Rows without it decode as before. Result: test_caller_is_told_why_a_job_failed failed before (no such field) and passes.

--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -38,6 +38,7 @@
 
 __all__ = (
     'Accepted',
+    'JobStatus',
     'SubmissionService',
     'NotAccepted',
     'NotFound',
@@ -78,6 +79,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    """State of a job, and why it failed if it did."""
+
+    state: JobState
+    reason: str = ''
+
+
 @dataclass(frozen=True, slots=True)
 class NotFound:
     """No such job exists."""
@@ -173,7 +182,14 @@
     async def state(
         self, job_id: str, limit: timedelta, *, workspace: str | None = None
     ) -> JobState | NotFound | Unavailable:
-        """Return the state of a job, within the time limit of the caller.
+        """Return the state of a job; see ``status``."""
+        status = await self.status(job_id, limit, workspace=workspace)
+        return status.state if isinstance(status, JobStatus) else status
+
+    async def status(
+        self, job_id: str, limit: timedelta, *, workspace: str | None = None
+    ) -> JobStatus | NotFound | Unavailable:
+        """Return the status of a job, within the time limit of the caller.
 
         Parameters
         ----------
@@ -187,7 +203,7 @@
         """
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                return await self._read_state(job_id, workspace)
+                return await self._read_status(job_id, workspace)
         except PlatformUnavailableError as error:
             return Unavailable(str(error))
         except TimeoutError:
@@ -207,9 +223,9 @@
         lease = None if row is None else decode_row(row.content, LeaseRow)
         return 0 if lease is None else lease.waiting.get(queue, 0)
 
-    async def _read_state(
+    async def _read_status(
         self, job_id: str, workspace: str | None
-    ) -> JobState | NotFound:
+    ) -> JobStatus | NotFound:
         # Most jobs have started when their state is read, so their progress
         # is read first.
         row = await self._store.read_row(
@@ -218,15 +234,15 @@
         progress = None if row is None else decode_row(row.content, ProgressRow)
         if progress is not None and progress.workspace is not None:
             if workspace in {None, progress.workspace}:
-                return progress.state
+                return JobStatus(progress.state, progress.reason)
             return NotFound()
         row = await self._store.read_row(_submission_row(job_id, 'spec'))
         spec = None if row is None else decode_row(row.content, JobSpec)
         if spec is not None and workspace not in {None, spec.workspace}:
             return NotFound()
         if progress is not None:
-            return progress.state
-        return NotFound() if row is None else JobState.queued
+            return JobStatus(progress.state, progress.reason)
+        return NotFound() if row is None else JobStatus(JobState.queued)
 
     async def _write_with_retries(
         self, name: RowName, content: bytes, deadline: Deadline
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -160,16 +160,17 @@
     async def _read_state(
         self, call: HttpCall, job_id: str, workspace: str | None
     ) -> Reply | _Refusal:
-        state = await self._submissions.state(
+        status = await self._submissions.status(
             job_id, _remaining_time(call), workspace=workspace
         )
-        if isinstance(state, NotFound):
+        if isinstance(status, NotFound):
             return _Refusal(_GONE, 'no such job')
-        if isinstance(state, Unavailable):
-            return _Refusal(_UNAVAILABLE, state.reason)
-        return Reply(
-            _OK, msgspec.json.encode({'state': state.value}), _JSON_HEADERS
-        )
+        if isinstance(status, Unavailable):
+            return _Refusal(_UNAVAILABLE, status.reason)
+        body = {'state': status.state.value}
+        if status.reason:
+            body['reason'] = status.reason
+        return Reply(_OK, msgspec.json.encode(body), _JSON_HEADERS)
 
     async def _cancel(
         self, call: HttpCall, job_id: str, workspace: str | None
--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -82,10 +82,13 @@
         """Mark the progress of the job to be written."""
         self._changed.add(job.job_id)
 
-    def end(self, job: Job, state: JobState, now_ms: int) -> None:
-        """Record the end of a job."""
+    def end(
+        self, job: Job, state: JobState, now_ms: int, reason: str = ''
+    ) -> None:
+        """Record the end of a job, with the reason if it failed."""
         self._open.pop(job.job_id, None)
         job.state = state
+        job.reason = reason
         job.ended_ms = now_ms
         self.mark_changed(job)
 
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -88,6 +88,11 @@
     last_failed_run: int = 0
     crashes: list[TaskCrash] = field(default_factory=list)
 
+    @property
+    def label(self) -> str:
+        """Name of the task within its job, for messages to callers."""
+        return f'task {self.task_id.index} of step {self.task_id.step}'
+
     @property
     def is_waiting(self) -> bool:
         """Whether the task is not done and has no active run."""
@@ -131,27 +136,28 @@
         """Whether any task has an active run."""
         return any(task.active is not None for task in self.tasks)
 
-    @property
-    def failed_attempts(self) -> int:
-        """Highest number of failed runs of any task."""
-        return max((task.failures for task in self.tasks), default=0)
-
-    def has_failed(self, max_attempts: int) -> bool:
-        """Return whether the step has used up its failed_attempts."""
-        return (
-            self.failed_attempts >= max_attempts
-            and not self.is_done
-            and not self.spec.is_long_running
-        )
+    def failure_reason(self, max_attempts: int) -> str:
+        """Return why a task may not start again, or ``''``.
 
-    @property
-    def is_given_up(self) -> bool:
-        """Whether a task crashed too many minions to be started again."""
-        return any(
-            is_given_up(task.crashes, is_long_running=self.spec.is_long_running)
-            for task in self.tasks
-            if task.crashes and not task.is_done
-        )
+        Parameters
+        ----------
+        max_attempts : int
+            How many runs of a task may end as failed.
+        """
+        is_long_running = self.spec.is_long_running
+        for task in self.tasks:
+            if task.is_done:
+                continue
+            if task.failures >= max_attempts and not is_long_running:
+                return f'{task.label} failed {task.failures} times'
+            if task.crashes and is_given_up(
+                task.crashes, is_long_running=is_long_running
+            ):
+                return (
+                    f'{task.label} was on {len(task.crashes)} minions '
+                    'when they crashed'
+                )
+        return ''
 
     @property
     def waiting_tasks(self) -> list[Task]:
@@ -184,6 +190,8 @@
         self.spec = spec
         self.state = JobState.queued
         self.ended_ms = 0
+        # Why the job failed, for its caller.
+        self.reason = ''
         self.steps = [
             self._create_step(occurrence, number, step)
             for occurrence in range(spec.occurrences)
@@ -218,6 +226,7 @@
         """Restore the stored progress."""
         self.state = row.state
         self.ended_ms = row.ended_ms
+        self.reason = row.reason
         for stored in row.tasks:
             found = self._by_task_id.get(
                 _parse_stored_name(self.job_id, stored.name)
@@ -254,6 +263,7 @@
             ],
             ended_ms=self.ended_ms,
             workspace=self.spec.workspace,
+            reason=self.reason,
         )
 
     def record_crash(self, task: Task, crash: TaskCrash) -> None:
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -103,12 +103,15 @@
     workspace : str or None
         Workspace of the job. ``None`` in rows of releases that did not store
         it.
+    reason : str
+        Why the job failed, for its caller; ``''`` if it did not fail.
     """
 
     state: JobState
     tasks: list[TaskRow] = []
     ended_ms: int = 0
     workspace: str | None = None
+    reason: str = ''
 
 
 class LeaseRow(msgspec.Struct, omit_defaults=True):
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -53,9 +53,10 @@
                 self._end(job, state, now_ms)
 
     def _end(self, job: Job, state: JobState, now_ms: int) -> None:
-        self._jobs.end(job, state, now_ms)
+        reason = self._failure_reason(job) if state is JobState.failed else ''
+        self._jobs.end(job, state, now_ms, reason)
         self._decision_log.record(
-            'job_ended', job=job.job_id, state=state.value
+            'job_ended', job=job.job_id, state=state.value, reason=reason
         )
         if state is not JobState.completed:
             for task in job.tasks():
@@ -64,15 +65,20 @@
     def _final_state(self, job: Job) -> JobState | None:
         if self._jobs.is_cancelled(job):
             return JobState.cancelled
-        limit = max(1, self._jobs.queue(job).max_attempts)
-        if any(
-            step.has_failed(limit) or step.is_given_up for step in job.steps
-        ):
+        if self._failure_reason(job):
             return JobState.failed
         if all(step.is_done for step in job.steps):
             return JobState.completed
         return None
 
+    def _failure_reason(self, job: Job) -> str:
+        limit = max(1, self._jobs.queue(job).max_attempts)
+        for step in job.steps:
+            reason = step.failure_reason(limit)
+            if reason:
+                return reason
+        return ''
+
     def _review_steps(
         self, job: Job, now_ms: int, minions_with_reports: set[str]
     ) -> None:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -4,12 +4,19 @@
 import pytest
 
 from dragonflynotch.control.clocks import ManualSteadyClock
+from dragonflynotch.control.rows import (
+    PROGRESS,
+    SCHEDULER_PART,
+    RowName,
+    RowWrite,
+)
 from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.links.asgi import HttpCall
 from dragonflynotch.observability.job_metrics import JobMetrics
 from dragonflynotch.platform.front import JobApi
 from dragonflynotch.testing.row_store import MemoryRowStore
 from dragonflynotch.workflows.deployment import Deployment, Queue, Workspace
+from dragonflynotch.workflows.records import JobState, ProgressRow, encode_row
 
 JOB_ID = '5c0e7a21d94b36f8'
 PATH = f'/q/{JOB_ID}'
@@ -29,9 +36,9 @@
     )
 
 
-def create_api(*, is_public=False):
+def create_api(*, is_public=False, store=None):
     clock = ManualSteadyClock(1_000_000)
-    store = MemoryRowStore(clock)
+    store = store or MemoryRowStore(clock)
     return JobApi(
         SubmissionService(store, store.store_clock, store.health, clock),
         lambda: deployment(is_public=is_public),
@@ -54,6 +61,23 @@
     assert await send(api, method, 'own-key') == 200
 
 
+async def test_caller_is_told_why_a_job_failed():
+    """A caller could not tell a faulty job from a lost one."""
+    clock = ManualSteadyClock(1_000_000)
+    store = MemoryRowStore(clock)
+    api = create_api(store=store)
+    await send(api, 'POST', 'own-key', BODY)
+    row = ProgressRow(JobState.failed, workspace='own', reason='it crashed')
+    name = RowName(PROGRESS.name, SCHEDULER_PART, JOB_ID)
+    await store.commit([RowWrite(name, encode_row(row))], [])
+    headers = {'host': 'h', 'dragonflynotch-credential': 'own-key'}
+    reply = await api(HttpCall('GET', PATH, {}, headers, b''))
+    assert msgspec.json.decode(reply.body) == {
+        'state': 'failed',
+        'reason': 'it crashed',
+    }
+
+
 @pytest.mark.parametrize('method', ['GET', 'DELETE'])
 async def test_job_of_public_queue_is_open_to_all(method):
     """Jobs of public queues have no owner that could be asked for a key."""
--- a/tests/workflows/runs/test_crash_budget.py
+++ b/tests/workflows/runs/test_crash_budget.py
@@ -72,6 +72,9 @@
         crashes += 1
     assert 2 <= crashes <= MAX_STARTS
     assert site.progress['bad'].state is JobState.failed
+    assert site.progress['bad'].reason == (
+        f'task 0 of step 0 was on {crashes} minions when they crashed'
+    )
 
 
 def test_only_worker_that_fits_does_not_keep_a_task_alive():
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -64,6 +64,7 @@
     site.end('a.0.0.0', EndKind.failed)
     site.end('a.0.0.0', EndKind.failed)
     assert site.progress['a'].state is JobState.failed
+    assert site.progress['a'].reason == 'task 0 of step 0 failed 2 times'
     assert not site.ordered_tasks()
 
 
