Show operators which tasks crash minions, on which workers and when

Cause: the records of crashes could only be read from the logs. Figures of the scheduler pass through leader and term as one type instead of three properties each, and reading a whole table stood in one command and is part of the store's interface now.

--- a/dragonflynotch/control/evacuation_status.py
+++ b/dragonflynotch/control/evacuation_status.py
@@ -7,7 +7,6 @@
 from dragonflynotch.control.rows import (
     ORDERS,
     REPORTS,
-    Row,
     RowStore,
     Table,
 )
@@ -55,15 +54,16 @@
     PlatformUnavailableError
         If the store does not respond.
     """
-    rows = await _read(store, operator_table)
+    rows = await store.read_table(operator_table)
     requested = {name for row in rows if (name := decode(row.key))}
     if not requested:
         return []
     # Orders are read before reports, so that no run is missed whose worker
     # appears meanwhile.
-    orders = await _read(store, ORDERS)
+    orders = await store.read_table(ORDERS)
     reports = [
-        decode_row(row.content, Report) for row in await _read(store, REPORTS)
+        decode_row(row.content, Report)
+        for row in await store.read_table(REPORTS)
     ]
     data_centres = {
         report.minion_id: report.data_centre
@@ -78,11 +78,3 @@
         EvacuationStatus(name, workers[name], runs[name], runs[''])
         for name in sorted(requested)
     ]
-
-
-async def _read(store: RowStore, table: Table) -> list[Row]:
-    rows: list[Row] = []
-    for part in table.parts:
-        snapshot = await store.read(table.name, part)
-        rows.extend(snapshot.rows)
-    return rows
--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -12,6 +12,7 @@
 )
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.scheduler import SchedulerSettings
+from dragonflynotch.workflows.scheduler_status import SchedulerStatus
 
 __all__ = ('Leader',)
 
@@ -45,19 +46,9 @@
         return self._term is not None
 
     @property
-    def evacuation_run_counts(self) -> dict[str, int]:
-        """Runs left in each evacuated data centre; empty unless scheduling."""
-        return {} if self._term is None else self._term.evacuation_run_counts
-
-    @property
-    def departure_stops(self) -> int:
-        """Runs stopped in this term because a worker leaves; 0 without one."""
-        return 0 if self._term is None else self._term.departure_stops
-
-    @property
-    def leaving_workers(self) -> int:
-        """Workers that have announced their departure; 0 without a term."""
-        return 0 if self._term is None else self._term.leaving_workers
+    def status(self) -> SchedulerStatus:
+        """Figures for metrics; empty unless this node schedules."""
+        return SchedulerStatus() if self._term is None else self._term.status
 
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from the next round of decisions on."""
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -41,6 +41,7 @@
     Scheduler,
     SchedulerSettings,
 )
+from dragonflynotch.workflows.scheduler_status import SchedulerStatus
 
 __all__ = ('LeaderContext', 'LeaderTerm')
 
@@ -155,22 +156,9 @@
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
     @property
-    def evacuation_run_counts(self) -> dict[str, int]:
-        """Runs still ordered in each data centre that is evacuated."""
-        return self._scheduler.evacuation_run_counts
-
-    @property
-    def departure_stops(self) -> int:
-        """Runs stopped in this term because a worker leaves."""
-        return self._scheduler.departure_stops
-
-    @property
-    def leaving_workers(self) -> int:
-        """Workers that have announced when they leave."""
-        return sum(
-            worker.leaves_at_ms is not None
-            for worker in self._scheduler.workers.values()
-        )
+    def status(self) -> SchedulerStatus:
+        """Figures of the scheduler for metrics."""
+        return self._scheduler.status
 
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from the next round of decisions on."""
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -166,6 +166,14 @@
     ) -> Snapshot:
         """Return the rows with ``first <= key < last``, in order."""
 
+    async def read_table(self, table: Table) -> list[Row]:
+        """Return the rows of all parts of a table, each part in order."""
+        rows: list[Row] = []
+        for part in table.parts:
+            snapshot = await self.read(table.name, part)
+            rows.extend(snapshot.rows)
+        return rows
+
     async def read_page(
         self, table: str, part: str, first: str = '', last: str = ''
     ) -> Page:
--- a/dragonflynotch/platform/command.py
+++ b/dragonflynotch/platform/command.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 
 from dragonflynotch.core.errors import (
@@ -11,15 +12,25 @@
     PlatformUnavailableError,
 )
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.platform.crashes import crashes_text
 from dragonflynotch.platform.evacuations import evacuations_text
 from dragonflynotch.platform.programs import FrontProgram, SideProgram
-from dragonflynotch.platform.settings import SETTINGS_VARIABLE, load_settings
+from dragonflynotch.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    load_settings,
+)
 from dragonflynotch.platform.settings_watch import SettingsWatch
 
 __all__ = ('main',)
 
 _PROGRAM_NAMES = ('front', 'side')
-_EVACUATIONS_COMMAND = 'evacuations'
+_Text = Callable[[PlatformSettings], Awaitable[str]]
+# Commands that print a text about the rows in the store.
+_TEXT_COMMANDS: Mapping[str, _Text] = {
+    'evacuations': evacuations_text,
+    'crashes': crashes_text,
+}
 _EXIT_INVALID_INPUT = 2
 _EXIT_UNREACHABLE = 6
 
@@ -43,27 +54,26 @@
     watching.cancel()
 
 
-async def _print_evacuations(settings_path: Path) -> None:
-    text = await evacuations_text(load_settings(settings_path))
-    sys.stdout.write(f'{text}\n')
+async def _print(text: _Text, settings_path: Path) -> None:
+    sys.stdout.write(f'{await text(load_settings(settings_path))}\n')
 
 
 def main() -> None:
     """Run the program or command named by the first argument."""
-    program_name = sys.argv[1] if len(sys.argv) > 1 else ''
+    name = sys.argv[1] if len(sys.argv) > 1 else ''
     settings_path = os.environ.get(SETTINGS_VARIABLE, '')
-    names = (*_PROGRAM_NAMES, _EVACUATIONS_COMMAND)
-    if program_name not in names or not settings_path:
+    names = (*_PROGRAM_NAMES, *_TEXT_COMMANDS)
+    if name not in names or not settings_path:
         sys.stderr.write(
             f'usage: {SETTINGS_VARIABLE}=FILE '
-            'python -m dragonflynotch.platform front|side|evacuations\n'
+            f'python -m dragonflynotch.platform {"|".join(names)}\n'
         )
         sys.exit(_EXIT_INVALID_INPUT)
     try:
         asyncio.run(
-            _print_evacuations(Path(settings_path))
-            if program_name == _EVACUATIONS_COMMAND
-            else _run(program_name, Path(settings_path))
+            _print(_TEXT_COMMANDS[name], Path(settings_path))
+            if name in _TEXT_COMMANDS
+            else _run(name, Path(settings_path))
         )
     except PlatformUnavailableError as error:
         sys.stderr.write(f'dragonflynotch: {error}\n')
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -137,7 +137,7 @@
         self._leader.apply_settings(_scheduler_settings(settings))
 
     def _evacuation_run_counts(self) -> Mapping[str, int]:
-        return self._leader.evacuation_run_counts
+        return self._leader.status.evacuation_run_counts
 
     def _deployment(self) -> Deployment | None:
         return self._configuration.deployment
@@ -163,6 +163,7 @@
 
     def _gauges(self) -> dict[str, float]:
         deployment = self._configuration.deployment
+        scheduler = self._leader.status
         return {
             'configuration_version': deployment.version if deployment else 0,
             'configuration_age_ms': self._configuration.age_ms,
@@ -171,8 +172,9 @@
             'is_scheduler': self._leadership.is_holder,
             'lease_epoch': self._leadership.epoch,
             'lease_handovers': self._leadership.own_handovers,
-            'leaving_workers': self._leader.leaving_workers,
-            'departure_stops': self._leader.departure_stops,
+            'leaving_workers': scheduler.leaving_workers,
+            'departure_stops': scheduler.departure_stops,
+            'suspected_tasks': scheduler.suspected_tasks,
             'store_calls': self._store.call_count,
         }
 
--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -67,6 +67,15 @@
         """Return whether any task of an open job may have crashed a minion."""
         return any(job.has_suspects for job in self._open.values())
 
+    def count_suspects(self) -> int:
+        """Return how many tasks of open jobs may have crashed a minion."""
+        return sum(
+            bool(task.crashes)
+            for job in self._open.values()
+            if job.has_suspects
+            for task in job.tasks()
+        )
+
     def find(self, name: str) -> FoundTask | None:
         """Return the task with this identifier, with its job and step."""
         task_id = parse_task_id(name)
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -26,6 +26,7 @@
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
+from dragonflynotch.workflows.scheduler_status import SchedulerStatus
 
 __all__ = ('Decisions', 'Scheduler', 'SchedulerSettings')
 
@@ -128,14 +129,17 @@
         return self._workers
 
     @property
-    def evacuation_run_counts(self) -> dict[str, int]:
-        """Runs still ordered in each data centre that is evacuated."""
-        return self._evacuation.run_counts
-
-    @property
-    def departure_stops(self) -> int:
-        """Runs stopped since the creation because a worker leaves."""
-        return self._departures.departure_stops
+    def status(self) -> SchedulerStatus:
+        """Figures for metrics."""
+        return SchedulerStatus(
+            self._evacuation.run_counts,
+            self._departures.departure_stops,
+            sum(
+                worker.leaves_at_ms is not None
+                for worker in self._workers.values()
+            ),
+            self._jobs.count_suspects(),
+        )
 
     def apply_deployment(self, deployment: Deployment) -> None:
         """Use this version of the configuration from now on."""
--- /dev/null
+++ b/dragonflynotch/workflows/scheduler_status.py
@@ -0,0 +1,28 @@
+"""Figures about a scheduler for metrics."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+__all__ = ('SchedulerStatus',)
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerStatus:
+    """What a scheduler sees; all empty on a node that does not schedule.
+
+    Parameters
+    ----------
+    evacuation_run_counts : mapping of str to int
+        Runs still ordered in each data centre that is evacuated.
+    departure_stops : int
+        Runs stopped in this term because a worker leaves.
+    leaving_workers : int
+        Workers that have announced when they leave.
+    suspected_tasks : int
+        Tasks of open jobs that may have crashed minions.
+    """
+
+    evacuation_run_counts: Mapping[str, int] = field(default_factory=dict)
+    departure_stops: int = 0
+    leaving_workers: int = 0
+    suspected_tasks: int = 0
--- a/tests/control/test_crashing_tasks.py
+++ b/tests/control/test_crashing_tasks.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from dragonflynotch.control.crash_status import read_suspected_tasks
+from dragonflynotch.platform.crashes import describe_task
 from dragonflynotch.workflows.records import JobState
 from tests.control.cluster import Cluster, tasks
 
@@ -43,6 +45,21 @@
     assert count_starts(cluster) <= MAX_STARTS
 
 
+async def test_operator_sees_the_task_with_its_workers(cluster):
+    """An operator must find the task that crashes workers."""
+    await cluster.submit('bad', tasks(1))
+    await cluster.wait_for_state('bad', JobState.failed)
+    (found,) = await read_suspected_tasks(cluster.store)
+    assert found.task == BAD_TASK
+    assert found.job_state is JobState.failed
+    minions = [minion for _, _, minion in cluster.log.starts]
+    assert [crash.minion_id for crash in found.crashes] == minions
+    assert {crash.node for crash in found.crashes} <= {'n0', 'n1', 'n2'}
+    lines = describe_task(found, found.crashes[0].at_ms + 1500)
+    assert lines[0] == f'{BAD_TASK}: failed, {len(minions)} crashes'
+    assert lines[1].startswith('  1.5 s ago: run 1 on n')
+
+
 async def test_crashes_are_counted_across_takeovers(cluster):
     """A new leader must not start the count of crashes anew."""
     await cluster.submit('bad', tasks(1))
--- a/tests/control/test_evacuation.py
+++ b/tests/control/test_evacuation.py
@@ -124,7 +124,8 @@
     await cluster.request_evacuation('east')
     await asyncio.sleep(FEED_DELAY_S)
     counts = [
-        leader.evacuation_run_counts for leader in cluster.leaders.values()
+        leader.status.evacuation_run_counts
+        for leader in cluster.leaders.values()
     ]
     assert {} in counts
     [count] = [count for count in counts if count]
@@ -135,7 +136,8 @@
     await cluster.wait_for_state('a', JobState.completed)
     async with asyncio.timeout(2):
         while {'east': 0} not in [
-            leader.evacuation_run_counts for leader in cluster.leaders.values()
+            leader.status.evacuation_run_counts
+            for leader in cluster.leaders.values()
         ]:
             await asyncio.sleep(0.02)
     assert await _read_status(cluster) == [EvacuationStatus('east', 1, 0, 0)]
--- a/tests/workflows/test_evacuation.py
+++ b/tests/workflows/test_evacuation.py
@@ -83,7 +83,7 @@
     _request(site, 'east')
     site.decide()
     assert len(site.ordered_tasks()) == 4
-    assert site.scheduler.evacuation_run_counts == {'east': 2}
+    assert site.scheduler.status.evacuation_run_counts == {'east': 2}
 
 
 def test_unstarted_order_is_stopped_and_placed_elsewhere(site):
@@ -220,12 +220,12 @@
             site.end(name)
     site.decide()
     assert _events(site).count('evacuation_empty') == 1
-    assert site.scheduler.evacuation_run_counts == {'east': 0}
+    assert site.scheduler.status.evacuation_run_counts == {'east': 0}
     _request(site)
     site.decide()
     site.decide()
     assert _events(site).count('evacuation_ended') == 1
-    assert site.scheduler.evacuation_run_counts == {}
+    assert site.scheduler.status.evacuation_run_counts == {}
 
 
 def test_loss_of_all_workers_counts_as_empty(site):
