Order no runs on workers whose minion does not respond

Cause: a guard that cannot reach its minion extends no lease and so can start nothing, but reported the worker as ready until the lease expired, up to 6 s. Ruled out: the new incarnation being found late; it is registered 0.05 s after its first heartbeat. Change: the report says is_reachable, at once when that changes. Draining stays apart from it, since a restarted guard reads it from the report. Result: three tests failed before and pass.

--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -146,7 +146,7 @@
         local_end_ms : int, optional
             Local time after which the lease must not be valid.
         """
-        if self._failed_polls >= _MAX_FAILED_POLLS:
+        if not self._is_reachable:
             return 0
         end_ms = min(
             self._clock.now_ms() + self._lease_ms,
@@ -222,10 +222,13 @@
             data_centre=heartbeat.data_centre,
             leaves_at_ms=self._notice.leaves_at_ms(),
             crashes=crashes,
+            is_reachable=self._is_reachable,
         )
 
     def _apply_state(self, state: MinionState) -> None:
         known_numbers = {end.number for end in self.orders.unrecorded_ends()}
+        if not self._is_reachable:
+            self._writer.request_write()
         self._failed_polls = 0
         self._crash_detector.record_response()
         self._closed_since_ms = None
@@ -251,6 +254,8 @@
         self, outcome: OtherIncarnation | Unhealthy | NoAnswer
     ) -> None:
         self._failed_polls += 1
+        if self._failed_polls == _MAX_FAILED_POLLS:
+            self._writer.request_write()
         if not isinstance(outcome, Unhealthy):
             self._crash_detector.record_failure(outcome)
         if not self._is_live:
@@ -268,6 +273,10 @@
             self._mark_ended(is_replaced=isinstance(outcome, OtherIncarnation))
             self._writer.request_write()
 
+    @property
+    def _is_reachable(self) -> bool:
+        return self._failed_polls < _MAX_FAILED_POLLS
+
     def _mark_ended(self, *, is_replaced: bool) -> None:
         self._is_live = False
         self._crash = self._crash_detector.find_crash(
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -209,6 +209,9 @@
         Name of the service.
     is_ready : bool
         Whether new runs may be started.
+    is_reachable : bool
+        ``False`` while the minion does not respond, so that no run could be
+        started. ``True`` in rows of releases that did not store it.
     is_live : bool
         ``False`` once the lease of the incarnation has expired for certain.
     authority_end_ms : int
@@ -258,6 +261,12 @@
     data_centre: str = ''
     leaves_at_ms: int | None = None
     crashes: list[MinionCrash] = []
+    is_reachable: bool = True
+
+    @property
+    def accepts_runs(self) -> bool:
+        """Whether new runs can be started."""
+        return self.is_ready and self.is_reachable
 
     @property
     def resources(self) -> Resources:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -266,7 +266,7 @@
             worker.minion_id: worker
             for worker in self._workers.values()
             if worker.minion_id
-            and worker.report.is_ready
+            and worker.report.accepts_runs
             and now_ms - worker.reported_ms < self._settings.max_report_age_ms
         }
         free = {
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -375,6 +375,21 @@
     await harness.wait_for(lambda report: report.runs_age_ms < 300)
 
 
+@pytest.mark.parametrize('is_crashed', [False, True])
+async def test_minion_that_does_not_respond_gets_no_new_runs(
+    harness, minion, is_crashed
+):
+    """Runs must not be ordered where nothing can start them."""
+    await harness.wait_for(lambda report: report.accepts_runs)
+    minion.is_crashed = is_crashed
+    minion.fault = MinionFault.cut
+    await harness.wait_for(lambda report: not report.accepts_runs, 0.4)
+    assert (await harness.report()).is_live
+    minion.is_crashed = False
+    minion.fault = MinionFault.none
+    await harness.wait_for(lambda report: report.accepts_runs, 0.4)
+
+
 async def test_silent_minion_is_lost_only_after_its_lease(harness, minion):
     """An unreachable minion keeps its runs until its lease has expired."""
     await harness.order('m1')
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -22,6 +22,18 @@
     return Site()
 
 
+def test_worker_without_a_responding_minion_gets_no_run():
+    """A run ordered on a crashed minion would wait until its order expires."""
+    site = Site(racks=('r1',))
+    site.report('n0', is_reachable=False)
+    site.submit('a')
+    site.decide()
+    assert not site.orders
+    site.report('n0')
+    site.decide()
+    assert site.ordered_tasks() == ['a.0.0.0']
+
+
 def test_job_completes_after_every_task_is_done(site):
     """A job must not be shown as completed while a task is missing."""
     site.submit('a', 'normal', StepSpec(2, 1000, 1000, 1, 2000))
