Start no run beyond the last reported capacity of a minion

Cause: minions without an admission check start what they are told, and a capacity may shrink while runs are ordered. The guard passed on each order, and a changed capacity reached the scheduler with the next periodic report, up to 1.5 s later. Ruled out in placement: it reads the capacity from the last report in each round. Change: the guard checks what the runs at the minion hold, with calls under way, stopping runs and runs whose order is gone, against the last heartbeat, and rejects the order with reason room; a changed capacity is reported at once. No runs are stopped for it.

--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -15,11 +15,12 @@
     OtherIncarnation,
     Unhealthy,
 )
-from dragonflynotch.control.order_book import OrderBook
+from dragonflynotch.control.order_book import OrderBook, OrderEntry
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.crash_records import MinionCrash
 from dragonflynotch.workflows.records import Report, RunningTask
+from dragonflynotch.workflows.resources import Resources
 
 __all__ = ('MinionSession',)
 
@@ -113,6 +114,19 @@
         """Local time at which every lease of the minion has expired."""
         return self._lease.expired_at_ms
 
+    def has_room_for(self, entry: OrderEntry) -> bool:
+        """Return whether a run fits into the last reported capacity.
+
+        Not every minion checks this itself, and the capacity may have shrunk
+        since the run was ordered.
+        """
+        if entry.holds_resources:
+            return True
+        free = (
+            Resources(*self.heartbeat.capacity) - self.orders.held_resources()
+        )
+        return free.covers(entry.order.resources)
+
     def mark_replaced(self) -> None:
         """Record that another incarnation of the minion has started."""
         if self._is_live:
@@ -135,6 +149,14 @@
                 leaves_at_ms=self._notice.leaves_at_ms(),
             )
             self._writer.request_write()
+        if previous.capacity != heartbeat.capacity:
+            decision_log.record(
+                'capacity_changed',
+                minion=heartbeat.minion_id,
+                previous=previous.capacity,
+                capacity=heartbeat.capacity,
+            )
+            self._writer.request_write()
 
     def grant(self, local_end_ms: int | None = None) -> int:
         """Return the lease end to send in a call, on the minion's clock.
--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -5,6 +5,7 @@
 
 from dragonflynotch.control.minions import MinionState
 from dragonflynotch.workflows.records import Order, Rejection, RunEnd
+from dragonflynotch.workflows.resources import Resources
 
 __all__ = ('OrderBook', 'OrderEntry', 'Phase')
 
@@ -52,6 +53,13 @@
     is_stop_confirmed: bool = False
     first_sent_ms: int | None = None
 
+    @property
+    def holds_resources(self) -> bool:
+        """Whether the run is, or may be, at the minion."""
+        if self.phase is Phase.started:
+            return True
+        return self.phase is Phase.new and self.first_sent_ms is not None
+
     @property
     def needs_stop(self) -> bool:
         """Whether a stop call has to be made."""
@@ -89,11 +97,16 @@
 
     entries: dict[str, OrderEntry] = field(default_factory=dict)
     state: MinionState | None = None
+    # What runs hold whose orders are gone, by task and run.
+    _unordered_needs: dict[tuple[str, int], Resources] = field(
+        default_factory=dict
+    )
 
     def put(self, task: str, order: Order) -> OrderEntry:
         """Add an order, or update it if its run is known."""
         entry = self.entries.get(task)
         if entry is None or entry.order.run != order.run:
+            self._keep_needs(entry)
             entry = OrderEntry(task, order)
             self.entries[task] = entry
             if self.state is not None:
@@ -104,12 +117,29 @@
 
     def remove(self, task: str) -> None:
         """Remove an order; the end of its run, if any, has been recorded."""
-        self.entries.pop(task, None)
+        self._keep_needs(self.entries.pop(task, None))
 
     def is_current(self, entry: OrderEntry) -> bool:
         """Return whether the order is neither removed nor replaced."""
         return self.entries.get(entry.task) is entry
 
+    def held_resources(self) -> Resources:
+        """Return what the runs at the minion hold, stopping ones included.
+
+        Runs without an order are stopped soon; what they hold is known if
+        their order was there before.
+        """
+        held = [
+            entry.order.resources
+            for entry in self.entries.values()
+            if entry.holds_resources
+        ]
+        held.extend(
+            self._unordered_needs.get(run, Resources())
+            for run in self.unordered_runs()
+        )
+        return sum(held, Resources())
+
     def open_entries(self) -> list[OrderEntry]:
         """Return the orders that may need a start or stop call."""
         return [
@@ -121,6 +151,12 @@
     def update_state(self, state: MinionState) -> None:
         """Update all orders from the runs and ends at the minion."""
         self.state = state
+        present = {(running.task, running.run) for running in state.running}
+        self._unordered_needs = {
+            run: needs
+            for run, needs in self._unordered_needs.items()
+            if run in present
+        }
         for entry in self.entries.values():
             self._update_phase(entry, state)
 
@@ -172,6 +208,11 @@
             entry.phase = Phase.rejected
             entry.reason = reason
 
+    def _keep_needs(self, entry: OrderEntry | None) -> None:
+        if entry is not None and entry.holds_resources:
+            run = (entry.task, entry.order.run)
+            self._unordered_needs[run] = entry.order.resources
+
     def _ends_by_number(self) -> list[RunEnd]:
         if self.state is None:
             return []
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -118,6 +118,8 @@
         end_ms = self._session.grant(self._clock.now_ms() + remaining_ms)
         if not end_ms or not self._session.has_lease:
             return Unhealthy()
+        if not self._session.has_room_for(entry):
+            return StartRefused(RefusalReason.room)
         if entry.first_sent_ms is None:
             entry.first_sent_ms = self._clock.now_ms()
         outcome = await self._session.minion.start(
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -6,7 +6,7 @@
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.guard import Guard, GuardLimits
-from dragonflynotch.control.minions import Heartbeat
+from dragonflynotch.control.minions import Heartbeat, Stopped
 from dragonflynotch.control.rows import (
     ORDERS,
     REPORTS,
@@ -29,6 +29,7 @@
     decode_row,
     encode_row,
 )
+from dragonflynotch.workflows.resources import Resources
 
 TASK = 'j.0.0.0'
 # Shorter leases than in a deployment, in the same ratio.
@@ -77,7 +78,13 @@
         await asyncio.gather(self._task, return_exceptions=True)
 
     def send_heartbeat(
-        self, minion_id, sequence=1, *, is_draining=False, remaining_ms=None
+        self,
+        minion_id,
+        sequence=1,
+        *,
+        is_draining=False,
+        remaining_ms=None,
+        capacity=(1000, 1000, 8),
     ):
         self.guard.on_heartbeat(
             Heartbeat(
@@ -88,13 +95,15 @@
                 is_draining,
                 labels=('a', 'r1'),
                 rack='r1',
-                capacity=(1000, 1000, 8),
+                capacity=capacity,
                 data_centre='hall-a',
                 remaining_ms=remaining_ms,
             )
         )
 
-    async def order(self, minion_id, run=1, *, window_ms=2000, **fields):
+    async def order(
+        self, minion_id, run=1, *, window_ms=2000, task=TASK, **fields
+    ):
         order = Order(
             'text',
             run,
@@ -102,7 +111,7 @@
             **fields,
         )
         await self.store.commit(
-            [RowWrite(order_row(minion_id), encode_row(order))], []
+            [RowWrite(order_row(minion_id, task), encode_row(order))], []
         )
 
     async def remove_order(self, minion_id):
@@ -122,8 +131,8 @@
                 await asyncio.sleep(0.01)
 
 
-def order_row(minion_id):
-    return RowName(ORDERS.name, SCHEDULER_PART, f'{minion_id}/{TASK}')
+def order_row(minion_id, task=TASK):
+    return RowName(ORDERS.name, SCHEDULER_PART, f'{minion_id}/{task}')
 
 
 @pytest.fixture
@@ -481,6 +490,68 @@
         await harness.guard.relinquish_authority()
 
 
+async def test_changed_capacity_is_reported_at_once(harness, minion):
+    """The scheduler must not place runs by a capacity that has shrunk."""
+    harness.send_heartbeat('m1', 2, capacity=(500, 1000, 4))
+    report = await harness.wait_for(
+        lambda report: report.capacity == (500, 1000, 4), 0.2
+    )
+    assert report.resources == Resources(500, 1000, 4)
+
+
+async def test_run_that_no_longer_fits_is_not_started(harness, minion):
+    """A minion that does not check its room would be overloaded."""
+    await harness.order('m1', needs=(600, 100, 4))
+    await harness.wait_for(is_task_running)
+    harness.send_heartbeat('m1', 2, capacity=(1000, 1000, 5))
+    await harness.order('m1', task='k.0.0.0', needs=(100, 100, 2))
+    report = await harness.wait_for(lambda report: report.rejected)
+    assert report.rejected[0].reason == 'room'
+    assert harness.log.starts == [(TASK, 1, 'm1')]
+
+
+async def test_runs_started_together_do_not_exceed_the_room(harness, minion):
+    """Calls that are under way already take up room."""
+    for index in range(4):
+        await harness.order('m1', task=f'k.0.0.{index}', needs=(0, 0, 4))
+    await harness.wait_for(lambda report: len(report.rejected) == 2)
+    assert len(harness.log.starts) == 2
+
+
+async def test_stopping_run_holds_its_room(harness, minion):
+    """The room of a run that is being stopped is free once it has ended."""
+    await harness.order('m1', needs=(0, 0, 8))
+    await harness.wait_for(is_task_running)
+    minion.stop = lambda *_: Stopped(minion.clock_ms)
+    await harness.order('m1', needs=(0, 0, 8), is_stopped=True)
+    await asyncio.sleep(0.1)
+    await harness.order('m1', task='k.0.0.0', needs=(0, 0, 1))
+    report = await harness.wait_for(lambda report: report.rejected)
+    assert report.rejected[0].reason == 'room'
+
+
+async def test_room_is_free_after_the_end_of_a_run(harness, minion):
+    """A run that ended must not block the worker."""
+    await harness.order('m1', needs=(0, 0, 8))
+    await harness.wait_for(is_task_running)
+    minion.finish(TASK, EndKind.done)
+    await harness.wait_for(lambda report: report.ended)
+    await harness.order('m1', task='k.0.0.0', needs=(0, 0, 8))
+    await harness.wait_for(lambda report: len(harness.log.starts) == 2)
+
+
+async def test_run_without_order_holds_its_room(harness, minion):
+    """A run whose order is gone is at the minion until it has been stopped."""
+    await harness.order('m1', needs=(0, 0, 8))
+    await harness.wait_for(is_task_running)
+    minion.stop = lambda *_: Stopped(minion.clock_ms)
+    await harness.remove_order('m1')
+    await asyncio.sleep(0.1)
+    await harness.order('m1', task='k.0.0.0', needs=(0, 0, 1))
+    report = await harness.wait_for(lambda report: report.rejected)
+    assert report.rejected[0].reason == 'room'
+
+
 async def test_draining_minion_starts_nothing(harness, minion):
     """A draining minion must get no new runs."""
     harness.send_heartbeat('m1', 2, is_draining=True)
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -34,6 +34,33 @@
     assert site.ordered_tasks() == ['a.0.0.0']
 
 
+def test_worker_that_shrinks_keeps_its_runs_and_gets_no_more():
+    """Runs are placed by the capacity in the last report."""
+    site = Site(racks=('r1',))
+    site.submit('a', 'normal', StepSpec(1, 1000, 1000, 6, 60_000))
+    site.decide()
+    site.incarnations['n0'] = ('m0', 'r1', 4)
+    site.submit('b', 'normal', StepSpec(1, 1000, 1000, 1, 60_000))
+    site.decide(500)
+    assert site.ordered_tasks() == ['a.0.0.0']
+    site.incarnations['n0'] = ('m0', 'r1', 8)
+    site.decide(500)
+    assert site.ordered_tasks() == ['a.0.0.0', 'b.0.0.0']
+
+
+def test_gang_waits_for_workers_that_have_shrunk():
+    """A gang must not be ordered where only some of its members fit."""
+    site = Site(racks=('r1', 'r1'))
+    site.incarnations['n1'] = ('m1', 'r1', 4)
+    site.report_all()
+    site.submit('a', 'normal', StepSpec(2, 1000, 1000, 8, 2000, is_gang=True))
+    site.decide()
+    assert not site.orders
+    site.incarnations['n1'] = ('m1', 'r1', 8)
+    site.decide(500)
+    assert site.ordered_tasks() == ['a.0.0.0', 'a.0.0.1']
+
+
 def test_job_completes_after_every_task_is_done(site):
     """A job must not be shown as completed while a task is missing."""
     site.submit('a', 'normal', StepSpec(2, 1000, 1000, 1, 2000))
