Count restarts of a worker for the gangs that had just started

A task that crashes its worker at its launch was launched again by the guard each time the worker returned, and after the preparation limit on the next worker, without a count, since its launch never succeeded; and a crash counted as a failure of every job on the worker. Ruled out: the end of a task that had started; it was counted already (task_vanished). Change: the view of a worker may tell its incarnation; after a failed call nothing is launched again before the view is known; members that a restart ended are reported as worker_restarted, which counts only for gangs that started within the last 10 s. Workers that don't tell an incarnation are treated as before, so there the fault stays.

--- a/dragonflynotch/core/events.py
+++ b/dragonflynotch/core/events.py
@@ -30,6 +30,7 @@
     'QuotasChanged',
     'TimerFired',
     'WorkerJoined',
+    'WORKER_RESTARTED',
     'WorkerLost',
     'WorkerReported',
 )
@@ -45,6 +46,10 @@
     stopped = 'stopped'
 
 
+# Reason of a member that ended because its worker crashed and started again.
+WORKER_RESTARTED = 'worker_restarted'
+
+
 @dataclass(frozen=True, slots=True)
 class Guarantee:
     """Shape that a workspace is guaranteed in a data centre.
--- a/dragonflynotch/core/failure_tracker.py
+++ b/dragonflynotch/core/failure_tracker.py
@@ -5,10 +5,12 @@
 """
 
 from dataclasses import replace
+from datetime import timedelta
 
 from dragonflynotch.core.actions import QuarantineWorker, ReadmitWorker
 from dragonflynotch.core.capacity import CapacityMap
 from dragonflynotch.core.deadlines import Deadline, DeadlineKind
+from dragonflynotch.core.events import WORKER_RESTARTED
 from dragonflynotch.core.feasibility import find_obstacle
 from dragonflynotch.core.fleet import Fleet
 from dragonflynotch.core.gang_control import GangControl
@@ -19,6 +21,10 @@
 
 __all__ = ('FailureTracker',)
 
+# A member that started less than this long before the restart of its worker
+# may have caused it.
+_RECENT_START = timedelta(seconds=10)
+
 
 class FailureTracker:
     """Records failures, quarantines workers and fails jobs.
@@ -54,6 +60,11 @@
         if gang.phase is GangPhase.stopping:
             self._gangs.member_ended(gang, worker_id, detail)
             return
+        if reason == WORKER_RESTARTED and not self._has_just_started(gang):
+            # The restart ends all members on the worker; those that started
+            # last are its likely cause.
+            self._gangs.member_ended(gang, worker_id, detail)
+            return
         job = self._record_failure(gang, worker_id)
         cause = self._failure_history.record_failure(
             gang.job_id, worker_id, job.failed_workers, self._state.now
@@ -109,6 +120,12 @@
             self._state.emit(ReadmitWorker(worker_id))
             self._fleet.end_quarantine(worker)
 
+    def _has_just_started(self, gang: Gang) -> bool:
+        return (
+            gang.started_at is None
+            or self._state.now - gang.started_at < _RECENT_START
+        )
+
     def _record_failure(self, gang: Gang, worker_id: str) -> Job:
         job = self._state.jobs[gang.job_id]
         failed_on = dict.fromkeys((*job.failed_workers, worker_id))
--- a/dragonflynotch/guard/members.py
+++ b/dragonflynotch/guard/members.py
@@ -44,6 +44,8 @@
         Label of a requested checkpoint that has not been sent to the worker.
     is_throttle_requested : bool
         Whether the task is limited to its declared size.
+    is_launch_sent : bool
+        Whether the worker may have launched the task.
     checkpoint, work_done_ms, cores_used, memory_used_mb : str, int, float, int
         Last values that the worker reported.
     reason : str
@@ -59,6 +61,7 @@
     stop_checkpoint_label: str = ''
     requested_checkpoint_label: str = ''
     is_throttle_requested: bool = False
+    is_launch_sent: bool = False
     checkpoint: str = ''
     work_done_ms: int = 0
     cores_used: float = 0
--- a/dragonflynotch/guard/reconciliation.py
+++ b/dragonflynotch/guard/reconciliation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from dragonflynotch.core.events import WORKER_RESTARTED
 from dragonflynotch.guard.members import Member, MemberTable
 from dragonflynotch.links.orders import MemberPhase, PrepareOrder
 from dragonflynotch.services.worker import (
@@ -16,7 +17,12 @@
     WorkerView,
 )
 
-__all__ = ('adopt_task', 'apply_worker_view', 'worker_commands')
+__all__ = (
+    'adopt_task',
+    'apply_worker_view',
+    'end_lost_members',
+    'worker_commands',
+)
 
 
 def adopt_task(table: MemberTable, task: TaskStatus) -> None:
@@ -65,12 +71,37 @@
         member.end(MemberPhase.failed, 'task_vanished')
 
 
+def end_lost_members(table: MemberTable, view: WorkerView) -> None:
+    """End the members whose tasks a restart of the worker has ended.
+
+    A launch is not repeated: the task may have crashed the worker.
+    """
+    tasks = {(task.job_id, task.attempt) for task in view.tasks}
+    for member in table.active:
+        was_launched = (
+            member.phase is not MemberPhase.preparing or member.is_launch_sent
+        )
+        if was_launched and member.key not in tasks:
+            member.end(MemberPhase.failed, WORKER_RESTARTED)
+
+
 def worker_commands(
-    table: MemberTable, view: WorkerView | None
+    table: MemberTable, view: WorkerView | None, *, may_repeat_launches: bool
 ) -> tuple[TaskCommand, ...]:
-    """Return the commands that make the tasks match the members."""
+    """Return the commands that make the tasks match the members.
+
+    Parameters
+    ----------
+    may_repeat_launches : bool
+        Whether to launch tasks again whose launch may have been received.
+    """
     commands = [
-        command for member in table for command in _member_commands(member)
+        command
+        for member in table
+        for command in _member_commands(member)
+        if may_repeat_launches
+        or not member.is_launch_sent
+        or not isinstance(command, LaunchTask)
     ]
     if view is not None:
         commands.extend(
--- a/dragonflynotch/guard/tasks.py
+++ b/dragonflynotch/guard/tasks.py
@@ -1,7 +1,7 @@
 """Reconciles the members of a guard with the tasks of its worker."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -13,6 +13,7 @@
 from dragonflynotch.guard.reconciliation import (
     adopt_task,
     apply_worker_view,
+    end_lost_members,
     worker_commands,
 )
 from dragonflynotch.guard.task_lease import TaskLease
@@ -23,7 +24,12 @@
     OrderReply,
 )
 from dragonflynotch.observability.logs import part_logger
-from dragonflynotch.services.worker import WorkerRuntime, WorkerView
+from dragonflynotch.services.worker import (
+    LaunchTask,
+    TaskCommand,
+    WorkerRuntime,
+    WorkerView,
+)
 
 __all__ = ('TaskReconciler', 'TaskTimings')
 
@@ -245,7 +251,14 @@
         called_at = self._clock.now()
         self._stop_expired_members(called_at)
         worker_lease_expires_at = self._update_worker_lease()
-        commands = worker_commands(self._members, self._last_view)
+        # After a failed call the worker may have restarted, which only its
+        # next view shows.
+        commands = worker_commands(
+            self._members,
+            self._last_view,
+            may_repeat_launches=not self._has_call_failed,
+        )
+        self._mark_launches(commands)
         try:
             view = await self._worker.apply(
                 fence=self.highest_fence,
@@ -259,6 +272,9 @@
         if self._last_answer is None:
             self._adopt_worker_state(view, called_at)
             self._first_answer_received.set()
+        if view.is_restart_of(self._last_view):
+            _log.warning('the worker restarted')
+            end_lost_members(self._members, view)
         self._last_answer = _WorkerAnswer(view, now)
         self._has_call_failed = False
         apply_worker_view(self._members, view, commands)
@@ -272,6 +288,12 @@
     def _last_view(self) -> WorkerView | None:
         return None if self._last_answer is None else self._last_answer.view
 
+    def _mark_launches(self, commands: Iterable[TaskCommand]) -> None:
+        for command in commands:
+            member = self._members.find((command.job_id, command.attempt))
+            if member is not None and isinstance(command, LaunchTask):
+                member.is_launch_sent = True
+
     def _refusal_reason(self) -> str:
         if self._is_draining:
             return 'draining'
--- a/dragonflynotch/services/worker.py
+++ b/dragonflynotch/services/worker.py
@@ -138,12 +138,21 @@
     """State of a worker: its clock, its lease and all its tasks.
 
     ``highest_fence`` is the highest fencing token that the worker has received.
+    ``incarnation`` differs after each start of the worker; ``''`` if the worker
+    does not tell.
     """
 
     clock_ms: int
     lease_end_ms: int
     highest_fence: int
     tasks: tuple[TaskStatus, ...] = ()
+    incarnation: str = ''
+
+    def is_restart_of(self, earlier: 'WorkerView | None') -> bool:
+        """Return whether the worker has certainly restarted in between."""
+        if earlier is None or not earlier.incarnation:
+            return False
+        return self.incarnation not in {'', earlier.incarnation}
 
 
 class WorkerRuntime(ABC):
--- a/dragonflynotch/testing/worker.py
+++ b/dragonflynotch/testing/worker.py
@@ -76,6 +76,7 @@
         self._usage_lag_s = usage_lag_s
         self._lease_end_ms = 0
         self._highest_fence = 0
+        self._incarnation = '1'
         self._tasks: dict[tuple[str, int], SimulatedTask] = {}
         self._blocked_launches: set[tuple[str, int]] = set()
         self._running: set[asyncio.Task[None]] = set()
@@ -88,8 +89,19 @@
             self._lease_end_ms,
             self._highest_fence,
             tuple(task.status for task in self._tasks.values()),
+            self._incarnation,
         )
 
+    def restart(self) -> None:
+        """End all tasks as a crash of the worker and its next start do."""
+        for running in self._running:
+            running.cancel()
+        self._tasks.clear()
+        self._blocked_launches.clear()
+        self._lease_end_ms = 0
+        self._highest_fence = 0
+        self._incarnation = str(int(self._incarnation) + 1)
+
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
--- a/tests/core/test_failure_tracker.py
+++ b/tests/core/test_failure_tracker.py
@@ -10,6 +10,7 @@
     ThrottleMember,
 )
 from dragonflynotch.core.events import (
+    WORKER_RESTARTED,
     Guarantee,
     GuaranteesChanged,
     MemberFailed,
@@ -103,6 +104,41 @@
     assert 'distinct workers' in driver.records['a'].detail
 
 
+def restart_worker(driver, worker_id):
+    """End all members on a worker as its restart does."""
+    for job_id, job in list(driver.records.items()):
+        if any(member.worker_id == worker_id for member in job.members):
+            key = (job_id, job.attempt, worker_id)
+            driver.guards.members.pop(key, None)
+            driver.send(MemberFailed(*key, WORKER_RESTARTED))
+
+
+def test_job_that_restarts_its_workers_fails(driver):
+    """Guards against a job that crashes one worker after another."""
+    driver.submit('a', 8, Proximity.worker)
+    restarts = 0
+    while driver.state('a') != 'failed' and restarts < 20:
+        while driver.state('a') == 'waiting':
+            driver.advance(timedelta(seconds=20))
+        restart_worker(driver, driver.records['a'].members[0].worker_id)
+        restarts += 1
+    assert restarts == 4
+    assert WORKER_RESTARTED in driver.records['a'].detail
+
+
+def test_neighbours_of_a_job_that_restarts_its_worker_are_not_blamed():
+    """Guards against failing healthy jobs and quarantining their worker."""
+    driver = Driver(WORKERS[:1])
+    for name in 'abcd':
+        driver.submit(name, 1, Proximity.worker)
+    driver.advance(timedelta(minutes=1))
+    driver.submit('bad', 1, Proximity.worker)
+    restart_worker(driver, 'w0')
+    assert not actions_of_type(driver, QuarantineWorker)
+    assert all(not driver.records[name].failures for name in 'abcd')
+    assert driver.records['bad'].failures == 1
+
+
 def test_quarantine_is_limited_to_a_share_of_the_workers():
     """Guards against a common fault that puts every worker in quarantine."""
     driver = Driver(WORKERS[:4])
--- a/tests/guard/test_tasks.py
+++ b/tests/guard/test_tasks.py
@@ -9,7 +9,8 @@
 import pytest
 
 from dragonflynotch.core.clock import SystemClock
-from dragonflynotch.core.errors import LinkTimeoutError
+from dragonflynotch.core.errors import LinkError, LinkTimeoutError
+from dragonflynotch.core.events import WORKER_RESTARTED
 from dragonflynotch.guard.tasks import TaskReconciler, TaskTimings
 from dragonflynotch.links.orders import (
     ConfirmOrder,
@@ -20,7 +21,7 @@
     StartOrder,
     StopOrder,
 )
-from dragonflynotch.services.worker import WorkerCall, WorkerRuntime
+from dragonflynotch.services.worker import LaunchTask, WorkerCall, WorkerRuntime
 from dragonflynotch.testing.object_store import MemoryObjectStore
 from dragonflynotch.testing.worker import WorkerApp
 
@@ -223,6 +224,48 @@
     assert guard.app.view.tasks[0].phase.value == 'stopped'
 
 
+class CrashingWorker(InProcessWorker):
+    """Worker that crashes when it launches a task."""
+
+    launches = 0
+
+    async def apply(self, *, fence=0, lease_end_ms=0, commands=()):
+        if any(isinstance(command, LaunchTask) for command in commands):
+            self.launches += 1
+            self.app.restart()
+            raise LinkError('connection closed')
+        return await super().apply(
+            fence=fence, lease_end_ms=lease_end_ms, commands=commands
+        )
+
+
+async def test_launch_that_crashes_the_worker_is_not_repeated(guard):
+    """Guards against a task that crashes its worker again and again."""
+    worker = CrashingWorker(guard.app)
+    guard.reconciler._worker = worker
+    guard.order(prepare())
+    member = await guard.wait_for_phase(MemberPhase.failed)
+    assert member.reason == WORKER_RESTARTED
+    assert worker.launches == 1
+
+
+async def test_launch_is_repeated_if_the_worker_did_not_restart(guard):
+    """Guards against a failed call that ends a healthy member."""
+    guard.app.faults.is_silent = True
+    guard.order(prepare())
+    await asyncio.sleep(0.2)
+    guard.app.faults.is_silent = False
+    await guard.wait_for_phase(MemberPhase.prepared)
+
+
+async def test_members_of_a_restarted_worker_are_reported_with_the_cause(guard):
+    """Guards against taking the end of a worker for a failure of its tasks."""
+    await guard.run_member()
+    guard.app.restart()
+    member = await guard.wait_for_phase(MemberPhase.failed)
+    assert member.reason == WORKER_RESTARTED
+
+
 async def test_failing_worker_reports_the_failure(guard):
     """Guards against task failures that are not reported to the owner."""
     guard.app.faults.fails_everything = True
