Count no crash of minions that are ended from outside together

Callers of two healthy jobs would have seen them fail. Ruled out: the limits alone; a task was hit 7 and 43 ms after its starts. Change: guards report closed connections at once, as a crash that is not certain yet. When a crash is judged, those on other workers within half a second are known; if no run had just started on one of them, none of them counts. Crashes without a recent start are weaker evidence than shared ones and only count for the last limit. A guard that restarts in between completes the report.

--- a/dragonflynotch/control/crash_detector.py
+++ b/dragonflynotch/control/crash_detector.py
@@ -95,6 +95,21 @@
         at_ms = self._store_clock.latest_ms() - (now_ms - lost_ms)
         return MinionCrash(self._minion_id, at_ms, runs)
 
+    def suspect_crash(self, orders: OrderBook) -> MinionCrash | None:
+        """Return the crash of a minion that has closed its connections.
+
+        It may still respond again, unless ``find_crash`` has returned.
+        """
+        if self._lost_ms is None or self._became_silent:
+            return None
+        elapsed_ms = self._clock.now_ms() - self._lost_ms
+        return MinionCrash(
+            self._minion_id,
+            self._store_clock.latest_ms() - elapsed_ms,
+            self._runs_at(orders, self._lost_ms),
+            is_certain=False,
+        )
+
     def _runs_at(self, orders: OrderBook, local_ms: int) -> list[RunAtCrash]:
         return [
             RunAtCrash(entry.task, entry.order.run, age_ms)
--- a/dragonflynotch/control/crash_history.py
+++ b/dragonflynotch/control/crash_history.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+from msgspec.structs import replace
+
 from dragonflynotch.workflows.crash_records import MinionCrash
 
 __all__ = ('CrashHistory',)
@@ -18,6 +20,8 @@
     def __init__(self) -> None:
         """Create an empty history."""
         self._crashes: dict[str, MinionCrash] = {}
+        # A restored crash of a minion that may respond again.
+        self._uncertain: MinionCrash | None = None
         self._total = 0
 
     @property
@@ -34,7 +38,23 @@
     def restore(self, crashes: Iterable[MinionCrash]) -> None:
         """Add the crashes that an earlier guard process reported."""
         for crash in crashes:
-            self._crashes.setdefault(crash.minion_id, crash)
+            if crash.is_certain:
+                self._crashes.setdefault(crash.minion_id, crash)
+            else:
+                self._uncertain = crash
+
+    def confirm_replaced(self, minion_id: str) -> None:
+        """Add a restored crash that is certain now.
+
+        Parameters
+        ----------
+        minion_id : str
+            Incarnation that responds.
+        """
+        uncertain = self._uncertain
+        self._uncertain = None
+        if uncertain is not None and uncertain.minion_id != minion_id:
+            self.add(replace(uncertain, is_certain=True))
 
     def recent(
         self, now_ms: int, has_orders: Callable[[str], bool]
--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -256,6 +256,7 @@
         if self._session is not None:
             self._session.mark_replaced()
             self._crashes.add(self._session.crash)
+        self._crashes.confirm_replaced(heartbeat.minion_id)
         self._end_session()
         self._has_minion_left = False
         session = MinionSession(
@@ -415,6 +416,9 @@
             self._store_clock.latest_ms(), self._orders.has_orders
         )
         if self._session is not None:
+            suspected = self._session.suspected_crash
+            if suspected is not None:
+                crashes = [*crashes, suspected]
             self._last_report = self._session.report(authority_end_ms, crashes)
             return self._last_report
         # Before the first session the report of an earlier guard process is
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -94,6 +94,13 @@
         """How this incarnation crashed, once it has certainly ended."""
         return self._crash
 
+    @property
+    def suspected_crash(self) -> MinionCrash | None:
+        """How this incarnation may have crashed, before that is certain."""
+        if not self._is_live or self._is_reachable or not self.may_start:
+            return None
+        return self._crash_detector.suspect_crash(self.orders)
+
     @property
     def is_live(self) -> bool:
         """Whether this incarnation may still have runs."""
--- a/dragonflynotch/workflows/crash_records.py
+++ b/dragonflynotch/workflows/crash_records.py
@@ -10,7 +10,9 @@
 class CrashEvidence(StrEnum):
     """How clearly a crash shows that a task caused it."""
 
-    # Runs of other jobs may have caused it as well.
+    # No run had just started, so any of them may have caused it, or none.
+    late = 'late'
+    # Runs of other jobs had just started as well.
     weak = 'weak'
     # Only runs of the job of this task had just started.
     strong = 'strong'
@@ -45,11 +47,15 @@
         Store time at which the minion stopped responding.
     runs : list of RunAtCrash
         Runs that were, or may have been, on it.
+    is_certain : bool
+        ``False`` while the minion has only closed its connections and may
+        respond again.
     """
 
     minion_id: str
     at_ms: int
     runs: list[RunAtCrash]
+    is_certain: bool = True
 
 
 class TaskCrash(msgspec.Struct, array_like=True, frozen=True):
--- a/dragonflynotch/workflows/runs/crash_tracker.py
+++ b/dragonflynotch/workflows/runs/crash_tracker.py
@@ -1,6 +1,6 @@
 """Records the crashes of minions for the tasks that may have caused them."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from dragonflynotch.workflows.crash_records import (
     CrashEvidence,
@@ -10,10 +10,17 @@
 )
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
-from dragonflynotch.workflows.runs.crash_budget import find_suspects
+from dragonflynotch.workflows.runs.crash_budget import (
+    find_suspects,
+    has_outside_cause,
+)
 
 __all__ = ('CrashTracker',)
 
+# Crashes of which is kept that they were judged; guards repeat a crash for a
+# minute or two.
+_MAX_JUDGED = 10_000
+
 
 class CrashTracker:
     """Applies the crashes in the reports of guards to jobs.
@@ -29,13 +36,44 @@
         """Create a tracker that updates ``jobs``."""
         self._jobs = jobs
         self._decision_log = decision_log
+        # Last reported crashes, also uncertain ones, by node.
+        self._crashes: dict[str, Sequence[MinionCrash]] = {}
+        # Incarnations whose crash was judged, the latest last.
+        self._judged: dict[str, None] = {}
 
-    def apply(self, node: str, crashes: Iterable[MinionCrash]) -> None:
+    def apply(self, node: str, crashes: Sequence[MinionCrash]) -> None:
         """Record the crashes of minions of a node that are not known yet."""
+        self._crashes[node] = crashes
         for crash in crashes:
-            suspects, evidence = find_suspects(crash)
-            for run in suspects:
-                self._record(node, crash, run, evidence)
+            if crash.is_certain and not self._is_judged(crash):
+                self._judge(node, crash)
+
+    def _is_judged(self, crash: MinionCrash) -> bool:
+        if crash.minion_id in self._judged:
+            return True
+        self._judged[crash.minion_id] = None
+        if len(self._judged) > _MAX_JUDGED:
+            self._judged.pop(next(iter(self._judged)))
+        return False
+
+    def _judge(self, node: str, crash: MinionCrash) -> None:
+        others = [
+            other
+            for other_node, known in self._crashes.items()
+            if other_node != node
+            for other in known
+        ]
+        if has_outside_cause(crash, others):
+            self._decision_log.record(
+                'crash_not_counted',
+                node=node,
+                minion=crash.minion_id,
+                runs_on_minion=len(crash.runs),
+            )
+            return
+        suspects, evidence = find_suspects(crash)
+        for run in suspects:
+            self._record(node, crash, run, evidence)
 
     def _record(
         self,
--- a/tests/control/test_crash_history.py
+++ b/tests/control/test_crash_history.py
@@ -34,6 +34,24 @@
     ]
 
 
+def test_crash_becomes_certain_after_a_restart_of_the_guard():
+    """A restart between the crash and the next start must not hide it."""
+    history = CrashHistory()
+    history.restore([MinionCrash('m1', 0, [], is_certain=False)])
+    assert not history.recent(0, lambda _: False)
+    history.confirm_replaced('m2')
+    assert history.recent(0, lambda _: False) == [crash(1)]
+
+
+def test_minion_that_responds_again_has_not_crashed():
+    """Closed connections alone must not count."""
+    history = CrashHistory()
+    history.restore([MinionCrash('m1', 0, [], is_certain=False)])
+    history.confirm_replaced('m1')
+    history.confirm_replaced('m2')
+    assert not history.recent(0, lambda _: False)
+
+
 def test_restored_crash_is_not_counted_again():
     """A restart of the guard must not count a crash twice."""
     history = CrashHistory()
