--- a/dragonflynotch/control/crash_detector.py
+++ b/dragonflynotch/control/end_detector.py
@@ -1,20 +1,25 @@
-"""Tells the crash of a minion from other ends of an incarnation."""
+"""Detects the end of an incarnation, and tells crashes from other ends."""
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.departure_notice import DepartureNotice
 from dragonflynotch.control.minions import (
     ConnectionClosed,
     MinionOutcome,
     NoAnswer,
     NotListening,
+    Unhealthy,
 )
 from dragonflynotch.control.order_book import OrderBook, OrderEntry, Phase
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.crash_records import MinionCrash, RunAtCrash
 
-__all__ = ('CrashDetector',)
+__all__ = ('EndDetector',)
 
+# A minion that shuts down may close its port shortly before its runs end.
+_SHUTDOWN_DELAY_MS = 400
 
-class CrashDetector:
+
+class EndDetector:
     """Observes the calls to one incarnation until it ends.
 
     A crashed process closes its connections and its port at once. A minion
@@ -30,29 +35,56 @@
         Clock of this process.
     store_clock : StoreClock
         Bounds on the time of the store.
+    notice : DepartureNotice
+        When the worker of the minion leaves.
     """
 
     def __init__(
-        self, minion_id: str, clock: SteadyClock, store_clock: StoreClock
+        self,
+        minion_id: str,
+        clock: SteadyClock,
+        store_clock: StoreClock,
+        notice: DepartureNotice,
     ) -> None:
         """Create a detector for a minion that responds."""
         self._minion_id = minion_id
         self._clock = clock
         self._store_clock = store_clock
+        self._notice = notice
         # Local time of the first failed call since the last response.
         self._lost_ms: int | None = None
         self._became_silent = False
+        # Local time since when no process has listened at its address.
+        self._closed_since_ms: int | None = None
+
+    @property
+    def has_shut_down(self) -> bool:
+        """Whether the minion has ended as it announced.
+
+        Its runs end with it, so they need not be kept until the lease expires.
+        A port that is closed before the announced time shows no such end.
+        """
+        if self._closed_since_ms is None:
+            return False
+        closed_ms = self._clock.now_ms() - self._closed_since_ms
+        return self._notice.has_passed and closed_ms >= _SHUTDOWN_DELAY_MS
 
     def record_response(self) -> None:
         """Record that the minion responded."""
         self._lost_ms = None
         self._became_silent = False
+        self._closed_since_ms = None
 
     def record_failure(self, outcome: MinionOutcome) -> None:
-        """Record a call without a response from this incarnation."""
-        if self._lost_ms is not None:
+        """Record a call that this incarnation has not carried out."""
+        now_ms = self._clock.now_ms()
+        if not isinstance(outcome, NotListening):
+            self._closed_since_ms = None
+        elif self._closed_since_ms is None:
+            self._closed_since_ms = now_ms
+        if self._lost_ms is not None or isinstance(outcome, Unhealthy):
             return
-        self._lost_ms = self._clock.now_ms()
+        self._lost_ms = now_ms
         self._became_silent = isinstance(outcome, NoAnswer) and not isinstance(
             outcome, ConnectionClosed | NotListening
         )
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -3,15 +3,14 @@
 from collections.abc import Callable, Sequence
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
-from dragonflynotch.control.crash_detector import CrashDetector
 from dragonflynotch.control.departure_notice import DepartureNotice
+from dragonflynotch.control.end_detector import EndDetector
 from dragonflynotch.control.lease_arithmetic import MinionLease
 from dragonflynotch.control.minions import (
     Heartbeat,
     MinionClient,
     MinionState,
     NoAnswer,
-    NotListening,
     OtherIncarnation,
     Unhealthy,
 )
@@ -27,8 +26,6 @@
 # A poll without a response may have extended the lease. After this many failed
 # polls the lease is left to expire, so that its runs can be started elsewhere.
 _MAX_FAILED_POLLS = 2
-# A minion that shuts down may close its port shortly before its runs end.
-_SHUTDOWN_DELAY_MS = 400
 
 
 class MinionSession:
@@ -78,14 +75,13 @@
         # An earlier guard process may have extended the lease.
         self._lease.assume_granted_until(clock.now_ms() + lease_ms)
         self._failed_polls = 0
-        self._closed_since_ms: int | None = None
         self._runs_read_ms = clock.now_ms()
         self._has_lease = False
         self._is_live = True
         self._notice = DepartureNotice(clock, store_clock)
         self._notice.observe(heartbeat)
-        self._crash_detector = CrashDetector(
-            heartbeat.minion_id, clock, store_clock
+        self._end_detector = EndDetector(
+            heartbeat.minion_id, clock, store_clock, self._notice
         )
         self._crash: MinionCrash | None = None
 
@@ -99,7 +95,7 @@
         """How this incarnation may have crashed, before that is certain."""
         if not self._is_live or self._is_reachable or not self.may_start:
             return None
-        return self._crash_detector.suspect_crash(self.orders)
+        return self._end_detector.suspect_crash(self.orders)
 
     @property
     def is_live(self) -> bool:
@@ -254,13 +250,16 @@
             is_reachable=self._is_reachable,
         )
 
+    @property
+    def _is_reachable(self) -> bool:
+        return self._failed_polls < _MAX_FAILED_POLLS
+
     def _apply_state(self, state: MinionState) -> None:
         known_numbers = {end.number for end in self.orders.unrecorded_ends()}
         if not self._is_reachable:
             self._writer.request_write()
         self._failed_polls = 0
-        self._crash_detector.record_response()
-        self._closed_since_ms = None
+        self._end_detector.record_response()
         self._runs_read_ms = self._clock.now_ms()
         self._lease.observe(state.clock_ms)
         self.orders.update_state(state)
@@ -285,14 +284,13 @@
         self._failed_polls += 1
         if self._failed_polls == _MAX_FAILED_POLLS:
             self._writer.request_write()
-        if not isinstance(outcome, Unhealthy):
-            self._crash_detector.record_failure(outcome)
+        self._end_detector.record_failure(outcome)
         if not self._is_live:
             return
         if (
             isinstance(outcome, OtherIncarnation)
             or self._lease.is_expired
-            or self._has_shut_down(outcome)
+            or self._end_detector.has_shut_down
         ):
             decision_log.record(
                 'minion_lost',
@@ -302,31 +300,10 @@
             self._mark_ended(is_replaced=isinstance(outcome, OtherIncarnation))
             self._writer.request_write()
 
-    @property
-    def _is_reachable(self) -> bool:
-        return self._failed_polls < _MAX_FAILED_POLLS
-
     def _mark_ended(self, *, is_replaced: bool) -> None:
         self._is_live = False
-        self._crash = self._crash_detector.find_crash(
+        self._crash = self._end_detector.find_crash(
             self.orders,
             is_announced=self.heartbeat.is_draining,
             is_replaced=is_replaced,
         )
-
-    def _has_shut_down(
-        self, outcome: OtherIncarnation | Unhealthy | NoAnswer
-    ) -> bool:
-        """Return whether the minion has ended as it announced.
-
-        Its runs end with it, so they need not be kept until the lease expires.
-        A port that is closed before the announced time shows no such end.
-        """
-        if not isinstance(outcome, NotListening):
-            self._closed_since_ms = None
-            return False
-        now_ms = self._clock.now_ms()
-        if self._closed_since_ms is None:
-            self._closed_since_ms = now_ms
-        closed_ms = now_ms - self._closed_since_ms
-        return self._notice.has_passed and closed_ms >= _SHUTDOWN_DELAY_MS
--- a/tests/control/test_crash_detector.py
+++ b/tests/control/test_end_detector.py
@@ -3,7 +3,8 @@
 import pytest
 
 from dragonflynotch.control.clocks import SteadyClock
-from dragonflynotch.control.crash_detector import CrashDetector
+from dragonflynotch.control.departure_notice import DepartureNotice
+from dragonflynotch.control.end_detector import EndDetector
 from dragonflynotch.control.minions import (
     ConnectionClosed,
     NoAnswer,
@@ -41,8 +42,12 @@
     def __init__(self):
         self.clock = ManualClock()
         self.orders = OrderBook()
-        self.detector = CrashDetector(
-            'm1', self.clock, ManualStoreClock(self.clock)
+        store_clock = ManualStoreClock(self.clock)
+        self.detector = EndDetector(
+            'm1',
+            self.clock,
+            store_clock,
+            DepartureNotice(self.clock, store_clock),
         )
 
     def start(self, task, age_ms, *, phase=Phase.started):
