Judge crashes once all reports have been read

Cause: a new scheduler applies the reports one after another, and each crash was judged when its report was applied. The first one of a rack that crashed together seemed to stand alone and counted against its runs. Change: crashes are kept when reports are applied and judged at the beginning of the next round. Result: test_crash_of_a_rack_is_not_counted_by_a_new_leader failed before and passes, with all tests of workflows.

--- a/dragonflynotch/workflows/runs/crash_tracker.py
+++ b/dragonflynotch/workflows/runs/crash_tracker.py
@@ -40,23 +40,32 @@
         self._crashes: dict[str, Sequence[MinionCrash]] = {}
         # Incarnations whose crash was judged, the latest last.
         self._judged: dict[str, None] = {}
+        self._unjudged: list[tuple[str, MinionCrash]] = []
 
     def apply(self, node: str, crashes: Sequence[MinionCrash]) -> None:
-        """Record the crashes of minions of a node that are not known yet."""
+        """Keep the crashes that the guard of a node reports."""
         self._crashes[node] = crashes
-        for crash in crashes:
-            if crash.is_certain and not self._is_judged(crash):
+        self._unjudged.extend(
+            (node, crash)
+            for crash in crashes
+            if crash.is_certain and crash.minion_id not in self._judged
+        )
+
+    def review(self) -> None:
+        """Record the crashes that are not known yet, with all reports read.
+
+        A new scheduler reads the reports one after another, and whether a
+        crash counts depends on those on other workers.
+        """
+        for node, crash in self._unjudged:
+            if crash.minion_id not in self._judged:
                 self._judge(node, crash)
+        self._unjudged.clear()
 
-    def _is_judged(self, crash: MinionCrash) -> bool:
-        if crash.minion_id in self._judged:
-            return True
+    def _judge(self, node: str, crash: MinionCrash) -> None:
         self._judged[crash.minion_id] = None
         if len(self._judged) > _MAX_JUDGED:
             self._judged.pop(next(iter(self._judged)))
-        return False
-
-    def _judge(self, node: str, crash: MinionCrash) -> None:
         others = [
             other
             for other_node, known in self._crashes.items()
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -225,6 +225,7 @@
             How long the last write to the store took. With a slow store,
             orders get more time before they expire.
         """
+        self._crash_tracker.review()
         self._evacuation.review(self._workers.values(), now_ms)
         pool = self._available_pool(now_ms)
         self._supervisor.review(now_ms, set(pool.free))
--- a/tests/workflows/runs/test_crash_budget.py
+++ b/tests/workflows/runs/test_crash_budget.py
@@ -224,6 +224,22 @@
     assert not any(row.crashes for row in site.progress['j0'].tasks)
 
 
+def test_crash_of_a_rack_is_not_counted_by_a_new_leader(site):
+    """A new leader reads the reports of the rack one after another."""
+    jobs = [f'j{number}' for number in range(3)]
+    for job_id in jobs:
+        site.submit(job_id, 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    old = next(name for _, name in site.orders)
+    orders = dict(site.orders)
+    crash_all(site, ['n0', 'n1', 'n2'], {old: OLD_MS})
+    site.orders = orders
+    successor = restore(site, take_over(site), *jobs, step=WHOLE_WORKER_STEP)
+    successor.decide()
+    assert len(successor.ordered_tasks()) == 3
+    assert not any(crashes_of(successor, f'{job}.0.0.0') for job in jobs)
+
+
 def test_tasks_that_crash_their_minions_at_the_same_time_are_counted(site):
     """Several bad tasks often start in one round, on different workers."""
     for number in range(3):
