Record the start of a run before the stand-in can end it

Cause: the log of the soak test ends runs that are due when it records a start. Ruled out in the product: the guard had reported the end, and the scheduler had recorded it, 1.4 s before the next start. Change: the start is recorded first.

--- a/dragonflynotch/testing/minion_model.py
+++ b/dragonflynotch/testing/minion_model.py
@@ -186,10 +186,12 @@
         if request.lease_end_ms <= self.clock_ms:
             return StartRefused(RefusalReason.late)
         self._lease_end_ms = max(self._lease_end_ms, request.lease_end_ms)
+        # The log may end runs that are due, which must not include one whose
+        # start it has not recorded yet.
+        self._run_log.record_start(request.task, request.run, self.minion_id)
         self._runs[request.task] = _Run(
             request.run, self.clock_ms, request.checkpoint
         )
-        self._run_log.record_start(request.task, request.run, self.minion_id)
         if request.task in self._run_log.crashing_tasks:
             self.crash()
         return Started(self.clock_ms)
