Let jobs crash their minions in the fault soak

Cause: nothing in the soak let a task end its minion, which is one reason why the incident was missed. More than five starts of such a task are a finding, and so is a job that ends without cause beside it.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -52,6 +52,7 @@
         self._checks = checks
         self._timeline = timeline
         self._random = Random(seed)
+        self._crash_random = Random(f'crashing jobs of {seed}')
         self._callers: list[SiteCaller] = []
         self._stopping_entries: set[int] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -99,6 +100,13 @@
         for _ in range(_BURST_JOBS):
             self._spawn(create_random_job(self._random))
 
+    async def submit_crashing_job(self) -> None:
+        """Submit a job whose first task crashes each minion."""
+        job = create_random_job(self._crash_random)
+        job.crashes_minions = True
+        self._checks.crashing_tasks.add(job.tasks[0])
+        self._spawn(job)
+
     async def cancel_half(self) -> None:
         """Cancel half of the accepted jobs that have not ended."""
         jobs = [
@@ -228,7 +236,7 @@
             for task, _, kind in self._checks.ends
             if kind == 'failed' and task.startswith(job.job_id)
         }
-        if state == 'failed' and failed:
+        if state == 'failed' and (failed or job.crashes_minions):
             job.has_failed = True
             return
         self._timeline.add_finding(
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -19,6 +19,8 @@
 # A process that is asked to stop must end within the grace period of the
 # platform.
 _STOP_TIMEOUT_S = 6.0
+# Time from a crash that a task causes to the next start of the minion.
+_RESTART_DELAY_S = 1.0
 _STORE_FAULTS = {
     FaultKind.store_down: StoreFault.down,
     FaultKind.store_answers_lost: StoreFault.lose_answers,
@@ -42,6 +44,7 @@
         FaultKind.configuration_changed,
         FaultKind.jobs_cancelled,
         FaultKind.jobs_burst,
+        FaultKind.crashing_job_submitted,
     )
 )
 
@@ -58,6 +61,8 @@
         self._timeline = timeline
         # 1 while a minion is being replaced; another crash of it is ignored.
         self._crashed_minions: dict[object, int] = {}
+        self._restarts: set[asyncio.Task[None]] = set()
+        fleet.on_crash = self._on_crash
 
     async def run(self, faults: tuple[Fault, ...]) -> None:
         """Inject all faults when they are due and wait until they end."""
@@ -119,6 +124,7 @@
             FaultKind.configuration_changed: self._callers.add_queue,
             FaultKind.jobs_cancelled: self._callers.cancel_half,
             FaultKind.jobs_burst: self._callers.submit_burst,
+            FaultKind.crashing_job_submitted: self._callers.submit_crashing_job,
         }
         action = actions.get(fault.kind)
         if action is not None:
@@ -205,13 +211,26 @@
         model.fault = MinionFault.none
         model.apply_deferred_starts()
 
+    def _on_crash(self, minion: int) -> None:
+        restart = asyncio.create_task(self._restart_crashed(minion))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart_crashed(self, minion: int) -> None:
+        fault = self._timeline.begin_fault(FaultKind.minion_crashed)
+        await self._replace_minion(minion, _RESTART_DELAY_S)
+        self._timeline.end_fault(fault)
+
     async def _crash_minion(self, fault: Fault) -> None:
         number = fault.target % len(self._fleet.minions)
+        await self._replace_minion(number, fault.duration_s)
+
+    async def _replace_minion(self, number: int, downtime_s: float) -> None:
         key = ('minion', number)
         if self._crashed_minions.get(key):
             return
         self._crashed_minions[key] = 1
-        await self._fleet.replace_minion(number, fault.duration_s)
+        await self._fleet.replace_minion(number, downtime_s)
         self._crashed_minions[key] = 0
 
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -54,10 +54,11 @@
 
 @dataclass(slots=True)
 class _MinionEndpoint:
-    """Addresses of a guard and its minion, and how often the minion started."""
+    """Where a guard and its minion listen, and how often the minion started."""
 
     guard_address: tuple[str, int]
-    address: tuple[str, int]
+    # Relays the calls of the guard; a crash closes it with its connections.
+    link: LoopbackProxy
     start_count: int = 0
 
 
@@ -93,6 +94,8 @@
         self._random = random
         self._duration_ms = duration_ms
         self._endpoints: list[_MinionEndpoint] = []
+        # Receives the number of a minion that a task has crashed.
+        self.on_crash: Callable[[int], None] = _ignore_crash
 
     @property
     def processes(self) -> list[LinkedProcess]:
@@ -120,17 +123,20 @@
                 await self._start_process(f'front-{number}', listen)
             )
         for number in range(_GUARD_COUNT):
-            endpoint = _MinionEndpoint(_free_address(), _free_address())
+            endpoint = _MinionEndpoint(
+                _free_address(),
+                LoopbackProxy(_free_address(), _free_address()),
+            )
             listen = {
                 'listen.control': _format_address(endpoint.guard_address),
-                'app': _format_address(endpoint.address),
+                'app': _format_address(endpoint.link.address),
                 'service': SERVICE,
             }
             self.guards.append(
                 await self._start_process(f'side-{number}', listen)
             )
             self._endpoints.append(endpoint)
-            self.minions.append(await self._start_minion(endpoint))
+            self.minions.append(await self._start_minion(number))
 
     async def configure(self, queues: list[SiteQueue], guaranteed: int) -> None:
         """Write the next version of the configuration."""
@@ -141,14 +147,19 @@
 
     async def replace_minion(self, number: int, downtime_s: float) -> None:
         """Crash a minion and start another at its address after a downtime."""
+        await self._endpoints[number].link.stop()
         await self.minions[number].stop()
         await asyncio.sleep(downtime_s)
-        self.minions[number] = await self._start_minion(self._endpoints[number])
+        self.minions[number] = await self._start_minion(number)
 
     async def stop(self) -> None:
         """Stop all that was started; raise the first failure afterwards."""
         processes = self.processes
-        links = (*self.caller_links, *(process.link for process in processes))
+        links = (
+            *self.caller_links,
+            *(process.link for process in processes),
+            *(endpoint.link for endpoint in self._endpoints),
+        )
         outcomes = await asyncio.gather(
             *(process.kill() for process in processes),
             *(minion.stop() for minion in self.minions),
@@ -180,21 +191,33 @@
         await process.start()
         return process
 
-    async def _start_minion(self, endpoint: _MinionEndpoint) -> SiteMinion:
+    async def _start_minion(self, number: int) -> SiteMinion:
+        endpoint = self._endpoints[number]
         endpoint.start_count += 1
         minion = SiteMinion(
             self.site,
-            f'i-{endpoint.address[1]}-{endpoint.start_count}',
+            f'i-{endpoint.link.address[1]}-{endpoint.start_count}',
             SERVICE,
-            endpoint.address,
+            endpoint.link.target,
             endpoint.guard_address,
             self._duration_ms,
             _SlowClock(self._random.uniform(_MIN_CLOCK_RATE, 1)),
             lambda: self._random.uniform(0, _MAX_ANSWER_DELAY_S),
+            announced_address=endpoint.link.address,
         )
+        minion.on_crash = lambda: self._close_crashed(number)
+        await endpoint.link.start()
         await minion.start()
         return minion
 
+    def _close_crashed(self, number: int) -> None:
+        self._endpoints[number].link.reset()
+        self.on_crash(number)
+
+
+def _ignore_crash(_: int) -> None:
+    """Leave the minion crashed; used until a fault injector is there."""
+
 
 def _free_address() -> tuple[str, int]:
     return _HOST, free_ports(1)[0]
--- a/benchmarks/soak/invariants.py
+++ b/benchmarks/soak/invariants.py
@@ -20,6 +20,8 @@
 _STOP_LIMIT_S = 0.2
 RECLAIM_LIMIT_S = 2.7
 FINISH_LIMIT_S = 14.0
+# Three crashes, and two more starts of a task under which minions crashed.
+_MAX_CRASHING_STARTS = 5
 # A start is counted when its message reaches the minion. Messages of a caller
 # and of a minion reach this process in any order.
 _REORDERING_SLACK_S = 0.1
@@ -45,6 +47,7 @@
         self._advance = advance
         self._acknowledged_done: set[str] = set()
         self._used_accelerators: Counter[str] = Counter()
+        self._crashing_starts: Counter[str] = Counter()
         self._run_ids: dict[tuple[str, int], str] = {}
         self._is_advancing = False
 
@@ -74,6 +77,7 @@
         super().record_start(task, run, minion_id)
         self._timeline.start_times_s.append(self._timeline.now_s())
         self.first_starts.setdefault(task, self._timeline.now_s())
+        self._check_crashing(task)
         job = self.jobs.get(_job_of(task))
         if job is None:
             self._add_finding(
@@ -136,6 +140,16 @@
                     'steps in order', f'{task} started before {missing} ended'
                 )
 
+    def _check_crashing(self, task: str) -> None:
+        if task not in self.crashing_tasks:
+            return
+        self._crashing_starts[task] += 1
+        if self._crashing_starts[task] > _MAX_CRASHING_STARTS:
+            self._add_finding(
+                'tasks that crash minions are given up',
+                f'{task} started {self._crashing_starts[task]} times',
+            )
+
     def _check_cancelled(self, job: SoakJob, task: str) -> None:
         now_s = self._timeline.now_s()
         if job.cancelled_s is None:
--- a/benchmarks/soak/jobs.py
+++ b/benchmarks/soak/jobs.py
@@ -45,6 +45,8 @@
     has_ended: bool = False
     # Whether one of its runs failed and the job was reported as failed.
     has_failed: bool = False
+    # Whether its first task crashes each minion that starts it.
+    crashes_minions: bool = False
 
     @property
     def is_refused(self) -> bool:
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -44,8 +44,14 @@
     configuration_changed = 'configuration_changed'
     jobs_cancelled = 'jobs_cancelled'
     jobs_burst = 'jobs_burst'
+    crashing_job_submitted = 'crashing_job_submitted'
 
 
+# Drawn apart from the other kinds, whose draws of a seed stay as they are.
+_CRASHING_JOBS_PER_S = 0.08
+_DRAWN_KINDS = tuple(
+    kind for kind in FaultKind if kind is not FaultKind.crashing_job_submitted
+)
 # Shortest and longest duration; other kinds take no time.
 _DURATION_RANGES_S = {
     FaultKind.entry_killed: (0.2, 3.0),
@@ -111,7 +117,7 @@
     last_begin_s = max(_FIRST_FAULT_S, length_s - _FAULT_FREE_END_S)
     faults: list[Fault] = []
     for _ in range(max(1, int(length_s * _FAULTS_PER_S))):
-        kind = random.choice(tuple(FaultKind))
+        kind = random.choice(_DRAWN_KINDS)
         repeats = 1
         if random.random() < _SERIES_SHARE:
             repeats = random.randint(2, _MAX_SERIES_LENGTH)
@@ -131,4 +137,20 @@
                 )
             )
             begin_s += duration_s + random.uniform(0.1, 1.5)
+    faults.extend(_plan_crashing_jobs(seed, length_s, last_begin_s))
     return tuple(sorted(faults))
+
+
+def _plan_crashing_jobs(
+    seed: int, length_s: float, last_begin_s: float
+) -> list[Fault]:
+    random = Random(f'crashing jobs of {seed}')
+    return [
+        Fault(
+            round(random.uniform(_FIRST_FAULT_S, last_begin_s), 2),
+            FaultKind.crashing_job_submitted,
+            0,
+            number,
+        )
+        for number in range(max(1, int(length_s * _CRASHING_JOBS_PER_S)))
+    ]
--- a/dragonflynotch/testing/site_minion.py
+++ b/dragonflynotch/testing/site_minion.py
@@ -50,6 +50,8 @@
         Clock of the minion; the clock of the store by default.
     answer_delay_s : callable, optional
         Returns the delay of the next answer.
+    announced_address : tuple of (str, int), optional
+        Address in the heartbeats; ``address`` by default.
     """
 
     def __init__(
@@ -62,6 +64,8 @@
         duration_ms: int | Callable[[str], int],
         clock: SteadyClock | None = None,
         answer_delay_s: Callable[[], float] | None = None,
+        *,
+        announced_address: tuple[str, int] | None = None,
     ) -> None:
         """Create the minion; ``start`` begins to serve calls."""
         self.model = MinionModel(
@@ -72,7 +76,9 @@
         )
         self._answer_delay_s = answer_delay_s
         self._service = service
-        self._address = address
+        self._announced_address = announced_address or address
+        # Called when a task crashes the minion.
+        self.on_crash: Callable[[], None] = _ignore_crash
         self._guard = guard
         self._heartbeat_number = 0
         self._server = HttpServer(address, self._answer)
@@ -94,11 +100,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _send_heartbeats(self) -> None:
-        while True:
+        while not self.model.is_crashed:
             self._heartbeat_number += 1
             body = {
                 'service': self._service,
-                'address': '{}:{}'.format(*self._address),
+                'address': '{}:{}'.format(*self._announced_address),
                 'zone': 'hall-a',
                 'version': 'v1',
                 'slots': 8,
@@ -127,6 +133,8 @@
             return Reply(_OTHER_INCARNATION)
         if self._answer_delay_s is not None:
             await asyncio.sleep(self._answer_delay_s())
+        if self.model.is_crashed:
+            return Reply(_BAD_GATEWAY)
         body = msgspec.json.decode(call.body)
         match call.path.removeprefix(_PATH_PREFIX):
             case 'hold':
@@ -171,6 +179,9 @@
             self.model.defer_start(request, token)
             return Reply(_BAD_GATEWAY)
         outcome = self.model.start(request, token)
+        if self.model.is_crashed:
+            self.on_crash()
+            return Reply(_BAD_GATEWAY)
         if self.model.fault is MinionFault.lose_answers:
             return Reply(_BAD_GATEWAY)
         return self._reply(outcome, {})
@@ -184,3 +195,7 @@
             body['reason'] = outcome.reason.value
             return Reply(_CONFLICT, msgspec.json.encode(body), _JSON)
         return Reply(_OK, msgspec.json.encode(body), _JSON)
+
+
+def _ignore_crash() -> None:
+    """Let a crashed minion answer on until it is stopped."""
--- a/tests/benchmarks/soak/test_invariants.py
+++ b/tests/benchmarks/soak/test_invariants.py
@@ -155,3 +155,16 @@
     run.job.accepted_s = 0
     check_final_state(run.checks, run.timeline)
     assert run.violated_invariants() == ['accepted jobs are completed']
+
+
+def test_repeated_crashes_by_one_task_are_found(run):
+    """A task that crashes minions without end must not go unnoticed."""
+    run.checks.crashing_tasks.add(TASK)
+    for number in range(5):
+        run.checks.record_start(TASK, number + 1, f'm{number}')
+        run.checks.record_end(TASK, number + 1, f'm{number}', 'crashed')
+    assert not run.violated_invariants()
+    run.checks.record_start(TASK, 6, 'm6')
+    assert run.violated_invariants() == [
+        'tasks that crash minions are given up'
+    ]
--- a/tests/benchmarks/soak/test_plan.py
+++ b/tests/benchmarks/soak/test_plan.py
@@ -31,3 +31,10 @@
     """No fault begins in the last seconds, so that the recovery is seen."""
     for seed in range(60):
         assert all(fault.begin_s <= 22 for fault in plan_faults(seed, 25))
+
+
+def test_each_run_has_a_job_that_crashes_minions():
+    """No other fault lets a task end its minion."""
+    for seed in range(20):
+        kinds = [fault.kind for fault in plan_faults(seed, 25)]
+        assert FaultKind.crashing_job_submitted in kinds
