Word three comments of the crash records more plainly

Cause: a reading of the diff; the records are stored before the orders are removed, which need not be one transaction if there are many rows.

--- a/dragonflynotch/workflows/runs/crash_tracker.py
+++ b/dragonflynotch/workflows/runs/crash_tracker.py
@@ -17,17 +17,17 @@
 
 __all__ = ('CrashTracker',)
 
-# Crashes of which is kept that they were judged; guards repeat a crash for a
-# minute or two.
+# Number of judged crashes that are remembered. Guards repeat a crash for a
+# minute or more.
 _MAX_JUDGED = 10_000
 
 
 class CrashTracker:
     """Applies the crashes in the reports of guards to jobs.
 
-    The records are stored with the progress of the jobs, in the transaction
-    that removes the orders of the lost runs. Guards repeat a crash in their
-    reports, so each is recorded once for each task.
+    The records are stored with the progress of the jobs, no later than the
+    orders of the lost runs are removed. Guards repeat a crash in their reports,
+    so it is recorded once for each task.
     """
 
     def __init__(
@@ -38,7 +38,7 @@
         self._decision_log = decision_log
         # Last reported crashes, also uncertain ones, by node.
         self._crashes: dict[str, Sequence[MinionCrash]] = {}
-        # Incarnations whose crash was judged, the latest last.
+        # Incarnations whose crash has been judged, the latest last.
         self._judged: dict[str, None] = {}
         self._unjudged: list[tuple[str, MinionCrash]] = []
 
