--- a/dragonflynotch/control/store_health.py
+++ b/dragonflynotch/control/store_health.py
@@ -29,16 +29,6 @@
         silent_ms = self._clock.now_ms() - self._responded_ms
         return self._failures < _MIN_FAILURES or silent_ms < _MIN_SILENCE_MS
 
-    @property
-    def outage_ms(self) -> int:
-        """How long the store has been unreachable, in milliseconds.
-
-        Counted from its last response; 0 while it can be reached.
-        """
-        if self.is_reachable:
-            return 0
-        return self._clock.now_ms() - self._responded_ms
-
     def record_response(self) -> None:
         """Record a response of the store."""
         self._failures = 0
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -37,7 +37,6 @@
 )
 
 __all__ = (
-    'RETRY_AFTER',
     'Accepted',
     'JobStatus',
     'SubmissionService',
@@ -47,8 +46,6 @@
     'Unknown',
 )
 
-# When a refused caller should repeat its call.
-RETRY_AFTER = timedelta(seconds=1)
 _RETRY_DELAY_S = 0.1
 # A healthy store responds to an entry several times in this time. After a
 # longer silence it is read before a write.
@@ -60,9 +57,6 @@
 # time. Several such attempts fit into the deadline of a caller, and by the last
 # ones the load balancer has removed this entry.
 _SETTLE_PERIOD = timedelta(milliseconds=700)
-# The load balancer removes an entry without the store in this time. Callers
-# that come later have found no entry that has the store.
-_MAX_REMOVAL_MS = 2000
 _NO_RESPONSE = 'no response of the row store before the deadline of the caller'
 
 
@@ -279,24 +273,11 @@
         if deadline.has_passed:
             return True
         if not is_uncertain:
-            return (
-                deadline.elapsed > _REFUSED_RETRY_PERIOD
-                and not self._is_last_chance(deadline)
-            )
+            return deadline.elapsed > _REFUSED_RETRY_PERIOD
         return (
             deadline.elapsed > _SETTLE_PERIOD and not self._health.is_reachable
         )
 
-    def _is_last_chance(self, deadline: Deadline) -> bool:
-        """Return whether neither another entry nor a later call can help.
-
-        The attempts then go on until the deadline, since the store may return
-        before it. Load: an outage of the store for all entries, and callers
-        whose time ends soon after it.
-        """
-        cannot_return = deadline.remaining_s < RETRY_AFTER.total_seconds()
-        return cannot_return and self._health.outage_ms > _MAX_REMOVAL_MS
-
     async def _try_write(
         self, name: RowName, content: bytes, deadline: Deadline
     ) -> Committed | Conflict | NotAccepted | Unknown:
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -1,6 +1,5 @@
 """HTTP interface with which callers submit, cancel and read jobs."""
 
-import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -10,7 +9,6 @@
 
 from dragonflynotch.control.store_health import StoreHealth
 from dragonflynotch.control.submissions import (
-    RETRY_AFTER,
     Accepted,
     NotAccepted,
     NotFound,
@@ -34,9 +32,7 @@
 _RESPONSE_MARGIN = timedelta(milliseconds=150)
 # In seconds. Most outages of the store are over within a few seconds, and
 # another node may still reach it.
-_RETRY_AFTER_HEADERS = {
-    'Retry-After': str(math.ceil(RETRY_AFTER.total_seconds()))
-}
+_RETRY_AFTER_HEADERS = {'Retry-After': '1'}
 # Most steps of a job that are logged.
 _MAX_LOGGED_STEPS = 8
 _MS_PER_S = 1000
