Spread orders over tables so that guards follow few of them

Cause: a change feed covers one table, and all orders were in one.

Change: 16 tables in the part of the lease, chosen by the minion. A guard follows the table of its minion, and those of earlier minions whose crash it reports. Until a table has been read, its orders count as unknown: no end is forgotten and no run stopped for the lack of an order. A new leader reads all tables side by side. Ruled out: one table a guard, since the store allows 100 tables; polling a range of keys, which costs calls without changes.

Programs of the releases before and after this change don't see each other's orders: all are stopped for the upgrade.

--- a/dragonflynotch/control/evacuation_status.py
+++ b/dragonflynotch/control/evacuation_status.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from dragonflynotch.control.rows import (
-    ORDERS,
+    ORDER_TABLES,
     REPORTS,
     RowStore,
     Table,
@@ -60,7 +60,9 @@
         return []
     # Orders are read before reports, so that no run is missed whose worker
     # appears meanwhile.
-    orders = await store.read_table(ORDERS)
+    orders = [
+        row for table in ORDER_TABLES for row in await store.read_table(table)
+    ]
     reports = [
         decode_row(row.content, Report)
         for row in await store.read_table(REPORTS)
--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
-from datetime import timedelta
 from typing import Any
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
@@ -15,24 +14,19 @@
     MinionState,
 )
 from dragonflynotch.control.order_book import OrderEntry
-from dragonflynotch.control.order_replica import OrderReplica
+from dragonflynotch.control.order_feed import OrderFeed
 from dragonflynotch.control.order_runner import OrderRunner, describe_outcome
 from dragonflynotch.control.report_writer import ReportWriter
-from dragonflynotch.control.rows import ORDERS, RowChange, RowStore
-from dragonflynotch.control.watch import TableWatch
+from dragonflynotch.control.rows import RowStore
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.records import (
     Order,
     Report,
     RunningTask,
-    decode_row,
 )
 
 __all__ = ('Guard', 'GuardLimits')
 
-# Longest wait in one call of the change feed; bounds how long a feed that
-# delivers nothing stays unnoticed.
-_FEED_TIMEOUT = timedelta(milliseconds=1000)
 _SESSION_CHECK_INTERVAL_S = 0.1
 # Until the first report is written the guard has no authority to extend the
 # lease. That takes about this long.
@@ -102,8 +96,8 @@
         self._clock = clock
         self._connect = connect
         self._limits = limits
-        self._orders_watch = TableWatch(
-            store, ORDERS, self._on_orders, clock, _FEED_TIMEOUT
+        self._orders = OrderFeed(
+            store, clock, self._update_session_order, self._on_orders
         )
         self._writer = ReportWriter(
             node,
@@ -117,7 +111,6 @@
         self._poll_wait_ms = min(
             _MAX_POLL_WAIT_MS, limits.minion_lease_ms // _POLLS_PER_LEASE
         )
-        self._orders = OrderReplica()
         self._session: MinionSession | None = None
         self._runner: OrderRunner | None = None
         self._last_report: Report | None = None
@@ -143,7 +136,7 @@
     async def run(self) -> None:
         """Follow the orders and poll the minion until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._orders_watch.run())
+            group.create_task(self._orders.run())
             group.create_task(self._writer.run())
             group.create_task(self._poll_forever())
 
@@ -191,6 +184,8 @@
         """
         self._last_report = report
         self._crashes.restore(report.crashes)
+        for crash in report.crashes:
+            self._orders.follow(crash.minion_id)
         host, _, port = report.address.rpartition(':')
         if self._session is not None or not report.minion_id or not port:
             return
@@ -217,6 +212,7 @@
     def _start_identification(self, heartbeat: Heartbeat) -> None:
         if heartbeat.minion_id not in self._identifying:
             self._identifying.add(heartbeat.minion_id)
+            self._orders.follow(heartbeat.minion_id)
             self._spawn(self._identify(heartbeat))
 
     async def _identify(self, heartbeat: Heartbeat) -> None:
@@ -277,7 +273,7 @@
             self._writer,
             self._store_clock,
             self._clock,
-            lambda: self._orders_watch.age_ms,
+            lambda: self._orders.age_ms(heartbeat.minion_id),
         )
         self._writer.request_write()
         self._spawn(self._poll())
@@ -302,16 +298,7 @@
 
     # ---- orders ----------------------------------------------------------
 
-    def _on_orders(self, changes: tuple[RowChange, ...]) -> None:
-        for change in changes:
-            order = None
-            if change.content is not None:
-                order = decode_row(change.content, Order)
-                if order is None:
-                    decision_log.record('order_unreadable', key=change.key)
-            minion_id, _, task = change.key.partition('/')
-            self._orders.update(minion_id, task, order)
-            self._update_session_order(minion_id, task, order)
+    def _on_orders(self) -> None:
         self._orders_changed.set()
         self._reconcile()
 
@@ -339,7 +326,8 @@
                 self._spawn_for_entry(entry, self._runner.stop(entry))
             elif entry.needs_start:
                 self._spawn_for_entry(entry, self._runner.start(entry))
-        if self._orders_watch.age_ms > _MAX_ORDERS_AGE_MS:
+        minion_id = self._session.heartbeat.minion_id
+        if self._orders.age_ms(minion_id) > _MAX_ORDERS_AGE_MS:
             return
         for run_key in self._session.orders.unordered_runs():
             if run_key not in self._stopping_unordered:
@@ -406,14 +394,17 @@
         # An end counts as recorded when its order is gone, which says nothing
         # before the orders have been read.
         return await self._session.poll(
-            wait_ms, may_delete_ends=self._orders_watch.is_loaded
+            wait_ms,
+            may_delete_ends=self._orders.is_loaded(
+                self._session.heartbeat.minion_id
+            ),
         )
 
     def _build_report(self, authority_end_ms: int) -> Report | None:
         if self._session is not None:
             self._crashes.add(self._session.crash)
         crashes = self._crashes.recent(
-            self._store_clock.latest_ms(), self._orders.has_orders
+            self._store_clock.latest_ms(), self._orders.may_have_orders
         )
         if self._session is not None:
             suspected = self._session.suspected_crash
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -12,7 +12,7 @@
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.row_cleanup import delete_submission, void_report
 from dragonflynotch.control.rows import (
-    ORDERS,
+    ORDER_TABLES,
     PROGRESS,
     REPORTS,
     SCHEDULER_PART,
@@ -21,7 +21,7 @@
     RowName,
     RowStore,
     RowWrite,
-    Table,
+    order_row,
 )
 from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
@@ -183,8 +183,8 @@
                 watch.cancel()
 
     async def _load(self) -> None:
-        progress_reader = TableReader(self._store, PROGRESS, self._clock)
-        orders_reader = TableReader(self._store, ORDERS, self._clock)
+        progress_reader = TableReader(self._store, (PROGRESS,), self._clock)
+        orders_reader = TableReader(self._store, ORDER_TABLES, self._clock)
         load = LeaderLoad(
             self._leadership,
             self._clock,
@@ -366,12 +366,12 @@
     async def _write(self, decisions: Decisions) -> None:
         """Write the progress of jobs before the orders that result from it."""
         writes = [
-            RowWrite(_scheduler_row(PROGRESS, job_id), encode_row(row))
+            RowWrite(_progress_row(job_id), encode_row(row))
             for job_id, row in decisions.progress.items()
         ]
         writes.extend(
             RowWrite(
-                _scheduler_row(ORDERS, f'{minion_id}/{task}'),
+                order_row(minion_id, task),
                 None if order is None else encode_row(order),
             )
             for (minion_id, task), order in decisions.orders.items()
@@ -380,7 +380,7 @@
             # A submission without progress would run again, so the progress
             # row is deleted only after the submission.
             if await delete_submission(self._store, job_id):
-                writes.append(RowWrite(_scheduler_row(PROGRESS, job_id), None))
+                writes.append(RowWrite(_progress_row(job_id), None))
         waiting = self._scheduler.waiting_by_queue()
         started_ms = self._clock.now_ms()
         for start in range(0, max(1, len(writes)), _MAX_ROWS_PER_WRITE):
@@ -401,5 +401,5 @@
                 self._scheduler.remove_lost_node(node)
 
 
-def _scheduler_row(table: Table, key: str) -> RowName:
-    return RowName(table.name, SCHEDULER_PART, key)
+def _progress_row(job_id: str) -> RowName:
+    return RowName(PROGRESS.name, SCHEDULER_PART, job_id)
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -9,7 +9,7 @@
 __all__ = (
     'ABSENT',
     'LEASE',
-    'ORDERS',
+    'ORDER_TABLES',
     'PROGRESS',
     'REPORTS',
     'SCHEDULER_PART',
@@ -26,6 +26,8 @@
     'RowWrite',
     'Snapshot',
     'Table',
+    'order_row',
+    'orders_table',
     'shard_of',
 )
 
@@ -62,12 +64,23 @@
 REPORTS = Table('reports', _SHARD_PARTS)
 # One row for each job, written by the scheduler.
 PROGRESS = Table('progress', (SCHEDULER_PART,))
-# Rows MINION/TASK, written by the scheduler.
-ORDERS = Table('orders', (SCHEDULER_PART,))
+# Rows MINION/TASK, written by the scheduler. A change feed covers one table, so
+# a guard receives only the changes of the table of its minion. A new leader
+# reads all of them.
+_ORDER_TABLE_COUNT = 16
+ORDER_TABLES = tuple(
+    Table(f'orders-{number}', (SCHEDULER_PART,))
+    for number in range(_ORDER_TABLE_COUNT)
+)
 # One row with the scheduling lease.
 LEASE = Table('lease', (SCHEDULER_PART,))
 
 
+def orders_table(minion_id: str) -> Table:
+    """Return the table with the orders of a minion."""
+    return ORDER_TABLES[crc32(minion_id.encode()) % _ORDER_TABLE_COUNT]
+
+
 @dataclass(frozen=True, slots=True)
 class RowName:
     """Address of a row."""
@@ -77,6 +90,12 @@
     key: str
 
 
+def order_row(minion_id: str, task: str) -> RowName:
+    """Return the address of the order of a task on a minion."""
+    table = orders_table(minion_id)
+    return RowName(table.name, SCHEDULER_PART, f'{minion_id}/{task}')
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """A stored row; ``version`` grows with every write to the store."""
--- a/dragonflynotch/control/table_reader.py
+++ b/dragonflynotch/control/table_reader.py
@@ -1,6 +1,7 @@
-"""Reads a whole table page by page and keeps the pages across failures."""
+"""Reads whole tables page by page and keeps the pages across failures."""
 
 import asyncio
+from collections.abc import Sequence
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.rows import Row, RowStore, Snapshot, Table
@@ -9,7 +10,7 @@
 
 
 class TableReader:
-    """One reading of all rows of a table.
+    """One reading of all rows of one or more tables.
 
     After a failure ``read`` is called again and continues after the pages that
     it has. The version of the snapshot is the lowest version of a first page,
@@ -20,18 +21,20 @@
     ----------
     store : RowStore
         Source of the rows.
-    table : Table
-        Table to read.
+    tables : sequence of Table
+        Tables to read.
     clock : SteadyClock
         Takes the time of the first call.
     """
 
     def __init__(
-        self, store: RowStore, table: Table, clock: SteadyClock
+        self, store: RowStore, tables: Sequence[Table], clock: SteadyClock
     ) -> None:
         """Create the reader; ``read`` sends the first call."""
         self._parts = [
-            _PartReader(store, table.name, part) for part in table.parts
+            _PartReader(store, table.name, part)
+            for table in tables
+            for part in table.parts
         ]
         self._clock = clock
         self._started_ms: int | None = None
--- a/dragonflynotch/control/watch.py
+++ b/dragonflynotch/control/watch.py
@@ -99,7 +99,7 @@
         """
         reader = self._reader
         if reader is None:
-            reader = TableReader(self._store, self._table, self._clock)
+            reader = TableReader(self._store, (self._table,), self._clock)
             self._reader = reader
         snapshot = await reader.read()
         self._reader = None
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -8,11 +8,10 @@
 from dragonflynotch.control.guard import Guard, GuardLimits
 from dragonflynotch.control.minions import Heartbeat, Stopped
 from dragonflynotch.control.rows import (
-    ORDERS,
     REPORTS,
-    SCHEDULER_PART,
     RowName,
     RowWrite,
+    order_row,
     shard_of,
 )
 from dragonflynotch.testing.minion_model import (
@@ -115,7 +114,9 @@
         )
 
     async def remove_order(self, minion_id):
-        await self.store.commit([RowWrite(order_row(minion_id), None)], [])
+        await self.store.commit(
+            [RowWrite(order_row(minion_id, TASK), None)], []
+        )
 
     async def report(self):
         name = RowName(REPORTS.name, shard_of('node'), 'node')
@@ -131,10 +132,6 @@
                 await asyncio.sleep(0.01)
 
 
-def order_row(minion_id, task=TASK):
-    return RowName(ORDERS.name, SCHEDULER_PART, f'{minion_id}/{task}')
-
-
 @pytest.fixture
 async def harness():
     harness = GuardHarness()
@@ -614,7 +611,7 @@
     await asyncio.sleep(0.2)
     monkeypatch.setattr(ModelMinionClient, 'poll', _slow_poll)
     harness.start_guard()
-    other = RowName(ORDERS.name, SCHEDULER_PART, 'm2/other.0.0.0')
+    other = order_row('m2', 'other.0.0.0')
     order = encode_row(Order('text', 1, 0))
     for _ in range(200):
         await harness.store.commit([RowWrite(other, order)], [])
--- a/tests/control/test_leader.py
+++ b/tests/control/test_leader.py
@@ -7,7 +7,7 @@
 import pytest
 
 from dragonflynotch.control import leader_pace
-from dragonflynotch.control.rows import ORDERS
+from dragonflynotch.control.rows import ORDER_TABLES
 from dragonflynotch.core.errors import (
     InvalidInputError,
     PlatformUnavailableError,
@@ -71,7 +71,7 @@
     order was issued.
     """
     cluster.start_candidate(
-        'a', store=StoreWithoutTable(cluster.store, ORDERS.name)
+        'a', store=StoreWithoutTable(cluster.store, ORDER_TABLES[0].name)
     )
     async with asyncio.timeout(3):
         while not count(events, 'takeover_read_failed'):
@@ -87,7 +87,7 @@
 async def test_load_is_not_given_up_while_the_store_is_down(cluster, events):
     """An outage of the store is no reason to change the leader."""
     cluster.start_candidate(
-        'a', store=StoreWithoutTable(cluster.store, ORDERS.name)
+        'a', store=StoreWithoutTable(cluster.store, ORDER_TABLES[0].name)
     )
     async with asyncio.timeout(3):
         while not count(events, 'takeover_read_failed'):
@@ -119,7 +119,9 @@
                 await asyncio.sleep(3)
             return await self._store.read(table, part, first, last)
 
-    cluster.start_candidate('a', store=SlowStore(cluster.store, ORDERS.name))
+    cluster.start_candidate(
+        'a', store=SlowStore(cluster.store, ORDER_TABLES[0].name)
+    )
     await asyncio.sleep(0.3)
     cluster.start_candidate('b')
     async with asyncio.timeout(5):
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -12,16 +12,14 @@
 )
 from dragonflynotch.control.rows import (
     ABSENT,
-    ORDERS,
-    SCHEDULER_PART,
-    RowName,
     RowWrite,
+    order_row,
 )
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.testing.row_store import StoreFault
 from dragonflynotch.workflows.records import encode_row
 
-ORDER = RowName(ORDERS.name, SCHEDULER_PART, 'm/t')
+ORDER = order_row('m', 't')
 TAKEOVER_MS = 2200
 
 
--- a/tests/control/test_table_reader.py
+++ b/tests/control/test_table_reader.py
@@ -54,14 +54,14 @@
 
 async def test_all_parts_are_read(store, clock):
     """No page of any part may be missing or read twice."""
-    snapshot = await TableReader(store, SUBMISSIONS, clock).read()
+    snapshot = await TableReader(store, (SUBMISSIONS,), clock).read()
     assert sorted(row.key for row in snapshot.rows) == sorted(KEYS)
 
 
 async def test_failure_discards_no_page(store, clock):
     """A load that begins anew after each failure may never complete."""
-    reader = TableReader(store, SUBMISSIONS, clock)
-    await TableReader(store, SUBMISSIONS, clock).read()
+    reader = TableReader(store, (SUBMISSIONS,), clock)
+    await TableReader(store, (SUBMISSIONS,), clock).read()
     needed = store.pages
     store.pages = 0
     store.failing_page = 10
--- a/tests/platform/test_slow_link.py
+++ b/tests/platform/test_slow_link.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dragonflynotch.control.clocks import BootClock
-from dragonflynotch.control.rows import ORDERS
+from dragonflynotch.control.rows import SCHEDULER_PART, Table
 from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
 from dragonflynotch.core.errors import PlatformUnavailableError
@@ -18,6 +18,8 @@
 IDLE_S = 0.2
 ROWS = 1500
 
+ORDERS = Table('orders', (SCHEDULER_PART,))
+
 
 @pytest.fixture
 async def slow_store(monkeypatch):
@@ -39,7 +41,7 @@
 
 
 def reader_of(client):
-    return TableReader(client, ORDERS, BootClock())
+    return TableReader(client, (ORDERS,), BootClock())
 
 
 async def test_page_that_arrives_slowly_is_read(slow_store, client):
