Move the settings watch and the page size out of the adapter

Change: SettingsWatch gets the function that reads the settings, and lives beside the settings files; PageSize lives beside the connections that it adapts to. Behaviour is unchanged.

--- a/dragonflynotch/platform/command.py
+++ b/dragonflynotch/platform/command.py
@@ -20,7 +20,7 @@
     PlatformSettings,
     load_settings,
 )
-from dragonflynotch.platform.settings_watch import SettingsWatch
+from dragonflynotch.records.settings_watch import SettingsWatch
 
 __all__ = ('main',)
 
@@ -47,7 +47,9 @@
         if program_name == 'front'
         else SideProgram(settings)
     )
-    watch = SettingsWatch(settings_path, settings, program.apply_bounds)
+    watch = SettingsWatch(
+        settings_path, settings, load_settings, program.apply_bounds
+    )
     loop.add_signal_handler(signal.SIGHUP, watch.request_reload)
     watching = asyncio.create_task(watch.run())
     await program.run(stop)
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -32,7 +32,7 @@
 )
 from dragonflynotch.links.http11 import HttpReply
 from dragonflynotch.links.http_pool import HttpPool
-from dragonflynotch.platform.page_size import PageSize
+from dragonflynotch.links.page_size import PageSize
 
 __all__ = ('HttpRowStore',)
 
--- a/dragonflynotch/platform/settings_watch.py
+++ b/dragonflynotch/records/settings_watch.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import Field, fields
 from pathlib import Path
+from typing import Any, ClassVar, Generic, Protocol, TypeVar
 
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.observability.decisions import decision_log
-from dragonflynotch.platform.settings import PlatformSettings, load_settings
 
 __all__ = ('SettingsWatch',)
 
@@ -16,7 +16,20 @@
 _NOT_CHECKED = (0, 0, 0)
 
 
-class SettingsWatch:
+class _Settings(Protocol):
+    """Data class with settings of a process."""
+
+    __dataclass_fields__: ClassVar[dict[str, Field[Any]]]
+
+    @property
+    def bounds(self) -> object:
+        """Settings that can change in place."""
+
+
+_SettingsT = TypeVar('_SettingsT', bound=_Settings)
+
+
+class SettingsWatch(Generic[_SettingsT]):
     """Reloads the settings when their file changes or on request.
 
     A file that cannot be read or is invalid leaves the settings in force. A
@@ -28,8 +41,10 @@
     ----------
     path : Path
         Settings file.
-    settings : PlatformSettings
+    settings : data class
         Settings in force.
+    load : callable
+        Reads and checks the settings file.
     apply_bounds : callable
         Applies settings whose bounds have changed.
     """
@@ -37,12 +52,14 @@
     def __init__(
         self,
         path: Path,
-        settings: PlatformSettings,
-        apply_bounds: Callable[[PlatformSettings], None],
+        settings: _SettingsT,
+        load: Callable[[Path], _SettingsT],
+        apply_bounds: Callable[[_SettingsT], None],
     ) -> None:
         """Create the watch; ``run`` starts it."""
         self._path = path
         self._settings = settings
+        self._load = load
         self._apply_bounds = apply_bounds
         self._requested = asyncio.Event()
         # Unknown at first, so that the first check finds a change between the
@@ -78,7 +95,7 @@
 
     def _reload(self, *, is_requested: bool) -> None:
         try:
-            settings = load_settings(self._path)
+            settings = self._load(self._path)
         except (InvalidInputError, OSError, UnicodeDecodeError) as error:
             decision_log.record('settings_rejected', reason=str(error))
             return
@@ -96,6 +113,6 @@
         )
 
 
-def _changed_fields(old: PlatformSettings, new: PlatformSettings) -> list[str]:
-    names = [field.name for field in fields(PlatformSettings)]
+def _changed_fields(old: _SettingsT, new: _SettingsT) -> list[str]:
+    names = [field.name for field in fields(old)]
     return [name for name in names if getattr(old, name) != getattr(new, name)]
--- a/tests/platform/test_page_size.py
+++ b/tests/links/test_page_size.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dragonflynotch.platform.page_size import PageSize
+from dragonflynotch.links.page_size import PageSize
 
 
 @pytest.fixture
--- a/tests/platform/test_settings_watch.py
+++ b/tests/records/test_settings_watch.py
@@ -6,7 +6,7 @@
 
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.platform.settings import load_settings
-from dragonflynotch.platform.settings_watch import SettingsWatch
+from dragonflynotch.records.settings_watch import SettingsWatch
 
 SETTINGS = """node=front-1
 ip=127.0.0.1
@@ -31,7 +31,7 @@
         path.write_text(SETTINGS)
         self.applied = []
         self.watch = SettingsWatch(
-            path, load_settings(path), self.applied.append
+            path, load_settings(path), load_settings, self.applied.append
         )
         self._task = asyncio.create_task(self.watch.run())
 
@@ -103,7 +103,7 @@
     old = load_settings(path)
     path.write_text(SETTINGS.replace('400', '900'))
     applied = []
-    watch = SettingsWatch(path, old, applied.append)
+    watch = SettingsWatch(path, old, load_settings, applied.append)
     task = asyncio.create_task(watch.run())
     async with asyncio.timeout(5):
         while not applied:
