Split the guard, the leader's term and the placer by job

Change: minion_identity.py finds out which incarnation responds, decision_writer.py writes decisions under the lease, replica_freshness.py judges the replicas, room_maker.py decides which runs stop for a step. Behaviour is unchanged.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -2,16 +2,19 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.crash_history import CrashHistory
+from dragonflynotch.control.minion_identity import (
+    MinionIdentifier,
+    previous_heartbeat,
+)
 from dragonflynotch.control.minion_session import MinionSession
 from dragonflynotch.control.minions import (
     Heartbeat,
     MinionClient,
-    MinionState,
 )
 from dragonflynotch.control.order_book import OrderEntry
 from dragonflynotch.control.order_feed import OrderFeed
@@ -94,7 +97,6 @@
         """Create the guard; ``run`` starts it."""
         self._store_clock = store_clock
         self._clock = clock
-        self._connect = connect
         self._limits = limits
         self._orders = OrderFeed(
             store, clock, self._update_session_order, self._on_orders
@@ -108,6 +110,9 @@
             self._build_report,
             self._on_previous_report,
         )
+        self._identifier = MinionIdentifier(
+            connect, lambda: self._writer.token, clock
+        )
         self._poll_wait_ms = min(
             _MAX_POLL_WAIT_MS, limits.minion_lease_ms // _POLLS_PER_LEASE
         )
@@ -116,7 +121,6 @@
         self._last_report: Report | None = None
         self._has_minion_left = False
         self._crashes = CrashHistory()
-        self._identifying: set[str] = set()
         self._stopping_unordered: set[tuple[str, int]] = set()
         self._running_calls: set[asyncio.Task[object]] = set()
         self._orders_changed = asyncio.Event()
@@ -186,64 +190,24 @@
         self._crashes.restore(report.crashes)
         for crash in report.crashes:
             self._orders.follow(crash.minion_id)
-        host, _, port = report.address.rpartition(':')
-        if self._session is not None or not report.minion_id or not port:
-            return
-        self._start_identification(
-            Heartbeat(
-                minion_id=report.minion_id,
-                service=report.service,
-                address=(host, int(port)),
-                sequence=0,
-                is_draining=report.is_live and not report.is_ready,
-                labels=report.labels,
-                rack=report.rack,
-                capacity=report.capacity,
-                data_centre=report.data_centre,
-                remaining_ms=self._remaining_ms(report),
-            )
-        )
-
-    def _remaining_ms(self, report: Report) -> int | None:
-        if report.leaves_at_ms is None:
-            return None
-        return max(0, report.leaves_at_ms - self._store_clock.latest_ms())
+        heartbeat = previous_heartbeat(report, self._store_clock.latest_ms())
+        if self._session is None and heartbeat is not None:
+            self._start_identification(heartbeat)
 
     def _start_identification(self, heartbeat: Heartbeat) -> None:
-        if heartbeat.minion_id not in self._identifying:
-            self._identifying.add(heartbeat.minion_id)
+        if self._identifier.begin(heartbeat.minion_id):
             self._orders.follow(heartbeat.minion_id)
             self._spawn(self._identify(heartbeat))
 
     async def _identify(self, heartbeat: Heartbeat) -> None:
-        """Start a session if the incarnation of the heartbeat still responds.
-
-        The heartbeat alone is no proof: it may be a delayed one of an earlier
-        incarnation.
-        """
-        received_ms = self._clock.now_ms()
-        minion = self._connect(heartbeat)
-        outcome = await minion.poll(self._writer.token, 0, 0, 0)
-        self._identifying.discard(heartbeat.minion_id)
-        if not isinstance(outcome, MinionState):
-            decision_log.record(
-                'heartbeat_ignored',
-                minion=heartbeat.minion_id,
-                outcome=describe_outcome(outcome),
-            )
-            minion.close()
+        found = await self._identifier.identify(heartbeat)
+        if found is None:
             return
-        if heartbeat.remaining_ms is not None:
-            elapsed_ms = self._clock.now_ms() - received_ms
-            heartbeat = replace(
-                heartbeat,
-                remaining_ms=max(0, heartbeat.remaining_ms - elapsed_ms),
-            )
-        self._begin_session(heartbeat, minion)
+        self._begin_session(found.heartbeat, found.minion)
         decision_log.record(
             'minion_registered',
             minion=heartbeat.minion_id,
-            running=len(outcome.running),
+            running=found.running,
         )
 
     def _begin_session(
@@ -289,7 +253,7 @@
         for call in self._running_calls:
             if call is not asyncio.current_task():
                 call.cancel()
-        self._identifying.clear()
+        self._identifier.forget_pending()
         self._stopping_unordered.clear()
         if self._session is not None:
             self._session.minion.close()
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -7,21 +7,22 @@
 from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.decision_writer import DecisionWriter
 from dragonflynotch.control.leader_load import LeaderLoad
 from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
-from dragonflynotch.control.row_cleanup import delete_submission, void_report
+from dragonflynotch.control.replica_freshness import (
+    ReplicaFreshness,
+    are_operator_rows_recent,
+)
+from dragonflynotch.control.row_cleanup import void_report
 from dragonflynotch.control.rows import (
     ORDER_TABLES,
     PROGRESS,
     REPORTS,
-    SCHEDULER_PART,
     SUBMISSIONS,
     RowChange,
-    RowName,
     RowStore,
-    RowWrite,
-    order_row,
 )
 from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
@@ -34,7 +35,6 @@
     ProgressRow,
     Report,
     decode_row,
-    encode_row,
 )
 from dragonflynotch.workflows.scheduler import (
     Decisions,
@@ -55,12 +55,6 @@
 _ROUND_INTERVAL = timedelta(milliseconds=250)
 # The lease row is rewritten at least this often.
 _RENEWAL_INTERVAL_MS = 600
-# Nothing is started from older replicas, which could lack a cancellation.
-_MAX_REPLICA_AGE_MS = 1800
-# The age limit rises by this many times the duration of the last write.
-_AGE_LIMIT_WRITE_FACTOR = 3
-# Leaves room in a transaction for conditions and the lease row.
-_MAX_ROWS_PER_WRITE = 90
 # Covers clock differences and response delays.
 _AUTHORITY_MARGIN_MS = 500
 _MS_PER_S = 1000
@@ -145,14 +139,14 @@
             _FEED_TIMEOUT,
         )
         self._rows_changed = asyncio.Event()
-        self._lease_written_ms = context.clock.now_ms()
-        self._write_duration_ms = 0
+        self._writer = DecisionWriter(
+            context.store, context.leadership, context.clock
+        )
         self._pace = RoundPace(context.leadership.handovers)
         # End of the last round that was judged, without its writes.
         self._paced_ms = context.clock.now_ms()
         self._is_loading = True
-        # Whether the replicas were fresh enough to decide in the last round.
-        self._were_replicas_fresh = True
+        self._freshness = ReplicaFreshness(self._submissions, self._reports)
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
 
     @property
@@ -283,7 +277,9 @@
         evacuations = self._evacuations()
         decisions = Decisions()
         started_ms = self._clock.now_ms()
-        are_fresh = self._are_replicas_fresh()
+        are_fresh = self._freshness.check(
+            self._writer.duration_ms, self._leadership.epoch
+        )
         # Before the operator's rows are known, a run could be started in a
         # data centre that is evacuated.
         if are_fresh and evacuations is not None:
@@ -292,13 +288,18 @@
         self._check_pace(
             started_ms,
             could_decide=are_fresh
-            and self._are_operator_rows_recent(evacuations),
+            and are_operator_rows_recent(
+                evacuations, self._store_now_ms(), self._evacuation_bound_ms
+            ),
         )
         is_renewal_due = (
-            self._clock.now_ms() - self._lease_written_ms > _RENEWAL_INTERVAL_MS
+            self._clock.now_ms() - self._writer.written_ms
+            > _RENEWAL_INTERVAL_MS
         )
         if not decisions.is_empty or is_renewal_due:
-            await self._write(decisions)
+            await self._writer.write(
+                decisions, self._scheduler.waiting_by_queue()
+            )
         for entry in decisions.log_entries:
             decision_log.record(
                 entry.event, epoch=self._leadership.epoch, **entry.fields
@@ -309,7 +310,7 @@
         decisions = self._scheduler.decide(
             self._store_now_ms(),
             int(time.time() * _MS_PER_S),
-            self._write_duration_ms,
+            self._writer.duration_ms,
         )
         self._record_round((self._clock.now_ms() - started_ms) / _MS_PER_S)
         return decisions
@@ -317,79 +318,17 @@
     def _check_pace(self, started_ms: int, *, could_decide: bool) -> None:
         """Raise ``CannotKeepUpError`` if rounds have been late for too long."""
         now_ms = self._clock.now_ms()
-        previous_ms = max(self._paced_ms, self._lease_written_ms)
+        previous_ms = max(self._paced_ms, self._writer.written_ms)
         self._paced_ms = now_ms
         self._pace.record_round(
             now_ms - previous_ms,
             now_ms - started_ms,
-            self._write_duration_ms,
+            self._writer.duration_ms,
             could_decide=could_decide,
         )
         if self._pace.is_settled:
             self._leadership.settle()
 
-    def _are_replicas_fresh(self) -> bool:
-        # A slow store answers feed calls late, which makes replicas seem older.
-        limit_ms = _MAX_REPLICA_AGE_MS + min(
-            _AGE_LIMIT_WRITE_FACTOR * self._write_duration_ms,
-            _MAX_REPLICA_AGE_MS,
-        )
-        submissions_age_ms = self._submissions.age_ms
-        reports_age_ms = self._reports.age_ms
-        are_fresh = max(submissions_age_ms, reports_age_ms) < limit_ms
-        if are_fresh != self._were_replicas_fresh:
-            self._were_replicas_fresh = are_fresh
-            decision_log.record(
-                'decisions_resumed' if are_fresh else 'decisions_paused',
-                epoch=self._leadership.epoch,
-                submissions_age_ms=submissions_age_ms,
-                reports_age_ms=reports_age_ms,
-                limit_ms=limit_ms,
-            )
-        return are_fresh
-
-    def _are_operator_rows_recent(
-        self, evacuations: EvacuationRequests | None
-    ) -> bool:
-        """Return whether the operator's rows are younger than the bound.
-
-        Without the margins of ``Evacuation``, so that the lease is handed over
-        only once no run can start any more.
-        """
-        if evacuations is None:
-            return False
-        if self._evacuation_bound_ms is None:
-            return True
-        age_ms = self._store_now_ms() - evacuations.current_at_ms
-        return age_ms < self._evacuation_bound_ms
-
-    async def _write(self, decisions: Decisions) -> None:
-        """Write the progress of jobs before the orders that result from it."""
-        writes = [
-            RowWrite(_progress_row(job_id), encode_row(row))
-            for job_id, row in decisions.progress.items()
-        ]
-        writes.extend(
-            RowWrite(
-                order_row(minion_id, task),
-                None if order is None else encode_row(order),
-            )
-            for (minion_id, task), order in decisions.orders.items()
-        )
-        for job_id in decisions.expired_jobs:
-            # A submission without progress would run again, so the progress
-            # row is deleted only after the submission.
-            if await delete_submission(self._store, job_id):
-                writes.append(RowWrite(_progress_row(job_id), None))
-        waiting = self._scheduler.waiting_by_queue()
-        started_ms = self._clock.now_ms()
-        for start in range(0, max(1, len(writes)), _MAX_ROWS_PER_WRITE):
-            await self._leadership.commit(
-                writes[start : start + _MAX_ROWS_PER_WRITE], [], waiting
-            )
-        self._lease_written_ms = self._clock.now_ms()
-        self._write_duration_ms = self._lease_written_ms - started_ms
-
     async def _expire_lost_guards(self) -> None:
         """Discard the runs of guards whose authority has ended."""
         now_ms = self._store_now_ms()
@@ -399,7 +338,3 @@
                 continue
             if await void_report(self._store, node, worker):
                 self._scheduler.remove_lost_node(node)
-
-
-def _progress_row(job_id: str) -> RowName:
-    return RowName(PROGRESS.name, SCHEDULER_PART, job_id)
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -1,31 +1,23 @@
 """Places waiting steps on workers, the most urgent first."""
 
 from collections import Counter
-from collections.abc import Sequence
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
 from dragonflynotch.workflows.ordering.ranking import compute_urgency
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
-from dragonflynotch.workflows.placement.allocations import (
-    estimated_core_seconds,
-)
 from dragonflynotch.workflows.placement.avoidance import avoided_by_step
 from dragonflynotch.workflows.placement.best_fit import (
     fits_one_rack,
     place_gang,
     place_task,
 )
-from dragonflynotch.workflows.placement.preemption import (
-    PreemptionLimits,
-    plan_room,
-    stop_in_plan,
-)
 from dragonflynotch.workflows.placement.recent_starts import find_recent_starts
 from dragonflynotch.workflows.placement.reservations import plan_reservations
+from dragonflynotch.workflows.placement.room_maker import Allocations, RoomMaker
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.placement.workers import Allocation, Worker
+from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
 from dragonflynotch.workflows.records import JobState, Order
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
@@ -40,8 +32,6 @@
 # How long guaranteed work waits for its data rack, or for one rack for a gang.
 _GUARANTEED_RACK_WAIT_MS = 1000
 
-Allocations = dict[str, list[Allocation]]
-
 
 class Placer:
     """Orders runs for waiting tasks.
@@ -67,13 +57,16 @@
         """Create a placer that adds its orders to ``orders``."""
         self._jobs = jobs
         self._orders = orders
-        self._tracker = tracker
         self._decision_log = decision_log
+        self._room_maker = RoomMaker(jobs, tracker, decision_log, stop_ms)
         self.start_timeout_ms = start_timeout_ms
-        self.stop_ms = stop_ms
         self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
 
+    def apply_stop_ms(self, stop_ms: int) -> None:
+        """Use this bound on the time from the order to stop to the end."""
+        self._room_maker.stop_ms = stop_ms
+
     def place(
         self,
         pool: WorkerPool,
@@ -114,7 +107,9 @@
             if self._place_step(pool, demand, waiting.job):
                 continue
             self._wait_log.record(pool, waiting, demand)
-            gets_room = self._make_room(pool, waiting, demand, allocations)
+            gets_room = self._room_maker.make_room(
+                pool, waiting, demand, allocations
+            )
             if may_reserve or gets_room:
                 reserving_steps += 1
                 pool.reservations.extend(
@@ -126,7 +121,7 @@
         return not (
             pool.may_fit(waiting.step)
             or self._wait_log.is_due(pool, waiting)
-            or self._preemption_limits(pool, waiting) is not None
+            or self._room_maker.may_make_room(pool, waiting)
         )
 
     def _waiting_steps(
@@ -256,67 +251,3 @@
             worker_failed_jobs=pool.failed_job_counts.get(worker.minion_id, 0),
             is_avoided_worker=worker.minion_id in task.failed_on,
         )
-
-    def _make_room(
-        self,
-        pool: WorkerPool,
-        waiting: WaitingStep,
-        demand: Demand,
-        allocations: Allocations,
-    ) -> bool:
-        """Stop less urgent runs to free resources for an urgent step.
-
-        Returns
-        -------
-        bool
-            Whether the step fits once the stopping runs have ended.
-        """
-        limits = self._preemption_limits(pool, waiting)
-        if limits is None:
-            return False
-        plan = plan_room(pool, demand, allocations, limits)
-        if plan.victims:
-            self._stop_for(waiting, plan.victims)
-            stop_in_plan(allocations, plan.victims, pool.now_ms + self.stop_ms)
-        return plan.will_fit
-
-    def _stop_for(
-        self, waiting: WaitingStep, victims: Sequence[Allocation]
-    ) -> None:
-        urgency = waiting.urgency
-        self._decision_log.record(
-            'room_taken',
-            job=urgency.job_id,
-            step=urgency.step,
-            tier=urgency.tier,
-            stops=len(victims),
-            lost_core_s=round(
-                sum(victim.preemption_cost for victim in victims)
-            ),
-            work_core_s=round(estimated_core_seconds(waiting.step.spec)),
-        )
-        for allocation in victims:
-            found = self._jobs.find(str(allocation.task_id))
-            if found is None:
-                continue
-            _, step, task = found
-            for member in step.tasks if step.spec.is_gang else (task,):
-                self._tracker.order_stop(member, 'room_for_urgent_work')
-
-    def _preemption_limits(
-        self, pool: WorkerPool, waiting: WaitingStep
-    ) -> PreemptionLimits | None:
-        """Return which runs may be stopped for a step, or ``None`` for none.
-
-        There is no limit on the work lost for a guaranteed step. For other
-        urgent steps, and those about to be late, the work lost may not exceed
-        the work of the step itself.
-        """
-        priority = self._jobs.queue(waiting.job).priority
-        if waiting.urgency.is_guaranteed:
-            return PreemptionLimits(priority)
-        if waiting.urgency.may_preempt(pool.now_ms):
-            return PreemptionLimits(
-                priority, estimated_core_seconds(waiting.step.spec)
-            )
-        return None
--- /dev/null
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -0,0 +1,113 @@
+"""Decides whether other runs stop for a waiting step, and for which."""
+
+from collections.abc import Sequence
+
+from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
+from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.ordering.wait_log import WaitingStep
+from dragonflynotch.workflows.placement.allocations import (
+    estimated_core_seconds,
+)
+from dragonflynotch.workflows.placement.preemption import (
+    PreemptionLimits,
+    plan_room,
+    stop_in_plan,
+)
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.workers import Allocation
+from dragonflynotch.workflows.runs.run_tracker import RunTracker
+
+__all__ = ('Allocations', 'RoomMaker')
+
+Allocations = dict[str, list[Allocation]]
+
+
+class RoomMaker:
+    """Stops less urgent runs to free resources for urgent steps.
+
+    Parameters
+    ----------
+    stop_ms : int
+        Longest time from the order to stop a run until the run has ended.
+    """
+
+    def __init__(
+        self,
+        jobs: JobRegistry,
+        tracker: RunTracker,
+        decision_log: DecisionLogBuffer,
+        stop_ms: int,
+    ) -> None:
+        """Create a room maker that stops runs through ``tracker``."""
+        self._jobs = jobs
+        self._tracker = tracker
+        self._decision_log = decision_log
+        self.stop_ms = stop_ms
+
+    def may_make_room(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
+        """Return whether any runs may be stopped for a step."""
+        return self._limits(pool, waiting) is not None
+
+    def make_room(
+        self,
+        pool: WorkerPool,
+        waiting: WaitingStep,
+        demand: Demand,
+        allocations: Allocations,
+    ) -> bool:
+        """Stop less urgent runs to free resources for an urgent step.
+
+        Returns
+        -------
+        bool
+            Whether the step fits once the stopping runs have ended.
+        """
+        limits = self._limits(pool, waiting)
+        if limits is None:
+            return False
+        plan = plan_room(pool, demand, allocations, limits)
+        if plan.victims:
+            self._stop_for(waiting, plan.victims)
+            stop_in_plan(allocations, plan.victims, pool.now_ms + self.stop_ms)
+        return plan.will_fit
+
+    def _limits(
+        self, pool: WorkerPool, waiting: WaitingStep
+    ) -> PreemptionLimits | None:
+        """Return which runs may be stopped for a step, or ``None`` for none.
+
+        There is no limit on the work lost for a guaranteed step. For other
+        urgent steps, and those about to be late, the work lost may not exceed
+        the work of the step itself.
+        """
+        priority = self._jobs.queue(waiting.job).priority
+        if waiting.urgency.is_guaranteed:
+            return PreemptionLimits(priority)
+        if waiting.urgency.may_preempt(pool.now_ms):
+            return PreemptionLimits(
+                priority, estimated_core_seconds(waiting.step.spec)
+            )
+        return None
+
+    def _stop_for(
+        self, waiting: WaitingStep, victims: Sequence[Allocation]
+    ) -> None:
+        urgency = waiting.urgency
+        self._decision_log.record(
+            'room_taken',
+            job=urgency.job_id,
+            step=urgency.step,
+            tier=urgency.tier,
+            stops=len(victims),
+            lost_core_s=round(
+                sum(victim.preemption_cost for victim in victims)
+            ),
+            work_core_s=round(estimated_core_seconds(waiting.step.spec)),
+        )
+        for allocation in victims:
+            found = self._jobs.find(str(allocation.task_id))
+            if found is None:
+                continue
+            _, step, task = found
+            for member in step.tasks if step.spec.is_gang else (task,):
+                self._tracker.order_stop(member, 'room_for_urgent_work')
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -150,7 +150,7 @@
         self._settings = settings
         self._supervisor.max_slowdown = settings.off_rack_slowdown
         self._placer.start_timeout_ms = settings.start_timeout_ms
-        self._placer.stop_ms = settings.stop_ms
+        self._placer.apply_stop_ms(settings.stop_ms)
         self._evacuation.bound_ms = settings.evacuation_bound_ms
         self._departures.stop_ms = settings.stop_ms
 
