Stop no runs for a step that is late anyway

Hypothesis: an urgent step takes room although the stopped runs may end after its latest start.

Change: work that can be on time stops runs only while stop_ms, the bound on the time that a stop takes, fits before its latest start. Guaranteed work is not affected.

--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -83,7 +83,7 @@
         priority = self._jobs.queue(waiting.job).priority
         if waiting.urgency.is_guaranteed:
             return PreemptionLimits(priority)
-        if waiting.urgency.may_preempt(pool.now_ms):
+        if waiting.urgency.may_preempt(pool.now_ms, self.stop_ms):
             return PreemptionLimits(
                 priority, estimated_core_seconds(waiting.step.spec)
             )
