--- a/benchmarks/workflows/replay.py
+++ b/benchmarks/workflows/replay.py
@@ -15,6 +15,7 @@
     rack_names,
 )
 from dragonflynotch.workflows.jobs import StepSpec, parse_task_id
+from dragonflynotch.workflows.mechanisms import Mechanisms
 from dragonflynotch.workflows.records import (
     EndKind,
     JobState,
@@ -47,6 +48,7 @@
 _OFF_RACK_SLOWDOWN = 3
 _PERCENT = 100
 _USEFUL_OBJECTIVE_MULTIPLE = 3
+_ALL_MECHANISMS = Mechanisms()
 
 
 @dataclass(slots=True)
@@ -123,7 +125,12 @@
 
 
 class _Replay:
-    def __init__(self, load: LoadPattern, arrivals: list[Arrival]) -> None:
+    def __init__(
+        self,
+        load: LoadPattern,
+        arrivals: list[Arrival],
+        mechanisms: Mechanisms,
+    ) -> None:
         self._arrivals = {arrival.job_id: arrival for arrival in arrivals}
         self._cores = load.worker_cores
         self._now_ms = 0
@@ -133,7 +140,9 @@
         self._completed_ms: dict[str, int] = {}
         self._checkpoints: dict[str, int] = {}
         self.result = ReplayResult()
-        self._scheduler = Scheduler(SchedulerSettings(stop_ms=_STOP_MS))
+        self._scheduler = Scheduler(
+            SchedulerSettings(stop_ms=_STOP_MS), mechanisms
+        )
         self._scheduler.apply_deployment(DEPLOYMENT)
         self._workers = {
             f'm{number}': _Worker(f'n{number}', f'm{number}', rack)
@@ -410,6 +419,10 @@
         )
 
 
-def replay(load: LoadPattern, arrivals: list[Arrival]) -> ReplayResult:
+def replay(
+    load: LoadPattern,
+    arrivals: list[Arrival],
+    mechanisms: Mechanisms = _ALL_MECHANISMS,
+) -> ReplayResult:
     """Replay the arrivals and return what became of the jobs."""
-    return _Replay(load, arrivals).run()
+    return _Replay(load, arrivals, mechanisms).run()
--- a/dragonflynotch/workflows/ordering/ranking.py
+++ b/dragonflynotch/workflows/ordering/ranking.py
@@ -99,6 +99,7 @@
     *,
     is_guaranteed: bool,
     is_overdue: bool,
+    by_work_left: bool = True,
 ) -> Urgency:
     """Return the urgency of a step.
 
@@ -113,6 +114,8 @@
         Whether the guarantee of its workspace covers the job.
     is_overdue : bool
         Whether this is the overdue job that comes before other work.
+    by_work_left : bool
+        Whether work left counts within a priority.
     """
     objective_ms = compute_objective_ms(job, queue)
     slack_ms = objective_ms - critical_path_ms(job)
@@ -133,7 +136,7 @@
     return Urgency(
         tier,
         queue.priority if is_useful else 0,
-        _work_left(job) if is_useful else 0,
+        _work_left(job) if is_useful and by_work_left else 0,
         last_start_ms,
         job.job_id,
         step.occurrence,
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -4,6 +4,7 @@
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.mechanisms import Mechanisms
 from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
 from dragonflynotch.workflows.ordering.ranking import compute_urgency
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
@@ -53,12 +54,16 @@
         decision_log: DecisionLogBuffer,
         start_timeout_ms: int,
         stop_ms: int,
+        mechanisms: Mechanisms,
     ) -> None:
         """Create a placer that adds its orders to ``orders``."""
         self._jobs = jobs
         self._orders = orders
         self._decision_log = decision_log
-        self._room_maker = RoomMaker(jobs, tracker, decision_log, stop_ms)
+        self._room_maker = RoomMaker(
+            jobs, tracker, decision_log, stop_ms, mechanisms
+        )
+        self._mechanisms = mechanisms
         self.start_timeout_ms = start_timeout_ms
         self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
@@ -112,9 +117,15 @@
             )
             if may_reserve or gets_room:
                 reserving_steps += 1
-                pool.reservations.extend(
-                    plan_reservations(pool, demand, allocations)
-                )
+                self._reserve(pool, demand, allocations)
+
+    def _reserve(
+        self, pool: WorkerPool, demand: Demand, allocations: Allocations
+    ) -> None:
+        if self._mechanisms.reserves:
+            pool.reservations.extend(
+                plan_reservations(pool, demand, allocations)
+            )
 
     def _must_only_wait(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
         """Return whether nothing can be done for a step in this round."""
@@ -128,7 +139,9 @@
         self, pool: WorkerPool, wall_ms: int
     ) -> list[WaitingStep]:
         urgent_demand = self._jobs.urgent_accelerator_demand()
-        overdue_job = longest_overdue_job(self._jobs, pool)
+        overdue_job = None
+        if self._mechanisms.prefers_overdue:
+            overdue_job = longest_overdue_job(self._jobs, pool)
         waiting = []
         for job in self._jobs.open_jobs():
             is_guaranteed = self._is_guaranteed(job, urgent_demand)
@@ -145,6 +158,7 @@
                         pool.now_ms,
                         is_guaranteed=is_guaranteed,
                         is_overdue=job is overdue_job,
+                        by_work_left=self._mechanisms.orders_by_work_left,
                     )
                     waiting.append(WaitingStep(urgency, job, step))
         waiting.sort(key=lambda entry: entry.urgency)
@@ -172,7 +186,10 @@
         rack_wait_ms = step.spec.estimated_ms
         if waiting.urgency.is_guaranteed:
             rack_wait_ms = min(rack_wait_ms, _GUARANTEED_RACK_WAIT_MS)
-        has_waited = pool.now_ms - job.spec.accepted_ms > rack_wait_ms
+        has_waited = (
+            not self._mechanisms.waits_for_rack
+            or pool.now_ms - job.spec.accepted_ms > rack_wait_ms
+        )
         service = self._jobs.service(job)
         return Demand(
             step,
--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -4,6 +4,7 @@
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.mechanisms import Mechanisms
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep
 from dragonflynotch.workflows.placement.allocations import (
     estimated_core_seconds,
@@ -37,12 +38,14 @@
         tracker: RunTracker,
         decision_log: DecisionLogBuffer,
         stop_ms: int,
+        mechanisms: Mechanisms,
     ) -> None:
         """Create a room maker that stops runs through ``tracker``."""
         self._jobs = jobs
         self._tracker = tracker
         self._decision_log = decision_log
         self.stop_ms = stop_ms
+        self._mechanisms = mechanisms
 
     def may_make_room(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
         """Return whether any runs may be stopped for a step."""
@@ -82,7 +85,11 @@
         """
         priority = self._jobs.queue(waiting.job).priority
         if waiting.urgency.is_guaranteed:
+            if not self._mechanisms.preempts_for_guarantees:
+                return None
             return PreemptionLimits(priority)
+        if not self._mechanisms.preempts_for_objectives:
+            return None
         if waiting.urgency.may_preempt(pool.now_ms, self.stop_ms):
             return PreemptionLimits(
                 priority, estimated_core_seconds(waiting.step.spec)
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -30,12 +30,15 @@
         tracker: RunTracker,
         decision_log: DecisionLogBuffer,
         max_slowdown: float,
+        *,
+        stops_stalled: bool = True,
     ) -> None:
         """Create a supervisor for ``jobs``."""
         self._jobs = jobs
         self._tracker = tracker
         self._decision_log = decision_log
         self.max_slowdown = max_slowdown
+        self._stops_stalled = stops_stalled
 
     def review(self, now_ms: int, minions_with_reports: set[str]) -> None:
         """End jobs that are finished, and stop broken and stalled runs.
@@ -87,7 +90,7 @@
                 continue
             if step.spec.is_gang and not step.is_done:
                 self._stop_broken_gang(step)
-            if not step.spec.is_long_running:
+            if self._stops_stalled and not step.spec.is_long_running:
                 for task in _stall_candidates(step):
                     self._stop_if_stalled(
                         step, task, now_ms, minions_with_reports
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -15,6 +15,7 @@
 from dragonflynotch.workflows.evacuation import Evacuation, EvacuationRequests
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
+from dragonflynotch.workflows.mechanisms import Mechanisms
 from dragonflynotch.workflows.placement.allocations import list_allocations
 from dragonflynotch.workflows.placement.placer import Placer
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
@@ -30,6 +31,8 @@
 
 __all__ = ('Decisions', 'Scheduler', 'SchedulerSettings')
 
+_ALL_MECHANISMS = Mechanisms()
+
 
 @dataclass(frozen=True, slots=True)
 class SchedulerSettings:
@@ -82,9 +85,14 @@
 class Scheduler:
     """Decides which task runs where."""
 
-    def __init__(self, settings: SchedulerSettings) -> None:
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        mechanisms: Mechanisms = _ALL_MECHANISMS,
+    ) -> None:
         """Create a scheduler without jobs."""
         self._settings = settings
+        self._mechanisms = mechanisms
         self._jobs = JobRegistry()
         self._orders = OrderRegistry()
         self._workers: dict[str, Worker] = {}
@@ -99,6 +107,7 @@
             self._tracker,
             self._decision_log,
             settings.off_rack_slowdown,
+            stops_stalled=mechanisms.stops_stalled,
         )
         self._evacuation = Evacuation(
             self._jobs,
@@ -114,6 +123,7 @@
             self._decision_log,
             settings.start_timeout_ms,
             settings.stop_ms,
+            mechanisms,
         )
         self._departures = Departures(
             self._jobs,
@@ -242,12 +252,13 @@
             write_ms,
             latest_start_ms,
         )
-        self._departures.review(
-            pool,
-            self._workers.values(),
-            write_ms,
-            may_start=latest_start_ms is not None,
-        )
+        if self._mechanisms.moves_departing:
+            self._departures.review(
+                pool,
+                self._workers.values(),
+                write_ms,
+                may_start=latest_start_ms is not None,
+            )
         return Decisions(
             self._jobs.take_changes(),
             self._orders.take_changes(),
@@ -282,7 +293,15 @@
             for minion_id, worker in workers.items()
             if not self._evacuation.is_cordoned(worker)
         ]
-        excluded = self._worker_health.excluded(usable, now_ms)
+        health = self._worker_health
+        excluded: set[str] = set()
+        failed_job_counts: dict[str, int] = {}
+        if self._mechanisms.prefers_sound_workers:
+            excluded = health.excluded(usable, now_ms)
+            failed_job_counts = {
+                minion_id: health.failed_job_count(minion_id, now_ms)
+                for minion_id in workers
+            }
         return WorkerPool(
             {
                 minion_id: workers[minion_id]
@@ -291,10 +310,5 @@
             },
             free,
             now_ms,
-            {
-                minion_id: self._worker_health.failed_job_count(
-                    minion_id, now_ms
-                )
-                for minion_id in workers
-            },
+            failed_job_counts,
         )
--- /dev/null
+++ b/tests/benchmarks/workflows/test_ablation.py
@@ -0,0 +1,45 @@
+"""Replays without single mechanisms of the scheduler."""
+
+from dataclasses import fields, replace
+
+import pytest
+
+from benchmarks.workflows.loads import LOADS, generate_arrivals
+from benchmarks.workflows.replay import replay
+from dragonflynotch.workflows.mechanisms import Mechanisms
+
+LOAD = LOADS['overload']
+NAMES = [field.name for field in fields(Mechanisms)]
+# The load has no guarantee, no worker that fails, stalls or leaves, and no job
+# that waits long enough to be overdue.
+_WITHOUT_OCCASION = {
+    'preempts_for_guarantees',
+    'prefers_overdue',
+    'prefers_sound_workers',
+    'moves_departing',
+    'stops_stalled',
+}
+
+
+@pytest.mark.parametrize(
+    'name', [name for name in NAMES if name not in _WITHOUT_OCCASION]
+)
+def test_mechanism_can_be_left_out(name):
+    """Guards against a switch that does nothing, and an ablation of nothing."""
+    arrivals = generate_arrivals(LOAD, 1)
+    without = replace(Mechanisms(), **{name: False})
+
+    assert replay(LOAD, arrivals) != replay(LOAD, arrivals, without)
+
+
+def test_runs_without_preemption_are_not_stopped():
+    """Guards against a switch that leaves one way to take room."""
+    without = replace(
+        Mechanisms(),
+        preempts_for_guarantees=False,
+        preempts_for_objectives=False,
+    )
+
+    result = replay(LOAD, generate_arrivals(LOAD, 1), without)
+
+    assert result.stops == 0
