--- a/dragonflynotch/workflows/ordering/ranking.py
+++ b/dragonflynotch/workflows/ordering/ranking.py
@@ -70,20 +70,13 @@
         """Whether the step is covered by the guarantee of its workspace."""
         return self.tier == _TIER_GUARANTEED
 
-    def may_preempt(self, now_ms: int, stop_ms: int) -> bool:
+    def may_preempt(self, now_ms: int) -> bool:
         """Return whether other runs may be stopped to keep the step on time.
 
         Steps of the most urgent queues qualify at once, others only shortly
-        before their latest start. None qualifies if the runs could end after
-        its latest start: their work would be lost, and the step late anyway.
-
-        Parameters
-        ----------
-        stop_ms : int
-            Longest time from the order to stop a run until the run has ended.
+        before their latest start.
         """
-        is_in_time = now_ms + stop_ms <= self.last_start_ms
-        if self.tier != _TIER_ON_TIME or not is_in_time:
+        if self.tier != _TIER_ON_TIME:
             return False
         return (
             self.priority == 0
--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -90,7 +90,7 @@
             return PreemptionLimits(priority)
         if not self._mechanisms.preempts_for_objectives:
             return None
-        if waiting.urgency.may_preempt(pool.now_ms, self.stop_ms):
+        if waiting.urgency.may_preempt(pool.now_ms):
             return PreemptionLimits(
                 priority, estimated_core_seconds(waiting.step.spec)
             )
