--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -44,6 +44,8 @@
         order expires.
     stop_ms : int
         Longest time from the order to stop a run until the run has ended.
+    mechanisms : Mechanisms
+        Parts of the policy to use.
     """
 
     def __init__(
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -22,6 +22,8 @@
     ----------
     max_slowdown : float
         How many times longer than estimated a healthy task may take.
+    stops_stalled : bool
+        Whether runs without progress are stopped.
     """
 
     def __init__(
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -83,7 +83,15 @@
 
 
 class Scheduler:
-    """Decides which task runs where."""
+    """Decides which task runs where.
+
+    Parameters
+    ----------
+    settings : SchedulerSettings
+        Time limits.
+    mechanisms : Mechanisms, optional
+        Parts of the policy to use, for experiments; by default, all of them.
+    """
 
     def __init__(
         self,
