Name what keeps room from a waiting step

Callers saw a job wait with most of the room free. step_waits has the tasks that fit into free and into unreserved resources, which tells reserved room from a full site, but not who holds the reservation and what that step waits for, nor room that is kept from the step by a failure of its task, by the exclusion of workers, by recent starts while a task is suspected, or by the rack of its data.

A reservation now carries the identifier of its step, and an allocation whether the run is past its estimate. step_waits gains reserved_by (at most three steps, with the time until the reservation begins and the late runs on the reserved workers that end before it), fit_avoided, fit_kept_apart, fit_excluded, excluded_workers and fit_off_rack. They are counted for the first waiting task: the others wait until it has been placed. fit_free and fit_unreserved now also count the tasks of the step that already run towards its limit per worker. All of this is computed only when an entry is due.

--- a/dragonflynotch/workflows/jobs.py
+++ b/dragonflynotch/workflows/jobs.py
@@ -7,11 +7,24 @@
 
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('JobSpec', 'StepSpec', 'TaskId', 'parse_task_id')
+__all__ = ('JobSpec', 'StepId', 'StepSpec', 'TaskId', 'parse_task_id')
 
 _TASK_ID = re.compile(r'([^.]+)\.(\d+)\.(\d+)\.(\d+)', re.ASCII)
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StepId:
+    """Identifier of a step: a job, an occurrence and a number."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+    def __str__(self) -> str:
+        """Return the text form used in logs."""
+        return f'{self.job_id}.{self.occurrence}.{self.step}'
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class TaskId:
     """Identifier of a task: a job, an occurrence, a step and an index."""
@@ -21,6 +34,11 @@
     step: int
     index: int
 
+    @property
+    def step_id(self) -> StepId:
+        """Step that the task belongs to."""
+        return StepId(self.job_id, self.occurrence, self.step)
+
     def __str__(self) -> str:
         """Return the text form used in rows and orders."""
         return f'{self.job_id}.{self.occurrence}.{self.step}.{self.index}'
--- a/dragonflynotch/workflows/ordering/wait_log.py
+++ b/dragonflynotch/workflows/ordering/wait_log.py
@@ -4,6 +4,7 @@
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.ordering.ranking import Urgency
+from dragonflynotch.workflows.placement.step_room import StepRoom
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.progress import Job, Step
 
@@ -39,17 +40,18 @@
         return logged_ms is None or pool.now_ms - logged_ms >= _LOG_INTERVAL_MS
 
     def record(
-        self, pool: WorkerPool, waiting: WaitingStep, demand: Demand
+        self,
+        pool: WorkerPool,
+        waiting: WaitingStep,
+        demand: Demand,
+        room: StepRoom,
     ) -> None:
-        """Record that a step waits, unless it was recorded recently."""
-        if not self.is_due(pool, waiting):
-            return
+        """Record that a step waits, with the room that it has."""
         urgency = waiting.urgency
         if len(self._logged_ms) > _MAX_LOGGED_STEPS:
             self._logged_ms.clear()
         self._logged_ms[urgency] = pool.now_ms
         spec = waiting.step.spec
-        room = pool.room_for(demand)
         self._decision_log.record(
             'step_waits',
             job=urgency.job_id,
@@ -65,6 +67,12 @@
             fit_total=room.fit_total,
             fit_free=room.fit_free,
             fit_unreserved=room.fit_unreserved,
+            fit_avoided=room.fit_avoided,
+            fit_kept_apart=room.fit_kept_apart,
+            fit_excluded=room.fit_excluded,
+            fit_off_rack=room.fit_off_rack,
+            excluded_workers=room.excluded_workers,
+            reserved_by=room.reserved_by,
             oldest_report_ms=room.oldest_report_ms,
             waited_ms=pool.now_ms - waiting.job.spec.accepted_ms,
             last_start_in_ms=urgency.last_start_ms - pool.now_ms,
--- a/dragonflynotch/workflows/placement/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -42,9 +42,9 @@
 
 
 def _group(found: FoundTask) -> str:
-    job, step, task = found
+    _, step, task = found
     if step.spec.is_gang:
-        return f'{job.job_id}.{step.occurrence}.{step.number}'
+        return str(step.step_id)
     return str(task.task_id)
 
 
@@ -90,4 +90,5 @@
         is_preemptible=(
             spec.max_unavailable is None and not spec.is_long_running
         ),
+        is_past_estimate=elapsed_ms > spec.estimated_ms,
     )
--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -15,7 +15,13 @@
 from dragonflynotch.workflows.progress import Step, Task
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('fit_gang', 'fits_one_rack', 'place_gang', 'place_task')
+__all__ = (
+    'avoided_starts',
+    'fit_gang',
+    'fits_one_rack',
+    'place_gang',
+    'place_task',
+)
 
 
 def place_task(
@@ -33,7 +39,7 @@
     """
     spec = demand.step.spec
     avoided = avoided_by_task(pool, demand.step, demand.service, task)
-    avoided |= _avoided_starts(pool, demand, [task])
+    avoided |= avoided_starts(pool, demand, [task])
     fitting = [
         (worker, pool.available(worker, demand))
         for worker in pool.candidates(demand)
@@ -58,7 +64,7 @@
 
     The result is ``None`` if not all members fit.
     """
-    avoided = _avoided_starts(pool, demand, demand.step.tasks)
+    avoided = avoided_starts(pool, demand, demand.step.tasks)
     available = {
         worker.minion_id: pool.available(worker, demand)
         for worker in pool.candidates(demand)
@@ -67,7 +73,7 @@
     return fit_gang(pool, demand, available)
 
 
-def _avoided_starts(
+def avoided_starts(
     pool: WorkerPool, demand: Demand, tasks: list[Task]
 ) -> set[str]:
     """Return the minions on which tasks must not start so soon."""
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -17,6 +17,7 @@
 from dragonflynotch.workflows.placement.recent_starts import find_recent_starts
 from dragonflynotch.workflows.placement.reservations import plan_reservations
 from dragonflynotch.workflows.placement.room_maker import Allocations, RoomMaker
+from dragonflynotch.workflows.placement.step_room import find_room
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
@@ -113,7 +114,7 @@
             demand = self._demand(pool, waiting)
             if self._place_step(pool, demand, waiting.job):
                 continue
-            self._wait_log.record(pool, waiting, demand)
+            self._record_wait(pool, waiting, demand, allocations)
             gets_room = self._room_maker.make_room(
                 pool, waiting, demand, allocations
             )
@@ -121,6 +122,17 @@
                 reserving_steps += 1
                 self._reserve(pool, demand, allocations)
 
+    def _record_wait(
+        self,
+        pool: WorkerPool,
+        waiting: WaitingStep,
+        demand: Demand,
+        allocations: Allocations,
+    ) -> None:
+        if self._wait_log.is_due(pool, waiting):
+            room = find_room(pool, demand, allocations)
+            self._wait_log.record(pool, waiting, demand, room)
+
     def _reserve(
         self, pool: WorkerPool, demand: Demand, allocations: Allocations
     ) -> None:
--- a/dragonflynotch/workflows/placement/reservations.py
+++ b/dragonflynotch/workflows/placement/reservations.py
@@ -59,7 +59,9 @@
         step_fit.update(minion_id)
         if step_fit.fits:
             reserved = _gang_resources(pool, demand, available)
-            return [] if reserved is None else [Reservation(end_ms, reserved)]
+            if reserved is None:
+                return []
+            return [Reservation(demand.step.step_id, end_ms, reserved)]
     return []
 
 
@@ -78,7 +80,11 @@
         if count:
             available[minion_id] -= needs * count
             unplaced -= count
-            planned.append(Reservation(end_ms, {minion_id: needs * count}))
+            planned.append(
+                Reservation(
+                    demand.step.step_id, end_ms, {minion_id: needs * count}
+                )
+            )
         if not unplaced:
             break
     return planned
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -1,14 +1,15 @@
 """Workers that may get new runs, and what steps may use of them."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from dragonflynotch.workflows.jobs import StepId
 from dragonflynotch.workflows.placement.recent_starts import RecentStarts
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Step
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Demand', 'Reservation', 'StepRoom', 'WorkerPool')
+__all__ = ('Demand', 'Reservation', 'WorkerPool')
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,8 @@
 
     Parameters
     ----------
+    step_id : StepId
+        Step that the resources are reserved for.
     start_ms : int
         Expected start of the step. Until then, runs that end earlier may
         use the resources.
@@ -24,6 +27,7 @@
         Reserved resources by minion.
     """
 
+    step_id: StepId
     start_ms: int
     resources: Mapping[str, Resources]
 
@@ -55,30 +59,19 @@
     avoided_minions: frozenset[str] = frozenset()
     may_join_suspects: bool = False
 
-
-@dataclass(frozen=True, slots=True)
-class StepRoom:
-    """How many tasks of a step fit on its candidate workers.
-
-    Parameters
-    ----------
-    workers : int
-        Number of candidates.
-    fit_total : int
-        Tasks that would fit if the candidates were empty.
-    fit_free : int
-        Tasks that fit into the free resources, reserved ones included.
-    fit_unreserved : int
-        Tasks that fit into the resources that the step may use.
-    oldest_report_ms : int
-        Age of the oldest report that this is based on.
-    """
-
-    workers: int
-    fit_total: int
-    fit_free: int
-    fit_unreserved: int
-    oldest_report_ms: int
+    def suits(self, worker: Worker) -> bool:
+        """Return whether a worker has the service, label and rack wanted."""
+        spec = self.step.spec
+        report = worker.report
+        return (
+            report.service == self.service
+            and (not spec.constraint or spec.constraint in report.labels)
+            and (
+                not spec.data_rack
+                or self.may_leave_data_rack
+                or report.rack == spec.data_rack
+            )
+        )
 
 
 @dataclass(slots=True)
@@ -102,6 +95,8 @@
         Resources kept for steps that come earlier in the round.
     recent_starts : RecentStarts
         Runs that were started a short time ago, also in this round.
+    excluded : mapping of str to Worker
+        Workers left out because several jobs failed on them, by minion.
     """
 
     workers: dict[str, Worker]
@@ -110,6 +105,7 @@
     failed_job_counts: Mapping[str, int] = field(default_factory=dict)
     reservations: list[Reservation] = field(default_factory=list)
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
+    excluded: Mapping[str, Worker] = field(default_factory=dict)
     _free_total: Resources = field(init=False)
 
     def __post_init__(self) -> None:
@@ -133,18 +129,11 @@
 
     def candidates(self, demand: Demand) -> list[Worker]:
         """Return the workers that the tasks of the step may run on."""
-        spec = demand.step.spec
         return [
             worker
             for worker in self.workers.values()
-            if worker.report.service == demand.service
+            if demand.suits(worker)
             and worker.minion_id not in demand.avoided_minions
-            and (not spec.constraint or spec.constraint in worker.report.labels)
-            and (
-                not spec.data_rack
-                or demand.may_leave_data_rack
-                or worker.report.rack == spec.data_rack
-            )
         ]
 
     def available(self, worker: Worker, demand: Demand) -> Resources:
@@ -161,32 +150,6 @@
                 free -= reserved
         return free
 
-    def room_for(self, demand: Demand) -> StepRoom:
-        """Return how many tasks of the step fit on its candidates."""
-        spec = demand.step.spec
-        limit = spec.max_per_worker or len(demand.step.tasks)
-        candidates = self.candidates(demand)
-
-        def count(resources: Iterable[Resources]) -> int:
-            return sum(
-                min(limit, amount.fit_count(spec.needs)) for amount in resources
-            )
-
-        return StepRoom(
-            workers=len(candidates),
-            fit_total=count(worker.report.resources for worker in candidates),
-            fit_free=count(
-                self.free[worker.minion_id] for worker in candidates
-            ),
-            fit_unreserved=count(
-                self.available(worker, demand) for worker in candidates
-            ),
-            oldest_report_ms=max(
-                (self.now_ms - worker.reported_ms for worker in candidates),
-                default=0,
-            ),
-        )
-
     def could_run(
         self,
         step: Step,
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -26,6 +26,8 @@
     is_preemptible: bool = False
     # Whether the task can resume from a checkpoint after a stop.
     is_resumable: bool = False
+    # Whether the run has taken longer than estimated.
+    is_past_estimate: bool = False
 
 
 @dataclass(slots=True)
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from dragonflynotch.workflows.crash_records import TaskCrash
-from dragonflynotch.workflows.jobs import JobSpec, StepSpec, TaskId
+from dragonflynotch.workflows.jobs import JobSpec, StepId, StepSpec, TaskId
 from dragonflynotch.workflows.records import (
     EndKind,
     JobState,
@@ -126,6 +126,11 @@
     occurrence: int
     tasks: list[Task]
 
+    @property
+    def step_id(self) -> StepId:
+        """Identifier of the step."""
+        return self.tasks[0].task_id.step_id
+
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -319,4 +319,5 @@
             free,
             now_ms,
             failed_job_counts,
+            excluded={minion_id: workers[minion_id] for minion_id in excluded},
         )
--- a/tests/workflows/ordering/test_wait_log.py
+++ b/tests/workflows/ordering/test_wait_log.py
@@ -11,6 +11,11 @@
     return [entry.fields for entry in site.log_entries if entry.event == event]
 
 
+def last_wait(site, job_id):
+    waits = entries(site, 'step_waits')
+    return [fields for fields in waits if fields['job'] == job_id][-1]
+
+
 def test_wait_names_the_room_that_is_reserved():
     """A full site must be distinguishable from one whose room is reserved."""
     site = Site(racks=('r1', 'r1'))
@@ -19,9 +24,7 @@
     site.submit('g', 'normal', StepSpec(2, 1000, 1000, 8, 9000, is_gang=True))
     site.submit('s', 'batch', StepSpec(1, 1000, 1000, 8, 60_000))
     site.decide(advance_ms=100)
-    wait = next(
-        fields for fields in entries(site, 'step_waits') if fields['job'] == 's'
-    )
+    wait = last_wait(site, 's')
     assert (
         wait['fit_total'],
         wait['fit_free'],
@@ -76,3 +79,74 @@
     (cleared,) = entries(site, 'worker_failures_cleared')
     assert cleared['failed_jobs'] == 1
     assert cleared['run_age_ms'] == 300
+
+
+def test_wait_names_who_holds_the_room_and_which_runs_are_late():
+    """Room that lies idle for a gang must lead to the run that delays it."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    site.submit('g', 'normal', StepSpec(2, 1000, 1000, 8, 9000, is_gang=True))
+    site.decide(advance_ms=1_000)
+    site.submit('s', 'batch', StepSpec(1, 1000, 1000, 8, 60_000))
+    site.decide(advance_ms=100)
+    (holder,) = last_wait(site, 's')['reserved_by']
+    # The run began 1100 ms ago.
+    assert (holder.job, holder.step, holder.starts_in_ms) == ('g', 0, 2_900)
+    assert holder.late_tasks == []
+    for _ in range(6):
+        site.decide(advance_ms=1_000)
+    (holder,) = last_wait(site, 's')['reserved_by']
+    assert holder.starts_in_ms == 300
+    assert (holder.late_runs, holder.late_tasks) == (1, ['x.0.0.0'])
+
+
+def test_wait_names_no_holder_if_the_room_is_in_use():
+    """Reservations must not be blamed for a site that is full."""
+    site = Site(racks=('r1',))
+    site.submit('x', 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    for job in ('y', 'z'):
+        site.submit(job, 'normal', WHOLE_WORKER_STEP)
+    site.decide(advance_ms=100)
+    assert last_wait(site, 'z')['reserved_by'] == []
+
+
+def test_wait_names_the_room_that_a_retry_avoids():
+    """Avoided room must be distinguishable from room that is in use."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'normal', WHOLE_WORKER_STEP)
+    site.decide()
+    site.submit('a')
+    site.decide()
+    site.end('a.0.0.0', EndKind.failed)
+    wait = last_wait(site, 'a')
+    assert (wait['fit_avoided'], wait['fit_unreserved']) == (1, 0)
+
+
+def test_wait_names_the_room_of_excluded_workers():
+    """Room on workers with failures must be distinguishable from no room."""
+    site = Site(racks=('r1', 'r1', 'r1'))
+    for job in ('a', 'b'):
+        site.submit(job)
+        site.decide()
+    faulty = site.minion_of('a.0.0.0')
+    assert site.minion_of('b.0.0.0') == faulty
+    for job in ('a', 'b'):
+        site.end(f'{job}.0.0.0', EndKind.failed)
+    site.submit('x', 'normal', StepSpec(4, 8000, 8000, 8, 4000))
+    site.decide(advance_ms=100)
+    wait = last_wait(site, 'x')
+    assert (wait['excluded_workers'], wait['fit_excluded']) == (1, 1)
+
+
+def test_wait_names_the_room_beside_recent_starts():
+    """Room beside a suspected task must be distinguishable from no room."""
+    site = Site(racks=('r1',))
+    site.submit('bad', 'normal', StepSpec(1, 1000, 1000, 1, 60_000))
+    site.decide()
+    site.crash('n0')
+    site.submit('good')
+    site.decide()
+    wait = last_wait(site, 'good')
+    assert (wait['fit_kept_apart'], wait['fit_unreserved']) == (1, 1)
