Log jobs of which nothing runs although it could

Callers saw a job with nothing running for seconds while most of the room was free. step_waits covers a step that waits for room. A run that is ordered and not started, a run whose end has not been recorded and the next step behind it were not logged at all, and a step logs its wait each 5 s only, whatever the cause.

job_idle is written once no recent report has listed a run of an open job for 2 s although the turn of a step has come, and then each 5 s, with the cause, up to three steps, and the share of the capacity that orders hold, in all and for runs that no report lists. job_idle_ended tells how long it lasted. The room of a waiting step is counted at its turn in the round, with the reservations that stood then. Jobs are reviewed each 0.5 s, with at most 50 entries, and at most 10,000 jobs are followed.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -5,6 +5,7 @@
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
+from dragonflynotch.workflows.ordering.idle_log import IdleLog
 from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
 from dragonflynotch.workflows.ordering.ranking import compute_urgency
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
@@ -55,6 +56,7 @@
         orders: OrderRegistry,
         tracker: RunTracker,
         decision_log: DecisionLogBuffer,
+        idle_log: IdleLog,
         start_timeout_ms: int,
         stop_ms: int,
         mechanisms: Mechanisms,
@@ -70,6 +72,7 @@
         self.start_timeout_ms = start_timeout_ms
         self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
+        self._idle_log = idle_log
 
     def apply_stop_ms(self, stop_ms: int) -> None:
         """Use this bound on the time from the order to stop to the end."""
@@ -129,8 +132,13 @@
         demand: Demand,
         allocations: Allocations,
     ) -> None:
-        if self._wait_log.is_due(pool, waiting):
-            room = find_room(pool, demand, allocations)
+        is_wait_due = self._wait_log.is_due(pool, waiting)
+        is_job_due = self._idle_log.needs_room(waiting.job.job_id)
+        if not (is_wait_due or is_job_due):
+            return
+        room = find_room(pool, demand, allocations)
+        self._idle_log.add_room(waiting.step, room)
+        if is_wait_due:
             self._wait_log.record(pool, waiting, demand, room)
 
     def _reserve(
@@ -146,6 +154,7 @@
         return not (
             pool.may_fit(waiting.step)
             or self._wait_log.is_due(pool, waiting)
+            or self._idle_log.needs_room(waiting.job.job_id)
             or self._room_maker.may_make_room(pool, waiting)
         )
 
--- a/dragonflynotch/workflows/placement/step_room.py
+++ b/dragonflynotch/workflows/placement/step_room.py
@@ -31,6 +31,7 @@
     excluded = 'excluded'
     off_rack = 'off_rack'
     avoided = 'avoided'
+    reserved = 'reserved'
     kept_apart = 'kept_apart'
 
 
@@ -82,6 +83,9 @@
     fit_now : int
         Tasks that fit there on workers that the first waiting task neither
         avoids nor is kept apart from.
+    fit_reserved : int
+        Tasks that fit into reserved resources, also on the workers that are
+        counted in the following figures.
     fit_avoided : int
         Tasks that would fit on workers that the first waiting task avoids.
     fit_kept_apart : int
@@ -106,6 +110,7 @@
     fit_free: int
     fit_unreserved: int
     fit_now: int
+    fit_reserved: int
     fit_avoided: int
     fit_kept_apart: int
     excluded_workers: int
@@ -134,6 +139,7 @@
         fit_free=fit_free,
         fit_unreserved=fit_unreserved,
         fit_now=hindered[None],
+        fit_reserved=hindered[_Hindrance.reserved],
         fit_avoided=hindered[_Hindrance.avoided],
         fit_kept_apart=hindered[_Hindrance.kept_apart],
         excluded_workers=sum(map(demand.suits, pool.excluded.values())),
@@ -210,7 +216,9 @@
         """Count what fits by what forbids it; ``None`` if nothing does."""
         counts: Counter[_Hindrance | None] = Counter()
         for worker in self.suitable_workers():
-            counts[self._hindrance(worker)] += self.fit_unreserved([worker])
+            unreserved = self.fit_unreserved([worker])
+            counts[self._hindrance(worker)] += unreserved
+            counts[_Hindrance.reserved] += self.fit_free([worker]) - unreserved
         return counts
 
     def _hindrance(self, worker: Worker) -> _Hindrance | None:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -16,6 +16,7 @@
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.mechanisms import Mechanisms
+from dragonflynotch.workflows.ordering.idle_log import IdleLog, RoundInputs
 from dragonflynotch.workflows.placement.allocations import list_allocations
 from dragonflynotch.workflows.placement.placer import Placer
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
@@ -124,11 +125,13 @@
             self._decision_log,
             settings.evacuation_bound_ms,
         )
+        self._idle_log = IdleLog(self._jobs, self._orders, self._decision_log)
         self._placer = Placer(
             self._jobs,
             self._orders,
             self._tracker,
             self._decision_log,
+            self._idle_log,
             settings.start_timeout_ms,
             settings.stop_ms,
             mechanisms,
@@ -157,6 +160,8 @@
                 for worker in self._workers.values()
             ),
             self._jobs.count_suspects(),
+            self._idle_log.idle_counts,
+            self._idle_log.capacity_use,
         )
 
     def apply_deployment(self, deployment: Deployment) -> None:
@@ -253,6 +258,7 @@
             self._jobs, self._orders, now_ms, self._settings.stop_ms
         )
         latest_start_ms = self._evacuation.latest_start_ms(now_ms, write_ms)
+        self._idle_log.begin_round(now_ms)
         self._placer.place(
             pool,
             allocations,
@@ -267,6 +273,17 @@
                 write_ms,
                 may_start=latest_start_ms is not None,
             )
+        self._idle_log.review(
+            RoundInputs(
+                pool,
+                self._workers.values(),
+                wall_ms,
+                self._settings.max_report_age_ms,
+                may_start=(
+                    latest_start_ms is not None and latest_start_ms > now_ms
+                ),
+            )
+        )
         return Decisions(
             self._jobs.take_changes(),
             self._orders.take_changes(),
--- a/dragonflynotch/workflows/scheduler_status.py
+++ b/dragonflynotch/workflows/scheduler_status.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from dragonflynotch.workflows.placement.capacity_use import CapacityUse
+
 __all__ = ('SchedulerStatus',)
 
 
@@ -20,9 +22,15 @@
         Workers that have announced when they leave.
     suspected_tasks : int
         Tasks of open jobs that may have crashed minions.
+    idle_jobs : mapping of str to int
+        Open jobs of which nothing runs although it could, by cause.
+    capacity_use : mapping of str to CapacityUse
+        Use of the capacity by service.
     """
 
     evacuation_run_counts: Mapping[str, int] = field(default_factory=dict)
     departure_stops: int = 0
     leaving_workers: int = 0
     suspected_tasks: int = 0
+    idle_jobs: Mapping[str, int] = field(default_factory=dict)
+    capacity_use: Mapping[str, CapacityUse] = field(default_factory=dict)
--- a/tests/workflows/ordering/test_wait_log.py
+++ b/tests/workflows/ordering/test_wait_log.py
@@ -2,15 +2,11 @@
 
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import EndKind
-from tests.workflows.site import Site
+from tests.workflows.site import Site, entries
 
 WHOLE_WORKER_STEP = StepSpec(1, 8000, 8000, 8, 4000)
 
 
-def entries(site, event):
-    return [entry.fields for entry in site.log_entries if entry.event == event]
-
-
 def last_wait(site, job_id):
     waits = entries(site, 'step_waits')
     return [fields for fields in waits if fields['job'] == job_id][-1]
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -25,6 +25,11 @@
 )
 
 
+def entries(site, event):
+    """Return the fields of all log entries of an event."""
+    return [entry.fields for entry in site.log_entries if entry.event == event]
+
+
 class Site:
     """A scheduler with workers whose time, reports and decisions tests control.
 
