Export idle jobs by cause and the use of the capacity

Operators could not see from the metrics that jobs do not run while room is free. On the scheduler, dragonflynotch_idle_jobs has a series for each cause, and dragonflynotch_capacity_in_use and dragonflynotch_capacity_unreported one for each service. The series of evacuations are rendered by the same code.

--- a/dragonflynotch/observability/job_metrics.py
+++ b/dragonflynotch/observability/job_metrics.py
@@ -1,15 +1,34 @@
 """Metrics of the processes that accept, schedule and run jobs."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-__all__ = ('JobMetrics',)
+__all__ = ('JobMetrics', 'LabelledGauge')
 
 _BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
 _LOAD_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32)
 
 
+@dataclass(frozen=True, slots=True)
+class LabelledGauge:
+    """A gauge with a series for each value of a label.
+
+    Parameters
+    ----------
+    name : str
+        Name of the series without the prefix of the program.
+    readings : mapping of str to float
+        Current values by value of the label; empty for no series.
+    """
+
+    name: str
+    description: str
+    label: str
+    readings: Mapping[str, float]
+
+
 class JobMetrics:
     """All time series of one process.
 
@@ -22,6 +41,8 @@
     read_evacuations : callable, optional
         Returns the runs left in each data centre that is evacuated. Called by
         each ``render``.
+    read_labelled_gauges : callable, optional
+        Returns the gauges with labels; called by each ``render``.
     """
 
     def __init__(
@@ -29,11 +50,13 @@
         node: str,
         read_gauges: Callable[[], Mapping[str, float]],
         read_evacuations: Callable[[], Mapping[str, int]] = dict,
+        read_labelled_gauges: Callable[[], Iterable[LabelledGauge]] = tuple,
     ) -> None:
         """Create the time series."""
         labels = {'node': node}
         self._read_gauges = read_gauges
         self._read_evacuations = read_evacuations
+        self._read_labelled_gauges = read_labelled_gauges
         self._registry = Registry()
         self._labels = labels
         self._calls = Counter(
@@ -92,22 +115,30 @@
                 self._gauges[name] = gauge
             gauge.set({}, float(reading))
         content, _ = render(self._registry, [])
-        return bytes(content) + self._render_evacuations()
+        labelled = (
+            LabelledGauge(
+                'evacuation_runs',
+                'Runs left in a data centre that is evacuated.',
+                'data_centre',
+                self._read_evacuations(),
+            ),
+            *self._read_labelled_gauges(),
+        )
+        return bytes(content) + b''.join(map(self._render_labelled, labelled))
 
-    def _render_evacuations(self) -> bytes:
-        """Return a series for each evacuation, or nothing without any."""
-        run_counts = self._read_evacuations()
-        if not run_counts:
+    def _render_labelled(self, labelled: LabelledGauge) -> bytes:
+        """Return a series for each reading, or nothing without any."""
+        if not labelled.readings:
             return b''
-        # Series cannot be removed from a registry once the evacuation ends.
+        # Series cannot be removed from a registry once there is no reading.
         registry = Registry()
         gauge = Gauge(
-            'dragonflynotch_evacuation_runs',
-            'Runs left in a data centre that is evacuated.',
+            f'dragonflynotch_{labelled.name}',
+            labelled.description,
             const_labels=self._labels,
             registry=registry,
         )
-        for data_centre, count in run_counts.items():
-            gauge.set({'data_centre': data_centre}, count)
+        for label_value, reading in labelled.readings.items():
+            gauge.set({labelled.label: label_value}, reading)
         content, _ = render(registry, [])
         return bytes(content)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -15,7 +15,7 @@
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.http_server import HttpServer
 from dragonflynotch.observability.decisions import decision_log
-from dragonflynotch.observability.job_metrics import JobMetrics
+from dragonflynotch.observability.job_metrics import JobMetrics, LabelledGauge
 from dragonflynotch.platform.configuration import decode_deployment
 from dragonflynotch.platform.evacuations import (
     OPERATOR_TABLE,
@@ -75,7 +75,10 @@
             claim_delay(settings.cores, settings.link_mbps),
         )
         self._metrics = JobMetrics(
-            settings.node, self._gauges, self._evacuation_run_counts
+            settings.node,
+            self._gauges,
+            self._evacuation_run_counts,
+            self._labelled_gauges,
         )
         self._leader = Leader(
             LeaderContext(
@@ -178,6 +181,30 @@
             'store_calls': self._store.call_count,
         }
 
+    def _labelled_gauges(self) -> tuple[LabelledGauge, ...]:
+        scheduler = self._leader.status
+        uses = scheduler.capacity_use.items()
+        return (
+            LabelledGauge(
+                'idle_jobs',
+                'Jobs of which nothing runs although it could, by cause.',
+                'cause',
+                scheduler.idle_jobs,
+            ),
+            LabelledGauge(
+                'capacity_in_use',
+                'Share of the capacity that orders hold.',
+                'service',
+                {service: use.in_use for service, use in uses},
+            ),
+            LabelledGauge(
+                'capacity_unreported',
+                'Share held by orders whose runs no recent report lists.',
+                'service',
+                {service: use.unreported for service, use in uses},
+            ),
+        )
+
 
 class SideProgram:
     """Runs the guard of the minion on this machine."""
