--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -5,6 +5,7 @@
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
+from dragonflynotch.workflows.ordering.idle_log import IdleLog
 from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
 from dragonflynotch.workflows.ordering.ranking import compute_urgency
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
@@ -17,6 +18,7 @@
 from dragonflynotch.workflows.placement.recent_starts import find_recent_starts
 from dragonflynotch.workflows.placement.reservations import plan_reservations
 from dragonflynotch.workflows.placement.room_maker import Allocations, RoomMaker
+from dragonflynotch.workflows.placement.step_room import find_room
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
@@ -54,6 +56,7 @@
         orders: OrderRegistry,
         tracker: RunTracker,
         decision_log: DecisionLogBuffer,
+        idle_log: IdleLog,
         start_timeout_ms: int,
         stop_ms: int,
         mechanisms: Mechanisms,
@@ -69,6 +72,7 @@
         self.start_timeout_ms = start_timeout_ms
         self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
+        self._idle_log = idle_log
 
     def apply_stop_ms(self, stop_ms: int) -> None:
         """Use this bound on the time from the order to stop to the end."""
@@ -113,7 +117,7 @@
             demand = self._demand(pool, waiting)
             if self._place_step(pool, demand, waiting.job):
                 continue
-            self._wait_log.record(pool, waiting, demand)
+            self._record_wait(pool, waiting, demand, allocations)
             gets_room = self._room_maker.make_room(
                 pool, waiting, demand, allocations
             )
@@ -121,6 +125,22 @@
                 reserving_steps += 1
                 self._reserve(pool, demand, allocations)
 
+    def _record_wait(
+        self,
+        pool: WorkerPool,
+        waiting: WaitingStep,
+        demand: Demand,
+        allocations: Allocations,
+    ) -> None:
+        is_wait_due = self._wait_log.is_due(pool, waiting)
+        is_job_due = self._idle_log.needs_room(waiting.job.job_id)
+        if not (is_wait_due or is_job_due):
+            return
+        room = find_room(pool, demand, allocations)
+        self._idle_log.add_room(waiting.step, room)
+        if is_wait_due:
+            self._wait_log.record(pool, waiting, demand, room)
+
     def _reserve(
         self, pool: WorkerPool, demand: Demand, allocations: Allocations
     ) -> None:
@@ -134,6 +154,7 @@
         return not (
             pool.may_fit(waiting.step)
             or self._wait_log.is_due(pool, waiting)
+            or self._idle_log.needs_room(waiting.job.job_id)
             or self._room_maker.may_make_room(pool, waiting)
         )
 
