Prolong the exclusion of a worker by failures of new runs only

Cause: each failed run beyond the second one doubled the exclusion, also runs that had started before it. A worker that fails the eight runs on it within 1.4 s was excluded for up to 60 s by one burst, where 6 s were meant. Class of fault: evidence that is counted several times.

Change: only runs that were started after the end of an exclusion prolong it.

--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -151,7 +151,7 @@
         if end.kind is EndKind.done:
             self._record_run_success(minion_id, ordered_ms, now_ms)
         elif end.kind is EndKind.failed and not was_done:
-            self.record_run_failure(task, minion_id, now_ms)
+            self.record_run_failure(task, minion_id, ordered_ms, now_ms)
 
     def _record_run_success(
         self, minion_id: str, ordered_ms: int, now_ms: int
@@ -166,15 +166,21 @@
             )
 
     def record_run_failure(
-        self, task: Task, minion_id: str, now_ms: int
+        self, task: Task, minion_id: str, ordered_ms: int, now_ms: int
     ) -> None:
         """Record a failed or stalled run of a task on a worker.
 
         Further runs of the task avoid the worker for some time.
+
+        Parameters
+        ----------
+        ordered_ms : int
+            Store time at which the run was ordered.
         """
         task.record_failure(minion_id, now_ms)
-        job_id = task.task_id.job_id
-        if self._worker_health.record_failure(minion_id, job_id, now_ms):
+        if self._worker_health.record_failure(
+            minion_id, task.task_id.job_id, ordered_ms, now_ms
+        ):
             self._decision_log.record(
                 'worker_excluded',
                 minion=minion_id,
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -121,7 +121,9 @@
         limit_ms = max(_MIN_STALL_MS, percent_ms * _STALL_FACTOR)
         # A guard that does not reach its minion repeats the last progress.
         if active.still_ms > limit_ms:
-            self._tracker.record_run_failure(task, active.minion_id, now_ms)
+            self._tracker.record_run_failure(
+                task, active.minion_id, active.ordered_ms, now_ms
+            )
             self._tracker.order_stop(
                 task,
                 'stalled',
--- a/dragonflynotch/workflows/runs/worker_health.py
+++ b/dragonflynotch/workflows/runs/worker_health.py
@@ -36,9 +36,9 @@
     """Distinguishes faulty workers from faulty jobs.
 
     The failures of one job on a worker count once. A worker on which several
-    jobs fail in a row is excluded for some time and then used again. Further
-    failures prolong the exclusion. Its length doubles each time, up to a
-    limit, until a run succeeds.
+    jobs fail in a row is excluded for some time and then used again. If runs
+    that start there afterwards fail too, it is excluded for twice as long, up
+    to a limit, until a run succeeds.
     """
 
     def __init__(self) -> None:
@@ -75,9 +75,19 @@
             record.exclusion_ms = _FIRST_EXCLUSION_MS
         return cleared
 
-    def record_failure(self, minion_id: str, job_id: str, now_ms: int) -> bool:
+    def record_failure(
+        self, minion_id: str, job_id: str, started_ms: int, now_ms: int
+    ) -> bool:
         """Record a failed or stalled run.
 
+        Runs that were started before the end of an exclusion do not prolong
+        it: they fail for the reason that caused it.
+
+        Parameters
+        ----------
+        started_ms : int
+            Store time at which the run was ordered.
+
         Returns
         -------
         bool
@@ -86,12 +96,14 @@
         record = self._records.setdefault(minion_id, _WorkerRecord())
         record.failed_jobs = record.recent_failures(now_ms)
         record.failed_jobs[job_id] = now_ms
-        if len(record.failed_jobs) < _MIN_FAILED_JOBS:
+        if (
+            len(record.failed_jobs) < _MIN_FAILED_JOBS
+            or started_ms < record.exclusion_end_ms
+        ):
             return False
-        is_new = record.exclusion_end_ms <= now_ms
         record.exclusion_end_ms = now_ms + record.exclusion_ms
         record.exclusion_ms = min(record.exclusion_ms * 2, _MAX_EXCLUSION_MS)
-        return is_new
+        return True
 
     def failed_job_count(self, minion_id: str, now_ms: int) -> int:
         """Return how many distinct jobs failed recently without a success."""
