Start the tasks of a step that have room beside one that has none

Callers saw a job wait although tasks of it fitted: the first waiting task of a step avoided the only worker with room, since it had failed there, and the placer gave the step up at the first task that it could not place.

Cause: the other tasks of a step were taken to fit nowhere either. That holds only for tasks that may use every worker; one that failed or was on a minion that crashed may not. Class of fault: head-of-line blocking.

In the test driver, test_task_that_avoids_a_worker_does_not_hold_up_its_step fails on the code before. Not shown to be the cause of the users' record.

Change: the placer goes on after such a task. The search still ends at the first task without restrictions, so overload costs no more than before.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -234,13 +234,18 @@
         step_tasks_by_minion = Counter(
             task.active.minion_id for task in step.tasks if task.active
         )
+        are_all_placed = True
         for task in step.waiting_tasks:
             worker = place_task(pool, demand, task, step_tasks_by_minion)
-            if worker is None:
-                return False
-            step_tasks_by_minion[worker.minion_id] += 1
-            self._order_run(pool, job, step, task, worker, task.run + 1)
-        return True
+            if worker is not None:
+                step_tasks_by_minion[worker.minion_id] += 1
+                self._order_run(pool, job, step, task, worker, task.run + 1)
+                continue
+            are_all_placed = False
+            if not task.has_restrictions:
+                # The other tasks fit nowhere either.
+                break
+        return are_all_placed
 
     def _order_run(
         self,
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -98,6 +98,11 @@
         """Whether the task is not done and has no active run."""
         return not self.is_done and self.active is None
 
+    @property
+    def has_restrictions(self) -> bool:
+        """Whether the task may have to avoid workers that others may use."""
+        return bool(self.failed_on or self.crashes)
+
     def record_failure(self, minion_id: str, now_ms: int) -> None:
         """Record that a run failed or stalled on a minion."""
         recent = self.recent_failures(now_ms)
--- a/tests/workflows/placement/test_retry_placement.py
+++ b/tests/workflows/placement/test_retry_placement.py
@@ -146,3 +146,14 @@
         b'{"state":"running","tasks":[["0.0.0",1,1,false,""]]}', ProgressRow
     )
     assert row.tasks[0].failed_on == {}
+
+
+def test_task_that_avoids_a_worker_does_not_hold_up_its_step(site):
+    """Guards against free room while the first task waits for other workers."""
+    site.submit('a', 'batch', StepSpec(2, 1000, 1000, 1, 2000))
+    site.decide()
+    assert site.minion_of('a.0.0.1') == 'm0'
+    site.end('a.0.0.0', EndKind.failed)
+    site.end('a.0.0.1', EndKind.stopped)
+    assert 'a.0.0.0' not in site.ordered_tasks()
+    assert site.minion_of('a.0.0.1') == 'm0'
