Count no room on a worker that is overcommitted

Cause: Resources.covers and fit_count disagreed where an amount is negative. A task that needs nothing of it, such as one of a step with `fills` where only cores are overcommitted, did not fit by covers, which places single tasks and by which guards reject a start (`room`), but fit by fit_count, which places gangs, plans reservations and decides on taking room. So the members of a gang were ordered where the guard rejects them, in each round again, though other workers had room; and an urgent task stopped nothing, since it seemed to fit on a worker on which it was never placed.

Ruled out: that a deficit hides the room of other workers. The sum in WorkerPool.may_fit counts deficits as 0, reservations and plan_room add up what runs release on each worker from the deficit on, and could_run uses the reported capacity alone.

Change: fit_count is 0 where covers is false, as in the guard.

--- a/dragonflynotch/workflows/resources.py
+++ b/dragonflynotch/workflows/resources.py
@@ -64,7 +64,13 @@
         )
 
     def fit_count(self, other: 'Resources') -> int:
-        """Return how many times ``other`` fits into these resources."""
+        """Return how many times ``other`` fits into these resources.
+
+        Nothing fits where any amount is negative, even if ``other`` does not
+        need that resource.
+        """
+        if not self.covers(other):
+            return 0
         counts = [
             available // needed
             for available, needed in (
@@ -74,7 +80,7 @@
             )
             if needed > 0
         ]
-        return max(0, min(counts)) if counts else _UNBOUNDED_COUNT
+        return min(counts, default=_UNBOUNDED_COUNT)
 
     def dominant_share_of(self, total: 'Resources') -> float:
         """Return the largest share of any resource in ``total``."""
--- a/tests/workflows/placement/test_placer.py
+++ b/tests/workflows/placement/test_placer.py
@@ -339,3 +339,35 @@
     monkeypatch.setattr(WorkerPool, 'candidates', counted)
     site.decide(advance_ms=250)
     assert len(calls) < jobs
+
+
+def site_with_less_cpu_than_is_used():
+    """Return a site whose first worker has accelerators free, but no cores."""
+    site = Site(racks=('r1', 'r1'))
+    site.submit('x', 'batch', StepSpec(1, 60_000, 1000, 1, 60_000))
+    site.decide()
+    site.capacities['n0'] = (30_000, 256_000, 8)
+    site.report_all()
+    return site
+
+
+def test_gang_without_cpu_is_not_placed_on_an_overcommitted_worker():
+    """Guards against members whose start is rejected again and again."""
+    site = site_with_less_cpu_than_is_used()
+    gang = StepSpec(2, 8000, 1000, 4, 4000, is_gang=True, ignores_cpu=True)
+    site.submit('g', 'normal', gang)
+    site.decide()
+    assert site.minion_of('g.0.0.0') == 'm1'
+    assert site.minion_of('g.0.0.1') == 'm1'
+
+
+def test_overcommitted_worker_is_no_room_for_urgent_work():
+    """Guards against urgent work that waits where it cannot start."""
+    site = site_with_less_cpu_than_is_used()
+    site.submit('y', 'batch', StepSpec(1, 1000, 1000, 8, 60_000))
+    site.decide()
+    site.submit(
+        'u', 'urgent', StepSpec(1, 8000, 1000, 4, 2000, ignores_cpu=True)
+    )
+    site.decide(advance_ms=100)
+    assert site.orders['m1', 'y.0.0.0'].is_stopped
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -48,6 +48,8 @@
         self.ends = {}
         self.rejected = {}
         self.incarnations = {}
+        # Capacities of nodes that differ from the usual one.
+        self.capacities = {}
         self.crashes = {}
         self.data_centres = {
             f'n{number}': name for number, name in enumerate(data_centres)
@@ -72,7 +74,9 @@
                 token=1,
                 labels=('a', rack),
                 rack=rack,
-                capacity=(64_000, 256_000, accelerators),
+                capacity=self.capacities.get(
+                    node, (64_000, 256_000, accelerators)
+                ),
                 running=list(running),
                 ended=self.ends.get(node, []),
                 rejected=self.rejected.get(node, []),
