Test what waits for workers that have shrunk

Guards against reservations for a gang that fits only where a worker grows again, and against placing before enough runs of an overcommitted worker have ended. Both held before: reservations add what runs release to the amounts left by the reported capacity, which may be negative.

--- a/tests/workflows/placement/test_placer.py
+++ b/tests/workflows/placement/test_placer.py
@@ -371,3 +371,33 @@
     )
     site.decide(advance_ms=100)
     assert site.orders['m1', 'y.0.0.0'].is_stopped
+
+
+def test_gang_that_shrunken_workers_cannot_hold_reserves_nothing():
+    """Guards against room kept idle for a gang until a worker grows again."""
+    site = Site(racks=('r1', 'r1', 'r1'))
+    site.capacities['n0'] = (35_200, 144_000, 4)
+    site.report_all()
+    site.submit('x', 'normal', StepSpec(1, 1000, 1000, 8, 4000))
+    site.decide()
+    site.submit('g', 'normal', StepSpec(3, 1000, 1000, 8, 9000, is_gang=True))
+    site.submit('s', 'batch', StepSpec(12, 1000, 1000, 1, 60_000))
+    site.decide(advance_ms=100)
+    assert len(site.ordered_tasks()) == 13
+
+
+def test_overcommitted_worker_is_reserved_for_when_enough_runs_have_ended():
+    """Guards against a reservation that begins while a worker is too full."""
+    site = Site(racks=('r1',))
+    site.submit('x', 'normal', StepSpec(1, 1000, 1000, 4, 4000))
+    site.submit('y', 'normal', StepSpec(1, 1000, 1000, 4, 20_000))
+    site.decide()
+    site.capacities['n0'] = (35_200, 144_000, 4)
+    site.submit('w', 'normal', StepSpec(1, 1000, 1000, 4, 30_000))
+    site.submit('s', 'batch', StepSpec(1, 0, 1000, 0, 9000))
+    site.decide(advance_ms=100)
+    assert site.ordered_tasks() == ['x.0.0.0', 'y.0.0.0']
+    site.end('x.0.0.0')
+    assert site.ordered_tasks() == ['s.0.0.0', 'y.0.0.0']
+    site.end('y.0.0.0')
+    assert site.ordered_tasks() == ['s.0.0.0', 'w.0.0.0']
