Order no run where one as large was just refused for room

Cause: a refusal for want of room removed the order and changed nothing else. The report still showed the room and the worker still fitted best, so the next round ordered the task there again, each 46 ms and for as long as report and minion disagree: up to a heartbeat after a shrink, longer if heartbeats don't arrive. Meanwhile nothing of the job runs.

Evidence: in the test driver a task is ordered on the refusing worker in each round while an empty one stands beside it.

Ruled out: waiting for a report with another capacity only, since a minion may lack room for a cause that it doesn't report; avoiding the worker as after a failed run, which lasts far longer and holds for one task only.

Change: a refusal counts for 1 s, for steps that need at least as much, and is forgotten as soon as a run ends there or the capacity changes. Meanwhile the worker is no candidate for them, neither for starts nor for reservations and room that is made. What could run on empty workers doesn't look at it.

Why it works: the next best worker gets the task in the same round, urgent work takes room elsewhere at once, and with no other the worker is tried once a second in place of twenty times.

--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from dragonflynotch.workflows.records import RunEnd, RunningTask
+from dragonflynotch.workflows.records import NO_ROOM, RunEnd, RunningTask
 
 __all__ = (
     'ConnectionClosed',
@@ -72,7 +72,7 @@
     old = 'old'
     # The lease sent with the call had expired when the call arrived.
     late = 'late'
-    room = 'room'
+    room = NO_ROOM
     ticket = 'ticket'
     invalid = 'invalid'
 
--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -83,7 +83,7 @@
     demand = Demand(step, service, 0)
     capacity = {
         worker.minion_id: worker.report.resources
-        for worker in pool.candidates(demand)
+        for worker in pool.eligible_workers(demand)
     }
     workers = [pool.workers[minion_id] for minion_id in capacity]
     return bool(
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -1,6 +1,6 @@
 """Workers that may get new runs, and what steps may use of them."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from dragonflynotch.workflows.placement.recent_starts import RecentStarts
@@ -98,6 +98,8 @@
         Store time of the round.
     failed_job_counts : mapping
         Recently failed jobs by minion; a lower count is preferred.
+    refused_needs : mapping
+        What minions recently refused to start for want of room, by minion.
     reservations : list of Reservation
         Resources kept for steps that come earlier in the round.
     recent_starts : RecentStarts
@@ -108,6 +110,9 @@
     free: dict[str, Resources]
     now_ms: int
     failed_job_counts: Mapping[str, int] = field(default_factory=dict)
+    refused_needs: Mapping[str, Sequence[Resources]] = field(
+        default_factory=dict
+    )
     reservations: list[Reservation] = field(default_factory=list)
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
     _free_total: Resources = field(init=False)
@@ -132,7 +137,16 @@
         return self._free_total.covers(step.spec.needs * count)
 
     def candidates(self, demand: Demand) -> list[Worker]:
-        """Return the workers that the tasks of the step may run on."""
+        """Return the workers that the tasks of the step may start on now."""
+        refusing = self._refusing_minions(demand.step.spec.needs)
+        return [
+            worker
+            for worker in self.eligible_workers(demand)
+            if worker.minion_id not in refusing
+        ]
+
+    def eligible_workers(self, demand: Demand) -> list[Worker]:
+        """Return the workers that the tasks may run on if they have room."""
         spec = demand.step.spec
         return [
             worker
@@ -211,7 +225,7 @@
         limit = spec.max_per_worker or count
         fitting = sum(
             min(limit, worker.report.resources.fit_count(spec.needs))
-            for worker in self.candidates(demand)
+            for worker in self.eligible_workers(demand)
         )
         return fitting >= count if spec.is_gang else fitting > 0
 
@@ -219,3 +233,11 @@
         """Take resources of a worker for a run."""
         self.free[worker.minion_id] -= needs
         self._free_total -= needs
+
+    def _refusing_minions(self, needs: Resources) -> set[str]:
+        """Return the minions that recently had no room for as much or less."""
+        return {
+            minion_id
+            for minion_id, refused in self.refused_needs.items()
+            if any(needs.covers(amount) for amount in refused)
+        }
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -9,6 +9,7 @@
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = (
+    'NO_ROOM',
     'EndKind',
     'JobState',
     'LeaseRow',
@@ -23,6 +24,9 @@
     'encode_row',
 )
 
+# Reason of the rejection of a start for which the minion had no room.
+NO_ROOM = 'room'
+
 _RowT = TypeVar('_RowT')
 
 
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -6,6 +6,7 @@
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.progress import ActiveRun, Task
 from dragonflynotch.workflows.records import (
+    NO_ROOM,
     EndKind,
     Order,
     Rejection,
@@ -14,6 +15,7 @@
     RunningTask,
 )
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
+from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 
 __all__ = ('RunTracker',)
@@ -31,12 +33,14 @@
         jobs: JobRegistry,
         orders: OrderRegistry,
         worker_health: WorkerHealth,
+        room_refusals: RoomRefusals,
         decision_log: DecisionLogBuffer,
     ) -> None:
         """Create a tracker that updates ``jobs`` and ``orders``."""
         self._jobs = jobs
         self._orders = orders
         self._worker_health = worker_health
+        self._room_refusals = room_refusals
         self._decision_log = decision_log
 
     def apply(self, report: Report, now_ms: int) -> None:
@@ -44,7 +48,7 @@
         for end in report.ended:
             self._apply_end(report.minion_id, end, now_ms)
         for rejection in report.rejected:
-            self._apply_rejection(report.minion_id, rejection)
+            self._apply_rejection(report.minion_id, rejection, now_ms)
         read_ms = now_ms - report.runs_age_ms
         for running in report.running:
             self._apply_running(report.minion_id, running, read_ms)
@@ -131,6 +135,7 @@
         if self._orders.find(key, end.run) is None:
             return
         self._orders.remove(key)
+        self._room_refusals.clear(minion_id)
         found = self._jobs.find(end.task)
         if found is None:
             return
@@ -183,11 +188,16 @@
                 ),
             )
 
-    def _apply_rejection(self, minion_id: str, rejection: Rejection) -> None:
+    def _apply_rejection(
+        self, minion_id: str, rejection: Rejection, now_ms: int
+    ) -> None:
         key = (minion_id, rejection.task)
-        if self._orders.find(key, rejection.run) is None:
+        order = self._orders.find(key, rejection.run)
+        if order is None:
             return
         self._orders.remove(key)
+        if rejection.reason == NO_ROOM:
+            self._room_refusals.record(minion_id, order.resources, now_ms)
         found = self._jobs.find(rejection.task)
         if found is None:
             return
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -24,6 +24,7 @@
 from dragonflynotch.workflows.runs.crash_tracker import CrashTracker
 from dragonflynotch.workflows.runs.departures import Departures
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
+from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
@@ -105,9 +106,14 @@
         self._orders = OrderRegistry()
         self._workers: dict[str, Worker] = {}
         self._worker_health = WorkerHealth()
+        self._room_refusals = RoomRefusals()
         self._decision_log = DecisionLogBuffer()
         self._tracker = RunTracker(
-            self._jobs, self._orders, self._worker_health, self._decision_log
+            self._jobs,
+            self._orders,
+            self._worker_health,
+            self._room_refusals,
+            self._decision_log,
         )
         self._crash_tracker = CrashTracker(self._jobs, self._decision_log)
         self._supervisor = Supervisor(
@@ -214,6 +220,8 @@
             self._tracker.mark_lost(previous, 'incarnation_replaced')
         if report.minion_id:
             self._tracker.apply(report, now_ms)
+        if worker is not None and worker.report.capacity != report.capacity:
+            self._room_refusals.clear(report.minion_id)
 
     def remove_lost_node(self, node: str) -> None:
         """Remove a node whose guard has lost its authority.
@@ -319,4 +327,5 @@
             free,
             now_ms,
             failed_job_counts,
+            refused_needs=self._room_refusals.refused_needs(now_ms),
         )
