Backfill room that reservations keep idle

A step that does not fit reserves room until the runs that it waits for have ended, and no longer task may use that room. Nothing bounded the time: a run past its estimate is expected to end soon in each round anew, and a long run holds the room as well.

Once room that only reservations keep has been idle for 1.5 s while under half of the capacity of a service is in use, waiting steps start there in the order of urgency until half is in use. Their runs are marked, also in the order row, and stop when a step that comes earlier fits without them, so that gangs wait for a stop longer and no more. Steps whose runs may not be stopped are not backfilled.

That another cause of such waits (late estimates alone) explains it is ruled out by the test with reported progress, in which the expected end is right. A lapse of reservations would let small tasks starve gangs.

In the ablation test, 'overload' has no idle room, so the switch is tested on the new load, as strictly.

--- a/benchmarks/workflows/loads.py
+++ b/benchmarks/workflows/loads.py
@@ -169,6 +169,11 @@
     JobClass('normal', 3, 0.9, 13, 52, 17_000, True, 0.9, 0.45),
     JobClass('batch', 1, 0.3, 38, 11, 12_000, False, 0.9, 0.45),
 )
+# Gangs that need most of a few workers, beside small deferrable tasks.
+_WIDE_ON_FEW_WORKERS = (
+    JobClass('normal', 3, 0.9, 9, 30, 8_000, True, 0.9, 0.45),
+    JobClass('batch', 1, 0.3, 9, 2.8, 15_000, False, 0.9, 0.45),
+)
 
 LOADS = {
     # Few workers, a burst of urgent gangs.
@@ -221,6 +226,10 @@
         {'urgent': 0.4, 'normal': 0.1, 'batch': 0.12},
         departures=Departures(1, 3_000, 1_200, 3_000, 8_000, 1_000),
     ),
+    # Gangs of most workers wait for late runs and reserve what is free.
+    'idle reservations': LoadPattern(
+        _WIDE_ON_FEW_WORKERS, 11, 32, 3, {'normal': 0.1, 'batch': 0.3}
+    ),
 }
 
 _ARRIVALS_START_MS = 0
--- a/dragonflynotch/workflows/mechanisms.py
+++ b/dragonflynotch/workflows/mechanisms.py
@@ -25,6 +25,8 @@
         latest start otherwise.
     reserves : bool
         Steps that do not fit reserve resources; shorter runs may use them.
+    backfills : bool
+        Less urgent steps use room that reservations keep idle for too long.
     waits_for_rack : bool
         Tasks wait for the rack of their data, and gangs for one rack.
     prefers_sound_workers : bool
@@ -41,6 +43,7 @@
     prefers_overdue: bool = True
     orders_by_work_left: bool = True
     reserves: bool = True
+    backfills: bool = True
     waits_for_rack: bool = True
     prefers_sound_workers: bool = True
     moves_departing: bool = True
--- a/dragonflynotch/workflows/placement/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -8,7 +8,7 @@
 from dragonflynotch.workflows.records import Order
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 
-__all__ = ('estimated_core_seconds', 'list_allocations')
+__all__ = ('estimated_core_seconds', 'is_preemptible', 'list_allocations')
 
 _PERCENT = 100
 _MS_PER_S = 1000
@@ -53,6 +53,11 @@
     return _core_equivalents(spec) * spec.count * spec.estimated_ms / _MS_PER_S
 
 
+def is_preemptible(spec: StepSpec) -> bool:
+    """Return whether runs of a step may be stopped for other work."""
+    return spec.max_unavailable is None and not spec.is_long_running
+
+
 def _core_equivalents(spec: StepSpec) -> float:
     return (
         spec.millicores / _MILLICORES_PER_CORE
@@ -87,7 +92,6 @@
         is_stopping=order.is_stopped,
         is_resumable=spec.has_checkpoints,
         priority=jobs.queue(job).priority,
-        is_preemptible=(
-            spec.max_unavailable is None and not spec.is_long_running
-        ),
+        is_preemptible=is_preemptible(spec),
+        is_backfill=task.active is not None and task.active.is_backfill,
     )
--- /dev/null
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -0,0 +1,281 @@
+"""Use of room that reservations keep idle.
+
+Load: under half of the capacity is in use, a step that needs most workers
+waits for a run that is late or long, and smaller steps wait behind its
+reservation. The reservation alone keeps the free room idle without a bound.
+
+Once room has been idle for a short time, the smaller steps use it, until half
+of the capacity is in use. Their runs are marked as backfill. They stop as soon
+as a step that comes earlier fits without them, so that it waits no longer than
+for the stop. No input or output.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, replace
+
+from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.ordering.ranking import Urgency
+from dragonflynotch.workflows.ordering.step_ranking import StepRanking
+from dragonflynotch.workflows.ordering.wait_log import WaitingStep
+from dragonflynotch.workflows.placement.allocations import is_preemptible
+from dragonflynotch.workflows.placement.best_fit import place_gang, place_task
+from dragonflynotch.workflows.placement.worker_pool import (
+    Demand,
+    ServiceUse,
+    WorkerPool,
+    count_step_tasks,
+)
+from dragonflynotch.workflows.placement.workers import Allocations
+from dragonflynotch.workflows.progress import Step, Task
+from dragonflynotch.workflows.resources import Resources
+
+__all__ = (
+    'BackfilledRuns',
+    'IdleRoom',
+    'IdleRoomMonitor',
+    'UnplacedStep',
+    'find_backfilled_runs',
+)
+
+# Room that reservations keep idle for this long is backfilled.
+_MAX_IDLE_MS = 1500
+# Backfill goes on until this share of the capacity of a service is in use.
+_MAX_SHARE_IN_USE = 0.5
+# Room for which runs were ordered to stop is not backfilled for this multiple
+# of the time that a stop takes.
+_STOP_TIME_MULTIPLE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class UnplacedStep:
+    """A waiting step of which not all tasks could be placed in the round.
+
+    Parameters
+    ----------
+    demand : Demand
+        Its placement requirements.
+    reserves : bool
+        Whether resources are reserved for it.
+    """
+
+    waiting: WaitingStep
+    demand: Demand
+    reserves: bool
+
+    @property
+    def backfill_demand(self) -> Demand:
+        """Its placement requirements in room that others have reserved."""
+        return replace(self.demand, ignores_reservations=True)
+
+
+@dataclass(slots=True)
+class IdleRoom:
+    """Room of a service that is to be backfilled.
+
+    Parameters
+    ----------
+    idle_ms : int
+        For how long it has been idle.
+    use : ServiceUse
+        Resources in use; updated by the caller as tasks are placed.
+    steps : list of UnplacedStep
+        Steps to place there, the first one first.
+    holder : Urgency or None
+        First step that has a reservation.
+    """
+
+    idle_ms: int
+    use: ServiceUse
+    steps: list[UnplacedStep]
+    holder: Urgency | None
+
+    @property
+    def is_left(self) -> bool:
+        """Whether more of the room may be used."""
+        return self.use.share < _MAX_SHARE_IN_USE
+
+
+class IdleRoomMonitor:
+    """Observes by service since when reservations alone keep room idle.
+
+    A new leader starts without this state, so that room may be idle for
+    ``_MAX_IDLE_MS`` longer after a takeover.
+    """
+
+    def __init__(self) -> None:
+        """Create a monitor that has observed nothing."""
+        self._idle_since_ms: dict[str, int] = {}
+        self._held_until_ms: dict[str, int] = {}
+
+    def hold(self, service: str, now_ms: int, stop_ms: int) -> None:
+        """Leave the room of a service to a step for which runs stop now.
+
+        Parameters
+        ----------
+        stop_ms : int
+            Longest time from the order to stop a run until the run has ended.
+        """
+        self._held_until_ms[service] = now_ms + _STOP_TIME_MULTIPLE * stop_ms
+
+    def find_due(
+        self, pool: WorkerPool, unplaced: Iterable[UnplacedStep]
+    ) -> Iterator[IdleRoom]:
+        """Yield the room that has been idle for too long, by service.
+
+        Parameters
+        ----------
+        unplaced : iterable of UnplacedStep
+            Steps that still wait at the end of a round, by urgency.
+        """
+        by_service: dict[str, list[UnplacedStep]] = defaultdict(list)
+        for entry in unplaced:
+            by_service[entry.demand.service].append(entry)
+        for service in self._idle_since_ms.keys() - by_service.keys():
+            self._idle_since_ms.pop(service)
+        for service, entries in by_service.items():
+            found = self._review(pool, service, entries)
+            if found is not None:
+                yield found
+
+    def _review(
+        self, pool: WorkerPool, service: str, entries: list[UnplacedStep]
+    ) -> IdleRoom | None:
+        use = pool.use_of(service)
+        steps = [entry for entry in entries if _may_be_backfilled(entry)]
+        if use.share >= _MAX_SHARE_IN_USE or not any(
+            _fits_without_reservations(pool, entry) for entry in steps
+        ):
+            self._idle_since_ms.pop(service, None)
+            return None
+        since_ms = self._idle_since_ms.setdefault(service, pool.now_ms)
+        idle_ms = pool.now_ms - since_ms
+        if idle_ms < _MAX_IDLE_MS or pool.now_ms < self._held_until_ms.get(
+            service, 0
+        ):
+            return None
+        holders = (entry.waiting.urgency for entry in entries if entry.reserves)
+        steps.sort(key=_backfill_order)
+        return IdleRoom(idle_ms, use, steps, next(holders, None))
+
+
+@dataclass(frozen=True, slots=True)
+class _BackfilledRun:
+    urgency: Urgency
+    service: str
+    task: Task
+    needs: Resources
+
+
+class BackfilledRuns:
+    """Runs of a round that are marked as backfill."""
+
+    def __init__(self, runs: Sequence[_BackfilledRun] = ()) -> None:
+        """Create a collection; empty by default."""
+        self._runs = runs
+
+    def reclaimable(self, urgency: Urgency) -> frozenset[str]:
+        """Return the tasks whose runs a step of this urgency may stop.
+
+        Includes those that are stopping already.
+        """
+        return frozenset(
+            str(run.task.task_id) for run in self._runs if run.urgency > urgency
+        )
+
+    def may_make_room(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
+        """Return whether a step may fit if the runs that come later stop."""
+        resources = [
+            run.needs for run in self._runs if run.urgency > waiting.urgency
+        ]
+        return bool(resources) and pool.may_fit(
+            waiting.step, sum(resources, Resources())
+        )
+
+    def planned_stops(
+        self, allocations: Allocations, urgency: Urgency, end_ms: int
+    ) -> Allocations:
+        """Return allocations with the ends that a step of this urgency expects.
+
+        Otherwise its reservation would begin with the end of those runs, and
+        longer runs would be placed in it.
+        """
+        tasks = self.reclaimable(urgency)
+        if not tasks:
+            return allocations
+        return {
+            minion_id: [
+                replace(run, expected_end_ms=min(end_ms, run.expected_end_ms))
+                if str(run.task_id) in tasks
+                else run
+                for run in held
+            ]
+            for minion_id, held in allocations.items()
+        }
+
+    def unmark_entitled(self, unplaced: Iterable[UnplacedStep]) -> None:
+        """Unmark the runs that no waiting step comes before any more."""
+        earliest: dict[str, Urgency] = {}
+        for entry in unplaced:
+            earliest.setdefault(entry.demand.service, entry.waiting.urgency)
+        for run in self._runs:
+            first = earliest.get(run.service)
+            if run.task.active and (first is None or first >= run.urgency):
+                run.task.active.is_backfill = False
+
+
+def find_backfilled_runs(
+    jobs: JobRegistry,
+    allocations: Allocations,
+    ranking: StepRanking,
+) -> BackfilledRuns:
+    """Return the runs that are marked as backfill, with their urgency."""
+    runs = []
+    for held in allocations.values():
+        for allocation in held:
+            found = jobs.find(str(allocation.task_id))
+            if not allocation.is_backfill or found is None:
+                continue
+            job, step, task = found
+            runs.append(
+                _BackfilledRun(
+                    ranking.urgency(job, step),
+                    jobs.service(job),
+                    task,
+                    allocation.needs,
+                )
+            )
+    return BackfilledRuns(runs)
+
+
+def _may_be_backfilled(entry: UnplacedStep) -> bool:
+    """Return whether the runs of a step could be stopped again."""
+    return is_preemptible(entry.waiting.step.spec)
+
+
+def _fits_without_reservations(pool: WorkerPool, entry: UnplacedStep) -> bool:
+    """Return whether a gang, or any task, fits into the free resources."""
+    step = entry.waiting.step
+    demand = entry.backfill_demand
+    if not pool.may_fit(step):
+        return False
+    if step.spec.is_gang:
+        return place_gang(pool, demand) is not None
+    return _any_task_fits(pool, demand, step)
+
+
+def _any_task_fits(pool: WorkerPool, demand: Demand, step: Step) -> bool:
+    by_minion = count_step_tasks(step)
+    for task in step.waiting_tasks:
+        if place_task(pool, demand, task, by_minion) is not None:
+            return True
+        if task.is_unrestricted:
+            return False
+    return False
+
+
+def _backfill_order(entry: UnplacedStep) -> tuple[int, int, bool, Urgency]:
+    """Sort by tier and priority, then by how little a stop would lose."""
+    urgency = entry.waiting.urgency
+    loses_work = not entry.waiting.step.spec.has_checkpoints
+    return urgency.tier, urgency.priority, loses_work, urgency
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -5,10 +5,15 @@
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
-from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
-from dragonflynotch.workflows.ordering.ranking import compute_urgency
+from dragonflynotch.workflows.ordering.step_ranking import StepRanking
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
 from dragonflynotch.workflows.placement.avoidance import avoided_by_step
+from dragonflynotch.workflows.placement.backfill import (
+    IdleRoom,
+    IdleRoomMonitor,
+    UnplacedStep,
+    find_backfilled_runs,
+)
 from dragonflynotch.workflows.placement.best_fit import (
     fits_one_rack,
     place_gang,
@@ -16,10 +21,14 @@
 )
 from dragonflynotch.workflows.placement.recent_starts import find_recent_starts
 from dragonflynotch.workflows.placement.reservations import plan_reservations
-from dragonflynotch.workflows.placement.room_maker import Allocations, RoomMaker
-from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.placement.workers import Worker
-from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
+from dragonflynotch.workflows.placement.room_maker import RoomMaker
+from dragonflynotch.workflows.placement.worker_pool import (
+    Demand,
+    WorkerPool,
+    count_step_tasks,
+)
+from dragonflynotch.workflows.placement.workers import Allocations, Worker
+from dragonflynotch.workflows.progress import ActiveRun, Job, Task
 from dragonflynotch.workflows.records import JobState, Order
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
@@ -69,6 +78,7 @@
         self.start_timeout_ms = start_timeout_ms
         self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
+        self._idle_room = IdleRoomMonitor()
 
     def apply_stop_ms(self, stop_ms: int) -> None:
         """Use this bound on the time from the order to stop to the end."""
@@ -85,6 +95,7 @@
         """Order runs for steps that fit and reserve resources for others.
 
         A step that is urgent enough also stops runs of less urgent queues.
+        Reserved room that stays idle is then given to less urgent steps.
 
         Parameters
         ----------
@@ -105,8 +116,27 @@
         pool.recent_starts = find_recent_starts(
             self._jobs, self._orders, pool.now_ms
         )
+        ranking = StepRanking(self._jobs, pool, self._mechanisms)
+        backfilled = find_backfilled_runs(self._jobs, allocations, ranking)
+        self._room_maker.backfilled = backfilled
+        unplaced = self._place_by_urgency(
+            pool, self._waiting_steps(ranking, wall_ms), allocations
+        )
+        backfilled.unmark_entitled(unplaced)
+        if self._mechanisms.backfills:
+            for room in self._idle_room.find_due(pool, unplaced):
+                self._backfill(pool, room)
+
+    def _place_by_urgency(
+        self,
+        pool: WorkerPool,
+        waiting_steps: list[WaitingStep],
+        allocations: Allocations,
+    ) -> list[UnplacedStep]:
+        """Place steps in this order and return those that still wait."""
         reserving_steps = 0
-        for waiting in self._waiting_steps(pool, wall_ms):
+        unplaced = []
+        for waiting in waiting_steps:
             may_reserve = reserving_steps < _MAX_RESERVING_STEPS
             if not may_reserve and self._must_only_wait(pool, waiting):
                 continue
@@ -114,12 +144,21 @@
             if self._place_step(pool, demand, waiting.job):
                 continue
             self._wait_log.record(pool, waiting, demand)
-            gets_room = self._room_maker.make_room(
+            plan = self._room_maker.make_room(
                 pool, waiting, demand, allocations
             )
-            if may_reserve or gets_room:
+            stop_ms = self._room_maker.stop_ms
+            if plan.victims:
+                self._idle_room.hold(demand.service, pool.now_ms, stop_ms)
+            reserves = may_reserve or plan.will_fit
+            if reserves:
                 reserving_steps += 1
-                self._reserve(pool, demand, allocations)
+                expected = self._room_maker.backfilled.planned_stops(
+                    allocations, waiting.urgency, pool.now_ms + stop_ms
+                )
+                self._reserve(pool, demand, expected)
+            unplaced.append(UnplacedStep(waiting, demand, reserves))
+        return unplaced
 
     def _reserve(
         self, pool: WorkerPool, demand: Demand, allocations: Allocations
@@ -129,6 +168,50 @@
                 plan_reservations(pool, demand, allocations)
             )
 
+    def _backfill(self, pool: WorkerPool, room: IdleRoom) -> None:
+        """Order runs in room that reservations have kept idle."""
+        for entry in room.steps:
+            share = room.use.share
+            runs = self._backfill_step(pool, room, entry)
+            if runs:
+                urgency = entry.waiting.urgency
+                self._decision_log.record(
+                    'room_backfilled',
+                    job=urgency.job_id,
+                    step=urgency.step,
+                    runs=runs,
+                    behind_job=room.holder.job_id if room.holder else '',
+                    behind_step=room.holder.step if room.holder else None,
+                    share_in_use=round(share, 2),
+                    idle_ms=room.idle_ms,
+                )
+
+    def _backfill_step(
+        self, pool: WorkerPool, room: IdleRoom, entry: UnplacedStep
+    ) -> int:
+        """Order runs of a step while room is left; return their number."""
+        demand, job = entry.backfill_demand, entry.waiting.job
+        step = demand.step
+        if not room.is_left:
+            return 0
+        if step.spec.is_gang:
+            runs = len(step.tasks)
+            if not self._place_gang(pool, demand, job):
+                return 0
+            room.use.add(step.spec.needs * runs)
+            return runs
+        step_tasks_by_minion = count_step_tasks(step)
+        runs = 0
+        for task in step.waiting_tasks:
+            if not room.is_left:
+                break
+            if self._place_task(pool, demand, job, task, step_tasks_by_minion):
+                room.use.add(step.spec.needs)
+                runs += 1
+            elif task.is_unrestricted:
+                break
+        return runs
+
     def _must_only_wait(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
         """Return whether nothing can be done for a step in this round."""
         return not (
@@ -138,48 +221,19 @@
         )
 
     def _waiting_steps(
-        self, pool: WorkerPool, wall_ms: int
+        self, ranking: StepRanking, wall_ms: int
     ) -> list[WaitingStep]:
-        urgent_demand = self._jobs.urgent_accelerator_demand()
-        overdue_job = None
-        if self._mechanisms.prefers_overdue:
-            overdue_job = longest_overdue_job(self._jobs, pool)
-        waiting = []
-        for job in self._jobs.open_jobs():
-            is_guaranteed = self._is_guaranteed(job, urgent_demand)
-            for step in job.steps:
-                if (
-                    step.waiting_tasks
-                    and job.spec.due_ms(step.occurrence) <= wall_ms
-                    and job.is_unblocked(step)
-                ):
-                    urgency = compute_urgency(
-                        job,
-                        step,
-                        self._jobs.queue(job),
-                        pool.now_ms,
-                        is_guaranteed=is_guaranteed,
-                        is_overdue=job is overdue_job,
-                        by_work_left=self._mechanisms.orders_by_work_left,
-                    )
-                    waiting.append(WaitingStep(urgency, job, step))
+        waiting = [
+            WaitingStep(ranking.urgency(job, step), job, step)
+            for job in self._jobs.open_jobs()
+            for step in job.steps
+            if step.waiting_tasks
+            and job.spec.due_ms(step.occurrence) <= wall_ms
+            and job.is_unblocked(step)
+        ]
         waiting.sort(key=lambda entry: entry.urgency)
         return waiting
 
-    def _is_guaranteed(self, job: Job, urgent_demand: Counter[str]) -> bool:
-        """Return whether the guarantee of its workspace covers the job.
-
-        It covers the jobs of the most urgent queues while these together need
-        no more accelerators than are guaranteed.
-        """
-        name = job.spec.workspace
-        workspace = self._jobs.deployment.workspaces.get(name)
-        return (
-            workspace is not None
-            and self._jobs.queue(job).priority == 0
-            and urgent_demand[name] <= workspace.guaranteed_accelerators
-        )
-
     def _demand(self, pool: WorkerPool, waiting: WaitingStep) -> Demand:
         """Return the placement requirements, relaxed after some wait."""
         # Waiting for the preferred rack pays off up to the estimated run time:
@@ -214,37 +268,52 @@
             return False
         run = max(task.run for task in demand.step.tasks) + 1
         for task, worker in zip(demand.step.tasks, workers, strict=True):
-            self._order_run(pool, job, demand.step, task, worker, run)
+            self._order_run(pool, job, demand, task, worker, run)
         return True
 
     def _place_tasks(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
-        step = demand.step
-        step_tasks_by_minion = Counter(
-            task.active.minion_id for task in step.tasks if task.active
+        step_tasks_by_minion = count_step_tasks(demand.step)
+        return all(
+            self._place_task(pool, demand, job, task, step_tasks_by_minion)
+            for task in demand.step.waiting_tasks
         )
-        for task in step.waiting_tasks:
-            worker = place_task(pool, demand, task, step_tasks_by_minion)
-            if worker is None:
-                return False
-            step_tasks_by_minion[worker.minion_id] += 1
-            self._order_run(pool, job, step, task, worker, task.run + 1)
+
+    def _place_task(
+        self,
+        pool: WorkerPool,
+        demand: Demand,
+        job: Job,
+        task: Task,
+        step_tasks_by_minion: Counter[str],
+    ) -> bool:
+        worker = place_task(pool, demand, task, step_tasks_by_minion)
+        if worker is None:
+            return False
+        step_tasks_by_minion[worker.minion_id] += 1
+        self._order_run(pool, job, demand, task, worker, task.run + 1)
         return True
 
     def _order_run(
         self,
         pool: WorkerPool,
         job: Job,
-        step: Step,
+        demand: Demand,
         task: Task,
         worker: Worker,
         run: int,
     ) -> None:
-        needs = step.spec.needs
+        needs = demand.step.spec.needs
+        # A run in reserved room is backfill.
+        is_backfill = demand.ignores_reservations
         pool.allocate(worker, needs)
         pool.recent_starts.add(worker.minion_id, is_suspect=bool(task.crashes))
         task.run = run
         task.active = ActiveRun(
-            worker.minion_id, run, pool.now_ms, progress_changed_ms=pool.now_ms
+            worker.minion_id,
+            run,
+            pool.now_ms,
+            progress_changed_ms=pool.now_ms,
+            is_backfill=is_backfill,
         )
         name = str(task.task_id)
         self._orders.put(
@@ -255,6 +324,7 @@
                 start_by_ms=self._start_by_ms,
                 checkpoint=task.checkpoint,
                 needs=(needs.millicores, needs.memory_mb, needs.accelerators),
+                is_backfill=is_backfill,
             ),
         )
         job.state = JobState.running
@@ -269,4 +339,5 @@
             task_failures=task.failures,
             worker_failed_jobs=pool.failed_job_counts.get(worker.minion_id, 0),
             is_avoided_worker=worker.minion_id in task.failed_on,
+            is_backfill=is_backfill,
         )
--- a/dragonflynotch/workflows/placement/preemption.py
+++ b/dragonflynotch/workflows/placement/preemption.py
@@ -23,15 +23,29 @@
 
     Parameters
     ----------
-    priority : int
-        Only runs of queues with a higher number, which means less urgent,
-        may be stopped.
+    priority : float
+        Runs of queues with a higher number, which means less urgent, may be
+        stopped.
     max_lost_work : float
-        Most work that may be lost, in core seconds.
+        Most work of such runs that may be lost, in core seconds.
+    reclaimable : frozenset of str
+        Tasks with backfilled runs that come later than the step. They may be
+        stopped in any case.
     """
 
-    priority: int
+    priority: float = inf
     max_lost_work: float = inf
+    reclaimable: frozenset[str] = frozenset()
+
+    def may_reclaim(self, run: Allocation) -> bool:
+        """Return whether a run is backfilled and comes later."""
+        return str(run.task_id) in self.reclaimable
+
+    def may_stop(self, run: Allocation) -> bool:
+        """Return whether a run may be stopped for the step."""
+        if run.is_stopping or not run.is_preemptible:
+            return False
+        return run.priority > self.priority or self.may_reclaim(run)
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +55,9 @@
     Parameters
     ----------
     will_fit : bool
-        Whether the step fits once the victims and the runs that are already
-        stopping have ended.
+        Whether the step, or a task of a step other than a gang for which
+        backfilled runs stop, fits once the victims and the runs that are
+        already stopping have ended.
     victims : list of Allocation
         Runs to stop for it.
     """
@@ -56,6 +71,8 @@
     """A run, or all runs of a gang, which can only be stopped together."""
 
     key: str
+    # Whether the runs are backfilled and come later than the step.
+    is_reclaimed: bool
     members: list[tuple[str, Allocation]] = field(default_factory=list)
 
     @property
@@ -93,27 +110,28 @@
     Resources reserved for steps that come earlier do not count. There are no
     victims if the step fits once the runs that are already stopping have
     ended, if it would not fit even then, or if too much work would be lost.
+
+    Backfilled runs come first and do not count as lost work. They also stop if
+    only some tasks of a step other than a gang fit without them.
     """
-    free = {
-        worker.minion_id: pool.available(worker, demand)
-        for worker in pool.candidates(demand)
-    }
-    for minion_id in free:
-        for allocation in allocations.get(minion_id, ()):
-            if allocation.is_stopping:
-                free[minion_id] += allocation.needs
+    free = _free_after_stops(pool, demand, allocations)
     step_fit = StepFit(pool, demand, free)
     if step_fit.fits:
         return RoomPlan(will_fit=True)
-    victims = _choose_needed(
-        free, step_fit, _preemptible_runs(allocations, limits)
+    candidates = _preemptible_runs(allocations, limits)
+    victims = _choose_needed(free, step_fit, candidates)
+    lost_work = sum(
+        victim.cost for victim in victims if not victim.is_reclaimed
     )
-    lost_work = sum(victim.cost for victim in victims)
-    if not victims or lost_work > limits.max_lost_work:
+    if victims and lost_work <= limits.max_lost_work:
+        return _plan_of(victims)
+    if demand.step.spec.is_gang or not limits.reclaimable:
         return RoomPlan(will_fit=False)
-    return RoomPlan(
-        will_fit=True,
-        victims=[run for victim in victims for _, run in victim.members],
+    return _plan_for_some(
+        pool,
+        demand,
+        _free_after_stops(pool, demand, allocations),
+        [victim for victim in candidates if victim.is_reclaimed],
     )
 
 
@@ -132,21 +150,69 @@
                 )
 
 
+def _free_after_stops(
+    pool: WorkerPool,
+    demand: Demand,
+    allocations: Mapping[str, Sequence[Allocation]],
+) -> dict[str, Resources]:
+    """Return what a step may use once the stopping runs have ended."""
+    free = {
+        worker.minion_id: pool.available(worker, demand)
+        for worker in pool.candidates(demand)
+    }
+    for minion_id in free:
+        for allocation in allocations.get(minion_id, ()):
+            if allocation.is_stopping:
+                free[minion_id] += allocation.needs
+    return free
+
+
+def _plan_of(victims: Sequence[_Victim]) -> RoomPlan:
+    return RoomPlan(
+        will_fit=True,
+        victims=[run for victim in victims for _, run in victim.members],
+    )
+
+
+def _plan_for_some(
+    pool: WorkerPool,
+    demand: Demand,
+    free: dict[str, Resources],
+    reclaimable: Sequence[_Victim],
+) -> RoomPlan:
+    """Return the backfilled runs to stop so that most tasks of a step fit."""
+    step_fit = StepFit(pool, demand, free)
+    count = step_fit.count
+    for victim in reclaimable:
+        victim.release(free, step_fit)
+    most = step_fit.count
+    for released in reclaimable:
+        released.undo_release(free, step_fit)
+    if most == count:
+        return RoomPlan(will_fit=count > 0)
+    step_fit.want(most)
+    return _plan_of(_choose_needed(free, step_fit, reclaimable))
+
+
 def _preemptible_runs(
     allocations: Mapping[str, Sequence[Allocation]], limits: PreemptionLimits
 ) -> list[_Victim]:
-    """Return the runs and gangs that may be stopped, cheapest first."""
+    """Return the runs and gangs that may be stopped.
+
+    Backfilled ones come first, then the cheapest.
+    """
     found: dict[str, _Victim] = {}
     for minion_id, held in allocations.items():
         for run in held:
-            if (
-                run.is_preemptible
-                and not run.is_stopping
-                and run.priority > limits.priority
-            ):
-                victim = found.setdefault(run.group, _Victim(run.group))
+            if limits.may_stop(run):
+                victim = found.setdefault(
+                    run.group, _Victim(run.group, limits.may_reclaim(run))
+                )
                 victim.members.append((minion_id, run))
-    return sorted(found.values(), key=lambda victim: (victim.cost, victim.key))
+    return sorted(
+        found.values(),
+        key=lambda victim: (not victim.is_reclaimed, victim.cost, victim.key),
+    )
 
 
 def _choose_needed(
--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -1,6 +1,7 @@
 """Decides whether other runs stop for a waiting step, and for which."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
@@ -9,22 +10,25 @@
 from dragonflynotch.workflows.placement.allocations import (
     estimated_core_seconds,
 )
+from dragonflynotch.workflows.placement.backfill import BackfilledRuns
 from dragonflynotch.workflows.placement.preemption import (
     PreemptionLimits,
+    RoomPlan,
     plan_room,
     stop_in_plan,
 )
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
-from dragonflynotch.workflows.placement.workers import Allocation
+from dragonflynotch.workflows.placement.workers import Allocation, Allocations
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 
-__all__ = ('Allocations', 'RoomMaker')
-
-Allocations = dict[str, list[Allocation]]
+__all__ = ('RoomMaker',)
 
 
 class RoomMaker:
-    """Stops less urgent runs to free resources for urgent steps.
+    """Stops runs to free resources for steps that come earlier.
+
+    These are less urgent runs for urgent steps, and backfilled runs for any
+    step that comes earlier.
 
     Parameters
     ----------
@@ -48,10 +52,14 @@
         self._decision_log = decision_log
         self.stop_ms = stop_ms
         self._mechanisms = mechanisms
+        # Those of the round.
+        self.backfilled = BackfilledRuns()
 
     def may_make_room(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
         """Return whether any runs may be stopped for a step."""
-        return self._limits(pool, waiting) is not None
+        return self._priority_limits(
+            pool, waiting
+        ) is not None or self.backfilled.may_make_room(pool, waiting)
 
     def make_room(
         self,
@@ -59,27 +67,34 @@
         waiting: WaitingStep,
         demand: Demand,
         allocations: Allocations,
-    ) -> bool:
+    ) -> RoomPlan:
         """Stop less urgent runs to free resources for an urgent step.
 
-        Returns
-        -------
-        bool
-            Whether the step fits once the stopping runs have ended.
+        Also stops backfilled runs for a step that comes earlier than they do.
         """
         limits = self._limits(pool, waiting)
         if limits is None:
-            return False
+            return RoomPlan(will_fit=False)
         plan = plan_room(pool, demand, allocations, limits)
         if plan.victims:
-            self._stop_for(waiting, plan.victims)
+            self._stop_for(waiting, plan.victims, limits)
             stop_in_plan(allocations, plan.victims, pool.now_ms + self.stop_ms)
-        return plan.will_fit
+        return plan
 
     def _limits(
         self, pool: WorkerPool, waiting: WaitingStep
     ) -> PreemptionLimits | None:
-        """Return which runs may be stopped for a step, or ``None`` for none.
+        """Return which runs may be stopped for a step, or ``None`` for none."""
+        limits = self._priority_limits(pool, waiting)
+        reclaimable = self.backfilled.reclaimable(waiting.urgency)
+        if not reclaimable:
+            return limits
+        return replace(limits or PreemptionLimits(), reclaimable=reclaimable)
+
+    def _priority_limits(
+        self, pool: WorkerPool, waiting: WaitingStep
+    ) -> PreemptionLimits | None:
+        """Return which less urgent runs may be stopped, or ``None`` for none.
 
         There is no limit on the work lost for a guaranteed step. For other
         urgent steps, and those about to be late, the work lost may not exceed
@@ -99,7 +114,10 @@
         return None
 
     def _stop_for(
-        self, waiting: WaitingStep, victims: Sequence[Allocation]
+        self,
+        waiting: WaitingStep,
+        victims: Sequence[Allocation],
+        limits: PreemptionLimits,
     ) -> None:
         urgency = waiting.urgency
         self._decision_log.record(
@@ -108,6 +126,7 @@
             step=urgency.step,
             tier=urgency.tier,
             stops=len(victims),
+            backfilled=sum(map(limits.may_reclaim, victims)),
             lost_core_s=round(
                 sum(victim.preemption_cost for victim in victims)
             ),
@@ -118,5 +137,8 @@
             if found is None:
                 continue
             _, step, task = found
+            reason = 'room_for_urgent_work'
+            if limits.may_reclaim(allocation):
+                reason = 'backfill_reclaimed'
             for member in step.tasks if step.spec.is_gang else (task,):
-                self._tracker.order_stop(member, 'room_for_urgent_work')
+                self._tracker.order_stop(member, reason)
--- a/dragonflynotch/workflows/placement/step_fit.py
+++ b/dragonflynotch/workflows/placement/step_fit.py
@@ -52,6 +52,15 @@
         for minion_id in available:
             self.update(minion_id)
 
+    @property
+    def count(self) -> int:
+        """How many tasks fit, at most those that wait."""
+        return min(self._total, self._wanted)
+
+    def want(self, count: int) -> None:
+        """Ask from now on whether this many tasks fit."""
+        self._wanted = count
+
     @property
     def fits(self) -> bool:
         """Whether all waiting tasks, or all members of a gang, fit."""
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -1,5 +1,6 @@
 """Workers that may get new runs, and what steps may use of them."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -8,7 +9,17 @@
 from dragonflynotch.workflows.progress import Step
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Demand', 'Reservation', 'StepRoom', 'WorkerPool')
+__all__ = (
+    'Demand',
+    'Reservation',
+    'ServiceUse',
+    'StepRoom',
+    'WorkerPool',
+    'count_step_tasks',
+)
+
+
+_NOTHING = Resources()
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +56,8 @@
     may_join_suspects : bool
         Whether the tasks may start on a worker on which a suspected task has
         just started.
+    ignores_reservations : bool
+        Whether the tasks may use reserved resources.
     """
 
     step: Step
@@ -54,6 +67,7 @@
     may_span_racks: bool = False
     avoided_minions: frozenset[str] = frozenset()
     may_join_suspects: bool = False
+    ignores_reservations: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +95,23 @@
     oldest_report_ms: int
 
 
+@dataclass(slots=True)
+class ServiceUse:
+    """Resources of all workers of a service, and how much orders hold."""
+
+    capacity: Resources
+    used: Resources
+
+    @property
+    def share(self) -> float:
+        """Largest share of a resource that is in use."""
+        return self.used.dominant_share_of(self.capacity)
+
+    def add(self, needs: Resources) -> None:
+        """Count the resources of another run."""
+        self.used += needs
+
+
 @dataclass(slots=True)
 class WorkerPool:
     """Workers that may get new runs, with their free resources.
@@ -102,6 +133,9 @@
         Resources kept for steps that come earlier in the round.
     recent_starts : RecentStarts
         Runs that were started a short time ago, also in this round.
+    present : mapping
+        Workers by minion, with those that are excluded from ``workers``; by
+        default, there are none of these.
     """
 
     workers: dict[str, Worker]
@@ -110,10 +144,12 @@
     failed_job_counts: Mapping[str, int] = field(default_factory=dict)
     reservations: list[Reservation] = field(default_factory=list)
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
+    present: Mapping[str, Worker] = field(default_factory=dict)
     _free_total: Resources = field(init=False)
 
     def __post_init__(self) -> None:
         """Sum up the free resources of the workers."""
+        self.present = self.present or self.workers
         self._free_total = sum(
             (
                 self.free[minion_id].without_deficits()
@@ -122,14 +158,30 @@
             Resources(),
         )
 
-    def may_fit(self, step: Step) -> bool:
+    def may_fit(self, step: Step, released: Resources = _NOTHING) -> bool:
         """Return whether all workers together have enough for a step.
 
         That is, for a gang or one task of another step. Under overload, this
         rules out most waiting steps without a look at each worker.
+
+        Parameters
+        ----------
+        released : Resources
+            Resources of runs that may be stopped for the step.
         """
         count = len(step.tasks) if step.spec.is_gang else 1
-        return self._free_total.covers(step.spec.needs * count)
+        total = self._free_total + released
+        return total.covers(step.spec.needs * count)
+
+    def use_of(self, service: str) -> ServiceUse:
+        """Return how much of the workers of a service is in use."""
+        use = ServiceUse(Resources(), Resources())
+        for minion_id, worker in self.present.items():
+            if worker.report.service == service:
+                capacity = worker.report.resources
+                use.capacity += capacity
+                use.add(capacity - self.free[minion_id])
+        return use
 
     def candidates(self, demand: Demand) -> list[Worker]:
         """Return the workers that the tasks of the step may run on."""
@@ -154,6 +206,8 @@
         run when the reservation begins.
         """
         free = self.free[worker.minion_id]
+        if demand.ignores_reservations:
+            return free
         end_ms = self.now_ms + demand.expected_ms
         for reservation in self.reservations:
             reserved = reservation.resources.get(worker.minion_id)
@@ -219,3 +273,8 @@
         """Take resources of a worker for a run."""
         self.free[worker.minion_id] -= needs
         self._free_total -= needs
+
+
+def count_step_tasks(step: Step) -> Counter[str]:
+    """Return the number of active tasks of a step by minion."""
+    return Counter(task.active.minion_id for task in step.tasks if task.active)
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -6,7 +6,7 @@
 from dragonflynotch.workflows.records import Report
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Allocation', 'Worker')
+__all__ = ('Allocation', 'Allocations', 'Worker')
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +26,12 @@
     is_preemptible: bool = False
     # Whether the task can resume from a checkpoint after a stop.
     is_resumable: bool = False
+    # Whether the run stops when an earlier step can start in its place.
+    is_backfill: bool = False
+
+
+# By minion.
+Allocations = dict[str, list[Allocation]]
 
 
 @dataclass(slots=True)
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -39,6 +39,8 @@
         Store time at which the guard last read the progress.
     first_percent, first_percent_ms : int
         First progress above 0 that was reported, and its store time.
+    is_backfill : bool
+        Whether the run uses room that is reserved for an earlier step.
     """
 
     minion_id: str
@@ -51,6 +53,7 @@
     progress_read_ms: int = 0
     first_percent: int = 0
     first_percent_ms: int = 0
+    is_backfill: bool = False
 
     @property
     def still_ms(self) -> int:
@@ -98,6 +101,11 @@
         """Whether the task is not done and has no active run."""
         return not self.is_done and self.active is None
 
+    @property
+    def is_unrestricted(self) -> bool:
+        """Whether no earlier run limits the workers that the task may use."""
+        return not self.failed_on and not self.crashes
+
     def record_failure(self, minion_id: str, now_ms: int) -> None:
         """Record that a run failed or stalled on a minion."""
         recent = self.recent_failures(now_ms)
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -155,6 +155,10 @@
         Whether the run must be stopped.
     needs : tuple of int
         Millicores, megabytes and accelerators that the run takes up.
+    is_backfill : bool
+        Whether the run uses room that is reserved for a step that comes
+        earlier, and stops when that step can start. ``False`` in rows of
+        releases that did not store it.
     """
 
     payload: str
@@ -163,6 +167,7 @@
     checkpoint: str = ''
     is_stopped: bool = False
     needs: tuple[int, int, int] = (0, 0, 0)
+    is_backfill: bool = False
 
     @property
     def resources(self) -> Resources:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -83,6 +83,7 @@
             ordered_ms,
             is_stopping=order.is_stopped,
             progress_changed_ms=order.start_by_ms,
+            is_backfill=order.is_backfill,
         )
 
     def mark_lost(self, minion_id: str, reason: str) -> None:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -319,4 +319,5 @@
             free,
             now_ms,
             failed_job_counts,
+            present=workers,
         )
--- a/tests/benchmarks/workflows/test_ablation.py
+++ b/tests/benchmarks/workflows/test_ablation.py
@@ -10,9 +10,10 @@
 
 LOAD = LOADS['overload']
 NAMES = [field.name for field in fields(Mechanisms)]
-# The load has no guarantee, no worker that fails, stalls or leaves, and no job
-# that waits long enough to be overdue.
+# The load has no guarantee, no worker that fails, stalls or leaves, no job that
+# waits long enough to be overdue, and no room that stays idle.
 _WITHOUT_OCCASION = {
+    'backfills',
     'preempts_for_guarantees',
     'prefers_overdue',
     'prefers_sound_workers',
@@ -32,6 +33,24 @@
     assert replay(LOAD, arrivals) != replay(LOAD, arrivals, without)
 
 
+def test_idle_reserved_room_is_backfilled():
+    """Jobs must not wait for room that reservations keep idle.
+
+    A replay of little work, wide gangs and runs that are late.
+    """
+    load = LOADS['idle reservations']
+    arrivals = generate_arrivals(load, 9)
+    without = replace(Mechanisms(), backfills=False)
+
+    assert _earned(replay(load, arrivals)) > _earned(
+        replay(load, arrivals, without)
+    )
+
+
+def _earned(result):
+    return sum(outcome.value for outcome in result.outcomes)
+
+
 def test_runs_without_preemption_are_not_stopped():
     """Guards against a switch that leaves one way to take room."""
     without = replace(
--- a/tests/workflows/running_site.py
+++ b/tests/workflows/running_site.py
@@ -81,6 +81,16 @@
         )
         return used.dominant_share_of(capacity)
 
+    def free_by_minion(self):
+        """Resources that no order holds, by minion."""
+        free = {
+            minion: Resources(64_000, 256_000, accelerators)
+            for minion, _, accelerators in self.incarnations.values()
+        }
+        for (minion, _), order in self.orders.items():
+            free[minion] -= order.resources
+        return free
+
     def has_runs(self, job_id):
         """Whether a run of the job is ordered."""
         return any(task.partition('.')[0] == job_id for _, task in self.orders)
