Merge the backfill of room that reservations keep idle

The share in use is that of the workers that may get runs and of the excluded ones; workers of an evacuated data centre don't count.

--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -1,5 +1,6 @@
 """Workers that may get new runs, and what steps may use of them."""
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -9,7 +10,16 @@
 from dragonflynotch.workflows.progress import Step
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Demand', 'Reservation', 'WorkerPool')
+__all__ = (
+    'Demand',
+    'Reservation',
+    'ServiceUse',
+    'WorkerPool',
+    'count_step_tasks',
+)
+
+
+_NOTHING = Resources()
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +59,8 @@
     may_join_suspects : bool
         Whether the tasks may start on a worker on which a suspected task has
         just started.
+    ignores_reservations : bool
+        Whether the tasks may use reserved resources.
     """
 
     step: Step
@@ -58,6 +70,7 @@
     may_span_racks: bool = False
     avoided_minions: frozenset[str] = frozenset()
     may_join_suspects: bool = False
+    ignores_reservations: bool = False
 
     def suits(self, worker: Worker) -> bool:
         """Return whether a worker has the service, label and rack wanted."""
@@ -74,6 +87,23 @@
         )
 
 
+@dataclass(slots=True)
+class ServiceUse:
+    """Resources of all workers of a service, and how much orders hold."""
+
+    capacity: Resources
+    used: Resources
+
+    @property
+    def share(self) -> float:
+        """Largest share of a resource that is in use."""
+        return self.used.dominant_share_of(self.capacity)
+
+    def add(self, needs: Resources) -> None:
+        """Count the resources of another run."""
+        self.used += needs
+
+
 @dataclass(slots=True)
 class WorkerPool:
     """Workers that may get new runs, with their free resources.
@@ -123,14 +153,30 @@
             Resources(),
         )
 
-    def may_fit(self, step: Step) -> bool:
+    def may_fit(self, step: Step, released: Resources = _NOTHING) -> bool:
         """Return whether all workers together have enough for a step.
 
         That is, for a gang or one task of another step. Under overload, this
         rules out most waiting steps without a look at each worker.
+
+        Parameters
+        ----------
+        released : Resources
+            Resources of runs that may be stopped for the step.
         """
         count = len(step.tasks) if step.spec.is_gang else 1
-        return self._free_total.covers(step.spec.needs * count)
+        total = self._free_total + released
+        return total.covers(step.spec.needs * count)
+
+    def use_of(self, service: str) -> ServiceUse:
+        """Return how much of the workers of a service is in use."""
+        use = ServiceUse(Resources(), Resources())
+        for minion_id, worker in {**self.workers, **self.excluded}.items():
+            if worker.report.service == service:
+                capacity = worker.report.resources
+                use.capacity += capacity
+                use.add(capacity - self.free[minion_id])
+        return use
 
     def candidates(self, demand: Demand) -> list[Worker]:
         """Return the workers that the tasks of the step may start on now."""
@@ -157,6 +203,8 @@
         run when the reservation begins.
         """
         free = self.free[worker.minion_id]
+        if demand.ignores_reservations:
+            return free
         end_ms = self.now_ms + demand.expected_ms
         for reservation in self.reservations:
             reserved = reservation.resources.get(worker.minion_id)
@@ -204,3 +252,8 @@
             for minion_id, refused in self.refused_needs.items()
             if any(needs.covers(amount) for amount in refused)
         }
+
+
+def count_step_tasks(step: Step) -> Counter[str]:
+    """Return the number of active tasks of a step by minion."""
+    return Counter(task.active.minion_id for task in step.tasks if task.active)
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -6,7 +6,7 @@
 from dragonflynotch.workflows.records import Report
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Allocation', 'Worker')
+__all__ = ('Allocation', 'Allocations', 'Worker')
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +28,12 @@
     is_resumable: bool = False
     # Whether the run has taken longer than estimated.
     is_past_estimate: bool = False
+    # Whether the run stops when an earlier step can start in its place.
+    is_backfill: bool = False
+
+
+# By minion.
+Allocations = dict[str, list[Allocation]]
 
 
 @dataclass(slots=True)
