Try excluded workers while waiting work fits nowhere else

Cause: an exclusion is lifted by its end alone. Nothing finds out that the worker is sound again, and nothing bounds how long waiting work and room that fits stand beside each other. Class of fault: a preference that is kept without a bound, as with reservations.

Change: excluded workers belong to the idle room. Under the condition for backfill (under half in use for 1.5 s), each gets one start at a time, 1 s after the last failure there, 2 s after the last trial. A task does not risk its last attempt on a worker that failed within 15 s. A failed trial prolongs the exclusion, a success ends it.

Ruled out: a shorter exclusion, which costs attempts of up to eight tasks each time while the worker is faulty, also under full load.

--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -1,8 +1,9 @@
-"""Use of room that reservations keep idle.
+"""Use of room that reservations and exclusions of workers keep idle.
 
 Load: under half of the capacity is in use, a step that needs most workers
 waits for a run that is late or long, and smaller steps wait behind its
 reservation. The reservation alone keeps the free room idle without a bound.
+So does the exclusion of workers that have recovered, see ``trials``.
 
 Once room has been idle for a short time, the smaller steps use it, until half
 of the capacity is in use. Their runs are marked as backfill. They stop as soon
@@ -66,7 +67,7 @@
     @property
     def backfill_demand(self) -> Demand:
         """Its placement requirements in room that others have reserved."""
-        return replace(self.demand, ignores_reservations=True)
+        return replace(self.demand, uses_idle_room=True)
 
 
 @dataclass(slots=True)
@@ -144,7 +145,7 @@
         use = pool.use_of(service)
         steps = [entry for entry in entries if _may_be_backfilled(entry)]
         if use.share >= _MAX_SHARE_IN_USE or not any(
-            _fits_without_reservations(pool, entry) for entry in steps
+            _fits_idle_room(pool, entry) for entry in steps
         ):
             self._idle_since_ms.pop(service, None)
             return None
@@ -253,11 +254,11 @@
     return is_preemptible(entry.waiting.step.spec)
 
 
-def _fits_without_reservations(pool: WorkerPool, entry: UnplacedStep) -> bool:
-    """Return whether a gang, or any task, fits into the free resources."""
+def _fits_idle_room(pool: WorkerPool, entry: UnplacedStep) -> bool:
+    """Return whether a gang, or any task, fits into the idle room."""
     step = entry.waiting.step
     demand = entry.backfill_demand
-    if not pool.may_fit(step):
+    if not pool.may_fit(step, pool.trial_room()):
         return False
     if step.spec.is_gang:
         return place_gang(pool, demand) is not None
--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -40,6 +40,7 @@
     spec = demand.step.spec
     avoided = avoided_by_task(pool, demand.step, demand.service, task)
     avoided |= avoided_starts(pool, demand, [task])
+    avoided |= pool.trials.too_risky_for([task], demand.max_attempts)
     fitting = [
         (worker, pool.available(worker, demand))
         for worker in pool.candidates(demand)
@@ -64,7 +65,9 @@
 
     The result is ``None`` if not all members fit.
     """
-    avoided = avoided_starts(pool, demand, demand.step.tasks)
+    tasks = demand.step.tasks
+    avoided = avoided_starts(pool, demand, tasks)
+    avoided |= pool.trials.too_risky_for(tasks, demand.max_attempts)
     available = {
         worker.minion_id: pool.available(worker, demand)
         for worker in pool.candidates(demand)
@@ -91,7 +94,7 @@
         worker.minion_id: worker.report.resources
         for worker in pool.eligible_workers(demand)
     }
-    workers = [pool.workers[minion_id] for minion_id in capacity]
+    workers = [pool.find(minion_id) for minion_id in capacity]
     return bool(
         _racks_that_fit(workers, capacity, step.spec.needs, len(step.tasks))
     )
@@ -114,7 +117,7 @@
         return None
     spec = demand.step.spec
     count = len(demand.step.tasks)
-    workers = [pool.workers[minion_id] for minion_id in available]
+    workers = [pool.find(minion_id) for minion_id in available]
     if spec.wants_one_rack:
         for rack in _racks_that_fit(workers, available, spec.needs, count):
             found = _assign_workers(pool, rack, available, demand)
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -235,7 +235,7 @@
     def _must_only_wait(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
         """Return whether nothing can be done for a step in this round."""
         return not (
-            pool.may_fit(waiting.step)
+            pool.may_fit(waiting.step, pool.trial_room())
             or self._wait_log.is_due(pool, waiting)
             or self._idle_log.needs_room(waiting.job.job_id)
             or self._room_maker.may_make_room(pool, waiting)
@@ -276,6 +276,7 @@
             may_span_racks=has_waited or not fits_one_rack(pool, step, service),
             avoided_minions=avoided_by_step(pool, step, service),
             may_join_suspects=waiting.urgency.is_guaranteed,
+            max_attempts=self._jobs.queue(job).max_attempts,
         )
 
     def _place_step(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
@@ -329,8 +330,8 @@
         run: int,
     ) -> None:
         needs = demand.step.spec.needs
-        # A run in reserved room is backfill.
-        is_backfill = demand.ignores_reservations
+        # A run in idle room is backfill.
+        is_backfill = demand.uses_idle_room
         pool.allocate(worker, needs)
         pool.recent_starts.add(worker.minion_id, is_suspect=bool(task.crashes))
         task.run = run
@@ -365,5 +366,6 @@
             task_failures=task.failures,
             worker_failed_jobs=pool.failed_job_counts.get(worker.minion_id, 0),
             is_avoided_worker=worker.minion_id in task.failed_on,
+            is_trial=worker.minion_id in pool.excluded,
             is_backfill=is_backfill,
         )
--- a/dragonflynotch/workflows/placement/step_fit.py
+++ b/dragonflynotch/workflows/placement/step_fit.py
@@ -43,7 +43,7 @@
         )
         self._limit = spec.max_per_worker or self._wanted
         self._racks = {
-            minion_id: pool.workers[minion_id].report.rack
+            minion_id: pool.find(minion_id).report.rack
             for minion_id in available
         }
         self._counts: dict[str, int] = {}
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -6,6 +6,7 @@
 
 from dragonflynotch.workflows.jobs import StepId
 from dragonflynotch.workflows.placement.recent_starts import RecentStarts
+from dragonflynotch.workflows.placement.trials import Trials
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Step
 from dragonflynotch.workflows.resources import Resources
@@ -59,8 +60,10 @@
     may_join_suspects : bool
         Whether the tasks may start on a worker on which a suspected task has
         just started.
-    ignores_reservations : bool
-        Whether the tasks may use reserved resources.
+    uses_idle_room : bool
+        Whether the tasks may use reserved resources and try excluded workers.
+    max_attempts : int
+        How many runs of a task may fail.
     """
 
     step: Step
@@ -70,7 +73,8 @@
     may_span_racks: bool = False
     avoided_minions: frozenset[str] = frozenset()
     may_join_suspects: bool = False
-    ignores_reservations: bool = False
+    uses_idle_room: bool = False
+    max_attempts: int = 1
 
     def suits(self, worker: Worker) -> bool:
         """Return whether a worker has the service, label and rack wanted."""
@@ -129,6 +133,8 @@
         Runs that were started a short time ago, also in this round.
     excluded : mapping of str to Worker
         Workers left out because several jobs failed on them, by minion.
+    trials : Trials
+        Excluded workers that may be tried in this round.
     """
 
     workers: dict[str, Worker]
@@ -141,6 +147,7 @@
     reservations: list[Reservation] = field(default_factory=list)
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
     excluded: Mapping[str, Worker] = field(default_factory=dict)
+    trials: Trials = field(default_factory=Trials)
     _free_total: Resources = field(init=False)
 
     def __post_init__(self) -> None:
@@ -153,6 +160,20 @@
             Resources(),
         )
 
+    def find(self, minion_id: str) -> Worker:
+        """Return the worker of a minion, excluded ones included."""
+        return self.workers.get(minion_id) or self.excluded[minion_id]
+
+    def trial_room(self) -> Resources:
+        """Return the free resources of the workers that may be tried."""
+        return sum(
+            (
+                self.free[worker.minion_id].without_deficits()
+                for worker in self.trials.due()
+            ),
+            Resources(),
+        )
+
     def may_fit(self, step: Step, released: Resources = _NOTHING) -> bool:
         """Return whether all workers together have enough for a step.
 
@@ -162,7 +183,7 @@
         Parameters
         ----------
         released : Resources
-            Resources of runs that may be stopped for the step.
+            Further resources that the step may get.
         """
         count = len(step.tasks) if step.spec.is_gang else 1
         total = self._free_total + released
@@ -189,9 +210,12 @@
 
     def eligible_workers(self, demand: Demand) -> list[Worker]:
         """Return the workers that the tasks may run on if they have room."""
+        workers = list(self.workers.values())
+        if demand.uses_idle_room:
+            workers.extend(self.trials.due())
         return [
             worker
-            for worker in self.workers.values()
+            for worker in workers
             if demand.suits(worker)
             and worker.minion_id not in demand.avoided_minions
         ]
@@ -203,7 +227,7 @@
         run when the reservation begins.
         """
         free = self.free[worker.minion_id]
-        if demand.ignores_reservations:
+        if demand.uses_idle_room:
             return free
         end_ms = self.now_ms + demand.expected_ms
         for reservation in self.reservations:
@@ -243,7 +267,9 @@
     def allocate(self, worker: Worker, needs: Resources) -> None:
         """Take resources of a worker for a run."""
         self.free[worker.minion_id] -= needs
-        self._free_total -= needs
+        if worker.minion_id in self.workers:
+            self._free_total -= needs
+        self.trials.record_start(worker.minion_id)
 
     def _refusing_minions(self, needs: Resources) -> set[str]:
         """Return the minions that recently had no room for as much or less."""
--- a/dragonflynotch/workflows/runs/worker_health.py
+++ b/dragonflynotch/workflows/runs/worker_health.py
@@ -1,5 +1,6 @@
 """Health of workers, judged by how their runs end."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 __all__ = ('FAILURE_WINDOW_MS', 'WorkerHealth')
@@ -11,6 +12,10 @@
 FAILURE_WINDOW_MS = 15_000
 _FIRST_EXCLUSION_MS = 6_000
 _MAX_EXCLUSION_MS = 60_000
+# An excluded worker may be tried this long after the last failure there, and
+# again this long after the start of a trial.
+_TRIAL_DELAY_MS = 1_000
+_TRIAL_INTERVAL_MS = 2_000
 # Largest share of the usable workers that may be excluded at a time.
 _MAX_EXCLUDED_SHARE = 0.34
 
@@ -19,7 +24,10 @@
 class _WorkerRecord:
     # Time of the last failure, by job.
     failed_jobs: dict[str, int] = field(default_factory=dict)
+    exclusion_start_ms: int = 0
     exclusion_end_ms: int = 0
+    last_failure_ms: int = 0
+    last_trial_ms: int = 0
     # Length of the next exclusion.
     exclusion_ms: int = _FIRST_EXCLUSION_MS
 
@@ -38,7 +46,8 @@
     The failures of one job on a worker count once. A worker on which several
     jobs fail in a row is excluded for some time and then used again. If runs
     that start there afterwards fail too, it is excluded for twice as long, up
-    to a limit, until a run succeeds.
+    to a limit, until a run succeeds. While there is work that only excluded
+    workers have room for, single runs try whether they have recovered.
     """
 
     def __init__(self) -> None:
@@ -80,8 +89,8 @@
     ) -> bool:
         """Record a failed or stalled run.
 
-        Runs that were started before the end of an exclusion do not prolong
-        it: they fail for the reason that caused it.
+        Runs that were started before an exclusion do not prolong it: they
+        fail for the reason that caused it.
 
         Parameters
         ----------
@@ -96,15 +105,38 @@
         record = self._records.setdefault(minion_id, _WorkerRecord())
         record.failed_jobs = record.recent_failures(now_ms)
         record.failed_jobs[job_id] = now_ms
+        record.last_failure_ms = now_ms
         if (
             len(record.failed_jobs) < _MIN_FAILED_JOBS
-            or started_ms < record.exclusion_end_ms
+            or started_ms < record.exclusion_start_ms
         ):
             return False
+        record.exclusion_start_ms = now_ms
         record.exclusion_end_ms = now_ms + record.exclusion_ms
         record.exclusion_ms = min(record.exclusion_ms * 2, _MAX_EXCLUSION_MS)
         return True
 
+    def record_trial(self, minion_id: str, now_ms: int) -> None:
+        """Record that a run was ordered on an excluded worker."""
+        self._records[minion_id].last_trial_ms = now_ms
+
+    def trial_ages(
+        self, minion_ids: Iterable[str], now_ms: int
+    ) -> dict[str, int]:
+        """Return the time since the last failure on excluded workers.
+
+        In milliseconds, by minion; only of those that may be tried now.
+        """
+        records = {
+            minion_id: self._records[minion_id] for minion_id in minion_ids
+        }
+        return {
+            minion_id: now_ms - record.last_failure_ms
+            for minion_id, record in records.items()
+            if now_ms - record.last_failure_ms >= _TRIAL_DELAY_MS
+            and now_ms - record.last_trial_ms >= _TRIAL_INTERVAL_MS
+        }
+
     def failed_job_count(self, minion_id: str, now_ms: int) -> int:
         """Return how many distinct jobs failed recently without a success."""
         record = self._records.get(minion_id)
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -19,6 +19,7 @@
 from dragonflynotch.workflows.ordering.idle_log import IdleLog, RoundInputs
 from dragonflynotch.workflows.placement.allocations import list_allocations
 from dragonflynotch.workflows.placement.placer import Placer
+from dragonflynotch.workflows.placement.trials import Trials
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
@@ -274,6 +275,8 @@
             write_ms,
             latest_start_ms,
         )
+        for minion_id in pool.trials.started:
+            self._worker_health.record_trial(minion_id, now_ms)
         if self._mechanisms.moves_departing:
             self._departures.review(
                 pool,
@@ -305,6 +308,13 @@
         """Return the number of jobs without a started task, by queue."""
         return self._jobs.waiting_by_queue()
 
+    def _find_trials(
+        self, workers: dict[str, Worker], excluded: set[str], now_ms: int
+    ) -> Trials:
+        """Return the excluded workers that may be tried."""
+        ages = self._worker_health.trial_ages(excluded, now_ms)
+        return Trials({name: workers[name] for name in ages}, ages)
+
     def _available_pool(self, now_ms: int) -> WorkerPool:
         """Return the workers that may get new runs."""
         workers = {
@@ -345,5 +355,6 @@
             now_ms,
             failed_job_counts,
             excluded={minion_id: workers[minion_id] for minion_id in excluded},
+            trials=self._find_trials(workers, excluded, now_ms),
             refused_needs=self._room_refusals.refused_needs(now_ms),
         )
