--- /dev/null
+++ b/dragonflynotch/records/bounds.py
@@ -0,0 +1,48 @@
+"""Ranges of the fields of entries that another process writes.
+
+Later steps calculate with these fields, put them into rows with a limited
+size and open connections to the addresses, none of which may fail.
+"""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+__all__ = (
+    'Accelerators',
+    'Count',
+    'DurationMs',
+    'Label',
+    'Megabytes',
+    'Millicores',
+    'MinionId',
+    'Port',
+    'Text',
+    'TimeMs',
+)
+
+# Exact in a float too, so that no later division or sum can fail.
+_MAX_INTEGER = 2**53
+# Larger than any worker, in each resource.
+_MAX_MILLICORES = 10_000_000
+_MAX_MEMORY_MB = 67_108_864
+_MAX_ACCELERATORS = 1024
+# About 30 years.
+_MAX_DURATION_MS = 1_000_000_000_000
+_MAX_LABEL_CHARACTERS = 200
+# The store limits the size of a row to 65,536 bytes.
+_MAX_TEXT_CHARACTERS = 32_768
+
+Accelerators = Annotated[int, Meta(ge=0, le=_MAX_ACCELERATORS)]
+Count = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
+DurationMs = Annotated[int, Meta(ge=0, le=_MAX_DURATION_MS)]
+Label = Annotated[str, Meta(max_length=_MAX_LABEL_CHARACTERS)]
+Megabytes = Annotated[int, Meta(ge=0, le=_MAX_MEMORY_MB)]
+Millicores = Annotated[int, Meta(ge=0, le=_MAX_MILLICORES)]
+# Printable ASCII without the slash, which separates the parts of a row key. The
+# key of an order also contains the task, and is limited to 200 bytes.
+MinionId = Annotated[str, Meta(pattern=r'^[!-.0-~]{0,100}\Z')]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Text = Annotated[str, Meta(max_length=_MAX_TEXT_CHARACTERS)]
+# Times of a steady clock, which may be before its start.
+TimeMs = Annotated[int, Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)]
