Refuse an odd heartbeat in place of failing on it

What callers saw, elsewhere: one odd entry among those of the minions, and the machines that read it ended or stopped following it. Here decode_heartbeat caught DecodeError only. 100,000 nested arrays in a field, known or not, raised RecursionError; a port of 5,000 digits raised ValueError; ports 0 and 70000, negative and 400-digit amounts, and identifiers with a slash or of any length were accepted. Such an identifier would become part of the key of an order, which the store refuses for the whole transaction.

Now each of them is answered 400 at once and logged as heartbeat_unreadable with the minion and the reason; the gauge unreadable_entries counts them. An unreadable data centre or remaining time alone still leaves the rest in force.

--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -1,7 +1,8 @@
 """HTTP client of the platform's minions and decoder of their heartbeats."""
 
+import re
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -25,8 +26,23 @@
     LinkTimeoutError,
     NotSentError,
 )
+from dragonflynotch.core.untrusted import (
+    Unreadable,
+    decode_untrusted,
+    parse_address,
+)
 from dragonflynotch.links.http11 import HttpReply
 from dragonflynotch.links.http_pool import HttpPool
+from dragonflynotch.records.bounds import (
+    MAX_LABEL_CHARACTERS,
+    MINION_ID_PATTERN,
+    Accelerators,
+    Count,
+    Label,
+    Megabytes,
+    Millicores,
+    TimeMs,
+)
 from dragonflynotch.workflows.records import RunEnd, RunningTask
 
 __all__ = ('HttpMinionClient', 'decode_heartbeat')
@@ -43,14 +59,18 @@
 _CALL_TIMEOUT = timedelta(milliseconds=600)
 # One day; a longer notice is taken as unreadable.
 _MAX_REMAINING_MS = 86_400_000
+_MAX_LABELS = 16
+
+_Labels = Annotated[list[Label], msgspec.Meta(max_length=_MAX_LABELS)]
+_MINION_ID = re.compile(MINION_ID_PATTERN)
 
 
 class _WireCapacity(msgspec.Struct):
     """Capacity of a minion; ``cpu`` is in millicores."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Millicores = 0
+    mem_mb: Megabytes = 0
+    gpu: Accelerators = 0
 
 
 class _WireHeartbeat(msgspec.Struct):
@@ -60,12 +80,12 @@
     ``remaining_ms`` must not make the heartbeat unreadable.
     """
 
-    service: str
+    service: Label
     address: str
-    state: str
-    seq: int = 0
+    state: Literal['ready', 'draining']
+    seq: Count = 0
     capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
-    labels: list[str] = []
+    labels: _Labels = []
     remaining_ms: object = None
     zone: object = ''
 
@@ -77,25 +97,33 @@
     are the fields of ``RunningTask`` and ``RunEnd``.
     """
 
-    clock_ms: int = 0
+    clock_ms: TimeMs = 0
     reason: str = ''
     running_count: list[list[Any]] = []
     ended: list[list[Any]] = []
 
 
-def decode_heartbeat(minion_id: str, body: bytes) -> Heartbeat | None:
-    """Return the heartbeat, or ``None`` if a field is missing or invalid."""
-    try:
-        heartbeat = msgspec.json.decode(body, type=_WireHeartbeat)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    host, _, port = heartbeat.address.rpartition(':')
-    if heartbeat.state not in {'ready', 'draining'} or not port.isdecimal():
-        return None
+_heartbeat_decoder = msgspec.json.Decoder(_WireHeartbeat)
+
+
+def decode_heartbeat(minion_id: str, body: bytes) -> Heartbeat | Unreadable:
+    """Return the heartbeat, or why it is unreadable.
+
+    A heartbeat with a missing field or one out of range is unreadable as a
+    whole, since each field is used to choose or to reach the minion.
+    """
+    if not _is_minion_id(minion_id):
+        return Unreadable('malformed minion identifier')
+    heartbeat = decode_untrusted(_heartbeat_decoder.decode, body)
+    if isinstance(heartbeat, Unreadable):
+        return heartbeat
+    address = parse_address(heartbeat.address)
+    if address is None:
+        return Unreadable('malformed address')
     return Heartbeat(
         minion_id=minion_id,
         service=heartbeat.service,
-        address=(host, int(port)),
+        address=address,
         sequence=heartbeat.seq,
         is_draining=heartbeat.state == 'draining',
         labels=tuple(heartbeat.labels),
@@ -106,16 +134,29 @@
             heartbeat.capacity.gpu,
         ),
         remaining_ms=_decode_remaining_ms(heartbeat.remaining_ms),
-        data_centre=(heartbeat.zone if isinstance(heartbeat.zone, str) else ''),
+        data_centre=_decode_data_centre(heartbeat.zone),
     )
 
 
+def _is_minion_id(text: str) -> bool:
+    return bool(text) and _MINION_ID.fullmatch(text) is not None
+
+
+def _decode_data_centre(zone: object) -> str:
+    if not isinstance(zone, str) or len(zone) > MAX_LABEL_CHARACTERS:
+        return ''
+    return zone
+
+
 def _decode_remaining_ms(remaining: object) -> int | None:
     if isinstance(remaining, bool) or not isinstance(remaining, int | float):
         return None
     return int(remaining) if 0 <= remaining <= _MAX_REMAINING_MS else None
 
 
+_answer_decoder = msgspec.json.Decoder(_WireAnswer)
+
+
 class HttpMinionClient(MinionClient):
     """Calls one incarnation of the minion on this machine over HTTP."""
 
@@ -143,20 +184,10 @@
             return NoAnswer(f'refused: {outcome.reason.value}')
         if not isinstance(outcome, _WireAnswer):
             return outcome
-        try:
-            return MinionState(
-                outcome.clock_ms,
-                tuple(
-                    msgspec.convert(entry[:4], RunningTask)
-                    for entry in outcome.running_count
-                ),
-                tuple(
-                    msgspec.convert(entry[:5], RunEnd)
-                    for entry in outcome.ended
-                ),
-            )
-        except msgspec.ValidationError as error:
-            return NoAnswer(f'malformed response: {error}')
+        state = decode_untrusted(_minion_state, outcome)
+        if isinstance(state, Unreadable):
+            return NoAnswer(f'malformed response: {state.reason}')
+        return state
 
     async def start(
         self, request: StartRequest, token: int
@@ -210,6 +241,17 @@
         return _decode_reply(reply)
 
 
+def _minion_state(answer: _WireAnswer) -> MinionState:
+    return MinionState(
+        answer.clock_ms,
+        tuple(
+            msgspec.convert(entry[:4], RunningTask)
+            for entry in answer.running_count
+        ),
+        tuple(msgspec.convert(entry[:5], RunEnd) for entry in answer.ended),
+    )
+
+
 def _describe_failure(error: LinkError) -> NoAnswer:
     if isinstance(error.__cause__, ConnectionRefusedError):
         return NotListening(str(error))
@@ -227,9 +269,8 @@
         return Unhealthy()
     if reply.status == _BAD_REQUEST:
         return StartRefused(RefusalReason.invalid)
-    try:
-        answer = msgspec.json.decode(reply.body, type=_WireAnswer)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    answer = decode_untrusted(_answer_decoder.decode, reply.body)
+    if isinstance(answer, Unreadable):
         return NoAnswer(f'malformed response with status {reply.status}')
     if reply.status == _OK:
         return answer
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -16,6 +16,7 @@
 from dragonflynotch.links.http_server import HttpServer
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.observability.job_metrics import JobMetrics
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.platform.configuration import decode_deployment
 from dragonflynotch.platform.evacuations import (
     OPERATOR_TABLE,
@@ -176,6 +177,7 @@
             'departure_stops': scheduler.departure_stops,
             'suspected_tasks': scheduler.suspected_tasks,
             'store_calls': self._store.call_count,
+            'unreadable_entries': unreadable_entries.count,
         }
 
 
@@ -238,6 +240,7 @@
     def _gauges(self) -> dict[str, float]:
         return {
             'store_calls': self._store.call_count,
+            'unreadable_entries': unreadable_entries.count,
             'minion_crashes': self._guard.minion_crashes,
         }
 
--- a/dragonflynotch/platform/side.py
+++ b/dragonflynotch/platform/side.py
@@ -3,8 +3,9 @@
 import re
 
 from dragonflynotch.control.guard import Guard
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.links.asgi import HttpCall, Reply
-from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.platform.minion import decode_heartbeat
 
 __all__ = ('HeartbeatApi',)
@@ -34,8 +35,10 @@
             self._guard.on_departure(minion_id)
             return Reply(_OK, b'{}')
         heartbeat = decode_heartbeat(minion_id, call.body)
-        if heartbeat is None:
-            decision_log.record('heartbeat_unreadable', minion=minion_id)
+        if isinstance(heartbeat, Unreadable):
+            unreadable_entries.record(
+                'heartbeat_unreadable', heartbeat, minion=minion_id
+            )
             return Reply(_BAD_REQUEST)
         self._guard.on_heartbeat(heartbeat)
         return Reply(_OK, b'{}', {'Content-Type': 'application/json'})
--- a/dragonflynotch/records/bounds.py
+++ b/dragonflynotch/records/bounds.py
@@ -9,6 +9,8 @@
 from msgspec import Meta
 
 __all__ = (
+    'MAX_LABEL_CHARACTERS',
+    'MINION_ID_PATTERN',
     'Accelerators',
     'Count',
     'DurationMs',
@@ -29,19 +31,20 @@
 _MAX_ACCELERATORS = 1024
 # About 30 years.
 _MAX_DURATION_MS = 1_000_000_000_000
-_MAX_LABEL_CHARACTERS = 200
+MAX_LABEL_CHARACTERS = 200
+# Printable ASCII without the slash, which separates the parts of a row key. The
+# key of an order also contains the task, and is limited to 200 bytes.
+MINION_ID_PATTERN = r'^[!-.0-~]{0,100}\Z'
 # The store limits the size of a row to 65,536 bytes.
 _MAX_TEXT_CHARACTERS = 32_768
 
 Accelerators = Annotated[int, Meta(ge=0, le=_MAX_ACCELERATORS)]
 Count = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
 DurationMs = Annotated[int, Meta(ge=0, le=_MAX_DURATION_MS)]
-Label = Annotated[str, Meta(max_length=_MAX_LABEL_CHARACTERS)]
+Label = Annotated[str, Meta(max_length=MAX_LABEL_CHARACTERS)]
 Megabytes = Annotated[int, Meta(ge=0, le=_MAX_MEMORY_MB)]
 Millicores = Annotated[int, Meta(ge=0, le=_MAX_MILLICORES)]
-# Printable ASCII without the slash, which separates the parts of a row key. The
-# key of an order also contains the task, and is limited to 200 bytes.
-MinionId = Annotated[str, Meta(pattern=r'^[!-.0-~]{0,100}\Z')]
+MinionId = Annotated[str, Meta(pattern=MINION_ID_PATTERN)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 Text = Annotated[str, Meta(max_length=_MAX_TEXT_CHARACTERS)]
 # Times of a steady clock, which may be before its start.
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,6 +4,7 @@
 import pytest
 
 from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.platform.configuration import decode_deployment
 from dragonflynotch.platform.evacuations import decode_evacuation
 from dragonflynotch.platform.jobs import decode_job, is_job_id
@@ -161,9 +162,9 @@
         ),
     ],
 )
-def test_malformed_heartbeat_is_none(body):
+def test_malformed_heartbeat_is_unreadable(body):
     """Guards against heartbeats with missing or mistyped fields."""
-    assert decode_heartbeat('i-1', body) is None
+    assert isinstance(decode_heartbeat('i-1', body), Unreadable)
 
 
 def test_heartbeat_is_decoded():
