Take an address that cannot be used as a failed connection

A process that connects to the address of an odd entry got an exception that no caller expects: OverflowError for a port out of range, UnicodeError for a host name with an empty or long label, UnicodeEncodeError or h11.LocalProtocolError for a character that a header can't carry. http_pool.py and http11.py caught OSError only when connecting, and http_pool.py built the request outside of any try; httpx raises OverflowError and InvalidURL, which are no HTTPError.

Both clients now share connect() and build_request(), which raise NotSentError: nothing was sent. The guard link refuses a malformed address before the call. Only errors from before the first byte count as not sent.

--- a/dragonflynotch/entry/configuration/configuration_copies.py
+++ b/dragonflynotch/entry/configuration/configuration_copies.py
@@ -112,7 +112,7 @@
                 content=encode_copy(update),
                 headers={'Guard-Incarnation': str(guard.incarnation)},
             )
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             _log.debug(
                 'sending the configuration to guard {} failed: {!r}',
                 guard.guard_id,
@@ -130,7 +130,7 @@
     async def _fetch_from(self, guard: GuardInfo) -> None:
         try:
             reply = await self._client.get(_configuration_url(guard))
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             _log.debug(
                 'fetching the configuration from guard {} failed: {!r}',
                 guard.guard_id,
--- a/dragonflynotch/entry/configuration/operators.py
+++ b/dragonflynotch/entry/configuration/operators.py
@@ -184,7 +184,7 @@
         ) as client:
             try:
                 reply = await client.post(f'http://{host}:{port}/v1/drain')
-            except httpx.HTTPError as error:
+            except (httpx.HTTPError, httpx.InvalidURL) as error:
                 return _problem(
                     _BAD_GATEWAY,
                     'no_answer',
--- a/dragonflynotch/links/guard_link.py
+++ b/dragonflynotch/links/guard_link.py
@@ -22,6 +22,7 @@
 )
 from dragonflynotch.core.requests import Request, content_digest
 from dragonflynotch.core.routing import Target
+from dragonflynotch.core.untrusted import parse_address
 
 __all__ = (
     'GuardOutcomeUnknown',
@@ -233,6 +234,8 @@
         body: bytes = b'',
     ) -> '_Reply':
         host, port = exchange.target.address
+        if parse_address(f'{host}:{port}') is None:
+            raise exchange.not_sent(ValueError('malformed address'))
         is_new = exchange.is_new_connection
         client = self._unpooled_client if is_new else self._pooled_client
         stream = client.stream(
@@ -245,7 +248,11 @@
         try:
             async with stream as reply:
                 return await exchange.read(reply)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        except (
+            httpx.ConnectError,
+            httpx.ConnectTimeout,
+            httpx.InvalidURL,
+        ) as error:
             raise exchange.not_sent(error) from error
         except httpx.TimeoutException as error:
             raise exchange.timed_out() from error
--- a/dragonflynotch/links/http11.py
+++ b/dragonflynotch/links/http11.py
@@ -16,12 +16,22 @@
     LinkTimeoutError,
     NotSentError,
 )
-
-__all__ = ('HttpReply', 'PartialReply', 'exchange')
+from dragonflynotch.core.untrusted import shorten
+
+__all__ = (
+    'HttpReply',
+    'PartialReply',
+    'build_request',
+    'connect',
+    'exchange',
+)
 
 _READ_BYTES = 65_536
 # Above the largest page of rows that the platform's store returns.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+# Raised for an address that cannot be used, such as a port out of range
+# (``OverflowError``) or a malformed host name (``ValueError``).
+_CONNECT_ERRORS = (OSError, OverflowError, ValueError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,10 +103,10 @@
         ('Connection', 'close'),
         *headers,
     ]
-    request = h11.Request(method=method, target=target, headers=all_headers)
+    request = build_request(method, target, all_headers, peer)
     try:
         async with asyncio.timeout(timeout.total_seconds()):
-            streams = await _connect(address, step)
+            streams = await connect(address, step)
             return await _exchange(streams, request, body, max_body_bytes)
     except TimeoutError as error:
         raise LinkTimeoutError(
@@ -110,12 +120,41 @@
         ) from error
 
 
-async def _connect(
+def build_request(
+    method: str, target: str, headers: list[tuple[str, str]], peer: str
+) -> h11.Request:
+    """Return the request.
+
+    Raises
+    ------
+    NotSentError
+        If a header cannot be sent. An address or an identifier in it may come
+        from another process.
+    """
+    try:
+        return h11.Request(method=method, target=target, headers=headers)
+    except (h11.ProtocolError, ValueError) as error:
+        raise NotSentError(
+            f'malformed request: {error}',
+            step=f'{method} {shorten(target)}',
+            peer=shorten(peer),
+        ) from error
+
+
+async def connect(
     address: tuple[str, int], step: str
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Return the streams of a new connection.
+
+    Raises
+    ------
+    NotSentError
+        If no connection was established, also because the address cannot be
+        used.
+    """
     try:
         return await asyncio.open_connection(*address)
-    except OSError as error:
+    except _CONNECT_ERRORS as error:
         raise NotSentError(
             f'connection failed: {error}',
             step=step,
--- a/dragonflynotch/links/http_pool.py
+++ b/dragonflynotch/links/http_pool.py
@@ -15,7 +15,12 @@
     LinkTimeoutError,
     NotSentError,
 )
-from dragonflynotch.links.http11 import HttpReply, PartialReply
+from dragonflynotch.links.http11 import (
+    HttpReply,
+    PartialReply,
+    build_request,
+    connect,
+)
 
 __all__ = ('HttpPool',)
 
@@ -132,15 +137,16 @@
             If the connection fails before the response is complete.
         """
         step = f'{method} {target}'
-        request = h11.Request(
-            method=method,
-            target=target,
-            headers=[
+        request = build_request(
+            method,
+            target,
+            [
                 ('Host', self._host),
                 ('Content-Type', 'application/json'),
                 ('Content-Length', str(len(body))),
                 *headers,
             ],
+            self._peer,
         )
         connection: _Connection | None = None
         progress = _Progress(timeout, idle_timeout or timeout)
@@ -179,12 +185,7 @@
             if connection.is_usable:
                 return connection
             connection.close()
-        try:
-            reader, writer = await asyncio.open_connection(*self._address)
-        except OSError as error:
-            raise NotSentError(
-                f'connection failed: {error}', step=step, peer=self._peer
-            ) from error
+        reader, writer = await connect(self._address, step)
         return _Connection(reader, writer, h11.Connection(our_role=h11.CLIENT))
 
     def _discard(self, connection: _Connection | None) -> None:
--- a/tests/platform/test_odd_heartbeats.py
+++ b/tests/platform/test_odd_heartbeats.py
@@ -111,7 +111,7 @@
 
 @pytest.mark.parametrize('body', ODD_BEATS)
 def test_odd_heartbeat_names_no_minion(body):
-    """Odd entry ends the process that reads the list, or is used as a minion."""
+    """Odd entry ends the process that reads the list."""
     assert isinstance(decode_heartbeat('m1', body), Unreadable)
 
 
