Keep scheduling when a stored row is odd

What callers would see is LOST: after one odd row nothing is scheduled any more, by any front. The watch of a table, the load of a new leader and the start of a guard decode rows of other writers. decode_row caught DecodeError only, so a row nested deeply, in a known field or not, raised RecursionError: the leader logged scheduling_failed, released the lease, and the next holder failed on the same row. A guard ended with its order feed, and again after each start on its own report. Rows that could be decoded failed later: a task name with 5,000 digits or without them (int, unpacking), a port that is no number in the guard's own report, counts of tasks that fill the memory, a key or identifier that makes the key of an order too long.

decode_row returns a row or Unreadable. The models state the ranges of all numbers, identifiers and labels; task names have at most nine digits a part; a job has at most 20,000 tasks. A report that the store refuses is logged as report_not_written and tried again in place of ending the guard. Each row is logged with its key and the reason, and counted.

--- a/dragonflynotch/control/crash_status.py
+++ b/dragonflynotch/control/crash_status.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from dragonflynotch.control.rows import PROGRESS, RowStore
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.workflows.crash_records import TaskCrash
 from dragonflynotch.workflows.records import (
     JobState,
@@ -45,7 +46,7 @@
     suspected: list[SuspectedTask] = []
     for row in await store.read_table(PROGRESS):
         progress = decode_row(row.content, ProgressRow)
-        if progress is None:
+        if isinstance(progress, Unreadable):
             continue
         suspected.extend(
             SuspectedTask(
--- a/dragonflynotch/control/evacuation_status.py
+++ b/dragonflynotch/control/evacuation_status.py
@@ -10,6 +10,7 @@
     RowStore,
     Table,
 )
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.workflows.records import Report, decode_row
 
 __all__ = ('EvacuationStatus', 'read_evacuations')
@@ -70,7 +71,7 @@
     data_centres = {
         report.minion_id: report.data_centre
         for report in reports
-        if report is not None and report.minion_id
+        if not isinstance(report, Unreadable) and report.minion_id
     }
     workers = Counter(data_centres.values())
     runs = Counter(
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -26,10 +26,12 @@
 )
 from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.evacuation import EvacuationRequests
-from dragonflynotch.workflows.jobs import JobSpec
+from dragonflynotch.workflows.jobs import decode_job_spec
 from dragonflynotch.workflows.records import (
     Order,
     ProgressRow,
@@ -196,15 +198,19 @@
         orders = await orders_reader.read()
         for row in progress.rows:
             stored = decode_row(row.content, ProgressRow)
-            if stored is None:
-                decision_log.record('progress_unreadable', job=row.key)
+            if isinstance(stored, Unreadable):
+                unreadable_entries.record(
+                    'progress_unreadable', stored, job=row.key
+                )
             else:
                 self._scheduler.restore_progress(row.key, stored)
         for row in orders.rows:
             order = decode_row(row.content, Order)
             minion_id, _, task = row.key.partition('/')
-            if order is None:
-                decision_log.record('order_unreadable', key=row.key)
+            if isinstance(order, Unreadable):
+                unreadable_entries.record(
+                    'order_unreadable', order, key=row.key
+                )
                 continue
             self._scheduler.restore_order(minion_id, task, order)
         self._is_loading = False
@@ -237,9 +243,9 @@
         self._rows_changed.set()
 
     def _put_job(self, job_id: str, content: bytes) -> None:
-        spec = decode_row(content, JobSpec)
-        if spec is None or not spec.is_valid:
-            decision_log.record('job_unreadable', job=job_id)
+        spec = decode_job_spec(job_id, content)
+        if isinstance(spec, Unreadable):
+            unreadable_entries.record('job_unreadable', spec, job=job_id)
         else:
             self._scheduler.put_job(job_id, spec)
 
@@ -248,8 +254,10 @@
             if change.content is None:
                 continue
             report = decode_row(change.content, Report)
-            if report is None:
-                decision_log.record('report_unreadable', node=change.key)
+            if isinstance(report, Unreadable):
+                unreadable_entries.record(
+                    'report_unreadable', report, node=change.key
+                )
             elif self._is_loading:
                 self._loaded_reports[change.key] = (report, change.version)
             else:
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -19,7 +19,9 @@
     PlatformUnavailableError,
     UncertainWriteError,
 )
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.records import (
     LeaseRow,
     decode_row,
@@ -321,8 +323,13 @@
 
 
 def _decode(row: Row | None) -> LeaseRow:
-    found = decode_row(row.content, LeaseRow) if row else None
-    return found or LeaseRow('', 0)
+    if row is None:
+        return LeaseRow('', 0)
+    lease = decode_row(row.content, LeaseRow)
+    if isinstance(lease, Unreadable):
+        unreadable_entries.record('lease_unreadable', lease, key=row.key)
+        return LeaseRow('', 0)
+    return lease
 
 
 def _is_same_transaction(first: LeaseRow, second: LeaseRow) -> bool:
--- a/dragonflynotch/control/minion_identity.py
+++ b/dragonflynotch/control/minion_identity.py
@@ -10,6 +10,7 @@
     MinionState,
 )
 from dragonflynotch.control.order_runner import describe_outcome
+from dragonflynotch.core.untrusted import parse_address
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.records import Report
 
@@ -110,8 +111,8 @@
     now_ms : int
         Current store time.
     """
-    host, _, port = report.address.rpartition(':')
-    if not report.minion_id or not port:
+    address = parse_address(report.address)
+    if not report.minion_id or address is None:
         return None
     remaining_ms = None
     if report.leaves_at_ms is not None:
@@ -119,7 +120,7 @@
     return Heartbeat(
         minion_id=report.minion_id,
         service=report.service,
-        address=(host, int(port)),
+        address=address,
         sequence=0,
         is_draining=report.is_live and not report.is_ready,
         labels=report.labels,
--- a/dragonflynotch/control/order_feed.py
+++ b/dragonflynotch/control/order_feed.py
@@ -8,7 +8,8 @@
 from dragonflynotch.control.order_replica import OrderReplica
 from dragonflynotch.control.rows import RowChange, RowStore, orders_table
 from dragonflynotch.control.watch import TableWatch
-from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.core.untrusted import Unreadable
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.records import Order, decode_row
 
 __all__ = ('OrderFeed',)
@@ -100,12 +101,19 @@
 
     def _apply(self, changes: tuple[RowChange, ...]) -> None:
         for change in changes:
-            order = None
-            if change.content is not None:
-                order = decode_row(change.content, Order)
-                if order is None:
-                    decision_log.record('order_unreadable', key=change.key)
+            order = _decode_order(change)
             minion_id, _, task = change.key.partition('/')
             self._replica.update(minion_id, task, order)
             self._on_order(minion_id, task, order)
         self._on_changes()
+
+
+def _decode_order(change: RowChange) -> Order | None:
+    """Return the order, or ``None`` if it was deleted or is unreadable."""
+    if change.content is None:
+        return None
+    order = decode_row(change.content, Order)
+    if isinstance(order, Unreadable):
+        unreadable_entries.record('order_unreadable', order, key=change.key)
+        return None
+    return order
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -13,10 +13,13 @@
     shard_of,
 )
 from dragonflynotch.core.errors import (
+    InvalidInputError,
     PlatformUnavailableError,
     UncertainWriteError,
 )
+from dragonflynotch.core.untrusted import Unreadable, shorten
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.records import Report, decode_row, encode_row
 
 __all__ = ('ReportWriter',)
@@ -107,8 +110,13 @@
         while True:
             try:
                 await self._write()
-            except (PlatformUnavailableError, UncertainWriteError) as error:
-                self._record_error(str(error))
+            except (
+                PlatformUnavailableError,
+                UncertainWriteError,
+                # The store refuses the row, for example for its size.
+                InvalidInputError,
+            ) as error:
+                self._record_error(shorten(str(error)))
                 await asyncio.sleep(_RETRY_DELAY_S)
                 continue
             self._record_error('')
@@ -184,10 +192,14 @@
             return
         report = decode_row(row.content, Report)
         self._version = row.version
-        if not self._token:
-            self._token = 1 if report is None else report.token + 1
-            if report is not None:
-                self._on_previous(report)
+        if self._token:
+            return
+        if isinstance(report, Unreadable):
+            unreadable_entries.record('report_unreadable', report, node=row.key)
+            self._token = 1
+            return
+        self._token = report.token + 1
+        self._on_previous(report)
 
     def _record_error(self, reason: str) -> None:
         if bool(reason) != bool(self._last_error):
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import TypeVar
 
 import msgspec
 
@@ -15,6 +16,7 @@
     SUBMISSIONS,
     Committed,
     Conflict,
+    Row,
     RowName,
     RowStore,
     RowWrite,
@@ -26,7 +28,9 @@
     PlatformUnavailableError,
     UncertainWriteError,
 )
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import (
     JobState,
@@ -62,6 +66,8 @@
 _SETTLE_PERIOD = timedelta(milliseconds=700)
 _NO_RESPONSE = 'no response of the row store before the deadline of the caller'
 
+_RowT = TypeVar('_RowT')
+
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
@@ -223,7 +229,7 @@
             return Unavailable(str(error))
         except TimeoutError:
             return Unavailable(_NO_RESPONSE)
-        lease = None if row is None else decode_row(row.content, LeaseRow)
+        lease = _decode(row, LeaseRow)
         return 0 if lease is None else lease.waiting.get(queue, 0)
 
     async def _read_status(
@@ -234,13 +240,13 @@
         row = await self._store.read_row(
             RowName(PROGRESS.name, SCHEDULER_PART, job_id)
         )
-        progress = None if row is None else decode_row(row.content, ProgressRow)
+        progress = _decode(row, ProgressRow)
         if progress is not None and progress.workspace is not None:
             if workspace in {None, progress.workspace}:
                 return JobStatus(progress.state, progress.reason)
             return NotFound()
         row = await self._store.read_row(_submission_row(job_id, 'spec'))
-        spec = None if row is None else decode_row(row.content, JobSpec)
+        spec = _decode(row, JobSpec)
         if spec is not None and workspace not in {None, spec.workspace}:
             return NotFound()
         if progress is not None:
@@ -321,3 +327,14 @@
 
 def _submission_row(job_id: str, kind: str) -> RowName:
     return RowName(SUBMISSIONS.name, shard_of(job_id), f'{job_id}/{kind}')
+
+
+def _decode(row: Row | None, model: type[_RowT]) -> _RowT | None:
+    """Return the content, or ``None`` if the row is absent or unreadable."""
+    if row is None:
+        return None
+    content = decode_row(row.content, model)
+    if isinstance(content, Unreadable):
+        unreadable_entries.record('row_unreadable', content, key=row.key)
+        return None
+    return content
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -30,9 +30,12 @@
     PlatformUnavailableError,
     UncertainWriteError,
 )
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.links.http11 import HttpReply
 from dragonflynotch.links.http_pool import HttpPool
 from dragonflynotch.links.page_size import PageSize
+from dragonflynotch.observability.unreadable import unreadable_entries
+from dragonflynotch.records.bounds import Count, TimeMs
 
 __all__ = ('HttpRowStore',)
 
@@ -59,7 +62,7 @@
     key: str
     part: str = ''
     value: str | None = None
-    ver: int | None = None
+    ver: Count | None = None
     deleted: bool = False
 
 
@@ -77,12 +80,15 @@
 class _WireAnswer(msgspec.Struct):
     """Response; ``ver`` is the version of the store, ``now_ms`` its time."""
 
-    ver: int = 0
-    now_ms: int = 0
+    ver: Count = 0
+    now_ms: TimeMs = 0
     rows: list[_WireRow] = []
     truncated: bool = False
 
 
+_answer_decoder = msgspec.json.Decoder(_WireAnswer)
+
+
 class HttpRowStore(RowStore):
     """Row store reached over HTTP.
 
@@ -285,9 +291,9 @@
         return answer
 
     def _decode(self, reply: HttpReply, sent_ms: int) -> _WireAnswer | None:
-        try:
-            answer = msgspec.json.decode(reply.body, type=_WireAnswer)
-        except msgspec.DecodeError:
+        answer = decode_untrusted(_answer_decoder.decode, reply.body)
+        if isinstance(answer, Unreadable):
+            unreadable_entries.record('response_unreadable', answer, peer=_PEER)
             return None
         self.health.record_response()
         if answer.now_ms:
--- a/dragonflynotch/records/bounds.py
+++ b/dragonflynotch/records/bounds.py
@@ -14,12 +14,13 @@
     'Accelerators',
     'Count',
     'DurationMs',
+    'Factor',
+    'FloatDurationMs',
     'Label',
     'Megabytes',
     'Millicores',
     'MinionId',
     'Port',
-    'Text',
     'TimeMs',
 )
 
@@ -31,21 +32,21 @@
 _MAX_ACCELERATORS = 1024
 # About 30 years.
 _MAX_DURATION_MS = 1_000_000_000_000
+_MAX_FACTOR = 1_000_000
 MAX_LABEL_CHARACTERS = 200
 # Printable ASCII without the slash, which separates the parts of a row key. The
 # key of an order also contains the task, and is limited to 200 bytes.
 MINION_ID_PATTERN = r'^[!-.0-~]{0,100}\Z'
-# The store limits the size of a row to 65,536 bytes.
-_MAX_TEXT_CHARACTERS = 32_768
 
 Accelerators = Annotated[int, Meta(ge=0, le=_MAX_ACCELERATORS)]
 Count = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
 DurationMs = Annotated[int, Meta(ge=0, le=_MAX_DURATION_MS)]
+Factor = Annotated[float, Meta(ge=0, le=_MAX_FACTOR)]
+FloatDurationMs = Annotated[float, Meta(ge=0, le=_MAX_DURATION_MS)]
 Label = Annotated[str, Meta(max_length=MAX_LABEL_CHARACTERS)]
 Megabytes = Annotated[int, Meta(ge=0, le=_MAX_MEMORY_MB)]
 Millicores = Annotated[int, Meta(ge=0, le=_MAX_MILLICORES)]
 MinionId = Annotated[str, Meta(pattern=MINION_ID_PATTERN)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
-Text = Annotated[str, Meta(max_length=_MAX_TEXT_CHARACTERS)]
 # Times of a steady clock, which may be before its start.
 TimeMs = Annotated[int, Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)]
--- a/dragonflynotch/workflows/crash_records.py
+++ b/dragonflynotch/workflows/crash_records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from dragonflynotch.records.bounds import Count, MinionId, TimeMs
+
 __all__ = ('CrashEvidence', 'MinionCrash', 'RunAtCrash', 'TaskCrash')
 
 
@@ -32,8 +34,8 @@
     """
 
     task: str
-    run: int
-    age_ms: int
+    run: Count
+    age_ms: TimeMs
 
 
 class MinionCrash(msgspec.Struct, array_like=True, frozen=True):
@@ -52,8 +54,8 @@
         respond again.
     """
 
-    minion_id: str
-    at_ms: int
+    minion_id: MinionId
+    at_ms: TimeMs
     runs: list[RunAtCrash]
     is_certain: bool = True
 
@@ -76,7 +78,7 @@
     """
 
     node: str
-    minion_id: str
-    run: int
-    at_ms: int
+    minion_id: MinionId
+    run: Count
+    at_ms: TimeMs
     evidence: CrashEvidence
--- a/dragonflynotch/workflows/jobs.py
+++ b/dragonflynotch/workflows/jobs.py
@@ -5,11 +5,30 @@
 
 import msgspec
 
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.records.bounds import (
+    Accelerators,
+    Count,
+    DurationMs,
+    Megabytes,
+    Millicores,
+    TimeMs,
+)
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('JobSpec', 'StepSpec', 'TaskId', 'parse_task_id')
+__all__ = (
+    'JobSpec',
+    'StepSpec',
+    'TaskId',
+    'decode_job_spec',
+    'is_job_key',
+    'parse_task_id',
+)
 
-_TASK_ID = re.compile(r'([^.]+)\.(\d+)\.(\d+)\.(\d+)', re.ASCII)
+_TASK_ID = re.compile(r'([^.]+)\.(\d{1,9})\.(\d{1,9})\.(\d{1,9})', re.ASCII)
+_JOB_ID = re.compile('[0-9A-Za-z_-]{1,64}')
+# Each task is kept in memory and in the row of the job's progress.
+_MAX_TASKS = 20_000
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -73,22 +92,22 @@
         the tasks are never stopped for more urgent work.
     """
 
-    count: int
-    millicores: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    estimated_ms: int = 0
-    after: tuple[int, ...] = ()
+    count: Count
+    millicores: Millicores = 0
+    memory_mb: Megabytes = 0
+    accelerators: Accelerators = 0
+    estimated_ms: DurationMs = 0
+    after: tuple[Count, ...] = ()
     is_gang: bool = False
     wants_one_rack: bool = False
     has_checkpoints: bool = False
     constraint: str = ''
     data_rack: str = ''
-    max_per_worker: int = 0
+    max_per_worker: Count = 0
     is_speculative: bool = False
     is_long_running: bool = False
     ignores_cpu: bool = msgspec.field(name='fills', default=False)
-    max_unavailable: int | None = None
+    max_unavailable: Count | None = None
 
     @property
     def is_valid(self) -> bool:
@@ -143,20 +162,28 @@
     service: str
     payload: str
     steps: tuple[StepSpec, ...]
-    accepted_ms: int = 0
-    repetitions: int = 0
-    first_due_ms: int = 0
-    interval_ms: int = 0
+    accepted_ms: TimeMs = 0
+    repetitions: Count = 0
+    first_due_ms: TimeMs = 0
+    interval_ms: TimeMs = 0
 
     @property
     def is_valid(self) -> bool:
-        """Whether all steps are valid and only depend on earlier ones."""
-        return bool(self.steps) and all(
+        """Whether the steps are valid and only depend on earlier ones.
+
+        The tasks of all occurrences must not be too many.
+        """
+        return 0 < self.task_count <= _MAX_TASKS and all(
             step.is_valid
             and all(0 <= earlier < number for earlier in step.after)
             for number, step in enumerate(self.steps)
         )
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all occurrences."""
+        return self.occurrences * sum(step.count for step in self.steps)
+
     @property
     def occurrences(self) -> int:
         """How many times the steps run."""
@@ -167,3 +194,25 @@
         if not self.repetitions:
             return 0
         return self.first_due_ms + occurrence * self.interval_ms
+
+
+_spec_decoder = msgspec.json.Decoder(JobSpec)
+
+
+def is_job_key(text: str) -> bool:
+    """Return whether a text can be the identifier of a stored job.
+
+    Task names contain it, and so do the keys of rows, which have a limited
+    length.
+    """
+    return _JOB_ID.fullmatch(text) is not None
+
+
+def decode_job_spec(job_id: str, content: bytes) -> JobSpec | Unreadable:
+    """Return the job in a stored row, or why it cannot be used."""
+    if not is_job_key(job_id):
+        return Unreadable('malformed job identifier')
+    spec = decode_untrusted(_spec_decoder.decode, content)
+    if isinstance(spec, JobSpec) and not spec.is_valid:
+        return Unreadable('inconsistent job')
+    return spec
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass, field
 
 from dragonflynotch.workflows.crash_records import TaskCrash
-from dragonflynotch.workflows.jobs import JobSpec, StepSpec, TaskId
+from dragonflynotch.workflows.jobs import (
+    JobSpec,
+    StepSpec,
+    TaskId,
+    parse_task_id,
+)
 from dragonflynotch.workflows.records import (
     EndKind,
     JobState,
@@ -228,9 +233,8 @@
         self.ended_ms = row.ended_ms
         self.reason = row.reason
         for stored in row.tasks:
-            found = self._by_task_id.get(
-                _parse_stored_name(self.job_id, stored.name)
-            )
+            task_id = parse_task_id(f'{self.job_id}.{stored.name}')
+            found = None if task_id is None else self.find(task_id)
             if found is None:
                 continue
             task = found[1]
@@ -313,8 +317,3 @@
                 for index in range(step.count)
             ],
         )
-
-
-def _parse_stored_name(job_id: str, name: str) -> TaskId:
-    occurrence, step, index = name.split('.')
-    return TaskId(job_id, int(occurrence), int(step), int(index))
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -1,10 +1,21 @@
 """Stored rows through which entries, the scheduler and guards share state."""
 
 from enum import StrEnum
+from functools import partial
 from typing import TypeVar
 
 import msgspec
 
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.records.bounds import (
+    Accelerators,
+    Count,
+    Label,
+    Megabytes,
+    Millicores,
+    MinionId,
+    TimeMs,
+)
 from dragonflynotch.workflows.crash_records import MinionCrash, TaskCrash
 from dragonflynotch.workflows.resources import Resources
 
@@ -24,6 +35,8 @@
 )
 
 _RowT = TypeVar('_RowT')
+# Millicores, megabytes and accelerators.
+_Amounts = tuple[Millicores, Megabytes, Accelerators]
 
 
 class JobState(StrEnum):
@@ -80,12 +93,12 @@
     """
 
     name: str
-    run: int
-    failures: int
+    run: Count
+    failures: Count
     is_done: bool
     checkpoint: str = ''
-    failed_on: dict[str, int] = {}
-    last_failed_run: int = 0
+    failed_on: dict[str, TimeMs] = {}
+    last_failed_run: Count = 0
     crashes: list[TaskCrash] = []
 
 
@@ -109,7 +122,7 @@
 
     state: JobState
     tasks: list[TaskRow] = []
-    ended_ms: int = 0
+    ended_ms: TimeMs = 0
     workspace: str | None = None
     reason: str = ''
 
@@ -132,10 +145,10 @@
     """
 
     holder: str
-    epoch: int
-    sequence: int = 0
-    waiting: dict[str, int] = {}
-    handovers: int = 0
+    epoch: Count
+    sequence: Count = 0
+    waiting: dict[str, Count] = {}
+    handovers: Count = 0
 
 
 class Order(msgspec.Struct, omit_defaults=True):
@@ -158,11 +171,11 @@
     """
 
     payload: str
-    run: int
-    start_by_ms: int
+    run: Count
+    start_by_ms: TimeMs
     checkpoint: str = ''
     is_stopped: bool = False
-    needs: tuple[int, int, int] = (0, 0, 0)
+    needs: _Amounts = (0, 0, 0)
 
     @property
     def resources(self) -> Resources:
@@ -174,17 +187,17 @@
     """A run that its minion reports as running."""
 
     task: str
-    run: int
+    run: Count
     checkpoint: str
-    percent: int
+    percent: Count
 
 
 class RunEnd(msgspec.Struct, array_like=True):
     """The end of a run; ``number`` increases within one incarnation."""
 
-    number: int
+    number: Count
     task: str
-    run: int
+    run: Count
     kind: EndKind
     checkpoint: str
 
@@ -193,7 +206,7 @@
     """An ordered run that was not started and never will be."""
 
     task: str
-    run: int
+    run: Count
     reason: str
 
 
@@ -243,23 +256,23 @@
         that did not store them.
     """
 
-    minion_id: str
-    service: str
+    minion_id: MinionId
+    service: Label
     is_ready: bool
     is_live: bool
-    authority_end_ms: int
-    token: int
+    authority_end_ms: TimeMs
+    token: Count
     address: str = ''
-    labels: tuple[str, ...] = ()
-    rack: str = ''
-    capacity: tuple[int, int, int] = (0, 0, 0)
+    labels: tuple[Label, ...] = ()
+    rack: Label = ''
+    capacity: _Amounts = (0, 0, 0)
     running: list[RunningTask] = []
     ended: list[RunEnd] = []
     rejected: list[Rejection] = []
     abandoned: list[RunningTask] = []
-    runs_age_ms: int = 0
-    data_centre: str = ''
-    leaves_at_ms: int | None = None
+    runs_age_ms: TimeMs = 0
+    data_centre: Label = ''
+    leaves_at_ms: TimeMs | None = None
     crashes: list[MinionCrash] = []
     is_reachable: bool = True
 
@@ -282,9 +295,14 @@
     return _encoder.encode(row)
 
 
-def decode_row(content: bytes, model: type[_RowT]) -> _RowT | None:
-    """Return the row, or ``None`` if the bytes cannot be decoded."""
-    try:
-        return msgspec.json.decode(content, type=model)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+def decode_row(content: bytes, model: type[_RowT]) -> _RowT | Unreadable:
+    """Return the row, or why it is unreadable.
+
+    A row with a field out of range is unreadable, since later steps calculate
+    with all of them.
+    """
+    return decode_untrusted(partial(_decode, model), content)
+
+
+def _decode(model: type[_RowT], content: bytes) -> _RowT:
+    return msgspec.json.decode(content, type=model)
