Refuse an odd job body at once

A caller that submitted a body nested 100,000 levels deep got a 500 with RecursionError behind it; one with a count, amount, estimate or interval of 400 digits got a 200, and the scheduler then worked with these numbers. A deadline header with 5,000 or 20 digits made int or timedelta raise, also for valid jobs, and so did a job whose row the store refuses.

Fields have the ranges that stored jobs have, so that what is accepted can be read by the scheduler; everything else gets a 400 with the reason in call_refused. A deadline that is no number of up to eight digits counts as no header. The path and the deadline are shortened in the log.

--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -1,5 +1,6 @@
 """HTTP interface with which callers submit, cancel and read jobs."""
 
+import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -16,6 +17,8 @@
     Unavailable,
     Unknown,
 )
+from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.untrusted import Unreadable, shorten
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.observability.job_metrics import JobMetrics
@@ -27,6 +30,8 @@
 
 _CREDENTIAL_HEADER = 'dragonflynotch-credential'
 _DEADLINE_HEADER = 'dragonflynotch-deadline-ms'
+# Other values, which include times of more than a day, count as no header.
+_DEADLINE = re.compile('[0-9]{1,8}')
 _DEFAULT_DEADLINE = timedelta(seconds=3)
 # Part of the deadline that is kept for returning the response.
 _RESPONSE_MARGIN = timedelta(milliseconds=150)
@@ -137,11 +142,18 @@
         self, call: HttpCall, queue: Queue, workspace: str, job_id: str
     ) -> Reply | _Refusal:
         spec = decode_job(call.body, queue, workspace)
-        if spec is None:
-            return _Refusal(_BAD_REQUEST, 'body is not a valid job')
-        outcome = await self._submissions.submit(
-            job_id, spec, _remaining_time(call)
-        )
+        if isinstance(spec, Unreadable):
+            return _Refusal(
+                _BAD_REQUEST, f'body is not a valid job: {spec.reason}'
+            )
+        try:
+            outcome = await self._submissions.submit(
+                job_id, spec, _remaining_time(call)
+            )
+        except InvalidInputError as error:
+            # A row that the store refuses, for example for its size, is
+            # refused each time.
+            return _Refusal(_BAD_REQUEST, shorten(str(error)))
         match outcome:
             case Accepted():
                 decision_log.record(
@@ -215,7 +227,7 @@
 def _remaining_time(call: HttpCall) -> timedelta:
     header = call.headers.get(_DEADLINE_HEADER, '')
     limit = _DEFAULT_DEADLINE
-    if header.isdecimal():
+    if _DEADLINE.fullmatch(header):
         limit = timedelta(milliseconds=int(header))
     return max(timedelta(), limit - _RESPONSE_MARGIN)
 
@@ -224,11 +236,11 @@
     decision_log.record(
         'call_refused',
         method=call.method,
-        path=call.path,
+        path=shorten(call.path),
         status=refusal.status,
         reason=refusal.reason,
         held_ms=round(held_s * _MS_PER_S),
-        deadline_ms=call.headers.get(_DEADLINE_HEADER, ''),
+        deadline_ms=shorten(call.headers.get(_DEADLINE_HEADER, '')),
     )
     headers = dict(_JSON_HEADERS)
     if refusal.status == _UNAVAILABLE:
--- a/dragonflynotch/platform/jobs.py
+++ b/dragonflynotch/platform/jobs.py
@@ -4,6 +4,15 @@
 
 import msgspec
 
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.records.bounds import (
+    Accelerators,
+    Count,
+    FloatDurationMs,
+    Megabytes,
+    Millicores,
+    TimeMs,
+)
 from dragonflynotch.workflows.deployment import Queue
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 
@@ -15,13 +24,13 @@
 class _WireStep(msgspec.Struct):
     """Step of a job, a group of identical tasks; ``cpu`` is in millicores."""
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
+    count: Count = 1
+    cpu: Millicores = 0
+    mem_mb: Megabytes = 0
+    gpu: Accelerators = 0
+    estimated_ms: FloatDurationMs = 0
     # Indices of the steps that must have completed before this one.
-    after: list[int] = []
+    after: list[Count] = []
     # Whether the tasks can write checkpoints, not whether one is being written.
     checkpointing: bool = False
     gang: bool = False
@@ -31,7 +40,7 @@
     # Rack that holds the data of the tasks.
     affinity: str = ''
     # Maximum number of tasks on one worker; 0 for no limit.
-    anti_affinity: int = 0
+    anti_affinity: Count = 0
     # Whether copies of a task may run at the same time.
     speculative: bool = False
     # Whether the tasks run until the job is cancelled.
@@ -39,7 +48,7 @@
     # Whether ``cpu`` is not counted against the capacity of the worker.
     fills: bool = False
     # Maximum number of tasks that the scheduler may make unavailable at a time.
-    may_miss: int | None = None
+    may_miss: Count | None = None
 
 
 class _WireJob(msgspec.Struct):
@@ -52,9 +61,9 @@
 
     spec: str
     steps: list[_WireStep]
-    repetitions: int = 0
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    repetitions: Count = 0
+    first_run_ms: TimeMs = 0
+    interval_ms: TimeMs = 0
 
 
 def is_job_id(text: str) -> bool:
@@ -62,12 +71,16 @@
     return _JOB_ID.fullmatch(text) is not None
 
 
-def decode_job(body: bytes, queue: Queue, workspace: str) -> JobSpec | None:
-    """Return the job, or ``None`` if the body is malformed or inconsistent."""
-    try:
-        job = msgspec.json.decode(body, type=_WireJob)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+_job_decoder = msgspec.json.Decoder(_WireJob)
+
+
+def decode_job(
+    body: bytes, queue: Queue, workspace: str
+) -> JobSpec | Unreadable:
+    """Return the job, or why the body is malformed or inconsistent."""
+    job = decode_untrusted(_job_decoder.decode, body)
+    if isinstance(job, Unreadable):
+        return job
     steps = tuple(_step_spec(step) for step in job.steps)
     spec = JobSpec(
         queue=queue.name,
@@ -79,7 +92,7 @@
         first_due_ms=job.first_run_ms,
         interval_ms=job.interval_ms,
     )
-    return spec if spec.is_valid else None
+    return spec if spec.is_valid else Unreadable('inconsistent job')
 
 
 def _step_spec(step: _WireStep) -> StepSpec:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -71,7 +71,7 @@
 )
 def test_invalid_job_is_refused(body):
     """Guards against stored jobs that can never be scheduled."""
-    assert decode_job(body, QUEUE, 'team') is None
+    assert isinstance(decode_job(body, QUEUE, 'team'), Unreadable)
 
 
 def test_job_identifier_is_16_hexadecimal_digits():
