Keep following the operator's rows and the settings file

An odd configuration row ended the task that follows the operator's table: the front kept its old configuration, and after 2.5 s it was not ready. Nested content raised RecursionError, a 400-digit price of a route OverflowError later on. An odd settings file ended the task that watches it, and a start gave a traceback: 1e999 or nan raised OverflowError or ValueError outside of the conversion that was checked, and ports out of range were accepted.

Both decode through decode_untrusted; numbers of routes and tenants have ranges, a route that exceeds them is left out as any malformed one; settings have ranges for ports and finite numbers. The settings of the daemons refuse nested JSON as any other malformed file.

--- a/dragonflynotch/control/configuration.py
+++ b/dragonflynotch/control/configuration.py
@@ -6,7 +6,9 @@
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.rows import RowChange, RowStore, Table
 from dragonflynotch.control.watch import TableWatch
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.deployment import Deployment
 
 __all__ = ('ConfigurationWatch',)
@@ -31,7 +33,7 @@
     key : str
         Key of the row.
     decode : callable
-        Returns the deployment, or ``None`` for unreadable bytes.
+        Returns the deployment, or why the bytes are unreadable.
     clock : SteadyClock
         Measures the age of the configuration.
     """
@@ -41,7 +43,7 @@
         store: RowStore,
         table: Table,
         key: str,
-        decode: Callable[[bytes], Deployment | None],
+        decode: Callable[[bytes], Deployment | Unreadable],
         clock: SteadyClock,
     ) -> None:
         """Create the watch; ``run`` starts it."""
@@ -93,8 +95,10 @@
 
     def _put_in_force(self, content: bytes) -> None:
         deployment = self._decode(content)
-        if deployment is None:
-            decision_log.record('configuration_unreadable', key=self._key)
+        if isinstance(deployment, Unreadable):
+            unreadable_entries.record(
+                'configuration_unreadable', deployment, key=self._key
+            )
             return
         current = self._deployment
         if current is not None and deployment.version <= current.version:
--- a/dragonflynotch/platform/configuration.py
+++ b/dragonflynotch/platform/configuration.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.observability.unreadable import unreadable_entries
+from dragonflynotch.records.bounds import Count, Factor, FloatDurationMs
 from dragonflynotch.workflows.deployment import (
     Deployment,
     Queue,
@@ -25,10 +27,10 @@
     host: str
     prefix: str
     service: str
-    priority: int = 1
-    max_attempts: int = 1
-    stretch: float = 1
-    target_latency_ms: float = 0
+    priority: Count = 1
+    max_attempts: Count = 1
+    stretch: Factor = 1
+    target_latency_ms: FloatDurationMs = 0
     public: bool = False
 
 
@@ -45,26 +47,28 @@
 
     name: str
     api_keys: list[str] = []
-    guaranteed: dict[str, float] = {}
+    guaranteed: dict[str, Factor] = {}
 
 
 class _WireConfig(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[msgspec.Raw] = []
     services: list[msgspec.Raw] = []
     tenants: list[msgspec.Raw] = []
 
 
-def decode_deployment(content: bytes) -> Deployment | None:
-    """Return the deployment, or ``None`` if the document is malformed.
+_config_decoder = msgspec.json.Decoder(_WireConfig)
+
+
+def decode_deployment(content: bytes) -> Deployment | Unreadable:
+    """Return the deployment, or why the document is malformed.
 
     A malformed route, service or tenant is logged and left out; the others
     are used.
     """
-    try:
-        config = msgspec.json.decode(content, type=_WireConfig)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    config = decode_untrusted(_config_decoder.decode, content)
+    if isinstance(config, Unreadable):
+        return config
     workspaces = {
         tenant.name: Workspace(
             tenant.name,
@@ -114,12 +118,11 @@
 def _decode_part(
     part: msgspec.Raw, model: type[_WirePartT]
 ) -> _WirePartT | None:
-    try:
-        return msgspec.json.decode(part, type=model)
-    except msgspec.DecodeError as error:
-        decision_log.record(
-            'configuration_part_unreadable',
-            model=model.__name__,
-            error=str(error),
+    decoder = msgspec.json.Decoder(model)
+    decoded_part = decode_untrusted(decoder.decode, part)
+    if isinstance(decoded_part, Unreadable):
+        unreadable_entries.record(
+            'configuration_part_unreadable', decoded_part, model=model.__name__
         )
         return None
+    return decoded_part
--- a/dragonflynotch/platform/settings.py
+++ b/dragonflynotch/platform/settings.py
@@ -5,6 +5,12 @@
 from pathlib import Path
 
 from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.untrusted import (
+    Unreadable,
+    decode_untrusted,
+    parse_address,
+    shorten,
+)
 
 __all__ = (
     'SETTINGS_VARIABLE',
@@ -17,6 +23,8 @@
 Address = tuple[str, int]
 SETTINGS_VARIABLE = 'DRAGONFLYNOTCH_SETTINGS'
 _MS_PER_S = 1000
+# About 30 years, in milliseconds.
+_MAX_NUMBER = 1_000_000_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,10 +111,11 @@
     InvalidInputError
         If a required field is missing or a value is malformed.
     """
+    text = decode_untrusted(bytes.decode, path.read_bytes())
+    if isinstance(text, Unreadable):
+        raise _invalid_setting(str(path), text.reason, 'UTF-8')
     fields = dict(
-        line.split('=', 1)
-        for line in path.read_text().splitlines()
-        if '=' in line
+        line.split('=', 1) for line in text.splitlines() if '=' in line
     )
     return _SettingsParser(fields).settings()
 
@@ -122,7 +131,7 @@
             store_address=self._required_address('platform.address'),
             metrics_address=(
                 self._required_text('ip'),
-                self._parse(int, 'port', first_port),
+                self._port('port_range', first_port),
             ),
             bounds=Bounds(
                 max_minion_lease_ms=self._number('bounds.hold_max_ms', 6000),
@@ -131,9 +140,7 @@
                     'bounds.grace_s', 6, _MS_PER_S
                 ),
                 ended_state_ms=self._number('bounds.status_s', 120, _MS_PER_S),
-                off_rack_slowdown=self._parse(
-                    float, 'bounds.far_x', self._fields.get('bounds.far_x', '3')
-                ),
+                off_rack_slowdown=self._finite('bounds.far_x', 3),
                 evacuation_bound_ms=self._optional_number('bounds.evacuate_ms'),
             ),
             caller_address=self._address('listen.front'),
@@ -171,24 +178,32 @@
         return text
 
     def _number(self, name: str, default: float, factor: int = 1) -> int:
-        text = self._fields.get(name, str(default))
-        return int(self._parse(float, name, text) * factor)
+        return int(self._finite(name, default) * factor)
 
     def _optional_number(self, name: str) -> int | None:
         return self._number(name, 0) if name in self._fields else None
 
-    def _parse(self, convert: type, name: str, text: str):  # type: ignore[no-untyped-def]
-        try:
-            return convert(text)
-        except ValueError as error:
-            raise _invalid_setting(name, text, convert.__name__) from error
+    def _finite(self, name: str, default: float) -> float:
+        text = self._fields.get(name, str(default))
+        number = decode_untrusted(float, text)
+        if isinstance(number, Unreadable) or not 0 <= number <= _MAX_NUMBER:
+            raise _invalid_setting(
+                name, shorten(text), f'a number from 0 to {_MAX_NUMBER}'
+            )
+        return number
+
+    def _port(self, name: str, text: str) -> int:
+        address = parse_address(f'port:{text}')
+        if address is None:
+            raise _invalid_setting(name, shorten(text), 'a port')
+        return address[1]
 
     def _address(self, name: str) -> Address | None:
         text = self._fields.get(name, '')
         if not text:
             return None
         host, _, port = text.rpartition(':')
-        return host, self._parse(int, name, port)
+        return host, self._port(name, port)
 
     def _required_address(self, name: str) -> Address:
         address = self._address(name)
--- a/dragonflynotch/records/settings_files.py
+++ b/dragonflynotch/records/settings_files.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.records.settings import READABLE_SETTINGS_VERSIONS
 from dragonflynotch.records.settings_checks import (
     check_consistency,
@@ -55,10 +56,9 @@
     InvalidInputError
         If the text does not match the model.
     """
-    try:
-        raw = msgspec.json.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise InvalidInputError(source, str(error), 'JSON') from error
+    raw = decode_untrusted(msgspec.json.decode, content)
+    if isinstance(raw, Unreadable):
+        raise InvalidInputError(source, raw.reason, 'JSON')
     check_schema_version(raw, READABLE_SETTINGS_VERSIONS, source)
     try:
         settings = msgspec.json.decode(content, type=model)
