Keep entries and guards going on an odd entry of each other

Announcements, acknowledgements, registrations, job records, configuration records and answers were decoded with DecodeError caught, or nothing. One odd registration ended the refresh of all entries, one odd record the deletion of expired jobs or the reading of the configuration. An address with port 70000 in an acknowledgement made sendto raise OverflowError, on which asyncio closes the socket: the guard announced nothing any more. Port 2**40 or a negative number in an announcement could not be put into a digest, which ended the exchange with that entry.

All of them decode through decode_untrusted, and the models state their ranges. In a list the odd entry is left out with a log line; a single row without which nothing can be decided counts as an unavailable table service, as it did for the ledger; a body is refused. Times without a zone, which cannot be compared with the clock, are refused too.

--- a/dragonflynotch/core/untrusted.py
+++ b/dragonflynotch/core/untrusted.py
@@ -9,7 +9,13 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-__all__ = ('Unreadable', 'decode_untrusted', 'parse_address', 'shorten')
+__all__ = (
+    'Unreadable',
+    'decode_untrusted',
+    'is_usable_address',
+    'parse_address',
+    'shorten',
+)
 
 _ValueT = TypeVar('_ValueT')
 _ContentT = TypeVar('_ContentT')
@@ -70,3 +76,9 @@
     if match is None or not 1 <= int(match[2]) <= _MAX_PORT:
         return None
     return match[1], int(match[2])
+
+
+def is_usable_address(address: tuple[str, int]) -> bool:
+    """Return whether an address is one that ``parse_address`` returns."""
+    host, port = address
+    return 1 <= port <= _MAX_PORT and parse_address(f'{host}:{port}') == address
--- a/dragonflynotch/entry/configuration/configuration_copies.py
+++ b/dragonflynotch/entry/configuration/configuration_copies.py
@@ -9,10 +9,10 @@
 from datetime import timedelta
 
 import httpx
-import msgspec
 
 from dragonflynotch.core.configuration import Changes, Snapshot
 from dragonflynotch.core.membership import GuardInfo, Membership
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.entry.configuration.configuration_service import (
     ConfigurationService,
 )
@@ -120,11 +120,12 @@
             )
             return
         if reply.status_code == httpx.codes.OK:
-            held_revision = int(
-                reply.headers.get('configuration-revision', '0')
+            held_revision = decode_untrusted(
+                int, reply.headers.get('configuration-revision', '0')
             )
+            # Without a readable revision, everything is sent again.
             self._delivered_revisions[(guard.guard_id, guard.incarnation)] = (
-                held_revision
+                held_revision if isinstance(held_revision, int) else 0
             )
 
     async def _fetch_from(self, guard: GuardInfo) -> None:
@@ -138,17 +139,20 @@
             )
             return
         update = _decode_reply(reply)
-        if update is not None:
-            self._configuration.apply(update)
+        if isinstance(update, Unreadable):
+            _log.warning(
+                'the copy of guard {} is not used: {}',
+                guard.guard_id,
+                update.reason,
+            )
+            return
+        self._configuration.apply(update)
 
 
-def _decode_reply(reply: httpx.Response) -> Changes | Snapshot | None:
+def _decode_reply(reply: httpx.Response) -> Changes | Snapshot | Unreadable:
     if reply.status_code != httpx.codes.OK:
-        return None
-    try:
-        return decode_copy(reply.content)
-    except msgspec.DecodeError:
-        return None
+        return Unreadable(f'status {reply.status_code}')
+    return decode_copy(reply.content)
 
 
 def _configuration_url(guard: GuardInfo) -> str:
--- a/dragonflynotch/entry/configuration/configuration_store.py
+++ b/dragonflynotch/entry/configuration/configuration_store.py
@@ -5,8 +5,9 @@
 """
 
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from types import MappingProxyType
 
 import msgspec
@@ -18,6 +19,10 @@
     StoredRecord,
 )
 from dragonflynotch.core.errors import UncertainWriteError
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.records.bounds import Count
+from dragonflynotch.services.readable_rows import require_readable
 from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
@@ -36,14 +41,16 @@
 _MAX_RECENT_TOKENS = 64
 _MAX_COMMIT_ATTEMPTS = 4
 
+_log = part_logger('entry.configuration')
+
 
 class _Head(msgspec.Struct, frozen=True):
-    revision: int = 0
-    recent_tokens: tuple[tuple[int, str], ...] = ()
+    revision: Count = 0
+    recent_tokens: tuple[tuple[Count, str], ...] = ()
 
 
 class _RecordContent(msgspec.Struct, frozen=True):
-    revision: int
+    revision: Count
     document: str
 
 
@@ -59,6 +66,10 @@
     current_revision: int
 
 
+_head_decoder = msgspec.json.Decoder(_Head)
+_content_decoder = msgspec.json.Decoder(_RecordContent)
+
+
 class ConfigurationStore:
     """The configuration rows of the table service.
 
@@ -90,7 +101,7 @@
             if _row_version(before) == _row_version(after):
                 return Snapshot(
                     _decode_head(before).revision,
-                    MappingProxyType(dict(map(_decode_record, rows))),
+                    MappingProxyType(dict(_decode_records(rows))),
                 )
 
     async def write(
@@ -203,7 +214,9 @@
 def _decode_head(row: Row | None) -> _Head:
     if row is None:
         return _Head()
-    return msgspec.json.decode(row.content, type=_Head)
+    return require_readable(
+        row, partial(decode_untrusted, _head_decoder.decode)
+    )
 
 
 def _next_head(head: _Head, token: str) -> bytes:
@@ -213,7 +226,9 @@
 
 
 def _decode_content(row: Row) -> _RecordContent:
-    return msgspec.json.decode(row.content, type=_RecordContent)
+    return require_readable(
+        row, partial(decode_untrusted, _content_decoder.decode)
+    )
 
 
 def _encode_record(change: Change) -> bytes | None:
@@ -223,9 +238,20 @@
     return msgspec.json.encode(_RecordContent(change.revision, document))
 
 
+def _decode_records(
+    rows: Iterable[Row],
+) -> Iterator[tuple[RecordKey, StoredRecord]]:
+    for row in rows:
+        record = decode_untrusted(_decode_record, row)
+        if isinstance(record, Unreadable):
+            _log.error('ignoring row {}: {}', row.key, record.reason)
+        else:
+            yield record
+
+
 def _decode_record(row: Row) -> tuple[RecordKey, StoredRecord]:
     kind, name = row.key.removeprefix(_RECORD_PREFIX).split('/', 1)
-    content = _decode_content(row)
+    content = _content_decoder.decode(row.content)
     return (
         RecordKey(kind, name),
         StoredRecord(content.document.encode(), content.revision),
--- a/dragonflynotch/entry/jobs/forwarded_jobs.py
+++ b/dragonflynotch/entry/jobs/forwarded_jobs.py
@@ -10,6 +10,7 @@
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import EntryNotConnectedError, LinkError
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.entry.jobs.job_service import (
     HTTP_OK,
     JobAnswer,
@@ -28,6 +29,7 @@
 from dragonflynotch.links.digest_codec import milliseconds
 from dragonflynotch.links.entry_link import EntryLink
 from dragonflynotch.links.entry_link_pb2 import JobCall, JobReply
+from dragonflynotch.observability.logs import part_logger
 
 __all__ = ('ForwardingJobService', 'LocalSchedulingHandler')
 
@@ -41,6 +43,10 @@
     jobs: list[msgspec.Raw]
 
 
+_list_decoder = msgspec.json.Decoder(_JobList)
+_log = part_logger('entry.jobs')
+
+
 class ForwardingJobService(JobService):
     """Answers calls from the local partition, or forwards them to its owner.
 
@@ -104,7 +110,15 @@
             answer = await self._call_partition(data_centre, command)
             if not answer.is_success:
                 return answer
-            jobs += msgspec.json.decode(answer.body, type=_JobList).jobs
+            listed = decode_untrusted(_list_decoder.decode, answer.body)
+            if isinstance(listed, Unreadable):
+                _log.error(
+                    'the jobs of data centre {} are left out: {}',
+                    data_centre,
+                    listed.reason,
+                )
+                continue
+            jobs += listed.jobs
         return JobAnswer(HTTP_OK, msgspec.json.encode(_JobList(jobs)))
 
     async def _call_partition(
--- a/dragonflynotch/entry/jobs/job_cleanup.py
+++ b/dragonflynotch/entry/jobs/job_cleanup.py
@@ -4,9 +4,8 @@
 from collections import defaultdict
 from datetime import datetime, timedelta
 
-import msgspec
-
 from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.records.job_rows import (
     IDEMPOTENCY_KEY_PREFIX,
@@ -77,15 +76,18 @@
     rows_by_job: dict[str, list[Row]] = defaultdict(list)
     for row in await table.scan(IDEMPOTENCY_KEY_PREFIX):
         content = decode_idempotency_key_row(row.content)
+        if isinstance(content, Unreadable):
+            _log.error('ignoring row {}: {}', row.key, content.reason)
+            continue
         if content.data_centre == data_centre:
             rows_by_job[content.job_id].append(row)
     return rows_by_job
 
 
 def _expired_job(row: Row, now: datetime) -> Job | None:
-    try:
-        job = decode_job_row(row.content)
-    except msgspec.DecodeError:
+    job = decode_job_row(row.content)
+    if isinstance(job, Unreadable):
+        _log.error('ignoring row {}: {}', row.key, job.reason)
         return None
     if not job.state.is_final or job.ended_at is None:
         return None
--- a/dragonflynotch/entry/jobs/job_service.py
+++ b/dragonflynotch/entry/jobs/job_service.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.entry.partition.owner_inputs import (
     JobOutcomeUnknown,
     JobRefused,
@@ -98,7 +99,9 @@
         """Reason code of a problem; empty for a success."""
         if self.is_success:
             return ''
-        return msgspec.json.decode(self.body, type=_Problem).reason
+        problem = decode_untrusted(_problem_decoder.decode, self.body)
+        # The answer may come from another entry.
+        return '' if isinstance(problem, Unreadable) else problem.reason
 
     @property
     def is_not_owner(self) -> bool:
@@ -126,6 +129,9 @@
     peer: str = ''
 
 
+_problem_decoder = msgspec.json.Decoder(_Problem)
+
+
 def problem_answer(
     status: int,
     reason: str,
--- a/dragonflynotch/entry/jobs/local_jobs.py
+++ b/dragonflynotch/entry/jobs/local_jobs.py
@@ -12,6 +12,7 @@
     PlatformUnavailableError,
 )
 from dragonflynotch.core.jobs import Job, JobState
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.jobs.job_service import (
     HTTP_ACCEPTED,
@@ -43,6 +44,7 @@
     job_rows_prefix,
 )
 from dragonflynotch.records.jobs import JobStatusBody, parse_job_body
+from dragonflynotch.services.readable_rows import require_readable
 from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
@@ -169,7 +171,7 @@
             row = await self._table.read(row_key)
             if row is not None:
                 return await self._answer_repeated(
-                    decode_idempotency_key_row(row.content), digest
+                    require_readable(row, decode_idempotency_key_row), digest
                 )
         refusal = self._check_admission(command.workspace)
         if refusal is not None:
@@ -262,7 +264,8 @@
             rows = await self._table.scan(job_rows_prefix(self._data_centre))
         except PlatformUnavailableError:
             return ()
-        return tuple(decode_job_row(row.content) for row in rows)
+        jobs = (decode_job_row(row.content) for row in rows)
+        return tuple(job for job in jobs if not isinstance(job, Unreadable))
 
     async def _find(self, job_id: str, data_centre: str = '') -> Job | None:
         job = self._owner.find(job_id)
@@ -271,7 +274,7 @@
         row = await self._table.read(
             job_row_key(data_centre or self._data_centre, job_id)
         )
-        return None if row is None else decode_job_row(row.content)
+        return None if row is None else require_readable(row, decode_job_row)
 
     def _status_answer(self, status: int, job: Job) -> JobAnswer:
         return JobAnswer(
--- a/dragonflynotch/entry/members/membership.py
+++ b/dragonflynotch/entry/members/membership.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import msgspec
-
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.membership import GuardInfo, Membership, MinionInfo
 from dragonflynotch.core.topology import Worker
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.links.datagrams import Datagram, DatagramEndpoint
 from dragonflynotch.links.messages import (
     Acknowledgement,
@@ -71,10 +70,13 @@
             self._endpoint.close()
 
     def _handle(self, datagram: Datagram) -> None:
-        try:
-            announcement = decode_announcement(datagram.payload)
-        except msgspec.DecodeError:
-            _log.warning('dropped a malformed announcement')
+        announcement = decode_announcement(datagram.payload)
+        if isinstance(announcement, Unreadable):
+            _log.warning(
+                'dropped a malformed announcement of {}: {}',
+                datagram.sender,
+                announcement.reason,
+            )
             return
         guard = _guard_info(announcement, self._clock)
         self._membership.observe(guard)
--- a/dragonflynotch/entry/members/registry.py
+++ b/dragonflynotch/entry/members/registry.py
@@ -1,13 +1,20 @@
 """Registration of entries in the table service."""
 
 import uuid
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from typing import Annotated
 
 import msgspec
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import DragonflynotchError
+from dragonflynotch.core.untrusted import (
+    Unreadable,
+    decode_untrusted,
+    parse_address,
+)
 from dragonflynotch.entry.peers.exchange import EntryIdentity
 from dragonflynotch.observability.logs import part_logger
 from dragonflynotch.services.table import (
@@ -33,7 +40,10 @@
 class _RegistrationRow(msgspec.Struct, frozen=True):
     link: str
     schema_versions: tuple[int, ...]
-    refreshed_at: datetime
+    refreshed_at: Annotated[datetime, msgspec.Meta(tz=True)]
+
+
+_row_decoder = msgspec.json.Decoder(_RegistrationRow)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,11 +108,7 @@
         except DragonflynotchError as error:
             _log.warning('registration of this entry failed: {}', error)
             return False
-        self._entries = tuple(
-            self._registered_entry(row)
-            for row in rows
-            if row.key != self._own_key()
-        )
+        self._entries = tuple(self._other_entries(rows))
         return True
 
     async def remove(self) -> None:
@@ -133,8 +139,10 @@
 
     async def _remove_expired_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
-            age = self._clock.now() - _decode_row(row).refreshed_at
-            if age > _ROW_RETENTION:
+            content = decode_untrusted(_row_decoder.decode, row.content)
+            if isinstance(content, Unreadable):
+                continue
+            if self._clock.now() - content.refreshed_at > _ROW_RETENTION:
                 await self._commit(row.key, None, row.version)
 
     async def _commit(
@@ -144,9 +152,21 @@
             [ConditionalWrite(key, content, version)], uuid.uuid4().hex
         )
 
+    def _other_entries(self, rows: Iterable[Row]) -> Iterator[RegisteredEntry]:
+        for row in rows:
+            if row.key == self._own_key():
+                continue
+            entry = decode_untrusted(self._registered_entry, row)
+            if isinstance(entry, Unreadable):
+                _log.error('ignoring row {}: {}', row.key, entry.reason)
+            else:
+                yield entry
+
     def _registered_entry(self, row: Row) -> RegisteredEntry:
         data_centre, entry_id = row.key.removeprefix(_ROW_PREFIX).split('/', 1)
-        content = _decode_row(row)
+        content = _row_decoder.decode(row.content)
+        if parse_address(content.link) is None:
+            raise ValueError('malformed address')
         age = self._clock.now() - content.refreshed_at
         return RegisteredEntry(
             entry_id=entry_id,
@@ -159,7 +179,3 @@
     def _own_key(self) -> str:
         identity = self._identity
         return f'{_ROW_PREFIX}{identity.data_centre}/{identity.entry_id}'
-
-
-def _decode_row(row: Row) -> _RegistrationRow:
-    return msgspec.json.decode(row.content, type=_RegistrationRow)
--- a/dragonflynotch/entry/partition/lease_row.py
+++ b/dragonflynotch/entry/partition/lease_row.py
@@ -12,6 +12,8 @@
     UncertainWriteError,
 )
 from dragonflynotch.core.ownership import LeaseRow
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.services.readable_rows import require_readable
 from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
@@ -80,13 +82,13 @@
         Raises
         ------
         PlatformUnavailableError
-            If the table service did not answer.
+            If the table service did not answer or the row is unreadable.
         """
         found = await self._table.read(self._key)
         if found is None:
             return StoredLease(None, ABSENT_VERSION, is_own=False)
         return StoredLease(
-            msgspec.json.decode(found.content, type=LeaseRow),
+            require_readable(found, _decode_lease),
             found.version,
             self.is_own_token(found.writer_token),
         )
@@ -163,3 +165,10 @@
                 step='commit',
             )
         self.version = found.version
+
+
+_lease_decoder = msgspec.json.Decoder(LeaseRow)
+
+
+def _decode_lease(content: bytes) -> LeaseRow | Unreadable:
+    return decode_untrusted(_lease_decoder.decode, content)
--- a/dragonflynotch/entry/partition/scheduling.py
+++ b/dragonflynotch/entry/partition/scheduling.py
@@ -5,8 +5,6 @@
 from contextlib import suppress
 from datetime import timedelta
 
-import msgspec
-
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import (
     DragonflynotchError,
@@ -16,6 +14,7 @@
 from dragonflynotch.core.ownership import OwnershipPolicy
 from dragonflynotch.core.partition import Partition
 from dragonflynotch.core.policy import PolicySettings
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.core.workspaces import ConfigurationView
 from dragonflynotch.entry.jobs.job_cleanup import delete_ended_jobs
 from dragonflynotch.entry.jobs.job_overview import JobOverview, describe_jobs
@@ -202,13 +201,12 @@
         jobs = []
         versions = {}
         for row in rows:
-            try:
-                job = decode_job_row(row.content)
-            except msgspec.DecodeError as error:
+            job = decode_job_row(row.content)
+            if isinstance(job, Unreadable):
                 _log.error(
                     'row {} is not a valid job record; ignoring it: {}',
                     row.key,
-                    error,
+                    job.reason,
                 )
                 continue
             if not job.state.is_final:
--- a/dragonflynotch/guard/announcer.py
+++ b/dragonflynotch/guard/announcer.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
-import msgspec
-
 from dragonflynotch.core.clock import Clock
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.links.datagrams import DatagramEndpoint
 from dragonflynotch.links.messages import (
     Acknowledgement,
@@ -87,10 +86,13 @@
     async def _receive(self) -> None:
         while True:
             datagram = await self._endpoint.receive()
-            try:
-                acknowledgement = decode_acknowledgement(datagram.payload)
-            except msgspec.DecodeError:
-                _log.warning('dropped a malformed acknowledgement of an entry')
+            acknowledgement = decode_acknowledgement(datagram.payload)
+            if isinstance(acknowledgement, Unreadable):
+                _log.warning(
+                    'dropped a malformed acknowledgement of {}: {}',
+                    datagram.sender,
+                    acknowledgement.reason,
+                )
                 continue
             self._handle_acknowledgement(acknowledgement)
 
--- a/dragonflynotch/guard/configuration.py
+++ b/dragonflynotch/guard/configuration.py
@@ -4,16 +4,18 @@
 while the table service is down.
 """
 
-import msgspec
-
 from dragonflynotch.core.configuration import ConfigurationLog
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.links.configuration_messages import (
     decode_copy,
     encode_copy,
 )
+from dragonflynotch.observability.logs import part_logger
 
 __all__ = ('ConfigurationCopy',)
 
+_log = part_logger('guard.configuration')
+
 
 class ConfigurationCopy:
     """Holds the newest configuration received from an entry.
@@ -53,9 +55,9 @@
         """
         if incarnation != str(self._incarnation):
             return False
-        try:
-            update = decode_copy(payload)
-        except msgspec.DecodeError:
+        update = decode_copy(payload)
+        if isinstance(update, Unreadable):
+            _log.warning('dropped a configuration update: {}', update.reason)
             return False
         self._log.apply(update)
         return True
--- a/dragonflynotch/guard/order_api.py
+++ b/dragonflynotch/guard/order_api.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.guard.tasks import TaskReconciler
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.orders import OrderBatch
@@ -12,6 +13,7 @@
 _BAD_REQUEST = 400
 _CONFLICT = 409
 _ROUTES = frozenset((('POST', '/v1/orders'), ('GET', '/v1/report')))
+_batch_decoder = msgspec.json.Decoder(OrderBatch)
 _JSON = {'Content-Type': 'application/json'}
 
 
@@ -32,10 +34,9 @@
             return Reply(
                 _OK, msgspec.json.encode(self._reconciler.report), _JSON
             )
-        try:
-            batch = msgspec.json.decode(call.body, type=OrderBatch)
-        except msgspec.DecodeError as error:
-            problem = msgspec.json.encode({'detail': str(error)})
+        batch = decode_untrusted(_batch_decoder.decode, call.body)
+        if isinstance(batch, Unreadable):
+            problem = msgspec.json.encode({'detail': batch.reason})
             return Reply(_BAD_REQUEST, problem, _JSON)
         reply = self._reconciler.accept(batch)
         status = _CONFLICT if reply.reason else _OK
--- a/dragonflynotch/links/configuration_messages.py
+++ b/dragonflynotch/links/configuration_messages.py
@@ -11,6 +11,8 @@
     Snapshot,
     StoredRecord,
 )
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.records.bounds import Count
 
 __all__ = ('decode_copy', 'encode_copy')
 
@@ -18,16 +20,19 @@
 class _RecordBody(msgspec.Struct, frozen=True, array_like=True):
     kind: str
     name: str
-    revision: int
+    revision: Count
     document: str | None
 
 
 class _CopyBody(msgspec.Struct, frozen=True):
     is_snapshot: bool
-    revision: int
+    revision: Count
     records: list[_RecordBody]
 
 
+_copy_decoder = msgspec.json.Decoder(_CopyBody)
+
+
 def encode_copy(update: Changes | Snapshot) -> bytes:
     """Encode changes or a snapshot as JSON."""
     if isinstance(update, Snapshot):
@@ -56,15 +61,14 @@
     return msgspec.json.encode(body)
 
 
-def decode_copy(payload: bytes) -> Changes | Snapshot:
-    """Decode the changes or the snapshot in a JSON payload.
+def decode_copy(payload: bytes) -> Changes | Snapshot | Unreadable:
+    """Return the changes or the snapshot in a JSON payload.
 
-    Raises
-    ------
-    msgspec.DecodeError
-        If the payload is not JSON of the expected form.
+    The reason is returned if the payload is unreadable.
     """
-    body = msgspec.json.decode(payload, type=_CopyBody)
+    body = decode_untrusted(_copy_decoder.decode, payload)
+    if isinstance(body, Unreadable):
+        return body
     if not body.is_snapshot:
         return Changes(body.revision, tuple(map(_decode_change, body.records)))
     return Snapshot(
--- a/dragonflynotch/links/guard_link.py
+++ b/dragonflynotch/links/guard_link.py
@@ -22,7 +22,11 @@
 )
 from dragonflynotch.core.requests import Request, content_digest
 from dragonflynotch.core.routing import Target
-from dragonflynotch.core.untrusted import parse_address
+from dragonflynotch.core.untrusted import (
+    Unreadable,
+    decode_untrusted,
+    is_usable_address,
+)
 
 __all__ = (
     'GuardOutcomeUnknown',
@@ -119,6 +123,9 @@
     reason: str
 
 
+_problem_decoder = msgspec.json.Decoder(_Problem)
+
+
 class HttpGuardLink(GuardLink):
     """HTTP client of guards; a connection carries one exchange at a time."""
 
@@ -234,7 +241,7 @@
         body: bytes = b'',
     ) -> '_Reply':
         host, port = exchange.target.address
-        if parse_address(f'{host}:{port}') is None:
+        if not is_usable_address((host, port)):
             raise exchange.not_sent(ValueError('malformed address'))
         is_new = exchange.is_new_connection
         client = self._unpooled_client if is_new else self._pooled_client
@@ -349,10 +356,11 @@
 
 
 def _decode_problem(reply: _Reply, target: Target) -> _Problem:
-    try:
-        return msgspec.json.decode(reply.body, type=_Problem)
-    except msgspec.DecodeError as error:
+    problem = decode_untrusted(_problem_decoder.decode, reply.body)
+    if isinstance(problem, Unreadable):
         raise LinkError(
-            f'guard answered with status {reply.status} and a malformed body',
+            f'guard answered with status {reply.status} and a malformed body: '
+            f'{problem.reason}',
             peer=target.guard_id,
-        ) from error
+        )
+    return problem
--- a/dragonflynotch/links/messages.py
+++ b/dragonflynotch/links/messages.py
@@ -4,6 +4,22 @@
 
 import msgspec
 
+from dragonflynotch.core.untrusted import (
+    Unreadable,
+    decode_untrusted,
+    is_usable_address,
+)
+from dragonflynotch.records.bounds import (
+    Accelerators,
+    Cores,
+    Count,
+    Label,
+    Megabytes,
+    Port,
+    SchemaVersion,
+    Slots,
+)
+
 __all__ = (
     'Acknowledgement',
     'Announcement',
@@ -27,22 +43,22 @@
 class MinionState(msgspec.Struct, frozen=True, array_like=True):
     """Capacity and free slots of a minion, reported by its guard."""
 
-    minion_id: str
-    slots: int
-    free_slots: int
-    connections: int
+    minion_id: Label
+    slots: Slots
+    free_slots: Slots
+    connections: Count
 
 
 class WorkerState(msgspec.Struct, frozen=True, array_like=True):
     """Location, capacity and free accelerators of a worker."""
 
-    worker_id: str
-    rack: str
-    rack_position: int
-    accelerators: int
-    free_accelerators: int
-    cores: int
-    memory_mb: int
+    worker_id: Label
+    rack: Label
+    rack_position: Slots
+    accelerators: Accelerators
+    free_accelerators: Accelerators
+    cores: Cores
+    memory_mb: Megabytes
 
 
 class Announcement(msgspec.Struct, frozen=True, array_like=True):
@@ -51,19 +67,19 @@
     Later versions append fields with defaults; decoders ignore unknown ones.
     """
 
-    guard_id: str
-    incarnation: int
-    sequence: int
-    data_centre: str
-    http_host: str
-    http_port: int
+    guard_id: Label
+    incarnation: Count
+    sequence: Count
+    data_centre: Label
+    http_host: Label
+    http_port: Port
     state: GuardState
     minion: MinionState | None
     worker: WorkerState | None
-    configuration_revision: int
-    schema_versions: tuple[int, ...]
-    highest_fence: int
-    task_digest: int
+    configuration_revision: Count
+    schema_versions: tuple[SchemaVersion, ...]
+    highest_fence: Count
+    task_digest: Count
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
@@ -71,9 +87,9 @@
 
     entry_id: str
     guard_id: str
-    sequence: int
-    configuration_revision: int
-    owned_fence: int = 0
+    sequence: Count
+    configuration_revision: Count
+    owned_fence: Count = 0
     """Fence of the partition that the entry owns; 0 if it owns none."""
     entries: tuple[tuple[str, int], ...] = ()
     """Announcement addresses of the live entries of the data centre."""
@@ -89,23 +105,30 @@
     return _encoder.encode(message)
 
 
-def decode_announcement(datagram: bytes) -> Announcement:
-    """Decode the announcement in a datagram.
+def decode_announcement(datagram: bytes) -> Announcement | Unreadable:
+    """Return the announcement in a datagram, or why it is unreadable.
 
-    Raises
-    ------
-    msgspec.DecodeError
-        If the datagram does not hold an announcement.
+    The fields fit into the messages in which entries list guards.
     """
-    return _announcement_decoder.decode(datagram)
+    announcement = decode_untrusted(_announcement_decoder.decode, datagram)
+    if isinstance(announcement, Announcement) and not is_usable_address(
+        (announcement.http_host, announcement.http_port)
+    ):
+        return Unreadable('malformed address')
+    return announcement
 
 
-def decode_acknowledgement(datagram: bytes) -> Acknowledgement:
-    """Decode the acknowledgement in a datagram.
+def decode_acknowledgement(datagram: bytes) -> Acknowledgement | Unreadable:
+    """Return the acknowledgement in a datagram, or why it is unreadable.
 
-    Raises
-    ------
-    msgspec.DecodeError
-        If the datagram does not hold an acknowledgement.
+    Addresses of entries that cannot be used are left out.
     """
-    return _acknowledgement_decoder.decode(datagram)
+    acknowledgement = decode_untrusted(
+        _acknowledgement_decoder.decode, datagram
+    )
+    if isinstance(acknowledgement, Unreadable):
+        return acknowledgement
+    return msgspec.structs.replace(
+        acknowledgement,
+        entries=tuple(filter(is_usable_address, acknowledgement.entries)),
+    )
--- a/dragonflynotch/links/order_link.py
+++ b/dragonflynotch/links/order_link.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from dragonflynotch.core.errors import LinkError
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.links.http11 import exchange
 from dragonflynotch.links.orders import GuardReport, OrderBatch, OrderReply
 
@@ -87,11 +88,13 @@
             timeout=self._timeout,
             max_body_bytes=_MAX_REPORT_BYTES,
         )
-        try:
-            return msgspec.json.decode(reply.body, type=reply_type)
-        except msgspec.DecodeError as error:
+        decoder = msgspec.json.Decoder(reply_type)
+        content = decode_untrusted(decoder.decode, reply.body)
+        if isinstance(content, Unreadable):
             raise LinkError(
-                f'malformed response with status {reply.status}',
+                f'malformed response with status {reply.status}: '
+                f'{content.reason}',
                 step=f'{method} {path}',
                 peer=f'{address[0]}:{address[1]}',
-            ) from error
+            )
+        return content
--- a/dragonflynotch/records/bounds.py
+++ b/dragonflynotch/records/bounds.py
@@ -12,6 +12,7 @@
     'MAX_LABEL_CHARACTERS',
     'MINION_ID_PATTERN',
     'Accelerators',
+    'Cores',
     'Count',
     'DurationMs',
     'Factor',
@@ -21,6 +22,8 @@
     'Millicores',
     'MinionId',
     'Port',
+    'SchemaVersion',
+    'Slots',
     'TimeMs',
 )
 
@@ -40,6 +43,7 @@
 
 Accelerators = Annotated[int, Meta(ge=0, le=_MAX_ACCELERATORS)]
 Count = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
+Cores = Annotated[int, Meta(ge=0, le=_MAX_MILLICORES // 1000)]
 DurationMs = Annotated[int, Meta(ge=0, le=_MAX_DURATION_MS)]
 Factor = Annotated[float, Meta(ge=0, le=_MAX_FACTOR)]
 FloatDurationMs = Annotated[float, Meta(ge=0, le=_MAX_DURATION_MS)]
@@ -48,5 +52,7 @@
 Millicores = Annotated[int, Meta(ge=0, le=_MAX_MILLICORES)]
 MinionId = Annotated[str, Meta(pattern=MINION_ID_PATTERN)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
+SchemaVersion = Annotated[int, Meta(ge=0, le=65_535)]
+Slots = Annotated[int, Meta(ge=0, le=1_000_000)]
 # Times of a steady clock, which may be before its start.
 TimeMs = Annotated[int, Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)]
--- a/dragonflynotch/records/job_rows.py
+++ b/dragonflynotch/records/job_rows.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from dragonflynotch.core.jobs import Job
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 
 __all__ = (
     'IDEMPOTENCY_KEY_PREFIX',
@@ -61,23 +62,31 @@
     return msgspec.json.encode(row)
 
 
-def decode_job_row(content: bytes) -> Job:
-    """Return the job in a row.
+_job_decoder = msgspec.json.Decoder(JobRow)
+_key_decoder = msgspec.json.Decoder(IdempotencyKeyRow)
 
-    Raises
-    ------
-    msgspec.DecodeError
-        If the content is not a job row.
-    """
-    return msgspec.json.decode(content, type=JobRow).job
 
+def decode_job_row(content: bytes) -> Job | Unreadable:
+    """Return the job in a row, or why the row is unreadable."""
+    return decode_untrusted(_decode_job, content)
 
-def decode_idempotency_key_row(content: bytes) -> IdempotencyKeyRow:
-    """Return the content of the row of an idempotency key.
 
-    Raises
-    ------
-    msgspec.DecodeError
-        If the content is not the row of an idempotency key.
-    """
-    return msgspec.json.decode(content, type=IdempotencyKeyRow)
+def decode_idempotency_key_row(
+    content: bytes,
+) -> IdempotencyKeyRow | Unreadable:
+    """Return the row of an idempotency key, or why it is unreadable."""
+    return decode_untrusted(_key_decoder.decode, content)
+
+
+def _decode_job(content: bytes) -> Job:
+    job = _job_decoder.decode(content).job
+    times = (
+        job.submitted_at,
+        job.started_at,
+        job.ended_at,
+        job.spec.deadline,
+    )
+    # Times without a zone cannot be compared with those of the clock.
+    if any(time is not None and time.tzinfo is None for time in times):
+        raise ValueError('time without a time zone')
+    return job
--- a/dragonflynotch/records/jobs.py
+++ b/dragonflynotch/records/jobs.py
@@ -16,6 +16,7 @@
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.jobs import Job, JobSpec, PriorityClass
 from dragonflynotch.core.shapes import Proximity, Shape
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 
 __all__ = ('JobBody', 'JobStatusBody', 'parse_job_body')
 
@@ -166,10 +167,9 @@
         If the body is not JSON or a field is invalid. The error holds the
         path of the first invalid field, its value and what was expected.
     """
-    try:
-        document = json.loads(body)
-    except ValueError as error:
-        raise InvalidInputError('$', body[:80], 'a JSON object') from error
+    document = decode_untrusted(json.loads, body)
+    if isinstance(document, Unreadable):
+        raise InvalidInputError('$', body[:80], 'a JSON object')
     try:
         return JobBody.model_validate(document)
     except ValidationError as error:
--- a/dragonflynotch/records/ledger.py
+++ b/dragonflynotch/records/ledger.py
@@ -4,6 +4,7 @@
 
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.handover import LedgerRow
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 
 __all__ = ('decode_row', 'encode_row')
 
@@ -31,9 +32,9 @@
     InvalidInputError
         If the content is not a ledger row.
     """
-    try:
-        return _decoder.decode(content).row
-    except msgspec.DecodeError as error:
+    stored = decode_untrusted(_decoder.decode, content)
+    if isinstance(stored, Unreadable):
         raise InvalidInputError(
-            '$', content, f'a ledger row: {error}'
-        ) from error
+            '$', content[:80], f'a ledger row: {stored.reason}'
+        )
+    return stored.row
--- a/dragonflynotch/services/http_table.py
+++ b/dragonflynotch/services/http_table.py
@@ -80,7 +80,7 @@
         try:
             body = msgspec.json.decode(reply, type=RowBody | None)
             return None if body is None else _decode_row(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise _unavailable_error('read', error) from error
 
     async def scan(self, prefix: str) -> tuple[Row, ...]:
@@ -89,7 +89,7 @@
         try:
             bodies = msgspec.json.decode(reply, type=list[RowBody])
             return tuple(_decode_row(body) for body in bodies)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise _unavailable_error('read', error) from error
 
     async def commit(
@@ -128,7 +128,7 @@
 def _decode_written(content: bytes) -> Written:
     try:
         return Written(msgspec.json.decode(content, type=dict[str, int]))
-    except msgspec.DecodeError as error:
+    except (ValueError, RecursionError) as error:
         raise _uncertain_error(error) from error
 
 
@@ -141,7 +141,7 @@
                 for key, row in rows.items()
             }
         )
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         # A conflict means that nothing was written, readable or not.
         raise _unavailable_error('commit', error) from error
 
--- a/dragonflynotch/services/worker.py
+++ b/dragonflynotch/services/worker.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from dragonflynotch.core.errors import LinkError
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.links.http11 import exchange
 
 __all__ = (
@@ -155,6 +156,9 @@
         return self.incarnation not in {'', earlier.incarnation}
 
 
+_view_decoder = msgspec.json.Decoder(WorkerView)
+
+
 class WorkerRuntime(ABC):
     """Runs tasks on one worker, under a lease on the worker's own clock.
 
@@ -214,9 +218,11 @@
                 step='command worker',
                 peer=peer,
             )
-        try:
-            return msgspec.json.decode(reply.body, type=WorkerView)
-        except msgspec.DecodeError as error:
+        view = decode_untrusted(_view_decoder.decode, reply.body)
+        if isinstance(view, Unreadable):
             raise LinkError(
-                f'malformed response: {error}', step='command worker', peer=peer
-            ) from error
+                f'malformed response: {view.reason}',
+                step='command worker',
+                peer=peer,
+            )
+        return view
