Keep exchanging digests with a peer that has an odd record

A configuration record that cannot be parsed raised InvalidInputError in the task that exchanges digests with the peer, which ended: no further digests, and no grants of that peer. The same error from the copy of a guard ended the polling of an entry that starts during an outage of the table service. Both are logged now, and the configuration in force stays; a document that is not UTF-8, which could not be passed on as JSON, is refused when it is received.

--- a/dragonflynotch/entry/configuration/configuration_copies.py
+++ b/dragonflynotch/entry/configuration/configuration_copies.py
@@ -11,6 +11,7 @@
 import httpx
 
 from dragonflynotch.core.configuration import Changes, Snapshot
+from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.membership import GuardInfo, Membership
 from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.entry.configuration.configuration_service import (
@@ -146,7 +147,12 @@
                 update.reason,
             )
             return
-        self._configuration.apply(update)
+        try:
+            self._configuration.apply(update)
+        except InvalidInputError as error:
+            _log.error(
+                'the copy of guard {} is unreadable: {}', guard.guard_id, error
+            )
 
 
 def _decode_reply(reply: httpx.Response) -> Changes | Snapshot | Unreadable:
--- a/dragonflynotch/entry/configuration/configuration_store.py
+++ b/dragonflynotch/entry/configuration/configuration_store.py
@@ -5,7 +5,7 @@
 """
 
 import uuid
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from types import MappingProxyType
@@ -19,8 +19,7 @@
     StoredRecord,
 )
 from dragonflynotch.core.errors import UncertainWriteError
-from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
-from dragonflynotch.observability.logs import part_logger
+from dragonflynotch.core.untrusted import decode_untrusted
 from dragonflynotch.records.bounds import Count
 from dragonflynotch.services.readable_rows import require_readable
 from dragonflynotch.services.table import (
@@ -41,8 +40,6 @@
 _MAX_RECENT_TOKENS = 64
 _MAX_COMMIT_ATTEMPTS = 4
 
-_log = part_logger('entry.configuration')
-
 
 class _Head(msgspec.Struct, frozen=True):
     revision: Count = 0
@@ -101,7 +98,7 @@
             if _row_version(before) == _row_version(after):
                 return Snapshot(
                     _decode_head(before).revision,
-                    MappingProxyType(dict(_decode_records(rows))),
+                    MappingProxyType(dict(map(_decode_record, rows))),
                 )
 
     async def write(
@@ -238,20 +235,10 @@
     return msgspec.json.encode(_RecordContent(change.revision, document))
 
 
-def _decode_records(
-    rows: Iterable[Row],
-) -> Iterator[tuple[RecordKey, StoredRecord]]:
-    for row in rows:
-        record = decode_untrusted(_decode_record, row)
-        if isinstance(record, Unreadable):
-            _log.error('ignoring row {}: {}', row.key, record.reason)
-        else:
-            yield record
-
-
 def _decode_record(row: Row) -> tuple[RecordKey, StoredRecord]:
-    kind, name = row.key.removeprefix(_RECORD_PREFIX).split('/', 1)
-    content = _content_decoder.decode(row.content)
+    kind, _, name = row.key.removeprefix(_RECORD_PREFIX).partition('/')
+    # A record that is left out would count as deleted.
+    content = _decode_content(row)
     return (
         RecordKey(kind, name),
         StoredRecord(content.document.encode(), content.revision),
--- a/dragonflynotch/entry/peers/exchange.py
+++ b/dragonflynotch/entry/peers/exchange.py
@@ -13,7 +13,7 @@
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.configuration import Changes
-from dragonflynotch.core.errors import LinkError
+from dragonflynotch.core.errors import InvalidInputError, LinkError
 from dragonflynotch.core.membership import Membership
 from dragonflynotch.entry.configuration.configuration_service import (
     ConfigurationService,
@@ -241,7 +241,10 @@
                 'fetching the configuration from a peer failed: {}', error
             )
             return
-        self._configuration.apply(decode_configuration(update))
+        try:
+            self._configuration.apply(decode_configuration(update))
+        except InvalidInputError as error:
+            _log.error('the configuration of a peer is unreadable: {}', error)
 
     def _digest(self, address: str) -> Digest:
         now = self._clock.now()
--- a/dragonflynotch/links/digest_codec.py
+++ b/dragonflynotch/links/digest_codec.py
@@ -10,8 +10,10 @@
     Snapshot,
     StoredRecord,
 )
+from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.membership import GuardInfo, MinionInfo
 from dragonflynotch.core.topology import Worker
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.links.entry_link_pb2 import (
     ConfigurationUpdate,
     Member,
@@ -118,7 +120,17 @@
 
 
 def decode_configuration(message: ConfigurationUpdate) -> Changes | Snapshot:
-    """Decode the changes or the snapshot in a message."""
+    """Decode the changes or the snapshot in a message.
+
+    Raises
+    ------
+    InvalidInputError
+        If a document is not UTF-8 and so could not be passed on.
+    """
+    for sent in message.records:
+        text = decode_untrusted(bytes.decode, sent.document)
+        if isinstance(text, Unreadable):
+            raise InvalidInputError(sent.name, text.reason, 'UTF-8')
     if message.is_snapshot:
         return Snapshot(
             message.revision,
