Take an odd answer of an entry as an unknown outcome

The client and the command line caught DecodeError only, so an answer nested 100,000 levels deep raised RecursionError in place of the outcome that a malformed answer has.

--- a/dragonflynotch/client/transport.py
+++ b/dragonflynotch/client/transport.py
@@ -20,6 +20,8 @@
     Unreachable,
 )
 from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
+from dragonflynotch.records.bounds import Count
 
 __all__ = ('Call', 'HttpTransport', 'Reply', 'RetryPolicy', 'decode_reply')
 
@@ -100,13 +102,16 @@
     reason: str = ''
     detail: str = ''
     outcome: str = ''
-    retry_after_ms: int | None = None
+    retry_after_ms: Count | None = None
     step: str = ''
     peer: str = ''
     handed_to: str = ''
     current_revision: int | None = None
 
 
+_problem_decoder = msgspec.json.Decoder(_Problem)
+
+
 class HttpTransport:
     """Connection to one entry.
 
@@ -223,16 +228,17 @@
     reply: Reply, view: type[_ViewT], call: Call
 ) -> _ViewT | UnknownOutcome:
     """Return the decoded body of a successful answer."""
-    try:
-        return msgspec.json.decode(reply.body, type=view)
-    except msgspec.DecodeError as error:
+    decoder = msgspec.json.Decoder(view)
+    content = decode_untrusted(decoder.decode, reply.body)
+    if isinstance(content, Unreadable):
         return UnknownOutcome(
             reason='malformed_answer',
-            detail=str(error),
+            detail=content.reason,
             step=call.step,
             peer=reply.peer,
             key=call.key,
         )
+    return content
 
 
 def _peer_of(url: str) -> str:
@@ -258,9 +264,8 @@
 def _failure_from_reply(
     call: Call, reply: httpx.Response, peer: str
 ) -> Failure:
-    try:
-        problem = msgspec.json.decode(reply.content, type=_Problem)
-    except msgspec.DecodeError:
+    problem = decode_untrusted(_problem_decoder.decode, reply.content)
+    if isinstance(problem, Unreadable):
         problem = _Problem()
     common: dict[str, Any] = {
         'reason': problem.reason or f'status_{reply.status_code}',
--- a/tests/client/test_transport.py
+++ b/tests/client/test_transport.py
@@ -21,6 +21,7 @@
 )
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.requests import content_digest
+from tests.odd_entries import ODD_BODIES
 
 _RETRY = RetryPolicy(attempts=3, first_delay=timedelta(milliseconds=1))
 
@@ -191,3 +192,21 @@
     client = HttpOperatorClient(transport)
     assert isinstance(await client.status(), Refused)
     assert 2 <= len(entry.requests) <= 4
+
+
+@pytest.mark.parametrize('body', ODD_BODIES)
+async def test_odd_answer_has_an_unknown_outcome(body):
+    """Odd entry ends the process that reads it; here, an answer."""
+    answer = httpx.Response(200, content=body)
+    client = HttpOperatorClient(_StubEntry(lambda: answer).transport())
+    assert isinstance(await client.status(), UnknownOutcome)
+
+
+@pytest.mark.parametrize(
+    'body', [*ODD_BODIES, b'{"retry_after_ms":' + b'9' * 400 + b'}']
+)
+async def test_odd_problem_is_a_failure(body):
+    """Odd entry ends the process that reads it; here, a problem."""
+    answer = httpx.Response(404, content=body)
+    client = HttpOperatorClient(_StubEntry(lambda: answer).transport())
+    assert isinstance(await client.status(), Invalid | Refused)
