--- a/dragonflynotch/entry/configuration/configuration_copies.py
+++ b/dragonflynotch/entry/configuration/configuration_copies.py
@@ -9,10 +9,11 @@
 from datetime import timedelta
 
 import httpx
-import msgspec
 
 from dragonflynotch.core.configuration import Changes, Snapshot
+from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.membership import GuardInfo, Membership
+from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.entry.configuration.configuration_service import (
     ConfigurationService,
 )
@@ -112,7 +113,7 @@
                 content=encode_copy(update),
                 headers={'Guard-Incarnation': str(guard.incarnation)},
             )
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             _log.debug(
                 'sending the configuration to guard {} failed: {!r}',
                 guard.guard_id,
@@ -120,17 +121,18 @@
             )
             return
         if reply.status_code == httpx.codes.OK:
-            held_revision = int(
-                reply.headers.get('configuration-revision', '0')
+            held_revision = decode_untrusted(
+                int, reply.headers.get('configuration-revision', '0')
             )
+            # Without a readable revision, everything is sent again.
             self._delivered_revisions[(guard.guard_id, guard.incarnation)] = (
-                held_revision
+                held_revision if isinstance(held_revision, int) else 0
             )
 
     async def _fetch_from(self, guard: GuardInfo) -> None:
         try:
             reply = await self._client.get(_configuration_url(guard))
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             _log.debug(
                 'fetching the configuration from guard {} failed: {!r}',
                 guard.guard_id,
@@ -138,17 +140,25 @@
             )
             return
         update = _decode_reply(reply)
-        if update is not None:
+        if isinstance(update, Unreadable):
+            _log.warning(
+                'the copy of guard {} is not used: {}',
+                guard.guard_id,
+                update.reason,
+            )
+            return
+        try:
             self._configuration.apply(update)
+        except InvalidInputError as error:
+            _log.error(
+                'the copy of guard {} is unreadable: {}', guard.guard_id, error
+            )
 
 
-def _decode_reply(reply: httpx.Response) -> Changes | Snapshot | None:
+def _decode_reply(reply: httpx.Response) -> Changes | Snapshot | Unreadable:
     if reply.status_code != httpx.codes.OK:
-        return None
-    try:
-        return decode_copy(reply.content)
-    except msgspec.DecodeError:
-        return None
+        return Unreadable(f'status {reply.status_code}')
+    return decode_copy(reply.content)
 
 
 def _configuration_url(guard: GuardInfo) -> str:
--- a/dragonflynotch/entry/configuration/configuration_store.py
+++ b/dragonflynotch/entry/configuration/configuration_store.py
@@ -7,6 +7,7 @@
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from types import MappingProxyType
 
 import msgspec
@@ -18,6 +19,9 @@
     StoredRecord,
 )
 from dragonflynotch.core.errors import UncertainWriteError
+from dragonflynotch.core.untrusted import decode_untrusted
+from dragonflynotch.records.bounds import Count
+from dragonflynotch.services.readable_rows import require_readable
 from dragonflynotch.services.table import (
     ABSENT_VERSION,
     ConditionalWrite,
@@ -38,12 +42,12 @@
 
 
 class _Head(msgspec.Struct, frozen=True):
-    revision: int = 0
-    recent_tokens: tuple[tuple[int, str], ...] = ()
+    revision: Count = 0
+    recent_tokens: tuple[tuple[Count, str], ...] = ()
 
 
 class _RecordContent(msgspec.Struct, frozen=True):
-    revision: int
+    revision: Count
     document: str
 
 
@@ -59,6 +63,10 @@
     current_revision: int
 
 
+_head_decoder = msgspec.json.Decoder(_Head)
+_content_decoder = msgspec.json.Decoder(_RecordContent)
+
+
 class ConfigurationStore:
     """The configuration rows of the table service.
 
@@ -203,7 +211,9 @@
 def _decode_head(row: Row | None) -> _Head:
     if row is None:
         return _Head()
-    return msgspec.json.decode(row.content, type=_Head)
+    return require_readable(
+        row, partial(decode_untrusted, _head_decoder.decode)
+    )
 
 
 def _next_head(head: _Head, token: str) -> bytes:
@@ -213,7 +223,9 @@
 
 
 def _decode_content(row: Row) -> _RecordContent:
-    return msgspec.json.decode(row.content, type=_RecordContent)
+    return require_readable(
+        row, partial(decode_untrusted, _content_decoder.decode)
+    )
 
 
 def _encode_record(change: Change) -> bytes | None:
@@ -224,7 +236,8 @@
 
 
 def _decode_record(row: Row) -> tuple[RecordKey, StoredRecord]:
-    kind, name = row.key.removeprefix(_RECORD_PREFIX).split('/', 1)
+    kind, _, name = row.key.removeprefix(_RECORD_PREFIX).partition('/')
+    # A record that is left out would count as deleted.
     content = _decode_content(row)
     return (
         RecordKey(kind, name),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,6 +4,7 @@
 import pytest
 
 from dragonflynotch.core.errors import InvalidInputError
+from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.platform.configuration import decode_deployment
 from dragonflynotch.platform.evacuations import decode_evacuation
 from dragonflynotch.platform.jobs import decode_job, is_job_id
@@ -70,7 +71,7 @@
 )
 def test_invalid_job_is_refused(body):
     """Guards against stored jobs that can never be scheduled."""
-    assert decode_job(body, QUEUE, 'team') is None
+    assert isinstance(decode_job(body, QUEUE, 'team'), Unreadable)
 
 
 def test_job_identifier_is_16_hexadecimal_digits():
@@ -116,9 +117,9 @@
 
 
 @pytest.mark.parametrize('content', [b'', b'\xff\xfe', b'{}', b'[1]'])
-def test_unreadable_configuration_is_none(content):
+def test_unreadable_configuration_has_a_reason(content):
     """Guards against a malformed configuration that replaces a valid one."""
-    assert decode_deployment(content) is None
+    assert isinstance(decode_deployment(content), Unreadable)
 
 
 def test_longest_prefix_selects_the_queue():
@@ -161,9 +162,9 @@
         ),
     ],
 )
-def test_malformed_heartbeat_is_none(body):
+def test_malformed_heartbeat_is_unreadable(body):
     """Guards against heartbeats with missing or mistyped fields."""
-    assert decode_heartbeat('i-1', body) is None
+    assert isinstance(decode_heartbeat('i-1', body), Unreadable)
 
 
 def test_heartbeat_is_decoded():
