--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -231,12 +231,16 @@
     ranking: StepRanking,
 ) -> BackfilledRuns:
     """Return the runs that are marked as backfill, with their urgency."""
+    marked = [
+        allocation
+        for held in allocations.values()
+        for allocation in held
+        if allocation.is_backfill
+    ]
     runs = []
-    for held in allocations.values():
-        for allocation in held:
-            found = jobs.find(str(allocation.task_id))
-            if not allocation.is_backfill or found is None:
-                continue
+    for allocation in marked:
+        found = jobs.find(str(allocation.task_id))
+        if found is not None:
             job, step, task = found
             runs.append(
                 _BackfilledRun(
