--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -43,6 +43,9 @@
 _MAX_IDLE_MS = 1500
 # Backfill goes on until this share of the capacity of a service is in use.
 _MAX_SHARE_IN_USE = 0.5
+# Most runs of a service that are backfilled in one round. Keeps the rounds of a
+# large fleet short.
+_MAX_RUNS_PER_ROUND = 200
 # Room for which runs were ordered to stop is not backfilled for this multiple
 # of the time that a stop takes.
 _STOP_TIME_MULTIPLE = 2
@@ -79,22 +82,33 @@
     idle_ms : int
         For how long it has been idle.
     use : ServiceUse
-        Resources in use; updated by the caller as tasks are placed.
+        Resources in use.
     steps : list of UnplacedStep
         Steps to place there, the first one first.
     holder : Urgency or None
         First step that has a reservation.
+    runs : int
+        Runs that were placed there in this round.
     """
 
     idle_ms: int
     use: ServiceUse
     steps: list[UnplacedStep]
     holder: Urgency | None
+    runs: int = 0
 
     @property
     def is_left(self) -> bool:
         """Whether more of the room may be used."""
-        return self.use.share < _MAX_SHARE_IN_USE
+        return (
+            self.runs < _MAX_RUNS_PER_ROUND
+            and self.use.share < _MAX_SHARE_IN_USE
+        )
+
+    def take(self, needs: Resources, runs: int = 1) -> None:
+        """Count runs that were placed in the room."""
+        self.use.add(needs * runs)
+        self.runs += runs
 
 
 class IdleRoomMonitor:
@@ -162,6 +176,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _BackfilledRun:
+    name: str
     urgency: Urgency
     service: str
     task: Task
@@ -181,7 +196,7 @@
         Includes those that are stopping already.
         """
         return frozenset(
-            str(run.task.task_id) for run in self._runs if run.urgency > urgency
+            run.name for run in self._runs if run.urgency > urgency
         )
 
     def may_make_room(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
@@ -239,11 +254,13 @@
     ]
     runs = []
     for allocation in marked:
-        found = jobs.find(str(allocation.task_id))
+        name = str(allocation.task_id)
+        found = jobs.find(name)
         if found is not None:
             job, step, task = found
             runs.append(
                 _BackfilledRun(
+                    name,
                     ranking.urgency(job, step),
                     jobs.service(job),
                     task,
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -218,7 +218,7 @@
             runs = len(step.tasks)
             if not self._place_gang(pool, demand, job):
                 return 0
-            room.use.add(step.spec.needs * runs)
+            room.take(step.spec.needs, runs)
             return runs
         step_tasks_by_minion = count_step_tasks(step)
         runs = 0
@@ -226,7 +226,7 @@
             if not room.is_left:
                 break
             if self._place_task(pool, demand, job, task, step_tasks_by_minion):
-                room.use.add(step.spec.needs)
+                room.take(step.spec.needs)
                 runs += 1
             elif task.is_unrestricted:
                 break
--- a/tests/workflows/placement/test_backfill.py
+++ b/tests/workflows/placement/test_backfill.py
@@ -1,5 +1,7 @@
 """Bounds on room that reservations keep idle, and on the wait of gangs."""
 
+from itertools import pairwise
+
 import pytest
 
 from dragonflynotch.workflows.jobs import StepSpec
@@ -227,3 +229,16 @@
     """Rows without the field must stay readable."""
     order = decode_row(b'{"payload":"p","run":1,"start_by_ms":5}', Order)
     assert not order.is_backfill
+
+
+def test_backfill_of_a_large_fleet_is_spread_over_rounds():
+    """A round that orders very many runs would delay urgent work."""
+    site = site_with_late_run(workers=120)
+    for number in range(20):
+        site.submit(
+            f'job{number}', 'batch', StepSpec(20, 1000, 1000, 1, 60_000)
+        )
+    counts = []
+    site.advance(MAX_IDLE_MS, lambda: counts.append(len(site.orders)))
+    assert max(after - before for before, after in pairwise(counts)) == 200
+    assert counts[-1] > 400
