List when jobs of a play had nothing at work beside free room

The logs of a play hold all that is needed to find where it is nearly broken, and why.

The decoding of log lines is shared with `losses`.

--- a/benchmarks/site_days/__main__.py
+++ b/benchmarks/site_days/__main__.py
@@ -9,6 +9,7 @@
         --seeds 8 --first-seed 9000 --reason 'baseline'
     python -m benchmarks.site_days table build/before
     python -m benchmarks.site_days compare build/before build/after
+    python -m benchmarks.site_days idle --site SITE.toml build/scale-1.log
 """
 
 import asyncio
@@ -18,6 +19,11 @@
 
 import cappa
 
+from benchmarks.site_days.idle_jobs import (
+    find_idle_stretches,
+    format_stretches,
+    read_capacity,
+)
 from benchmarks.site_days.losses import Losses, format_losses, read_losses
 from benchmarks.site_days.plays import PlaySettings, list_plays, play_all
 from benchmarks.site_days.tables import comparison_rows, load_set, set_rows
@@ -105,13 +111,39 @@
         print(*format_losses(total, len(self.logs)), sep='\n')
 
 
+@cappa.command(name='idle')
+@dataclass(frozen=True, slots=True)
+class IdleCommand:
+    """Print when jobs had nothing at work, from plays with all logs."""
+
+    logs: list[Path]
+    site: Annotated[Path, cappa.Arg(long=True)]
+    min_s: Annotated[float, cappa.Arg(long=True)] = 1.0
+    from_s: Annotated[float, cappa.Arg(long=True)] = float('-inf')
+    most: Annotated[int, cappa.Arg(long=True)] = 10
+
+    def __call__(self) -> None:
+        """Print a table for each play, with its worst stretches."""
+        capacity = read_capacity(self.site)
+        for log in self.logs:
+            stretches = find_idle_stretches(
+                log, capacity, self.min_s, self.from_s
+            )
+            print(log.stem)
+            print(*format_stretches(stretches[: self.most]), sep='\n')
+
+
 @cappa.command(name='python -m benchmarks.site_days')
 @dataclass(frozen=True, slots=True)
 class Command:
     """Play days of a site with several seeds and compare the plays."""
 
     command: cappa.Subcommands[
-        PlayCommand | TableCommand | CompareCommand | LossesCommand
+        PlayCommand
+        | TableCommand
+        | CompareCommand
+        | LossesCommand
+        | IdleCommand
     ]
 
 
--- a/benchmarks/site_days/losses.py
+++ b/benchmarks/site_days/losses.py
@@ -1,16 +1,16 @@
 """Work that did not count in a play, by cause, from the logs of the play."""
 
-import re
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
+from benchmarks.site_days.play_log import read_entries
+
 __all__ = ('Losses', 'format_losses', 'read_losses')
 
-_LINE = re.compile(r'^\s*(-?[\d.]+) \S+ (\{.*\})$')
 _CORES_PER_ACCELERATOR = 8
 _MILLICORES_PER_CORE = 1000
 # A run that can resume loses about what it did since its last checkpoint.
@@ -152,24 +152,11 @@
     """Return the losses of one play from its output with logs."""
     reader = _Reader()
     with log.open(encoding='utf-8', errors='replace') as lines:
-        for at_s, entry in _entries(lines):
+        for at_s, entry in read_entries(lines, _Entry):
             reader.apply(at_s, entry)
     return reader.losses
 
 
-def _entries(lines: Iterable[str]) -> Iterator[tuple[float, _Entry]]:
-    for line in lines:
-        match = _LINE.match(line)
-        if match is None:
-            continue
-        try:
-            entry = msgspec.json.decode(match[2], type=_Entry)
-        except msgspec.DecodeError:
-            # A program may print other lines, and entries of other forms.
-            continue
-        yield float(match[1]), entry
-
-
 def format_losses(losses: Losses, plays: int) -> Iterator[str]:
     """Return tables of the losses and of the ends of jobs, a play."""
     yield '| kind | cause | runs a play | core seconds a play |'
