Measure the wait for an excluded worker until the job has ended

The listed test of a job that only an excluded worker may run counted the time after the end of the job as a wait: its task takes 2 s. It takes 15 s now, as in the other tests, with the same bound of 3 s.

--- a/tests/workflows/test_idle_room.py
+++ b/tests/workflows/test_idle_room.py
@@ -46,7 +46,8 @@
     for job_id in ('a', 'b'):
         site.end(f'{job_id}.0.0.0', EndKind.failed)
         site.scheduler.cancel(job_id)
-    site.submit('job', 'normal', step)
+    long_step = StepSpec(1, 1000, 1000, 1, 15_000, constraint='r2')
+    site.submit('job', 'normal', long_step)
     assert longest_idle_ms(site, 'job', 10_000) <= MAX_IDLE_MS
 
 
