Split the placer and the scheduler by job

Ordering the runs of a step is in placement/run_orderer.py, starting runs in idle room in backfiller.py, and the pool of a round is built in pool_builder.py; the functions of best_fit that choose workers are named so.

--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -20,7 +20,10 @@
 from dragonflynotch.workflows.ordering.step_ranking import StepRanking
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep
 from dragonflynotch.workflows.placement.allocations import is_preemptible
-from dragonflynotch.workflows.placement.best_fit import place_gang, place_task
+from dragonflynotch.workflows.placement.best_fit import (
+    choose_gang_workers,
+    choose_worker,
+)
 from dragonflynotch.workflows.placement.worker_pool import (
     Demand,
     ServiceUse,
@@ -282,14 +285,14 @@
     if not pool.may_fit(step, pool.trial_room()):
         return False
     if step.spec.is_gang:
-        return place_gang(pool, demand) is not None
+        return choose_gang_workers(pool, demand) is not None
     return _any_task_fits(pool, demand, step)
 
 
 def _any_task_fits(pool: WorkerPool, demand: Demand, step: Step) -> bool:
     by_minion = count_step_tasks(step)
     for task in step.waiting_tasks:
-        if place_task(pool, demand, task, by_minion) is not None:
+        if choose_worker(pool, demand, task, by_minion) is not None:
             return True
         if task.is_unrestricted:
             return False
--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -19,12 +19,12 @@
     'avoided_starts',
     'fit_gang',
     'fits_one_rack',
-    'place_gang',
-    'place_task',
+    'choose_gang_workers',
+    'choose_worker',
 )
 
 
-def place_task(
+def choose_worker(
     pool: WorkerPool,
     demand: Demand,
     task: Task,
@@ -60,7 +60,9 @@
     return worker
 
 
-def place_gang(pool: WorkerPool, demand: Demand) -> list[Worker] | None:
+def choose_gang_workers(
+    pool: WorkerPool, demand: Demand
+) -> list[Worker] | None:
     """Return a worker for each member of a gang, or ``None``.
 
     The result is ``None`` if not all members fit.
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -1,7 +1,5 @@
 """Places waiting steps on workers, the most urgent first."""
 
-from collections import Counter
-
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
@@ -10,28 +8,18 @@
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
 from dragonflynotch.workflows.placement.avoidance import avoided_by_step
 from dragonflynotch.workflows.placement.backfill import (
-    IdleRoom,
-    IdleRoomMonitor,
     UnplacedStep,
     find_backfilled_runs,
 )
-from dragonflynotch.workflows.placement.best_fit import (
-    fits_one_rack,
-    place_gang,
-    place_task,
-)
+from dragonflynotch.workflows.placement.backfiller import Backfiller
+from dragonflynotch.workflows.placement.best_fit import fits_one_rack
 from dragonflynotch.workflows.placement.recent_starts import find_recent_starts
 from dragonflynotch.workflows.placement.reservations import plan_reservations
 from dragonflynotch.workflows.placement.room_maker import RoomMaker
+from dragonflynotch.workflows.placement.run_orderer import RunOrderer
 from dragonflynotch.workflows.placement.step_room import find_room
-from dragonflynotch.workflows.placement.worker_pool import (
-    Demand,
-    WorkerPool,
-    count_step_tasks,
-)
-from dragonflynotch.workflows.placement.workers import Allocations, Worker
-from dragonflynotch.workflows.progress import ActiveRun, Job, Task
-from dragonflynotch.workflows.records import JobState, Order
+from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.workers import Allocations
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 
@@ -79,10 +67,10 @@
         )
         self._mechanisms = mechanisms
         self.start_timeout_ms = start_timeout_ms
-        self._start_by_ms = 0
         self._wait_log = WaitLog(decision_log)
         self._idle_log = idle_log
-        self._idle_room = IdleRoomMonitor()
+        self._run_orderer = RunOrderer(jobs, orders, decision_log)
+        self._backfiller = Backfiller(self._run_orderer, decision_log)
 
     def apply_stop_ms(self, stop_ms: int) -> None:
         """Use this bound on the time from the order to stop to the end."""
@@ -113,7 +101,7 @@
         store_delay_ms = min(
             write_ms * _STORE_CALLS_BEFORE_START, self.start_timeout_ms
         )
-        self._start_by_ms = min(
+        self._run_orderer.start_by_ms = min(
             pool.now_ms + self.start_timeout_ms + store_delay_ms,
             latest_start_ms,
         )
@@ -128,8 +116,7 @@
         )
         backfilled.unmark_entitled(unplaced)
         if self._mechanisms.backfills:
-            for room in self._idle_room.find_due(pool, unplaced):
-                self._backfill(pool, room)
+            self._backfiller.fill(pool, unplaced)
 
     def _place_by_urgency(
         self,
@@ -145,7 +132,7 @@
             if not may_reserve and self._must_only_wait(pool, waiting):
                 continue
             demand = self._demand(pool, waiting)
-            if self._place_step(pool, demand, waiting.job):
+            if self._run_orderer.place_step(pool, demand, waiting.job):
                 continue
             self._record_wait(pool, waiting, demand, allocations)
             plan = self._room_maker.make_room(
@@ -153,7 +140,7 @@
             )
             stop_ms = self._room_maker.stop_ms
             if plan.victims:
-                self._idle_room.hold(demand.service, pool.now_ms, stop_ms)
+                self._backfiller.hold(demand.service, pool.now_ms, stop_ms)
             reserves = may_reserve or plan.will_fit
             if reserves:
                 reserving_steps += 1
@@ -188,50 +175,6 @@
                 plan_reservations(pool, demand, allocations)
             )
 
-    def _backfill(self, pool: WorkerPool, room: IdleRoom) -> None:
-        """Order runs in room that reservations have kept idle."""
-        for entry in room.steps:
-            share = room.use.share
-            runs = self._backfill_step(pool, room, entry)
-            if runs:
-                urgency = entry.waiting.urgency
-                self._decision_log.record(
-                    'room_backfilled',
-                    job=urgency.job_id,
-                    step=urgency.step,
-                    runs=runs,
-                    behind_job=room.holder.job_id if room.holder else '',
-                    behind_step=room.holder.step if room.holder else None,
-                    share_in_use=round(share, 2),
-                    idle_ms=room.idle_ms,
-                )
-
-    def _backfill_step(
-        self, pool: WorkerPool, room: IdleRoom, entry: UnplacedStep
-    ) -> int:
-        """Order runs of a step while room is left; return their number."""
-        demand, job = entry.backfill_demand, entry.waiting.job
-        step = demand.step
-        if not room.is_left:
-            return 0
-        if step.spec.is_gang:
-            runs = len(step.tasks)
-            if not self._place_gang(pool, demand, job):
-                return 0
-            room.take(step.spec.needs, runs)
-            return runs
-        step_tasks_by_minion = count_step_tasks(step)
-        runs = 0
-        for task in step.waiting_tasks:
-            if not room.is_left:
-                break
-            if self._place_task(pool, demand, job, task, step_tasks_by_minion):
-                room.take(step.spec.needs)
-                runs += 1
-            elif task.is_unrestricted:
-                break
-        return runs
-
     def _must_only_wait(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
         """Return whether nothing can be done for a step in this round."""
         return not (
@@ -278,94 +221,3 @@
             may_join_suspects=waiting.urgency.is_guaranteed,
             max_attempts=self._jobs.queue(job).max_attempts,
         )
-
-    def _place_step(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
-        if demand.step.spec.is_gang:
-            return self._place_gang(pool, demand, job)
-        return self._place_tasks(pool, demand, job)
-
-    def _place_gang(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
-        workers = place_gang(pool, demand)
-        if workers is None:
-            return False
-        run = max(task.run for task in demand.step.tasks) + 1
-        for task, worker in zip(demand.step.tasks, workers, strict=True):
-            self._order_run(pool, job, demand, task, worker, run)
-        return True
-
-    def _place_tasks(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
-        step_tasks_by_minion = count_step_tasks(demand.step)
-        are_all_placed = True
-        for task in demand.step.waiting_tasks:
-            if self._place_task(pool, demand, job, task, step_tasks_by_minion):
-                continue
-            are_all_placed = False
-            if task.is_unrestricted:
-                # The other tasks fit nowhere either.
-                break
-        return are_all_placed
-
-    def _place_task(
-        self,
-        pool: WorkerPool,
-        demand: Demand,
-        job: Job,
-        task: Task,
-        step_tasks_by_minion: Counter[str],
-    ) -> bool:
-        worker = place_task(pool, demand, task, step_tasks_by_minion)
-        if worker is None:
-            return False
-        step_tasks_by_minion[worker.minion_id] += 1
-        self._order_run(pool, job, demand, task, worker, task.run + 1)
-        return True
-
-    def _order_run(
-        self,
-        pool: WorkerPool,
-        job: Job,
-        demand: Demand,
-        task: Task,
-        worker: Worker,
-        run: int,
-    ) -> None:
-        needs = demand.step.spec.needs
-        # A run in idle room is backfill.
-        is_backfill = demand.uses_idle_room
-        pool.allocate(worker, needs)
-        pool.recent_starts.add(worker.minion_id, is_suspect=bool(task.crashes))
-        task.run = run
-        task.active = ActiveRun(
-            worker.minion_id,
-            run,
-            pool.now_ms,
-            progress_changed_ms=pool.now_ms,
-            is_backfill=is_backfill,
-        )
-        name = str(task.task_id)
-        self._orders.put(
-            (worker.minion_id, name),
-            Order(
-                payload=job.spec.payload,
-                run=run,
-                start_by_ms=self._start_by_ms,
-                checkpoint=task.checkpoint,
-                needs=(needs.millicores, needs.memory_mb, needs.accelerators),
-                is_backfill=is_backfill,
-            ),
-        )
-        job.state = JobState.running
-        self._jobs.mark_changed(job)
-        self._decision_log.record(
-            'run_ordered',
-            task=name,
-            run=run,
-            minion=worker.minion_id,
-            report_age_ms=pool.now_ms - worker.reported_ms,
-            waited_ms=pool.now_ms - job.spec.accepted_ms,
-            task_failures=task.failures,
-            worker_failed_jobs=pool.failed_job_counts.get(worker.minion_id, 0),
-            is_avoided_worker=worker.minion_id in task.failed_on,
-            is_trial=worker.minion_id in pool.excluded,
-            is_backfill=is_backfill,
-        )
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -19,8 +19,7 @@
 from dragonflynotch.workflows.ordering.idle_log import IdleLog, RoundInputs
 from dragonflynotch.workflows.placement.allocations import list_allocations
 from dragonflynotch.workflows.placement.placer import Placer
-from dragonflynotch.workflows.placement.trials import Trials
-from dragonflynotch.workflows.placement.worker_pool import WorkerPool
+from dragonflynotch.workflows.placement.pool_builder import PoolBuilder
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
 from dragonflynotch.workflows.runs.crash_tracker import CrashTracker
@@ -132,6 +131,13 @@
             self._decision_log,
             settings.evacuation_bound_ms,
         )
+        self._pool_builder = PoolBuilder(
+            self._orders,
+            self._evacuation,
+            self._worker_health,
+            self._room_refusals,
+            mechanisms,
+        )
         self._idle_log = IdleLog(self._jobs, self._orders, self._decision_log)
         self._placer = Placer(
             self._jobs,
@@ -259,7 +265,9 @@
         """
         self._crash_tracker.review()
         self._evacuation.review(self._workers.values(), now_ms)
-        pool = self._available_pool(now_ms)
+        pool = self._pool_builder.build(
+            self._workers.values(), self._settings.max_report_age_ms, now_ms
+        )
         self._supervisor.review(now_ms, set(pool.free))
         # Listed after the review, which may order runs to stop. Such runs
         # keep their resources until their end is reported.
@@ -307,54 +315,3 @@
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         return self._jobs.waiting_by_queue()
-
-    def _find_trials(
-        self, workers: dict[str, Worker], excluded: set[str], now_ms: int
-    ) -> Trials:
-        """Return the excluded workers that may be tried."""
-        ages = self._worker_health.trial_ages(excluded, now_ms)
-        return Trials({name: workers[name] for name in ages}, ages)
-
-    def _available_pool(self, now_ms: int) -> WorkerPool:
-        """Return the workers that may get new runs."""
-        workers = {
-            worker.minion_id: worker
-            for worker in self._workers.values()
-            if worker.minion_id
-            and worker.report.accepts_runs
-            and now_ms - worker.reported_ms < self._settings.max_report_age_ms
-        }
-        free = {
-            minion_id: worker.report.resources
-            for minion_id, worker in workers.items()
-        }
-        for (ordered_from, _), order in self._orders:
-            if ordered_from in free:
-                free[ordered_from] -= order.resources
-        usable = [
-            minion_id
-            for minion_id, worker in workers.items()
-            if not self._evacuation.is_cordoned(worker)
-        ]
-        health = self._worker_health
-        excluded: set[str] = set()
-        failed_job_counts: dict[str, int] = {}
-        if self._mechanisms.prefers_sound_workers:
-            excluded = health.excluded(usable, now_ms)
-            failed_job_counts = {
-                minion_id: health.failed_job_count(minion_id, now_ms)
-                for minion_id in workers
-            }
-        return WorkerPool(
-            {
-                minion_id: workers[minion_id]
-                for minion_id in usable
-                if minion_id not in excluded
-            },
-            free,
-            now_ms,
-            failed_job_counts,
-            excluded={minion_id: workers[minion_id] for minion_id in excluded},
-            trials=self._find_trials(workers, excluded, now_ms),
-            refused_needs=self._room_refusals.refused_needs(now_ms),
-        )
