Count active tasks towards the limit per worker in planned room

Callers would see a run stopped and started again each 2 s for no step: StepFit counted room on workers where the step already has as many tasks as it may, so backfilled runs stopped for a task that may not start there. Choosing the worker did respect the limit.

Change: StepFit subtracts the active tasks of a step other than a gang. test_run_is_not_stopped_for_a_step_at_its_limit_per_worker failed before (12 starts in 25 s) and passes.

--- a/dragonflynotch/workflows/placement/step_fit.py
+++ b/dragonflynotch/workflows/placement/step_fit.py
@@ -8,7 +8,11 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
+from dragonflynotch.workflows.placement.worker_pool import (
+    Demand,
+    WorkerPool,
+    count_step_tasks,
+)
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = ('StepFit',)
@@ -42,6 +46,10 @@
             demand.step.tasks if spec.is_gang else demand.step.waiting_tasks
         )
         self._limit = spec.max_per_worker or self._wanted
+        # All members of a gang start anew.
+        self._held: Counter[str] = Counter()
+        if spec.max_per_worker and not spec.is_gang:
+            self._held = count_step_tasks(demand.step)
         self._racks = {
             minion_id: pool.find(minion_id).report.rack
             for minion_id in available
@@ -72,9 +80,8 @@
 
     def update(self, minion_id: str) -> None:
         """Count again what fits on a minion whose resources changed."""
-        fitting = min(
-            self._limit, self._available[minion_id].fit_count(self._needs)
-        )
+        limit = max(0, self._limit - self._held[minion_id])
+        fitting = min(limit, self._available[minion_id].fit_count(self._needs))
         change = fitting - self._counts.get(minion_id, 0)
         if change:
             self._counts[minion_id] = fitting
