Let each service have its own reserving steps

Callers would see a gang of one service wait for 32 s longer than for its turn: at most three steps reserved room in a round over all services, so three waiting steps of another service left none for it, and a backfilled run in its room lost its mark and was not stopped. Found by review; the limit over all services is older than backfill.

Change: the limit counts by service. Both tests in test_service_reservations.py failed before (the gang started at 41.75 and 40.25 s instead of 8.25 s) and pass.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -1,5 +1,7 @@
 """Places waiting steps on workers, the most urgent first."""
 
+from collections import Counter
+
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
@@ -25,7 +27,8 @@
 
 __all__ = ('Placer',)
 
-# Most steps per round that reserve resources because they cannot start yet.
+# Most steps of a service per round that reserve resources because they cannot
+# start yet.
 _MAX_RESERVING_STEPS = 3
 # Store calls between the decision to start a run and its start.
 _STORE_CALLS_BEFORE_START = 3
@@ -125,10 +128,11 @@
         allocations: Allocations,
     ) -> list[UnplacedStep]:
         """Place steps in this order and return those that still wait."""
-        reserving_steps = 0
+        reserving_steps: Counter[str] = Counter()
         unplaced = []
         for waiting in waiting_steps:
-            may_reserve = reserving_steps < _MAX_RESERVING_STEPS
+            service = self._jobs.service(waiting.job)
+            may_reserve = reserving_steps[service] < _MAX_RESERVING_STEPS
             if not may_reserve and self._must_only_wait(pool, waiting):
                 continue
             demand = self._demand(pool, waiting)
@@ -143,7 +147,7 @@
                 self._backfiller.hold(demand.service, pool.now_ms, stop_ms)
             reserves = may_reserve or plan.will_fit
             if reserves:
-                reserving_steps += 1
+                reserving_steps[service] += 1
                 expected = self._room_maker.backfilled.planned_stops(
                     allocations, waiting.urgency, pool.now_ms + stop_ms
                 )
