Pause backfill only for the step whose room is taken back

Callers would see LOST again: any preemption in a service, also of runs elsewhere that were no backfill, paused backfill for the whole service, so a job beside a stream of urgent ones never started (20 s seen, 29% in use). And while the stop of one run took longer than the pause, the room freed already was backfilled and taken back again each 2 s.

Change: backfill pauses only when backfilled runs stop, and until all runs that stop for the same step have ended, for 10 s at most.

--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, replace
 
 from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.jobs import StepId
 from dragonflynotch.workflows.ordering.ranking import Urgency
 from dragonflynotch.workflows.ordering.step_ranking import StepRanking
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep
@@ -49,9 +50,12 @@
 # Most runs of a service that are backfilled in one round. Keeps the rounds of a
 # large fleet short.
 _MAX_RUNS_PER_ROUND = 200
-# Room for which runs were ordered to stop is not backfilled for this multiple
-# of the time that a stop takes.
+# Room for which backfilled runs were ordered to stop is not backfilled for this
+# multiple of the time that a stop takes, nor before all of them have ended:
+# while one stop takes long, the others would be repeated.
 _STOP_TIME_MULTIPLE = 2
+# A run that does not stop ends with the lease of its minion.
+_MAX_PAUSE_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +74,11 @@
     demand: Demand
     reserves: bool
 
+    @property
+    def step_id(self) -> StepId:
+        """Identifier of the step."""
+        return self.waiting.step.step_id
+
     @property
     def backfill_demand(self) -> Demand:
         """Its placement requirements in room that others have reserved."""
@@ -101,7 +110,7 @@
     runs: int = 0
 
     @property
-    def is_left(self) -> bool:
+    def may_take_more(self) -> bool:
         """Whether more of the room may be used."""
         return (
             self.runs < _MAX_RUNS_PER_ROUND
@@ -114,6 +123,15 @@
         self.runs += runs
 
 
+@dataclass(frozen=True, slots=True)
+class _Pause:
+    """Time in which the room of a service is left to a step."""
+
+    step_id: StepId
+    start_ms: int
+    end_ms: int
+
+
 class IdleRoomMonitor:
     """Observes by service since when reservations alone keep room idle.
 
@@ -124,9 +142,9 @@
     def __init__(self) -> None:
         """Create a monitor that has observed nothing."""
         self._idle_since_ms: dict[str, int] = {}
-        self._held_until_ms: dict[str, int] = {}
+        self._pauses: dict[str, _Pause] = {}
 
-    def hold(self, service: str, now_ms: int, stop_ms: int) -> None:
+    def pause(self, entry: UnplacedStep, now_ms: int, stop_ms: int) -> None:
         """Leave the room of a service to a step for which runs stop now.
 
         Parameters
@@ -134,7 +152,20 @@
         stop_ms : int
             Longest time from the order to stop a run until the run has ended.
         """
-        self._held_until_ms[service] = now_ms + _STOP_TIME_MULTIPLE * stop_ms
+        self._pauses[entry.demand.service] = _Pause(
+            entry.step_id, now_ms, now_ms + _STOP_TIME_MULTIPLE * stop_ms
+        )
+
+    def extend_pause(self, entry: UnplacedStep, now_ms: int) -> None:
+        """Leave the room to the step while it waits for its stopping runs."""
+        service = entry.demand.service
+        pause = self._pauses.get(service)
+        if pause is None or pause.step_id != entry.step_id:
+            return
+        if now_ms < pause.start_ms + _MAX_PAUSE_MS:
+            self._pauses[service] = replace(
+                pause, end_ms=max(pause.end_ms, now_ms + 1)
+            )
 
     def find_due(
         self, pool: WorkerPool, unplaced: Iterable[UnplacedStep]
@@ -156,6 +187,10 @@
             if found is not None:
                 yield found
 
+    def _is_paused(self, service: str, now_ms: int) -> bool:
+        pause = self._pauses.get(service)
+        return pause is not None and now_ms < pause.end_ms
+
     def _review(
         self, pool: WorkerPool, service: str, entries: list[UnplacedStep]
     ) -> IdleRoom | None:
@@ -168,9 +203,7 @@
             return None
         since_ms = self._idle_since_ms.setdefault(service, pool.now_ms)
         idle_ms = pool.now_ms - since_ms
-        if idle_ms < _MAX_IDLE_MS or pool.now_ms < self._held_until_ms.get(
-            service, 0
-        ):
+        if idle_ms < _MAX_IDLE_MS or self._is_paused(service, pool.now_ms):
             return None
         holders = (entry.waiting.urgency for entry in entries if entry.reserves)
         steps.sort(key=_backfill_order)
@@ -232,7 +265,7 @@
             for minion_id, held in allocations.items()
         }
 
-    def unmark_entitled(self, unplaced: Iterable[UnplacedStep]) -> None:
+    def clear_marks(self, unplaced: Iterable[UnplacedStep]) -> None:
         """Unmark the runs that no waiting step comes before any more."""
         earliest: dict[str, Urgency] = {}
         for entry in unplaced:
--- a/dragonflynotch/workflows/placement/backfiller.py
+++ b/dragonflynotch/workflows/placement/backfiller.py
@@ -28,9 +28,13 @@
         self._decision_log = decision_log
         self._monitor = IdleRoomMonitor()
 
-    def hold(self, service: str, now_ms: int, stop_ms: int) -> None:
+    def pause(self, entry: UnplacedStep, now_ms: int, stop_ms: int) -> None:
         """Leave the room of a service to a step for which runs stop now."""
-        self._monitor.hold(service, now_ms, stop_ms)
+        self._monitor.pause(entry, now_ms, stop_ms)
+
+    def extend_pause(self, entry: UnplacedStep, now_ms: int) -> None:
+        """Leave the room to the step while it waits for its stopping runs."""
+        self._monitor.extend_pause(entry, now_ms)
 
     def fill(self, pool: WorkerPool, unplaced: Sequence[UnplacedStep]) -> None:
         """Order runs of waiting steps in room that has been idle too long."""
@@ -60,7 +64,7 @@
         """Order runs of a step while room is left; return their number."""
         demand, job = entry.backfill_demand, entry.waiting.job
         step = demand.step
-        if not room.is_left:
+        if not room.may_take_more:
             return 0
         if step.spec.is_gang:
             runs = len(step.tasks)
@@ -71,7 +75,7 @@
         step_tasks_by_minion = count_step_tasks(step)
         runs = 0
         for task in step.waiting_tasks:
-            if not room.is_left:
+            if not room.may_take_more:
                 break
             if self._run_orderer.place_task(
                 pool, demand, job, task, step_tasks_by_minion
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -117,7 +117,7 @@
         unplaced = self._place_by_urgency(
             pool, self._waiting_steps(ranking, wall_ms), allocations
         )
-        backfilled.unmark_entitled(unplaced)
+        backfilled.clear_marks(unplaced)
         if self._mechanisms.backfills:
             self._backfiller.fill(pool, unplaced)
 
@@ -138,23 +138,38 @@
             demand = self._demand(pool, waiting)
             if self._run_orderer.place_step(pool, demand, waiting.job):
                 continue
-            self._record_wait(pool, waiting, demand, allocations)
-            plan = self._room_maker.make_room(
-                pool, waiting, demand, allocations
+            entry = self._wait_for_room(
+                pool, waiting, demand, allocations, may_reserve=may_reserve
             )
-            stop_ms = self._room_maker.stop_ms
-            if plan.victims:
-                self._backfiller.hold(demand.service, pool.now_ms, stop_ms)
-            reserves = may_reserve or plan.will_fit
-            if reserves:
-                reserving_steps[service] += 1
-                expected = self._room_maker.backfilled.planned_stops(
-                    allocations, waiting.urgency, pool.now_ms + stop_ms
-                )
-                self._reserve(pool, demand, expected)
-            unplaced.append(UnplacedStep(waiting, demand, reserves))
+            unplaced.append(entry)
+            reserving_steps[service] += entry.reserves
         return unplaced
 
+    def _wait_for_room(
+        self,
+        pool: WorkerPool,
+        waiting: WaitingStep,
+        demand: Demand,
+        allocations: Allocations,
+        *,
+        may_reserve: bool,
+    ) -> UnplacedStep:
+        """Stop runs and reserve resources for a step that does not fit."""
+        self._record_wait(pool, waiting, demand, allocations)
+        plan = self._room_maker.make_room(pool, waiting, demand, allocations)
+        entry = UnplacedStep(waiting, demand, may_reserve or plan.will_fit)
+        stop_ms = self._room_maker.stop_ms
+        if any(run.is_backfill for run in plan.victims):
+            self._backfiller.pause(entry, pool.now_ms, stop_ms)
+        elif plan.will_fit:
+            self._backfiller.extend_pause(entry, pool.now_ms)
+        if entry.reserves:
+            expected = self._room_maker.backfilled.planned_stops(
+                allocations, waiting.urgency, pool.now_ms + stop_ms
+            )
+            self._reserve(pool, demand, expected)
+        return entry
+
     def _record_wait(
         self,
         pool: WorkerPool,
--- a/dragonflynotch/workflows/placement/pool_builder.py
+++ b/dragonflynotch/workflows/placement/pool_builder.py
@@ -77,7 +77,7 @@
                 minion_id: self._health.failed_job_count(minion_id, now_ms)
                 for minion_id in accepting
             }
-        trial_ages = self._health.trial_ages(excluded, now_ms)
+        due_trials = self._health.due_trials(excluded, now_ms)
         return WorkerPool(
             {
                 minion_id: accepting[minion_id]
@@ -91,8 +91,8 @@
                 minion_id: accepting[minion_id] for minion_id in excluded
             },
             trials=Trials(
-                {minion_id: accepting[minion_id] for minion_id in trial_ages},
-                trial_ages,
+                {minion_id: accepting[minion_id] for minion_id in due_trials},
+                due_trials,
             ),
             refused_needs=self._refusals.refused_needs(now_ms),
         )
--- a/dragonflynotch/workflows/placement/trials.py
+++ b/dragonflynotch/workflows/placement/trials.py
@@ -1,6 +1,6 @@
-"""Single runs on excluded workers, which show whether they have recovered.
+"""Single starts on excluded workers, which show whether they have recovered.
 
-Load: runs failed on some workers for a time, which are sound again, and what
+Load: runs failed on some workers for a time, these have recovered, and what
 waits fits nowhere else. Without trials they stay idle until their exclusion
 ends.
 """
@@ -23,17 +23,17 @@
     ----------
     workers : mapping of str to Worker
         These workers, by minion.
-    ages : mapping of str to int
+    failure_ages_ms : mapping of str to int
         Time since the last failure there in milliseconds, by minion.
     started : set of str
         Minions that were tried in the round.
     """
 
     workers: Mapping[str, Worker] = field(default_factory=dict)
-    ages: Mapping[str, int] = field(default_factory=dict)
+    failure_ages_ms: Mapping[str, int] = field(default_factory=dict)
     started: set[str] = field(default_factory=set)
 
-    def due(self) -> list[Worker]:
+    def untried(self) -> list[Worker]:
         """Return the workers that have not been tried in the round."""
         return [
             worker
@@ -57,6 +57,6 @@
             return set()
         return {
             minion_id
-            for minion_id, age_ms in self.ages.items()
+            for minion_id, age_ms in self.failure_ages_ms.items()
             if age_ms < FAILURE_WINDOW_MS
         }
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -169,7 +169,7 @@
         return sum(
             (
                 self.free[worker.minion_id].without_deficits()
-                for worker in self.trials.due()
+                for worker in self.trials.untried()
             ),
             Resources(),
         )
@@ -212,7 +212,7 @@
         """Return the workers that the tasks may run on if they have room."""
         workers = list(self.workers.values())
         if demand.uses_idle_room:
-            workers.extend(self.trials.due())
+            workers.extend(self.trials.untried())
         return [
             worker
             for worker in workers
--- a/dragonflynotch/workflows/runs/worker_health.py
+++ b/dragonflynotch/workflows/runs/worker_health.py
@@ -46,8 +46,8 @@
     The failures of one job on a worker count once. A worker on which several
     jobs fail in a row is excluded for some time and then used again. If runs
     that start there afterwards fail too, it is excluded for twice as long, up
-    to a limit, until a run succeeds. While there is work that only excluded
-    workers have room for, single runs try whether they have recovered.
+    to a limit, until a run succeeds. While much of the capacity is idle, single
+    starts try whether it has recovered.
     """
 
     def __init__(self) -> None:
@@ -120,7 +120,7 @@
         """Record that a run was ordered on an excluded worker."""
         self._records[minion_id].last_trial_ms = now_ms
 
-    def trial_ages(
+    def due_trials(
         self, minion_ids: Iterable[str], now_ms: int
     ) -> dict[str, int]:
         """Return the time since the last failure on excluded workers.
