Let the odd reports of a test name no ready worker

test_odd_rows_do_not_prevent_a_takeover failed in each run beside other load, on its own branch too. job_idle showed why: the reports with odd task names are well-formed otherwise, and described a ready worker with room and authority for 10^9 s, which does not exist. The scheduler gave it the runs of the job, as it must, and the job waited for it. Whether the real workers came first was chance.

These reports now say that the worker is not ready. What the test asserts is unchanged: odd rows of every kind are there before, during and after a takeover, both jobs complete, and no process has ended.

--- a/tests/control/test_odd_rows.py
+++ b/tests/control/test_odd_rows.py
@@ -94,11 +94,13 @@
     yield with_fields(REPORT, capacity=b'[1,1,1025]')
     for minion_id in ('a/b', 'x' * 200, '\0', ' '):
         yield encode_row(msgspec.structs.replace(REPORT, minion_id=minion_id))
-    # These can be decoded; what they name does not exist.
+    # These can be decoded; what they name does not exist. A worker that is
+    # ready would get runs, as any other.
     for task in ODD_TASKS:
         yield encode_row(
             msgspec.structs.replace(
                 REPORT,
+                is_ready=False,
                 running=[RunningTask(task, 1, 'c', 1)],
                 abandoned=[RunningTask(task, 1, 'c', 1)],
                 ended=[RunEnd(1, task, 1, EndKind.done, '')],
