End the avoidance of workers after a failure in core

What callers felt: a job that had failed once on an otherwise empty worker waited beside it for as long as the other workers were busy, 24 h in the test.

Cause: the workers on which a job has failed were avoided until the job ended. The quarantine of a worker also set the avoided workers of its jobs anew from all their failures.

Ruled out: a stored field. The avoided workers are not stored, and a new owner starts without them; failed_workers still counts distinct workers for bad jobs.

Change: avoidance_period of the policy, 5 min, half of the quarantine, which takes failures of three jobs. It counts from the retry after the latest failure, because the last retries are delayed by up to 10 min 40 s and must still go elsewhere. It ends at a deadline of the partition, so a waiting job is tried again at once. A quarantine only removes its worker from those avoided.

Evidence: both new tests fail before the change, the second one also with the deadline but with the former handling of the quarantine.

--- a/dragonflynotch/core/deadline_handlers.py
+++ b/dragonflynotch/core/deadline_handlers.py
@@ -60,6 +60,7 @@
             DeadlineKind.takeover: self._end_takeover_lease,
             DeadlineKind.guarantees: self._place_guarantees,
             DeadlineKind.readmission: failure_tracker.readmit,
+            DeadlineKind.avoidance: failure_tracker.end_avoidance,
             DeadlineKind.retry: self._retry,
             DeadlineKind.reservation: self._handle_reservation,
         }
--- a/dragonflynotch/core/deadlines.py
+++ b/dragonflynotch/core/deadlines.py
@@ -29,6 +29,8 @@
         A reservation is due, or the next search for one.
     readmission
         The quarantine of a worker ends.
+    avoidance
+        A job may be placed again on the workers on which it failed.
     guarantees
         The next search for places for guarantees is due.
     retry
@@ -44,6 +46,7 @@
     cooldown = 'cooldown'
     reservation = 'reservation'
     readmission = 'readmission'
+    avoidance = 'avoidance'
     guarantees = 'guarantees'
     retry = 'retry'
 
--- a/dragonflynotch/core/failure_tracker.py
+++ b/dragonflynotch/core/failure_tracker.py
@@ -120,6 +120,12 @@
             self._state.emit(ReadmitWorker(worker_id))
             self._fleet.end_quarantine(worker)
 
+    def end_avoidance(self, job_id: str) -> None:
+        """Let a job be placed again on the workers on which it failed."""
+        job = self._state.jobs.get(job_id)
+        if job is not None:
+            self._state.set_avoided_workers(job, frozenset())
+
     def _has_just_started(self, gang: Gang) -> bool:
         return (
             gang.started_at is None
@@ -136,9 +142,20 @@
         avoided = frozenset(failed_on)
         if not self._can_avoid(job.spec, avoided):
             avoided = frozenset()
-        self._state.set_avoided_workers(updated, avoided)
+        self._avoid_workers(updated, avoided)
         return updated
 
+    def _avoid_workers(self, job: Job, worker_ids: frozenset[str]) -> None:
+        """Avoid workers for some time from the next retry of a job on."""
+        self._state.set_avoided_workers(job, worker_ids)
+        policy = self._state.policy
+        self._state.timers.set(
+            Deadline(DeadlineKind.avoidance, job.job_id),
+            self._state.now
+            + policy.retry_after(job.failures)
+            + policy.avoidance_period,
+        )
+
     def _can_avoid(self, spec: JobSpec, avoided: frozenset[str]) -> bool:
         """Return whether a job could run without the workers to avoid.
 
@@ -168,7 +185,8 @@
             )
             cleared = replace(job, failed_workers=others, failures=len(others))
             self._state.jobs[job_id] = cleared
-            self._state.set_avoided_workers(cleared, frozenset(others))
+            avoided = self._state.avoided_workers.get(job_id, frozenset())
+            self._state.set_avoided_workers(cleared, avoided - {worker_id})
 
     def _quarantine(self, worker_id: str) -> None:
         """Quarantine a worker, unless too many are in quarantine already.
--- a/dragonflynotch/core/policy.py
+++ b/dragonflynotch/core/policy.py
@@ -36,6 +36,11 @@
         in quarantine.
     quarantine_period : timedelta
         Time after which a worker leaves quarantine.
+    avoidance_period : timedelta
+        Time for which a job avoids the workers on which it has failed,
+        counted from its retry after the latest failure. Shorter than
+        ``quarantine_period``, because the failure of a single job says less
+        about a worker than those of several.
     bad_job_min_workers : int
         Number of distinct workers on which a job must fail before the job is
         held responsible and fails.
@@ -62,6 +67,7 @@
     max_quarantined_fraction: float = 0.2
     quarantine_min_jobs: int = 3
     quarantine_period: timedelta = timedelta(minutes=10)
+    avoidance_period: timedelta = timedelta(minutes=5)
     bad_job_min_workers: int = 4
     max_failures: int = 8
     first_retry_delay: timedelta = timedelta(seconds=20)
--- a/dragonflynotch/core/state.py
+++ b/dragonflynotch/core/state.py
@@ -7,6 +7,7 @@
 from math import inf
 
 from dragonflynotch.core.actions import Action, WriteJob
+from dragonflynotch.core.deadlines import Deadline, DeadlineKind
 from dragonflynotch.core.gangs import Gang
 from dragonflynotch.core.inventory import Allocation, Inventory
 from dragonflynotch.core.jobs import Job
@@ -119,6 +120,7 @@
         if job.state.is_final:
             self.jobs.pop(job.job_id, None)
             self.avoided_workers.pop(job.job_id, None)
+            self.timers.cancel(Deadline(DeadlineKind.avoidance, job.job_id))
         else:
             self.jobs[job.job_id] = job
         self.emit(WriteJob(job))
--- a/tests/core/test_failure_tracker.py
+++ b/tests/core/test_failure_tracker.py
@@ -19,9 +19,11 @@
     MemberState,
     WorkerReported,
 )
+from dragonflynotch.core.policy import PolicySettings
 from dragonflynotch.core.shapes import Proximity, Shape
 from tests.core.driver import Driver, make_worker
 
+AVOIDANCE_PERIOD = PolicySettings().avoidance_period
 WORKERS = [make_worker(number, rack=number // 3) for number in range(11)]
 
 
@@ -44,6 +46,11 @@
     return worker_id
 
 
+def fail_new(driver, job_id):
+    driver.submit(job_id, 8, Proximity.worker)
+    return fail(driver, job_id)
+
+
 def fail_on(driver, worker_id, job_id, event=MemberFailed, accelerators=8):
     """Submit jobs until one is placed on the worker, and let that one fail."""
     driver.submit(job_id, accelerators, Proximity.worker)
@@ -187,6 +194,38 @@
     assert driver.state('firm') == 'running'
 
 
+def test_failed_job_does_not_wait_for_ever_beside_an_idle_worker():
+    """Guards against avoiding the only free worker without a time limit."""
+    driver = Driver(WORKERS[:2])
+    driver.submit('other', 8, Proximity.worker, is_checkpointable=False)
+    driver.submit('a', 8, Proximity.worker)
+    worker_id = fail(driver, 'a')
+    driver.advance(AVOIDANCE_PERIOD - timedelta(seconds=1))
+    assert driver.state('a') == 'waiting'
+    driver.advance(timedelta(seconds=1))
+    assert driver.state('a') == 'running'
+    assert driver.records['a'].members[0].worker_id == worker_id
+
+
+def test_quarantine_of_a_worker_does_not_renew_an_avoidance():
+    """Guards against avoiding workers again because another one is bad."""
+    driver = Driver(WORKERS[:5])
+    for number in range(3):
+        driver.submit(
+            f'other-{number}', 8, Proximity.worker, is_checkpointable=False
+        )
+    driver.submit('a', 8, Proximity.worker)
+    failed_on = {fail(driver, 'a'), fail(driver, 'a')}
+    driver.advance(AVOIDANCE_PERIOD + timedelta(minutes=1))
+    worker_id = driver.records['a'].members[0].worker_id
+    bad_workers = {fail_new(driver, name) for name in 'bc'}
+    assert failed_on == {worker_id, *bad_workers}
+    assert actions_of_type(driver, QuarantineWorker)
+    restart_worker(driver, worker_id)
+    driver.advance(timedelta(minutes=1))
+    assert driver.state('a') == 'running'
+
+
 def test_retries_of_a_failed_job_are_spread_over_time():
     """Guards against failing a job for good within minutes."""
     driver = Driver(WORKERS[:1])
