Count only requests sent after an ejection as its probe

What callers felt: an ejected minion that had recovered stayed without requests for up to twice as long (at most 2 min), because a request from before the ejection failed late, while the probe ran. The success of the probe was ignored.

Cause: an outcome was taken for that of the probe whenever a probe was under way, although several older requests may still run. So one burst of failures was counted again: it prolonged the ejection, or ejected the member once more after its readmission. An old success readmitted it in the same way.

Change: outcomes carry the time at which the target was assigned to the request. Those from before the latest ejection are ignored, also after the readmission, as WorkerHealth does for runs. The time is that of the assignment, not of the handover, because the claim of an attempt is written in between.

Evidence: with the former code and its signatures three tests fail: the two new ones of the ejection, and the one of late successes, which now also sends one while a probe is under way. The test of the request path fails if the time of the outcome is passed instead. The other tests of the ejection only pass the new argument. python -m pytest tests/core tests/entry tests/guard tests/cli: 465 passed, 1 xpassed (a listed test).

Not covered by a test: the time passed by the runner of non-idempotent requests.

--- a/dragonflynotch/core/ejection.py
+++ b/dragonflynotch/core/ejection.py
@@ -3,7 +3,8 @@
 A member of the routing table is a minion behind its guard, identified by the
 guard. An ejected member receives no requests until its ejection has ended; then
 a single request is sent as a probe. Success readmits the member, failure ejects
-it for longer.
+it for longer. Requests that were sent before an ejection began show nothing
+about the member since then, so their outcomes are ignored.
 """
 
 from collections.abc import Set
@@ -46,9 +47,15 @@
 class _MemberState:
     failures: int = 0
     ejections: int = 0
+    # Start of the latest ejection, kept after a readmission.
+    ejected_at: datetime | None = None
     ejected_until: datetime | None = None
     probe_started_at: datetime | None = None
 
+    def precedes_ejection(self, sent_at: datetime) -> bool:
+        """Return whether a request was sent before the latest ejection."""
+        return self.ejected_at is not None and sent_at <= self.ejected_at
+
 
 _INITIAL_STATE = _MemberState()
 # Another probe is allowed after this time, because a probe may end without a
@@ -88,24 +95,35 @@
             self._state_of(guard_id), probe_started_at=now
         )
 
-    def record_success(self, guard_id: str) -> None:
+    def record_success(self, guard_id: str, sent_at: datetime) -> None:
         """Reset the failures of the member, and readmit it after a probe.
 
-        While a member is ejected and no probe was sent, a success can only be
-        that of an older request and is ignored.
+        Parameters
+        ----------
+        guard_id : str
+            Member that answered.
+        sent_at : datetime
+            When the request was sent.
         """
         state = self._state_of(guard_id)
-        is_probe = state.probe_started_at is not None
-        if state.ejected_until is not None and not is_probe:
+        if state.precedes_ejection(sent_at):
             return
         # A readmission keeps the number of ejections, so that a member that
         # fails again is ejected for longer. Each further success halves it.
-        ejections = state.ejections if is_probe else state.ejections // 2
-        self._states[guard_id] = _MemberState(ejections=ejections)
+        ejections = state.ejections
+        if state.ejected_until is None:
+            ejections //= 2
+        self._states[guard_id] = _MemberState(
+            ejections=ejections, ejected_at=state.ejected_at
+        )
         self._ejected.discard(guard_id)
 
     def record_failure(
-        self, guard_id: str, now: datetime, members: Set[str]
+        self,
+        guard_id: str,
+        sent_at: datetime,
+        now: datetime,
+        members: Set[str],
     ) -> bool:
         """Count a failure and return whether the member is ejected for it.
 
@@ -113,18 +131,21 @@
         ----------
         guard_id : str
             Member that failed.
+        sent_at : datetime
+            When the request was sent.
         now : datetime
             Current time.
         members : set of str
             All live members, for the limit on the ejected share.
         """
         state = self._state_of(guard_id)
+        if state.precedes_ejection(sent_at):
+            return False
         state = replace(state, failures=state.failures + 1)
         self._states[guard_id] = state
-        if state.ejected_until is not None:
-            is_ejecting = state.probe_started_at is not None
-        else:
-            is_ejecting = self._is_ejectable(guard_id, state, members)
+        is_ejecting = state.ejected_until is not None or self._is_ejectable(
+            guard_id, state, members
+        )
         if is_ejecting:
             self._eject(guard_id, state, now)
         return is_ejecting
@@ -156,6 +177,7 @@
         ejections = state.ejections + 1
         self._states[guard_id] = _MemberState(
             ejections=ejections,
+            ejected_at=now,
             ejected_until=now + self._policy.ejection_duration(ejections),
         )
         self._ejected.add(guard_id)
--- a/dragonflynotch/core/routing.py
+++ b/dragonflynotch/core/routing.py
@@ -221,17 +221,21 @@
         else:
             member.target = replace(member.target, is_ready=False)
 
-    def record_success(self, target: Target) -> None:
-        """Record a complete answer of the target's minion."""
+    def record_success(self, target: Target, sent_at: datetime) -> None:
+        """Record a complete answer to a request that was sent at a time."""
         if self._find_current(target) is not None:
-            self._ejector.record_success(target.guard_id)
+            self._ejector.record_success(target.guard_id, sent_at)
 
-    def record_failure(self, target: Target, now: datetime) -> bool:
+    def record_failure(
+        self, target: Target, sent_at: datetime, now: datetime
+    ) -> bool:
         """Record a failure and return whether the target is now ejected."""
         if self._find_current(target) is None:
             return False
         members = {live.guard_id for live in self.live_targets(now)}
-        return self._ejector.record_failure(target.guard_id, now, members)
+        return self._ejector.record_failure(
+            target.guard_id, sent_at, now, members
+        )
 
     def is_ejected(self, guard_id: str) -> bool:
         """Return whether a member receives no requests except probes."""
--- a/dragonflynotch/entry/requests/at_most_once.py
+++ b/dragonflynotch/entry/requests/at_most_once.py
@@ -220,6 +220,8 @@
             if current.row is not None:
                 await self._ledger.delete(current)
             return target
+        # The write of the claim takes time in which the target may be ejected.
+        assigned_at = self._clock.now()
         try:
             claimed = await self._write_claim(call, current, attempt, target)
             if not isinstance(claimed, VersionedRow):
@@ -232,7 +234,7 @@
             )
         finally:
             self._queue.release(target)
-        self._attempts.record(target, outcome)
+        self._attempts.record(target, outcome, assigned_at)
         return await self._act_on_attempt(call, claimed, target, outcome)
 
     async def _write_claim(
--- a/dragonflynotch/entry/requests/attempts.py
+++ b/dragonflynotch/entry/requests/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 from contextlib import suppress
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from dragonflynotch.core.clock import Clock
 from dragonflynotch.core.errors import LinkError, NotSentError
@@ -145,19 +145,31 @@
         except (LinkError, TimeoutError):
             return GuardNotReachable()
 
-    def record(self, target: Target, outcome: AttemptOutcome) -> None:
-        """Report an outcome to the routing table once the slot is released."""
+    def record(
+        self, target: Target, outcome: AttemptOutcome, sent_at: datetime
+    ) -> None:
+        """Report an outcome to the routing table once the slot is released.
+
+        Parameters
+        ----------
+        target : Target
+            Target of the attempt.
+        outcome : AttemptOutcome
+            Outcome of the attempt.
+        sent_at : datetime
+            When the target was assigned to the attempt.
+        """
         match outcome:
             case Succeeded():
-                self._routing.record_success(target)
+                self._routing.record_success(target, sent_at)
             case ProvenNotRun(reason) if reason == _MINION_UNREACHABLE:
-                self._routing.record_failure(target, self._clock.now())
+                self._routing.record_failure(target, sent_at, self._clock.now())
             case ProvenNotRun(reason) if reason not in _HEALTH_NEUTRAL_REASONS:
                 self._routing.record_refusal(
                     target, is_full=reason == _NO_FREE_SLOT
                 )
             case OutcomeUnknown():
-                self._routing.record_failure(target, self._clock.now())
+                self._routing.record_failure(target, sent_at, self._clock.now())
 
     async def _wait_with_checks(
         self,
--- a/dragonflynotch/entry/requests/idempotent.py
+++ b/dragonflynotch/entry/requests/idempotent.py
@@ -107,11 +107,12 @@
     async def _attempt(
         self, target: Target, request: Request, attempt_number: int
     ) -> AttemptOutcome:
-        now = self._clock.now()
+        sent_at = self._clock.now()
         attempt_time = max(
-            (request.deadline - now) * _ATTEMPT_TIME_SHARE, _MIN_ATTEMPT_TIME
+            (request.deadline - sent_at) * _ATTEMPT_TIME_SHARE,
+            _MIN_ATTEMPT_TIME,
         )
-        deadline = min(request.deadline, now + attempt_time)
+        deadline = min(request.deadline, sent_at + attempt_time)
         try:
             outcome = await self._attempts.run(
                 target,
@@ -121,7 +122,7 @@
             )
         finally:
             self._queue.release(target)
-        self._attempts.record(target, outcome)
+        self._attempts.record(target, outcome, sent_at)
         return outcome
 
     def _retry_refusal(
--- a/tests/core/test_ejection.py
+++ b/tests/core/test_ejection.py
@@ -9,12 +9,13 @@
 
 NOW = ManualClock().now()
 MEMBERS = frozenset(f'guard-{number}' for number in range(10))
+SENT_EARLIER = NOW - timedelta(seconds=1)
 BASE_DURATION = EjectionPolicy().base_duration
 
 
 def eject(ejector, guard_id, now=NOW, members=MEMBERS):
     return [
-        ejector.record_failure(guard_id, now, members) for _ in range(5)
+        ejector.record_failure(guard_id, now, now, members) for _ in range(5)
     ].pop()
 
 
@@ -27,8 +28,8 @@
     """Guards against ejecting a minion for the bad requests of one caller."""
     ejector = OutlierEjector()
     for _ in range(20):
-        ejector.record_failure('guard-1', NOW, MEMBERS)
-        ejector.record_success('guard-1')
+        ejector.record_failure('guard-1', NOW, NOW, MEMBERS)
+        ejector.record_success('guard-1', NOW)
     assert not ejector.is_ejected('guard-1')
 
 
@@ -56,7 +57,7 @@
         assert ejector.may_probe('guard-1', due)
         ejector.start_probe('guard-1', due)
         assert not ejector.may_probe('guard-1', due)
-        ejector.record_failure('guard-1', due, MEMBERS)
+        ejector.record_failure('guard-1', due, due, MEMBERS)
         now = due
 
 
@@ -64,8 +65,9 @@
     """Guards against leaving a recovered minion ejected."""
     ejector = OutlierEjector()
     eject(ejector, 'guard-1')
-    ejector.start_probe('guard-1', NOW + BASE_DURATION)
-    ejector.record_success('guard-1')
+    due = NOW + BASE_DURATION
+    ejector.start_probe('guard-1', due)
+    ejector.record_success('guard-1', due)
     assert not ejector.is_ejected('guard-1')
 
 
@@ -73,5 +75,31 @@
     """Guards against readmission by a request sent before the ejection."""
     ejector = OutlierEjector()
     eject(ejector, 'guard-1')
-    ejector.record_success('guard-1')
+    ejector.record_success('guard-1', SENT_EARLIER)
+    ejector.start_probe('guard-1', NOW + BASE_DURATION)
+    ejector.record_success('guard-1', SENT_EARLIER)
     assert ejector.is_ejected('guard-1')
+
+
+def test_late_failure_of_an_old_request_does_not_fail_the_probe():
+    """Guards against a longer ejection for requests from before it."""
+    ejector = OutlierEjector()
+    eject(ejector, 'guard-1')
+    due = NOW + BASE_DURATION
+    ejector.start_probe('guard-1', due)
+    late = due + timedelta(milliseconds=1)
+    assert not ejector.record_failure('guard-1', SENT_EARLIER, late, MEMBERS)
+    ejector.record_success('guard-1', due)
+    assert not ejector.is_ejected('guard-1')
+
+
+def test_late_failures_of_old_requests_do_not_eject_again():
+    """Guards against a second ejection for requests from before the first."""
+    ejector = OutlierEjector()
+    eject(ejector, 'guard-1')
+    due = NOW + BASE_DURATION
+    ejector.start_probe('guard-1', due)
+    ejector.record_success('guard-1', due)
+    for _ in range(5):
+        ejector.record_failure('guard-1', SENT_EARLIER, due, MEMBERS)
+    assert not ejector.is_ejected('guard-1')
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -115,7 +115,7 @@
     for _ in range(5):
         routing.observe(TARGET)
         routing.observe(other)
-        routing.record_failure(TARGET, CLOCK.now())
+        routing.record_failure(TARGET, CLOCK.now(), CLOCK.now())
     assert routing.is_ejected('guard-1')
     due = CLOCK.now() + timedelta(seconds=2.1)
     assert routing.choose(due) == other
--- a/tests/entry/requests/test_requests.py
+++ b/tests/entry/requests/test_requests.py
@@ -139,6 +139,38 @@
     assert len(link.calls) > len(outcomes)
 
 
+class EjectingLink(FailingLink):
+    """Lets a target be ejected while an attempt runs there, then fails it."""
+
+    def __init__(self, harness, healthy):
+        super().__init__(healthy)
+        self._harness = harness
+        self.ejected_at = None
+
+    async def run(self, target, *args, **options):
+        if target.guard_id != self._healthy:
+            clock = self._harness.clock
+            clock.advance(timedelta(milliseconds=1))
+            self.ejected_at = clock.now()
+            for _ in range(5):
+                self._harness.routing.record_failure(
+                    target, self.ejected_at, self.ejected_at
+                )
+            clock.advance(timedelta(milliseconds=1))
+        return await super().run(target, *args, **options)
+
+
+async def test_attempt_from_before_an_ejection_does_not_prolong_it():
+    """Guards against outcomes that carry the time of their end."""
+    harness = QueueHarness(guards=2, slots=8)
+    link = EjectingLink(harness, healthy='guard-1')
+    while 'guard-0' not in link.calls:
+        await run_idempotent(harness, link)
+    due = link.ejected_at + timedelta(seconds=2)
+    probe = harness.routing.choose(due, is_idempotent=True)
+    assert probe.guard_id == 'guard-0'
+
+
 async def test_retries_stay_within_the_budget():
     """Guards against retries that multiply the load during an outage."""
     harness = QueueHarness(guards=10, slots=200)
