Count the tasks of a step in one place, and correct two comments

step_room repeated count_step_tasks, and said that the other tasks of a step wait for its first one, which is no longer so. No decision changes; tests/workflows, tests/core and tests/entry pass.

--- a/dragonflynotch/workflows/placement/step_room.py
+++ b/dragonflynotch/workflows/placement/step_room.py
@@ -15,6 +15,7 @@
     Demand,
     Reservation,
     WorkerPool,
+    count_step_tasks,
 )
 from dragonflynotch.workflows.placement.workers import Allocation, Worker
 from dragonflynotch.workflows.resources import Resources
@@ -170,11 +171,9 @@
         step = demand.step
         self._needs = step.spec.needs
         self._limit = step.spec.max_per_worker or len(step.tasks)
-        self._step_tasks_by_minion = Counter(
-            task.active.minion_id for task in step.tasks if task.active
-        )
+        self._step_tasks_by_minion = count_step_tasks(step)
         waiting = step.waiting_tasks
-        # Other tasks wait until the first one has been placed.
+        # Restrictions are those of the first task; others may have fewer.
         first = waiting if step.spec.is_gang else waiting[:1]
         self._kept_apart = avoided_starts(pool, demand, first)
         self._avoided = demand.avoided_minions
