Word comments of backfill, idle jobs and room plainly

Corrects statements that the code has outgrown: idle room also counts room on excluded workers, a pause lasts until the stopping runs have ended, up to 10 s, and a failure on an excluded worker also prolongs the exclusion. Private names that needed explaining are replaced (_Hindrance, _look, _MANY, followed jobs).

No behaviour changes.

--- a/benchmarks/site_days/idle_jobs.py
+++ b/benchmarks/site_days/idle_jobs.py
@@ -1,4 +1,4 @@
-"""Times in which a job had nothing at work though it could have run.
+"""Time intervals in which a job had no run although it could have had one.
 
 Lists, from the logs of a play, each stretch of time in which the turn of one
 of a job's tasks had come and no run of the job was at work, with the room that
@@ -36,7 +36,8 @@
 # How long a job may wait then.
 _MAX_WAIT_S = 3.0
 _NEVER = float('inf')
-_MANY = 1_000_000
+# More tasks than fit into any fleet.
+_MAX_FIT_COUNT = 1_000_000
 _COLUMNS = (
     'job',
     'step',
@@ -70,13 +71,13 @@
 
 @dataclass(slots=True)
 class _Span:
-    """Longest time on end in which something held."""
+    """Longest interval in which a condition held without a break."""
 
     longest_s: float = 0
     began_s: float | None = None
 
     def update(self, at_s: float, *, holds: bool) -> None:
-        """Note whether it holds from now on."""
+        """Record whether the condition holds from this time on."""
         if self.began_s is not None:
             self.longest_s = max(self.longest_s, at_s - self.began_s)
         if not holds:
@@ -87,7 +88,7 @@
 
 @dataclass(slots=True)
 class UnusedSpans:
-    """Longest times on end with room for a task twice and little use.
+    """Longest intervals with room for a task twice and little use.
 
     Which resource the users count is not known, so each is followed.
 
@@ -114,7 +115,7 @@
         )
 
     def update(self, at_s: float, use: Use, *, could_run: bool) -> None:
-        """Note the use from now on."""
+        """Record the use from this time on."""
         for span, share in (
             (self.every, use.most),
             (self.cores, use.cores),
@@ -156,7 +157,7 @@
     ended_s: float = _NEVER
     least: Use = field(default_factory=Use)
     highest: float = 0
-    fewest_fit: int = _MANY
+    fewest_fit: int = _MAX_FIT_COUNT
     unused: UnusedSpans = field(default_factory=UnusedSpans)
     last_wait: LogEntry | None = None
     causes: set[str] = field(default_factory=set)
@@ -234,33 +235,33 @@
         self._now_s = -_NEVER
 
     def apply(self, at_s: float, entry: LogEntry) -> None:
-        """Apply an entry, and look at all jobs when time has passed."""
+        """Apply an entry, and review all jobs when time has passed."""
         has_passed = at_s > self._now_s
         if has_passed and self._now_s >= self._from_s:
-            self._look()
+            self._review()
         self._now_s = at_s
         if entry.event == 'step_waits':
             self._last_wait[entry.job, entry.step] = entry
         elif entry.event == 'run_lost':
-            self._note(entry.task, f'run lost: {entry.reason}')
+            self._add_cause(entry.task, f'run lost: {entry.reason}')
         elif entry.event == 'start_order':
-            self._note(entry.task, f'start: {entry.outcome}')
+            self._add_cause(entry.task, f'start: {entry.outcome}')
         self._fleet.apply(at_s, entry)
 
     def finish(self) -> list[IdleStretch]:
         """Return all stretches; those that are left end with the log."""
-        self._look()
+        self._review()
         for key in list(self._open):
             self._close(key)
         return self._closed
 
-    def _note(self, task: str, cause: str) -> None:
+    def _add_cause(self, task: str, cause: str) -> None:
         job_id, _, rest = task.partition('.')
         stretch = self._open.get((job_id, int(rest.split('.')[1])))
         if stretch is not None:
             stretch.causes.add(cause)
 
-    def _look(self) -> None:
+    def _review(self) -> None:
         idle = dict(self._idle_jobs())
         for key in self._open.keys() - idle.keys():
             self._close(key)
--- a/benchmarks/workflows/loads.py
+++ b/benchmarks/workflows/loads.py
@@ -226,7 +226,7 @@
         {'urgent': 0.4, 'normal': 0.1, 'batch': 0.12},
         departures=Departures(1, 3_000, 1_200, 3_000, 8_000, 1_000),
     ),
-    # Gangs of most workers wait for late runs and reserve what is free.
+    # Gangs that need most workers wait for late runs and reserve what is free.
     'idle reservations': LoadPattern(
         _WIDE_ON_FEW_WORKERS, 11, 32, 3, {'normal': 0.1, 'batch': 0.3}
     ),
--- a/dragonflynotch/links/http11.py
+++ b/dragonflynotch/links/http11.py
@@ -29,8 +29,8 @@
 _READ_BYTES = 65_536
 # Above the largest page of rows that the platform's store returns.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
-# Raised for an address that cannot be used, such as a port out of range
-# (``OverflowError``) or a malformed host name (``ValueError``).
+# Raised if the connection fails (``OSError``), for a port out of range
+# (``OverflowError``) and for a malformed host name (``ValueError``).
 _CONNECT_ERRORS = (OSError, OverflowError, ValueError)
 
 
--- a/dragonflynotch/workflows/jobs.py
+++ b/dragonflynotch/workflows/jobs.py
@@ -26,6 +26,7 @@
     'parse_task_id',
 )
 
+# The digits are limited because ``int`` refuses long numbers.
 _TASK_ID = re.compile(r'([^.]+)\.(\d{1,9})\.(\d{1,9})\.(\d{1,9})', re.ASCII)
 _JOB_ID = re.compile('[0-9A-Za-z_-]{1,64}')
 # Each task is kept in memory and in the row of the job's progress.
--- a/dragonflynotch/workflows/mechanisms.py
+++ b/dragonflynotch/workflows/mechanisms.py
@@ -26,7 +26,8 @@
     reserves : bool
         Steps that do not fit reserve resources; shorter runs may use them.
     backfills : bool
-        Less urgent steps use room that reservations keep idle for too long.
+        Later steps use room that reservations or exclusions of workers keep
+        idle for too long.
     waits_for_rack : bool
         Tasks wait for the rack of their data, and gangs for one rack.
     prefers_sound_workers : bool
--- a/dragonflynotch/workflows/ordering/idle_causes.py
+++ b/dragonflynotch/workflows/ordering/idle_causes.py
@@ -39,13 +39,13 @@
     order_unreported = 'order_unreported'
     # A run is ordered to stop, and its end has not been recorded.
     order_stopping = 'order_stopping'
-    # Only some members of a gang are ordered; it starts again once they ended.
+    # Only some members of a gang are ordered; it restarts once they end.
     gang_incomplete = 'gang_incomplete'
     # The last report no longer lists the run; its end has not been recorded.
     end_not_recorded = 'end_not_recorded'
     # The run was listed by a report that is too old to rely on.
     report_outdated = 'report_outdated'
-    # The job has not been looked at.
+    # The cause has not been determined yet.
     unknown = 'unknown'
 
 
@@ -172,7 +172,7 @@
 
 
 def _cause_of_wait(room: StepRoom) -> IdleCause:
-    """Return the cause that keeps most room from the step."""
+    """Return the cause for which most of the room may not be used."""
     if room.fit_empty < room.wanted:
         return IdleCause.no_candidates
     if room.fit_now >= room.wanted:
--- a/dragonflynotch/workflows/ordering/idle_log.py
+++ b/dragonflynotch/workflows/ordering/idle_log.py
@@ -39,8 +39,8 @@
 _REVIEW_INTERVAL_MS = 500
 # Most entries of one review. Jobs without an entry for longest come first.
 _MAX_ENTRIES = 50
-# Most jobs of one review that are followed until something of them runs.
-_MAX_FOLLOWED_JOBS = 10_000
+# Most idle jobs that are tracked at a time, which bounds the memory.
+_MAX_TRACKED_JOBS = 10_000
 # Most steps that an entry names.
 _MAX_NAMED_STEPS = 3
 # Decimal places of shares in entries.
@@ -153,7 +153,7 @@
             self._review.rooms[step.step_id] = room
 
     def review(self, inputs: RoundInputs) -> None:
-        """Record the idle jobs, and those that no longer are."""
+        """Record which jobs are idle, and the ends of recorded idle times."""
         if self._review is None:
             return
         now_ms = inputs.pool.now_ms
@@ -165,14 +165,14 @@
             inputs.pool, self._orders, reported
         )
         idle = self._find_idle(inputs.wall_ms, reported)
-        self._forget_others(idle, now_ms)
-        self._follow(idle, now_ms)
+        self._untrack_others(idle, now_ms)
+        self._track(idle, now_ms)
         for job_id in sorted(self._review.job_ids & idle.keys()):
             self._record(idle[job_id], inputs, reported, self._review.rooms)
         self._idle_counts = Counter(
-            followed.cause
-            for followed in self._idle_jobs.values()
-            if now_ms - followed.since_ms >= _MIN_IDLE_MS
+            tracked.cause
+            for tracked in self._idle_jobs.values()
+            if now_ms - tracked.since_ms >= _MIN_IDLE_MS
         )
 
     def _find_idle(
@@ -185,14 +185,14 @@
             and any(_due_steps(job, wall_ms))
         }
 
-    def _follow(self, idle: Iterable[str], now_ms: int) -> None:
+    def _track(self, idle: Iterable[str], now_ms: int) -> None:
         for job_id in idle:
-            if len(self._idle_jobs) >= _MAX_FOLLOWED_JOBS:
+            if len(self._idle_jobs) >= _MAX_TRACKED_JOBS:
                 return
             self._idle_jobs.setdefault(job_id, _IdleJob(now_ms))
 
-    def _forget_others(self, idle: Mapping[str, Job], now_ms: int) -> None:
-        """Forget jobs that are no longer idle, and record the end."""
+    def _untrack_others(self, idle: Mapping[str, Job], now_ms: int) -> None:
+        """Stop tracking jobs that are no longer idle, and record the end."""
         for job_id in self._idle_jobs.keys() - idle.keys():
             ended = self._idle_jobs.pop(job_id)
             if ended.logged_ms is not None:
--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -2,8 +2,9 @@
 
 Load: under half of the capacity is in use, a step that needs most workers
 waits for a run that is late or long, and smaller steps wait behind its
-reservation. The reservation alone keeps the free room idle without a bound.
-So does the exclusion of workers that have recovered, see ``trials``.
+reservation. Only backfill bounds the time for which the reservation keeps the
+free room idle. The exclusion of workers that have recovered keeps room idle as
+well, see ``trials``.
 
 Once room has been idle for a short time, the smaller steps use it, until half
 of the capacity is in use. Their runs are marked as backfill. They stop as soon
@@ -43,18 +44,20 @@
     'find_backfilled_runs',
 )
 
-# Room that reservations keep idle for this long is backfilled.
+# Room that reservations or exclusions keep idle for this long is backfilled.
 _MAX_IDLE_MS = 1500
 # Backfill goes on until this share of the capacity of a service is in use.
 _MAX_SHARE_IN_USE = 0.5
 # Most runs of a service that are backfilled in one round. Keeps the rounds of a
 # large fleet short.
 _MAX_RUNS_PER_ROUND = 200
-# Room for which backfilled runs were ordered to stop is not backfilled for this
-# multiple of the time that a stop takes, nor before all of them have ended:
-# while one stop takes long, the others would be repeated.
+# After backfilled runs were ordered to stop, the service is not backfilled for
+# this multiple of the time that a stop takes, nor before all of them have
+# ended. Otherwise, while one run is slow to stop, the others would be started
+# and stopped again.
 _STOP_TIME_MULTIPLE = 2
-# A run that does not stop ends with the lease of its minion.
+# Longest time for which runs that have not ended extend this pause: a run that
+# does not stop ends only with the lease of its minion.
 _MAX_PAUSE_MS = 10_000
 
 
@@ -133,7 +136,7 @@
 
 
 class IdleRoomMonitor:
-    """Observes by service since when reservations alone keep room idle.
+    """Observes by service since when room that a step could use is idle.
 
     A new leader starts without this state, so that room may be idle for
     ``_MAX_IDLE_MS`` longer after a takeover.
@@ -212,6 +215,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _BackfilledRun:
+    # Text form of the task identifier.
     name: str
     urgency: Urgency
     service: str
@@ -247,10 +251,17 @@
     def planned_stops(
         self, allocations: Allocations, urgency: Urgency, end_ms: int
     ) -> Allocations:
-        """Return allocations with the ends that a step of this urgency expects.
+        """Return allocations as if the runs that the step may stop end early.
 
-        Otherwise its reservation would begin with the end of those runs, and
-        longer runs would be placed in it.
+        With their estimated ends, the reservation of the step would begin
+        later, and runs that end before it would be placed in the room.
+
+        Parameters
+        ----------
+        urgency : Urgency
+            Urgency of the step that may stop these runs.
+        end_ms : int
+            Store time at which they have ended if they stop now.
         """
         tasks = self.reclaimable(urgency)
         if not tasks:
@@ -266,7 +277,7 @@
         }
 
     def clear_marks(self, unplaced: Iterable[UnplacedStep]) -> None:
-        """Unmark the runs that no waiting step comes before any more."""
+        """Unmark the runs before which no step of their service waits."""
         earliest: dict[str, Urgency] = {}
         for entry in unplaced:
             earliest.setdefault(entry.demand.service, entry.waiting.urgency)
@@ -333,7 +344,7 @@
 
 
 def _backfill_order(entry: UnplacedStep) -> tuple[int, int, bool, Urgency]:
-    """Sort by tier and priority, then by how little a stop would lose."""
+    """Sort by tier and priority, then steps with checkpoints first."""
     urgency = entry.waiting.urgency
     loses_work = not entry.waiting.step.spec.has_checkpoints
     return urgency.tier, urgency.priority, loses_work, urgency
--- a/dragonflynotch/workflows/placement/backfiller.py
+++ b/dragonflynotch/workflows/placement/backfiller.py
@@ -18,7 +18,7 @@
 
 
 class Backfiller:
-    """Gives idle room to steps that come later, see ``backfill``."""
+    """Orders runs of waiting steps in idle room, see ``backfill``."""
 
     def __init__(
         self, run_orderer: RunOrderer, decision_log: DecisionLogBuffer
--- a/dragonflynotch/workflows/placement/pool_builder.py
+++ b/dragonflynotch/workflows/placement/pool_builder.py
@@ -100,7 +100,10 @@
     def _free_resources(
         self, workers: Mapping[str, Worker]
     ) -> dict[str, Resources]:
-        """Return what no order holds, by minion; negative if it shrank."""
+        """Return the resources that no order holds, by minion.
+
+        They are negative if a minion has shrunk below what its orders hold.
+        """
         free = {
             minion_id: worker.report.resources
             for minion_id, worker in workers.items()
--- a/dragonflynotch/workflows/placement/preemption.py
+++ b/dragonflynotch/workflows/placement/preemption.py
@@ -180,7 +180,7 @@
     free: dict[str, Resources],
     reclaimable: Sequence[_Victim],
 ) -> RoomPlan:
-    """Return the backfilled runs to stop so that most tasks of a step fit."""
+    """Return the backfilled runs to stop so that the most tasks fit."""
     step_fit = StepFit(pool, demand, free)
     count = step_fit.count
     for victim in reclaimable:
--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -52,7 +52,7 @@
         self._decision_log = decision_log
         self.stop_ms = stop_ms
         self._mechanisms = mechanisms
-        # Those of the round.
+        # Backfilled runs of the round, set by the placer.
         self.backfilled = BackfilledRuns()
 
     def may_make_room(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
@@ -68,9 +68,10 @@
         demand: Demand,
         allocations: Allocations,
     ) -> RoomPlan:
-        """Stop less urgent runs to free resources for an urgent step.
+        """Stop runs to free resources for a step that does not fit.
 
-        Also stops backfilled runs for a step that comes earlier than they do.
+        These are less urgent runs, if the step is urgent, and backfilled runs
+        that come later than the step.
         """
         limits = self._limits(pool, waiting)
         if limits is None:
--- a/dragonflynotch/workflows/placement/step_fit.py
+++ b/dragonflynotch/workflows/placement/step_fit.py
@@ -66,7 +66,7 @@
         return min(self._total, self._wanted)
 
     def want(self, count: int) -> None:
-        """Ask from now on whether this many tasks fit."""
+        """Let ``fits`` tell whether this many tasks fit."""
         self._wanted = count
 
     @property
--- a/dragonflynotch/workflows/placement/step_room.py
+++ b/dragonflynotch/workflows/placement/step_room.py
@@ -1,6 +1,6 @@
-"""Where the tasks of a waiting step would fit, and what keeps them from there.
+"""Where tasks of a waiting step would fit, and why they may not start there.
 
-Only computed for log entries: it looks at each worker.
+Only computed for log entries, since it checks each worker.
 """
 
 from collections import Counter
@@ -26,7 +26,7 @@
 _MAX_NAMED = 3
 
 
-class _Hindrance(StrEnum):
+class _Restriction(StrEnum):
     """Why a step may not use a worker that suits it."""
 
     excluded = 'excluded'
@@ -131,7 +131,7 @@
     candidates = pool.candidates(demand)
     fit_free = search.fit_free(candidates)
     fit_unreserved = search.fit_unreserved(candidates)
-    hindered = search.fit_by_hindrance()
+    restricted = search.fit_by_restriction()
     return StepRoom(
         wanted=_wanted(demand),
         workers=len(candidates),
@@ -139,13 +139,13 @@
         fit_total=search.fit_empty(candidates),
         fit_free=fit_free,
         fit_unreserved=fit_unreserved,
-        fit_now=hindered[None],
-        fit_reserved=hindered[_Hindrance.reserved],
-        fit_avoided=hindered[_Hindrance.avoided],
-        fit_kept_apart=hindered[_Hindrance.kept_apart],
+        fit_now=restricted[None],
+        fit_reserved=restricted[_Restriction.reserved],
+        fit_avoided=restricted[_Restriction.avoided],
+        fit_kept_apart=restricted[_Restriction.kept_apart],
         excluded_workers=sum(map(demand.suits, pool.excluded.values())),
-        fit_excluded=hindered[_Hindrance.excluded],
-        fit_off_rack=hindered[_Hindrance.off_rack],
+        fit_excluded=restricted[_Restriction.excluded],
+        fit_off_rack=restricted[_Restriction.off_rack],
         oldest_report_ms=max(
             (pool.now_ms - worker.reported_ms for worker in candidates),
             default=0,
@@ -173,7 +173,8 @@
         self._limit = step.spec.max_per_worker or len(step.tasks)
         self._step_tasks_by_minion = count_step_tasks(step)
         waiting = step.waiting_tasks
-        # Restrictions are those of the first task; others may have fewer.
+        # For a step that is no gang, the restrictions of the first waiting task
+        # count; those of other tasks may differ.
         first = waiting if step.spec.is_gang else waiting[:1]
         self._kept_apart = avoided_starts(pool, demand, first)
         self._avoided = demand.avoided_minions
@@ -211,25 +212,27 @@
             for worker in workers
         )
 
-    def fit_by_hindrance(self) -> Counter[_Hindrance | None]:
-        """Count what fits by what forbids it; ``None`` if nothing does."""
-        counts: Counter[_Hindrance | None] = Counter()
+    def fit_by_restriction(self) -> Counter[_Restriction | None]:
+        """Count the tasks that fit, by restriction or ``None``."""
+        counts: Counter[_Restriction | None] = Counter()
         for worker in self.suitable_workers():
             unreserved = self.fit_unreserved([worker])
-            counts[self._hindrance(worker)] += unreserved
-            counts[_Hindrance.reserved] += self.fit_free([worker]) - unreserved
+            counts[self._restriction(worker)] += unreserved
+            counts[_Restriction.reserved] += (
+                self.fit_free([worker]) - unreserved
+            )
         return counts
 
-    def _hindrance(self, worker: Worker) -> _Hindrance | None:
+    def _restriction(self, worker: Worker) -> _Restriction | None:
         minion_id = worker.minion_id
         if minion_id in self._pool.excluded:
-            return _Hindrance.excluded
+            return _Restriction.excluded
         if not self._demand.suits(worker):
-            return _Hindrance.off_rack
+            return _Restriction.off_rack
         if minion_id in self._avoided:
-            return _Hindrance.avoided
+            return _Restriction.avoided
         if minion_id in self._kept_apart:
-            return _Hindrance.kept_apart
+            return _Restriction.kept_apart
         return None
 
     def _count(self, worker: Worker, resources: Resources) -> int:
@@ -244,7 +247,7 @@
     demand: Demand,
     allocations: Mapping[str, Sequence[Allocation]],
 ) -> list[RoomHolder]:
-    """Return the steps whose reservations a task would run into."""
+    """Return the steps whose reservations begin before a task would end."""
     candidates = {worker.minion_id for worker in pool.candidates(demand)}
     end_ms = pool.now_ms + demand.expected_ms
     found: dict[StepId, list[Reservation]] = {}
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -120,7 +120,7 @@
         Workers by minion.
     free : dict
         Resources by minion that no order holds; reservations are not
-        subtracted. Also holds minions that are excluded from ``workers``.
+        subtracted. Includes the minions in ``excluded``.
     now_ms : int
         Store time of the round.
     failed_job_counts : mapping
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -46,7 +46,7 @@
     first_percent, first_percent_ms : int
         First progress above 0 that was reported, and its store time.
     is_backfill : bool
-        Whether the run uses room that is reserved for an earlier step.
+        Whether the run was started in idle room, see ``Order.is_backfill``.
     """
 
     minion_id: str
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -173,9 +173,9 @@
     needs : tuple of int
         Millicores, megabytes and accelerators that the run takes up.
     is_backfill : bool
-        Whether the run uses room that is reserved for a step that comes
-        earlier, and stops when that step can start. ``False`` in rows of
-        releases that did not store it.
+        Whether the run uses room that was reserved or on an excluded worker.
+        It stops when a step that comes earlier fits without it. ``False`` in
+        rows of releases that did not store it.
     """
 
     payload: str
--- a/dragonflynotch/workflows/runs/worker_health.py
+++ b/dragonflynotch/workflows/runs/worker_health.py
@@ -100,7 +100,7 @@
         Returns
         -------
         bool
-            Whether this failure starts an exclusion of the worker.
+            Whether this failure starts or prolongs an exclusion of the worker.
         """
         record = self._records.setdefault(minion_id, _WorkerRecord())
         record.failed_jobs = record.recent_failures(now_ms)
