Word the postmortem of the lost task plainly

step_waits tells when a reservation begins, not until when it holds. One test docstring names its failure. No tests were run; no assertion changes.

--- a/tests/workflows/placement/test_retry_placement.py
+++ b/tests/workflows/placement/test_retry_placement.py
@@ -149,7 +149,7 @@
 
 
 def test_task_that_avoids_a_worker_does_not_hold_up_its_step(site):
-    """Guards against free room while the first task waits for other workers."""
+    """Guards against tasks that fit and wait for the first of their step."""
     site.submit('a', 'batch', StepSpec(2, 1000, 1000, 1, 2000))
     site.decide()
     assert site.minion_of('a.0.0.1') == 'm0'
