Keep backfilled runs in a module of their own and share what stood twice

backfill.py had two jobs. Step.start_count and Demand.suits replace copies of what they say, and the bound of the tests stands in running_site.py.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -9,8 +9,8 @@
 from dragonflynotch.workflows.ordering.step_ranking import StepRanking
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
 from dragonflynotch.workflows.placement.avoidance import avoided_by_step
-from dragonflynotch.workflows.placement.backfill import (
-    UnplacedStep,
+from dragonflynotch.workflows.placement.backfill import UnplacedStep
+from dragonflynotch.workflows.placement.backfilled_runs import (
     find_backfilled_runs,
 )
 from dragonflynotch.workflows.placement.backfiller import Backfiller
@@ -64,7 +64,6 @@
         """Create a placer that adds its orders to ``orders``."""
         self._jobs = jobs
         self._orders = orders
-        self._decision_log = decision_log
         self._room_maker = RoomMaker(
             jobs, tracker, decision_log, stop_ms, mechanisms
         )
--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -10,7 +10,7 @@
 from dragonflynotch.workflows.placement.allocations import (
     estimated_core_seconds,
 )
-from dragonflynotch.workflows.placement.backfill import BackfilledRuns
+from dragonflynotch.workflows.placement.backfilled_runs import BackfilledRuns
 from dragonflynotch.workflows.placement.preemption import (
     PreemptionLimits,
     RoomPlan,
--- a/dragonflynotch/workflows/placement/step_room.py
+++ b/dragonflynotch/workflows/placement/step_room.py
@@ -5,7 +5,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from dragonflynotch.workflows.jobs import StepId
@@ -133,7 +133,7 @@
     fit_unreserved = search.fit_unreserved(candidates)
     restricted = search.fit_by_restriction()
     return StepRoom(
-        wanted=_wanted(demand),
+        wanted=demand.step.start_count,
         workers=len(candidates),
         fit_empty=search.fit_empty(search.suitable_workers()),
         fit_total=search.fit_empty(candidates),
@@ -158,10 +158,6 @@
     )
 
 
-def _wanted(demand: Demand) -> int:
-    return len(demand.step.tasks) if demand.step.spec.is_gang else 1
-
-
 class _RoomSearch:
     """Counts what fits on the workers of a pool."""
 
@@ -185,14 +181,9 @@
 
     def suitable_workers(self) -> Iterator[Worker]:
         """Iterate over the workers that the step might use at some time."""
-        spec = self._demand.step.spec
+        demand = replace(self._demand, may_leave_data_rack=True)
         for workers in (self._pool.workers, self._pool.excluded):
-            for worker in workers.values():
-                report = worker.report
-                if report.service == self._demand.service and (
-                    not spec.constraint or spec.constraint in report.labels
-                ):
-                    yield worker
+            yield from filter(demand.suits, workers.values())
 
     def fit_empty(self, workers: Iterable[Worker]) -> int:
         return sum(
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -185,9 +185,8 @@
         released : Resources
             Further resources that the step may get.
         """
-        count = len(step.tasks) if step.spec.is_gang else 1
         total = self._free_total + released
-        return total.covers(step.spec.needs * count)
+        return total.covers(step.spec.needs * step.start_count)
 
     def use_of(self, service: str) -> ServiceUse:
         """Return how much of the workers of a service is in use."""
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -150,6 +150,11 @@
         """Whether all tasks are done."""
         return all(task.is_done for task in self.tasks)
 
+    @property
+    def start_count(self) -> int:
+        """Number of tasks that start together: all members, or one task."""
+        return len(self.tasks) if self.spec.is_gang else 1
+
     @property
     def has_active_runs(self) -> bool:
         """Whether any task has an active run."""
--- a/tests/workflows/placement/test_backfill.py
+++ b/tests/workflows/placement/test_backfill.py
@@ -6,12 +6,9 @@
 
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import Order, decode_row, encode_row
-from tests.workflows.running_site import STOP_MS, RunningSite
+from tests.workflows.running_site import MAX_IDLE_MS, STOP_MS, RunningSite
 
-# Longest time for which a job may have nothing running although there is room
-# for its task twice over and under half of the capacity is in use.
-MAX_IDLE_MS = 3000
-# A step of the deferrable queue as on the site that reported the incident.
+# Eight tasks of this step fill a worker.
 BATCH_STEP = StepSpec(8, 2800, 7392, 1, 15_200)
 LATE_RUN = StepSpec(1, 1000, 1000, 8, 4000)
 
@@ -172,7 +169,7 @@
     assert not site.has_runs('job')
 
 
-def test_run_is_entitled_to_its_room_once_no_earlier_step_waits():
+def test_run_keeps_its_room_once_no_earlier_step_waits():
     """A gang that comes later must not stop what could start without it."""
     site = site_with_backfill()
     site.scheduler.cancel('gang')
--- a/tests/workflows/placement/test_backfill_pauses.py
+++ b/tests/workflows/placement/test_backfill_pauses.py
@@ -2,9 +2,8 @@
 
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import EndKind
-from tests.workflows.running_site import RunningSite
+from tests.workflows.running_site import MAX_IDLE_MS, RunningSite
 
-MAX_IDLE_MS = 3000
 WHOLE = {'millicores': 1000, 'memory_mb': 1000, 'accelerators': 8}
 
 
--- a/tests/workflows/running_site.py
+++ b/tests/workflows/running_site.py
@@ -4,6 +4,9 @@
 from dragonflynotch.workflows.resources import Resources
 from tests.workflows.site import Site
 
+# Longest time for which a job may have nothing running although there is room
+# for its task twice over and under half of the capacity is in use.
+MAX_IDLE_MS = 3000
 ROUND_MS = 250
 # From the round that orders a run to stop until its end is reported.
 STOP_MS = 250
--- a/tests/workflows/test_idle_bound.py
+++ b/tests/workflows/test_idle_bound.py
@@ -4,11 +4,13 @@
 from hypothesis import strategies as st
 
 from dragonflynotch.workflows.jobs import StepSpec
-from tests.workflows.running_site import ROUND_MS, STOP_MS, RunningSite
+from tests.workflows.running_site import (
+    MAX_IDLE_MS,
+    ROUND_MS,
+    STOP_MS,
+    RunningSite,
+)
 
-# Longest time for which a job may have nothing running although there is room
-# for its task twice over and under half of the capacity is in use.
-MAX_IDLE_MS = 3000
 DURATION_MS = 30_000
 MAX_RUN_MS = 16_000
 # From the order to stop runs until the gang for which they stop is ordered.
--- a/tests/workflows/test_idle_room.py
+++ b/tests/workflows/test_idle_room.py
@@ -2,11 +2,8 @@
 
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import EndKind
-from tests.workflows.running_site import RunningSite
+from tests.workflows.running_site import MAX_IDLE_MS, ROUND_MS, RunningSite
 
-# Longest time for which a job may have nothing running although there is room
-# for its task twice over and under half of the capacity is in use.
-MAX_IDLE_MS = 3000
 SMALL_STEP = StepSpec(1, 1000, 1000, 1, 15_000)
 
 
@@ -18,7 +15,7 @@
         if on_round is not None:
             on_round()
         is_idle = site.share_in_use() < 0.5 and not site.has_runs(job_id)
-        times.append(times[-1] + 250 if is_idle else 0)
+        times.append(times[-1] + ROUND_MS if is_idle else 0)
 
     site.advance(total_ms, measure)
     return max(times)
