Leave the sets of recent starts unchanged when a gang is placed

Cause: avoided_starts returned the set of the pool, and choose_gang_workers added the workers that are too risky for a last attempt to it. All later steps of the round then kept away from these workers as if suspected tasks had just started there. Change: avoided_starts returns a copy. Result: test_choice_for_a_gang_leaves_recent_starts_unchanged failed before (m1 was in the set) and passes.

--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -83,10 +83,10 @@
 ) -> set[str]:
     """Return the minions on which tasks must not start so soon."""
     if must_start_apart(tasks, pool.now_ms):
-        return pool.recent_starts.minions
+        return set(pool.recent_starts.minions)
     if demand.may_join_suspects:
         return set()
-    return pool.recent_starts.suspect_minions
+    return set(pool.recent_starts.suspect_minions)
 
 
 def fits_one_rack(pool: WorkerPool, step: Step, service: str) -> bool:
