End the pause of backfill when a stop is late

What callers saw: a job had nothing running beside mostly idle workers while a run that was ordered to stop did not end. Cause: while an earlier step waited for runs that it had ordered to stop, backfill of the service paused for up to 10 s, and a pause could follow another one. Runs that were stopping counted as room that is about to be free, however long the stop had taken, so that more runs stopped for a step that could not start. Change: a stop that takes over twice the time that a stop may take is late. Runs with a late stop no longer count as room for a plan, which ends the pause. The time of the stop is kept with the active run; after a takeover stops count as late. The limit of 10 s goes. Result: test_job_does_not_wait_for_a_stop_that_never_ends failed before (no run within 3 s) and passes; the other tests of backfill pass unchanged.

--- a/dragonflynotch/workflows/evacuation.py
+++ b/dragonflynotch/workflows/evacuation.py
@@ -148,7 +148,7 @@
         }
         for key, order in self._orders:
             if key[0] in cordoned and self._may_still_start(order, now_ms):
-                self._stop_unless_started(key, order)
+                self._stop_unless_started(key, order, now_ms)
         self._count_runs(cordoned)
 
     @property
@@ -183,7 +183,9 @@
         # so its order is left alone.
         return not order.is_stopped and order.start_by_ms > now_ms
 
-    def _stop_unless_started(self, key: OrderKey, order: Order) -> None:
+    def _stop_unless_started(
+        self, key: OrderKey, order: Order, now_ms: int
+    ) -> None:
         minion_id, name = key
         found = self._jobs.find(name)
         if found is None:
@@ -195,7 +197,7 @@
         if any(_is_started(member) for member in members):
             return
         for member in members:
-            self._tracker.order_stop(member, 'data_centre_evacuated')
+            self._tracker.order_stop(member, 'data_centre_evacuated', now_ms)
 
     def _count_runs(self, cordoned: dict[str, str]) -> None:
         counts = Counter(
--- a/dragonflynotch/workflows/placement/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -5,6 +5,7 @@
 from dragonflynotch.workflows.job_registry import FoundTask, JobRegistry
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.placement.workers import Allocation
+from dragonflynotch.workflows.progress import Task
 from dragonflynotch.workflows.records import Order
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 
@@ -17,6 +18,8 @@
 _CORES_PER_ACCELERATOR = 8
 # Expected remaining time of a run that has exceeded its estimate.
 _MIN_REMAINING_MS = 300
+# A stop is late once it takes this many times as long as it may take.
+_LATE_STOP_FACTOR = 2
 # Work lost by any stop: starting the task again takes about this long.
 _RESTART_COST_MS = 1000
 
@@ -90,9 +93,17 @@
         group=_group(found),
         preemption_cost=_core_equivalents(spec) * lost_ms / _MS_PER_S,
         is_stopping=order.is_stopped,
+        is_stop_late=_is_stop_late(task, order, now_ms, stop_ms),
         is_resumable=spec.has_checkpoints,
         priority=jobs.queue(job).priority,
         is_preemptible=is_preemptible(spec),
         is_past_estimate=elapsed_ms > spec.estimated_ms,
         is_backfill=task.active is not None and task.active.is_backfill,
     )
+
+
+def _is_stop_late(task: Task, order: Order, now_ms: int, stop_ms: int) -> bool:
+    if not order.is_stopped or task.active is None:
+        return False
+    stopping_ms = now_ms - task.active.stop_ordered_ms
+    return stopping_ms > _LATE_STOP_FACTOR * stop_ms
--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -47,13 +47,10 @@
 # large fleet short.
 _MAX_RUNS_PER_ROUND = 200
 # After backfilled runs were ordered to stop, the service is not backfilled for
-# this multiple of the time that a stop takes, nor before all of them have
-# ended. Otherwise, while one run is slow to stop, the others would be started
-# and stopped again.
+# this multiple of the time that a stop takes, nor while the step still waits
+# for stops that are not late. Otherwise the runs would be started and stopped
+# again.
 _STOP_TIME_MULTIPLE = 2
-# Longest time for which runs that have not ended extend this pause: a run that
-# does not stop ends only with the lease of its minion.
-_MAX_PAUSE_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +123,6 @@
     """Time in which the room of a service is left to a step."""
 
     step_id: StepId
-    start_ms: int
     end_ms: int
 
 
@@ -151,7 +147,7 @@
             Longest time from the order to stop a run until the run has ended.
         """
         self._pauses[entry.demand.service] = _Pause(
-            entry.step_id, now_ms, now_ms + _STOP_TIME_MULTIPLE * stop_ms
+            entry.step_id, now_ms + _STOP_TIME_MULTIPLE * stop_ms
         )
 
     def extend_pause(self, entry: UnplacedStep, now_ms: int) -> None:
@@ -160,10 +156,9 @@
         pause = self._pauses.get(service)
         if pause is None or pause.step_id != entry.step_id:
             return
-        if now_ms < pause.start_ms + _MAX_PAUSE_MS:
-            self._pauses[service] = replace(
-                pause, end_ms=max(pause.end_ms, now_ms + 1)
-            )
+        self._pauses[service] = replace(
+            pause, end_ms=max(pause.end_ms, now_ms + 1)
+        )
 
     def find_due(
         self, pool: WorkerPool, unplaced: Iterable[UnplacedStep]
--- a/dragonflynotch/workflows/placement/preemption.py
+++ b/dragonflynotch/workflows/placement/preemption.py
@@ -155,14 +155,18 @@
     demand: Demand,
     allocations: Mapping[str, Sequence[Allocation]],
 ) -> dict[str, Resources]:
-    """Return what a step may use once the stopping runs have ended."""
+    """Return what a step may use once the stopping runs have ended.
+
+    Without those whose stop is late. Other runs would stop for a step that
+    cannot start yet.
+    """
     free = {
         worker.minion_id: pool.available(worker, demand)
         for worker in pool.candidates(demand)
     }
     for minion_id in free:
         for allocation in allocations.get(minion_id, ()):
-            if allocation.is_stopping:
+            if allocation.is_stopping and not allocation.is_stop_late:
                 free[minion_id] += allocation.needs
     return free
 
--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -78,7 +78,7 @@
             return RoomPlan(will_fit=False)
         plan = plan_room(pool, demand, allocations, limits)
         if plan.victims:
-            self._stop_for(waiting, plan.victims, limits)
+            self._stop_for(waiting, plan.victims, limits, pool.now_ms)
             stop_in_plan(allocations, plan.victims, pool.now_ms + self.stop_ms)
         return plan
 
@@ -119,6 +119,7 @@
         waiting: WaitingStep,
         victims: Sequence[Allocation],
         limits: PreemptionLimits,
+        now_ms: int,
     ) -> None:
         urgency = waiting.urgency
         self._decision_log.record(
@@ -142,4 +143,4 @@
             if limits.may_reclaim(allocation):
                 reason = 'backfill_reclaimed'
             for member in step.tasks if step.spec.is_gang else (task,):
-                self._tracker.order_stop(member, reason)
+                self._tracker.order_stop(member, reason, now_ms)
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -21,6 +21,8 @@
     # Work lost if the run is stopped, in core seconds.
     preemption_cost: float = 0
     is_stopping: bool = False
+    # Whether the stop takes so long that its end cannot be predicted.
+    is_stop_late: bool = False
     # Priority of the queue; 0 comes first.
     priority: int = 0
     is_preemptible: bool = False
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -35,6 +35,9 @@
         Store time at which the run was ordered.
     is_stopping : bool
         Whether the run has been ordered to stop.
+    stop_ordered_ms : int
+        Store time at which it was ordered to stop, if that is known. 0 after a
+        takeover, so that the stop counts as late.
     is_reported : bool
         Whether any report has listed the run as running.
     percent : int
@@ -53,6 +56,7 @@
     run: int
     ordered_ms: int
     is_stopping: bool = False
+    stop_ordered_ms: int = 0
     is_reported: bool = False
     percent: int = 0
     progress_changed_ms: int = 0
--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -283,6 +283,7 @@
             self._tracker.order_stop(
                 task,
                 'worker_leaves',
+                now_ms,
                 action=action.value,
                 minion=task.active.minion_id if task.active else '',
                 percent=task.active.percent if task.active else 0,
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -109,11 +109,15 @@
                     'run_lost', task=name, minion=minion_id, reason=reason
                 )
 
-    def order_stop(self, task: Task, reason: str, **inputs: object) -> None:
+    def order_stop(
+        self, task: Task, reason: str, now_ms: int, **inputs: object
+    ) -> None:
         """Order the active run of a task to stop.
 
         Parameters
         ----------
+        now_ms : int
+            Store time of the decision.
         **inputs
             Values that led to the decision, for the decision log.
         """
@@ -123,6 +127,7 @@
         name = str(task.task_id)
         if self._orders.stop((active.minion_id, name), active.run):
             active.is_stopping = True
+            active.stop_ordered_ms = now_ms
             self._decision_log.record(
                 'stop_ordered',
                 task=name,
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -65,7 +65,7 @@
         )
         if state is not JobState.completed:
             for task in job.tasks():
-                self._tracker.order_stop(task, state.value)
+                self._tracker.order_stop(task, state.value, now_ms)
 
     def _final_state(self, job: Job) -> JobState | None:
         if self._jobs.is_cancelled(job):
@@ -91,19 +91,19 @@
             if not step.has_active_runs:
                 continue
             if step.spec.is_gang and not step.is_done:
-                self._stop_broken_gang(step)
+                self._stop_broken_gang(step, now_ms)
             if self._stops_stalled and not step.spec.is_long_running:
                 for task in _stall_candidates(step):
                     self._stop_if_stalled(
                         step, task, now_ms, minions_with_reports
                     )
 
-    def _stop_broken_gang(self, step: Step) -> None:
+    def _stop_broken_gang(self, step: Step, now_ms: int) -> None:
         """Stop the active members of a gang if any member has no active run."""
         active = [task for task in step.tasks if task.active is not None]
         if len(active) < len(step.tasks):
             for task in active:
-                self._tracker.order_stop(task, 'gang_broken')
+                self._tracker.order_stop(task, 'gang_broken', now_ms)
 
     def _stop_if_stalled(
         self,
@@ -127,6 +127,7 @@
             self._tracker.order_stop(
                 task,
                 'stalled',
+                now_ms,
                 percent=active.percent,
                 still_ms=active.still_ms,
                 limit_ms=int(limit_ms),
--- a/tests/workflows/placement/test_backfill_pauses.py
+++ b/tests/workflows/placement/test_backfill_pauses.py
@@ -62,3 +62,20 @@
         site.submit(job_id, 'batch', StepSpec(4, 1000, 1000, 1, 40_000))
     site.advance(15_000)
     assert len(site.starts['v1.0.0.0']) <= 2
+
+
+def test_job_does_not_wait_for_a_stop_that_never_ends():
+    """Backfill paused for 10 s while a run did not end, and then again."""
+    site = SlowStopSite(racks=('r1',) * 4)
+    site.slow_job = 'stuck'
+    late = StepSpec(1, **WHOLE, estimated_ms=4000)
+    site.submit('late', 'normal', late, run_ms=10_000)
+    site.decide()
+    site.submit('gang', 'normal', gang(4, 9000))
+    site.advance(5000)
+    site.submit('stuck', 'batch', StepSpec(4, 1000, 1000, 1, 40_000))
+    site.advance(6000)
+    assert site.stops_for('backfill_reclaimed')
+    site.submit('job', 'batch', StepSpec(4, 1000, 1000, 1, 40_000))
+    site.advance(MAX_IDLE_MS)
+    assert site.has_runs('job')
