Let an overdue job move up beside one that may use other workers only

What callers saw: an overdue job did not start within 60 s beside a stream of small jobs. Cause: only one overdue job comes before other work. While that one waited for a worker in use, no other one moved up, although it could use other workers. Change: overdue jobs are taken in the order of their acceptance; each claims the workers that it may use, and a later one also moves up if it may use a worker that none before it may use. On each worker there is still one at a time.

--- a/dragonflynotch/workflows/ordering/ranking.py
+++ b/dragonflynotch/workflows/ordering/ranking.py
@@ -43,7 +43,7 @@
     Parameters
     ----------
     tier : int
-        0 for guaranteed work, 1 for the overdue job that has waited longest, 2
+        0 for guaranteed work, 1 for overdue jobs that have waited longest, 2
         for work that can still meet its objective, 3 for work that may be late
         and is still useful, 4 for work that can no longer complete in a useful
         time.
@@ -106,7 +106,7 @@
     is_guaranteed : bool
         Whether the guarantee of its workspace covers the job.
     is_overdue : bool
-        Whether this is the overdue job that comes before other work.
+        Whether this is an overdue job that comes before other work.
     by_work_left : bool
         Whether work left counts within a priority.
     """
--- a/dragonflynotch/workflows/ordering/step_ranking.py
+++ b/dragonflynotch/workflows/ordering/step_ranking.py
@@ -2,7 +2,7 @@
 
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
-from dragonflynotch.workflows.ordering.overdue import longest_overdue_job
+from dragonflynotch.workflows.ordering.overdue import find_overdue_jobs
 from dragonflynotch.workflows.ordering.ranking import Urgency, compute_urgency
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.progress import Job, Step
@@ -24,14 +24,14 @@
     def __init__(
         self, jobs: JobRegistry, pool: WorkerPool, mechanisms: Mechanisms
     ) -> None:
-        """Find the overdue job and the demand of the urgent queues."""
+        """Find the overdue jobs and the demand of the urgent queues."""
         self._jobs = jobs
         self._now_ms = pool.now_ms
         self._mechanisms = mechanisms
         self._urgent_demand = jobs.urgent_accelerator_demand()
-        self._overdue_job = None
+        self._overdue_jobs: set[str] = set()
         if mechanisms.prefers_overdue:
-            self._overdue_job = longest_overdue_job(jobs, pool)
+            self._overdue_jobs = find_overdue_jobs(jobs, pool)
 
     def urgency(self, job: Job, step: Step) -> Urgency:
         """Return the urgency of a step, whether it waits or runs."""
@@ -41,7 +41,7 @@
             self._jobs.queue(job),
             self._now_ms,
             is_guaranteed=self._is_guaranteed(job),
-            is_overdue=job is self._overdue_job,
+            is_overdue=job.job_id in self._overdue_jobs,
             by_work_left=self._mechanisms.orders_by_work_left,
         )
 
