Bound in one place how long a job waits beside free room

Cause: each preference (reservations, exclusions, avoided workers, racks, runs that are not backfilled) had a bound of its own or none. Backfill was the only one that looked at idle room, and its condition was judged by orders: orders without a run, a pause, or a round in which nothing fitted began it anew, and a new leader did as well. Change: WaitBound. A job of which no report lists a run for 1.5 s, while under half of the room is taken up by runs that are there and its step fits twice by the hard requirements alone (resources, service, label, limit per worker), gets one run, or one run of each member of its gang: first beside reservations, then on other racks, then without any preference. While runs stop for an earlier step, after 2.5 s. Such runs are marked as backfill and stop when an earlier step fits, so no gang starves; long-running ones too. Steps with max_unavailable still leave reserved room alone, since their runs cannot be stopped. A new leader takes jobs that wait for due. Log: wait_ended_by_bound.

--- a/dragonflynotch/workflows/mechanisms.py
+++ b/dragonflynotch/workflows/mechanisms.py
@@ -28,6 +28,9 @@
     backfills : bool
         Later steps use room that reservations or exclusions of workers keep
         idle for too long.
+    bounds_waits : bool
+        A job that has waited beside free room for too long gets a run,
+        whatever preferences and reservations say.
     waits_for_rack : bool
         Tasks wait for the rack of their data, and gangs for one rack.
     prefers_sound_workers : bool
@@ -45,6 +48,7 @@
     orders_by_work_left: bool = True
     reserves: bool = True
     backfills: bool = True
+    bounds_waits: bool = True
     waits_for_rack: bool = True
     prefers_sound_workers: bool = True
     moves_departing: bool = True
--- a/dragonflynotch/workflows/ordering/idle_log.py
+++ b/dragonflynotch/workflows/ordering/idle_log.py
@@ -18,6 +18,7 @@
     describe_ordered_step,
     describe_waiting_step,
 )
+from dragonflynotch.workflows.ordering.idle_jobs import due_steps
 from dragonflynotch.workflows.placement.capacity_use import (
     CapacityUse,
     measure_capacity_use,
@@ -182,7 +183,7 @@
             job.job_id: job
             for job in self._jobs.open_jobs()
             if not reported.has_run_of(job.job_id)
-            and any(_due_steps(job, wall_ms))
+            and any(due_steps(job, wall_ms))
         }
 
     def _track(self, idle: Iterable[str], now_ms: int) -> None:
@@ -213,7 +214,7 @@
         now_ms = inputs.pool.now_ms
         steps = [
             self._describe(step, inputs, reported, rooms.get(step.step_id))
-            for step in _due_steps(job, inputs.wall_ms)
+            for step in due_steps(job, inputs.wall_ms)
         ]
         idle = self._idle_jobs[job.job_id]
         idle.logged_ms = now_ms
@@ -239,14 +240,3 @@
         if step.has_active_runs:
             return describe_ordered_step(step, reported, inputs.pool.now_ms)
         return describe_waiting_step(step, room, may_start=inputs.may_start)
-
-
-def _due_steps(job: Job, wall_ms: int) -> Iterable[Step]:
-    """Return the steps whose turn has come and that are not done."""
-    return (
-        step
-        for step in job.steps
-        if not step.is_done
-        and job.spec.due_ms(step.occurrence) <= wall_ms
-        and job.is_unblocked(step)
-    )
--- a/dragonflynotch/workflows/placement/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -9,7 +9,12 @@
 from dragonflynotch.workflows.records import Order
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 
-__all__ = ('estimated_core_seconds', 'is_preemptible', 'list_allocations')
+__all__ = (
+    'estimated_core_seconds',
+    'is_preemptible',
+    'list_allocations',
+    'may_be_reclaimed',
+)
 
 _PERCENT = 100
 _MS_PER_S = 1000
@@ -61,6 +66,15 @@
     return spec.max_unavailable is None and not spec.is_long_running
 
 
+def may_be_reclaimed(spec: StepSpec) -> bool:
+    """Return whether runs of a step may stop for an earlier step.
+
+    A long-running task loses no attempt by a stop and starts again, but it must
+    not hold room for ever that another step waits for.
+    """
+    return spec.max_unavailable is None
+
+
 def _core_equivalents(spec: StepSpec) -> float:
     return (
         spec.millicores / _MILLICORES_PER_CORE
--- a/dragonflynotch/workflows/placement/backfill.py
+++ b/dragonflynotch/workflows/placement/backfill.py
@@ -63,11 +63,14 @@
         Its placement requirements.
     reserves : bool
         Whether resources are reserved for it.
+    awaits_stops : bool
+        Whether it fits once runs that are ordered to stop have ended.
     """
 
     waiting: WaitingStep
     demand: Demand
     reserves: bool
+    awaits_stops: bool = False
 
     @property
     def step_id(self) -> StepId:
--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -38,9 +38,7 @@
         Number of active tasks of the step by minion.
     """
     spec = demand.step.spec
-    avoided = avoided_by_task(pool, demand.step, demand.service, task)
-    avoided |= avoided_starts(pool, demand, [task])
-    avoided |= pool.trials.too_risky_for([task], demand.max_attempts)
+    avoided = _avoided_minions(pool, demand, [task])
     fitting = [
         (worker, pool.available(worker, demand))
         for worker in pool.candidates(demand)
@@ -68,8 +66,7 @@
     The result is ``None`` if not all members fit.
     """
     tasks = demand.step.tasks
-    avoided = avoided_starts(pool, demand, tasks)
-    avoided |= pool.trials.too_risky_for(tasks, demand.max_attempts)
+    avoided = _avoided_minions(pool, demand, tasks)
     available = {
         worker.minion_id: pool.available(worker, demand)
         for worker in pool.candidates(demand)
@@ -89,6 +86,20 @@
     return set(pool.recent_starts.suspect_minions)
 
 
+def _avoided_minions(
+    pool: WorkerPool, demand: Demand, tasks: list[Task]
+) -> set[str]:
+    """Return the minions on which tasks that start together do not start."""
+    avoided = avoided_starts(pool, demand, tasks)
+    if demand.ignores_preferences:
+        return avoided
+    avoided |= pool.trials.too_risky_for(tasks, demand.max_attempts)
+    if not demand.step.spec.is_gang:
+        for task in tasks:
+            avoided |= avoided_by_task(pool, demand.step, demand.service, task)
+    return avoided
+
+
 def fits_one_rack(pool: WorkerPool, step: Step, service: str) -> bool:
     """Return whether all tasks would fit on one rack if it were empty."""
     demand = Demand(step, service, 0)
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -5,7 +5,9 @@
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
+from dragonflynotch.workflows.ordering.idle_jobs import IdleJobs
 from dragonflynotch.workflows.ordering.idle_log import IdleLog
+from dragonflynotch.workflows.ordering.ranking import Urgency
 from dragonflynotch.workflows.ordering.step_ranking import StepRanking
 from dragonflynotch.workflows.ordering.wait_log import WaitingStep, WaitLog
 from dragonflynotch.workflows.placement.avoidance import avoided_by_step
@@ -20,9 +22,14 @@
 from dragonflynotch.workflows.placement.room_maker import RoomMaker
 from dragonflynotch.workflows.placement.run_orderer import RunOrderer
 from dragonflynotch.workflows.placement.step_room import find_room
+from dragonflynotch.workflows.placement.wait_bound import (
+    BoundedStep,
+    WaitBound,
+)
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.placement.workers import Allocations
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
+from dragonflynotch.workflows.runs.run_activity import RunActivity
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 
 __all__ = ('Placer',)
@@ -73,6 +80,8 @@
         self._idle_log = idle_log
         self._run_orderer = RunOrderer(jobs, orders, decision_log)
         self._backfiller = Backfiller(self._run_orderer, decision_log)
+        self._wait_bound = WaitBound(self._run_orderer, decision_log)
+        self._idle_jobs = IdleJobs()
 
     def apply_stop_ms(self, stop_ms: int) -> None:
         """Use this bound on the time from the order to stop to the end."""
@@ -82,6 +91,7 @@
         self,
         pool: WorkerPool,
         allocations: Allocations,
+        activity: RunActivity,
         wall_ms: int,
         write_ms: int,
         latest_start_ms: int | None,
@@ -89,13 +99,19 @@
         """Order runs for steps that fit and reserve resources for others.
 
         A step that is urgent enough also stops runs of less urgent queues.
-        Reserved room that stays idle is then given to less urgent steps.
+        Reserved room that stays idle is then given to less urgent steps, and
+        jobs that have waited beside free room for too long get a run.
 
         Parameters
         ----------
+        activity : RunActivity
+            Which of the ordered runs are at work.
         latest_start_ms : int or None
             Store time after which no run may start; ``None`` orders none.
         """
+        self._idle_jobs.update(
+            self._jobs.open_jobs(), activity, pool.now_ms, wall_ms
+        )
         if latest_start_ms is None or latest_start_ms <= pool.now_ms:
             return
         # The guard can start the run only after the order has been written to
@@ -113,12 +129,46 @@
         ranking = StepRanking(self._jobs, pool, self._mechanisms)
         backfilled = find_backfilled_runs(self._jobs, allocations, ranking)
         self._room_maker.backfilled = backfilled
-        unplaced = self._place_by_urgency(
-            pool, self._waiting_steps(ranking, wall_ms), allocations
-        )
+        waiting_steps = self._waiting_steps(ranking, wall_ms)
+        unplaced = self._place_by_urgency(pool, waiting_steps, allocations)
         backfilled.clear_marks(unplaced)
         if self._mechanisms.backfills:
             self._backfiller.fill(pool, unplaced)
+        if self._mechanisms.bounds_waits:
+            self._wait_bound.enforce(
+                pool,
+                activity,
+                self._bounded_steps(pool, waiting_steps, unplaced),
+            )
+
+    def _bounded_steps(
+        self,
+        pool: WorkerPool,
+        waiting_steps: list[WaitingStep],
+        unplaced: list[UnplacedStep],
+    ) -> list[BoundedStep]:
+        """Return the steps that still wait, of jobs with nothing at work."""
+        # By service, the first step for which runs stop.
+        stopping: dict[str, Urgency] = {}
+        for entry in unplaced:
+            if entry.awaits_stops:
+                stopping.setdefault(entry.demand.service, entry.waiting.urgency)
+        steps = []
+        for waiting in waiting_steps:
+            if not self._idle_ms(pool, waiting):
+                continue
+            if not waiting.step.waiting_tasks:
+                continue
+            first = stopping.get(self._jobs.service(waiting.job))
+            steps.append(
+                BoundedStep(
+                    waiting,
+                    self._demand(pool, waiting),
+                    is_behind_stops=first is not None
+                    and first < waiting.urgency,
+                )
+            )
+        return steps
 
     def _place_by_urgency(
         self,
@@ -156,7 +206,12 @@
         """Stop runs and reserve resources for a step that does not fit."""
         self._record_wait(pool, waiting, demand, allocations)
         plan = self._room_maker.make_room(pool, waiting, demand, allocations)
-        entry = UnplacedStep(waiting, demand, may_reserve or plan.will_fit)
+        entry = UnplacedStep(
+            waiting,
+            demand,
+            may_reserve or plan.will_fit,
+            awaits_stops=plan.will_fit,
+        )
         stop_ms = self._room_maker.stop_ms
         if any(run.is_backfill for run in plan.victims):
             self._backfiller.pause(entry, pool.now_ms, stop_ms)
@@ -239,3 +294,7 @@
             may_join_suspects=waiting.urgency.is_guaranteed,
             max_attempts=self._jobs.queue(job).max_attempts,
         )
+
+    def _idle_ms(self, pool: WorkerPool, waiting: WaitingStep) -> int:
+        """Return for how long the job of a step has had nothing at work."""
+        return self._idle_jobs.idle_ms(waiting.job.job_id, pool.now_ms)
--- a/dragonflynotch/workflows/placement/preemption.py
+++ b/dragonflynotch/workflows/placement/preemption.py
@@ -43,9 +43,11 @@
 
     def may_stop(self, run: Allocation) -> bool:
         """Return whether a run may be stopped for the step."""
-        if run.is_stopping or not run.is_preemptible:
+        if run.is_stopping:
             return False
-        return run.priority > self.priority or self.may_reclaim(run)
+        if self.may_reclaim(run):
+            return True
+        return run.is_preemptible and run.priority > self.priority
 
 
 @dataclass(frozen=True, slots=True)
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -1,6 +1,6 @@
 """Workers that may get new runs, and what steps may use of them."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -60,8 +60,14 @@
     may_join_suspects : bool
         Whether the tasks may start on a worker on which a suspected task has
         just started.
+    may_try_excluded : bool
+        Whether the tasks may try excluded workers, each with one start.
     uses_idle_room : bool
         Whether the tasks may use reserved resources and try excluded workers.
+    ignores_preferences : bool
+        Whether only the hard requirements count, and that suspected tasks
+        start apart from others: resources, service, label and the limit per
+        worker. Reservations and racks are separate.
     max_attempts : int
         How many runs of a task may fail.
     """
@@ -73,7 +79,9 @@
     may_span_racks: bool = False
     avoided_minions: frozenset[str] = frozenset()
     may_join_suspects: bool = False
+    may_try_excluded: bool = False
     uses_idle_room: bool = False
+    ignores_preferences: bool = False
     max_attempts: int = 1
 
     def suits(self, worker: Worker) -> bool:
@@ -148,6 +156,10 @@
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
     excluded: Mapping[str, Worker] = field(default_factory=dict)
     trials: Trials = field(default_factory=Trials)
+    # Resources of the runs that were ordered in this round, by minion.
+    _ordered: dict[str, Resources] = field(
+        init=False, default_factory=lambda: defaultdict(Resources)
+    )
     _free_total: Resources = field(init=False)
 
     def __post_init__(self) -> None:
@@ -188,6 +200,10 @@
         total = self._free_total + released
         return total.covers(step.spec.needs * step.start_count)
 
+    def ordered_resources(self, minion_id: str) -> Resources:
+        """Return what the runs take up that were ordered in this round."""
+        return self._ordered.get(minion_id, _NOTHING)
+
     def use_of(self, service: str) -> ServiceUse:
         """Return how much of the workers of a service is in use."""
         use = ServiceUse(Resources(), Resources())
@@ -210,7 +226,9 @@
     def eligible_workers(self, demand: Demand) -> list[Worker]:
         """Return the workers that the tasks may run on if they have room."""
         workers = list(self.workers.values())
-        if demand.uses_idle_room:
+        if demand.ignores_preferences:
+            workers.extend(self.excluded.values())
+        elif demand.may_try_excluded or demand.uses_idle_room:
             workers.extend(self.trials.untried())
         return [
             worker
@@ -266,6 +284,7 @@
     def allocate(self, worker: Worker, needs: Resources) -> None:
         """Take resources of a worker for a run."""
         self.free[worker.minion_id] -= needs
+        self._ordered[worker.minion_id] += needs
         if worker.minion_id in self.workers:
             self._free_total -= needs
         self.trials.record_start(worker.minion_id)
--- a/dragonflynotch/workflows/runs/reported_runs.py
+++ b/dragonflynotch/workflows/runs/reported_runs.py
@@ -38,6 +38,11 @@
             if self.is_recent(minion_id)
         }
 
+    @property
+    def lists_any_run(self) -> bool:
+        """Whether any report lists a run."""
+        return bool(self._listed)
+
     def has_run_of(self, job_id: str) -> bool:
         """Return whether a recent report lists any run of a job."""
         return job_id in self._job_ids
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -26,6 +26,7 @@
 from dragonflynotch.workflows.runs.departures import Departures
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
+from dragonflynotch.workflows.runs.run_activity import RunActivity
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
@@ -279,6 +280,12 @@
         self._placer.place(
             pool,
             allocations,
+            RunActivity(
+                self._workers.values(),
+                self._orders,
+                now_ms,
+                self._settings.max_report_age_ms,
+            ),
             wall_ms,
             write_ms,
             latest_start_ms,
