Try excluded workers also while most of the capacity is in use

Cause: single starts on excluded workers were made by backfill, which only looks at room while under half of the capacity is in use. Change: a single task, or a gang of one, of a job that has had nothing at work for 1.5 s may try an excluded worker at its turn, with the same limits: 1 s after the last failure there, one start in 2 s, no last attempt within 15 s of one. Result: test_recovered_worker_does_not_idle_beside_workers_that_are_full failed before (never started) and passes.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -23,6 +23,7 @@
 from dragonflynotch.workflows.placement.run_orderer import RunOrderer
 from dragonflynotch.workflows.placement.step_room import find_room
 from dragonflynotch.workflows.placement.wait_bound import (
+    IDLE_LIMIT_MS,
     BoundedStep,
     WaitBound,
 )
@@ -291,10 +292,16 @@
             may_leave_data_rack=has_waited,
             may_span_racks=has_waited or not fits_one_rack(pool, step, service),
             avoided_minions=avoided_by_step(pool, step, service),
+            may_try_excluded=self._may_try_excluded(pool, waiting),
             may_join_suspects=waiting.urgency.is_guaranteed,
             max_attempts=self._jobs.queue(job).max_attempts,
         )
 
+    def _may_try_excluded(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
+        """Return whether one start of a step may try an excluded worker."""
+        idle_ms = self._idle_ms(pool, waiting)
+        return idle_ms >= IDLE_LIMIT_MS and waiting.step.start_count == 1
+
     def _idle_ms(self, pool: WorkerPool, waiting: WaitingStep) -> int:
         """Return for how long the job of a step has had nothing at work."""
         return self._idle_jobs.idle_ms(waiting.job.job_id, pool.now_ms)
--- a/tests/workflows/placement/test_trials.py
+++ b/tests/workflows/placement/test_trials.py
@@ -83,3 +83,16 @@
     wait_for_order(site, 'w.0.0.0', 10_000)
     site.end('w.0.0.0', EndKind.failed)
     assert wait_for_order(site, 'w.0.0.0', 10_000) is None
+
+
+def test_recovered_worker_does_not_idle_beside_workers_that_are_full():
+    """A whole worker stood empty for 22 s while most of the others were used.
+
+    Trials were made only while under half of the capacity was in use.
+    """
+    site, excluded = excluding_site()
+    site.submit('y', 'normal', StepSpec(2, 1000, 1000, 6, 600_000))
+    site.decide()
+    site.submit('w', 'batch', WHOLE_WORKER_STEP)
+    assert wait_for_order(site, 'w.0.0.0', 10_000) <= MAX_WAIT_MS
+    assert site.minion_of('w.0.0.0') == excluded
