Claim a worker for a suspected task that waits to start apart

What callers saw: a job had nothing running for up to 10 s although all workers had room (suspected task; test driver). Cause: after a crash, a suspected task waits for a worker without recent starts. While runs start on each worker all the time, there is none at its turn. Change: a job that has had nothing at work for 1 s and starts apart claims workers, at most half of them and as few as its tasks need; no other job starts there, so that the starts there are no longer recent when 1.3 s have passed. The same for a healthy job that finds recent starts of suspects on all workers.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -21,6 +21,10 @@
 from dragonflynotch.workflows.placement.reservations import plan_reservations
 from dragonflynotch.workflows.placement.room_maker import RoomMaker
 from dragonflynotch.workflows.placement.run_orderer import RunOrderer
+from dragonflynotch.workflows.placement.start_claims import (
+    CLAIM_DELAY_MS,
+    StartClaims,
+)
 from dragonflynotch.workflows.placement.step_room import find_room
 from dragonflynotch.workflows.placement.wait_bound import (
     IDLE_LIMIT_MS,
@@ -83,6 +87,7 @@
         self._backfiller = Backfiller(self._run_orderer, decision_log)
         self._wait_bound = WaitBound(self._run_orderer, decision_log)
         self._idle_jobs = IdleJobs()
+        self._start_claims = StartClaims()
 
     def apply_stop_ms(self, stop_ms: int) -> None:
         """Use this bound on the time from the order to stop to the end."""
@@ -131,6 +136,10 @@
         backfilled = find_backfilled_runs(self._jobs, allocations, ranking)
         self._room_maker.backfilled = backfilled
         waiting_steps = self._waiting_steps(ranking, wall_ms)
+        if pool.recent_starts.minions:
+            self._start_claims.update(
+                pool, self._claiming_demands(pool, waiting_steps)
+            )
         unplaced = self._place_by_urgency(pool, waiting_steps, allocations)
         backfilled.clear_marks(unplaced)
         if self._mechanisms.backfills:
@@ -142,6 +151,16 @@
                 self._bounded_steps(pool, waiting_steps, unplaced),
             )
 
+    def _claiming_demands(
+        self, pool: WorkerPool, waiting_steps: list[WaitingStep]
+    ) -> list[Demand]:
+        """Return the demands of steps that may claim workers for a start."""
+        return [
+            self._demand(pool, waiting)
+            for waiting in waiting_steps
+            if self._idle_ms(pool, waiting) >= CLAIM_DELAY_MS
+        ]
+
     def _bounded_steps(
         self,
         pool: WorkerPool,
--- /dev/null
+++ b/dragonflynotch/workflows/placement/start_claims.py
@@ -0,0 +1,117 @@
+"""Workers that are kept free of other starts for a job that starts apart.
+
+Load: a task is suspected of having crashed a minion, or waits for a worker
+without suspected tasks, while runs start on each worker all the time. Without a
+claim no worker would ever be free of recent starts.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from dragonflynotch.workflows.placement.best_fit import avoided_starts
+from dragonflynotch.workflows.placement.recent_starts import must_start_apart
+from dragonflynotch.workflows.placement.worker_pool import (
+    Demand,
+    WorkerPool,
+    count_step_tasks,
+)
+from dragonflynotch.workflows.progress import Task
+
+__all__ = ('CLAIM_DELAY_MS', 'StartClaims')
+
+# A job that has had nothing at work for this long claims workers.
+CLAIM_DELAY_MS = 1000
+# Largest share of the workers that is claimed at a time, one at least.
+_MAX_CLAIMED_SHARE = 0.5
+
+
+class StartClaims:
+    """Claims of jobs on workers, kept until the job has started."""
+
+    def __init__(self) -> None:
+        """Create an instance without claims."""
+        self._minions_by_job: dict[str, tuple[str, ...]] = {}
+
+    def update(self, pool: WorkerPool, demands: Iterable[Demand]) -> None:
+        """Renew the claims and pass them to the pool.
+
+        Parameters
+        ----------
+        demands : iterable of Demand
+            Requirements of steps that have waited for long enough, the first
+            one first.
+        """
+        kept: dict[str, tuple[str, ...]] = {}
+        for demand in demands:
+            job_id = demand.step.step_id.job_id
+            if job_id in kept:
+                continue
+            minions = self._find(pool, demand)
+            if minions:
+                kept[job_id] = minions
+                pool.claims.update(dict.fromkeys(minions, job_id))
+        self._minions_by_job = kept
+
+    def _find(self, pool: WorkerPool, demand: Demand) -> tuple[str, ...]:
+        """Return the minions to claim; none if the step need not wait."""
+        room = _fit_counts(pool, demand)
+        wanted = demand.step.start_count
+        known = self._minions_by_job.get(demand.step.step_id.job_id, ())
+        if known and _total(room, known) >= wanted:
+            return known
+        tasks = _starting_tasks(demand)
+        kept_apart = avoided_starts(pool, demand, tasks)
+        if not must_start_apart(tasks, pool.now_ms) and (
+            _total(room, room.keys() - kept_apart) >= wanted
+        ):
+            return ()
+        by_preference = sorted(
+            (minion_id in kept_apart, -count, minion_id)
+            for minion_id, count in room.items()
+        )
+        return _choose(
+            pool, room, [entry[-1] for entry in by_preference], wanted
+        )
+
+
+def _choose(
+    pool: WorkerPool,
+    room: Mapping[str, int],
+    candidates: Iterable[str],
+    wanted: int,
+) -> tuple[str, ...]:
+    """Return the first candidates that have room enough, or none."""
+    most = max(1, int(len(pool.workers) * _MAX_CLAIMED_SHARE))
+    chosen: list[str] = []
+    for minion_id in candidates:
+        if len(pool.claims) + len(chosen) >= most:
+            return ()
+        chosen.append(minion_id)
+        if _total(room, chosen) >= wanted:
+            return tuple(chosen)
+    return ()
+
+
+def _fit_counts(pool: WorkerPool, demand: Demand) -> dict[str, int]:
+    """Return how many tasks fit now, by minion, whatever started there."""
+    step = demand.step
+    limit = step.spec.max_per_worker or len(step.tasks)
+    by_minion = count_step_tasks(step)
+    counts = {
+        worker.minion_id: min(
+            limit - by_minion[worker.minion_id],
+            pool.free[worker.minion_id].fit_count(step.spec.needs),
+        )
+        for worker in pool.candidates(demand)
+    }
+    return {
+        minion_id: count for minion_id, count in counts.items() if count > 0
+    }
+
+
+def _starting_tasks(demand: Demand) -> list[Task]:
+    step = demand.step
+    return step.tasks if step.spec.is_gang else step.waiting_tasks[:1]
+
+
+def _total(room: Mapping[str, int], minion_ids: Iterable[str]) -> int:
+    return sum(room.get(minion_id, 0) for minion_id in minion_ids)
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -143,6 +143,8 @@
         Workers left out because several jobs failed on them, by minion.
     trials : Trials
         Excluded workers that may be tried in this round.
+    claims : dict of str to str
+        Jobs for which workers are kept free of other starts, by minion.
     """
 
     workers: dict[str, Worker]
@@ -156,6 +158,7 @@
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
     excluded: Mapping[str, Worker] = field(default_factory=dict)
     trials: Trials = field(default_factory=Trials)
+    claims: dict[str, str] = field(default_factory=dict)
     # Resources of the runs that were ordered in this round, by minion.
     _ordered: dict[str, Resources] = field(
         init=False, default_factory=lambda: defaultdict(Resources)
@@ -217,10 +220,12 @@
     def candidates(self, demand: Demand) -> list[Worker]:
         """Return the workers that the tasks of the step may start on now."""
         refusing = self._refusing_minions(demand.step.spec.needs)
+        job_id = demand.step.step_id.job_id
         return [
             worker
             for worker in self.eligible_workers(demand)
             if worker.minion_id not in refusing
+            and self.claims.get(worker.minion_id, job_id) == job_id
         ]
 
     def eligible_workers(self, demand: Demand) -> list[Worker]:
