Test that the bound on waits can be left out of a replay

The load of the test of all switches has no room that stays idle, so the new switch has a test of its own, with workers that leave.

--- a/tests/benchmarks/workflows/test_ablation.py
+++ b/tests/benchmarks/workflows/test_ablation.py
@@ -14,6 +14,7 @@
 # waits long enough to be overdue, and no room that stays idle.
 _WITHOUT_OCCASION = {
     'backfills',
+    'bounds_waits',
     'preempts_for_guarantees',
     'prefers_overdue',
     'prefers_sound_workers',
@@ -47,6 +48,18 @@
     )
 
 
+def test_bound_on_waits_can_be_left_out():
+    """Guards against a switch that does nothing.
+
+    A replay in which workers leave and jobs wait beside room on the others.
+    """
+    load = LOADS['departures']
+    arrivals = generate_arrivals(load, 9)
+    without = replace(Mechanisms(), bounds_waits=False)
+
+    assert replay(load, arrivals) != replay(load, arrivals, without)
+
+
 def _earned(result):
     return sum(outcome.value for outcome in result.outcomes)
 
