Test backfill and the bound on waits each by themselves

Either of the two starts the jobs of this replay, so that leaving out backfill alone no longer changes what it earns. The test now leaves out both and adds one of them: each must earn more than neither. Nothing is eased: backfill by itself is still compared with its absence.

--- a/tests/benchmarks/workflows/test_ablation.py
+++ b/tests/benchmarks/workflows/test_ablation.py
@@ -34,17 +34,20 @@
     assert replay(LOAD, arrivals) != replay(LOAD, arrivals, without)
 
 
-def test_idle_reserved_room_is_backfilled():
+@pytest.mark.parametrize('name', ['backfills', 'bounds_waits'])
+def test_idle_reserved_room_is_used(name):
     """Jobs must not wait for room that reservations keep idle.
 
-    A replay of little work, wide gangs and runs that are late.
+    A replay of little work, wide gangs and runs that are late. Either of the
+    two mechanisms uses the room.
     """
     load = LOADS['idle reservations']
     arrivals = generate_arrivals(load, 9)
-    without = replace(Mechanisms(), backfills=False)
+    neither = replace(Mechanisms(), backfills=False, bounds_waits=False)
+    one = replace(neither, **{name: True})
 
-    assert _earned(replay(load, arrivals)) > _earned(
-        replay(load, arrivals, without)
+    assert _earned(replay(load, arrivals, one)) > _earned(
+        replay(load, arrivals, neither)
     )
 
 
