Choose workers that start nothing last

A minion that leaves starts unanswered, or whose guard cannot start them, reports free room all the while. The choice by room is deterministic and only refusals for room were remembered, so a step went to the same worker after each 1.5 s start window for as long as the fault lasted, beside empty workers.

The leader now remembers the workers whose guards rejected orders for a fault of the worker, for 10 s or until a later run starts there, and those with orders that are neither confirmed nor rejected 1 s after their start window. Both are preferences: an only worker is still used. A gang prefers a rack that it fits on without such workers.

--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from dragonflynotch.workflows.records import NO_ROOM, RunEnd, RunningTask
+from dragonflynotch.workflows.records import (
+    INVALID,
+    NO_ROOM,
+    RunEnd,
+    RunningTask,
+)
 
 __all__ = (
     'ConnectionClosed',
@@ -74,7 +79,7 @@
     late = 'late'
     room = NO_ROOM
     ticket = 'ticket'
-    invalid = 'invalid'
+    invalid = INVALID
 
 
 @dataclass(frozen=True, slots=True)
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -19,6 +19,7 @@
 from dragonflynotch.control.order_book import OrderEntry, Phase
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.records import STOPPED
 
 __all__ = ('OrderRunner',)
 
@@ -73,7 +74,7 @@
             if await self._apply_outcome(entry, outcome):
                 return
             await asyncio.sleep(_RETRY_DELAY_S)
-        reason = 'stopped' if entry.order.is_stopped else 'expired'
+        reason = STOPPED if entry.order.is_stopped else 'expired'
         await self._reject_when_safe(entry, reason)
 
     async def stop(self, entry: OrderEntry) -> None:
@@ -90,7 +91,7 @@
             return
         entry.is_stop_confirmed = True
         entry.is_start_uncertain = False
-        await self._reject_unless_running(entry, 'stopped')
+        await self._reject_unless_running(entry, STOPPED)
 
     async def send_stop(
         self, task: str, run: int
--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -98,7 +98,9 @@
     }
     workers = [pool.find(minion_id) for minion_id in capacity]
     return bool(
-        _racks_that_fit(workers, capacity, step.spec.needs, len(step.tasks))
+        _racks_that_fit(
+            pool, workers, capacity, step.spec.needs, len(step.tasks)
+        )
     )
 
 
@@ -121,7 +123,9 @@
     count = len(demand.step.tasks)
     workers = [pool.find(minion_id) for minion_id in available]
     if spec.wants_one_rack:
-        for rack in _racks_that_fit(workers, available, spec.needs, count):
+        for rack in _racks_that_fit(
+            pool, workers, available, spec.needs, count
+        ):
             found = _assign_workers(pool, rack, available, demand)
             if found is not None:
                 return found
@@ -131,23 +135,34 @@
 
 
 def _racks_that_fit(
+    pool: WorkerPool,
     workers: Iterable[Worker],
     available: Mapping[str, Resources],
     needs: Resources,
     count: int,
 ) -> list[list[Worker]]:
-    """Return the racks that the gang fits on, the fullest first."""
+    """Return the racks that the gang fits on, the fullest first.
+
+    Racks on which it needs workers that might not start a run come last.
+    """
     racks: dict[str, list[Worker]] = defaultdict(list)
     for worker in workers:
         racks[worker.report.rack].append(worker)
     fits = []
     for name, members in racks.items():
-        total = sum(
-            available[member.minion_id].fit_count(needs) for member in members
+        fit_counts = {
+            member.minion_id: available[member.minion_id].fit_count(needs)
+            for member in members
+        }
+        total = sum(fit_counts.values())
+        at_risk = sum(
+            fit_count
+            for minion_id, fit_count in fit_counts.items()
+            if minion_id in pool.start_risks
         )
         if total >= count:
-            fits.append((total, name))
-    return [racks[rack] for _, rack in sorted(fits)]
+            fits.append((total - at_risk < count, total, name))
+    return [racks[rack] for _, _, rack in sorted(fits)]
 
 
 def _assign_workers(
--- a/dragonflynotch/workflows/placement/pool_builder.py
+++ b/dragonflynotch/workflows/placement/pool_builder.py
@@ -4,12 +4,14 @@
 
 from dragonflynotch.workflows.evacuation import Evacuation
 from dragonflynotch.workflows.mechanisms import Mechanisms
+from dragonflynotch.workflows.placement.start_risks import find_start_risks
 from dragonflynotch.workflows.placement.trials import Trials
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.resources import Resources
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
+from dragonflynotch.workflows.runs.start_failures import StartFailures
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 
 __all__ = ('PoolBuilder',)
@@ -28,6 +30,8 @@
         Workers on which runs fail are excluded for some time.
     refusals : RoomRefusals
         Starts that minions have refused for want of room.
+    start_failures : StartFailures
+        Workers on which ordered runs did not start.
     mechanisms : Mechanisms
         Parts of the policy to use.
     """
@@ -38,6 +42,7 @@
         evacuation: Evacuation,
         health: WorkerHealth,
         refusals: RoomRefusals,
+        start_failures: StartFailures,
         mechanisms: Mechanisms,
     ) -> None:
         """Create a builder."""
@@ -45,6 +50,7 @@
         self._evacuation = evacuation
         self._health = health
         self._refusals = refusals
+        self._start_failures = start_failures
         self._mechanisms = mechanisms
 
     def build(
@@ -95,6 +101,9 @@
                 due_trials,
             ),
             refused_needs=self._refusals.refused_needs(now_ms),
+            start_risks=find_start_risks(
+                self._orders, self._start_failures, now_ms
+            ),
         )
 
     def _free_resources(
--- a/dragonflynotch/workflows/placement/run_orderer.py
+++ b/dragonflynotch/workflows/placement/run_orderer.py
@@ -137,6 +137,7 @@
             waited_ms=pool.now_ms - job.spec.accepted_ms,
             task_failures=task.failures,
             worker_failed_jobs=pool.failed_job_counts.get(worker.minion_id, 0),
+            start_risks=pool.start_risks.get(worker.minion_id, ()),
             is_avoided_worker=worker.minion_id in task.failed_on,
             is_trial=worker.minion_id in pool.excluded,
             is_backfill=is_backfill,
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -6,6 +6,7 @@
 
 from dragonflynotch.workflows.jobs import StepId
 from dragonflynotch.workflows.placement.recent_starts import RecentStarts
+from dragonflynotch.workflows.placement.start_risks import StartRisk
 from dragonflynotch.workflows.placement.trials import Trials
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Step
@@ -127,6 +128,9 @@
         Recently failed jobs by minion; a lower count is preferred.
     refused_needs : mapping
         What minions recently refused to start for want of room, by minion.
+    start_risks : mapping
+        Signs that a worker might not start a run, by minion; workers with
+        fewer are preferred.
     reservations : list of Reservation
         Resources kept for steps that come earlier in the round.
     recent_starts : RecentStarts
@@ -144,6 +148,7 @@
     refused_needs: Mapping[str, Sequence[Resources]] = field(
         default_factory=dict
     )
+    start_risks: Mapping[str, Sequence[StartRisk]] = field(default_factory=dict)
     reservations: list[Reservation] = field(default_factory=list)
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
     excluded: Mapping[str, Worker] = field(default_factory=dict)
--- a/dragonflynotch/workflows/placement/worker_preference.py
+++ b/dragonflynotch/workflows/placement/worker_preference.py
@@ -9,15 +9,18 @@
 
 __all__ = ('WorkerPreference',)
 
-_Rank = tuple[bool, bool, int, float, str]
+# Number of start risks, and whether the tasks crashed the node or failed there.
+_Distrust = tuple[int, bool, bool]
+_Rank = tuple[_Distrust, int, float, str]
 
 
 class WorkerPreference:
     """Ranks workers for tasks that start together.
 
-    Workers on which the tasks did not fail come first, then the one that is
-    filled best. Suspected tasks instead prefer other workers than those that
-    they may have crashed, and the emptiest, where a crash ends fewest runs.
+    Workers that might not start a run come last. Of the others, those on which
+    the tasks did not fail come first, then the one that is filled best.
+    Suspected tasks instead prefer other workers than those that they may have
+    crashed, and the emptiest, where a crash ends fewest runs.
 
     Parameters
     ----------
@@ -49,13 +52,19 @@
             worker.report.resources
         )
         return (
-            worker.node in self._crashed_nodes,
-            minion_id in self._failed_on,
+            self._distrust(worker),
             self._pool.failed_job_counts.get(minion_id, 0),
             -leftover if self._crashed_nodes else leftover,
             minion_id,
         )
 
+    def _distrust(self, worker: Worker) -> _Distrust:
+        return (
+            len(self._pool.start_risks.get(worker.minion_id, ())),
+            worker.node in self._crashed_nodes,
+            worker.minion_id in self._failed_on,
+        )
+
 
 def _union(groups: Iterable[Iterable[str]]) -> set[str]:
     return {name for group in groups for name in group}
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -20,7 +20,9 @@
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = (
+    'INVALID',
     'NO_ROOM',
+    'STOPPED',
     'EndKind',
     'JobState',
     'LeaseRow',
@@ -37,6 +39,10 @@
 
 # Reason of the rejection of a start for which the minion had no room.
 NO_ROOM = 'room'
+# Reason of the rejection of a start that the minion does not understand.
+INVALID = 'invalid'
+# Reason of the rejection of an order that was stopped before its start.
+STOPPED = 'stopped'
 
 _RowT = TypeVar('_RowT')
 # Millicores, megabytes and accelerators.
--- a/dragonflynotch/workflows/runs/order_registry.py
+++ b/dragonflynotch/workflows/runs/order_registry.py
@@ -21,6 +21,8 @@
         """Create an empty registry."""
         self._orders: dict[OrderKey, Order] = {}
         self._changes: dict[OrderKey, Order | None] = {}
+        # Orders whose runs no report has listed yet.
+        self._unconfirmed: dict[OrderKey, Order] = {}
 
     def __iter__(self) -> Iterator[tuple[OrderKey, Order]]:
         """Iterate over a copy of the active orders."""
@@ -29,6 +31,7 @@
     def restore(self, key: OrderKey, order: Order) -> None:
         """Add an order that is already stored."""
         self._orders[key] = order
+        self._unconfirmed[key] = order
 
     def find(self, key: OrderKey, run: int) -> Order | None:
         """Return the active order for this run, or ``None``."""
@@ -38,8 +41,27 @@
     def put(self, key: OrderKey, order: Order) -> None:
         """Add an order."""
         self._orders[key] = order
+        self._unconfirmed[key] = order
         self._changes[key] = order
 
+    def confirm(self, key: OrderKey) -> None:
+        """Record that a report lists the run of an order."""
+        self._unconfirmed.pop(key, None)
+
+    def overdue_minions(self, start_by_ms: int) -> set[str]:
+        """Return the minions with orders that no report has confirmed.
+
+        Parameters
+        ----------
+        start_by_ms : int
+            Only orders count whose runs had to start before this store time.
+        """
+        return {
+            minion_id
+            for (minion_id, _), order in self._unconfirmed.items()
+            if order.start_by_ms < start_by_ms
+        }
+
     def stop(self, key: OrderKey, run: int) -> bool:
         """Change an order to run a task into one to stop it.
 
@@ -58,6 +80,7 @@
     def remove(self, key: OrderKey) -> None:
         """Remove an order."""
         self._orders.pop(key, None)
+        self._unconfirmed.pop(key, None)
         self._changes[key] = None
 
     def tasks_of(self, minion_id: str) -> list[str]:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -6,7 +6,9 @@
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.progress import ActiveRun, Task
 from dragonflynotch.workflows.records import (
+    INVALID,
     NO_ROOM,
+    STOPPED,
     EndKind,
     Order,
     Rejection,
@@ -16,10 +18,15 @@
 )
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
+from dragonflynotch.workflows.runs.start_failures import StartFailures
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 
 __all__ = ('RunTracker',)
 
+# Rejections that say nothing about whether the worker starts other runs; one
+# for want of room counts as such a refusal.
+_REASONS_WITHOUT_FAULT = frozenset((INVALID, NO_ROOM, STOPPED))
+
 
 class RunTracker:
     """Applies reports to jobs and orders.
@@ -34,6 +41,7 @@
         orders: OrderRegistry,
         worker_health: WorkerHealth,
         room_refusals: RoomRefusals,
+        start_failures: StartFailures,
         decision_log: DecisionLogBuffer,
     ) -> None:
         """Create a tracker that updates ``jobs`` and ``orders``."""
@@ -41,6 +49,7 @@
         self._orders = orders
         self._worker_health = worker_health
         self._room_refusals = room_refusals
+        self._start_failures = start_failures
         self._decision_log = decision_log
 
     def apply(self, report: Report, now_ms: int) -> None:
@@ -145,6 +154,7 @@
             return
         was_done = task.is_done
         ordered_ms = task.active.ordered_ms
+        self._start_failures.record_start(minion_id, ordered_ms)
         job.apply_end(step, task, end.kind, end.checkpoint)
         self._jobs.mark_changed(job)
         self._decision_log.record(
@@ -205,6 +215,8 @@
         self._orders.remove(key)
         if rejection.reason == NO_ROOM:
             self._room_refusals.record(minion_id, order.resources, now_ms)
+        if rejection.reason not in _REASONS_WITHOUT_FAULT:
+            self._start_failures.record(minion_id, now_ms)
         found = self._jobs.find(rejection.task)
         if found is None:
             return
@@ -230,6 +242,9 @@
         active = task.active
         if active is None or not active.matches(minion_id, running.run):
             return
+        if not active.is_reported:
+            self._orders.confirm((minion_id, running.task))
+            self._start_failures.record_start(minion_id, active.ordered_ms)
         if running.percent != active.percent or not active.is_reported:
             active.percent = running.percent
             active.progress_changed_ms = read_ms
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -27,6 +27,7 @@
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
+from dragonflynotch.workflows.runs.start_failures import StartFailures
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 from dragonflynotch.workflows.scheduler_status import SchedulerStatus
@@ -108,12 +109,14 @@
         self._workers: dict[str, Worker] = {}
         self._worker_health = WorkerHealth()
         self._room_refusals = RoomRefusals()
+        start_failures = StartFailures()
         self._decision_log = DecisionLogBuffer()
         self._tracker = RunTracker(
             self._jobs,
             self._orders,
             self._worker_health,
             self._room_refusals,
+            start_failures,
             self._decision_log,
         )
         self._crash_tracker = CrashTracker(self._jobs, self._decision_log)
@@ -136,6 +139,7 @@
             self._evacuation,
             self._worker_health,
             self._room_refusals,
+            start_failures,
             mechanisms,
         )
         self._idle_log = IdleLog(self._jobs, self._orders, self._decision_log)
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -187,6 +187,16 @@
     assert not cluster.log.overlapping_tasks
 
 
+async def test_tasks_of_a_minion_that_starts_nothing_start_elsewhere(cluster):
+    """A minion that answered no start got the same orders again and again."""
+    cluster.models['m0'].fault = MinionFault.late_starts
+    await cluster.submit('a', tasks(4))
+    await cluster.wait_for_starts(4, limit_s=6)
+    assert 'm0' not in {minion for _, _, minion in cluster.log.starts}
+    cluster.models['m0'].apply_deferred_starts()
+    assert not cluster.log.overlapping_tasks
+
+
 async def _advance_until(cluster, starts):
     """Advance the minion models until there were ``starts`` starts.
 
