Choose workers with recent reports first

The age of the report was not weighed when an order was given: a step was seen ordered on a worker whose guard had been silent for 3 s and whose report was about to expire, and waited there for the end of the guard's authority.

A report older than 2.5 s is now a sign that a run might not start there, as a preference: where all reports are old, as on a slow store, nothing changes.

test_worker_with_an_old_report_comes_last fails before the change.

--- a/dragonflynotch/workflows/placement/pool_builder.py
+++ b/dragonflynotch/workflows/placement/pool_builder.py
@@ -102,7 +102,10 @@
             ),
             refused_needs=self._refusals.refused_needs(now_ms),
             start_risks=find_start_risks(
-                self._orders, self._start_failures, now_ms
+                accepting.values(),
+                self._orders,
+                self._start_failures,
+                now_ms,
             ),
         )
 
--- a/tests/workflows/placement/test_start_risks.py
+++ b/tests/workflows/placement/test_start_risks.py
@@ -12,6 +12,7 @@
 FAILURE_MS = 10_000
 # After this time an order that no report lists is overdue.
 OVERDUE_MS = 3_000
+OLD_REPORT_MS = 2_500
 
 
 def reject_all(site, node, reason='expired'):
@@ -140,6 +141,25 @@
     assert site.minion_of('b.0.0.0') == 'm0'
 
 
+def test_worker_with_an_old_report_comes_last():
+    """A step was ordered where the guard had just fallen silent."""
+    site = Site(racks=('r1', 'r1'))
+    site.now_ms += OLD_REPORT_MS
+    site.report('n1')
+    site.submit('a', 'normal', STEP)
+    site.decide()
+    assert used_minions(site) == {'m1'}
+
+
+def test_workers_with_old_reports_are_used():
+    """Reports that are late on a slow store must not hold room back."""
+    site = Site(racks=('r1', 'r1'))
+    site.now_ms += OLD_REPORT_MS
+    site.submit('a', 'normal', STEP)
+    site.decide()
+    assert len(site.ordered_tasks()) == 8
+
+
 def test_gang_prefers_a_rack_on_which_all_workers_start_runs():
     """A gang was ordered on the fullest rack although no run starts there."""
     site = Site(racks=('r1', 'r2', 'r2'))
