Let the age of a stored report outlast a takeover

A new leader took the reports that it loaded as received at that moment. A worker whose guard had been silent counted as present for another 4 s after each takeover and got orders that nobody carried out; several takeovers in a row prolonged that each time.

A report now carries a lower bound on the store time at which it was built, and its age counts from there after a takeover. The guard takes the lower bound of its store clock, so a report never seems newer than it is by that side; the leader's own lower bound can make it seem newer by the delay of its fastest response in 10 s. Reports that come through the feed count from their receipt as before, so a slow store does not make all workers seem silent. Rows of older releases count as new.

Before the change, test_new_leader_orders_nothing_from_a_silent_worker fails: the silent worker gets the order.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -215,7 +215,7 @@
             self._scheduler.restore_order(minion_id, task, order)
         self._is_loading = False
         for node, (report, version) in self._loaded_reports.items():
-            self._scheduler.apply_report(
+            self._scheduler.restore_report(
                 node, report, version, self._store_now_ms()
             )
         self._scheduler.remove_unknown_orders()
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -163,12 +163,14 @@
         if self._version is None:
             await self._read_row()
         self._write_requested.clear()
-        end_ms = self._store_clock.earliest_ms() + self._authority_ms
+        now_ms = self._store_clock.earliest_ms()
+        end_ms = now_ms + self._authority_ms
         if self._max_authority_end_ms is not None:
             end_ms = min(end_ms, self._max_authority_end_ms)
         report = self._build_report(end_ms)
         if report is None:
             return False
+        report.built_ms = now_ms
         expected = self._version or 0
         # Unless the commit succeeds, the version stays unknown and the row is
         # read again before the next write.
--- a/dragonflynotch/workflows/placement/workers.py
+++ b/dragonflynotch/workflows/placement/workers.py
@@ -49,7 +49,8 @@
     version : int
         Version of the stored row that holds the report.
     reported_ms : int
-        Store time at which the report was received.
+        Store time of the report: when it was received, or when it was built
+        if it was stored before this scheduler took over.
     """
 
     node: str
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -269,6 +269,9 @@
     crashes : list of MinionCrash
         Recent crashes of minions of this guard. Empty in rows of releases
         that did not store them.
+    built_ms : int
+        Lower bound on the store time at which the report was built. 0 in rows
+        of releases that did not store it.
     """
 
     minion_id: MinionId
@@ -290,6 +293,7 @@
     leaves_at_ms: TimeMs | None = None
     crashes: list[MinionCrash] = []
     is_reachable: bool = True
+    built_ms: TimeMs = 0
 
     @property
     def accepts_runs(self) -> bool:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -52,13 +52,19 @@
         self._start_failures = start_failures
         self._decision_log = decision_log
 
-    def apply(self, report: Report, now_ms: int) -> None:
-        """Apply the report of a guard about an incarnation."""
+    def apply(self, report: Report, now_ms: int, reported_ms: int) -> None:
+        """Apply the report of a guard about an incarnation.
+
+        Parameters
+        ----------
+        reported_ms : int
+            Store time of the report.
+        """
         for end in report.ended:
             self._apply_end(report.minion_id, end, now_ms)
         for rejection in report.rejected:
             self._apply_rejection(report.minion_id, rejection, now_ms)
-        read_ms = now_ms - report.runs_age_ms
+        read_ms = reported_ms - report.runs_age_ms
         for running in report.running:
             self._apply_running(report.minion_id, running, read_ms)
         if not report.is_live:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -226,16 +226,37 @@
     def apply_report(
         self, node: str, report: Report, version: int, now_ms: int
     ) -> None:
-        """Apply the report of the guard on a node."""
+        """Apply a report that the guard on a node has just written."""
+        self._apply_report(node, report, version, now_ms, now_ms)
+
+    def restore_report(
+        self, node: str, report: Report, version: int, now_ms: int
+    ) -> None:
+        """Apply the stored report of a guard after a takeover.
+
+        Its age counts from when it was built, so that a worker that has been
+        silent does not count as present anew after each takeover.
+        """
+        reported_ms = min(report.built_ms or now_ms, now_ms)
+        self._apply_report(node, report, version, now_ms, reported_ms)
+
+    def _apply_report(
+        self,
+        node: str,
+        report: Report,
+        version: int,
+        now_ms: int,
+        reported_ms: int,
+    ) -> None:
         worker = self._workers.get(node)
         previous = '' if worker is None else worker.minion_id
-        self._workers[node] = Worker(node, report, version, now_ms)
+        self._workers[node] = Worker(node, report, version, reported_ms)
         self._crash_tracker.apply(node, report.crashes)
         self._tracker.save_abandoned_checkpoints(report.abandoned)
         if previous and previous != report.minion_id:
             self._tracker.mark_lost(previous, 'incarnation_replaced')
         if report.minion_id:
-            self._tracker.apply(report, now_ms)
+            self._tracker.apply(report, now_ms, reported_ms)
         if worker is not None and worker.report.capacity != report.capacity:
             self._room_refusals.clear(report.minion_id)
 
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -384,6 +384,14 @@
     await harness.wait_for(lambda report: report.runs_age_ms < 300)
 
 
+async def test_report_tells_when_it_was_built(harness, minion):
+    """A new leader must know the age of the reports that it loads."""
+    before_ms = harness.store.store_clock.earliest_ms()
+    await harness.wait_for(lambda report: report.built_ms > before_ms)
+    report = await harness.report()
+    assert report.built_ms <= harness.store.store_clock.latest_ms()
+
+
 @pytest.mark.parametrize('is_crashed', [False, True])
 async def test_minion_that_does_not_respond_gets_no_new_runs(
     harness, minion, is_crashed
--- a/tests/control/test_leader.py
+++ b/tests/control/test_leader.py
@@ -7,7 +7,12 @@
 import pytest
 
 from dragonflynotch.control import leader_pace
-from dragonflynotch.control.rows import ORDER_TABLES
+from dragonflynotch.control.rows import (
+    ORDER_TABLES,
+    REPORTS,
+    RowName,
+    shard_of,
+)
 from dragonflynotch.core.errors import (
     InvalidInputError,
     PlatformUnavailableError,
@@ -264,3 +269,24 @@
         fields for event, fields in events if event == 'lease_handed_over'
     ]
     assert fields['too_slow_for'] == 'feeds'
+
+
+async def test_new_leader_orders_nothing_from_a_silent_worker(events):
+    """A stored report counted as new after each takeover, however old."""
+    cluster = Cluster(settings=SchedulerSettings(max_report_age_ms=1000))
+    cluster.add_minion('n0', 'm0')
+    name = RowName(REPORTS.name, shard_of('n0'), 'n0')
+    async with asyncio.timeout(3):
+        while await cluster.store.read_row(name) is None:
+            await asyncio.sleep(0.02)
+    await cluster.kill('n0')
+    await asyncio.sleep(1.2)
+    cluster.start_candidate('a')
+    await cluster.submit('j', tasks(1))
+    async with asyncio.timeout(3):
+        while not count(events, 'scheduling_started'):
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(0.4)
+    assert not count(events, 'guard_lost')
+    assert not count(events, 'run_ordered')
+    await cluster.stop()
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -1,5 +1,6 @@
 """Life cycle of jobs and runs, and takeovers of the scheduler."""
 
+import msgspec
 import pytest
 
 from dragonflynotch.workflows.jobs import StepSpec
@@ -340,6 +341,28 @@
     assert order.run == 4
 
 
+def test_stored_report_of_an_older_release_counts_as_new(site):
+    """Workers of guards that don't tell the time must not stay idle."""
+    worker = site.scheduler.workers['n0']
+    successor = Site(racks=())
+    successor.scheduler.restore_report('n0', worker.report, 1, site.now_ms)
+    successor.submit('a')
+    successor.decide()
+    assert successor.ordered_tasks() == ['a.0.0.0']
+
+
+def test_stored_report_of_a_silent_guard_counts_from_when_it_was_built(site):
+    """A worker that is silent counted as present again after a takeover."""
+    report = msgspec.structs.replace(
+        site.scheduler.workers['n0'].report, built_ms=site.now_ms - 4000
+    )
+    successor = Site(racks=())
+    successor.scheduler.restore_report('n0', report, 1, site.now_ms)
+    successor.submit('a')
+    successor.decide()
+    assert not successor.orders
+
+
 def test_orders_expire_later_on_a_slow_store(site):
     """Orders must not expire while a slow store delivers them."""
     site.submit('a')
