Count a failed run once across a takeover

Decisions of more than 90 rows are written in several transactions, progress before orders. If the lease was lost between them, the progress counted a failed run whose order still existed. Its guard reported the end again, the new leader counted it again, and a job could be shown as failed after half its attempts.

The last counted run, so far kept for gangs only, is now kept for each task.

test_failure_counts_once_if_the_removal_of_its_order_was_not_written fails before the change (2 failures instead of 1).

--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -82,7 +82,7 @@
     failed_on : dict of str to int
         Store time of the last failed or stalled run, by minion.
     last_failed_run : int
-        Last run that was counted as a failure of the gang; 0 if there is none.
+        Last run that was counted as a failure; 0 if there is none.
     crashes : list of TaskCrash
         Crashes of minions that the task may have caused.
     """
@@ -311,13 +311,13 @@
             self._count_failure(step, task, run)
 
     def _count_failure(self, step: Step, task: Task, run: int) -> None:
-        if not step.spec.is_gang:
-            task.failures += 1
-        # A run of a gang counts once, however many of its members fail.
-        elif run > task.last_failed_run:
-            for member in step.tasks:
-                member.failures += 1
-                member.last_failed_run = run
+        # A run of a gang counts once, however many of its members fail. After a
+        # takeover an end that the progress already counts may be applied again.
+        if run <= task.last_failed_run:
+            return
+        for member in step.tasks if step.spec.is_gang else (task,):
+            member.failures += 1
+            member.last_failed_run = run
 
     def save_checkpoint(self, step: Step, task: Task, checkpoint: str) -> None:
         """Save a checkpoint; one from any member is valid for its gang."""
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -96,7 +96,8 @@
     failed_on : dict of str to int
         Store time of the last failed or stalled run, by minion.
     last_failed_run : int
-        Last run that was counted as a failure of the gang; 0 if there is none.
+        Last run that was counted as a failure; 0 if there is none. Outside
+        gangs, 0 in rows of releases that did not store it.
     crashes : list of TaskCrash
         Crashes of minions that the task may have caused. Empty in rows of
         releases that did not store them.
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -327,6 +327,25 @@
     assert successor.progress['a'].state is JobState.completed
 
 
+def test_failure_counts_once_if_the_removal_of_its_order_was_not_written(site):
+    """A takeover amid a large write used up an attempt twice.
+
+    The progress of jobs is written before the orders, in several transactions.
+    """
+    site.submit('a')
+    site.decide()
+    order = site.orders['m0', 'a.0.0.0']
+    site.end('a.0.0.0', EndKind.failed)
+    successor = Site()
+    successor.submit('a')
+    successor.scheduler.restore_progress('a', site.progress['a'])
+    successor.scheduler.restore_order('m0', 'a.0.0.0', order)
+    successor.orders['m0', 'a.0.0.0'] = order
+    successor.end('a.0.0.0', EndKind.failed)
+    assert successor.progress['a'].tasks[0].failures == 1
+    assert successor.progress['a'].state is JobState.running
+
+
 def test_takeover_removes_orders_of_unknown_incarnations(site):
     """A task must not wait for an incarnation that no guard reports."""
     site.submit('a')
