Stop the runs of ended jobs after a takeover

If the lease was lost between the transaction that ends a cancelled or failed job and the one that orders its runs to stop, the new leader restored the runs but reviewed only open jobs, so nothing stopped them. A long-running task held its room without a bound.

The new leader now orders the stop when it restores such an order.

test_run_of_an_ended_job_is_stopped_if_its_stop_was_not_written fails before the change.

--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -10,6 +10,7 @@
     NO_ROOM,
     STOPPED,
     EndKind,
+    JobState,
     Order,
     Rejection,
     Report,
@@ -89,12 +90,15 @@
     def restore(
         self, minion_id: str, name: str, order: Order, ordered_ms: int
     ) -> None:
-        """Restore a stored order and the active run of its task."""
+        """Restore a stored order and the active run of its task.
+
+        The progress of its job must have been restored before.
+        """
         self._orders.restore((minion_id, name), order)
         found = self._jobs.find(name)
         if found is None:
             return
-        task = found[2]
+        job, _, task = found
         task.run = max(task.run, order.run)
         task.active = ActiveRun(
             minion_id,
@@ -104,6 +108,9 @@
             progress_changed_ms=order.start_by_ms,
             is_backfill=order.is_backfill,
         )
+        if job.state.is_final and job.state is not JobState.completed:
+            # The end of the job was written, and maybe not this stop.
+            self.order_stop(task, job.state.value)
 
     def mark_lost(self, minion_id: str, reason: str) -> None:
         """Record all runs of an incarnation as lost.
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -346,6 +346,23 @@
     assert successor.progress['a'].state is JobState.running
 
 
+def test_run_of_an_ended_job_is_stopped_if_its_stop_was_not_written(site):
+    """A takeover amid a large write let a cancelled job run on for ever."""
+    step = StepSpec(1, 1000, 1000, 1, 500, is_long_running=True)
+    site.submit('a', 'normal', step)
+    site.decide()
+    order = msgspec.structs.replace(site.orders['m0', 'a.0.0.0'])
+    site.scheduler.cancel('a')
+    site.decide()
+    successor = Site()
+    successor.submit('a', 'normal', step)
+    successor.scheduler.cancel('a')
+    successor.scheduler.restore_progress('a', site.progress['a'])
+    successor.scheduler.restore_order('m0', 'a.0.0.0', order)
+    successor.decide()
+    assert successor.orders['m0', 'a.0.0.0'].is_stopped
+
+
 def test_takeover_removes_orders_of_unknown_incarnations(site):
     """A task must not wait for an incarnation that no guard reports."""
     site.submit('a')
