Reject an order once its starts have expired at the minion

After a start without a response, an order was rejected only once the minion had confirmed a stop. A minion that leaves starts and stops unanswered but responds to polls held the order, and its task, for as long as the fault lasted: the lease was extended and nothing else bounded it.

Each start carries a lease end within the start window, and the minion refuses a start that arrives after it. So a poll whose clock is past the last lease end that was sent, and that lists no run, shows that none can start any more. The stop is still sent first. The same holds for a stop ordered before the start.

test_order_is_rejected_although_the_minion_refuses_to_stop fails before the change for both orders (no rejection in 1.5 s).

--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -42,6 +42,9 @@
         Whether the minion has confirmed the stop of the run.
     first_sent_ms : int or None
         Local time of the first start call that may have been carried out.
+    sent_lease_end_ms : int
+        Latest lease end in a start call, on the minion's clock. The minion
+        refuses a start that arrives after the lease end in it.
     """
 
     task: str
@@ -52,6 +55,7 @@
     is_busy: bool = False
     is_stop_confirmed: bool = False
     first_sent_ms: int | None = None
+    sent_lease_end_ms: int = 0
 
     @property
     def holds_resources(self) -> bool:
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -86,11 +86,12 @@
             run=entry.order.run,
             outcome=describe_outcome(outcome),
         )
-        if not isinstance(outcome, Stopped):
+        if isinstance(outcome, Stopped):
+            entry.is_stop_confirmed = True
+            entry.is_start_uncertain = False
+        elif not await self._have_starts_expired(entry):
             await asyncio.sleep(_RETRY_DELAY_S)
             return
-        entry.is_stop_confirmed = True
-        entry.is_start_uncertain = False
         await self._reject_unless_running(entry, STOPPED)
 
     async def send_stop(
@@ -123,6 +124,7 @@
             return StartRefused(RefusalReason.room)
         if entry.first_sent_ms is None:
             entry.first_sent_ms = self._clock.now_ms()
+        entry.sent_lease_end_ms = max(entry.sent_lease_end_ms, end_ms)
         outcome = await self._session.minion.start(
             StartRequest(
                 entry.task,
@@ -175,6 +177,8 @@
             if isinstance(outcome, Stopped):
                 entry.is_start_uncertain = False
                 break
+            if await self._have_starts_expired(entry):
+                break
             await asyncio.sleep(_RETRY_DELAY_S)
         if not entry.is_start_uncertain:
             await self._reject_unless_running(entry, reason)
@@ -193,6 +197,24 @@
                 return
             await asyncio.sleep(_RETRY_DELAY_S)
 
+    async def _have_starts_expired(self, entry: OrderEntry) -> bool:
+        """Return whether the run was not started and cannot start any more.
+
+        A minion that refuses stops for long could otherwise hold the order for
+        as long.
+        """
+        if not await self._session.poll():
+            return False
+        state = self._session.orders.state
+        if (
+            entry.phase is not Phase.new
+            or state is None
+            or state.clock_ms <= entry.sent_lease_end_ms
+        ):
+            return False
+        entry.is_start_uncertain = False
+        return True
+
     def _must_prevent_start(self, entry: OrderEntry) -> bool:
         return (
             entry.is_start_uncertain
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -6,7 +6,7 @@
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.guard import Guard, GuardLimits
-from dragonflynotch.control.minions import Heartbeat, Stopped
+from dragonflynotch.control.minions import Heartbeat, Stopped, Unhealthy
 from dragonflynotch.control.rows import (
     REPORTS,
     RowName,
@@ -184,6 +184,28 @@
     assert not harness.log.starts
 
 
+@pytest.mark.parametrize('is_stopped', [False, True])
+async def test_order_is_rejected_although_the_minion_refuses_to_stop(
+    harness, minion, monkeypatch, is_stopped
+):
+    """An order without a run was held for as long as stops were refused."""
+
+    async def refuse(*_):
+        return Unhealthy()
+
+    monkeypatch.setattr(ModelMinionClient, 'stop', refuse)
+    minion.fault = MinionFault.late_starts
+    await harness.order('m1', window_ms=600)
+    await asyncio.sleep(0.3)
+    if is_stopped:
+        await harness.order('m1', window_ms=300, is_stopped=True)
+    report = await harness.wait_for(lambda report: report.rejected, 1.5)
+    expected = 'stopped' if is_stopped else 'expired'
+    assert report.rejected[0].reason == expected
+    minion.apply_deferred_starts()
+    assert not harness.log.starts
+
+
 async def test_start_with_lost_response_runs_once(harness, minion):
     """A repeated start call must not start a second run."""
     minion.fault = MinionFault.lose_answers
