--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -19,6 +19,7 @@
 from dragonflynotch.control.order_book import OrderEntry, Phase
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.records import STOPPED
 
 __all__ = ('OrderRunner',)
 
@@ -73,7 +74,7 @@
             if await self._apply_outcome(entry, outcome):
                 return
             await asyncio.sleep(_RETRY_DELAY_S)
-        reason = 'stopped' if entry.order.is_stopped else 'expired'
+        reason = STOPPED if entry.order.is_stopped else 'expired'
         await self._reject_when_safe(entry, reason)
 
     async def stop(self, entry: OrderEntry) -> None:
@@ -85,12 +86,13 @@
             run=entry.order.run,
             outcome=describe_outcome(outcome),
         )
-        if not isinstance(outcome, Stopped):
+        if isinstance(outcome, Stopped):
+            entry.is_stop_confirmed = True
+            entry.is_start_uncertain = False
+        elif not await self._have_starts_expired(entry):
             await asyncio.sleep(_RETRY_DELAY_S)
             return
-        entry.is_stop_confirmed = True
-        entry.is_start_uncertain = False
-        await self._reject_unless_running(entry, 'stopped')
+        await self._reject_unless_running(entry, STOPPED)
 
     async def send_stop(
         self, task: str, run: int
@@ -122,6 +124,7 @@
             return StartRefused(RefusalReason.room)
         if entry.first_sent_ms is None:
             entry.first_sent_ms = self._clock.now_ms()
+        entry.sent_lease_end_ms = max(entry.sent_lease_end_ms, end_ms)
         outcome = await self._session.minion.start(
             StartRequest(
                 entry.task,
@@ -174,6 +177,8 @@
             if isinstance(outcome, Stopped):
                 entry.is_start_uncertain = False
                 break
+            if await self._have_starts_expired(entry):
+                break
             await asyncio.sleep(_RETRY_DELAY_S)
         if not entry.is_start_uncertain:
             await self._reject_unless_running(entry, reason)
@@ -192,6 +197,24 @@
                 return
             await asyncio.sleep(_RETRY_DELAY_S)
 
+    async def _have_starts_expired(self, entry: OrderEntry) -> bool:
+        """Return whether the run was not started and cannot start any more.
+
+        A minion that refuses stops for long could otherwise hold the order for
+        as long.
+        """
+        if not await self._session.poll():
+            return False
+        state = self._session.orders.state
+        if (
+            entry.phase is not Phase.new
+            or state is None
+            or state.clock_ms <= entry.sent_lease_end_ms
+        ):
+            return False
+        entry.is_start_uncertain = False
+        return True
+
     def _must_prevent_start(self, entry: OrderEntry) -> bool:
         return (
             entry.is_start_uncertain
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -20,7 +20,9 @@
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = (
+    'INVALID',
     'NO_ROOM',
+    'STOPPED',
     'EndKind',
     'JobState',
     'LeaseRow',
@@ -37,6 +39,10 @@
 
 # Reason of the rejection of a start for which the minion had no room.
 NO_ROOM = 'room'
+# Reason of the rejection of a start that the minion does not understand.
+INVALID = 'invalid'
+# Reason of the rejection of an order that was stopped before its start.
+STOPPED = 'stopped'
 
 _RowT = TypeVar('_RowT')
 # Millicores, megabytes and accelerators.
@@ -90,7 +96,8 @@
     failed_on : dict of str to int
         Store time of the last failed or stalled run, by minion.
     last_failed_run : int
-        Last run that was counted as a failure of the gang; 0 if there is none.
+        Last run that was counted as a failure; 0 if there is none. Outside
+        gangs, 0 in rows of releases that did not store it.
     crashes : list of TaskCrash
         Crashes of minions that the task may have caused. Empty in rows of
         releases that did not store them.
@@ -263,6 +270,9 @@
     crashes : list of MinionCrash
         Recent crashes of minions of this guard. Empty in rows of releases
         that did not store them.
+    built_ms : int
+        Lower bound on the store time at which the report was built. 0 in rows
+        of releases that did not store it.
     """
 
     minion_id: MinionId
@@ -284,6 +294,7 @@
     leaves_at_ms: TimeMs | None = None
     crashes: list[MinionCrash] = []
     is_reachable: bool = True
+    built_ms: TimeMs = 0
 
     @property
     def accepts_runs(self) -> bool:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -6,8 +6,11 @@
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.progress import ActiveRun, Task
 from dragonflynotch.workflows.records import (
+    INVALID,
     NO_ROOM,
+    STOPPED,
     EndKind,
+    JobState,
     Order,
     Rejection,
     Report,
@@ -16,10 +19,15 @@
 )
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
+from dragonflynotch.workflows.runs.start_failures import StartFailures
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 
 __all__ = ('RunTracker',)
 
+# Rejections that say nothing about whether the worker starts other runs; one
+# for want of room counts as such a refusal.
+_REASONS_WITHOUT_FAULT = frozenset((INVALID, NO_ROOM, STOPPED))
+
 
 class RunTracker:
     """Applies reports to jobs and orders.
@@ -34,6 +42,7 @@
         orders: OrderRegistry,
         worker_health: WorkerHealth,
         room_refusals: RoomRefusals,
+        start_failures: StartFailures,
         decision_log: DecisionLogBuffer,
     ) -> None:
         """Create a tracker that updates ``jobs`` and ``orders``."""
@@ -41,15 +50,22 @@
         self._orders = orders
         self._worker_health = worker_health
         self._room_refusals = room_refusals
+        self._start_failures = start_failures
         self._decision_log = decision_log
 
-    def apply(self, report: Report, now_ms: int) -> None:
-        """Apply the report of a guard about an incarnation."""
+    def apply(self, report: Report, now_ms: int, reported_ms: int) -> None:
+        """Apply the report of a guard about an incarnation.
+
+        Parameters
+        ----------
+        reported_ms : int
+            Store time of the report.
+        """
         for end in report.ended:
             self._apply_end(report.minion_id, end, now_ms)
         for rejection in report.rejected:
             self._apply_rejection(report.minion_id, rejection, now_ms)
-        read_ms = now_ms - report.runs_age_ms
+        read_ms = reported_ms - report.runs_age_ms
         for running in report.running:
             self._apply_running(report.minion_id, running, read_ms)
         if not report.is_live:
@@ -74,12 +90,15 @@
     def restore(
         self, minion_id: str, name: str, order: Order, ordered_ms: int
     ) -> None:
-        """Restore a stored order and the active run of its task."""
+        """Restore a stored order and the active run of its task.
+
+        The progress of its job must have been restored before.
+        """
         self._orders.restore((minion_id, name), order)
         found = self._jobs.find(name)
         if found is None:
             return
-        task = found[2]
+        job, _, task = found
         task.run = max(task.run, order.run)
         task.active = ActiveRun(
             minion_id,
@@ -89,6 +108,9 @@
             progress_changed_ms=order.start_by_ms,
             is_backfill=order.is_backfill,
         )
+        if job.state.is_final and job.state is not JobState.completed:
+            # The end of the job was written, and maybe not this stop.
+            self.order_stop(task, job.state.value)
 
     def mark_lost(self, minion_id: str, reason: str) -> None:
         """Record all runs of an incarnation as lost.
@@ -150,6 +172,7 @@
             return
         was_done = task.is_done
         ordered_ms = task.active.ordered_ms
+        self._start_failures.record_start(minion_id, ordered_ms)
         job.apply_end(step, task, end.kind, end.checkpoint)
         self._jobs.mark_changed(job)
         self._decision_log.record(
@@ -210,6 +233,8 @@
         self._orders.remove(key)
         if rejection.reason == NO_ROOM:
             self._room_refusals.record(minion_id, order.resources, now_ms)
+        if rejection.reason not in _REASONS_WITHOUT_FAULT:
+            self._start_failures.record(minion_id, now_ms)
         found = self._jobs.find(rejection.task)
         if found is None:
             return
@@ -235,6 +260,9 @@
         active = task.active
         if active is None or not active.matches(minion_id, running.run):
             return
+        if not active.is_reported:
+            self._orders.confirm((minion_id, running.task))
+            self._start_failures.record_start(minion_id, active.ordered_ms)
         if running.percent != active.percent or not active.is_reported:
             active.percent = running.percent
             active.progress_changed_ms = read_ms
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -28,6 +28,7 @@
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
 from dragonflynotch.workflows.runs.run_activity import RunActivity
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
+from dragonflynotch.workflows.runs.start_failures import StartFailures
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 from dragonflynotch.workflows.scheduler_status import SchedulerStatus
@@ -109,12 +110,14 @@
         self._workers: dict[str, Worker] = {}
         self._worker_health = WorkerHealth()
         self._room_refusals = RoomRefusals()
+        start_failures = StartFailures()
         self._decision_log = DecisionLogBuffer()
         self._tracker = RunTracker(
             self._jobs,
             self._orders,
             self._worker_health,
             self._room_refusals,
+            start_failures,
             self._decision_log,
         )
         self._crash_tracker = CrashTracker(self._jobs, self._decision_log)
@@ -137,6 +140,7 @@
             self._evacuation,
             self._worker_health,
             self._room_refusals,
+            start_failures,
             mechanisms,
         )
         self._idle_log = IdleLog(self._jobs, self._orders, self._decision_log)
@@ -223,16 +227,37 @@
     def apply_report(
         self, node: str, report: Report, version: int, now_ms: int
     ) -> None:
-        """Apply the report of the guard on a node."""
+        """Apply a report that the guard on a node has just written."""
+        self._apply_report(node, report, version, now_ms, now_ms)
+
+    def restore_report(
+        self, node: str, report: Report, version: int, now_ms: int
+    ) -> None:
+        """Apply the stored report of a guard after a takeover.
+
+        Its age counts from when it was built, so that a worker that has been
+        silent does not count as present anew after each takeover.
+        """
+        reported_ms = min(report.built_ms or now_ms, now_ms)
+        self._apply_report(node, report, version, now_ms, reported_ms)
+
+    def _apply_report(
+        self,
+        node: str,
+        report: Report,
+        version: int,
+        now_ms: int,
+        reported_ms: int,
+    ) -> None:
         worker = self._workers.get(node)
         previous = '' if worker is None else worker.minion_id
-        self._workers[node] = Worker(node, report, version, now_ms)
+        self._workers[node] = Worker(node, report, version, reported_ms)
         self._crash_tracker.apply(node, report.crashes)
         self._tracker.save_abandoned_checkpoints(report.abandoned)
         if previous and previous != report.minion_id:
             self._tracker.mark_lost(previous, 'incarnation_replaced')
         if report.minion_id:
-            self._tracker.apply(report, now_ms)
+            self._tracker.apply(report, now_ms, reported_ms)
         if worker is not None and worker.report.capacity != report.capacity:
             self._room_refusals.clear(report.minion_id)
 
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -1,5 +1,6 @@
 """Life cycle of jobs and runs, and takeovers of the scheduler."""
 
+import msgspec
 import pytest
 
 from dragonflynotch.workflows.jobs import StepSpec
@@ -326,6 +327,42 @@
     assert successor.progress['a'].state is JobState.completed
 
 
+def test_failure_counts_once_if_the_removal_of_its_order_was_not_written(site):
+    """A takeover amid a large write used up an attempt twice.
+
+    The progress of jobs is written before the orders, in several transactions.
+    """
+    site.submit('a')
+    site.decide()
+    order = site.orders['m0', 'a.0.0.0']
+    site.end('a.0.0.0', EndKind.failed)
+    successor = Site()
+    successor.submit('a')
+    successor.scheduler.restore_progress('a', site.progress['a'])
+    successor.scheduler.restore_order('m0', 'a.0.0.0', order)
+    successor.orders['m0', 'a.0.0.0'] = order
+    successor.end('a.0.0.0', EndKind.failed)
+    assert successor.progress['a'].tasks[0].failures == 1
+    assert successor.progress['a'].state is JobState.running
+
+
+def test_run_of_an_ended_job_is_stopped_if_its_stop_was_not_written(site):
+    """A takeover amid a large write let a cancelled job run on for ever."""
+    step = StepSpec(1, 1000, 1000, 1, 500, is_long_running=True)
+    site.submit('a', 'normal', step)
+    site.decide()
+    order = msgspec.structs.replace(site.orders['m0', 'a.0.0.0'])
+    site.scheduler.cancel('a')
+    site.decide()
+    successor = Site()
+    successor.submit('a', 'normal', step)
+    successor.scheduler.cancel('a')
+    successor.scheduler.restore_progress('a', site.progress['a'])
+    successor.scheduler.restore_order('m0', 'a.0.0.0', order)
+    successor.decide()
+    assert successor.orders['m0', 'a.0.0.0'].is_stopped
+
+
 def test_takeover_removes_orders_of_unknown_incarnations(site):
     """A task must not wait for an incarnation that no guard reports."""
     site.submit('a')
@@ -340,6 +377,28 @@
     assert order.run == 4
 
 
+def test_stored_report_of_an_older_release_counts_as_new(site):
+    """Workers of guards that don't tell the time must not stay idle."""
+    worker = site.scheduler.workers['n0']
+    successor = Site(racks=())
+    successor.scheduler.restore_report('n0', worker.report, 1, site.now_ms)
+    successor.submit('a')
+    successor.decide()
+    assert successor.ordered_tasks() == ['a.0.0.0']
+
+
+def test_stored_report_of_a_silent_guard_counts_from_when_it_was_built(site):
+    """A worker that is silent counted as present again after a takeover."""
+    report = msgspec.structs.replace(
+        site.scheduler.workers['n0'].report, built_ms=site.now_ms - 4000
+    )
+    successor = Site(racks=())
+    successor.scheduler.restore_report('n0', report, 1, site.now_ms)
+    successor.submit('a')
+    successor.decide()
+    assert not successor.orders
+
+
 def test_orders_expire_later_on_a_slow_store(site):
     """Orders must not expire while a slow store delivers them."""
     site.submit('a')
