--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -110,7 +110,7 @@
         )
         if job.state.is_final and job.state is not JobState.completed:
             # The end of the job was written, and maybe not this stop.
-            self.order_stop(task, job.state.value)
+            self.order_stop(task, job.state.value, ordered_ms)
 
     def mark_lost(self, minion_id: str, reason: str) -> None:
         """Record all runs of an incarnation as lost.
