Replace the reports of lost guards beside the rounds

Each round first replaced the reports of all lost guards, one call of the store after the other, and again in the next round where that failed. Several lost machines, or one whose part of the store is slow, held up all decisions and the renewal of the lease, which can cost the leader its term.

The calls now run side by side and beside the rounds, one for each guard at a time. The runs of a guard count as lost once its report is replaced, as before, unless a newer report has arrived meanwhile.

test_jobs_start_while_reports_of_lost_guards_are_replaced fails before the change (no start within 1 s).

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -11,11 +11,11 @@
 from dragonflynotch.control.leader_load import LeaderLoad
 from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.lost_guards import LostGuards
 from dragonflynotch.control.replica_freshness import (
     ReplicaFreshness,
     are_operator_rows_recent,
 )
-from dragonflynotch.control.row_cleanup import void_report
 from dragonflynotch.control.rows import (
     ORDER_TABLES,
     PROGRESS,
@@ -141,6 +141,7 @@
             _FEED_TIMEOUT,
         )
         self._rows_changed = asyncio.Event()
+        self._lost_guards = LostGuards(context.store, self._rows_changed.set)
         self._writer = DecisionWriter(
             context.store, context.leadership, context.clock
         )
@@ -177,6 +178,7 @@
         finally:
             for watch in watches:
                 watch.cancel()
+            self._lost_guards.cancel()
 
     async def _load(self) -> None:
         progress_reader = TableReader(self._store, (PROGRESS,), self._clock)
@@ -278,7 +280,7 @@
         self._rows_changed.clear()
 
     async def _run_round(self) -> None:
-        await self._expire_lost_guards()
+        self._expire_lost_guards()
         deployment = self._deployment()
         if deployment is not None:
             self._scheduler.apply_deployment(deployment)
@@ -337,12 +339,14 @@
         if self._pace.is_settled:
             self._leadership.settle()
 
-    async def _expire_lost_guards(self) -> None:
+    def _expire_lost_guards(self) -> None:
         """Discard the runs of guards whose authority has ended."""
+        for node, worker in self._lost_guards.take_voided().items():
+            # A guard that is back may have written a newer report meanwhile.
+            if self._scheduler.workers.get(node) is worker:
+                self._scheduler.remove_lost_node(node)
         now_ms = self._store_now_ms()
         for node, worker in list(self._scheduler.workers.items()):
             end_ms = worker.report.authority_end_ms + _AUTHORITY_MARGIN_MS
-            if now_ms < end_ms or not worker.minion_id:
-                continue
-            if await void_report(self._store, node, worker):
-                self._scheduler.remove_lost_node(node)
+            if now_ms >= end_ms and worker.minion_id:
+                self._lost_guards.void(node, worker)
--- a/tests/control/test_leader.py
+++ b/tests/control/test_leader.py
@@ -290,3 +290,42 @@
     assert not count(events, 'guard_lost')
     assert not count(events, 'run_ordered')
     await cluster.stop()
+
+
+class StoreWithSlowReports(StoreWithoutTable):
+    """Store as seen by a leader whose writes of reports take long."""
+
+    def __init__(self, store):
+        super().__init__(store, REPORTS.name)
+        self.has_voided = asyncio.Event()
+
+    async def read(self, table, part, first='', last=''):
+        return await self._store.read(table, part, first, last)
+
+    async def commit(self, writes, conditions):
+        if writes[0].name.table == REPORTS.name:
+            self.has_voided.set()
+            await asyncio.sleep(1.5)
+        return await self._store.commit(writes, conditions)
+
+
+async def test_jobs_start_while_reports_of_lost_guards_are_replaced(events):
+    """Each lost guard held up all decisions for one call of the store."""
+    cluster = Cluster(settings=SchedulerSettings(max_report_age_ms=1500))
+    store = StoreWithSlowReports(cluster.store)
+    cluster.start_candidate('a', store=store)
+    for number in range(3):
+        cluster.add_minion(f'n{number}', f'm{number}')
+    await cluster.submit('first', tasks(3))
+    await cluster.wait_for_state('first', JobState.completed)
+    await cluster.kill('n0')
+    await cluster.kill('n1')
+    async with asyncio.timeout(4):
+        await store.has_voided.wait()
+    await cluster.submit('second', tasks(1))
+    await cluster.wait_for_starts(4, limit_s=1)
+    async with asyncio.timeout(4):
+        while count(events, 'guard_lost') < 2:
+            await asyncio.sleep(0.02)
+    assert count(events, 'lease_claimed') == 1
+    await cluster.stop()
--- /dev/null
+++ b/tests/control/test_lost_guards.py
@@ -0,0 +1,47 @@
+"""Replacing the reports of lost guards."""
+
+import asyncio
+
+from dragonflynotch.control.lost_guards import LostGuards
+from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
+from dragonflynotch.testing.row_store import MemoryRowStore
+from dragonflynotch.workflows.placement.workers import Worker
+from dragonflynotch.workflows.records import Report, decode_row, encode_row
+from tests.control.cluster import LoopClock
+
+NAME = RowName(REPORTS.name, shard_of('n0'), 'n0')
+
+
+async def write_report(store):
+    """Write a report and return the worker as the leader knows it."""
+    report = Report('m0', 'planner', True, True, 0, 1)
+    outcome = await store.commit([RowWrite(NAME, encode_row(report))], [])
+    return Worker('n0', report, outcome.version, 0)
+
+
+async def test_each_lost_guard_is_returned_once():
+    """Runs ordered after the return of a guard must not count as lost."""
+    store = MemoryRowStore(LoopClock())
+    worker = await write_report(store)
+    attempts = []
+    guards = LostGuards(store, lambda: attempts.append(1))
+    guards.void('n0', worker)
+    guards.void('n0', worker)
+    assert not guards.take_voided()
+    await asyncio.sleep(0.01)
+    assert guards.take_voided() == {'n0': worker}
+    assert not guards.take_voided()
+    assert len(attempts) == 1
+
+
+async def test_guard_that_reports_again_is_not_lost():
+    """A report written meanwhile gives the guard authority again."""
+    store = MemoryRowStore(LoopClock())
+    worker = await write_report(store)
+    await write_report(store)
+    guards = LostGuards(store, lambda: None)
+    guards.void('n0', worker)
+    await asyncio.sleep(0.01)
+    assert not guards.take_voided()
+    row = await store.read_row(NAME)
+    assert decode_row(row.content, Report).minion_id == 'm0'
