Rebuild the failures of workers after a takeover

A new leader knew no failures on workers: a worker that fails its runs was again the first choice of all jobs, and only further failures of two jobs excluded it.

The progress of jobs stores where and when their runs failed. These failures now count after a takeover as before it, for the rest of their 15 s: such workers come last, and the next failure of another job excludes them. They exclude no worker by themselves, since the rows don't tell which runs have succeeded there since. The end of an exclusion, its doubled length and trials are still forgotten.

test_takeover_does_not_forget_where_runs_failed fails before the change (m0 instead of m1).

--- a/dragonflynotch/workflows/runs/worker_health.py
+++ b/dragonflynotch/workflows/runs/worker_health.py
@@ -116,6 +116,18 @@
         record.exclusion_ms = min(record.exclusion_ms * 2, _MAX_EXCLUSION_MS)
         return True
 
+    def restore_failure(self, minion_id: str, job_id: str, at_ms: int) -> None:
+        """Restore a failed or stalled run from before a takeover.
+
+        It counts towards the next exclusion and starts none: whether runs have
+        succeeded on the worker since is not known.
+        """
+        record = self._records.setdefault(minion_id, _WorkerRecord())
+        record.failed_jobs[job_id] = max(
+            at_ms, record.failed_jobs.get(job_id, 0)
+        )
+        record.last_failure_ms = max(at_ms, record.last_failure_ms)
+
     def record_trial(self, minion_id: str, now_ms: int) -> None:
         """Record that a run was ordered on an excluded worker."""
         self._records[minion_id].last_trial_ms = now_ms
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -205,6 +205,9 @@
     def restore_progress(self, job_id: str, row: ProgressRow) -> None:
         """Restore the stored progress of a job after a takeover."""
         self._jobs.restore(job_id, row)
+        for task in row.tasks:
+            for minion_id, at_ms in task.failed_on.items():
+                self._worker_health.restore_failure(minion_id, job_id, at_ms)
 
     def restore_order(self, minion_id: str, task: str, order: Order) -> None:
         """Restore a stored order after a takeover."""
--- a/tests/workflows/runs/test_worker_health.py
+++ b/tests/workflows/runs/test_worker_health.py
@@ -26,6 +26,14 @@
     assert health.excluded(MINIONS, end_ms) == set()
 
 
+def test_failure_from_before_a_takeover_counts_towards_an_exclusion(health):
+    """Each takeover gave a faulty worker another run of every job."""
+    health.restore_failure('bad', 'earlier', 1000)
+    assert health.excluded(MINIONS, 1500) == set()
+    fail(health, 2000, started_ms=1500, jobs=1)
+    assert health.excluded(MINIONS, 2500) == {'bad'}
+
+
 def test_late_failures_of_earlier_runs_do_not_prolong_an_exclusion(health):
     """Runs from before the exclusion say nothing about the worker now."""
     fail(health, 1000, started_ms=500, jobs=2)
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -363,6 +363,43 @@
     assert successor.orders['m0', 'a.0.0.0'].is_stopped
 
 
+def failures_on_m0(site, *job_ids):
+    """Let jobs fail on m0 and complete elsewhere; return their progress."""
+    for job_id in job_ids:
+        site.submit(job_id)
+    site.decide()
+    for job_id in job_ids:
+        assert site.minion_of(f'{job_id}.0.0.0') == 'm0'
+        site.end(f'{job_id}.0.0.0', EndKind.failed)
+        site.end(f'{job_id}.0.0.0')
+    return {job_id: site.progress[job_id] for job_id in job_ids}
+
+
+def successor_with(site, progress):
+    successor = Site()
+    successor.now_ms = site.now_ms
+    for job_id, row in progress.items():
+        successor.submit(job_id)
+        successor.scheduler.restore_progress(job_id, row)
+    return successor
+
+
+def test_takeover_does_not_forget_where_runs_failed(site):
+    """Work was given to a faulty worker again after each takeover."""
+    successor = successor_with(site, failures_on_m0(site, 'a'))
+    successor.submit('c', 'normal', StepSpec(1, 1000, 1000, 1, 2000))
+    successor.decide()
+    assert successor.minion_of('c.0.0.0') == 'm1'
+
+
+def test_takeover_excludes_no_worker_by_itself(site):
+    """Successes since the failures are not known to the new leader."""
+    successor = successor_with(site, failures_on_m0(site, 'a', 'b'))
+    successor.submit('c', 'normal', StepSpec(3, 8000, 8000, 8, 4000))
+    successor.decide()
+    assert len(successor.ordered_tasks()) == 3
+
+
 def test_takeover_removes_orders_of_unknown_incarnations(site):
     """A task must not wait for an incarnation that no guard reports."""
     site.submit('a')
