Identify a minion again after an unexpected error

An identification that ended by an unexpected error stayed pending, so all later heartbeats of the minion were ignored and its worker stood empty for as long as the minion lived. No such error is known.

test_minion_is_identified_after_an_error fails before the change.

--- a/dragonflynotch/control/minion_identity.py
+++ b/dragonflynotch/control/minion_identity.py
@@ -80,10 +80,15 @@
 
     async def identify(self, heartbeat: Heartbeat) -> Identified | None:
         """Return the incarnation of a heartbeat if it still responds."""
+        try:
+            return await self._ask(heartbeat)
+        finally:
+            self._pending.discard(heartbeat.minion_id)
+
+    async def _ask(self, heartbeat: Heartbeat) -> Identified | None:
         received_ms = self._clock.now_ms()
         minion = self._connect(heartbeat)
         outcome = await minion.poll(self._token(), 0, 0, 0)
-        self._pending.discard(heartbeat.minion_id)
         if not isinstance(outcome, MinionState):
             decision_log.record(
                 'heartbeat_ignored',
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -398,6 +398,24 @@
     assert (await harness.report()).minion_id == 'm1'
 
 
+async def test_minion_is_identified_after_an_error(harness, monkeypatch):
+    """One unexpected error kept a minion unregistered for its whole life."""
+    poll = ModelMinionClient.poll
+    errors = [ValueError('unreadable response')]
+
+    async def fail_once(*args):
+        if errors:
+            raise errors.pop()
+        return await poll(*args)
+
+    monkeypatch.setattr(ModelMinionClient, 'poll', fail_once)
+    harness.add_minion('m1')
+    harness.send_heartbeat('m1')
+    await asyncio.sleep(0.1)
+    harness.send_heartbeat('m1', sequence=2)
+    await harness.wait_for(lambda report: report.minion_id == 'm1')
+
+
 async def test_report_tells_the_age_of_the_runs(harness, minion):
     """Progress that cannot be read must not look like a lack of progress."""
     minion.fault = MinionFault.cut
