Write orders before expired jobs are removed

The rows of expired jobs were deleted one call after the other before the orders of the round were written. Four minutes after the start, on a slow store, each round could take so long that its orders had expired when the guards read them.

Orders are now written first, and the submissions are then deleted side by side.

test_orders_do_not_wait_for_the_removal_of_expired_jobs fails before the change.

--- a/dragonflynotch/control/decision_writer.py
+++ b/dragonflynotch/control/decision_writer.py
@@ -1,5 +1,7 @@
 """Writes the decisions of scheduling rounds under the lease."""
 
+import asyncio
+
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.row_cleanup import delete_submission
@@ -58,18 +60,24 @@
     ) -> None:
         """Write the progress of jobs before the orders that result from it.
 
+        The rows of expired jobs are deleted last, so that orders don't wait
+        for it.
+
         Raises
         ------
         LeaseLostError
             If another node holds the lease.
         """
-        writes = _row_writes(decisions)
-        for job_id in decisions.expired_jobs:
-            # A submission without progress would run again, so the progress
-            # row is deleted only after the submission.
-            if await delete_submission(self._store, job_id):
-                writes.append(RowWrite(_progress_row(job_id), None))
         started_ms = self._clock.now_ms()
+        await self._commit(_row_writes(decisions), waiting_by_queue)
+        self._duration_ms = self._written_ms - started_ms
+        if decisions.expired_jobs:
+            deletions = await self._delete_submissions(decisions.expired_jobs)
+            await self._commit(deletions, waiting_by_queue)
+
+    async def _commit(
+        self, writes: list[RowWrite], waiting_by_queue: dict[str, int]
+    ) -> None:
         for start in range(0, max(1, len(writes)), _MAX_ROWS_PER_WRITE):
             await self._leadership.commit(
                 writes[start : start + _MAX_ROWS_PER_WRITE],
@@ -77,7 +85,21 @@
                 waiting_by_queue,
             )
         self._written_ms = self._clock.now_ms()
-        self._duration_ms = self._written_ms - started_ms
+
+    async def _delete_submissions(self, job_ids: list[str]) -> list[RowWrite]:
+        """Delete the submissions of jobs; return what to delete after it.
+
+        A submission without progress would run again, so the progress row is
+        deleted only after the submission.
+        """
+        are_deleted = await asyncio.gather(
+            *(delete_submission(self._store, job_id) for job_id in job_ids)
+        )
+        return [
+            RowWrite(_progress_row(job_id), None)
+            for job_id, is_deleted in zip(job_ids, are_deleted, strict=True)
+            if is_deleted
+        ]
 
 
 def _row_writes(decisions: Decisions) -> list[RowWrite]:
