Read the platform's list of machines

Cause: nothing told a machine without power from one that is cut off, so the runs of both are held until the authority of the guard has ended.

The stand-in of the platform serves the list.

Not used yet.

--- a/dragonflynotch/platform/settings.py
+++ b/dragonflynotch/platform/settings.py
@@ -88,6 +88,11 @@
     link_mbps : float or None
         Bandwidth of the link of this machine in Mbit/s
         (``limits.link_mbps``), if it is limited.
+    machines_address : tuple of (str, int) or None
+        Address of the list of machines (``cloud.address``), if there is one.
+    machine_reads_per_s : float or None
+        Pages of that list that the platform returns per second to all nodes
+        together (``cloud.rate_per_s``), if they are limited.
     """
 
     node: str
@@ -101,6 +106,8 @@
     service: str = ''
     cores: float | None = None
     link_mbps: float | None = None
+    machines_address: Address | None = None
+    machine_reads_per_s: float | None = None
 
 
 def load_settings(path: Path) -> PlatformSettings:
@@ -150,6 +157,8 @@
             service=self._fields.get('service', ''),
             cores=self._cores(),
             link_mbps=self._limit('limits.link_mbps'),
+            machines_address=self._address('cloud.address'),
+            machine_reads_per_s=self._limit('cloud.rate_per_s'),
         )
 
     def _cores(self) -> float | None:
@@ -162,8 +171,8 @@
     def _limit(self, name: str) -> float | None:
         """Return a limit; one that is not a positive number counts as none.
 
-        The limits only decide which candidate claims the lease first, so an
-        unreadable one does not prevent a start.
+        The limits only decide which candidate claims the lease first, and how
+        fast lists are read, so an unreadable one does not prevent a start.
         """
         try:
             limit = float(self._fields.get(name, ''))
--- a/dragonflynotch/testing/platform_site.py
+++ b/dragonflynotch/testing/platform_site.py
@@ -1,4 +1,4 @@
-"""Stand-in for the row store of the users' platform over HTTP.
+"""Stand-in for the row store and machine list of the users' platform.
 
 Implements the platform's HTTP interface, so that the programs of a deployment
 can run against it as separate processes.
@@ -26,6 +26,10 @@
 )
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.http_server import HttpServer
+from dragonflynotch.testing.machines import (
+    MemoryMachineDirectory,
+    SiteMachine,
+)
 from dragonflynotch.testing.minion_model import RunLog
 from dragonflynotch.testing.row_store import MemoryRowStore
 
@@ -40,6 +44,7 @@
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _MAX_PAGE_ROWS = 500
+_MAX_PAGE_MACHINES = 100
 _PATH_PREFIX = '/dragonflynotch/'
 
 
@@ -53,7 +58,7 @@
 
 
 class PlatformSite:
-    """Row store of the platform, with the operator's configuration.
+    """Row store and list of machines, with the operator's configuration.
 
     Parameters
     ----------
@@ -61,6 +66,13 @@
         Address on which the store listens.
     runs : RunLog, optional
         Records the starts and ends of runs on all minions.
+
+    Attributes
+    ----------
+    machines : MemoryMachineDirectory
+        Machines in the list.
+    max_page_machines : int
+        Machines on a page of the list.
     """
 
     def __init__(
@@ -71,6 +83,8 @@
         self.clock = BootClock()
         self.store = MemoryRowStore(self.clock)
         self.runs = RunLog() if runs is None else runs
+        self.machines = MemoryMachineDirectory()
+        self.max_page_machines = _MAX_PAGE_MACHINES
         self._server = HttpServer(address, self._answer)
         self._server_task: asyncio.Task[None] | None = None
 
@@ -152,6 +166,8 @@
             'ip': '127.0.0.1',
             'zone': 'hall-a',
             'platform.address': '{}:{}'.format(*self.address),
+            'cloud.address': '{}:{}'.format(*self.address),
+            'cloud.rate_per_s': '60',
             'bounds.hold_max_ms': '6000',
             'bounds.stop_ms': '200',
             **listen,
@@ -170,6 +186,8 @@
                     return await self._read(call)
                 case 'rows-feed':
                     return await self._feed(call)
+                case 'machines':
+                    return self._list_machines(call)
         except PlatformUnavailableError:
             return Reply(_UNAVAILABLE)
         except UncertainWriteError:
@@ -232,6 +250,22 @@
         ]
         return self._reply(_OK, answer.version, rows)
 
+    def _list_machines(self, call: HttpCall) -> Reply:
+        """Return a page; its token is the number of its first entry."""
+        self.machines.call_count += 1
+        if not self.machines.is_available:
+            return Reply(_UNAVAILABLE)
+        machines = self.machines.machines
+        first = int(call.query.get('page_token', '0'))
+        end = first + self.max_page_machines
+        body = {
+            'machines': [
+                _wire_machine(machine) for machine in machines[first:end]
+            ],
+            'next_token': str(end) if end < len(machines) else None,
+        }
+        return Reply(_OK, msgspec.json.encode(body), _JSON)
+
     def _reply(
         self,
         status: int,
@@ -253,6 +287,18 @@
     return RowName(row['table'], row.get('part', ''), row['key'])
 
 
+def _wire_machine(machine: SiteMachine) -> dict[str, object]:
+    row: dict[str, object] = {
+        'machine': machine.name,
+        'pool': machine.service,
+        'state': 'up' if machine.is_up else 'down',
+        'zone': 'hall-a',
+    }
+    if machine.is_up:
+        row['id'] = machine.minion_id
+    return row
+
+
 def _wire_row(
     key: str, content: bytes | None, version: int, name: RowName
 ) -> dict[str, object]:
--- a/dragonflynotch/testing/site_minion.py
+++ b/dragonflynotch/testing/site_minion.py
@@ -76,6 +76,8 @@
         )
         self._answer_delay_s = answer_delay_s
         self._service = service
+        self._machines = site.machines
+        self._machine_name = 'm-{}-{}'.format(*guard)
         self._announced_address = announced_address or address
         # Called when a task crashes the minion.
         self.on_crash: Callable[[], None] = _ignore_crash
@@ -86,6 +88,9 @@
 
     async def start(self) -> None:
         """Start serving calls and sending heartbeats."""
+        self._machines.start(
+            self._machine_name, self._service, self.model.minion_id
+        )
         self._tasks = [
             asyncio.create_task(self._server.run()),
             asyncio.create_task(self._send_heartbeats()),
@@ -95,6 +100,7 @@
     async def stop(self) -> None:
         """Crash the minion; it does not deregister from its guard."""
         self.model.crash()
+        self._machines.power_off(self._machine_name)
         self._server.stop()
         self._tasks[1].cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
