Start the runs of lost machines elsewhere within 3 s

Cause: the runs of a machine that lost power were held for 15.5 s, the authority of its guard and a margin, and a job all of whose tasks were there had nothing at work meanwhile, beside idle room.

Change: if a guard has been silent for 2 s while the replica of the reports is current, the leader asks for the list of machines in the background, at most once a second. A minion that a complete list lacks, requested after its report had become too old, has ended: a minion is one life of a machine. The report is voided on condition of its version, so a guard that wrote meanwhile keeps its runs. The list has to contain most minions of the service whose guards report, or it proves nothing. Minions that leave are not looked up, since they may run on after their machine has left the list. Guards that are only silent are held as before.

Ruled out: counting a service without any listed minion as lost. A list that never names minions would end live runs, and there would be no room to start them again.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
@@ -11,6 +11,11 @@
 from dragonflynotch.control.leader_load import LeaderLoad
 from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.loss_detector import LossCounts, LossDetector
+from dragonflynotch.control.machines import (
+    MachineDirectory,
+    NoMachineDirectory,
+)
 from dragonflynotch.control.replica_freshness import (
     ReplicaFreshness,
     are_operator_rows_recent,
@@ -89,6 +94,10 @@
         the operator's rows have been read.
     record_load : callable
         Receives the duration of each completed load, in seconds.
+    machines : MachineDirectory
+        List of the machines; none by default.
+    losses : LossCounts
+        Counts lost machines.
     """
 
     store: RowStore
@@ -99,6 +108,8 @@
     record_round: Callable[[float], None]
     evacuations: Callable[[], EvacuationRequests | None]
     record_load: Callable[[float], None] = _ignore_duration
+    machines: MachineDirectory = field(default_factory=NoMachineDirectory)
+    losses: LossCounts = field(default_factory=LossCounts)
 
 
 class LeaderTerm:
@@ -150,6 +161,9 @@
         self._is_loading = True
         self._freshness = ReplicaFreshness(self._submissions, self._reports)
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
+        self._loss_detector = LossDetector(
+            context.machines, context.clock, context.losses
+        )
 
     @property
     def status(self) -> SchedulerStatus:
@@ -177,6 +191,7 @@
         finally:
             for watch in watches:
                 watch.cancel()
+            self._loss_detector.close()
 
     async def _load(self) -> None:
         progress_reader = TableReader(self._store, (PROGRESS,), self._clock)
@@ -253,6 +268,7 @@
         for change in changes:
             if change.content is None:
                 continue
+            self._loss_detector.record_report(change.key)
             report = decode_row(change.content, Report)
             if isinstance(report, Unreadable):
                 unreadable_entries.record(
@@ -279,6 +295,7 @@
 
     async def _run_round(self) -> None:
         await self._expire_lost_guards()
+        await self._remove_lost_machines()
         deployment = self._deployment()
         if deployment is not None:
             self._scheduler.apply_deployment(deployment)
@@ -344,5 +361,25 @@
             end_ms = worker.report.authority_end_ms + _AUTHORITY_MARGIN_MS
             if now_ms < end_ms or not worker.minion_id:
                 continue
-            if await void_report(self._store, node, worker):
+            if await void_report(self._store, worker):
+                decision_log.record(
+                    'guard_lost', guard=node, minion=worker.minion_id
+                )
                 self._scheduler.remove_lost_node(node)
+
+    async def _remove_lost_machines(self) -> None:
+        """Discard the runs of minions that have ended with their machines."""
+        lost_machines = self._loss_detector.find_lost(
+            self._scheduler.workers.values(), self._reports.confirmed_age_ms
+        )
+        are_voided = await asyncio.gather(
+            *(void_report(self._store, lost.worker) for lost in lost_machines)
+        )
+        for lost, is_voided in zip(lost_machines, are_voided, strict=True):
+            worker = lost.worker
+            if not is_voided:
+                continue
+            self._loss_detector.record_loss(lost)
+            # A report that arrived meanwhile has replaced the worker.
+            if self._scheduler.workers.get(worker.node) is worker:
+                self._scheduler.remove_lost_node(worker.node, 'machine_lost')
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -45,11 +45,11 @@
     return True
 
 
-async def void_report(store: RowStore, node: str, worker: Worker) -> bool:
-    """Replace the report of a guard whose authority has ended.
+async def void_report(store: RowStore, worker: Worker) -> bool:
+    """Replace the report of a guard whose authority or minion has ended.
 
-    The write is conditional on the version of the report. If the guard extends
-    its authority at the same time, only one of the two writes takes effect.
+    The write is conditional on the version of the report. If the guard writes
+    a report at the same time, only one of the two writes takes effect.
 
     Returns
     -------
@@ -57,6 +57,7 @@
         Whether the report was replaced, so that the runs of the worker have
         certainly ended.
     """
+    node = worker.node
     name = RowName(REPORTS.name, shard_of(node), node)
     empty = Report('', '', False, False, 0, worker.report.token)
     try:
@@ -66,7 +67,4 @@
     except (PlatformUnavailableError, UncertainWriteError) as error:
         decision_log.record('guard_not_voided', guard=node, reason=str(error))
         return False
-    if not isinstance(outcome, Committed):
-        return False
-    decision_log.record('guard_lost', guard=node, minion=worker.minion_id)
-    return True
+    return isinstance(outcome, Committed)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -10,6 +10,7 @@
 from dragonflynotch.control.leader import Leader
 from dragonflynotch.control.leader_term import LeaderContext
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.loss_detector import LossCounts
 from dragonflynotch.control.operator_requests import EvacuationWatch
 from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.links.asgi import HttpCall, Reply
@@ -23,6 +24,7 @@
     decode_evacuation,
 )
 from dragonflynotch.platform.front import JobApi
+from dragonflynotch.platform.machines import machine_directory
 from dragonflynotch.platform.minion import HttpMinionClient
 from dragonflynotch.platform.row_store import HttpRowStore
 from dragonflynotch.platform.settings import PlatformSettings
@@ -81,6 +83,7 @@
             self._evacuation_run_counts,
             self._labelled_gauges,
         )
+        self._losses = LossCounts()
         self._leader = Leader(
             LeaderContext(
                 self._store,
@@ -91,6 +94,8 @@
                 self._metrics.record_round,
                 evacuations.requests,
                 self._metrics.record_load,
+                machine_directory(settings),
+                self._losses,
             ),
             _scheduler_settings(settings),
         )
@@ -179,6 +184,8 @@
             'leaving_workers': scheduler.leaving_workers,
             'departure_stops': scheduler.departure_stops,
             'suspected_tasks': scheduler.suspected_tasks,
+            'machines_lost': self._losses.machines_lost,
+            'failed_machine_lookups': self._losses.failed_lookups,
             'store_calls': self._store.call_count,
             'unreadable_entries': unreadable_entries.count,
         }
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -235,14 +235,14 @@
         if worker is not None and worker.report.capacity != report.capacity:
             self._room_refusals.clear(report.minion_id)
 
-    def remove_lost_node(self, node: str) -> None:
-        """Remove a node whose guard has lost its authority.
+    def remove_lost_node(self, node: str, reason: str = 'guard_lost') -> None:
+        """Remove a node whose guard has lost its authority or its minion.
 
-        Its runs are recorded as lost.
+        Its runs are recorded as lost, with ``reason`` in the log.
         """
         worker = self._workers.pop(node, None)
         if worker is not None and worker.minion_id:
-            self._tracker.mark_lost(worker.minion_id, 'guard_lost')
+            self._tracker.mark_lost(worker.minion_id, reason)
 
     def remove_unknown_orders(self) -> None:
         """Record runs as lost if no guard reports their incarnation."""
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -17,6 +17,7 @@
     OPERATOR_TABLE,
     decode_evacuation,
 )
+from dragonflynotch.testing.machines import MemoryMachineDirectory
 from dragonflynotch.testing.minion_model import (
     MinionModel,
     ModelMinionClient,
@@ -54,9 +55,11 @@
         How long each task runs, in milliseconds.
     settings : SchedulerSettings, optional
         Limits of the schedulers.
+    limits : GuardLimits, optional
+        Lease durations of the guards.
     """
 
-    def __init__(self, duration_ms=300, settings=None):
+    def __init__(self, duration_ms=300, settings=None, limits=LIMITS):
         self.clock = LoopClock()
         self.store = MemoryRowStore(self.clock)
         self.log = RunLog()
@@ -66,6 +69,8 @@
             self.store, self.store.store_clock, self.store.health, self.clock
         )
         self.models = {}
+        self.machines = MemoryMachineDirectory()
+        self._limits = limits
         self.leaders = {}
         # Data centres by node, as in the heartbeats of the minions.
         self.data_centres = {}
@@ -98,6 +103,7 @@
                 lambda: DEPLOYMENT,
                 self.round_durations.append,
                 evacuations.requests,
+                machines=self.machines,
             ),
             self._settings,
         )
@@ -106,9 +112,16 @@
 
     def add_minion(self, node, minion_id):
         self.models[minion_id] = self._create_model(minion_id)
+        self.machines.start(node, 'planner', minion_id)
         self.start_guard(node)
         self.send_heartbeat(node, minion_id)
 
+    async def power_off(self, node, minion_id):
+        """End a machine: its guard and its minion."""
+        self.models[minion_id].crash()
+        self.machines.power_off(node)
+        await self.kill(node)
+
     def start_guard(self, node):
         guard = Guard(
             node,
@@ -118,7 +131,7 @@
             lambda heartbeat: ModelMinionClient(
                 self.models[heartbeat.minion_id]
             ),
-            LIMITS,
+            self._limits,
         )
         self.guards[node] = guard
         self._spawn(node, guard.run())
