Keep the crashes of a guard when its report is voided

Cause: a voided report lacked the crashes that the guard suspected or had found, so after the guard's restart nobody could confirm them and a task that crashes minions looked innocent.

Change: the voided report keeps them; the test fails without that.

--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -59,7 +59,16 @@
     """
     node = worker.node
     name = RowName(REPORTS.name, shard_of(node), node)
-    empty = Report('', '', False, False, 0, worker.report.token)
+    # The next process of the guard may still confirm a suspected crash.
+    empty = Report(
+        '',
+        '',
+        is_ready=False,
+        is_live=False,
+        authority_end_ms=0,
+        token=worker.report.token,
+        crashes=worker.report.crashes,
+    )
     try:
         outcome = await store.commit(
             [RowWrite(name, encode_row(empty))], [(name, worker.version)]
--- a/tests/control/test_lost_machines.py
+++ b/tests/control/test_lost_machines.py
@@ -5,7 +5,12 @@
 import pytest
 
 from dragonflynotch.control.guard import GuardLimits
+from dragonflynotch.control.row_cleanup import void_report
+from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
 from dragonflynotch.testing.minion_model import MinionFault
+from dragonflynotch.workflows.crash_records import MinionCrash
+from dragonflynotch.workflows.placement.workers import Worker
+from dragonflynotch.workflows.records import Report, decode_row, encode_row
 from tests.control.cluster import Cluster, tasks
 
 # As in the deployment, where the rule allows 3 s without a run.
@@ -102,3 +107,16 @@
     await _start_on_one_machine(cluster)
     await asyncio.sleep(MAX_IDLE_S)
     assert cluster.machines.call_count == 0
+
+
+async def test_voided_report_keeps_the_crashes_of_its_guard(store):
+    """The task that crashed a minion must be known after a guard's restart."""
+    crash = MinionCrash('m0', 5, [], is_certain=False)
+    report = Report('m0', 'planner', True, True, 9, 3, crashes=[crash])
+    name = RowName(REPORTS.name, shard_of('n0'), 'n0')
+    written = await store.commit([RowWrite(name, encode_row(report))], [])
+    worker = Worker('n0', report, written.version, 0)
+    assert await void_report(store, worker)
+    row = await store.read_row(name)
+    voided = decode_row(row.content, Report)
+    assert (voided.minion_id, voided.crashes) == ('', [crash])
