--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -58,6 +58,24 @@
     assert status == 400
 
 
+async def test_runs_of_a_lost_machine_start_elsewhere(tmp_path):
+    """Guards against runs that wait for the authority of a lost machine."""
+    programs = PlatformPrograms(tmp_path, run_duration_ms=60_000)
+    await programs.start()
+    try:
+        await programs.submit('front-1', JOB_ID)
+        starts = programs.site.runs.starts
+        await _wait_for_starts(starts, 1, 5)
+        minion_id = starts[0][2]
+        await programs.minions[minion_id].stop()
+        await programs.kill(minion_id.replace('i-', 'side-'))
+        # The rule for callers allows a job 3 s without a run.
+        await _wait_for_starts(starts, 2, 3)
+    finally:
+        await programs.stop()
+    assert starts[1][2] != minion_id
+
+
 async def test_killed_programs_neither_lose_nor_repeat_tasks(programs):
     """Guards against lost or repeated tasks when processes are killed."""
     await programs.submit('front-1', JOB_ID, 6)
@@ -227,3 +245,9 @@
     await programs.wait_for_state('front-1', JOB_ID, 'completed')
     programs.site.store.fault = StoreFault.down
     assert (await programs.print_evacuations('front-1'))[0] == 6
+
+
+async def _wait_for_starts(starts, count, timeout_s):
+    async with asyncio.timeout(timeout_s):
+        while len(starts) < count:
+            await asyncio.sleep(0.02)
