--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
@@ -11,7 +11,16 @@
 from dragonflynotch.control.leader_load import LeaderLoad
 from dragonflynotch.control.leader_pace import RoundPace
 from dragonflynotch.control.leadership import Leadership
+from dragonflynotch.control.loss_detector import (
+    LossCounts,
+    LossDetector,
+    LostMachine,
+)
 from dragonflynotch.control.lost_guards import LostGuards
+from dragonflynotch.control.machines import (
+    MachineDirectory,
+    NoMachineDirectory,
+)
 from dragonflynotch.control.replica_freshness import (
     ReplicaFreshness,
     are_operator_rows_recent,
@@ -32,6 +41,7 @@
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.evacuation import EvacuationRequests
 from dragonflynotch.workflows.jobs import decode_job_spec
+from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import (
     Order,
     ProgressRow,
@@ -89,6 +99,10 @@
         the operator's rows have been read.
     record_load : callable
         Receives the duration of each completed load, in seconds.
+    machines : MachineDirectory
+        List of the machines; none by default.
+    losses : LossCounts
+        Counts lost machines.
     """
 
     store: RowStore
@@ -99,6 +113,8 @@
     record_round: Callable[[float], None]
     evacuations: Callable[[], EvacuationRequests | None]
     record_load: Callable[[float], None] = _ignore_duration
+    machines: MachineDirectory = field(default_factory=NoMachineDirectory)
+    losses: LossCounts = field(default_factory=LossCounts)
 
 
 class LeaderTerm:
@@ -142,6 +158,8 @@
         )
         self._rows_changed = asyncio.Event()
         self._lost_guards = LostGuards(context.store, self._rows_changed.set)
+        # Machines whose loss is known and whose runs are still held, by node.
+        self._lost_machines: dict[str, LostMachine] = {}
         self._writer = DecisionWriter(
             context.store, context.leadership, context.clock
         )
@@ -151,6 +169,9 @@
         self._is_loading = True
         self._freshness = ReplicaFreshness(self._submissions, self._reports)
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
+        self._loss_detector = LossDetector(
+            context.machines, context.clock, context.losses
+        )
 
     @property
     def status(self) -> SchedulerStatus:
@@ -179,6 +200,7 @@
             for watch in watches:
                 watch.cancel()
             self._lost_guards.cancel()
+            self._loss_detector.close()
 
     async def _load(self) -> None:
         progress_reader = TableReader(self._store, (PROGRESS,), self._clock)
@@ -255,6 +277,7 @@
         for change in changes:
             if change.content is None:
                 continue
+            self._loss_detector.record_report(change.key)
             report = decode_row(change.content, Report)
             if isinstance(report, Unreadable):
                 unreadable_entries.record(
@@ -280,7 +303,9 @@
         self._rows_changed.clear()
 
     async def _run_round(self) -> None:
+        self._remove_lost_guards()
         self._expire_lost_guards()
+        self._find_lost_machines()
         deployment = self._deployment()
         if deployment is not None:
             self._scheduler.apply_deployment(deployment)
@@ -339,14 +364,37 @@
         if self._pace.is_settled:
             self._leadership.settle()
 
-    def _expire_lost_guards(self) -> None:
-        """Discard the runs of guards whose authority has ended."""
+    def _remove_lost_guards(self) -> None:
+        """Discard the runs of guards whose reports have been replaced."""
         for node, worker in self._lost_guards.take_voided().items():
+            reason = self._record_loss(node, worker)
             # A guard that is back may have written a newer report meanwhile.
             if self._scheduler.workers.get(node) is worker:
-                self._scheduler.remove_lost_node(node)
+                self._scheduler.remove_lost_node(node, reason)
+
+    def _record_loss(self, node: str, worker: Worker) -> str:
+        """Log why the report of a guard was replaced, and return the reason."""
+        lost = self._lost_machines.pop(node, None)
+        if lost is not None and lost.worker is worker:
+            self._loss_detector.record_loss(lost)
+            return 'machine_lost'
+        decision_log.record('guard_lost', guard=node, minion=worker.minion_id)
+        return 'guard_lost'
+
+    def _expire_lost_guards(self) -> None:
+        """Give up the guards whose authority has ended."""
         now_ms = self._store_now_ms()
         for node, worker in list(self._scheduler.workers.items()):
             end_ms = worker.report.authority_end_ms + _AUTHORITY_MARGIN_MS
             if now_ms >= end_ms and worker.minion_id:
                 self._lost_guards.void(node, worker)
+
+    def _find_lost_machines(self) -> None:
+        """Give up the guards whose minions have ended with their machines."""
+        lost_machines = self._loss_detector.find_lost(
+            self._scheduler.workers.values(), self._reports.confirmed_age_ms
+        )
+        for lost in lost_machines:
+            node = lost.worker.node
+            self._lost_machines[node] = lost
+            self._lost_guards.void(node, lost.worker)
--- a/dragonflynotch/control/lost_guards.py
+++ b/dragonflynotch/control/lost_guards.py
@@ -34,7 +34,7 @@
         """Replace the report of a guard, unless this is in progress."""
         if node in self._calls:
             return
-        call = asyncio.create_task(void_report(self._store, node, worker))
+        call = asyncio.create_task(void_report(self._store, worker))
         call.add_done_callback(lambda _: self._on_done())
         self._calls[node] = (worker, call)
 
