--- /dev/null
+++ b/benchmarks/idle_search/__init__.py
@@ -0,0 +1,1 @@
+"""Random days on a simulated fleet, judged by what the minions run."""
