--- /dev/null
+++ b/tests/benchmarks/idle_search/test_play.py
@@ -0,0 +1,52 @@
+"""Tests of whole days with the scheduler."""
+
+import pytest
+
+from benchmarks.idle_search.days import draw_day
+from benchmarks.idle_search.faults import FaultKind, LeaderAbsence
+from benchmarks.idle_search.play import play_day
+from dragonflynotch.workflows.jobs import StepSpec
+from tests.benchmarks.idle_search.site import TASK, make_arrival, make_day
+
+MIXED = frozenset({FaultKind.bad, FaultKind.lost, FaultKind.leaders})
+
+
+def test_play_repeats_for_a_seed():
+    """A difference between two builds must come from their decisions."""
+    events = ([], [])
+    for known in events:
+        play_day(
+            draw_day(3, MIXED),
+            on_entry=lambda now_ms, entry, known=known: known.append(
+                (now_ms, entry.event, str(entry.fields))
+            ),
+        )
+    assert events[0] == events[1]
+    assert events[0]
+
+
+def test_next_leader_continues_the_day():
+    """A job was lost, or ran twice, when the leader was replaced."""
+    second = StepSpec(2, 2800, 7392, 1, 3000, after=(0,))
+    day = make_day(
+        make_arrival('job', 1500, TASK, second),
+        absences=(LeaderAbsence(3000, 5000), LeaderAbsence(5500, 8000)),
+    )
+    ended = []
+    result = play_day(
+        day,
+        on_entry=lambda now_ms, entry: (
+            ended.append(now_ms) if entry.event == 'job_ended' else None
+        ),
+    )
+    assert len(ended) == 1
+    assert not result.findings
+    assert not result.violations
+
+
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_no_job_waits_beside_idle_room(seed):
+    """A job had nothing at work for over 3 s while most of the room is free."""
+    result = play_day(draw_day(seed, MIXED))
+    assert not [wait.describe() for wait in result.findings]
+    assert not result.violations
