--- a/benchmarks/idle_search/days.py
+++ b/benchmarks/idle_search/days.py
@@ -16,7 +16,8 @@
 
 # The clock of a day starts at 1 s, since some rows use 0 for "never".
 START_MS = 1000
-_LAST_ARRIVAL_MS = 25_000
+# End of the arrivals; a day has one of these.
+_LAST_ARRIVALS_MS = (15_000, 25_000, 45_000)
 _JOB_COUNTS = (10, 40)
 
 
@@ -36,8 +37,9 @@
     machines = draw_machines(seed, kinds)
     faults, absences = draw_faults(seed, kinds, len(machines))
     random = Random(f'{seed}/arrivals')
+    last_ms = random.choice(_LAST_ARRIVALS_MS)
     times_ms = sorted(
-        random.randint(START_MS, _LAST_ARRIVAL_MS)
+        random.randint(START_MS, last_ms)
         for _ in range(random.randint(*_JOB_COUNTS))
     )
     mix = JobMix(seed, kinds, machines)
--- a/benchmarks/idle_search/faults.py
+++ b/benchmarks/idle_search/faults.py
@@ -99,7 +99,7 @@
 _MAX_LEADERS_IN_A_ROW = 4
 # Shortest and longest duration.
 _DURATIONS_MS = {
-    FaultKind.bad: (2000, 12_000),
+    FaultKind.bad: (2000, 20_000),
     FaultKind.shrunk: (5000, 30_000),
     FaultKind.lost: (1000, 10_000),
     FaultKind.crash: (500, 4000),
--- a/benchmarks/idle_search/job_mix.py
+++ b/benchmarks/idle_search/job_mix.py
@@ -32,8 +32,13 @@
     workspaces={_WORKSPACE: Workspace(_WORKSPACE, ('key',), 8)},
 )
 
-# Shares of the jobs of each queue.
-_QUEUE_SHARES = {'normal': 0.4, 'urgent': 0.37, 'batch': 0.23}
+# Shares of the jobs of each queue; a day has one of these.
+_QUEUE_SHARES = (
+    {'normal': 0.4, 'urgent': 0.37, 'batch': 0.23},
+    {'normal': 0.2, 'urgent': 0.2, 'batch': 0.6},
+    {'normal': 0.7, 'urgent': 0.15, 'batch': 0.15},
+    {'normal': 0.1, 'urgent': 0.6, 'batch': 0.3},
+)
 # Run time over estimate.
 _ESTIMATE_FACTORS = (0.6, 1.9)
 # Accelerators of a member of a gang; larger ones are more frequent.
@@ -115,15 +120,15 @@
         """Create a mix for these machines."""
         self._random = Random(f'{seed}/jobs')
         self._wishes = Random(f'{seed}/wishes')
+        self._queue_shares = self._random.choice(_QUEUE_SHARES)
         self._kinds = kinds
         self._machines = machines
 
     def draw(self, job_id: str, at_ms: int) -> Arrival:
         """Return the next job, which arrives at this time."""
         random = self._random
-        queue = random.choices(
-            tuple(_QUEUE_SHARES), tuple(_QUEUE_SHARES.values())
-        )[0]
+        shares = self._queue_shares
+        queue = random.choices(tuple(shares), tuple(shares.values()))[0]
         if queue == 'batch':
             steps, work_ms = self._draw_batch()
         else:
