--- a/benchmarks/idle_search/fleet.py
+++ b/benchmarks/idle_search/fleet.py
@@ -47,6 +47,8 @@
 
     def apply_conditions(self, now_ms: int) -> None:
         """Apply the faults that last for some time."""
+        if not self.faults:
+            return
         active = {
             fault.kind: fault
             for fault in self.faults
--- a/benchmarks/idle_search/oracle.py
+++ b/benchmarks/idle_search/oracle.py
@@ -137,8 +137,6 @@
         self._waits: dict[str, Wait] = {}
         self._idle_causes: dict[str, str] = {}
         self.waits: list[Wait] = []
-        # Time at which gangs were due, by step.
-        self.gang_due_ms: dict[str, int] = {}
 
     def add(self, arrival: Arrival) -> None:
         """Watch an accepted job."""
@@ -163,13 +161,16 @@
         """Judge a moment, which lasts since the one before."""
         self._close_ended()
         rooms, share = self._measure()
+        is_idle = share < _MAX_SHARE_IN_USE
+        done = self._done_tasks() if is_idle else set()
         for job_id, arrival in self._open.items():
             wait = None
-            if not self._book.runs_by_job[job_id]:
-                wait = self._find_wait(arrival, rooms, share, now_ms)
+            if is_idle and not self._book.runs_by_job[job_id]:
+                wait = self._find_wait(arrival, done, rooms, now_ms)
             if wait is None:
                 self._finish(job_id)
             elif has_leader:
+                wait.share_in_use = share
                 kept = self._waits.setdefault(job_id, wait)
                 self._extend(kept, wait, now_ms, elapsed_ms)
 
@@ -245,23 +246,17 @@
     def _find_wait(
         self,
         arrival: Arrival,
+        done: set[str],
         rooms: list[_Room],
-        share: float,
         now_ms: int,
     ) -> Wait | None:
         """Return what the rule says of a job of which nothing runs."""
-        done = self._done_tasks()
         for step in self._due_steps(arrival, done):
-            if step.spec.is_gang:
-                self.gang_due_ms.setdefault(
-                    f'{step.job_id}.0.{step.number}', now_ms
-                )
             wanted = _TIMES * step.start_count
             fit_count = _count_fits(step.spec, rooms)
-            if fit_count < wanted or share >= _MAX_SHARE_IN_USE:
+            if fit_count < wanted:
                 continue
             wait = Wait(step.job_id, step.number, now_ms)
-            wait.share_in_use = share
             wait.fit_count = fit_count
             wait.wanted = wanted
             startable = [room for room in rooms if room.may_start]
--- a/benchmarks/idle_search/play.py
+++ b/benchmarks/idle_search/play.py
@@ -185,15 +185,14 @@
         for arrival in self._day.arrivals:
             if _accelerators(arrival) < _WHOLE_FLEET_SHARE * accelerators:
                 continue
-            step = f'{arrival.job_id}.0.0'
-            due_ms = self._oracle.gang_due_ms.get(step)
-            if due_ms is None or arrival.cancelled_ms is not None:
+            if arrival.cancelled_ms is not None or arrival.is_poison:
                 continue
+            step = f'{arrival.job_id}.0.0'
             start_ms = self._book.gang_starts_ms.get(step)
             self._result.gang_waits.append(
                 GangWait(
                     step,
-                    (start_ms or self._now_ms) - due_ms,
+                    (start_ms or self._now_ms) - arrival.at_ms,
                     start_ms is not None,
                 )
             )
