Tell waits for the lease of a crashed minion apart in the search

That is a hold for at-most-once execution, and no decision of the placement. They stay findings, under a class of their own.

--- a/benchmarks/idle_search/fleet.py
+++ b/benchmarks/idle_search/fleet.py
@@ -98,6 +98,8 @@
         self._by_minion: dict[str, Machine] = {}
         # Time at which the machine of an incarnation lost power.
         self.lost_ms: dict[str, int] = {}
+        # Time at which an incarnation crashed.
+        self.crashed_ms: dict[str, int] = {}
         self.machines = [
             self._create(number, spec, f'n{number}')
             for number, spec in enumerate(day.machines)
@@ -160,6 +162,7 @@
         if fault.kind is FaultKind.crash:
             machine.is_minion_up = False
             machine.guard.observe_crash(now_ms)
+            self.crashed_ms[machine.minion.minion_id] = now_ms
         else:
             machine.has_power = False
             self.lost_ms[machine.minion.minion_id] = now_ms
--- a/benchmarks/idle_search/guards.py
+++ b/benchmarks/idle_search/guards.py
@@ -17,10 +17,10 @@
 )
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Guard', 'GuardCondition')
+__all__ = ('AUTHORITY_MS', 'LEASE_MS', 'Guard', 'GuardCondition')
 
 AUTHORITY_MS = 15_000
-_LEASE_MS = 5700
+LEASE_MS = 5700
 _REPORT_INTERVAL_MS = 1500
 _POLL_INTERVAL_MS = 250
 # From a call that fails to the report that the minion does not respond.
@@ -303,7 +303,7 @@
     def _is_live(self, now_ms: int) -> bool:
         if self._crashed_ms is None:
             return True
-        return now_ms - self._crashed_ms < _LEASE_MS
+        return now_ms - self._crashed_ms < LEASE_MS
 
     def _known_crashes(self, now_ms: int) -> list[MinionCrash]:
         crashes = list(self._crashes)
--- a/benchmarks/idle_search/oracle.py
+++ b/benchmarks/idle_search/oracle.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 
 from benchmarks.idle_search.fleet import Fleet, Machine
-from benchmarks.idle_search.guards import AUTHORITY_MS
+from benchmarks.idle_search.guards import AUTHORITY_MS, LEASE_MS
 from benchmarks.idle_search.job_mix import Arrival
 from benchmarks.idle_search.minions import RunBook
 from benchmarks.idle_search.store import Store
@@ -32,6 +32,9 @@
     placement = 'placement'
     # All that the job could run is ordered on guards that are not heard.
     unheard_guard = 'unheard_guard'
+    # All that the job could run is ordered on minions that crashed less than
+    # their lease ago and have not been replaced.
+    crashed_minion = 'crashed_minion'
     # There is room for it twice only where no start would be answered.
     no_start = 'no_start'
     # All that the job could run is ordered on machines that were lost less
@@ -314,12 +317,20 @@
 
     def _class_of_order(self, minion_id: str, now_ms: int) -> WaitClass:
         lost_ms = self._fleet.lost_ms.get(minion_id)
+        if lost_ms is not None and now_ms - lost_ms < AUTHORITY_MS:
+            return WaitClass.lost_machine
         if lost_ms is not None:
-            is_held = now_ms - lost_ms < AUTHORITY_MS
-            return WaitClass.lost_machine if is_held else WaitClass.placement
-        if _is_heard(self._fleet.find(minion_id)):
             return WaitClass.placement
-        return WaitClass.unheard_guard
+        machine = self._fleet.find(minion_id)
+        if not _is_heard(machine):
+            return WaitClass.unheard_guard
+        crashed_ms = self._fleet.crashed_ms.get(minion_id)
+        is_replaced = machine.minion.minion_id != minion_id
+        if crashed_ms is None or is_replaced:
+            return WaitClass.placement
+        if now_ms - crashed_ms < LEASE_MS:
+            return WaitClass.crashed_minion
+        return WaitClass.placement
 
     def _extend(
         self, kept: Wait, latest: Wait, now_ms: int, elapsed_ms: int
--- a/tests/benchmarks/idle_search/test_oracle.py
+++ b/tests/benchmarks/idle_search/test_oracle.py
@@ -144,6 +144,19 @@
     assert site.waits() == {'job': {'unheard_guard': WAIT_MS}}
 
 
+def test_hold_of_a_crashed_run_is_told_apart():
+    """A run is held while the lease of its minion may be valid, no longer."""
+    crash = MachineFault(FaultKind.crash, 2, 2000, 100_000)
+    site = make_fleet(machines=3, faults=(crash,))
+    site.order('job.0.0.0', machine=2)
+    site.advance(1000)
+    site.oracle.finish()
+    site.oracle.waits.clear()
+    site.advance(7000)
+    times_ms = site.waits()['job']
+    assert times_ms == {'crashed_minion': 5700, 'placement': 1300}
+
+
 def test_two_runs_of_a_task_are_found():
     """A task that runs twice at the same time went unnoticed."""
     site = make_fleet()
