Judge waits of jobs by what the minions run at every moment

The table of waits counted machines that lost power until they were back, the first capacity of minions that shrank, and room on workers without the label or above the limit per worker of a step. It takes these from the guards' entries and the play's own list of impairments now, names the cause of each wait (ordered but not at work, held by a lost machine, reserved, excluded, avoided, rack, no leader), and sums up the causes of many logs.

--- a/benchmarks/site_days/__main__.py
+++ b/benchmarks/site_days/__main__.py
@@ -20,11 +20,13 @@
 import cappa
 
 from benchmarks.site_days.idle_jobs import (
+    IdleStretch,
     find_idle_stretches,
-    format_stretches,
     read_capacity,
 )
+from benchmarks.site_days.idle_tables import format_stretches, format_summary
 from benchmarks.site_days.losses import Losses, format_losses, read_losses
+from benchmarks.site_days.played_faults import read_broken_rules
 from benchmarks.site_days.plays import PlaySettings, list_plays, play_all
 from benchmarks.site_days.tables import comparison_rows, load_set, set_rows
 
@@ -123,14 +125,22 @@
     most: Annotated[int, cappa.Arg(long=True)] = 10
 
     def __call__(self) -> None:
-        """Print a table for each play, with its worst stretches."""
+        """Print the worst stretches of each play, and a summary of all."""
         capacity = read_capacity(self.site)
+        found = {}
         for log in self.logs:
-            stretches = find_idle_stretches(
+            found[log.stem] = find_idle_stretches(
                 log, capacity, self.min_s, self.from_s
             )
-            print(log.stem)
-            print(*format_stretches(stretches[: self.most]), sep='\n')
+            if self.most:
+                self._print_play(log, found[log.stem])
+        print('all plays')
+        print(*format_summary(found), sep='\n')
+
+    def _print_play(self, log: Path, stretches: list[IdleStretch]) -> None:
+        lines = log.read_text(encoding='utf-8', errors='replace').splitlines()
+        print(log.stem, *read_broken_rules(lines), sep='\n')
+        print(*format_stretches(stretches[: self.most]), sep='\n')
 
 
 @cappa.command(name='python -m benchmarks.site_days')
--- a/benchmarks/site_days/idle_jobs.py
+++ b/benchmarks/site_days/idle_jobs.py
@@ -3,34 +3,36 @@
 Lists, from the logs of a play, each stretch of time in which the turn of one
 of a job's tasks had come and no run of the job was at work, with the room that
 the minions had meanwhile. The order is by how long less than half of each
-resource was used while there was room for the task, or its gang, twice.
+resource was used while there was room for the task, or its gang, twice. What
+is at work and what room there is come from the guards' entries, not from what
+the leader believes.
 """
 
 import tomllib
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
+from benchmarks.site_days.log_entries import LogEntry
+from benchmarks.site_days.minion_losses import add_losses
 from benchmarks.site_days.play_log import read_entries
-from benchmarks.site_days.played_fleet import (
-    LogEntry,
-    PlayedFleet,
-    PlayedJob,
-    PlayedStep,
-)
+from benchmarks.site_days.played_faults import read_faults
+from benchmarks.site_days.played_fleet import PlayedFleet
+from benchmarks.site_days.played_jobs import PlayedJob, PlayedStep
 from benchmarks.site_days.room import Room, Use
+from benchmarks.site_days.unused_spans import UnusedSpans
+from benchmarks.site_days.wait_causes import LeaderLog, WaitCause
 
 __all__ = (
     'IdleStretch',
+    'WaitFacts',
     'find_idle_stretches',
-    'format_stretches',
     'read_capacity',
 )
 
-# Use of the minions' room below which a job that could run is not to wait.
-_MAX_IDLE_USE = 0.5
 # How many times a task, or its gang, has to fit.
 _FIT_FACTOR = 2
 # How long a job may wait then.
@@ -38,21 +40,6 @@
 _NEVER = float('inf')
 # More tasks than fit into any fleet.
 _MAX_FIT_COUNT = 1_000_000
-_COLUMNS = (
-    'job',
-    'step',
-    'tasks',
-    'accepted',
-    'waits from',
-    'to',
-    'unused s',
-    'by cores/memory/accelerators',
-    'least use',
-    'most',
-    'fit',
-    'last wait',
-    'causes',
-)
 
 
 class _Node(msgspec.Struct):
@@ -70,59 +57,52 @@
 
 
 @dataclass(slots=True)
-class _Span:
-    """Longest interval in which a condition held without a break."""
-
-    longest_s: float = 0
-    began_s: float | None = None
-
-    def update(self, at_s: float, *, holds: bool) -> None:
-        """Record whether the condition holds from this time on."""
-        if self.began_s is not None:
-            self.longest_s = max(self.longest_s, at_s - self.began_s)
-        if not holds:
-            self.began_s = None
-        elif self.began_s is None:
-            self.began_s = at_s
-
-
-@dataclass(slots=True)
-class UnusedSpans:
-    """Longest intervals with room for a task twice and little use.
-
-    Which resource the users count is not known, so each is followed.
+class WaitFacts:
+    """What the logs say of a wait.
 
     Parameters
     ----------
-    every : _Span
-        Each resource was used below half.
-    cores, memory, accelerators : _Span
-        This resource was used below half.
+    seconds : dict of WaitCause to float
+        Time by cause while the step fitted, or its gang.
+    seconds_unused : dict of WaitCause to float
+        Time by cause while it fitted twice and each resource was used below
+        half.
+    orders : Counter
+        Orders for the step, by minion.
+    details : set of str
+        Outcomes of start calls, and reasons why runs were lost.
+    takeovers : int
+        New leaders.
+    backfilled_stops : int
+        Times that backfilled runs were stopped for another step.
+    most_believed : float
+        Highest share of the capacity that the leader took for used.
     """
 
-    every: _Span = field(default_factory=_Span)
-    cores: _Span = field(default_factory=_Span)
-    memory: _Span = field(default_factory=_Span)
-    accelerators: _Span = field(default_factory=_Span)
+    seconds: dict[WaitCause, float] = field(default_factory=dict)
+    seconds_unused: dict[WaitCause, float] = field(default_factory=dict)
+    orders: Counter[str] = field(default_factory=Counter)
+    details: set[str] = field(default_factory=set)
+    takeovers: int = 0
+    backfilled_stops: int = 0
+    most_believed: float = 0
 
     @property
-    def longest_s(self) -> float:
-        """Longest time for any resource."""
-        return max(
-            self.cores.longest_s,
-            self.memory.longest_s,
-            self.accelerators.longest_s,
-        )
-
-    def update(self, at_s: float, use: Use, *, could_run: bool) -> None:
-        """Record the use from this time on."""
-        for span, share in (
-            (self.every, use.most),
-            (self.cores, use.cores),
-            (self.memory, use.memory),
-            (self.accelerators, use.accelerators),
+    def cause(self) -> WaitCause:
+        """Cause that held for longest, first of all while room was unused."""
+        seconds = self.seconds_unused or self.seconds or {WaitCause.full: 0}
+        return max(seconds, key=lambda cause: seconds[cause])
+
+    def add_time(
+        self, cause: WaitCause, elapsed_s: float, *, is_unused: bool
+    ) -> None:
+        """Add time in which the step fitted."""
+        for seconds in (
+            (self.seconds, self.seconds_unused)
+            if is_unused
+            else (self.seconds,)
         ):
-            span.update(at_s, holds=could_run and share < _MAX_IDLE_USE)
+            seconds[cause] = seconds.get(cause, 0) + elapsed_s
 
 
 @dataclass(slots=True)
@@ -147,7 +127,7 @@
         How long the job could have run.
     last_wait : LogEntry or None
         Last entry of the leader about the wait of the step.
-    causes : set of str
+    facts : WaitFacts
         What else the logs say of the wait.
     """
 
@@ -160,7 +140,7 @@
     fewest_fit: int = _MAX_FIT_COUNT
     unused: UnusedSpans = field(default_factory=UnusedSpans)
     last_wait: LogEntry | None = None
-    causes: set[str] = field(default_factory=set)
+    facts: WaitFacts = field(default_factory=WaitFacts)
 
     @property
     def spec(self) -> PlayedStep:
@@ -206,9 +186,10 @@
         Time of the play from which waits count, in seconds.
     """
     reader = _Reader(capacity, from_s)
-    with log.open(encoding='utf-8', errors='replace') as lines:
-        for at_s, entry in read_entries(lines, LogEntry):
-            reader.apply(at_s, entry)
+    lines = log.read_text(encoding='utf-8', errors='replace').splitlines()
+    entries = list(read_entries(lines, LogEntry))
+    for at_s, entry in add_losses(entries, list(read_faults(lines))):
+        reader.apply(at_s, entry)
     stretches = [
         stretch for stretch in reader.finish() if stretch.length_s >= min_s
     ]
@@ -229,39 +210,67 @@
     def __init__(self, capacity: Room, from_s: float) -> None:
         self._from_s = from_s
         self._fleet = PlayedFleet(capacity)
+        self._leader = LeaderLog()
         self._open: dict[tuple[str, int], IdleStretch] = {}
         self._closed: list[IdleStretch] = []
-        self._last_wait: dict[tuple[str, int], LogEntry] = {}
         self._now_s = -_NEVER
 
     def apply(self, at_s: float, entry: LogEntry) -> None:
         """Apply an entry, and review all jobs when time has passed."""
-        has_passed = at_s > self._now_s
-        if has_passed and self._now_s >= self._from_s:
-            self._review()
+        if at_s > self._now_s and self._now_s >= self._from_s:
+            self._review(at_s - self._now_s)
         self._now_s = at_s
-        if entry.event == 'step_waits':
-            self._last_wait[entry.job, entry.step] = entry
-        elif entry.event == 'run_lost':
-            self._add_cause(entry.task, f'run lost: {entry.reason}')
-        elif entry.event == 'start_order':
-            self._add_cause(entry.task, f'start: {entry.outcome}')
+        self._add_fact(entry)
+        self._leader.apply(entry)
         self._fleet.apply(at_s, entry)
 
     def finish(self) -> list[IdleStretch]:
         """Return all stretches; those that are left end with the log."""
-        self._review()
+        self._review(0)
         for key in list(self._open):
             self._close(key)
         return self._closed
 
-    def _add_cause(self, task: str, cause: str) -> None:
-        job_id, _, rest = task.partition('.')
-        stretch = self._open.get((job_id, int(rest.split('.')[1])))
+    def _add_fact(self, entry: LogEntry) -> None:
+        match entry.event:
+            case 'run_lost':
+                self._add_detail(entry.task, f'run lost: {entry.reason}')
+            case 'start_order':
+                self._add_detail(entry.task, f'start: {entry.outcome}')
+            case 'start_not_run':
+                self._add_detail(entry.task, f'not started: {entry.reason}')
+            case 'run_ordered':
+                for stretch in self._find_open(entry.task):
+                    stretch.facts.orders[entry.minion] += 1
+            case 'scheduling_started':
+                for stretch in self._open.values():
+                    stretch.facts.takeovers += 1
+            case 'room_taken' if entry.backfilled:
+                for stretch in self._open.values():
+                    stretch.facts.backfilled_stops += 1
+            case 'job_idle':
+                self._note_belief(entry)
+
+    def _note_belief(self, entry: LogEntry) -> None:
+        for (job_id, _), stretch in self._open.items():
+            if job_id == entry.job:
+                stretch.facts.most_believed = max(
+                    stretch.facts.most_believed, entry.capacity_in_use
+                )
+
+    def _add_detail(self, task: str, detail: str) -> None:
+        for stretch in self._find_open(task):
+            stretch.facts.details.add(detail)
+
+    def _find_open(self, task: str) -> Iterator[IdleStretch]:
+        """Yield the stretch in which the step of a task waits, if any."""
+        job_id, _, step, _ = task.split('.')
+        stretch = self._open.get((job_id, int(step)))
         if stretch is not None:
-            stretch.causes.add(cause)
+            yield stretch
 
-    def _review(self) -> None:
+    def _review(self, elapsed_s: float) -> None:
+        """Update all stretches with the state of the last ``elapsed_s``."""
         idle = dict(self._idle_jobs())
         for key in self._open.keys() - idle.keys():
             self._close(key)
@@ -272,7 +281,7 @@
             stretch = self._open.setdefault(
                 key, IdleStretch(job, key[1], self._now_s)
             )
-            self._update(stretch, use)
+            self._update(stretch, use, elapsed_s)
 
     def _idle_jobs(self) -> Iterator[tuple[tuple[str, int], PlayedJob]]:
         for job in self._fleet.jobs.values():
@@ -280,76 +289,24 @@
             if step is not None and not self._fleet.has_run(job):
                 yield (job.job_id, step), job
 
-    def _update(self, stretch: IdleStretch, use: Use) -> None:
-        spec = stretch.spec
-        fit = self._fleet.fit_count(spec.needs)
-        could_run = fit >= _FIT_FACTOR * spec.start_count
-        stretch.unused.update(self._now_s, use, could_run=could_run)
+    def _update(self, stretch: IdleStretch, use: Use, elapsed_s: float) -> None:
+        job, step = stretch.job, stretch.step
+        fit = self._fleet.fit_count(job, step)
+        starts = stretch.spec.start_count
+        could_run = fit >= _FIT_FACTOR * starts
+        is_unused = stretch.unused.update(self._now_s, use, could_run=could_run)
         if use.most <= stretch.least.most:
             stretch.least = use
         stretch.highest = max(stretch.highest, use.most)
         stretch.fewest_fit = min(fit, stretch.fewest_fit)
-        stretch.causes.update(self._causes(stretch))
-
-    def _causes(self, stretch: IdleStretch) -> Iterator[str]:
-        tasks = set(stretch.job.tasks_of(stretch.step))
-        if tasks & self._fleet.ordered.keys():
-            yield 'ordered, not at work'
-        for before in stretch.spec.after:
-            if self._fleet.unrecorded & set(stretch.job.tasks_of(before)):
-                yield 'end of an earlier step not recorded'
+        if fit >= starts:
+            cause = self._leader.find_cause(self._fleet, job, step)
+            stretch.facts.add_time(cause, elapsed_s, is_unused=is_unused)
 
     def _close(self, key: tuple[str, int]) -> None:
         stretch = self._open.pop(key)
         stretch.ended_s = self._now_s
         stretch.unused.update(self._now_s, Use(), could_run=False)
-        stretch.last_wait = self._last_wait.get(key)
+        stretch.last_wait = self._leader.last_wait(*key)
+        self._leader.forget(stretch.job.job_id)
         self._closed.append(stretch)
-
-
-def format_stretches(stretches: list[IdleStretch]) -> Iterator[str]:
-    """Return a table of stretches, one a line."""
-    yield f'| {" | ".join(_COLUMNS)} |'
-    yield '|---' * len(_COLUMNS) + '|'
-    for stretch in stretches:
-        yield f'| {" | ".join(_cells(stretch))} |'
-
-
-def _cells(stretch: IdleStretch) -> Iterator[str]:
-    yield stretch.job.job_id
-    yield str(stretch.step)
-    yield _format_spec(stretch.spec)
-    yield f'{stretch.job.accepted_s:.1f}'
-    yield f'{stretch.began_s:.2f}'
-    yield f'{stretch.ended_s:.2f}'
-    yield from _unused_cells(stretch)
-    least = stretch.least
-    yield f'{least.cores:.2f}/{least.memory:.2f}/{least.accelerators:.2f}'
-    yield f'{stretch.highest:.2f}'
-    yield str(stretch.fewest_fit)
-    yield _format_wait(stretch.last_wait)
-    yield '; '.join(sorted(stretch.causes))
-
-
-def _unused_cells(stretch: IdleStretch) -> Iterator[str]:
-    unused = stretch.unused
-    mark = ' !' if stretch.breaks_rule else ''
-    yield f'{unused.every.longest_s:.2f}{mark}'
-    spans = (unused.cores, unused.memory, unused.accelerators)
-    yield '/'.join(f'{span.longest_s:.2f}' for span in spans)
-
-
-def _format_spec(spec: PlayedStep) -> str:
-    kind = 'gang of ' if spec.is_gang else ''
-    needs = f'{spec.millicores}/{spec.memory_mb}/{spec.accelerators}'
-    return f'{kind}{spec.count} x {needs}'
-
-
-def _format_wait(entry: LogEntry | None) -> str:
-    if entry is None:
-        return 'none'
-    return (
-        f'tier {entry.tier}, free {entry.fit_free}, '
-        f'unreserved {entry.fit_unreserved}, of {entry.candidates}, '
-        f'avoided {len(entry.avoided)}, report {entry.oldest_report_ms} ms'
-    )
--- a/benchmarks/site_days/played_fleet.py
+++ b/benchmarks/site_days/played_fleet.py
@@ -1,13 +1,15 @@
 """Workers, runs and jobs of a play, followed through its logs."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-
-import msgspec
+from dataclasses import dataclass
 
+from benchmarks.site_days.log_entries import LogEntry
+from benchmarks.site_days.minion_losses import MINION_GONE
+from benchmarks.site_days.played_jobs import PlayedJob
 from benchmarks.site_days.room import Room, Use
 
-__all__ = ('LogEntry', 'PlayedFleet', 'PlayedJob', 'PlayedStep')
+__all__ = ('PlayedFleet',)
 
 _DONE = 'done'
 _STARTED = 'Started'
@@ -15,102 +17,37 @@
 _ANY_RUN = 0
 
 
-class PlayedStep(msgspec.Struct):
-    """A step as it was accepted."""
-
-    count: int = 1
-    millicores: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    is_gang: bool = False
-    after: tuple[int, ...] = ()
-
-    @property
-    def needs(self) -> Room:
-        """Resources of one task."""
-        return Room(self.millicores, self.memory_mb, self.accelerators)
-
-    @property
-    def start_count(self) -> int:
-        """How many tasks have to start together."""
-        return self.count if self.is_gang else 1
-
-
-class LogEntry(msgspec.Struct):
-    """Fields of the entries that concern minions, runs and jobs."""
-
-    event: str
-    node: str = ''
-    job: str = ''
-    task: str = ''
-    run: int = 0
-    kind: str = ''
-    minion: str = ''
-    outcome: str = ''
-    reason: str = ''
-    is_draining: bool = False
-    steps: list[PlayedStep] = []
-    step: int = 0
-    tier: int = -1
-    candidates: int = -1
-    avoided: list[str] = []
-    fit_free: int = -1
-    fit_unreserved: int = -1
-    oldest_report_ms: int = -1
-
-
-@dataclass(slots=True)
-class PlayedJob:
-    """A job, with the tasks of it that are done."""
-
-    job_id: str
-    accepted_s: float
-    steps: list[PlayedStep]
-    done: set[str] = field(default_factory=set)
-
-    def due_step(self) -> int | None:
-        """Return the first step whose turn has come and that is not done."""
-        for number, step in enumerate(self.steps):
-            if not self._is_done(number) and all(
-                map(self._is_done, step.after)
-            ):
-                return number
-        return None
-
-    def tasks_of(self, number: int) -> list[str]:
-        """Return the tasks of a step; the jobs have no repetitions."""
-        count = self.steps[number].count
-        return [f'{self.job_id}.0.{number}.{task}' for task in range(count)]
-
-    def _is_done(self, number: int) -> bool:
-        return self.done.issuperset(self.tasks_of(number))
-
-
 @dataclass(frozen=True, slots=True)
 class _Run:
     minion: str
     number: int
 
 
+@dataclass(slots=True)
+class _Minion:
+    capacity: Room
+    # ``None`` if the logs do not tell them.
+    labels: tuple[str, ...] | None = None
+    is_draining: bool = False
+
+
 class PlayedFleet:
     """State of the minions and jobs of a play, as its logs tell it.
 
-    A minion counts until the log says that it is gone, so one that lost power
-    counts until its machine is back.
-
     Parameters
     ----------
     capacity : Room
-        Resources of each minion.
+        Resources of each minion that does not report others.
     """
 
     def __init__(self, capacity: Room) -> None:
         """Start without minions and jobs."""
         self._capacity = capacity
         self._minion_by_node: dict[str, str] = {}
-        self._draining: set[str] = set()
+        self._minions: dict[str, _Minion] = {}
         self._at_work: dict[str, _Run] = {}
-        self._needs: dict[str, Room] = {}
+        # Resources of a task, by job and step.
+        self._needs: dict[tuple[str, str], Room] = {}
         self._accepted: set[str] = set()
         self._jobs: dict[str, PlayedJob] = {}
         self._ordered: dict[str, str] = {}
@@ -121,15 +58,19 @@
             'job_cancelled': self._remove_job,
             'cancel_accepted': self._remove_job,
             'minion_registered': self._register,
+            'capacity_changed': self._resize,
             'minion_draining': self._drain,
             'minion_left': self._lose,
             'minion_ended': self._lose,
             'minion_lost': self._lose,
+            MINION_GONE: self._lose,
             'run_ordered': self._order,
             'start_order': self._start,
+            'run_found': self._find_run,
             'run_ended': self._note_end,
             'end_recorded': self._record_end,
             'run_lost': self._record_end,
+            'start_not_run': self._cancel_order,
         }
 
     @property
@@ -158,35 +99,73 @@
         prefix = f'{job.job_id}.'
         return any(task.startswith(prefix) for task in self._at_work)
 
+    def is_up(self, minion: str) -> bool:
+        """Return whether a minion is there, draining or not."""
+        return minion in self._minions
+
     def use(self) -> Use:
         """Return the shares of the minions' resources that runs hold."""
-        rooms = list(self._free().values())
-        if not rooms:
+        free = self._free()
+        if not free:
             return Use()
-        total = sum((self._capacity for _ in rooms), Room())
-        return Use.of(sum(rooms, Room()), total)
-
-    def fit_count(self, needs: Room) -> int:
-        """Return how many tasks fit into what no run holds."""
-        return sum(room.fit_count(needs) for room in self._free().values())
+        capacities = (self._minions[minion].capacity for minion in free)
+        return Use.of(sum(free.values(), Room()), sum(capacities, Room()))
+
+    def fit_count(self, job: PlayedJob, number: int) -> int:
+        """Return how many tasks of a step fit into what no run holds."""
+        step = job.steps[number]
+        limit = step.max_per_worker or step.count
+        by_minion = self._count_runs(job.tasks_of(number))
+        return sum(
+            min(room.fit_count(step.needs), max(0, limit - by_minion[minion]))
+            if step.max_per_worker
+            else room.fit_count(step.needs)
+            for minion, room in self._free().items()
+            if self._has_label(minion, step.constraint)
+        )
+
+    def _has_label(self, minion: str, label: str) -> bool:
+        labels = self._minions[minion].labels
+        return not label or labels is None or label in labels
+
+    def _count_runs(self, tasks: list[str]) -> Counter[str]:
+        """Return the runs at work of some tasks, by minion."""
+        return Counter(
+            self._at_work[task].minion
+            for task in tasks
+            if task in self._at_work
+        )
 
     def _free(self) -> dict[str, Room]:
         free = {
-            minion: self._capacity
-            for minion in self._minion_by_node.values()
-            if minion not in self._draining
+            name: minion.capacity
+            for name, minion in self._minions.items()
+            if not minion.is_draining
         }
         for task, run in self._at_work.items():
             if run.minion in free:
-                free[run.minion] -= self._needs.get(task, Room())
+                free[run.minion] -= self._needs_of(task)
         return free
 
+    def _needs_of(self, task: str) -> Room:
+        job, _, step, _ = task.split('.')
+        return self._needs.get((job, step), Room())
+
     def _register(self, _: float, entry: LogEntry) -> None:
         previous = self._minion_by_node.get(entry.node, '')
         # A guard that restarts finds its minion at work.
         if previous != entry.minion:
             self._remove_minion(previous)
             self._minion_by_node[entry.node] = entry.minion
+        minion = self._minions.setdefault(entry.minion, _Minion(self._capacity))
+        if entry.capacity is not None:
+            minion.capacity = Room(*entry.capacity)
+        minion.labels = entry.labels or minion.labels
+
+    def _resize(self, _: float, entry: LogEntry) -> None:
+        minion = self._minions.get(entry.minion)
+        if minion is not None and entry.capacity is not None:
+            minion.capacity = Room(*entry.capacity)
 
     def _accept(self, at_s: float, entry: LogEntry) -> None:
         # A repeated submission is acknowledged again, also after the end.
@@ -196,16 +175,15 @@
         job = PlayedJob(entry.job, at_s, entry.steps)
         self._jobs[entry.job] = job
         for number, step in enumerate(entry.steps):
-            self._needs.update(dict.fromkeys(job.tasks_of(number), step.needs))
+            self._needs[entry.job, str(number)] = step.needs
 
     def _remove_job(self, _: float, entry: LogEntry) -> None:
         self._jobs.pop(entry.job, None)
 
     def _drain(self, _: float, entry: LogEntry) -> None:
-        if entry.is_draining:
-            self._draining.add(entry.minion)
-        else:
-            self._draining.discard(entry.minion)
+        minion = self._minions.get(entry.minion)
+        if minion is not None:
+            minion.is_draining = entry.is_draining
 
     def _lose(self, _: float, entry: LogEntry) -> None:
         self._remove_minion(entry.minion)
@@ -218,6 +196,14 @@
             minion = self._minion_by_node.get(entry.node, '')
             self._at_work[entry.task] = _Run(minion, entry.run)
 
+    def _find_run(self, _: float, entry: LogEntry) -> None:
+        minion = self._minion_by_node.get(entry.node, '')
+        self._at_work[entry.task] = _Run(minion, entry.run)
+
+    def _cancel_order(self, _: float, entry: LogEntry) -> None:
+        if entry.minion in {'', self._ordered.get(entry.task)}:
+            self._ordered.pop(entry.task, None)
+
     def _note_end(self, _: float, entry: LogEntry) -> None:
         self._unrecorded.add(entry.task)
         self._end(entry)
@@ -243,9 +229,7 @@
         return minion == run.minion and entry.run in {run.number, _ANY_RUN}
 
     def _remove_minion(self, minion: str) -> None:
-        for node, known in list(self._minion_by_node.items()):
-            if known == minion:
-                self._minion_by_node.pop(node)
+        self._minions.pop(minion, None)
         for task, run in list(self._at_work.items()):
             if run.minion == minion:
                 self._at_work.pop(task)
--- a/tests/benchmarks/site_days/test_idle_jobs.py
+++ b/tests/benchmarks/site_days/test_idle_jobs.py
@@ -7,10 +7,12 @@
 
 from benchmarks.site_days.idle_jobs import (
     find_idle_stretches,
-    format_stretches,
     read_capacity,
 )
+from benchmarks.site_days.idle_tables import format_stretches, format_summary
+from benchmarks.site_days.played_faults import read_broken_rules
 from benchmarks.site_days.room import Room
+from benchmarks.site_days.wait_causes import WaitCause
 
 _CAPACITY = Room(32_000, 65_536, 8)
 _STEP = {'millicores': 2800, 'memory_mb': 7392, 'accelerators': 1}
@@ -22,11 +24,15 @@
     def __init__(self, path: Path) -> None:
         self._path = path
         self._lines: list[str] = []
+        self._faults: list[str] = []
 
     def add(self, at_s: float, node: str, event: str, **fields: object) -> None:
         entry = {'node': node, 'event': event, **fields}
         self._lines.append(f'{at_s:9.4f} {node} {json.dumps(entry)}')
 
+    def add_fault(self, line: str) -> None:
+        self._faults.append(f'  {line}')
+
     def add_minions(self, *minions: str) -> None:
         for minion in minions:
             self.add(-9, f'side-{minion}', 'minion_registered', minion=minion)
@@ -50,7 +56,7 @@
 
     def find(self, **options: float):
         self._lines.sort(key=lambda line: float(line.split()[0]))
-        self._path.write_text('\n'.join(self._lines))
+        self._path.write_text('\n'.join(self._lines + self._faults))
         return find_idle_stretches(self._path, _CAPACITY, **options)
 
 
@@ -190,7 +196,7 @@
 
     [found] = log.find()
 
-    assert found.causes == {'ordered, not at work', 'run lost: r'}
+    assert found.facts.details == {'run lost: r'}
     assert 'free 2, unreserved 0' in list(format_stretches([found]))[-1]
 
 
@@ -214,3 +220,140 @@
     )
 
     assert read_capacity(site) == _CAPACITY
+
+
+def test_lost_machine_is_no_room_and_holds_its_runs(log):
+    """Guards against a minion that counts after it lost power."""
+    log.add_minions('i-1', 'i-2')
+    log.accept(0, 'job', _STEP)
+    log.add(0, 'front', 'scheduling_started')
+    log.add(0, 'front', 'run_ordered', task='job.0.0.0', minion='i-1')
+    log.add(0, 'side-i-1', 'start_order', task='job.0.0.0', outcome='Started')
+    log.add_fault('5.0 s to 30.0 s  node_kill (power) side-i-1')
+    log.add(20, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert (found.began_s, found.ended_s) == (5, 20)
+    assert found.fewest_fit == 8
+    assert found.facts.cause is WaitCause.lost_machine
+
+
+def test_machine_that_returns_with_another_minion_was_lost(log):
+    """Guards against runs that go on with the old minion's machine."""
+    log.add_minions('i-1')
+    log.accept(0, 'job', _STEP)
+    log.add(0, 'side-i-1', 'start_order', task='job.0.0.0', outcome='Started')
+    log.add_fault('5.0 s to 9.0 s  closing (power_off_all) front, and 1 more')
+    log.add(9, 'side-i-1', 'minion_registered', minion='i-2')
+    log.add(20, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.began_s == 5
+
+
+@pytest.mark.parametrize(
+    ('step', 'fit'),
+    [
+        ({'max_per_worker': 1}, 2),
+        ({'constraint': 'kind-a'}, 8),
+        ({'fills': True}, 16),
+    ],
+)
+def test_step_fits_only_where_it_may_run(log, step, fit):
+    """Guards against room that the step has no right to."""
+    for minion, label in (('i-1', 'kind-a'), ('i-2', 'kind-b')):
+        side = f'side-{minion}'
+        log.add(-9, side, 'minion_registered', minion=minion, labels=[label])
+    log.accept(0, 'job', {**_STEP, 'count': 9, **step})
+    log.add(8, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.fewest_fit == fit
+
+
+def test_shrunk_minion_has_less_room(log):
+    """Guards against the room that a minion no longer has."""
+    log.add_minions('i-1')
+    capacity = [32_000, 16_000, 8]
+    log.add(0, 'side-i-1', 'capacity_changed', minion='i-1', capacity=capacity)
+    log.accept(1, 'job', _STEP)
+    log.add(8, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.fewest_fit == 2
+
+
+def test_run_that_a_guard_finds_is_at_work(log):
+    """Guards against runs without an answer that are taken for waits."""
+    log.add_minions('i-1')
+    log.accept(0, 'job', _STEP)
+    log.add(4, 'side-i-1', 'run_found', task='job.0.0.0', run=1)
+    log.add(9, 'front', 'lease_claimed')
+
+    [found] = log.find()
+
+    assert found.ended_s == 4
+
+
+@pytest.mark.parametrize(
+    ('wait', 'cause'),
+    [
+        ({'fit_free': 8, 'fit_unreserved': 0}, WaitCause.reserved),
+        ({'fit_free': 0, 'fit_excluded': 8}, WaitCause.excluded),
+        ({'fit_free': 8, 'fit_unreserved': 8, 'fit_avoided': 8}, 'avoided'),
+        ({'fit_free': 0, 'fit_off_rack': 8}, WaitCause.off_rack),
+        ({'fit_free': 0, 'fit_unreserved': 0}, WaitCause.believed_full),
+    ],
+)
+def test_cause_is_taken_from_the_wait_of_the_step(log, wait, cause):
+    """Guards against a wait for a preference that counts as another."""
+    log.add_minions('i-1')
+    log.add(0, 'front', 'scheduling_started')
+    log.accept(0, 'job', _STEP)
+    wait = {'fit_unreserved': 0, **wait}
+    log.add(0, 'front', 'step_waits', job='job', step=0, **wait)
+    log.add(9, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.facts.cause == cause
+
+
+def test_time_without_a_leader_is_told(log):
+    """Guards against a missing leader that looks like a preference."""
+    log.add_minions('i-1')
+    log.add(0, 'front', 'scheduling_started')
+    log.accept(1, 'job', _STEP)
+    log.add(2, 'front', 'started', program='front')
+    log.add(9, 'front', 'scheduling_started')
+    log.add(10, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.facts.cause is WaitCause.no_leader
+    assert found.facts.takeovers == 1
+
+
+def test_summary_counts_the_waits_of_all_plays(log):
+    """Guards against a hunt whose waits are told for its first play only."""
+    log.add_minions('i-1')
+    log.accept(0, 'job', _STEP)
+    log.add(9, 'front', 'job_ended', job='job')
+
+    found = log.find()
+    rows = list(format_summary({'day-1': found, 'day-2': found}))
+
+    assert rows[2] == (
+        '| no leader | 2 | 2 | 18.0 | 18.0 | 2 | 9.00 | day-1 at 0.0 |'
+    )
+
+
+def test_broken_rules_are_read_from_the_output():
+    """Guards against a broken rule that the table does not show."""
+    lines = ['  GATE', 'LOST at 66.55 s: at the end a.0.0.0 could run']
+
+    assert read_broken_rules(lines) == [lines[1]]
