Log runs that a guard finds, and what a registered minion has

A start call without an answer may take effect later, and a guard that restarts finds runs that it did not start: no entry told when such a run was at work, so a wait could not be told from a run. run_found tells it, once a run. minion_registered has the capacity, the labels and the rack, so that logs alone tell what fits where.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -208,6 +208,9 @@
             'minion_registered',
             minion=heartbeat.minion_id,
             running=found.running,
+            capacity=found.heartbeat.capacity,
+            labels=found.heartbeat.labels,
+            rack=found.heartbeat.rack,
         )
 
     def _begin_session(
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -262,7 +262,10 @@
         self._end_detector.record_response()
         self._runs_read_ms = self._clock.now_ms()
         self._lease.observe(state.clock_ms)
+        found_runs = self.orders.find_unknown_runs(state)
         self.orders.update_state(state)
+        for task, run in found_runs:
+            decision_log.record('run_found', task=task, run=run)
         new_ends = [
             end
             for end in self.orders.unrecorded_ends()
--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -160,6 +160,28 @@
         for entry in self.entries.values():
             self._update_phase(entry, state)
 
+    def find_unknown_runs(self, state: MinionState) -> list[tuple[str, int]]:
+        """Return task and run number of the runs that are new in a state.
+
+        No start call for them was answered with success, and the last state
+        did not list them: a late call, or one of an earlier guard process,
+        started them.
+        """
+        known = {
+            (entry.task, entry.order.run)
+            for entry in self.entries.values()
+            if entry.phase is Phase.started
+        }
+        if self.state is not None:
+            known.update(
+                (running.task, running.run) for running in self.state.running
+            )
+        return [
+            (running.task, running.run)
+            for running in state.running
+            if (running.task, running.run) not in known
+        ]
+
     def unordered_runs(self) -> list[tuple[str, int]]:
         """Return task and run number of each run without an order.
 
