--- a/benchmarks/site_days/minion_losses.py
+++ b/benchmarks/site_days/minion_losses.py
@@ -42,7 +42,8 @@
 class _Node:
     minion: str = ''
     registered_s: float = 0
-    last_s: float = 0
+    # Time of the last entry; ``None`` before the first.
+    last_s: float | None = None
     has_ended: bool = True
 
 
@@ -58,6 +59,7 @@
         match entry.event:
             case 'started':
                 self._end_process(node, entry.node, at_s)
+                node.last_s = node.last_s or at_s
                 return
             case 'minion_registered' if entry.minion != node.minion:
                 self._end_minion(node, entry.node, at_s)
@@ -81,20 +83,24 @@
 
     def _end_process(self, node: _Node, name: str, until_s: float) -> None:
         """Add the end of a process that was started again."""
+        last_s = node.last_s
+        if last_s is None:
+            return
         began = (
             fault.began_s
             for fault in self.faults
-            if node.last_s <= fault.began_s <= until_s
-            and fault.may_concern(name)
+            if last_s <= fault.began_s <= until_s and fault.may_concern(name)
         )
-        ended_s = max(began, default=node.last_s)
+        ended_s = max(began, default=last_s)
         self._add(ended_s, LogEntry(PROCESS_GONE, node=name))
 
     def _end_minion(self, node: _Node, name: str, until_s: float) -> None:
         if node.has_ended:
             return
-        outages = self._outages_of(node, name, until_s)
-        lost_s = min((fault.began_s for fault in outages), default=node.last_s)
+        lost_s = min(
+            (fault.began_s for fault in self._outages_of(node, name, until_s)),
+            default=node.last_s or node.registered_s,
+        )
         self._add(lost_s, LogEntry(MINION_GONE, minion=node.minion))
         node.has_ended = True
 
@@ -102,7 +108,7 @@
         self, node: _Node, name: str, until_s: float
     ) -> Iterator[PlayedFault]:
         """Yield the outages since the last entry of the node."""
-        since_s = max(node.last_s, node.registered_s)
+        since_s = max(node.last_s or 0, node.registered_s)
         return (
             fault
             for fault in self.faults
--- a/tests/benchmarks/site_days/test_idle_jobs.py
+++ b/tests/benchmarks/site_days/test_idle_jobs.py
@@ -326,6 +326,7 @@
 def test_time_without_a_leader_is_told(log):
     """Guards against a missing leader that looks like a preference."""
     log.add_minions('i-1')
+    log.add(-9, 'front', 'started', program='front')
     log.add(0, 'front', 'scheduling_started')
     log.accept(1, 'job', _STEP)
     log.add(2, 'front', 'started', program='front')
@@ -338,6 +339,19 @@
     assert found.facts.takeovers == 1
 
 
+def test_first_start_of_a_program_ends_no_leader(log):
+    """Guards against a start of all programs that counts as a restart."""
+    log.add_minions('i-1')
+    log.add(-9, 'front', 'started', program='front')
+    log.add(-8, 'front', 'scheduling_started')
+    log.accept(1, 'job', _STEP)
+    log.add(9, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.facts.cause is WaitCause.unknown
+
+
 def test_summary_counts_the_waits_of_all_plays(log):
     """Guards against a hunt whose waits are told for its first play only."""
     log.add_minions('i-1')
