--- a/benchmarks/site_days/played_fleet.py
+++ b/benchmarks/site_days/played_fleet.py
@@ -95,9 +95,31 @@
             apply(at_s, entry)
 
     def has_run(self, job: PlayedJob) -> bool:
-        """Return whether a run of a job is at work."""
+        """Return whether a run of a job is at work.
+
+        A run of a task that is done does not count: the leader repeats it if
+        it cannot learn of the end.
+        """
         prefix = f'{job.job_id}.'
-        return any(task.startswith(prefix) for task in self._at_work)
+        return any(
+            task.startswith(prefix) and task not in job.done
+            for task in self._at_work
+        )
+
+    def is_repeated(self, job: PlayedJob, step: int) -> bool:
+        """Return whether a task of a step is at work although it is done."""
+        return any(
+            task in self._at_work and task in job.done
+            for task in job.tasks_of(step)
+        )
+
+    def minions_of(self, nodes: set[str]) -> set[str]:
+        """Return the minions on some nodes."""
+        return {
+            self._minion_by_node[node]
+            for node in nodes
+            if node in self._minion_by_node
+        }
 
     def is_up(self, minion: str) -> bool:
         """Return whether a minion is there, draining or not."""
--- a/benchmarks/site_days/wait_causes.py
+++ b/benchmarks/site_days/wait_causes.py
@@ -16,8 +16,12 @@
 
     no_leader = 'no leader'
     lost_machine = 'held by a lost machine'
+    # The guard cannot write its report, so that its runs are held.
+    silent_guard = 'held by a guard without the store'
     order_not_started = 'ordered but not at work'
     end_not_recorded = 'end not recorded'
+    # A task of an earlier step is at work again.
+    end_lost = 'end lost, run repeated'
     reserved = 'room reserved'
     excluded = 'excluded'
     avoided = 'avoided'
@@ -58,6 +62,8 @@
         self._pauses: set[str] = set()
         self._last_waits: dict[tuple[str, int], LogEntry] = {}
         self._causes: dict[str, WaitCause] = {}
+        # Nodes whose guards cannot write their reports.
+        self._silent_nodes: set[str] = set()
         self.takeovers = 0
 
     def apply(self, entry: LogEntry) -> None:
@@ -74,7 +80,12 @@
                 self._causes[entry.job] = _cause_of_wait(entry)
             case 'job_idle':
                 self._note_cause(entry)
+            case 'report_not_written':
+                self._silent_nodes.add(entry.node)
+            case 'report_written':
+                self._silent_nodes.discard(entry.node)
             case event if event == PROCESS_GONE:
+                self._silent_nodes.discard(entry.node)
                 self._end_term(entry)
             case event if event in _PAUSE_EVENTS:
                 self._note_pause(entry)
@@ -92,12 +103,26 @@
         tasks = set(job.tasks_of(step))
         ordered = tasks & fleet.ordered.keys()
         if ordered:
-            return _cause_of_order(fleet, ordered)
+            return self._cause_of_order(fleet, ordered)
         for before in job.steps[step].after:
-            if fleet.unrecorded & set(job.tasks_of(before)):
-                return WaitCause.end_not_recorded
+            if fleet.is_repeated(job, before):
+                return WaitCause.end_lost
+            unrecorded = fleet.unrecorded & set(job.tasks_of(before))
+            if unrecorded:
+                return self._cause_of_order(fleet, unrecorded)
         return self._logged_cause(fleet, job, step)
 
+    def _cause_of_order(self, fleet: PlayedFleet, tasks: set[str]) -> WaitCause:
+        """Return why tasks that the leader takes for active do not run."""
+        minions = {fleet.ordered.get(task, '') for task in tasks}
+        if minions <= fleet.minions_of(self._silent_nodes):
+            return WaitCause.silent_guard
+        if tasks <= fleet.unrecorded:
+            return WaitCause.end_not_recorded
+        if not any(map(fleet.is_up, minions)):
+            return WaitCause.lost_machine
+        return WaitCause.order_not_started
+
     def _logged_cause(
         self, fleet: PlayedFleet, job: PlayedJob, step: int
     ) -> WaitCause:
@@ -130,14 +155,6 @@
             self._causes[entry.job] = cause
 
 
-def _cause_of_order(fleet: PlayedFleet, ordered: set[str]) -> WaitCause:
-    if ordered <= fleet.unrecorded:
-        return WaitCause.end_not_recorded
-    if not any(fleet.is_up(fleet.ordered[task]) for task in ordered):
-        return WaitCause.lost_machine
-    return WaitCause.order_not_started
-
-
 def _cause_of_wait(entry: LogEntry) -> WaitCause:
     kept = Counter(
         {
--- a/tests/benchmarks/site_days/test_idle_jobs.py
+++ b/tests/benchmarks/site_days/test_idle_jobs.py
@@ -339,6 +339,39 @@
     assert found.facts.takeovers == 1
 
 
+def test_end_that_a_cut_off_guard_cannot_report_is_told(log):
+    """Guards against a cut-off worker that the leader seems to neglect."""
+    log.add_minions('i-1', 'i-2')
+    log.add(0, 'front', 'scheduling_started')
+    log.accept(0, 'job', {**_STEP, 'count': 1}, {**_STEP, 'after': [0]})
+    log.add(0, 'front', 'run_ordered', task='job.0.0.0', minion='i-1')
+    log.add(0, 'side-i-1', 'start_order', task='job.0.0.0', outcome='Started')
+    log.add(1, 'side-i-1', 'report_not_written', reason='no response')
+    log.add(2, 'side-i-1', 'run_ended', task='job.0.0.0', kind='done')
+    log.add(9, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.step == 1
+    assert found.facts.cause is WaitCause.silent_guard
+
+
+def test_repeated_run_of_a_task_that_is_done_is_no_work(log):
+    """Guards against a wait that a run ends which the users do not count."""
+    log.add_minions('i-1', 'i-2')
+    log.add(0, 'front', 'scheduling_started')
+    log.accept(0, 'job', {**_STEP, 'count': 1}, {**_STEP, 'after': [0]})
+    log.add(0, 'side-i-1', 'start_order', task='job.0.0.0', outcome='Started')
+    log.add(2, 'side-i-1', 'run_ended', task='job.0.0.0', kind='done')
+    log.add(3, 'side-i-2', 'start_order', task='job.0.0.0', outcome='Started')
+    log.add(9, 'front', 'job_ended', job='job')
+
+    [found] = log.find()
+
+    assert found.unused.every.longest_s == pytest.approx(7)
+    assert found.facts.cause is WaitCause.end_lost
+
+
 def test_first_start_of_a_program_ends_no_leader(log):
     """Guards against a start of all programs that counts as a restart."""
     log.add_minions('i-1')
