--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -199,8 +199,11 @@
         finally:
             for watch in watches:
                 watch.cancel()
-            self._lost_guards.cancel()
-            self._loss_detector.close()
+            self._cancel_calls()
+
+    def _cancel_calls(self) -> None:
+        self._lost_guards.cancel()
+        self._loss_detector.close()
 
     async def _load(self) -> None:
         progress_reader = TableReader(self._store, (PROGRESS,), self._clock)
