--- a/tests/workflows/test_idle_mixes.py
+++ b/tests/workflows/test_idle_mixes.py
@@ -48,3 +48,21 @@
             job_id, 'batch', StepSpec(1, 1000, 1000, 1, 15_000, constraint='r2')
         )
     assert longest_idle_ms(site, 'second', 15_000) <= MAX_IDLE_MS
+
+
+def test_job_does_not_wait_for_all_suspects_of_another_job():
+    """Suspects that start one by one kept the only worker for themselves."""
+    site = RunningSite(racks=('r1', 'r1', 'r1', 'r2'))
+    site.submit(
+        'suspects',
+        'normal',
+        StepSpec(6, 1000, 1000, 1, 15_000, constraint='r2'),
+    )
+    site.decide()
+    site.advance(3000)
+    node = site.node_of('suspects.0.0.0')
+    site.crash(node, default_age_ms=3000, restart_ms=250)
+    site.submit(
+        'job', 'batch', StepSpec(1, 1000, 1000, 1, 15_000, constraint='r2')
+    )
+    assert longest_idle_ms(site, 'job', 12_000) <= MAX_IDLE_MS
