Test that a worker that answers no start is not ordered again

Cause, by trace: a worker whose minion answers no start keeps its free room, so it stays the best fit: each order expires after 1.5 s, and the next one goes to the same worker.

--- a/tests/benchmarks/idle_search/test_play.py
+++ b/tests/benchmarks/idle_search/test_play.py
@@ -65,6 +65,7 @@
     [
         ('mixed', 1),
         ('mixed', 2),
+        ('mixed', 145),
         ('wishes', 16),
         ('wishes', 24),
         ('wishes', 67),
--- a/tests/workflows/test_idle_mixes.py
+++ b/tests/workflows/test_idle_mixes.py
@@ -1,7 +1,12 @@
 """Waits beside idle room that the search over random days found."""
 
+import pytest
+
+from benchmarks.idle_search.faults import FaultKind, MachineFault
+from benchmarks.idle_search.play import play_day
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import EndKind
+from tests.benchmarks.idle_search.site import make_arrival, make_day
 from tests.workflows.running_site import MAX_IDLE_MS, ROUND_MS, RunningSite
 
 
@@ -66,3 +71,19 @@
         'job', 'batch', StepSpec(1, 1000, 1000, 1, 15_000, constraint='r2')
     )
     assert longest_idle_ms(site, 'job', 12_000) <= MAX_IDLE_MS
+
+
+@pytest.mark.parametrize('refusing', [1, 2])
+def test_job_does_not_wait_for_workers_that_answer_no_start(refusing):
+    """The same worker was ordered again after each order that expired."""
+    step = StepSpec(1, 2800, 7392, 1, 5000)
+    day = make_day(
+        make_arrival('job', 2000, step),
+        machines=4,
+        faults=[
+            MachineFault(FaultKind.refusing, number, 0, 15_000)
+            for number in range(refusing)
+        ],
+    )
+    result = play_day(day)
+    assert not [wait.describe() for wait in result.findings]
