Use the list of machines at most half a second after a report is too old

Cause: a guard that became too old just after a lookup waited 1 s for the next one, and the answer up to 250 ms for a round.

Change: lookups are at least 0.5 s apart, and an answer starts a round.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -162,7 +162,10 @@
         self._freshness = ReplicaFreshness(self._submissions, self._reports)
         self._loaded_reports: dict[str, tuple[Report, int]] = {}
         self._loss_detector = LossDetector(
-            context.machines, context.clock, context.losses
+            context.machines,
+            context.clock,
+            context.losses,
+            self._rows_changed.set,
         )
 
     @property
--- a/dragonflynotch/control/loss_detector.py
+++ b/dragonflynotch/control/loss_detector.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from dragonflynotch.control.clocks import SteadyClock
@@ -21,7 +21,7 @@
 _MAX_REPORT_AGE_MS = 2000
 # Without recent changes, each report would seem too old.
 _MAX_REPLICA_AGE_MS = 1800
-_LOOKUP_INTERVAL_MS = 1000
+_LOOKUP_INTERVAL_MS = 500
 
 
 @dataclass(slots=True)
@@ -76,6 +76,8 @@
         Measures the ages of reports and lists.
     counts : LossCounts
         Counts lost machines and failed lookups.
+    on_answer : callable
+        Called when a lookup has ended, so that its answer can be used at once.
     """
 
     def __init__(
@@ -83,11 +85,13 @@
         directory: MachineDirectory,
         clock: SteadyClock,
         counts: LossCounts,
+        on_answer: Callable[[], None],
     ) -> None:
         """Create a detector that has seen no report."""
         self._directory = directory
         self._clock = clock
         self._counts = counts
+        self._on_answer = on_answer
         # When the last report of each node was received.
         self._received_ms: dict[str, int] = {}
         self._lookup: asyncio.Task[_Answer] | None = None
@@ -154,6 +158,7 @@
         if any(self._is_silent(worker, now_ms) for worker in workers):
             self._next_lookup_ms = now_ms + _LOOKUP_INTERVAL_MS
             self._lookup = asyncio.create_task(self._request_list(now_ms))
+            self._lookup.add_done_callback(lambda _: self._on_answer())
 
     async def _request_list(self, sent_ms: int) -> _Answer:
         return _Answer(await self._directory.list_minions(), sent_ms)
