Leave minions that their guards could not reach to the guards

The leader found the minion missing in the list and removed the orders; the guard then found a crash without runs, so the crash was not counted for the task, which was started a sixth time.

Change: a minion whose last report says that the guard could not reach it is not looked up.

What remains: a guard that is frozen before it has reported the failure of the minion, for more than 2 s.

--- a/dragonflynotch/control/loss_detector.py
+++ b/dragonflynotch/control/loss_detector.py
@@ -189,11 +189,12 @@
         """Return whether the report was too old when a list was requested.
 
         A minion that leaves is not looked up: it may run on after its machine
-        has left the list.
+        has left the list. Nor is one that its guard could not reach, since
+        only the guard knows which runs were there if it crashed.
         """
         return (
             bool(worker.minion_id)
-            and worker.report.is_ready
+            and worker.report.accepts_runs
             and not self._has_reported(worker, at_ms)
         )
 
--- a/tests/control/test_loss_detector.py
+++ b/tests/control/test_loss_detector.py
@@ -33,8 +33,10 @@
             self.directory.start(f'n{number}', SERVICE, f'm{number}')
             self.report(f'n{number}', f'm{number}')
 
-    def report(self, node, minion_id, *, is_ready=True):
-        report = Report(minion_id, SERVICE, is_ready, True, 0, 1)
+    def report(self, node, minion_id, *, is_ready=True, is_reachable=True):
+        report = Report(
+            minion_id, SERVICE, is_ready, True, 0, 1, is_reachable=is_reachable
+        )
         self.workers[node] = Worker(node, report, 1, 0)
         self.detector.record_report(node)
 
@@ -123,6 +125,14 @@
     assert await scene.look_up() == []
 
 
+async def test_minion_that_its_guard_could_not_reach_is_not_looked_up(scene):
+    """The tasks that crashed a minion are known to its guard alone."""
+    scene.report('n0', 'm0', is_reachable=False)
+    scene.directory.power_off('n0')
+    scene.silence('n0')
+    assert await scene.look_up() == []
+
+
 async def test_list_without_most_reporting_minions_proves_nothing(scene):
     """A directory that does not cover a service would end live runs."""
     for number in range(1, 3):
