--- a/tests/workflows/test_idle_mixes.py
+++ b/tests/workflows/test_idle_mixes.py
@@ -80,10 +80,10 @@
     day = make_day(
         make_arrival('job', 2000, step),
         machines=4,
-        faults=[
+        faults=tuple(
             MachineFault(FaultKind.refusing, number, 0, 15_000)
             for number in range(refusing)
-        ],
+        ),
     )
     result = play_day(day)
     assert not [wait.describe() for wait in result.findings]
