End the guard before its minion in the test of lost machines

A guard that sees its minion end reports a suspected crash, and the list is then not asked, so the order decided about the outcome. A machine without power ends both at once. As strict as before: 3 s.

--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -67,8 +67,9 @@
         starts = programs.site.runs.starts
         await _wait_for_starts(starts, 1, 5)
         minion_id = starts[0][2]
-        await programs.minions[minion_id].stop()
+        # The guard would report the end of its minion as a crash.
         await programs.kill(minion_id.replace('i-', 'side-'))
+        await programs.minions[minion_id].stop()
         # The rule for callers allows a job 3 s without a run.
         await _wait_for_starts(starts, 2, 3)
     finally:
