Keep an order that an earlier guard process may still start

A guard that was refused a stop rejected the order as soon as its own starts had expired. A restarted guard has sent none, so it rejected the order at once, while a start of the process before it could still arrive. Where the minion does not check fences, the task could run twice. The order is now kept until its start window has ended.

Measured with the new test: rejected 10 ms after the refused stop before, after the end of the window now; the file of the guard's tests passes.

--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -201,9 +201,13 @@
         """Return whether the run was not started and cannot start any more.
 
         A minion that refuses stops for long could otherwise hold the order for
-        as long.
+        as long. An earlier process of the guard may have sent starts until the
+        start window of the order ended, so that has to be over as well.
         """
-        if not await self._session.poll():
+        is_window_over = (
+            self._store_clock.earliest_ms() > entry.order.start_by_ms
+        )
+        if not is_window_over or not await self._session.poll():
             return False
         state = self._session.orders.state
         if (
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -206,6 +206,30 @@
     assert not harness.log.starts
 
 
+async def test_order_is_not_rejected_while_an_earlier_guard_may_start_it(
+    harness, minion, monkeypatch
+):
+    """A start of the earlier process took effect after the rejection."""
+
+    async def refuse(*_):
+        return Unhealthy()
+
+    monkeypatch.setattr(ModelMinionClient, 'stop', refuse)
+    minion.fault = MinionFault.late_starts
+    await harness.order('m1', window_ms=1000)
+    await asyncio.sleep(0.3)
+    token = (await harness.report()).token
+    await harness.stop_guard()
+    await harness.order('m1', window_ms=700, is_stopped=True)
+    window_end_ms = harness.store.store_clock.earliest_ms() + 700
+    harness.start_guard()
+    report = await harness.wait_for(
+        lambda report: report.token > token and report.rejected
+    )
+    assert report.rejected[0].reason == 'stopped'
+    assert harness.store.store_clock.latest_ms() > window_end_ms
+
+
 async def test_start_with_lost_response_runs_once(harness, minion):
     """A repeated start call must not start a second run."""
     minion.fault = MinionFault.lose_answers
