Measure the room of a round once for all jobs that wait

The bound on waits measured each worker for each waiting job in each round, and the share in use anew after each job that it started. The placement of any step also looked for one rack that it fits on, which only some gangs need.

--- a/dragonflynotch/workflows/placement/observed_room.py
+++ b/dragonflynotch/workflows/placement/observed_room.py
@@ -31,7 +31,10 @@
         self._accepting = {**pool.workers, **pool.excluded}
         self._pool = pool
         self._activity = activity
-        self._shares: dict[str, float] = {}
+        # By service, the use of the workers that get new runs, and of all.
+        self._uses: dict[str, tuple[ServiceUse, ServiceUse]] = {}
+        # What the runs that may be there leave free, by minion.
+        self._free_before_round: dict[str, Resources] = {}
 
     def share_in_use(self, service: str) -> float:
         """Return the largest share of a resource that runs take up.
@@ -39,32 +42,36 @@
         Whether workers that get no new runs, such as silent ones, still have
         their room is not known, so the lower share of the two cases counts.
         """
-        if service not in self._shares:
-            self._shares[service] = min(
-                self._measure(service, self._accepting.values()).share,
-                self._measure(service, self._activity.workers).share,
+        if service not in self._uses:
+            self._uses[service] = (
+                self._measure(service, self._accepting.values()),
+                self._measure(service, self._activity.workers),
             )
-        return self._shares[service]
+        return min(use.share for use in self._uses[service])
 
-    def refresh(self) -> None:
-        """Measure again, since runs have been ordered."""
-        self._shares.clear()
+    def add_start(self, demand: Demand) -> None:
+        """Count a run, or the runs of a gang, that were ordered now."""
+        needs = demand.step.spec.needs * demand.step.start_count
+        for use in self._uses.get(demand.service, ()):
+            use.add(needs)
 
-    def fit_count(self, demand: Demand) -> int:
-        """Return how many tasks of a step fit on the workers it may use."""
+    def has_room_for(self, demand: Demand, wanted: int) -> bool:
+        """Return whether this many tasks of a step fit on its workers."""
         step = demand.step
         limit = step.spec.max_per_worker or len(step.tasks) * 2
         by_minion = count_step_tasks(step)
-        return sum(
-            max(
+        fitting = 0
+        for worker in self._pool.eligible_workers(demand):
+            fitting += max(
                 0,
                 min(
                     limit - by_minion[worker.minion_id],
                     self._free(worker).fit_count(step.spec.needs),
                 ),
             )
-            for worker in self._pool.eligible_workers(demand)
-        )
+            if fitting >= wanted:
+                return True
+        return False
 
     def _measure(self, service: str, workers: Iterable[Worker]) -> ServiceUse:
         use = ServiceUse(Resources(), Resources())
@@ -81,4 +88,10 @@
         ) + self._pool.ordered_resources(minion_id)
 
     def _free(self, worker: Worker) -> Resources:
-        return worker.report.resources - self._held(worker)
+        minion_id = worker.minion_id
+        free = self._free_before_round.get(minion_id)
+        if free is None:
+            held = self._activity.held_resources(minion_id)
+            free = worker.report.resources - held
+            self._free_before_round[minion_id] = free
+        return free - self._pool.ordered_resources(minion_id)
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -309,7 +309,11 @@
             service,
             step.spec.estimated_ms,
             may_leave_data_rack=has_waited,
-            may_span_racks=has_waited or not fits_one_rack(pool, step, service),
+            may_span_racks=(
+                has_waited
+                or not step.spec.wants_one_rack
+                or not fits_one_rack(pool, step, service)
+            ),
             avoided_minions=avoided_by_step(pool, step, service),
             may_try_excluded=self._may_try_excluded(pool, waiting),
             may_join_suspects=waiting.urgency.is_guaranteed,
--- a/dragonflynotch/workflows/placement/wait_bound.py
+++ b/dragonflynotch/workflows/placement/wait_bound.py
@@ -189,7 +189,7 @@
         for relaxation, demand in step.relaxed_demands:
             if not self._place(pool, demand, step.job):
                 continue
-            room.refresh()
+            room.add_start(demand)
             urgency = step.waiting.urgency
             self._decision_log.record(
                 'wait_ended_by_bound',
@@ -219,4 +219,4 @@
     if room.share_in_use(step.demand.service) >= _MAX_SHARE_IN_USE:
         return False
     wanted = _MIN_FIT_FACTOR * step.waiting.step.start_count
-    return room.fit_count(step.hard_demand) >= wanted
+    return room.has_room_for(step.hard_demand, wanted)
--- a/tests/workflows/placement/test_wait_bound.py
+++ b/tests/workflows/placement/test_wait_bound.py
@@ -2,7 +2,8 @@
 
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import RunningTask
-from tests.workflows.running_site import MAX_IDLE_MS, RunningSite
+from dragonflynotch.workflows.runs.run_activity import RunActivity
+from tests.workflows.running_site import MAX_IDLE_MS, ROUND_MS, RunningSite
 from tests.workflows.site import Site, entries
 
 WHOLE = {'millicores': 1000, 'memory_mb': 1000, 'accelerators': 8}
@@ -109,3 +110,21 @@
     site.advance(MAX_IDLE_MS)
     [fields] = entries(site, 'wait_ended_by_bound')
     assert (fields['job'], fields['without']) == ('job', 'racks')
+
+
+def test_room_is_measured_once_for_all_waiting_jobs(monkeypatch):
+    """Each job that waited measured all workers, in rounds of many seconds."""
+    site = site_with_reserved_room(RunningSite(racks=('r1',) * 4))
+    for number in range(30):
+        site.submit(f'job{number}', 'batch', SMALL_STEP)
+    measured = []
+    held_resources = RunActivity.held_resources
+
+    def count(activity, minion_id):
+        measured.append(minion_id)
+        return held_resources(activity, minion_id)
+
+    site.decide(advance_ms=ROUND_MS)
+    monkeypatch.setattr(RunActivity, 'held_resources', count)
+    site.decide(advance_ms=ROUND_MS)
+    assert 0 < len(measured) <= 3 * len(site.incarnations)
