--- a/dragonflynotch/workflows/placement/start_claims.py
+++ b/dragonflynotch/workflows/placement/start_claims.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from dragonflynotch.workflows.placement.best_fit import avoided_starts
 from dragonflynotch.workflows.placement.recent_starts import must_start_apart
@@ -20,16 +21,25 @@
 
 # A job that has had nothing at work for this long claims workers.
 CLAIM_DELAY_MS = 1000
+# A claim lasts for this long at most: starts are recent for 1.3 s.
+_MAX_CLAIM_MS = 3000
 # Largest share of the workers that is claimed at a time, one at least.
 _MAX_CLAIMED_SHARE = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class _Claim:
+    minions: tuple[str, ...]
+    # Store time of the first claim of the job since it last ran.
+    since_ms: int
+
+
 class StartClaims:
-    """Claims of jobs on workers, kept until the job has started."""
+    """Claims of jobs on workers, kept for a limited time until the job runs."""
 
     def __init__(self) -> None:
         """Create an instance without claims."""
-        self._minions_by_job: dict[str, tuple[str, ...]] = {}
+        self._claims: dict[str, _Claim] = {}
 
     def update(self, pool: WorkerPool, demands: Iterable[Demand]) -> None:
         """Renew the claims and pass them to the pool.
@@ -40,22 +50,32 @@
             Requirements of steps that have waited for long enough, the first
             one first.
         """
-        kept: dict[str, tuple[str, ...]] = {}
+        kept: dict[str, _Claim] = {}
         for demand in demands:
             job_id = demand.step.step_id.job_id
             if job_id in kept:
                 continue
-            minions = self._find(pool, demand)
-            if minions:
-                kept[job_id] = minions
-                pool.claims.update(dict.fromkeys(minions, job_id))
-        self._minions_by_job = kept
-
-    def _find(self, pool: WorkerPool, demand: Demand) -> tuple[str, ...]:
+            claim = self._renew(pool, demand)
+            if claim is None:
+                continue
+            kept[job_id] = claim
+            if pool.now_ms - claim.since_ms < _MAX_CLAIM_MS:
+                pool.claims.update(dict.fromkeys(claim.minions, job_id))
+        self._claims = kept
+
+    def _renew(self, pool: WorkerPool, demand: Demand) -> _Claim | None:
+        known = self._claims.get(demand.step.step_id.job_id)
+        minions = self._find(pool, demand, known.minions if known else ())
+        if known is not None:
+            return _Claim(minions, known.since_ms)
+        return _Claim(minions, pool.now_ms) if minions else None
+
+    def _find(
+        self, pool: WorkerPool, demand: Demand, known: tuple[str, ...]
+    ) -> tuple[str, ...]:
         """Return the minions to claim; none if the step need not wait."""
         room = _fit_counts(pool, demand)
         wanted = demand.step.start_count
-        known = self._minions_by_job.get(demand.step.step_id.job_id, ())
         if known and _total(room, known) >= wanted:
             return known
         tasks = _starting_tasks(demand)
--- a/dragonflynotch/workflows/placement/wait_bound.py
+++ b/dragonflynotch/workflows/placement/wait_bound.py
@@ -32,9 +32,9 @@
 
 # A job waits this long beside free room before preferences no longer count.
 IDLE_LIMIT_MS = 1500
-# The limit while runs stop for a step that comes earlier. The difference is
-# longer than a stop, so that the step starts before its room is used again.
-_STOPPING_LIMIT_MS = 2500
+# How much longer it waits while runs stop for a step that comes earlier. Longer
+# than a stop, so that the step starts before its room is used again.
+_MAX_STOPPING_MS = 1000
 # Free room for this many times the tasks that start together is required.
 _MIN_FIT_FACTOR = 2
 # Room is only taken while less than this share of a service is in use.
@@ -107,6 +107,8 @@
     since_ms: int
     # Store time of the last round in which the job could have run.
     seen_ms: int
+    # Since when runs have been stopping for an earlier step, if they are.
+    stopping_since_ms: int | None = None
 
 
 class WaitBound:
@@ -163,6 +165,10 @@
                 job.job_id, _Wait(self._first_seen_ms(job, now_ms), now_ms)
             )
             wait.seen_ms = now_ms
+            if not step.is_behind_stops:
+                wait.stopping_since_ms = None
+            elif wait.stopping_since_ms is None:
+                wait.stopping_since_ms = now_ms
         self._is_first_round = False
 
     def _first_seen_ms(self, job: Job, now_ms: int) -> int:
@@ -176,8 +182,14 @@
         return max(min(job.spec.accepted_ms, now_ms), now_ms - IDLE_LIMIT_MS)
 
     def _is_due(self, step: BoundedStep, now_ms: int) -> bool:
-        limit_ms = _STOPPING_LIMIT_MS if step.is_behind_stops else IDLE_LIMIT_MS
-        return now_ms - self._waits[step.job.job_id].since_ms >= limit_ms
+        wait = self._waits[step.job.job_id]
+        if now_ms - wait.since_ms < IDLE_LIMIT_MS:
+            return False
+        stopping_since_ms = wait.stopping_since_ms
+        return (
+            stopping_since_ms is None
+            or now_ms - stopping_since_ms >= _MAX_STOPPING_MS
+        )
 
     def _start(
         self, pool: WorkerPool, room: ObservedRoom, step: BoundedStep
