--- a/tests/benchmarks/site_days/test_idle_jobs.py
+++ b/tests/benchmarks/site_days/test_idle_jobs.py
@@ -178,6 +178,7 @@
 
 def test_cause_of_a_wait_is_told(log):
     """Guards against a wait of which the table gives no reason."""
+    log.add(0, 'front', 'scheduling_started')
     log.add_minions('i-1')
     log.accept(0, 'job', _STEP)
     log.add(1, 'front', 'run_ordered', task='job.0.0.0', minion='i-1')
@@ -197,6 +198,7 @@
     [found] = log.find()
 
     assert found.facts.details == {'run lost: r'}
+    assert WaitCause.order_not_started in found.facts.seconds
     assert 'free 2, unreserved 0' in list(format_stretches([found]))[-1]
 
 
