Keep reported ends of runs until a leader has recorded them

Callers see a job that waits although its step is done: the run of a task that has ended as done is repeated after a loss of power (LOST).

Cause: the report of a guard is the only durable copy of an end until a leader records it. A guard that restarts beside a new minion replaces the row with a report of the new incarnation only. A leader that was away, or that restarts with the guards, never reads the end and counts the run as lost.

Change: a report repeats the ends of earlier incarnations until their orders are gone. The leader records them by the checks of other ends, and before it counts the runs of the earlier incarnation as lost. A minion that leaves, and a report that the leader replaces, keep their ends too.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -7,6 +7,7 @@
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.crash_history import CrashHistory
+from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.minion_identity import (
     MinionIdentifier,
     previous_heartbeat,
@@ -121,6 +122,7 @@
         self._last_report: Report | None = None
         self._has_minion_left = False
         self._crashes = CrashHistory()
+        self._earlier_ends = EarlierEnds()
         self._stopping_unordered: set[tuple[str, int]] = set()
         self._running_calls: set[asyncio.Task[object]] = set()
         self._orders_changed = asyncio.Event()
@@ -190,6 +192,10 @@
         self._crashes.restore(report.crashes)
         for crash in report.crashes:
             self._orders.follow(crash.minion_id)
+        self._earlier_ends.restore(report.earlier_ends)
+        self._earlier_ends.add(report.minion_id, report.ended)
+        for minion_id in self._earlier_ends.minion_ids:
+            self._orders.follow(minion_id)
         heartbeat = previous_heartbeat(report, self._store_clock.latest_ms())
         if self._session is None and heartbeat is not None:
             self._start_identification(heartbeat)
@@ -259,6 +265,10 @@
         self._identifier.forget_pending()
         self._stopping_unordered.clear()
         if self._session is not None:
+            self._earlier_ends.add(
+                self._session.heartbeat.minion_id,
+                self._session.orders.unrecorded_ends(),
+            )
             self._session.minion.close()
         self._session = None
         self._runner = None
@@ -368,6 +378,19 @@
         )
 
     def _build_report(self, authority_end_ms: int) -> Report | None:
+        report = self._build_current_report(authority_end_ms)
+        if report is not None:
+            # The minion itself lists the ends of its current incarnation.
+            report.earlier_ends = [
+                earlier
+                for earlier in self._earlier_ends.unrecorded(
+                    self._orders.find, self._orders.is_loaded
+                )
+                if earlier.minion_id != report.minion_id
+            ]
+        return report
+
+    def _build_current_report(self, authority_end_ms: int) -> Report | None:
         if self._session is not None:
             self._crashes.add(self._session.crash)
         crashes = self._crashes.recent(
--- a/dragonflynotch/control/order_feed.py
+++ b/dragonflynotch/control/order_feed.py
@@ -93,6 +93,10 @@
         """Return the orders of a minion, by task."""
         return self._replica.orders_of(minion_id)
 
+    def find(self, minion_id: str, task: str) -> Order | None:
+        """Return the order of a minion for a task, or ``None``."""
+        return self._replica.orders_of(minion_id).get(task)
+
     def may_have_orders(self, minion_id: str) -> bool:
         """Return whether a minion has orders or they have not been read."""
         return not self.is_loaded(minion_id) or self._replica.has_orders(
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -19,7 +19,7 @@
 )
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.placement.workers import Worker
-from dragonflynotch.workflows.records import Report, encode_row
+from dragonflynotch.workflows.records import EarlierEnd, Report, encode_row
 
 __all__ = ('delete_submission', 'void_report')
 
@@ -59,7 +59,9 @@
     """
     node = worker.node
     name = RowName(REPORTS.name, shard_of(node), node)
-    # The next process of the guard may still confirm a suspected crash.
+    ends = [EarlierEnd(worker.minion_id, end) for end in worker.report.ended]
+    # The next process of the guard may still confirm a suspected crash, and the
+    # next leader may still have to record the ends.
     empty = Report(
         '',
         '',
@@ -68,6 +70,7 @@
         authority_end_ms=0,
         token=worker.report.token,
         crashes=worker.report.crashes,
+        earlier_ends=[*worker.report.earlier_ends, *ends],
     )
     try:
         outcome = await store.commit(
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -23,6 +23,7 @@
     'INVALID',
     'NO_ROOM',
     'STOPPED',
+    'EarlierEnd',
     'EndKind',
     'JobState',
     'LeaseRow',
@@ -218,6 +219,13 @@
     checkpoint: str
 
 
+class EarlierEnd(msgspec.Struct, array_like=True):
+    """The end of a run of an earlier incarnation."""
+
+    minion_id: MinionId
+    end: RunEnd
+
+
 class Rejection(msgspec.Struct, array_like=True):
     """An ordered run that was not started and never will be."""
 
@@ -273,6 +281,9 @@
     built_ms : int
         Lower bound on the store time at which the report was built. 0 in rows
         of releases that did not store it.
+    earlier_ends : list of EarlierEnd
+        Ends of runs of earlier incarnations whose orders still exist. Empty in
+        rows of releases that did not store them.
     """
 
     minion_id: MinionId
@@ -295,6 +306,7 @@
     crashes: list[MinionCrash] = []
     is_reachable: bool = True
     built_ms: TimeMs = 0
+    earlier_ends: list[EarlierEnd] = []
 
     @property
     def accepts_runs(self) -> bool:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -9,6 +9,7 @@
     INVALID,
     NO_ROOM,
     STOPPED,
+    EarlierEnd,
     EndKind,
     JobState,
     Order,
@@ -71,6 +72,16 @@
         if not report.is_live:
             self.mark_lost(report.minion_id, 'lease_expired')
 
+    def apply_earlier_ends(
+        self, earlier_ends: Iterable[EarlierEnd], now_ms: int
+    ) -> None:
+        """Record ends of runs of earlier incarnations.
+
+        Must precede ``mark_lost`` for these incarnations.
+        """
+        for earlier in earlier_ends:
+            self._apply_end(earlier.minion_id, earlier.end, now_ms)
+
     def save_abandoned_checkpoints(
         self, abandoned: Iterable[RunningTask]
     ) -> None:
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -257,6 +257,7 @@
         self._workers[node] = Worker(node, report, version, reported_ms)
         self._crash_tracker.apply(node, report.crashes)
         self._tracker.save_abandoned_checkpoints(report.abandoned)
+        self._tracker.apply_earlier_ends(report.earlier_ends, now_ms)
         if previous and previous != report.minion_id:
             self._tracker.mark_lost(previous, 'incarnation_replaced')
         if report.minion_id:
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -345,6 +345,45 @@
     assert [running.task for running in report.abandoned] == [TASK]
 
 
+@pytest.mark.parametrize('is_guard_replaced', [False, True])
+async def test_reported_end_outlasts_its_minion(
+    harness, minion, is_guard_replaced
+):
+    """An end that no leader has read must not be lost with its minion."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    minion.finish(TASK, EndKind.done)
+    await harness.wait_for(lambda report: report.ended)
+    if is_guard_replaced:
+        await harness.stop_guard()
+        harness.start_guard()
+    minion.crash()
+    for minion_id in ('m2', 'm3'):
+        harness.add_minion(minion_id)
+        harness.send_heartbeat(minion_id)
+        report = await harness.wait_for(
+            lambda report, minion_id=minion_id: report.minion_id == minion_id
+        )
+        [earlier] = report.earlier_ends
+        assert earlier.minion_id == 'm1'
+        assert (earlier.end.task, earlier.end.run) == (TASK, 1)
+    await harness.remove_order('m1')
+    await harness.wait_for(lambda report: not report.earlier_ends)
+
+
+async def test_reported_end_outlasts_the_departure_of_its_minion(
+    harness, minion
+):
+    """A minion that leaves must not take an unrecorded end with it."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    minion.finish(TASK, EndKind.done)
+    await harness.wait_for(lambda report: report.ended)
+    harness.guard.on_departure('m1')
+    report = await harness.wait_for(lambda report: not report.minion_id)
+    assert [earlier.minion_id for earlier in report.earlier_ends] == ['m1']
+
+
 async def test_crash_is_reported_with_the_runs_on_the_minion(harness, minion):
     """The scheduler cannot count crashes that it is not told of."""
     await harness.order('m1')
