Log how long the end of a run waits at each place

A task that was done ran again after all power was lost, and the logs did not tell where its end had been meanwhile: with the minion, with the guard, or in a report that no scheduler had read.

run_ended now has the duration of the poll and the time since the state before. New gauges: unrecorded_ends and oldest_unrecorded_end_ms on a guard, lost_runs on the scheduler. No decision changes.

The two new tests fail without the change, since the entries lack these fields.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -7,6 +7,7 @@
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.crash_history import CrashHistory
+from dragonflynotch.control.end_log import EndBacklog
 from dragonflynotch.control.minion_identity import (
     MinionIdentifier,
     previous_heartbeat,
@@ -130,6 +131,14 @@
         """Crashes of the minion that this process has observed."""
         return self._crashes.total
 
+    @property
+    def end_backlog(self) -> EndBacklog:
+        """Ends of runs that no scheduler has recorded."""
+        if self._session is None:
+            return EndBacklog()
+        ends = self._session.orders.unrecorded_ends()
+        return self._writer.end_log.backlog_of(ends)
+
     def apply_limits(self, limits: GuardLimits) -> None:
         """Use these limits for the next incarnation of the minion.
 
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -203,12 +203,13 @@
         )
         end_ms = self.grant()
         # A poll that does not extend the lease must not delay the next one.
+        started_ms = self._clock.now_ms()
         outcome = await self.minion.poll(
             self._writer.token, recorded_up_to, end_ms, wait_ms if end_ms else 0
         )
         self._has_lease = bool(end_ms)
         if isinstance(outcome, MinionState):
-            self._apply_state(outcome)
+            self._apply_state(outcome, started_ms)
             return True
         self._on_failed_poll(outcome)
         return False
@@ -254,27 +255,27 @@
     def _is_reachable(self) -> bool:
         return self._failed_polls < _MAX_FAILED_POLLS
 
-    def _apply_state(self, state: MinionState) -> None:
+    def _apply_state(self, state: MinionState, started_ms: int) -> None:
         known_numbers = {end.number for end in self.orders.unrecorded_ends()}
         if not self._is_reachable:
             self._writer.request_write()
         self._failed_polls = 0
         self._end_detector.record_response()
-        self._runs_read_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        unseen_ms = now_ms - self._runs_read_ms
+        self._runs_read_ms = now_ms
         self._lease.observe(state.clock_ms)
         found_runs = self.orders.find_unknown_runs(state)
         self.orders.update_state(state)
         for task, run in found_runs:
             decision_log.record('run_found', task=task, run=run)
+        unrecorded = self.orders.unrecorded_ends()
         new_ends = [
-            end
-            for end in self.orders.unrecorded_ends()
-            if end.number not in known_numbers
+            end for end in unrecorded if end.number not in known_numbers
         ]
-        for end in new_ends:
-            decision_log.record(
-                'run_ended', task=end.task, run=end.run, kind=end.kind.value
-            )
+        self._writer.end_log.record_read(
+            new_ends, unrecorded, now_ms - started_ms, unseen_ms
+        )
         if new_ends or not self._is_live:
             self._is_live = True
             self._crash = None
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.end_log import EndLog
 from dragonflynotch.control.rows import (
     REPORTS,
     Conflict,
@@ -84,6 +85,7 @@
             min(_MAX_WRITE_INTERVAL_MS, authority_ms // _WRITES_PER_AUTHORITY)
             / _MS_PER_S
         )
+        self._end_log = EndLog(clock)
         self._token = 0
         self._version: int | None = None
         self._authority_end_ms = 0
@@ -96,6 +98,11 @@
         """Fencing token of this process; 0 until the row has been read."""
         return self._token
 
+    @property
+    def end_log(self) -> EndLog:
+        """Log of the ends that wait to be reported or recorded."""
+        return self._end_log
+
     def authority_end_local_ms(self) -> int:
         """Return the local time at which the authority ends."""
         remaining_ms = self._authority_end_ms - self._store_clock.latest_ms()
@@ -175,6 +182,7 @@
         # Unless the commit succeeds, the version stays unknown and the row is
         # read again before the next write.
         self._version = None
+        self._end_log.record_attempt(report.ended)
         outcome = await self._store.commit(
             [RowWrite(self._name, encode_row(report))],
             [(self._name, expected)],
@@ -184,6 +192,7 @@
             return False
         self._version = outcome.version
         self._authority_end_ms = end_ms
+        self._end_log.record_written(report.ended, outcome.version)
         return True
 
     async def _read_row(self) -> None:
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -185,6 +185,7 @@
             'leaving_workers': scheduler.leaving_workers,
             'departure_stops': scheduler.departure_stops,
             'suspected_tasks': scheduler.suspected_tasks,
+            'lost_runs': scheduler.lost_runs,
             'machines_lost': self._losses.machines_lost,
             'failed_machine_lookups': self._losses.failed_lookups,
             'store_calls': self._store.call_count,
@@ -273,10 +274,13 @@
         self._guard.apply_limits(_guard_limits(settings))
 
     def _gauges(self) -> dict[str, float]:
+        backlog = self._guard.end_backlog
         return {
             'store_calls': self._store.call_count,
             'unreadable_entries': unreadable_entries.count,
             'minion_crashes': self._guard.minion_crashes,
+            'unrecorded_ends': backlog.count,
+            'oldest_unrecorded_end_ms': backlog.oldest_ms,
         }
 
 
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -52,6 +52,14 @@
         self._room_refusals = room_refusals
         self._start_failures = start_failures
         self._decision_log = decision_log
+        # Store time of the latest report, for ages in the log.
+        self._applied_ms = 0
+        self._lost_runs = 0
+
+    @property
+    def lost_runs(self) -> int:
+        """Runs that were recorded as lost."""
+        return self._lost_runs
 
     def apply(self, report: Report, now_ms: int, reported_ms: int) -> None:
         """Apply the report of a guard about an incarnation.
@@ -61,8 +69,9 @@
         reported_ms : int
             Store time of the report.
         """
+        self._applied_ms = now_ms
         for end in report.ended:
-            self._apply_end(report.minion_id, end, now_ms)
+            self._apply_end(report.minion_id, end, now_ms, reported_ms)
         for rejection in report.rejected:
             self._apply_rejection(report.minion_id, rejection, now_ms)
         read_ms = reported_ms - report.runs_age_ms
@@ -125,11 +134,28 @@
                 continue
             job, step, task = found
             if task.active is not None and task.active.minion_id == minion_id:
+                active = task.active
                 job.apply_end(step, task, EndKind.lapsed, '')
                 self._jobs.mark_changed(job)
-                self._decision_log.record(
-                    'run_lost', task=name, minion=minion_id, reason=reason
-                )
+                self._record_lost_run(name, active, reason)
+
+    def _record_lost_run(
+        self, task: str, active: ActiveRun, reason: str
+    ) -> None:
+        self._lost_runs += 1
+        age_ms = None
+        if active.is_reported:
+            age_ms = max(0, self._applied_ms - active.progress_read_ms)
+        # A run that was nearly complete in an old report may have ended.
+        self._decision_log.record(
+            'run_lost',
+            task=task,
+            run=active.run,
+            minion=active.minion_id,
+            reason=reason,
+            percent=active.percent,
+            progress_age_ms=age_ms,
+        )
 
     def order_stop(
         self, task: Task, reason: str, now_ms: int, **inputs: object
@@ -158,7 +184,9 @@
                 **inputs,
             )
 
-    def _apply_end(self, minion_id: str, end: RunEnd, now_ms: int) -> None:
+    def _apply_end(
+        self, minion_id: str, end: RunEnd, now_ms: int, reported_ms: int
+    ) -> None:
         key = (minion_id, end.task)
         if self._orders.find(key, end.run) is None:
             return
@@ -181,6 +209,7 @@
             run=end.run,
             kind=end.kind.value,
             minion=minion_id,
+            report_age_ms=now_ms - reported_ms,
         )
         if end.kind is EndKind.done:
             self._record_run_success(minion_id, ordered_ms, now_ms)
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -178,6 +178,7 @@
                 for worker in self._workers.values()
             ),
             self._jobs.count_suspects(),
+            self._tracker.lost_runs,
             self._idle_log.idle_counts,
             self._idle_log.capacity_use,
         )
--- a/dragonflynotch/workflows/scheduler_status.py
+++ b/dragonflynotch/workflows/scheduler_status.py
@@ -22,6 +22,8 @@
         Workers that have announced when they leave.
     suspected_tasks : int
         Tasks of open jobs that may have crashed minions.
+    lost_runs : int
+        Runs recorded as lost in this term.
     idle_jobs : mapping of str to int
         Open jobs of which nothing runs although it could, by cause.
     capacity_use : mapping of str to CapacityUse
@@ -32,5 +34,6 @@
     departure_stops: int = 0
     leaving_workers: int = 0
     suspected_tasks: int = 0
+    lost_runs: int = 0
     idle_jobs: Mapping[str, int] = field(default_factory=dict)
     capacity_use: Mapping[str, CapacityUse] = field(default_factory=dict)
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -14,6 +14,7 @@
     order_row,
     shard_of,
 )
+from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.minion_model import (
     MinionFault,
     MinionModel,
@@ -174,6 +175,29 @@
     assert minion.poll(99, 0, 0).ended
 
 
+async def test_log_tells_how_long_an_end_was_held(harness, minion, monkeypatch):
+    """Where an end waited before its loss could not be told from the logs."""
+    logged = {}
+    monkeypatch.setattr(
+        decision_log,
+        'record',
+        lambda event, **fields: logged.setdefault(event, fields),
+    )
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    harness.store.fault = StoreFault.down
+    minion.finish(TASK, EndKind.done)
+    await asyncio.sleep(0.5)
+    backlog = harness.guard.end_backlog
+    harness.store.fault = StoreFault.none
+    await harness.wait_for(lambda report: report.ended)
+    reported = logged['ends_reported']
+    assert backlog.count == 1
+    assert reported['ends'][0]['held_ms'] > backlog.oldest_ms > 300
+    assert reported['attempts'] > 1
+    assert logged['run_ended']['unseen_ms'] >= 0
+
+
 async def test_start_without_response_cannot_take_effect_later(harness, minion):
     """A start applied late must not run the task twice at once."""
     minion.fault = MinionFault.late_starts
--- a/tests/workflows/ordering/test_wait_log.py
+++ b/tests/workflows/ordering/test_wait_log.py
@@ -1,7 +1,7 @@
 """Log entries about steps that wait, and about the health of workers."""
 
 from dragonflynotch.workflows.jobs import StepSpec
-from dragonflynotch.workflows.records import EndKind
+from dragonflynotch.workflows.records import EndKind, RunningTask
 from tests.workflows.site import Site, entries
 
 WHOLE_WORKER_STEP = StepSpec(1, 8000, 8000, 8, 4000)
@@ -146,3 +146,22 @@
     site.decide()
     wait = last_wait(site, 'good')
     assert (wait['fit_kept_apart'], wait['fit_unreserved']) == (1, 1)
+
+
+def test_lost_run_is_logged_with_its_last_progress():
+    """It must be visible whether a run that is repeated may have ended."""
+    site = Site(racks=('r1',))
+    site.submit('a')
+    site.decide()
+    [node] = site.incarnations
+    site.report(node, running=[RunningTask('a.0.0.0', 1, '', 90)])
+    site.now_ms += 700
+    site.report(node, is_live=False)
+    site.decide()
+    [lost] = entries(site, 'run_lost')
+    assert (lost['run'], lost['percent'], lost['progress_age_ms']) == (
+        1,
+        90,
+        700,
+    )
+    assert site.scheduler.status.lost_runs == 1
