Move the building of reports out of the guard

What outlasts an incarnation (crashes, ends, abandoned runs) and the reports made of it are now in report_builder.py. No change in behaviour.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -6,8 +6,6 @@
 from typing import Any
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
-from dragonflynotch.control.crash_history import CrashHistory
-from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.minion_identity import (
     MinionIdentifier,
     previous_heartbeat,
@@ -20,14 +18,11 @@
 from dragonflynotch.control.order_book import OrderEntry
 from dragonflynotch.control.order_feed import OrderFeed
 from dragonflynotch.control.order_runner import OrderRunner, describe_outcome
+from dragonflynotch.control.report_builder import ReportBuilder
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.control.rows import RowStore
 from dragonflynotch.observability.decisions import decision_log
-from dragonflynotch.workflows.records import (
-    Order,
-    Report,
-    RunningTask,
-)
+from dragonflynotch.workflows.records import Order, Report
 
 __all__ = ('Guard', 'GuardLimits')
 
@@ -102,13 +97,16 @@
         self._orders = OrderFeed(
             store, clock, self._update_session_order, self._on_orders
         )
+        self._reports = ReportBuilder(
+            self._orders, store_clock, lambda: self._writer.token
+        )
         self._writer = ReportWriter(
             node,
             store,
             store_clock,
             clock,
             limits.authority_ms,
-            self._build_report,
+            self._reports.build,
             self._on_previous_report,
         )
         self._identifier = MinionIdentifier(
@@ -119,10 +117,6 @@
         )
         self._session: MinionSession | None = None
         self._runner: OrderRunner | None = None
-        self._last_report: Report | None = None
-        self._has_minion_left = False
-        self._crashes = CrashHistory()
-        self._earlier_ends = EarlierEnds()
         self._stopping_unordered: set[tuple[str, int]] = set()
         self._running_calls: set[asyncio.Task[object]] = set()
         self._orders_changed = asyncio.Event()
@@ -130,7 +124,7 @@
     @property
     def minion_crashes(self) -> int:
         """Crashes of the minion that this process has observed."""
-        return self._crashes.total
+        return self._reports.minion_crashes
 
     def apply_limits(self, limits: GuardLimits) -> None:
         """Use these limits for the next incarnation of the minion.
@@ -178,7 +172,7 @@
             return
         decision_log.record('minion_left', minion=minion_id)
         self._end_session()
-        self._has_minion_left = True
+        self._reports.mark_departed()
         self._writer.request_write()
 
     # ---- minion incarnations ---------------------------------------------
@@ -188,14 +182,7 @@
 
         The minion's lease could expire before its next heartbeat arrives.
         """
-        self._last_report = report
-        self._crashes.restore(report.crashes)
-        for crash in report.crashes:
-            self._orders.follow(crash.minion_id)
-        self._earlier_ends.restore(report.earlier_ends)
-        self._earlier_ends.add(report.minion_id, report.ended)
-        for minion_id in self._earlier_ends.minion_ids:
-            self._orders.follow(minion_id)
+        self._reports.restore(report)
         heartbeat = previous_heartbeat(report, self._store_clock.latest_ms())
         if self._session is None and heartbeat is not None:
             self._start_identification(heartbeat)
@@ -222,12 +209,8 @@
     def _begin_session(
         self, heartbeat: Heartbeat, minion: MinionClient
     ) -> None:
-        if self._session is not None:
-            self._session.mark_replaced()
-            self._crashes.add(self._session.crash)
-        self._crashes.confirm_replaced(heartbeat.minion_id)
+        self._reports.mark_replaced(heartbeat.minion_id)
         self._end_session()
-        self._has_minion_left = False
         session = MinionSession(
             heartbeat,
             minion,
@@ -235,12 +218,13 @@
             self._clock,
             self._store_clock,
             self._limits.minion_lease_ms,
-            self._abandoned_runs(heartbeat.minion_id),
+            self._reports.abandoned_runs(heartbeat.minion_id),
             self._reconcile,
         )
         for task, order in self._orders.orders_of(heartbeat.minion_id).items():
             session.orders.put(task, order)
         self._session = session
+        self._reports.begin_session(session)
         self._runner = OrderRunner(
             session,
             self._writer,
@@ -251,24 +235,14 @@
         self._writer.request_write()
         self._spawn(self._poll())
 
-    def _abandoned_runs(self, minion_id: str) -> list[RunningTask]:
-        """Return the last reported runs of an earlier incarnation, if any."""
-        last = self._last_report
-        if last is None or last.minion_id == minion_id:
-            return []
-        return last.running or last.abandoned
-
     def _end_session(self) -> None:
         for call in self._running_calls:
             if call is not asyncio.current_task():
                 call.cancel()
         self._identifier.forget_pending()
         self._stopping_unordered.clear()
+        self._reports.end_session()
         if self._session is not None:
-            self._earlier_ends.add(
-                self._session.heartbeat.minion_id,
-                self._session.orders.unrecorded_ends(),
-            )
             self._session.minion.close()
         self._session = None
         self._runner = None
@@ -376,42 +350,3 @@
                 self._session.heartbeat.minion_id
             ),
         )
-
-    def _build_report(self, authority_end_ms: int) -> Report | None:
-        report = self._build_current_report(authority_end_ms)
-        if report is not None:
-            # The minion itself lists the ends of its current incarnation.
-            report.earlier_ends = [
-                earlier
-                for earlier in self._earlier_ends.unrecorded(
-                    self._orders.find, self._orders.is_loaded
-                )
-                if earlier.minion_id != report.minion_id
-            ]
-        return report
-
-    def _build_current_report(self, authority_end_ms: int) -> Report | None:
-        if self._session is not None:
-            self._crashes.add(self._session.crash)
-        crashes = self._crashes.recent(
-            self._store_clock.latest_ms(), self._orders.may_have_orders
-        )
-        if self._session is not None:
-            suspected = self._session.suspected_crash
-            if suspected is not None:
-                crashes = [*crashes, suspected]
-            self._last_report = self._session.report(authority_end_ms, crashes)
-            return self._last_report
-        # Before the first session the report of an earlier guard process is
-        # kept, since its runs may still be present.
-        if not self._has_minion_left:
-            return None
-        return Report(
-            '',
-            '',
-            False,
-            False,
-            authority_end_ms,
-            self._writer.token,
-            crashes=crashes,
-        )
