List the known ends in every report of a restarted guard

Callers could see a task run again although it was done: a guard that restarts beside its minion wrote its first report without the ends that its predecessor had reported, until its first poll had returned. While the orders of the minion were not read, it also dropped the ends that the minion listed when the minion was replaced. A loss of power in these moments lost the ends.

Change: ends that are known for the current incarnation and that its session doesn't list are reported as earlier ends, and all ends of a minion are kept as long as its orders have not been read. The leader matches them with its orders as before.

Failed before: test_first_report_of_a_restarted_guard_lists_the_known_ends, test_end_is_kept_before_its_order_has_been_read.

--- a/dragonflynotch/control/report_builder.py
+++ b/dragonflynotch/control/report_builder.py
@@ -54,6 +54,10 @@
         self._crashes.restore(report.crashes)
         for crash in report.crashes:
             self._orders.follow(crash.minion_id)
+        self.restore_ends(report)
+
+    def restore_ends(self, report: Report) -> None:
+        """Keep the ends that an earlier guard process reported."""
         self._earlier_ends.restore(report.earlier_ends)
         self._earlier_ends.add(report.minion_id, report.ended)
         for minion_id in self._earlier_ends.minion_ids:
@@ -73,6 +77,7 @@
 
     def end_session(self) -> None:
         """Keep the unrecorded ends of the current incarnation."""
+        self._keep_unmatched_ends()
         if self._session is not None:
             self._earlier_ends.add(
                 self._session.heartbeat.minion_id,
@@ -101,16 +106,32 @@
         """
         report = self._build_current(authority_end_ms)
         if report is not None:
-            # The minion itself lists the ends of its current incarnation.
-            report.earlier_ends = [
-                earlier
-                for earlier in self._earlier_ends.unrecorded(
-                    self._orders.find, self._orders.is_loaded
-                )
-                if earlier.minion_id != report.minion_id
-            ]
+            self._add_earlier_ends(report)
         return report
 
+    def _add_earlier_ends(self, report: Report) -> None:
+        self._keep_unmatched_ends()
+        # Before its first response a session knows no ends, but an earlier
+        # guard process may have reported some of its incarnation.
+        listed = {(end.task, end.run) for end in report.ended}
+        report.earlier_ends = [
+            earlier
+            for earlier in self._earlier_ends.unrecorded(
+                self._orders.find, self._orders.is_loaded
+            )
+            if earlier.minion_id != report.minion_id
+            or (earlier.end.task, earlier.end.run) not in listed
+        ]
+
+    def _keep_unmatched_ends(self) -> None:
+        """Keep all ends while the orders that they belong to are not read."""
+        if self._session is None:
+            return
+        minion_id = self._session.heartbeat.minion_id
+        state = self._session.orders.state
+        if state is not None and not self._orders.is_loaded(minion_id):
+            self._earlier_ends.add(minion_id, state.ended)
+
     def _build_current(self, authority_end_ms: int) -> Report | None:
         if self._session is not None:
             self._crashes.add(self._session.crash)
--- /dev/null
+++ b/tests/control/test_earlier_ends.py
@@ -0,0 +1,113 @@
+"""Ends of runs that outlast their minion or the process of their guard."""
+
+import asyncio
+
+import pytest
+
+from dragonflynotch.control.rows import REPORTS, RowName, shard_of
+from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.testing import minion_model
+from dragonflynotch.testing.row_store import MemoryRowStore
+from dragonflynotch.workflows.records import (
+    EndKind,
+    Report,
+    decode_row,
+)
+from tests.control.test_guard import TASK, GuardHarness, is_task_running
+
+OTHER_TASK = 'j.0.0.1'
+NAME = RowName(REPORTS.name, shard_of('node'), 'node')
+
+
+class RecordingStore(MemoryRowStore):
+    """Store that keeps all written reports, and may not deliver orders."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.reports = []
+        self.hides_orders = False
+
+    async def read(self, table, part, first='', last=''):
+        self._check(table)
+        return await super().read(table, part, first, last)
+
+    async def changes(self, table, after, wait):
+        self._check(table)
+        return await super().changes(table, after, wait)
+
+    async def commit(self, writes, conditions):
+        for write in writes:
+            if write.name == NAME:
+                self.reports.append(decode_row(write.content, Report))
+        return await super().commit(writes, conditions)
+
+    def _check(self, table):
+        if self.hides_orders and table.startswith('orders'):
+            raise PlatformUnavailableError('down', step='read', peer='store')
+
+
+@pytest.fixture
+async def harness():
+    harness = GuardHarness()
+    harness.store = RecordingStore(harness.clock)
+    harness.start_guard()
+    yield harness
+    await harness.stop_guard()
+
+
+@pytest.fixture
+async def minion(harness):
+    """A minion on which the task runs."""
+    model = harness.add_minion('m1')
+    harness.send_heartbeat('m1')
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    return model
+
+
+def listed_ends(report):
+    """Return minion, task and run of all ends in a report."""
+    return {(report.minion_id, end.task, end.run) for end in report.ended} | {
+        (earlier.minion_id, earlier.end.task, earlier.end.run)
+        for earlier in report.earlier_ends
+    }
+
+
+async def replace_minion(harness, minion):
+    """Crash a minion and return the report about the next one."""
+    minion.crash()
+    harness.add_minion('m2')
+    harness.send_heartbeat('m2')
+    return await harness.wait_for(lambda report: report.minion_id == 'm2')
+
+
+async def test_first_report_of_a_restarted_guard_lists_the_known_ends(
+    harness, minion, monkeypatch
+):
+    """An end was missing in the row until the first poll had returned."""
+    minion.finish(TASK, EndKind.done)
+    await harness.wait_for(lambda report: report.ended)
+    await harness.stop_guard()
+    harness.store.reports.clear()
+    monkeypatch.setattr(minion_model, '_POLL_S', 0.1)
+    harness.start_guard()
+    await asyncio.sleep(0.5)
+    assert harness.store.reports
+    assert all(
+        ('m1', TASK, 1) in listed_ends(report)
+        for report in harness.store.reports
+    )
+
+
+async def test_end_is_kept_before_its_order_has_been_read(harness, minion):
+    """A guard that has read no orders cannot tell which ends are recorded."""
+    await harness.stop_guard()
+    minion.finish(TASK, EndKind.done)
+    harness.store.hides_orders = True
+    harness.start_guard()
+    await asyncio.sleep(0.2)
+    report = await replace_minion(harness, minion)
+    assert listed_ends(report) == {('m1', TASK, 1)}
+    harness.store.hides_orders = False
+    await harness.remove_order('m1')
+    await harness.wait_for(lambda report: not report.earlier_ends)
