Keep the ends in a late write of an earlier guard process

The write of a report may take effect seconds after its process has ended, so also after the next process has read the row. That process then read the row again for its version only, and replaced the report with the ends in it.

Change: each report of another process is taken over, not only the first one that is read. Beside a session only its ends are, since its crashes could be confirmed wrongly.

Failed before: test_end_in_a_late_write_of_an_earlier_process_is_kept.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -182,9 +182,12 @@
 
         The minion's lease could expire before its next heartbeat arrives.
         """
+        if self._session is not None:
+            self._reports.restore_ends(report)
+            return
         self._reports.restore(report)
         heartbeat = previous_heartbeat(report, self._store_clock.latest_ms())
-        if self._session is None and heartbeat is not None:
+        if heartbeat is not None:
             self._start_identification(heartbeat)
 
     def _start_identification(self, heartbeat: Heartbeat) -> None:
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -59,7 +59,8 @@
         Returns the report for an end of the authority in store time, or
         ``None`` while there is nothing to report.
     on_previous : callable
-        Receives the report of an earlier guard process, if there is one, once.
+        Receives the report of an earlier guard process, if there is one. A
+        write of that process may take effect late, so that there is another.
     """
 
     def __init__(
@@ -194,13 +195,14 @@
             return
         report = decode_row(row.content, Report)
         self._version = row.version
-        if self._token:
-            return
         if isinstance(report, Unreadable):
             unreadable_entries.record('report_unreadable', report, node=row.key)
-            self._token = 1
+            self._token = self._token or 1
+            return
+        is_own = bool(self._token) and report.token == self._token
+        if is_own:
             return
-        self._token = report.token + 1
+        self._token = self._token or report.token + 1
         self._on_previous(report)
 
     def _record_error(self, reason: str) -> None:
--- a/tests/control/test_earlier_ends.py
+++ b/tests/control/test_earlier_ends.py
@@ -4,14 +4,16 @@
 
 import pytest
 
-from dragonflynotch.control.rows import REPORTS, RowName, shard_of
+from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.testing import minion_model
 from dragonflynotch.testing.row_store import MemoryRowStore
 from dragonflynotch.workflows.records import (
     EndKind,
     Report,
+    RunEnd,
     decode_row,
+    encode_row,
 )
 from tests.control.test_guard import TASK, GuardHarness, is_task_running
 
@@ -99,6 +101,23 @@
     )
 
 
+async def test_end_in_a_late_write_of_an_earlier_process_is_kept(
+    harness, minion
+):
+    """The row may change after the next process of the guard has read it."""
+    before = await harness.report()
+    await harness.stop_guard()
+    minion.crash()
+    harness.start_guard()
+    await asyncio.sleep(0.1)
+    before.ended = [RunEnd(1, TASK, 1, EndKind.done, '')]
+    await harness.store.commit([RowWrite(NAME, encode_row(before))], [])
+    harness.add_minion('m2')
+    harness.send_heartbeat('m2')
+    report = await harness.wait_for(lambda report: report.minion_id == 'm2')
+    assert listed_ends(report) == {('m1', TASK, 1)}
+
+
 async def test_end_is_kept_before_its_order_has_been_read(harness, minion):
     """A guard that has read no orders cannot tell which ends are recorded."""
     await harness.stop_guard()
