Bound the ends of earlier incarnations in a report by their size

200 ends with long checkpoints could exceed the size of a row, which the store refuses; the guard then loses its authority, and a leader that replaces the report of a lost guard ended its term by the error.

Change: a report holds 16 KiB of such ends, the oldest first. The others stay with the guard process and follow once these are recorded.

--- a/dragonflynotch/control/earlier_ends.py
+++ b/dragonflynotch/control/earlier_ends.py
@@ -1,13 +1,19 @@
 """Ends of runs of earlier incarnations that have not been recorded."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
-from dragonflynotch.workflows.records import EarlierEnd, Order, RunEnd
+from dragonflynotch.workflows.records import (
+    EarlierEnd,
+    Order,
+    RunEnd,
+    encode_row,
+)
 
-__all__ = ('EarlierEnds',)
+__all__ = ('EarlierEnds', 'take_fitting')
 
-# Keeps the row of the report far below the limit of the store.
-_MAX_ENDS = 200
+# Keeps the row of the report, which has other lists, below the 64 KiB that a
+# store may allow.
+_MAX_BYTES = 16_384
 
 
 class EarlierEnds:
@@ -53,7 +59,8 @@
         Returns
         -------
         list of EarlierEnd
-            The oldest first, at most 200.
+            The oldest first, as many as fit into a report. The others follow
+            once these are recorded.
         """
         self._ends = {
             key: earlier
@@ -61,7 +68,7 @@
             if not is_loaded(earlier.minion_id)
             or _is_ordered(earlier, find_order)
         }
-        return list(self._ends.values())[:_MAX_ENDS]
+        return list(take_fitting(self._ends.values()))
 
 
 def _is_ordered(
@@ -69,3 +76,13 @@
 ) -> bool:
     order = find_order(earlier.minion_id, earlier.end.task)
     return order is not None and order.run == earlier.end.run
+
+
+def take_fitting(ends: Iterable[EarlierEnd]) -> Iterator[EarlierEnd]:
+    """Iterate over the ends that fit into a report, in order."""
+    size = 0
+    for earlier in ends:
+        end_size = len(encode_row(earlier))
+        if size + end_size <= _MAX_BYTES:
+            size += end_size
+            yield earlier
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -4,6 +4,7 @@
 certain, whichever node writes them.
 """
 
+from dragonflynotch.control.earlier_ends import take_fitting
 from dragonflynotch.control.rows import (
     REPORTS,
     SUBMISSIONS,
@@ -70,7 +71,7 @@
         authority_end_ms=0,
         token=worker.report.token,
         crashes=worker.report.crashes,
-        earlier_ends=[*worker.report.earlier_ends, *ends],
+        earlier_ends=list(take_fitting([*worker.report.earlier_ends, *ends])),
     )
     try:
         outcome = await store.commit(
--- a/tests/control/test_earlier_ends.py
+++ b/tests/control/test_earlier_ends.py
@@ -4,12 +4,14 @@
 
 import pytest
 
+from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.testing import minion_model
 from dragonflynotch.testing.row_store import MemoryRowStore
 from dragonflynotch.workflows.records import (
     EndKind,
+    Order,
     Report,
     RunEnd,
     decode_row,
@@ -130,3 +132,29 @@
     harness.store.hides_orders = False
     await harness.remove_order('m1')
     await harness.wait_for(lambda report: not report.earlier_ends)
+
+
+def test_ends_beyond_the_bound_are_reported_later():
+    """A row that the store refuses for its size would end the authority."""
+    orders = {f'j.0.0.{number}': Order('', 1, 0) for number in range(500)}
+    ends = EarlierEnds()
+    ends.add(
+        'm1',
+        [
+            RunEnd(number, task, 1, EndKind.stopped, 'c' * 1000)
+            for number, task in enumerate(orders)
+        ],
+    )
+
+    def unrecorded():
+        return ends.unrecorded(lambda _, task: orders.get(task), lambda _: True)
+
+    first = unrecorded()
+    assert first[0].end.number == 0
+    assert (
+        len(encode_row(Report('', '', False, False, 0, 0, earlier_ends=first)))
+        < 32_768
+    )
+    for earlier in first:
+        del orders[earlier.end.task]
+    assert unrecorded()[0].end.number == len(first)
