Keep checkpoints when a minion leaves or its guard is lost

A run started anew, without its checkpoint, where no leader had recorded it: the report that a minion has left, and the one with which the leader replaces that of a lost guard, had no abandoned runs.

Failed before: test_checkpoints_outlast_the_departure_of_their_minion, test_ends_and_checkpoints_outlast_the_report_of_a_lost_guard.

--- a/dragonflynotch/control/report_builder.py
+++ b/dragonflynotch/control/report_builder.py
@@ -155,5 +155,6 @@
             False,
             authority_end_ms,
             self._token(),
+            abandoned=self.abandoned_runs(''),
             crashes=crashes,
         )
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -62,7 +62,7 @@
     name = RowName(REPORTS.name, shard_of(node), node)
     ends = [EarlierEnd(worker.minion_id, end) for end in worker.report.ended]
     # The next process of the guard may still confirm a suspected crash, and the
-    # next leader may still have to record the ends.
+    # next leader may still have to record the ends and the checkpoints.
     empty = Report(
         '',
         '',
@@ -70,6 +70,7 @@
         is_live=False,
         authority_end_ms=0,
         token=worker.report.token,
+        abandoned=worker.report.running or worker.report.abandoned,
         crashes=worker.report.crashes,
         earlier_ends=list(take_fitting([*worker.report.earlier_ends, *ends])),
     )
--- a/tests/control/test_earlier_ends.py
+++ b/tests/control/test_earlier_ends.py
@@ -134,6 +134,15 @@
     await harness.wait_for(lambda report: not report.earlier_ends)
 
 
+async def test_checkpoints_outlast_the_departure_of_their_minion(
+    harness, minion
+):
+    """A run would start anew where no leader has read its checkpoint."""
+    harness.guard.on_departure('m1')
+    report = await harness.wait_for(lambda report: not report.minion_id)
+    assert [running.task for running in report.abandoned] == [TASK]
+
+
 def test_ends_beyond_the_bound_are_reported_later():
     """A row that the store refuses for its size would end the authority."""
     orders = {f'j.0.0.{number}': Order('', 1, 0) for number in range(500)}
--- a/tests/control/test_lost_guards.py
+++ b/tests/control/test_lost_guards.py
@@ -11,6 +11,7 @@
     EndKind,
     Report,
     RunEnd,
+    RunningTask,
     decode_row,
     encode_row,
 )
@@ -54,18 +55,22 @@
     assert decode_row(row.content, Report).minion_id == 'm0'
 
 
-async def test_ends_outlast_the_report_of_a_lost_guard():
+async def test_ends_and_checkpoints_outlast_the_report_of_a_lost_guard():
     """They were lost where the leader ended before it had recorded them."""
     store = MemoryRowStore(LoopClock())
     ended = RunEnd(2, 'j.0.0.1', 1, EndKind.done, '')
     earlier = EarlierEnd('m-1', RunEnd(1, 'j.0.0.0', 1, EndKind.done, ''))
-    worker = await write_report(store, ended=[ended], earlier_ends=[earlier])
+    running = RunningTask('j.0.0.2', 1, 'checkpoint', 50)
+    worker = await write_report(
+        store, ended=[ended], earlier_ends=[earlier], running=[running]
+    )
     guards = LostGuards(store, lambda: None)
     guards.void('n0', worker)
     await asyncio.sleep(0.01)
     assert guards.take_voided()
     report = decode_row((await store.read_row(NAME)).content, Report)
     assert report.earlier_ends == [earlier, EarlierEnd('m0', ended)]
+    assert report.abandoned == [running]
 
 
 async def test_report_with_many_ends_can_be_replaced():
