Poll a minion that leaves once more

While ends of a minion are not recorded, it is polled every 0.1 s. When it left in between, the guard ended its session at once, so the last ends were lost and the runs repeated.

Failed before: test_last_end_of_a_departing_minion_is_reported. test_departure_of_a_silent_minion_is_reported_soon is new.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -36,6 +36,9 @@
 # The minion responds to a poll at once while it keeps ends of runs, so polls
 # are spaced while the scheduler has not recorded an end.
 _UNRECORDED_POLL_DELAY_S = 0.1
+# The minion is on the same machine. Its runs can start elsewhere only after the
+# report that it has left.
+_LAST_POLL_TIMEOUT_S = 0.3
 # A stopped run takes up to about this long to disappear.
 _STOP_REPEAT_DELAY_S = 0.5
 # In an older replica the order of a run may be missing, so no run is stopped
@@ -165,12 +168,23 @@
         if heartbeat.sequence >= session.heartbeat.sequence:
             session.update_heartbeat(heartbeat)
 
-    def on_departure(self, minion_id: str) -> None:
+    async def on_departure(self, minion_id: str) -> None:
         """Process the message of a minion that it is shutting down."""
         session = self._session
         if session is None or session.heartbeat.minion_id != minion_id:
             return
         decision_log.record('minion_left', minion=minion_id)
+        # The minion may close the connection of its message meanwhile.
+        await asyncio.wait({self._spawn(self._depart(session))})
+
+    async def _depart(self, session: MinionSession) -> None:
+        try:
+            async with asyncio.timeout(_LAST_POLL_TIMEOUT_S):
+                await session.read_last_ends()
+        except TimeoutError:
+            decision_log.record(
+                'last_poll_failed', minion=session.heartbeat.minion_id
+            )
         self._end_session()
         self._reports.mark_departed()
         self._writer.request_write()
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -213,6 +213,12 @@
         self._on_failed_poll(outcome)
         return False
 
+    async def read_last_ends(self) -> None:
+        """Read the ends since the last poll, without extending the lease."""
+        outcome = await self.minion.poll(self._writer.token, 0, 0, 0)
+        if isinstance(outcome, MinionState):
+            self._apply_state(outcome)
+
     def report(
         self, authority_end_ms: int, crashes: list[MinionCrash]
     ) -> Report:
--- a/dragonflynotch/platform/side.py
+++ b/dragonflynotch/platform/side.py
@@ -32,7 +32,7 @@
             return Reply(_NOT_FOUND)
         minion_id = match['id']
         if match['call'] == 'Deregister':
-            self._guard.on_departure(minion_id)
+            await self._guard.on_departure(minion_id)
             return Reply(_OK, b'{}')
         heartbeat = decode_heartbeat(minion_id, call.body)
         if isinstance(heartbeat, Unreadable):
--- a/tests/control/test_earlier_ends.py
+++ b/tests/control/test_earlier_ends.py
@@ -8,6 +8,7 @@
 from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
 from dragonflynotch.core.errors import PlatformUnavailableError
 from dragonflynotch.testing import minion_model
+from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import MemoryRowStore
 from dragonflynotch.workflows.records import (
     EndKind,
@@ -134,11 +135,32 @@
     await harness.wait_for(lambda report: not report.earlier_ends)
 
 
+async def test_last_end_of_a_departing_minion_is_reported(harness, minion):
+    """Between two polls, a minion that left took its last ends with it."""
+    await harness.order('m1', task=OTHER_TASK)
+    await harness.wait_for(lambda report: len(report.running) > 1)
+    minion.finish(TASK, EndKind.done)
+    await harness.wait_for(lambda report: report.ended)
+    await asyncio.sleep(0.05)
+    minion.finish(OTHER_TASK, EndKind.done)
+    await harness.guard.on_departure('m1')
+    minion.crash()
+    report = await harness.wait_for(lambda report: not report.minion_id)
+    assert listed_ends(report) == {('m1', TASK, 1), ('m1', OTHER_TASK, 1)}
+
+
+async def test_departure_of_a_silent_minion_is_reported_soon(harness, minion):
+    """The runs of a minion that left can start elsewhere at once."""
+    minion.fault = MinionFault.cut
+    await harness.guard.on_departure('m1')
+    await harness.wait_for(lambda report: not report.minion_id, limit_s=0.6)
+
+
 async def test_checkpoints_outlast_the_departure_of_their_minion(
     harness, minion
 ):
     """A run would start anew where no leader has read its checkpoint."""
-    harness.guard.on_departure('m1')
+    await harness.guard.on_departure('m1')
     report = await harness.wait_for(lambda report: not report.minion_id)
     assert [running.task for running in report.abandoned] == [TASK]
 
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -379,7 +379,7 @@
     await harness.wait_for(is_task_running)
     minion.finish(TASK, EndKind.done)
     await harness.wait_for(lambda report: report.ended)
-    harness.guard.on_departure('m1')
+    await harness.guard.on_departure('m1')
     report = await harness.wait_for(lambda report: not report.minion_id)
     assert [earlier.minion_id for earlier in report.earlier_ends] == ['m1']
 
@@ -427,7 +427,7 @@
     await harness.wait_for(is_task_running)
     harness.send_heartbeat('m1', 2, is_draining=True, remaining_ms=0)
     if is_departed:
-        harness.guard.on_departure('m1')
+        await harness.guard.on_departure('m1')
     minion.crash()
     harness.add_minion('m2')
     harness.send_heartbeat('m2')
