Tell from logs which ends of runs a play lost and repeated

Whether an end was lost, where, and what its repeat cost had to be worked out by hand from each log.

python -m benchmarks.site_days ends lists by task and run the ends that were lost or have no record, with their last place: at the guard, in a written report, or unknown where the log has no entries of reports and no failed write tells. It lists the runs of tasks that were done, how long they were at work, and the time from one place to the next. With a site it adds the jobs that had nothing but such repeats at work.

--- a/benchmarks/site_days/__main__.py
+++ b/benchmarks/site_days/__main__.py
@@ -10,6 +10,7 @@
     python -m benchmarks.site_days table build/before
     python -m benchmarks.site_days compare build/before build/after
     python -m benchmarks.site_days idle --site SITE.toml build/scale-1.log
+    python -m benchmarks.site_days ends --site SITE.toml build/scale-1.log
 """
 
 import asyncio
@@ -19,6 +20,11 @@
 
 import cappa
 
+from benchmarks.site_days.end_tables import (
+    format_delays,
+    format_end_summary,
+    format_ends,
+)
 from benchmarks.site_days.idle_jobs import (
     IdleStretch,
     find_idle_stretches,
@@ -26,9 +32,11 @@
 )
 from benchmarks.site_days.idle_tables import format_stretches, format_summary
 from benchmarks.site_days.losses import Losses, format_losses, read_losses
+from benchmarks.site_days.play_ends import PlayEnds, read_play_ends
 from benchmarks.site_days.played_faults import read_broken_rules
 from benchmarks.site_days.plays import PlaySettings, list_plays, play_all
 from benchmarks.site_days.tables import comparison_rows, load_set, set_rows
+from benchmarks.site_days.wait_causes import WaitCause
 
 _DEFAULT_DAYS = 'trouble-1,scale-1,trouble-2,scale-2,trouble-3'
 
@@ -143,6 +151,43 @@
         print(*format_stretches(stretches[: self.most]), sep='\n')
 
 
+@cappa.command(name='ends')
+@dataclass(frozen=True, slots=True)
+class EndsCommand:
+    """Print which ends of runs plays lost, and what they repeated.
+
+    With a site, also the jobs that had only such repeats at work.
+    """
+
+    logs: list[Path]
+    site: Annotated[Path | None, cappa.Arg(long=True)] = None
+
+    def __call__(self) -> None:
+        """Print the ends of each play, and a summary of all."""
+        found = {}
+        for log in self.logs:
+            found[log.stem] = read_play_ends(log)
+            self._print_play(log, found[log.stem])
+        print('all plays')
+        print(*format_end_summary(found), sep='\n')
+        ends = [end for play in found.values() for end in play.ends]
+        print(*format_delays(ends), sep='\n')
+
+    def _print_play(self, log: Path, play: PlayEnds) -> None:
+        lines = log.read_text(encoding='utf-8', errors='replace').splitlines()
+        print(log.stem, *read_broken_rules(lines), sep='\n')
+        print(*format_ends(play), sep='\n')
+        if self.site is None:
+            return
+        stretches = [
+            stretch
+            for stretch in find_idle_stretches(log, read_capacity(self.site))
+            if WaitCause.end_lost in stretch.facts.seconds
+        ]
+        if stretches:
+            print(*format_stretches(stretches), sep='\n')
+
+
 @cappa.command(name='python -m benchmarks.site_days')
 @dataclass(frozen=True, slots=True)
 class Command:
@@ -154,6 +199,7 @@
         | CompareCommand
         | LossesCommand
         | IdleCommand
+        | EndsCommand
     ]
 
 
--- a/benchmarks/site_days/log_entries.py
+++ b/benchmarks/site_days/log_entries.py
@@ -4,7 +4,14 @@
 
 from benchmarks.site_days.played_jobs import PlayedStep
 
-__all__ = ('LogEntry',)
+__all__ = ('LogEntry', 'ReportedEnd')
+
+
+class ReportedEnd(msgspec.Struct):
+    """The end of a run in a report that a guard has written."""
+
+    task: str
+    run: int
 
 
 class LogEntry(msgspec.Struct):
@@ -17,6 +24,8 @@
     task: str = ''
     run: int = 0
     kind: str = ''
+    unseen_ms: int = -1
+    ends: list[ReportedEnd] = []
     cause: str = ''
     minion: str = ''
     outcome: str = ''
