--- a/benchmarks/idle_search/__main__.py
+++ b/benchmarks/idle_search/__main__.py
@@ -33,6 +33,8 @@
 
 _EXIT_FINDINGS = 1
 _S_PER_HOUR = 3600
+# The ends whose tasks were repeated for longest.
+_MAX_SHOWN_ENDS = 3
 
 
 def _play(
@@ -109,6 +111,19 @@
         yield f'seed {result.seed} {wait.main_class.value}: {wait.describe()}\n'
     for wait in result.held:
         yield f'seed {result.seed} (held) {wait.describe()}\n'
+    repeated_ms = result.repeated_ms
+    worst = sorted(
+        result.lost_ends,
+        key=lambda end: repeated_ms[end.task],
+        reverse=True,
+    )
+    for end in worst[:_MAX_SHOWN_ENDS]:
+        yield (
+            f'seed {result.seed} {end.describe()}, '
+            f'repeated {repeated_ms[end.task]} ms\n'
+        )
+    if len(worst) > _MAX_SHOWN_ENDS:
+        yield f'seed {result.seed} ends lost: {len(worst)}\n'
     for violation in result.violations:
         yield f'seed {result.seed} VIOLATION {violation}\n'
 
@@ -132,6 +147,7 @@
     )
     yield f'seeds: {broken}'
     yield _format_gangs(gangs)
+    yield _format_ends(results)
     yield f'{elapsed_s:.0f} s, {days_per_hour:.0f} days an hour'
 
 
@@ -146,5 +162,17 @@
     )
 
 
+def _format_ends(results: list[DayResult]) -> str:
+    lost = list(chain.from_iterable(one.lost_ends for one in results))
+    places = Counter(end.place.value for end in lost)
+    repeated_ms = sum(one.repeated_ms.total() for one in results)
+    longest_ms = max(one.longest_open_end_ms for one in results)
+    return (
+        f'ends lost: {len(lost)} {dict(places)}, seeds '
+        f'{[one.seed for one in results if one.lost_ends]}, '
+        f'repeated {repeated_ms} ms, longest not recorded {longest_ms} ms'
+    )
+
+
 if __name__ == '__main__':
     cappa.invoke(Search)
--- a/benchmarks/idle_search/faults.py
+++ b/benchmarks/idle_search/faults.py
@@ -32,6 +32,9 @@
     lost = 'lost'
     # All machines lose power and return, and the leader is replaced.
     blackout = 'blackout'
+    # The same after some seconds without a leader or, on half of the days,
+    # without the store, so that ends of runs are known to the machines only.
+    outage = 'outage'
     # A minion crashes and restarts.
     crash = 'crash'
     # The reports of a guard stop while its minion runs on.
@@ -94,6 +97,9 @@
 _FIRST_MS = 2000
 _LAST_MS = 38_000
 _ABSENCE_MS = (500, 3000)
+# Time without a leader before all power is lost, and until the next one.
+_OUTAGE_MS = (4000, 11_000)
+_STORE_OUTAGE_SHARE = 0.5
 _ALL_MACHINES_SHARE = 0.15
 _TOGETHER_SHARE = 0.5
 _MAX_LEADERS_IN_A_ROW = 4
@@ -130,6 +136,10 @@
             blackout = _draw_absence(random)
             absences.append(blackout)
             faults.extend(_draw_power_loss_of_all(random, blackout, machines))
+        elif kind is FaultKind.outage:
+            outage = _draw_outage(random)
+            absences.append(outage)
+            faults.extend(_draw_outage_faults(random, outage, machines))
         elif kind in {FaultKind.leader, FaultKind.leaders}:
             in_a_row = kind is FaultKind.leaders
             absences.extend(_draw_absences(random, in_a_row=in_a_row))
@@ -193,6 +203,26 @@
     ]
 
 
+def _draw_outage(random: Random) -> LeaderAbsence:
+    start_ms = random.randint(_FIRST_MS, _LAST_MS)
+    return LeaderAbsence(start_ms, start_ms + random.randint(*_OUTAGE_MS))
+
+
+def _draw_outage_faults(
+    random: Random, outage: LeaderAbsence, machines: int
+) -> list[MachineFault]:
+    # The next leader starts up to the longest duration after the power is lost.
+    lost_ms = outage.end_ms - random.randint(*_ABSENCE_MS)
+    blackout = LeaderAbsence(lost_ms, outage.end_ms)
+    faults = _draw_power_loss_of_all(random, blackout, machines)
+    if random.random() < _STORE_OUTAGE_SHARE:
+        faults.extend(
+            MachineFault(FaultKind.silent, machine, outage.start_ms, lost_ms)
+            for machine in range(machines)
+        )
+    return faults
+
+
 def _draw_absence(random: Random) -> LeaderAbsence:
     start_ms = random.randint(_FIRST_MS, _LAST_MS)
     return LeaderAbsence(start_ms, start_ms + random.randint(*_ABSENCE_MS))
--- a/benchmarks/idle_search/guards.py
+++ b/benchmarks/idle_search/guards.py
@@ -13,6 +13,7 @@
     NO_ROOM,
     Order,
     Report,
+    RunEnd,
     RunningTask,
 )
 from dragonflynotch.workflows.resources import Resources
@@ -126,6 +127,11 @@
         self._crashes: list[MinionCrash] = []
         self._abandoned: list[RunningTask] = []
 
+    @property
+    def known_ends(self) -> tuple[RunEnd, ...]:
+        """Ends that the last poll of the minion returned."""
+        return tuple(self._book.state.ended) if self._book.state else ()
+
     @property
     def is_report_pending(self) -> bool:
         """Whether a report is on its way to the store."""
--- a/benchmarks/idle_search/oracle.py
+++ b/benchmarks/idle_search/oracle.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from benchmarks.idle_search.end_audit import EndAudit
 from benchmarks.idle_search.fleet import Fleet, Machine
 from benchmarks.idle_search.guards import AUTHORITY_MS, LEASE_MS
 from benchmarks.idle_search.job_mix import Arrival
@@ -37,6 +38,8 @@
     crashed_minion = 'crashed_minion'
     # There is room for it twice only where no start would be answered.
     no_start = 'no_start'
+    # A step before was done, and nothing that is left tells of it.
+    lost_end = 'lost_end'
     # All that the job could run is ordered on machines that were lost less
     # than the authority of their guards ago.
     lost_machine = 'lost_machine'
@@ -140,6 +143,7 @@
         self._waits: dict[str, Wait] = {}
         self._idle_causes: dict[str, str] = {}
         self.waits: list[Wait] = []
+        self.audit = EndAudit(fleet, store)
 
     def add(self, arrival: Arrival) -> None:
         """Watch an accepted job."""
@@ -162,13 +166,14 @@
 
     def judge(self, now_ms: int, elapsed_ms: int, *, has_leader: bool) -> None:
         """Judge a moment, which lasts since the one before."""
+        self.audit.review(now_ms, elapsed_ms)
         self._close_ended()
         rooms, share = self._measure()
         is_idle = share < _MAX_SHARE_IN_USE
         done = self._done_tasks() if is_idle else set()
         for job_id, arrival in self._open.items():
             wait = None
-            if is_idle and not self._book.runs_by_job[job_id]:
+            if is_idle and not self._has_run(job_id):
                 wait = self._find_wait(arrival, done, rooms, now_ms)
             if wait is None:
                 self._finish(job_id)
@@ -191,6 +196,11 @@
         done = self._done_tasks()
         return all(self._is_done(job_id, number, done) for number in spec.after)
 
+    def _has_run(self, job_id: str) -> bool:
+        """Return whether a run of a job is at work, but for repeats."""
+        repeats = self.audit.repeats_by_job[job_id]
+        return self._book.runs_by_job[job_id] > repeats
+
     def _close_ended(self) -> None:
         ended = [
             job_id
@@ -217,8 +227,8 @@
         return rooms, used.dominant_share_of(capacity)
 
     def _done_tasks(self) -> set[str]:
-        """Return the tasks whose end a minion lists, or that is recorded."""
-        done = set(self._store.done_tasks)
+        """Return the tasks of which a run has ended as done, or recorded."""
+        done = self._store.done_tasks | self.audit.done_tasks
         for machine in self._fleet.machines:
             if machine.is_up:
                 done.update(
@@ -276,6 +286,8 @@
     def _classify(
         self, step: _DueStep, done: set[str], now_ms: int
     ) -> WaitClass:
+        if self._is_held_up_by_lost_end(step):
+            return WaitClass.lost_end
         if not self._is_turn_recorded(step):
             return WaitClass.unheard_guard
         minions = {
@@ -296,6 +308,17 @@
             return WaitClass.placement
         return WaitClass.unheard_guard
 
+    def _is_held_up_by_lost_end(self, step: _DueStep) -> bool:
+        recorded = self._store.done_tasks
+        unrecorded = self.audit.lost_tasks - recorded
+        for earlier in step.spec.after:
+            spec = self._store.jobs[step.job_id].steps[earlier]
+            tasks = _DueStep(step.job_id, earlier, spec).tasks
+            is_recorded = self._is_done(step.job_id, earlier, recorded)
+            if not is_recorded and not unrecorded.isdisjoint(tasks):
+                return True
+        return False
+
     def _is_turn_recorded(self, step: _DueStep) -> bool:
         """Return whether the leader can know that the turn has come."""
         recorded = self._store.done_tasks
--- a/benchmarks/idle_search/play.py
+++ b/benchmarks/idle_search/play.py
@@ -1,10 +1,11 @@
 """Plays a day: machines, store and leader, judged at every step of time."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from benchmarks.idle_search.days import START_MS, Day
+from benchmarks.idle_search.end_audit import LostEnd
 from benchmarks.idle_search.fleet import Fleet
 from benchmarks.idle_search.job_mix import Arrival
 from benchmarks.idle_search.leader import Leader
@@ -56,6 +57,12 @@
         Waits that break the rule.
     held : list of Wait
         Waits that only the hold of runs on lost machines made so long.
+    lost_ends : list of LostEnd
+        Ends of runs as done that were never recorded.
+    repeated_ms : Counter
+        Time at work of runs whose task was done, by task.
+    longest_open_end_ms : int
+        Longest time from an end to its record or its loss.
     """
 
     seed: int
@@ -64,6 +71,9 @@
     violations: list[Violation] = field(default_factory=list)
     gang_waits: list[GangWait] = field(default_factory=list)
     longest_counted_ms: int = 0
+    lost_ends: list[LostEnd] = field(default_factory=list)
+    repeated_ms: Counter[str] = field(default_factory=Counter)
+    longest_open_end_ms: int = 0
 
 
 def _ignore_entry(_now_ms: int, _entry: DecisionLogEntry) -> None:
@@ -119,6 +129,10 @@
         self._oracle.finish()
         self._collect_waits()
         self._collect_gang_waits()
+        audit = self._oracle.audit
+        self._result.lost_ends = audit.lost
+        self._result.repeated_ms = audit.repeated_ms
+        self._result.longest_open_end_ms = audit.longest_open_ms
         return self._result
 
     def _advance(self) -> None:
