Relay the store calls of a guard that is turned away through a front

A guard whose machine the store turned away, or that could not reach it, kept its ends to itself. With its machine lost they were lost too, and after 12 s its runs were given up and started again elsewhere.

A guard now repeats a call that certainly had no effect through a front. The front accepts only conditional writes of single reports and reads of reports and orders, within limits on rate, concurrency, size and time. The version condition makes a duplicate or late delivery fail, so the leader sees an ordinary report. Fronts announce their address in the table 'relays'. Calls are direct again as soon as a probe succeeds; if no peer can relay, they are direct as before and the peers are asked with a backoff.

--- a/dragonflynotch/control/clocks.py
+++ b/dragonflynotch/control/clocks.py
@@ -131,10 +131,24 @@
         sent_ms : int
             Local time at which the request was sent.
         """
+        self.observe_bounds(store_ms, store_ms, sent_ms)
+
+    def observe_bounds(
+        self, earliest_ms: int, latest_ms: int, sent_ms: int
+    ) -> None:
+        """Update the bounds from those that another process has.
+
+        Parameters
+        ----------
+        earliest_ms, latest_ms : int
+            Bounds on the time of the store at some moment after ``sent_ms``.
+        sent_ms : int
+            Local time at which that process was asked.
+        """
         now_ms = self._clock.now_ms()
         self._responded_ms = now_ms
-        earliest = _Offset(store_ms - now_ms, now_ms)
-        latest = _Offset(store_ms - sent_ms, now_ms)
+        earliest = _Offset(earliest_ms - now_ms, now_ms)
+        latest = _Offset(latest_ms - sent_ms, now_ms)
         if self._is_outdated(self._earliest) or (
             self._earliest is not None and earliest.ms >= self._earliest.ms
         ):
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -11,6 +11,7 @@
     'LEASE',
     'ORDER_TABLES',
     'PROGRESS',
+    'RELAYS',
     'REPORTS',
     'SCHEDULER_PART',
     'SUBMISSIONS',
@@ -28,6 +29,7 @@
     'Table',
     'order_row',
     'orders_table',
+    'read_pages',
     'shard_of',
 )
 
@@ -72,6 +74,8 @@
     Table(f'orders-{number}', (SCHEDULER_PART,))
     for number in range(_ORDER_TABLE_COUNT)
 )
+# One row for each process that relays the calls of guards, written by it.
+RELAYS = Table('relays', ('relays',))
 # One row with the scheduling lease.
 LEASE = Table('lease', (SCHEDULER_PART,))
 
@@ -227,3 +231,23 @@
         self, table: str, after: int, wait: timedelta
     ) -> Changes | HistoryLost:
         """Return changes after a version; wait up to ``wait`` for the first."""
+
+
+async def read_pages(
+    store: RowStore, table: str, part: str, first: str = '', last: str = ''
+) -> Snapshot:
+    """Return the rows of all pages of a range, in order.
+
+    Pages after the first may contain newer rows. The version of the snapshot is
+    that of the first page, so that a change feed continued from it misses no
+    change.
+    """
+    rows: list[Row] = []
+    version: int | None = None
+    next_first: str | None = first
+    while next_first is not None:
+        page = await store.read_page(table, part, next_first, last)
+        rows.extend(page.rows)
+        version = page.version if version is None else version
+        next_first = page.next_first
+    return Snapshot(tuple(rows), version or 0)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -1,7 +1,7 @@
 """The two programs of the platform deployment, ``front`` and ``side``."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 
 from dragonflynotch.control.claim_delay import claim_delay
 from dragonflynotch.control.clocks import BootClock
@@ -12,9 +12,12 @@
 from dragonflynotch.control.leadership import Leadership
 from dragonflynotch.control.loss_detector import LossCounts
 from dragonflynotch.control.operator_requests import EvacuationWatch
+from dragonflynotch.control.relay_directory import RelayAnnouncement
+from dragonflynotch.control.relay_service import RelayService
 from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.http_server import HttpServer
+from dragonflynotch.links.relay_server import RelayApi
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.observability.job_metrics import JobMetrics, LabelledGauge
 from dragonflynotch.observability.unreadable import unreadable_entries
@@ -24,6 +27,10 @@
     decode_evacuation,
 )
 from dragonflynotch.platform.front import JobApi
+from dragonflynotch.platform.internal_api import (
+    internal_handler,
+    relayed_store,
+)
 from dragonflynotch.platform.machines import machine_directory
 from dragonflynotch.platform.minion import HttpMinionClient
 from dragonflynotch.platform.row_store import HttpRowStore
@@ -45,14 +52,9 @@
 # The readiness check fails if the copy of the configuration is older.
 _MAX_CONFIGURATION_AGE_MS = 2500
 _BALANCER_DELAY_S = 2.5
-_METRICS_PATH = '/metrics'
-_METRICS_HEADERS = {'Content-Type': 'text/plain; version=0.0.4'}
 _OK = 200
-_NOT_FOUND = 404
 _UNAVAILABLE = 503
 
-_Handler = Callable[[HttpCall], Awaitable[Reply]]
-
 
 class FrontProgram:
     """Serves callers, and schedules while it holds the scheduling lease."""
@@ -106,6 +108,12 @@
         api = JobApi(
             submissions, self._deployment, self._store.health, self._metrics
         )
+        self._relay = RelayService(
+            self._store, lambda: self._store.health.is_reachable, clock
+        )
+        self._announcement = RelayAnnouncement(
+            settings.node, settings.metrics_address, self._store
+        )
         self._is_stopping = False
         self._is_ready = False
         self._servers = [
@@ -113,7 +121,13 @@
             for address, handler in (
                 (settings.caller_address, api),
                 (settings.readiness_address, self._check_readiness),
-                (settings.metrics_address, _metrics_handler(self._metrics)),
+                (
+                    settings.metrics_address,
+                    internal_handler(
+                        self._metrics,
+                        RelayApi(self._relay, self._store.store_clock),
+                    ),
+                ),
             )
             if address is not None
         ]
@@ -126,14 +140,17 @@
         ]
         configuration = asyncio.create_task(self._configuration.run())
         leader = asyncio.create_task(self._leader.run())
+        announcement = asyncio.create_task(self._announcement.publish())
         await stop.wait()
         decision_log.record('stopping', program='front')
         self._is_stopping = True
+        announcement.cancel()
         for server in self._servers:
             server.drain()
         leader.cancel()
         await asyncio.gather(leader, return_exceptions=True)
         await self._leadership.release()
+        await self._announcement.withdraw()
         # The load balancer sends new connections until two checks have failed.
         await asyncio.sleep(_BALANCER_DELAY_S)
         for server in self._servers:
@@ -188,6 +205,8 @@
             'machines_lost': self._losses.machines_lost,
             'failed_machine_lookups': self._losses.failed_lookups,
             'store_calls': self._store.call_count,
+            'relay_calls_served': self._relay.served,
+            'relay_calls_refused': self._relay.refused,
             'unreadable_entries': unreadable_entries.count,
         }
 
@@ -223,9 +242,10 @@
         """Create the program from checked settings."""
         clock = BootClock()
         self._store = HttpRowStore(settings.store_address, clock)
+        self._relayed = relayed_store(settings.node, self._store, clock)
         self._guard = Guard(
             settings.node,
-            self._store,
+            self._relayed,
             self._store.store_clock,
             clock,
             HttpMinionClient,
@@ -236,7 +256,7 @@
             HttpServer(address, handler)
             for address, handler in (
                 (settings.heartbeat_address, HeartbeatApi(self._guard)),
-                (settings.metrics_address, _metrics_handler(metrics)),
+                (settings.metrics_address, internal_handler(metrics)),
             )
             if address is not None
         ]
@@ -251,6 +271,7 @@
             asyncio.create_task(server.run()) for server in self._servers
         ]
         guard_task = asyncio.create_task(self._guard.run())
+        relayed = asyncio.create_task(self._relayed.run())
         stop_requested = asyncio.create_task(stop.wait())
         await asyncio.wait(
             {guard_task, stop_requested}, return_when=asyncio.FIRST_COMPLETED
@@ -265,6 +286,7 @@
             server.stop()
         await asyncio.gather(guard_task, return_exceptions=True)
         await self._guard.relinquish_authority()
+        relayed.cancel()
         await asyncio.gather(*servers, return_exceptions=True)
         decision_log.record('stopped', program='side')
 
@@ -275,6 +297,9 @@
     def _gauges(self) -> dict[str, float]:
         return {
             'store_calls': self._store.call_count,
+            'relayed_store_calls': self._relayed.relayed_calls,
+            'failed_relays': self._relayed.failed_relays,
+            'is_relaying': self._relayed.is_relaying,
             'unreadable_entries': unreadable_entries.count,
             'minion_crashes': self._guard.minion_crashes,
         }
@@ -295,12 +320,3 @@
         _MAX_MINION_LEASE_MS, settings.bounds.max_minion_lease_ms
     )
     return GuardLimits(int(max_lease_ms * _MINION_LEASE_FRACTION), AUTHORITY_MS)
-
-
-def _metrics_handler(metrics: JobMetrics) -> _Handler:
-    async def serve_metrics(call: HttpCall) -> Reply:
-        if call.path != _METRICS_PATH:
-            return Reply(_NOT_FOUND)
-        return Reply(_OK, metrics.render(), _METRICS_HEADERS)
-
-    return serve_metrics
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -20,6 +20,7 @@
     RowStore,
     RowWrite,
     Snapshot,
+    read_pages,
 )
 from dragonflynotch.control.store_health import StoreHealth
 from dragonflynotch.core.errors import (
@@ -121,21 +122,8 @@
     async def read(
         self, table: str, part: str, first: str = '', last: str = ''
     ) -> Snapshot:
-        """Return the rows with ``first <= key < last``, in order.
-
-        The store returns long ranges in pages, and pages after the first may
-        contain newer rows. The version of the snapshot is that of the first
-        page, so that a change feed continued from it misses no change.
-        """
-        rows: list[Row] = []
-        version: int | None = None
-        next_first: str | None = first
-        while next_first is not None:
-            page = await self.read_page(table, part, next_first, last)
-            rows.extend(page.rows)
-            version = page.version if version is None else version
-            next_first = page.next_first
-        return Snapshot(tuple(rows), version or 0)
+        """Return the rows with ``first <= key < last``, in order."""
+        return await read_pages(self, table, part, first, last)
 
     async def read_page(
         self, table: str, part: str, first: str = '', last: str = ''
--- a/dragonflynotch/platform/settings.py
+++ b/dragonflynotch/platform/settings.py
@@ -70,8 +70,8 @@
     store_address : tuple of (str, int)
         Address of the metadata store (``platform.address``).
     metrics_address : tuple of (str, int)
-        Address to listen on for metrics (``ip`` and the first port of
-        ``port_range``).
+        Address to listen on for metrics and for the calls that a front relays
+        (``ip`` and the first port of ``port_range``).
     caller_address, readiness_address : tuple of (str, int) or None
         Addresses to listen on for callers and readiness checks
         (``listen.front``, ``listen.ready``).
--- a/tests/platform/programs.py
+++ b/tests/platform/programs.py
@@ -12,6 +12,7 @@
 from dragonflynotch.links.http11 import exchange
 from dragonflynotch.links.http_pool import HttpPool
 from dragonflynotch.platform.settings import SETTINGS_VARIABLE
+from dragonflynotch.testing.loopback_proxy import LoopbackProxy
 from dragonflynotch.testing.platform_site import PlatformSite
 from dragonflynotch.testing.ports import free_ports
 from dragonflynotch.testing.site_minion import SiteMinion
@@ -37,6 +38,8 @@
         self.caller_addresses = {}
         self.readiness_addresses = {}
         self.minions = {}
+        # Links of the side programs to the store.
+        self.store_links = {}
         self.log_paths = {}
         self._folder = folder
         self._run_duration_ms = run_duration_ms
@@ -68,6 +71,8 @@
             await self.kill(name)
         for minion in self.minions.values():
             await minion.stop()
+        for link in self.store_links.values():
+            await link.stop()
         await self.site.stop()
 
     async def start_program(self, name):
@@ -173,10 +178,14 @@
     async def _start_side(self, name, minion_id):
         heartbeat_address = free_address()
         minion_address = free_address()
+        link = LoopbackProxy(free_address(), self.site.address)
+        self.store_links[name] = link
+        await link.start()
         self._add_process(
             name,
             {
                 'listen.control': _host_and_port(heartbeat_address),
+                'platform.address': _host_and_port(link.address),
                 'app': _host_and_port(minion_address),
                 'service': SERVICE,
             },
