--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -202,6 +202,7 @@
             'leaving_workers': scheduler.leaving_workers,
             'departure_stops': scheduler.departure_stops,
             'suspected_tasks': scheduler.suspected_tasks,
+            'lost_runs': scheduler.lost_runs,
             'machines_lost': self._losses.machines_lost,
             'failed_machine_lookups': self._losses.failed_lookups,
             'store_calls': self._store.call_count,
@@ -295,6 +296,7 @@
         self._guard.apply_limits(_guard_limits(settings))
 
     def _gauges(self) -> dict[str, float]:
+        backlog = self._guard.end_backlog
         return {
             'store_calls': self._store.call_count,
             'relayed_store_calls': self._relayed.relayed_calls,
@@ -302,6 +304,8 @@
             'is_relaying': self._relayed.is_relaying,
             'unreadable_entries': unreadable_entries.count,
             'minion_crashes': self._guard.minion_crashes,
+            'unrecorded_ends': backlog.count,
+            'oldest_unrecorded_end_ms': backlog.oldest_ms,
         }
 
 
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -14,6 +14,7 @@
     order_row,
     shard_of,
 )
+from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.minion_model import (
     MinionFault,
     MinionModel,
@@ -174,6 +175,29 @@
     assert minion.poll(99, 0, 0).ended
 
 
+async def test_log_tells_how_long_an_end_was_held(harness, minion, monkeypatch):
+    """Where an end waited before its loss could not be told from the logs."""
+    logged = {}
+    monkeypatch.setattr(
+        decision_log,
+        'record',
+        lambda event, **fields: logged.setdefault(event, fields),
+    )
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    harness.store.fault = StoreFault.down
+    minion.finish(TASK, EndKind.done)
+    await asyncio.sleep(0.5)
+    backlog = harness.guard.end_backlog
+    harness.store.fault = StoreFault.none
+    await harness.wait_for(lambda report: report.ended)
+    reported = logged['ends_reported']
+    assert backlog.count == 1
+    assert reported['ends'][0]['held_ms'] > backlog.oldest_ms > 300
+    assert reported['attempts'] > 1
+    assert logged['run_ended']['unseen_ms'] >= 0
+
+
 async def test_start_without_response_cannot_take_effect_later(harness, minion):
     """A start applied late must not run the task twice at once."""
     minion.fault = MinionFault.late_starts
@@ -345,6 +369,45 @@
     assert [running.task for running in report.abandoned] == [TASK]
 
 
+@pytest.mark.parametrize('is_guard_replaced', [False, True])
+async def test_reported_end_outlasts_its_minion(
+    harness, minion, is_guard_replaced
+):
+    """An end that no leader has read must not be lost with its minion."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    minion.finish(TASK, EndKind.done)
+    await harness.wait_for(lambda report: report.ended)
+    if is_guard_replaced:
+        await harness.stop_guard()
+        harness.start_guard()
+    minion.crash()
+    for minion_id in ('m2', 'm3'):
+        harness.add_minion(minion_id)
+        harness.send_heartbeat(minion_id)
+        report = await harness.wait_for(
+            lambda report, minion_id=minion_id: report.minion_id == minion_id
+        )
+        [earlier] = report.earlier_ends
+        assert earlier.minion_id == 'm1'
+        assert (earlier.end.task, earlier.end.run) == (TASK, 1)
+    await harness.remove_order('m1')
+    await harness.wait_for(lambda report: not report.earlier_ends)
+
+
+async def test_reported_end_outlasts_the_departure_of_its_minion(
+    harness, minion
+):
+    """A minion that leaves must not take an unrecorded end with it."""
+    await harness.order('m1')
+    await harness.wait_for(is_task_running)
+    minion.finish(TASK, EndKind.done)
+    await harness.wait_for(lambda report: report.ended)
+    harness.guard.on_departure('m1')
+    report = await harness.wait_for(lambda report: not report.minion_id)
+    assert [earlier.minion_id for earlier in report.earlier_ends] == ['m1']
+
+
 async def test_crash_is_reported_with_the_runs_on_the_minion(harness, minion):
     """The scheduler cannot count crashes that it is not told of."""
     await harness.order('m1')
