--- a/dragonflynotch/control/relayed_store.py
+++ b/dragonflynotch/control/relayed_store.py
@@ -119,7 +119,7 @@
             except TimeoutError:
                 continue
             # The store has just failed, so the first probe waits as well.
-            self._refresh_interval_s = _MIN_REFRESH_INTERVAL_S
+            self._refresh_interval_s: float = _MIN_REFRESH_INTERVAL_S
             await asyncio.sleep(self._next_interval_s())
 
     async def read(
