Deliver ends to the leader while a report cannot be written

While the store refused a part of its rows, the guards whose reports are in that part could not write them, although the leader and all other guards could. With all power lost afterwards their ends were lost and the tasks ran again.

Ruled out: machines that are turned away.

The guard now sends such a report to the front that schedules, which applies the ends in it by the checks of a stored report; authority and runs are not taken. An end during the delay before a retry is handled at once.

test_end_whose_report_row_is_refused_to_all_is_recorded fails without the delivery, with and without the death of the leader.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -1,7 +1,7 @@
 """Guard of one minion: carries out its orders and reports its state."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -49,6 +49,10 @@
 _MAX_ORDERS_AGE_MS = 3000
 
 
+async def _deliver_nothing(_: bytes) -> None:
+    """Leave the ends to the next report; used without peers."""
+
+
 @dataclass(frozen=True, slots=True)
 class GuardLimits:
     """Lease durations of a guard.
@@ -85,6 +89,8 @@
         Creates the client of a minion incarnation from its heartbeat.
     limits : GuardLimits
         Lease durations.
+    deliver_report : callable, optional
+        Delivers the ends in an encoded report that could not be written.
     """
 
     def __init__(
@@ -95,6 +101,7 @@
         clock: SteadyClock,
         connect: Callable[[Heartbeat], MinionClient],
         limits: GuardLimits,
+        deliver_report: Callable[[bytes], Awaitable[None]] = _deliver_nothing,
     ) -> None:
         """Create the guard; ``run`` starts it."""
         self._store_clock = store_clock
@@ -110,6 +117,7 @@
             clock,
             limits.authority_ms,
             self._build_report,
+            deliver_report,
             self._on_previous_report,
         )
         self._identifier = MinionIdentifier(
--- a/dragonflynotch/control/leader.py
+++ b/dragonflynotch/control/leader.py
@@ -11,6 +11,7 @@
     UncertainWriteError,
 )
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.records import Report
 from dragonflynotch.workflows.scheduler import SchedulerSettings
 from dragonflynotch.workflows.scheduler_status import SchedulerStatus
 
@@ -56,6 +57,10 @@
         if self._term is not None:
             self._term.apply_settings(settings)
 
+    def receive_ends(self, report: Report) -> bool:
+        """Apply the ends in a report; return whether this node schedules."""
+        return self._term is not None and self._term.receive_ends(report)
+
     async def run(self) -> None:
         """Compete for the lease and schedule until cancelled."""
         leadership = self._context.leadership
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -186,6 +186,21 @@
         self._scheduler.apply_settings(settings)
         self._evacuation_bound_ms = settings.evacuation_bound_ms
 
+    def receive_ends(self, report: Report) -> bool:
+        """Apply the ends in a report that its guard could not write.
+
+        Returns
+        -------
+        bool
+            ``False`` while the rows are being loaded. The guard repeats the
+            ends until their orders are gone.
+        """
+        if self._is_loading:
+            return False
+        self._scheduler.apply_ends(report, self._store_now_ms())
+        self._rows_changed.set()
+        return True
+
     async def run(self) -> None:
         """Load all rows and schedule until the lease is lost."""
         await self._load()
--- a/dragonflynotch/control/relay_directory.py
+++ b/dragonflynotch/control/relay_directory.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.relay_peer import PeerStore
 from dragonflynotch.control.rows import (
     ABSENT,
     RELAYS,
@@ -111,12 +112,12 @@
         Name of the process.
     address : tuple of (str, int)
         Address at which it serves relayed calls.
-    store : RowStore
+    store : PeerStore
         Store as seen through it.
     """
 
     def __init__(
-        self, node: str, address: tuple[str, int], store: RowStore
+        self, node: str, address: tuple[str, int], store: PeerStore
     ) -> None:
         """Start without a failure."""
         self.node = node
@@ -145,7 +146,7 @@
         self,
         node: str,
         store: RowStore,
-        connect: Callable[[tuple[str, int]], RowStore],
+        connect: Callable[[tuple[str, int]], PeerStore],
         clock: SteadyClock,
     ) -> None:
         """Create the directory without any peer."""
--- a/dragonflynotch/control/relay_service.py
+++ b/dragonflynotch/control/relay_service.py
@@ -6,6 +6,7 @@
 from datetime import UTC, datetime, timedelta
 
 from dragonflynotch.control.clocks import SteadyClock
+from dragonflynotch.control.relay_peer import PeerStore
 from dragonflynotch.control.rows import (
     ORDER_TABLES,
     REPORTS,
@@ -62,7 +63,7 @@
     max_wait: timedelta = timedelta(seconds=2)
 
 
-class RelayService(RowStore):
+class RelayService(PeerStore):
     """The part of the store that guards may use through this process.
 
     Guards may read orders, and read and conditionally replace reports. Nothing
@@ -76,6 +77,8 @@
         Returns whether the store responds to this process.
     clock : SteadyClock
         Measures the rate of the calls.
+    receive_report : callable
+        Takes the ends of a report and returns whether this process schedules.
     limits : RelayLimits, optional
         Limits on the calls.
     """
@@ -85,12 +88,14 @@
         store: RowStore,
         is_reachable: Callable[[], bool],
         clock: SteadyClock,
+        receive_report: Callable[[Report], bool],
         limits: RelayLimits | None = None,
     ) -> None:
         """Create the service without calls in flight."""
         self._store = store
         self._is_reachable = is_reachable
         self._clock = clock
+        self._receive_report = receive_report
         self._limits = limits or RelayLimits()
         self._bucket = TokenBucket(
             self._limits.calls_per_s, self._limits.burst, self._now()
@@ -146,6 +151,20 @@
                 table, after, min(wait, self._limits.max_wait)
             )
 
+    async def deliver_report(self, content: bytes) -> None:
+        """Pass the ends in a report to the scheduler of this process."""
+        report = self._decode_report(content)
+        if self._bucket.take(self._now()):
+            self._record_refusal('deliver', 'rate_exceeded')
+            raise PlatformUnavailableError(
+                'rate_exceeded', step='deliver', peer=_PEER
+            )
+        if not self._receive_report(report):
+            raise PlatformUnavailableError(
+                'not_scheduling', step='deliver', peer=_PEER
+            )
+        self._served += 1
+
     def _check_report(
         self,
         writes: Sequence[RowWrite],
@@ -158,12 +177,16 @@
         name = write.name
         if name != RowName(REPORTS.name, shard_of(name.key), name.key):
             raise self._invalid('commit', name, 'the row of a report')
-        content = write.content
+        self._decode_report(write.content)
+
+    def _decode_report(self, content: bytes | None) -> Report:
         if content is None or len(content) > self._limits.max_report_bytes:
-            raise self._invalid('commit', name.key, 'a report of limited size')
+            size = None if content is None else len(content)
+            raise self._invalid('report', size, 'a report of limited size')
         report = decode_row(content, Report)
         if isinstance(report, Unreadable):
-            raise self._invalid('commit', report.reason, 'a report')
+            raise self._invalid('report', report.reason, 'a report')
+        return report
 
     @asynccontextmanager
     async def _admission(self, step: str) -> AsyncIterator[None]:
--- a/dragonflynotch/control/relayed_store.py
+++ b/dragonflynotch/control/relayed_store.py
@@ -7,7 +7,8 @@
 from typing import TypeVar
 
 from dragonflynotch.control.clocks import SteadyClock
-from dragonflynotch.control.relay_directory import RelayDirectory
+from dragonflynotch.control.relay_backoff import RelayBackoff
+from dragonflynotch.control.relay_directory import RelayDirectory, RelayPeer
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -20,6 +21,7 @@
     Snapshot,
 )
 from dragonflynotch.core.errors import (
+    InvalidInputError,
     PlatformUnavailableError,
     UncertainWriteError,
 )
@@ -33,10 +35,8 @@
 
 # Further peers would hardly reach a store that refuses all of these.
 _MAX_PEERS_PER_CALL = 3
-# After a call that no peer could relay, the next ones are not relayed for a
-# random share of a time that doubles up to the maximum.
-_MIN_BACKOFF_MS = 500
-_MAX_BACKOFF_MS = 8000
+# Any of the peers may be the one that schedules.
+_MAX_PEERS_PER_DELIVERY = 8
 # How often the store is called directly while calls are relayed.
 _PROBE_INTERVAL_S = 1
 # Interval at which the addresses of the peers are read while they are not
@@ -76,14 +76,15 @@
         """Create the store; ``run`` keeps the addresses of the peers."""
         self._store = store
         self._directory = directory
-        self._clock = clock
         self._random = random
         self._prefers_peers = False
         self._is_relaying = False
         self._relaying_changed = asyncio.Event()
         self._last_error = ''
-        self._backoff_ms = 0
-        self._relay_allowed_ms = 0
+        self._relay_backoff = RelayBackoff(clock, random)
+        self._delivery_backoff = RelayBackoff(clock, random)
+        self._last_receiver = ''
+        self._delivered_reports = 0
         self._refresh_interval_s: float = _MIN_REFRESH_INTERVAL_S
         self._relayed_calls = 0
         self._failed_relays = 0
@@ -103,6 +104,11 @@
         """Calls that no peer could relay."""
         return self._failed_relays
 
+    @property
+    def delivered_reports(self) -> int:
+        """Reports of which the scheduler has received the ends directly."""
+        return self._delivered_reports
+
     async def run(self) -> None:
         """Keep the addresses of the peers, and probe the store, for ever."""
         while True:
@@ -152,6 +158,34 @@
         """Return changes after a version; wait up to ``wait`` for the first."""
         return await self._call(lambda store: store.changes(table, after, wait))
 
+    async def deliver_report(self, content: bytes) -> None:
+        """Deliver the ends in an encoded report to the peer that schedules.
+
+        For a report that cannot be written, also not through a peer, since the
+        store serves only a part of the rows. Does nothing for a time after no
+        peer has accepted a report.
+        """
+        if not self._delivery_backoff.is_over:
+            return
+        for peer in self._possible_receivers():
+            try:
+                await peer.store.deliver_report(content)
+            except (PlatformUnavailableError, InvalidInputError):
+                continue
+            self._delivery_backoff.record_success()
+            self._last_receiver = peer.node
+            self._delivered_reports += 1
+            decision_log.record('report_delivered', peer=peer.node)
+            return
+        self._delivery_backoff.record_failure()
+
+    def _possible_receivers(self) -> list[RelayPeer]:
+        peers = sorted(
+            self._directory.peers,
+            key=lambda peer: peer.node != self._last_receiver,
+        )
+        return peers[:_MAX_PEERS_PER_DELIVERY]
+
     async def _call(self, call: _Call[_OutcomeT]) -> _OutcomeT:
         if self._prefers_peers:
             return await self._call_peers(call)
@@ -187,14 +221,11 @@
         raise error
 
     def _may_relay(self) -> bool:
-        return (
-            bool(self._directory.peers)
-            and self._clock.now_ms() >= self._relay_allowed_ms
-        )
+        return bool(self._directory.peers) and self._relay_backoff.is_over
 
     def _record_relayed(self, peer: str) -> None:
         self._relayed_calls += 1
-        self._backoff_ms = 0
+        self._relay_backoff.record_success()
         self._prefers_peers = True
         if not self._is_relaying:
             self._is_relaying = True
@@ -205,12 +236,7 @@
 
     def _record_failed_relay(self) -> None:
         self._failed_relays += 1
-        self._backoff_ms = min(
-            max(_MIN_BACKOFF_MS, 2 * self._backoff_ms), _MAX_BACKOFF_MS
-        )
-        self._relay_allowed_ms = self._clock.now_ms() + int(
-            self._backoff_ms * self._random.uniform(0.5, 1)
-        )
+        self._relay_backoff.record_failure()
         self._stop_relaying('no_peer')
 
     def _stop_relaying(self, reason: str) -> None:
@@ -222,7 +248,7 @@
             )
 
     def _next_interval_s(self) -> float:
-        interval_s = _PROBE_INTERVAL_S
+        interval_s: float = _PROBE_INTERVAL_S
         if not self._is_relaying:
             interval_s = self._refresh_interval_s
             self._refresh_interval_s = min(
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -1,7 +1,7 @@
 """Writes the report of a guard and tracks its authority to extend leases."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.end_log import EndLog
@@ -59,6 +59,8 @@
     build_report : callable
         Returns the report for an end of the authority in store time, or
         ``None`` while there is nothing to report.
+    deliver : callable
+        Delivers the ends in an encoded report that could not be written.
     on_previous : callable
         Receives the report of an earlier guard process, if there is one, once.
     """
@@ -71,6 +73,7 @@
         clock: SteadyClock,
         authority_ms: int,
         build_report: Callable[[int], Report | None],
+        deliver: Callable[[bytes], Awaitable[None]],
         on_previous: Callable[[Report], None],
     ) -> None:
         """Create the writer; ``run`` starts it."""
@@ -80,6 +83,7 @@
         self._clock = clock
         self._authority_ms = authority_ms
         self._build_report = build_report
+        self._deliver = deliver
         self._on_previous = on_previous
         self._write_interval_s = (
             min(_MAX_WRITE_INTERVAL_MS, authority_ms // _WRITES_PER_AUTHORITY)
@@ -124,15 +128,12 @@
                 InvalidInputError,
             ) as error:
                 self._record_error(shorten(str(error)))
-                await asyncio.sleep(_RETRY_DELAY_S)
+                self._write_requested.clear()
+                await self._deliver_ends()
+                await self._wait_for_request(_RETRY_DELAY_S)
                 continue
             self._record_error('')
-            try:
-                async with asyncio.timeout(self._write_interval_s):
-                    await self._write_requested.wait()
-            except TimeoutError:
-                continue
-            await asyncio.sleep(_BATCH_WINDOW_S)
+            await self._wait_for_request(self._write_interval_s)
 
     async def relinquish_authority(self, local_end_ms: int) -> None:
         """Report that the authority ends earlier; call after ``run`` ended.
@@ -165,6 +166,14 @@
             left_ms=remaining_ms,
         )
 
+    async def _wait_for_request(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._write_requested.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(_BATCH_WINDOW_S)
+
     async def _write(self) -> bool:
         """Write the report; return whether it was written."""
         if self._version is None:
@@ -195,6 +204,14 @@
         self._end_log.record_written(report.ended, outcome.version)
         return True
 
+    async def _deliver_ends(self) -> None:
+        """Deliver ends that cannot be written; the authority is as before."""
+        if not self._token:
+            return
+        report = self._build_report(self._authority_end_ms)
+        if report is not None and (report.ended or report.earlier_ends):
+            await self._deliver(encode_row(report))
+
     async def _read_row(self) -> None:
         row = await self._store.read_row(self._name)
         if row is None:
--- a/dragonflynotch/links/relay_link.py
+++ b/dragonflynotch/links/relay_link.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.relay_peer import PeerStore
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -13,7 +14,6 @@
     HistoryLost,
     Page,
     RowName,
-    RowStore,
     RowWrite,
     Snapshot,
     read_pages,
@@ -29,10 +29,12 @@
 from dragonflynotch.links.http_pool import HttpPool
 from dragonflynotch.links.relay_messages import (
     RELAY_PATH,
+    AcceptedReply,
     ChangesReply,
     CommitCall,
     CommittedReply,
     ConflictReply,
+    DeliverCall,
     FeedCall,
     HistoryLostReply,
     InvalidReply,
@@ -59,7 +61,7 @@
 _decoder = msgspec.msgpack.Decoder(RelayResponse)
 
 
-class HttpRelayedStore(RowStore):
+class HttpRelayedStore(PeerStore):
     """Row store reached through the process at an address.
 
     Parameters
@@ -150,6 +152,12 @@
             return HistoryLost()
         raise self._unavailable('feed', reply)
 
+    async def deliver_report(self, content: bytes) -> None:
+        """Deliver the ends in an encoded report that could not be written."""
+        reply = await self._read(DeliverCall(content), _CALL_TIMEOUT)
+        if not isinstance(reply, AcceptedReply):
+            raise self._unavailable('deliver', reply)
+
     async def _read(self, call: RelayedCall, timeout: timedelta) -> RelayReply:
         try:
             return await self._exchange(call, timeout)
--- a/dragonflynotch/links/relay_messages.py
+++ b/dragonflynotch/links/relay_messages.py
@@ -9,10 +9,12 @@
 
 __all__ = (
     'RELAY_PATH',
+    'AcceptedReply',
     'ChangesReply',
     'CommitCall',
     'CommittedReply',
     'ConflictReply',
+    'DeliverCall',
     'FeedCall',
     'HistoryLostReply',
     'InvalidReply',
@@ -60,7 +62,13 @@
     wait_ms: Count
 
 
-RelayedCall = ReadCall | CommitCall | FeedCall
+class DeliverCall(msgspec.Struct, tag='deliver'):
+    """Take the ends in an encoded report that could not be written."""
+
+    content: bytes
+
+
+RelayedCall = ReadCall | CommitCall | FeedCall | DeliverCall
 
 
 class RelayCall(msgspec.Struct):
@@ -70,6 +78,10 @@
     timeout_ms: Count
 
 
+class AcceptedReply(msgspec.Struct, tag='accepted'):
+    """The ends were passed to the scheduler."""
+
+
 class PageReply(msgspec.Struct, tag='page'):
     """Rows that were read."""
 
@@ -117,7 +129,8 @@
 
 
 RelayReply = (
-    PageReply
+    AcceptedReply
+    | PageReply
     | CommittedReply
     | ConflictReply
     | ChangesReply
--- a/dragonflynotch/links/relay_server.py
+++ b/dragonflynotch/links/relay_server.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from dragonflynotch.control.clocks import StoreClock
+from dragonflynotch.control.relay_peer import PeerStore
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
     RowName,
-    RowStore,
     RowWrite,
 )
 from dragonflynotch.core.errors import (
@@ -21,10 +21,12 @@
 from dragonflynotch.core.untrusted import Unreadable, decode_untrusted
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.links.relay_messages import (
+    AcceptedReply,
     ChangesReply,
     CommitCall,
     CommittedReply,
     ConflictReply,
+    DeliverCall,
     FeedCall,
     HistoryLostReply,
     InvalidReply,
@@ -54,13 +56,13 @@
 
     Parameters
     ----------
-    service : RowStore
+    service : PeerStore
         Carries out the calls that it permits.
     store_clock : StoreClock
         Bounds on the time of the store.
     """
 
-    def __init__(self, service: RowStore, store_clock: StoreClock) -> None:
+    def __init__(self, service: PeerStore, store_clock: StoreClock) -> None:
         """Create the handler, which passes calls to ``service``."""
         self._service = service
         self._store_clock = store_clock
@@ -99,6 +101,9 @@
                 return PageReply(page)
             case CommitCall():
                 return await self._commit(call)
+            case DeliverCall():
+                await self._service.deliver_report(call.content)
+                return AcceptedReply()
             case FeedCall():
                 changes = await self._service.changes(
                     call.table, call.after, timedelta(milliseconds=call.wait_ms)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -109,7 +109,10 @@
             submissions, self._deployment, self._store.health, self._metrics
         )
         self._relay = RelayService(
-            self._store, lambda: self._store.health.is_reachable, clock
+            self._store,
+            lambda: self._store.health.is_reachable,
+            clock,
+            self._leader.receive_ends,
         )
         self._announcement = RelayAnnouncement(
             settings.node, settings.metrics_address, self._store
@@ -251,6 +254,7 @@
             clock,
             HttpMinionClient,
             _guard_limits(settings),
+            self._relayed.deliver_report,
         )
         metrics = JobMetrics(settings.node, self._gauges)
         self._servers = [
@@ -300,6 +304,7 @@
         return {
             'store_calls': self._store.call_count,
             'relayed_store_calls': self._relayed.relayed_calls,
+            'delivered_reports': self._relayed.delivered_reports,
             'failed_relays': self._relayed.failed_relays,
             'is_relaying': self._relayed.is_relaying,
             'unreadable_entries': unreadable_entries.count,
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -71,8 +71,7 @@
             Store time of the report.
         """
         self._applied_ms = now_ms
-        for end in report.ended:
-            self._apply_end(report.minion_id, end, now_ms, reported_ms)
+        self.apply_ends(report, now_ms, reported_ms)
         for rejection in report.rejected:
             self._apply_rejection(report.minion_id, rejection, now_ms)
         read_ms = reported_ms - report.runs_age_ms
@@ -81,6 +80,11 @@
         if not report.is_live:
             self.mark_lost(report.minion_id, 'lease_expired')
 
+    def apply_ends(self, report: Report, now_ms: int, reported_ms: int) -> None:
+        """Record the ends of runs of the incarnation in a report."""
+        for end in report.ended:
+            self._apply_end(report.minion_id, end, now_ms, reported_ms)
+
     def apply_earlier_ends(
         self,
         earlier_ends: Iterable[EarlierEnd],
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -234,6 +234,11 @@
         """Apply a report that the guard on a node has just written."""
         self._apply_report(node, report, version, now_ms, now_ms)
 
+    def apply_ends(self, report: Report, now_ms: int) -> None:
+        """Apply only the ends in a report that has not been stored."""
+        self._tracker.apply_earlier_ends(report.earlier_ends, now_ms, now_ms)
+        self._tracker.apply_ends(report, now_ms, now_ms)
+
     def restore_report(
         self, node: str, report: Report, version: int, now_ms: int
     ) -> None:
--- a/tests/control/test_relayed_store.py
+++ b/tests/control/test_relayed_store.py
@@ -23,6 +23,7 @@
     RowWrite,
     shard_of,
 )
+from dragonflynotch.control.submissions import SubmissionService
 from dragonflynotch.core.errors import (
     InvalidInputError,
     PlatformUnavailableError,
@@ -74,6 +75,7 @@
         self.own = StoreView(store)
         self.views = {}
         self.services = {}
+        self.receive_report = lambda _: False
         self.directory = RelayDirectory('node', self.own, self._connect, clock)
         self.relayed = RelayedRowStore(
             self.own, self.directory, clock, Random(1)
@@ -91,7 +93,10 @@
     def _connect(self, address):
         view = StoreView(self.store)
         service = RelayService(
-            view, lambda: view.fault is StoreFault.none, self._clock
+            view,
+            lambda: view.fault is StoreFault.none,
+            self._clock,
+            lambda taken: self.receive_report(taken),
         )
         self.views[address] = view
         self.services[address] = service
@@ -217,7 +222,7 @@
 )
 async def test_peer_writes_nothing_but_reports(store, clock, name, content):
     """A peer must not let its callers write what only it may write."""
-    service = RelayService(store, lambda: True, clock)
+    service = RelayService(store, lambda: True, clock, lambda _: False)
     with pytest.raises(InvalidInputError):
         await service.commit([RowWrite(name, content)], [(name, 0)])
     with pytest.raises(InvalidInputError):
@@ -231,7 +236,7 @@
 async def test_peer_limits_rate_and_calls_in_flight(store, clock):
     """Relayed calls must not use up what the peer needs for its own."""
     limits = RelayLimits(calls_per_s=1, burst=2, max_in_flight=1)
-    service = RelayService(store, lambda: True, clock, limits)
+    service = RelayService(store, lambda: True, clock, lambda _: False, limits)
     waiting = asyncio.create_task(
         service.changes(ORDER_TABLES[0].name, 0, timedelta(seconds=30))
     )
@@ -247,11 +252,77 @@
     assert isinstance(await commit(service), Conflict)
 
 
+class PartlyDownStore(MemoryRowStore):
+    """Store that can refuse writes and reads of one report."""
+
+    refused_node = ''
+
+    async def commit(self, writes, conditions):
+        if any(write.name.key == self.refused_node for write in writes):
+            raise PlatformUnavailableError('part is down')
+        return await super().commit(writes, conditions)
+
+
+async def test_report_is_delivered_only_to_the_peer_that_schedules(site, clock):
+    """Ends must not be taken by a peer that does not record them.
+
+    Nor must guards ask all peers at each attempt while none schedules.
+    """
+    asked = []
+    site.receive_report = lambda taken: asked.append(taken.token) or False
+    for _ in range(50):
+        await site.relayed.deliver_report(report())
+        clock.advance(200)
+    assert site.relayed.delivered_reports == 0
+    assert 2 <= len(asked) <= 14
+    site.receive_report = lambda taken: asked.append(taken.token) or True
+    clock.advance(8000)
+    await site.relayed.deliver_report(report(token=5))
+    assert asked.count(5) == 1
+    assert site.relayed.delivered_reports == 1
+
+
+@pytest.mark.parametrize('has_leader_died', [False, True])
+async def test_end_whose_report_row_is_refused_to_all_is_recorded(
+    has_leader_died,
+):
+    """An end waited for its part of the store, and its guard's machine.
+
+    The guards of a part that was down lost their ends with their machines.
+    """
+    cluster = TurnedAwayCluster(duration_ms=3000)
+    await cluster.site.start()
+    cluster.start()
+    cluster.site.receive_report = lambda taken: any(
+        leader.receive_ends(taken) for leader in cluster.leaders.values()
+    )
+    await cluster.submit('job', tasks(12))
+    await cluster.wait_for_starts(12)
+    await asyncio.sleep(1.5)
+    cluster.store.refused_node = 'n0'
+    if has_leader_died:
+        name = cluster.current_leader()
+        await cluster.kill(name)
+        del cluster.leaders[name]
+    async with asyncio.timeout(5):
+        while len(cluster.log.ends) < 12:
+            await asyncio.sleep(0.01)
+    await cluster.wait_for_state(
+        'job', 'completed', limit_s=5 if has_leader_died else 1
+    )
+    assert len(cluster.log.starts) == 12
+    await cluster.stop()
+
+
 class TurnedAwayCluster(Cluster):
     """Cluster in which the store can turn the guard of node n0 away."""
 
     def __init__(self, **fields):
         super().__init__(**fields)
+        self.store = PartlyDownStore(self.clock)
+        self.submissions = SubmissionService(
+            self.store, self.store.store_clock, self.store.health, self.clock
+        )
         self.site = Site(self.store, self.clock)
 
     def start_guard(self, node):
@@ -267,6 +338,7 @@
                 self.models[heartbeat.minion_id]
             ),
             LIMITS,
+            self.site.relayed.deliver_report,
         )
         self._spawn(node, self.guards[node].run())
 
