--- a/benchmarks/idle_search/guards.py
+++ b/benchmarks/idle_search/guards.py
@@ -6,6 +6,7 @@
 from benchmarks.idle_search.job_mix import SERVICE
 from benchmarks.idle_search.minions import Minion
 from benchmarks.idle_search.store import Store
+from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.minions import MinionState
 from dragonflynotch.control.order_book import OrderBook, OrderEntry, Phase
 from dragonflynotch.workflows.crash_records import MinionCrash, RunAtCrash
@@ -126,6 +127,7 @@
         self._crashed_ms: int | None = None
         self._crashes: list[MinionCrash] = []
         self._abandoned: list[RunningTask] = []
+        self._earlier_ends = EarlierEnds()
 
     @property
     def known_ends(self) -> tuple[RunEnd, ...]:
@@ -153,10 +155,14 @@
         self._write = None
         self._crashes = []
         self._crashed_ms = None
+        self._restore_ends()
         self.replace_minion(minion)
 
     def replace_minion(self, minion: Minion) -> None:
         """Serve the next incarnation of the minion."""
+        self._earlier_ends.add(
+            self._minion.minion_id, self._book.unrecorded_ends()
+        )
         state = self._book.state
         self._abandoned = list(state.running) if state else []
         if self._crashed_ms is not None:
@@ -191,6 +197,15 @@
             self._is_write_due = True
         self._begin_write(now_ms)
 
+    def _restore_ends(self) -> None:
+        """Read the ends in the last report of the process before."""
+        row = self._store.reports.get(self.node)
+        self._earlier_ends = EarlierEnds()
+        if row is not None:
+            report = row.report
+            self._earlier_ends.restore(report.earlier_ends)
+            self._earlier_ends.add(report.minion_id, report.ended)
+
     # ---- orders ------------------------------------------------------------
 
     def _read_orders(self, now_ms: int) -> None:
@@ -298,6 +313,9 @@
             runs_age_ms=now_ms - self._polled_ms,
             crashes=self._known_crashes(now_ms),
             is_reachable=not self._has_left(now_ms),
+            earlier_ends=self._earlier_ends.unrecorded(
+                self._store.find_order, lambda _: True
+            ),
         )
 
     def _has_left(self, now_ms: int) -> bool:
--- a/benchmarks/idle_search/store.py
+++ b/benchmarks/idle_search/store.py
@@ -6,6 +6,7 @@
 from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import (
+    EarlierEnd,
     JobState,
     Order,
     ProgressRow,
@@ -60,9 +61,11 @@
         row = self.reports[node]
         if row.version != version:
             return False
-        self.write_report(
-            node, Report('', '', False, False, 0, row.report.token)
-        )
+        report = row.report
+        ends = [EarlierEnd(report.minion_id, end) for end in report.ended]
+        empty = Report('', '', False, False, 0, report.token)
+        empty.earlier_ends = [*report.earlier_ends, *ends]
+        self.write_report(node, empty)
         return True
 
     def commit(self, decisions: Decisions) -> None:
@@ -86,6 +89,11 @@
         """Return the minions and tasks of all stored orders."""
         return list(self._orders)
 
+    def find_order(self, minion_id: str, task: str) -> Order | None:
+        """Return a copy of the stored order of a minion for a task."""
+        row = self._orders.get((minion_id, task))
+        return None if row is None else _decode_order(row)
+
     def orders(self) -> dict[OrderKey, Order]:
         """Return copies of the stored orders."""
         return {key: _decode_order(row) for key, row in self._orders.items()}
