--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -4,6 +4,7 @@
 certain, whichever node writes them.
 """
 
+from dragonflynotch.control.earlier_ends import take_fitting
 from dragonflynotch.control.rows import (
     REPORTS,
     SUBMISSIONS,
@@ -61,7 +62,7 @@
     name = RowName(REPORTS.name, shard_of(node), node)
     ends = [EarlierEnd(worker.minion_id, end) for end in worker.report.ended]
     # The next process of the guard may still confirm a suspected crash, and the
-    # next leader may still have to record the ends.
+    # next leader may still have to record the ends and the checkpoints.
     empty = Report(
         '',
         '',
@@ -69,8 +70,9 @@
         is_live=False,
         authority_end_ms=0,
         token=worker.report.token,
+        abandoned=worker.report.running or worker.report.abandoned,
         crashes=worker.report.crashes,
-        earlier_ends=[*worker.report.earlier_ends, *ends],
+        earlier_ends=list(take_fitting([*worker.report.earlier_ends, *ends])),
     )
     try:
         outcome = await store.commit(
