--- a/benchmarks/idle_search/fleet.py
+++ b/benchmarks/idle_search/fleet.py
@@ -6,7 +6,8 @@
 
 from benchmarks.idle_search.days import Day
 from benchmarks.idle_search.faults import FaultKind, MachineFault, Return
-from benchmarks.idle_search.guards import Guard, GuardCondition
+from benchmarks.idle_search.guard_condition import GuardCondition
+from benchmarks.idle_search.guards import Guard
 from benchmarks.idle_search.machine_specs import MachineSpec
 from benchmarks.idle_search.minions import Minion, RunBook
 from benchmarks.idle_search.store import Store
--- a/benchmarks/idle_search/guards.py
+++ b/benchmarks/idle_search/guards.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from benchmarks.idle_search.guard_condition import GuardCondition
 from benchmarks.idle_search.job_mix import SERVICE
 from benchmarks.idle_search.minions import Minion
 from benchmarks.idle_search.store import Store
@@ -19,7 +20,7 @@
 )
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('AUTHORITY_MS', 'LEASE_MS', 'Guard', 'GuardCondition')
+__all__ = ('AUTHORITY_MS', 'LEASE_MS', 'Guard')
 
 AUTHORITY_MS = 15_000
 LEASE_MS = 5700
@@ -31,45 +32,6 @@
 _FEED_MS = 40
 
 
-@dataclass(frozen=True, slots=True)
-class GuardCondition:
-    """What faults do to a guard at a moment.
-
-    Parameters
-    ----------
-    is_down : bool
-        Whether the guard restarts.
-    may_report, hears_orders : bool
-        Whether its writes reach the store, and whether orders reach it.
-    is_refused : bool
-        Whether its minion answers no start.
-    report_delay_ms, order_delay_ms : int
-        Additional delay of what is sent now.
-    """
-
-    is_down: bool = False
-    may_report: bool = True
-    hears_orders: bool = True
-    is_refused: bool = False
-    report_delay_ms: int = 0
-    order_delay_ms: int = 0
-
-    @property
-    def is_heard(self) -> bool:
-        """Whether its reports reach the store without additional delay."""
-        return not self.is_down and self.may_report and not self.report_delay_ms
-
-    @property
-    def may_start(self) -> bool:
-        """Whether an order that is given now would start in time."""
-        return not (
-            self.is_down
-            or self.is_refused
-            or self.order_delay_ms
-            or not self.hears_orders
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class _OrderChange:
     at_ms: int
--- a/benchmarks/idle_search/oracle.py
+++ b/benchmarks/idle_search/oracle.py
@@ -4,10 +4,8 @@
 the capacity is in use, something of the job runs, but for a short wait.
 """
 
-from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import StrEnum
+from dataclasses import dataclass
 
 from benchmarks.idle_search.end_audit import EndAudit
 from benchmarks.idle_search.fleet import Fleet, Machine
@@ -15,86 +13,18 @@
 from benchmarks.idle_search.job_mix import Arrival
 from benchmarks.idle_search.minions import RunBook
 from benchmarks.idle_search.store import Store
+from benchmarks.idle_search.waits import Wait, WaitClass
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import EndKind
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Oracle', 'Wait', 'WaitClass')
+__all__ = ('Oracle',)
 
 _MAX_SHARE_IN_USE = 0.5
 # How many times a step has to fit.
 _TIMES = 2
 
 
-class WaitClass(StrEnum):
-    """What a job waits for at a moment."""
-
-    # Nothing but a decision of the leader, or an order that is on its way.
-    placement = 'placement'
-    # All that the job could run is ordered on guards that are not heard.
-    unheard_guard = 'unheard_guard'
-    # All that the job could run is ordered on minions that crashed less than
-    # their lease ago and have not been replaced.
-    crashed_minion = 'crashed_minion'
-    # There is room for it twice only where no start would be answered.
-    no_start = 'no_start'
-    # A step before was done, and nothing that is left tells of it.
-    lost_end = 'lost_end'
-    # All that the job could run is ordered on machines that were lost less
-    # than the authority of their guards ago.
-    lost_machine = 'lost_machine'
-
-
-@dataclass(slots=True)
-class Wait:
-    """A stretch of time in which the rule holds nothing of a job at work.
-
-    Parameters
-    ----------
-    times_ms : Counter
-        Duration by class, without the time in which no leader is there.
-    share_in_use : float
-        Largest share of a resource in use, at any of its moments.
-    fit_count : int
-        How many tasks fit at each of its moments, of ``wanted``.
-    idle_cause : str
-        Last cause that the leader has logged for the job.
-    """
-
-    job_id: str
-    step: int
-    since_ms: int
-    end_ms: int = 0
-    times_ms: Counter[WaitClass] = field(default_factory=Counter)
-    share_in_use: float = 0
-    fit_count: int = 0
-    wanted: int = 0
-    idle_cause: str = ''
-
-    @property
-    def counted_ms(self) -> int:
-        """Duration without the stated hold of runs on lost machines."""
-        held_ms = self.times_ms[WaitClass.lost_machine]
-        return self.times_ms.total() - held_ms
-
-    @property
-    def main_class(self) -> WaitClass:
-        """Class of most of the time."""
-        return self.times_ms.most_common(1)[0][0]
-
-    def describe(self) -> str:
-        """Return the wait in one line."""
-        times = ' '.join(
-            f'{name.value}={duration_ms}'
-            for name, duration_ms in self.times_ms.most_common()
-        )
-        return (
-            f'job={self.job_id}.{self.step} from={self.since_ms} '
-            f'to={self.end_ms} {times} share={self.share_in_use:.2f} '
-            f'fit={self.fit_count}/{self.wanted} cause={self.idle_cause}'
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class _Room:
     """Room of a machine by fact."""
--- a/benchmarks/idle_search/play.py
+++ b/benchmarks/idle_search/play.py
@@ -10,8 +10,9 @@
 from benchmarks.idle_search.job_mix import Arrival
 from benchmarks.idle_search.leader import Leader
 from benchmarks.idle_search.minions import RunBook
-from benchmarks.idle_search.oracle import Oracle, Wait
+from benchmarks.idle_search.oracle import Oracle
 from benchmarks.idle_search.store import Store
+from benchmarks.idle_search.waits import Wait
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogEntry
 from dragonflynotch.workflows.records import Order
 from dragonflynotch.workflows.runs.order_registry import OrderKey
