--- a/benchmarks/idle_search/guards.py
+++ b/benchmarks/idle_search/guards.py
@@ -3,9 +3,11 @@
 from collections import deque
 from dataclasses import dataclass
 
+from benchmarks.idle_search.guard_condition import GuardCondition
 from benchmarks.idle_search.job_mix import SERVICE
 from benchmarks.idle_search.minions import Minion
 from benchmarks.idle_search.store import Store
+from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.minions import MinionState
 from dragonflynotch.control.order_book import OrderBook, OrderEntry, Phase
 from dragonflynotch.workflows.crash_records import MinionCrash, RunAtCrash
@@ -18,7 +20,7 @@
 )
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('AUTHORITY_MS', 'LEASE_MS', 'Guard', 'GuardCondition')
+__all__ = ('AUTHORITY_MS', 'LEASE_MS', 'Guard')
 
 AUTHORITY_MS = 15_000
 LEASE_MS = 5700
@@ -30,45 +32,6 @@
 _FEED_MS = 40
 
 
-@dataclass(frozen=True, slots=True)
-class GuardCondition:
-    """What faults do to a guard at a moment.
-
-    Parameters
-    ----------
-    is_down : bool
-        Whether the guard restarts.
-    may_report, hears_orders : bool
-        Whether its writes reach the store, and whether orders reach it.
-    is_refused : bool
-        Whether its minion answers no start.
-    report_delay_ms, order_delay_ms : int
-        Additional delay of what is sent now.
-    """
-
-    is_down: bool = False
-    may_report: bool = True
-    hears_orders: bool = True
-    is_refused: bool = False
-    report_delay_ms: int = 0
-    order_delay_ms: int = 0
-
-    @property
-    def is_heard(self) -> bool:
-        """Whether its reports reach the store without additional delay."""
-        return not self.is_down and self.may_report and not self.report_delay_ms
-
-    @property
-    def may_start(self) -> bool:
-        """Whether an order that is given now would start in time."""
-        return not (
-            self.is_down
-            or self.is_refused
-            or self.order_delay_ms
-            or not self.hears_orders
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class _OrderChange:
     at_ms: int
@@ -126,6 +89,7 @@
         self._crashed_ms: int | None = None
         self._crashes: list[MinionCrash] = []
         self._abandoned: list[RunningTask] = []
+        self._earlier_ends = EarlierEnds()
 
     @property
     def known_ends(self) -> tuple[RunEnd, ...]:
@@ -153,10 +117,14 @@
         self._write = None
         self._crashes = []
         self._crashed_ms = None
+        self._restore_ends()
         self.replace_minion(minion)
 
     def replace_minion(self, minion: Minion) -> None:
         """Serve the next incarnation of the minion."""
+        self._earlier_ends.add(
+            self._minion.minion_id, self._book.unrecorded_ends()
+        )
         state = self._book.state
         self._abandoned = list(state.running) if state else []
         if self._crashed_ms is not None:
@@ -191,6 +159,15 @@
             self._is_write_due = True
         self._begin_write(now_ms)
 
+    def _restore_ends(self) -> None:
+        """Read the ends in the last report of the process before."""
+        row = self._store.reports.get(self.node)
+        self._earlier_ends = EarlierEnds()
+        if row is not None:
+            report = row.report
+            self._earlier_ends.restore(report.earlier_ends)
+            self._earlier_ends.add(report.minion_id, report.ended)
+
     # ---- orders ------------------------------------------------------------
 
     def _read_orders(self, now_ms: int) -> None:
@@ -298,6 +275,9 @@
             runs_age_ms=now_ms - self._polled_ms,
             crashes=self._known_crashes(now_ms),
             is_reachable=not self._has_left(now_ms),
+            earlier_ends=self._earlier_ends.unrecorded(
+                self._store.find_order, lambda _: True
+            ),
         )
 
     def _has_left(self, now_ms: int) -> bool:
