Send a report again when the store does not answer in time

An end that came while a write of the report had lost its answer waited for the timeout of the call (1.3 s), the retry delay (0.2 s) and a read of the row, which could be lost too; after a conflict it waited for the next periodic write (1.5 s). A loss of power in that time loses the end.

If the first one has taken effect, the conflict tells the new version, so the row isn't read again. A conflict causes the next write at once.

--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -7,7 +7,9 @@
 from dragonflynotch.control.end_log import EndLog
 from dragonflynotch.control.rows import (
     REPORTS,
+    Committed,
     Conflict,
+    Row,
     RowName,
     RowStore,
     RowWrite,
@@ -30,6 +32,12 @@
 # Several writes within the duration of the authority, so that a few may fail.
 _WRITES_PER_AUTHORITY = 6
 _MS_PER_S = 1000
+# A write without an answer within this time, or within a multiple of the time
+# that the last one took, is sent again. Only one of them can take effect.
+_MIN_ANSWER_TIMEOUT_S = 0.3
+_MAX_ANSWER_TIMEOUT_S = 2.0
+_ANSWER_TIMEOUT_FACTOR = 3
+_BACKOFF_FACTOR = 2
 # Changes within this time are reported in one write.
 _BATCH_WINDOW_S = 0.01
 _RETRY_DELAY_S = 0.2
@@ -37,6 +45,10 @@
 _LAST_WRITE_TIMEOUT_S = 1
 
 
+class _LateAnswerError(UncertainWriteError):
+    """The store has not answered a write within the usual time."""
+
+
 class ReportWriter:
     """Writes the report row of one guard.
 
@@ -91,6 +103,7 @@
         self._version: int | None = None
         self._authority_end_ms = 0
         self._max_authority_end_ms: int | None = None
+        self._answer_timeout_s = _MAX_ANSWER_TIMEOUT_S
         self._write_requested = asyncio.Event()
         self._last_error = ''
 
@@ -125,7 +138,8 @@
                 InvalidInputError,
             ) as error:
                 self._record_error(shorten(str(error)))
-                await asyncio.sleep(_RETRY_DELAY_S)
+                if not isinstance(error, _LateAnswerError):
+                    await asyncio.sleep(_RETRY_DELAY_S)
                 continue
             self._record_error('')
             try:
@@ -179,29 +193,60 @@
         if report is None:
             return False
         report.built_ms = now_ms
+        # Without an answer, the write is repeated with the same condition. If
+        # the first one has taken effect, the conflict tells the new version.
         expected = self._version or 0
-        # Unless the commit succeeds, the version stays unknown and the row is
-        # read again before the next write.
-        self._version = None
         self._end_log.record_attempt(report.ended)
-        outcome = await self._store.commit(
-            [RowWrite(self._name, encode_row(report))],
-            [(self._name, expected)],
+        outcome = await self._commit(
+            RowWrite(self._name, encode_row(report)), expected
         )
         if isinstance(outcome, Conflict):
             decision_log.record('report_conflict', version=expected)
+            self._version = None
+            row = outcome.current_rows.get(self._name)
+            if row is not None:
+                self._apply_row(row)
+            # What this report tells must not wait for the next periodic write.
+            self._write_requested.set()
             return False
         self._version = outcome.version
         self._authority_end_ms = end_ms
         self._end_log.record_written(report.ended, outcome.version)
         return True
 
+    async def _commit(
+        self, write: RowWrite, expected: int
+    ) -> Committed | Conflict:
+        timeout_s = self._answer_timeout_s
+        self._answer_timeout_s = min(
+            timeout_s * _BACKOFF_FACTOR, _MAX_ANSWER_TIMEOUT_S
+        )
+        sent_ms = self._clock.now_ms()
+        try:
+            async with asyncio.timeout(timeout_s):
+                outcome = await self._store.commit(
+                    [write], [(self._name, expected)]
+                )
+        except TimeoutError as error:
+            raise _LateAnswerError(
+                f'no answer within {timeout_s} s', step='commit'
+            ) from error
+        answer_s = (self._clock.now_ms() - sent_ms) / _MS_PER_S
+        self._answer_timeout_s = min(
+            max(_MIN_ANSWER_TIMEOUT_S, answer_s * _ANSWER_TIMEOUT_FACTOR),
+            _MAX_ANSWER_TIMEOUT_S,
+        )
+        return outcome
+
     async def _read_row(self) -> None:
         row = await self._store.read_row(self._name)
         if row is None:
             self._version = 0
             self._token = self._token or 1
             return
+        self._apply_row(row)
+
+    def _apply_row(self, row: Row) -> None:
         report = decode_row(row.content, Report)
         self._version = row.version
         if isinstance(report, Unreadable):
