Apply claims on workers once the last start is not recent

The job had claimed the worker, but claims were applied only in rounds in which a start was recent. In the round in which the last start was not recent any more the claim was dropped, the next suspect came first, and the job had to stay apart from it again. Claims now also apply in that round.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -136,7 +136,7 @@
         backfilled = find_backfilled_runs(self._jobs, allocations, ranking)
         self._room_maker.backfilled = backfilled
         waiting_steps = self._waiting_steps(ranking, wall_ms)
-        if pool.recent_starts.minions:
+        if pool.recent_starts.minions or self._start_claims.are_active:
             self._start_claims.update(
                 pool, self._claiming_demands(pool, waiting_steps)
             )
--- a/dragonflynotch/workflows/placement/start_claims.py
+++ b/dragonflynotch/workflows/placement/start_claims.py
@@ -41,6 +41,15 @@
         """Create an instance without claims."""
         self._claims: dict[str, _Claim] = {}
 
+    @property
+    def are_active(self) -> bool:
+        """Whether a job had claims in the last round.
+
+        They apply once more when no start is recent any longer: otherwise the
+        next suspected task would start first and keep the job away again.
+        """
+        return bool(self._claims)
+
     def update(self, pool: WorkerPool, demands: Iterable[Demand]) -> None:
         """Renew the claims and pass them to the pool.
 
