Halve every second order of a task whose runs do not start

A task waited 3.55 s with nothing in use, since two workers answered no start one after the other and each order lasted 1.75 s.

The second, fourth, ... order in a row now expires after half of the start timeout. Shorter orders only would never start on a worker where each start is late, so every other one keeps the full time. The delay for a slow store is added as before.

--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -44,6 +44,8 @@
 _MAX_RESERVING_STEPS = 3
 # Store calls between the decision to start a run and its start.
 _STORE_CALLS_BEFORE_START = 3
+# An order after one whose run did not start lasts this many times shorter.
+_RETRY_TIMEOUT_DIVISOR = 2
 # How long guaranteed work waits for its data rack, or for one rack for a gang.
 _GUARANTEED_RACK_WAIT_MS = 1000
 
@@ -129,6 +131,12 @@
             pool.now_ms + self.start_timeout_ms + store_delay_ms,
             latest_start_ms,
         )
+        self._run_orderer.retry_by_ms = min(
+            pool.now_ms
+            + self.start_timeout_ms // _RETRY_TIMEOUT_DIVISOR
+            + store_delay_ms,
+            latest_start_ms,
+        )
         pool.recent_starts = find_recent_starts(
             self._jobs, self._orders, pool.now_ms
         )
--- a/dragonflynotch/workflows/placement/run_orderer.py
+++ b/dragonflynotch/workflows/placement/run_orderer.py
@@ -14,7 +14,7 @@
     count_step_tasks,
 )
 from dragonflynotch.workflows.placement.workers import Worker
-from dragonflynotch.workflows.progress import ActiveRun, Job, Task
+from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
 from dragonflynotch.workflows.records import JobState, Order
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 
@@ -28,6 +28,11 @@
     ----------
     start_by_ms : int
         Store time at which the orders of the round expire.
+    retry_by_ms : int
+        The same for every second order of a task whose runs do not start.
+        Several workers that start nothing would otherwise delay it for as
+        long as each of their orders lasts. The other orders last as long as
+        the first, so that a task can start where each start is late.
     """
 
     def __init__(
@@ -36,11 +41,12 @@
         orders: OrderRegistry,
         decision_log: DecisionLogBuffer,
     ) -> None:
-        """Create an orderer; ``start_by_ms`` is set in each round."""
+        """Create an orderer; the times are set in each round."""
         self._jobs = jobs
         self._orders = orders
         self._decision_log = decision_log
         self.start_by_ms = 0
+        self.retry_by_ms = 0
 
     def place_step(self, pool: WorkerPool, demand: Demand, job: Job) -> bool:
         """Order runs of all waiting tasks that fit; return whether all do."""
@@ -92,6 +98,12 @@
         self._order_run(pool, job, demand, task, worker, task.run + 1)
         return True
 
+    def _expiry_ms(self, step: Step, task: Task) -> int:
+        """Return when the order of a task expires, the same for a gang."""
+        tasks = step.tasks if step.spec.is_gang else [task]
+        failed_starts = max(task.failed_starts for task in tasks)
+        return self.retry_by_ms if failed_starts % 2 else self.start_by_ms
+
     def _order_run(
         self,
         pool: WorkerPool,
@@ -120,7 +132,7 @@
             Order(
                 payload=job.spec.payload,
                 run=run,
-                start_by_ms=self.start_by_ms,
+                start_by_ms=self._expiry_ms(demand.step, task),
                 checkpoint=task.checkpoint,
                 needs=(needs.millicores, needs.memory_mb, needs.accelerators),
                 is_backfill=is_backfill,
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -89,6 +89,8 @@
         Last run that was counted as a failure; 0 if there is none.
     crashes : list of TaskCrash
         Crashes of minions that the task may have caused.
+    failed_starts : int
+        Orders in a row whose run did not start for a fault of the worker.
     """
 
     task_id: TaskId
@@ -100,6 +102,7 @@
     failed_on: dict[str, int] = field(default_factory=dict)
     last_failed_run: int = 0
     crashes: list[TaskCrash] = field(default_factory=list)
+    failed_starts: int = 0
 
     @property
     def label(self) -> str:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -171,6 +171,7 @@
         if task.active is None or task.active.run != end.run:
             return
         was_done = task.is_done
+        task.failed_starts = 0
         ordered_ms = task.active.ordered_ms
         self._start_failures.record_start(minion_id, ordered_ms)
         job.apply_end(step, task, end.kind, end.checkpoint)
@@ -233,7 +234,8 @@
         self._orders.remove(key)
         if rejection.reason == NO_ROOM:
             self._room_refusals.record(minion_id, order.resources, now_ms)
-        if rejection.reason not in _REASONS_WITHOUT_FAULT:
+        is_fault = rejection.reason not in _REASONS_WITHOUT_FAULT
+        if is_fault:
             self._start_failures.record(minion_id, now_ms)
         found = self._jobs.find(rejection.task)
         if found is None:
@@ -241,6 +243,7 @@
         job, _, task = found
         if task.active is not None and task.active.run == rejection.run:
             task.active = None
+            task.failed_starts += is_fault
             self._jobs.mark_changed(job)
         self._decision_log.record(
             'start_not_run',
@@ -261,6 +264,7 @@
         if active is None or not active.matches(minion_id, running.run):
             return
         if not active.is_reported:
+            task.failed_starts = 0
             self._orders.confirm((minion_id, running.task))
             self._start_failures.record_start(minion_id, active.ordered_ms)
         if running.percent != active.percent or not active.is_reported:
--- a/tests/workflows/placement/test_start_risks.py
+++ b/tests/workflows/placement/test_start_risks.py
@@ -170,3 +170,16 @@
     reject_all(site, 'n0')
     assert not used_minions(site) & {'m0'}
     assert len(site.ordered_tasks()) == 8
+
+
+def test_only_every_second_order_is_shorter():
+    """A task would never start on a worker where each start takes longer."""
+    site = Site(racks=('r1',))
+    site.submit('a', 'normal', SMALL)
+    site.decide()
+    limits = []
+    for _ in range(4):
+        [order] = site.orders.values()
+        limits.append(order.start_by_ms - site.now_ms)
+        reject_all(site, 'n0')
+    assert limits == [1500, 750, 1500, 750]
