Do not count an order as work once its start window is over

While no report listed any run, an order counted as a run at work for as long as it was held. The bound on waits left its job alone, and the job's other task had no run within 6 s.

Such an order now counts until the end of its start window, as one of a site with other runs does. Guards list a run from the next report after its start, and the bound waits for 1.5 s more.

--- a/dragonflynotch/workflows/runs/run_activity.py
+++ b/dragonflynotch/workflows/runs/run_activity.py
@@ -79,7 +79,12 @@
     def _is_at_work(self, minion_id: str, task: str, order: Order) -> bool:
         if self._reported.lists_any_run:
             return self._reported.is_running(minion_id, task, order.run)
-        return self._reported.is_recent(minion_id) and not order.is_stopped
+        # Reports that list no run at all do not tell whether it has started.
+        return (
+            self._reported.is_recent(minion_id)
+            and not order.is_stopped
+            and self._now_ms < order.start_by_ms
+        )
 
     def _may_be_present(self, minion_id: str, task: str, order: Order) -> bool:
         """Return whether the run of an order may be at its minion.
