Look up minions that may have crashed in the list of machines

Such a minion was not looked up: if the guard only stands still, the leader removes its orders, and the guard has none left to attribute the crash by. But its last report names the runs, and the list proves that the minion has ended. So the leader now takes the suspected crash for certain: it records it with the loss of the runs, and in the voided report for the next leader.

Tests: test_suspected_crash_counts_once_the_machine_is_lost fails without the change (no start within 3 s), and with the lookup alone (no suspect). test_minion_that_may_have_crashed_is_not_looked_up asked for the fault; it is replaced by test_minion_that_may_have_crashed_is_found_lost, which also keeps a listed minion. test_voided_report_confirms_the_crash_of_an_ended_minion is new; test_voided_report_keeps_the_crashes_of_its_guard still holds for guards without authority.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -70,6 +70,8 @@
 # Covers clock differences and response delays.
 _AUTHORITY_MARGIN_MS = 500
 _MS_PER_S = 1000
+# Reason in the log for runs whose minion the list of machines lacks.
+_MACHINE_LOST = 'machine_lost'
 
 
 def _ignore_duration(_: float) -> None:
@@ -376,14 +378,16 @@
             reason = self._record_loss(node, worker)
             # A guard that is back may have written a newer report meanwhile.
             if self._scheduler.workers.get(node) is worker:
-                self._scheduler.remove_lost_node(node, reason)
+                self._scheduler.remove_lost_node(
+                    node, reason, has_minion_ended=reason == _MACHINE_LOST
+                )
 
     def _record_loss(self, node: str, worker: Worker) -> str:
         """Log why the report of a guard was replaced, and return the reason."""
         lost = self._lost_machines.pop(node, None)
         if lost is not None and lost.worker is worker:
             self._loss_detector.record_loss(lost)
-            return 'machine_lost'
+            return _MACHINE_LOST
         decision_log.record('guard_lost', guard=node, minion=worker.minion_id)
         return 'guard_lost'
 
@@ -403,4 +407,4 @@
         for lost in lost_machines:
             node = lost.worker.node
             self._lost_machines[node] = lost
-            self._lost_guards.void(node, lost.worker)
+            self._lost_guards.void(node, lost.worker, has_minion_ended=True)
--- a/dragonflynotch/control/loss_detector.py
+++ b/dragonflynotch/control/loss_detector.py
@@ -189,13 +189,11 @@
         """Return whether the report was too old when a list was requested.
 
         A minion that leaves is not looked up: it may run on after its machine
-        has left the list. Nor is one that may have crashed, since its guard
-        attributes the crash to the runs for which it still has orders.
+        has left the list.
         """
         return (
             bool(worker.minion_id)
             and worker.report.is_ready
-            and not _may_have_crashed(worker)
             and not self._has_reported(worker, at_ms)
         )
 
@@ -224,11 +222,5 @@
         return {service for service, balance in balances.items() if balance > 0}
 
 
-def _may_have_crashed(worker: Worker) -> bool:
-    return any(
-        crash.minion_id == worker.minion_id for crash in worker.report.crashes
-    )
-
-
 def _is_recent(replica_age_ms: int | None) -> bool:
     return replica_age_ms is not None and replica_age_ms < _MAX_REPLICA_AGE_MS
--- a/dragonflynotch/control/lost_guards.py
+++ b/dragonflynotch/control/lost_guards.py
@@ -30,11 +30,21 @@
         self._on_done = on_done
         self._calls: dict[str, tuple[Worker, asyncio.Task[bool]]] = {}
 
-    def void(self, node: str, worker: Worker) -> None:
-        """Replace the report of a guard, unless this is in progress."""
+    def void(
+        self, node: str, worker: Worker, *, has_minion_ended: bool = False
+    ) -> None:
+        """Replace the report of a guard, unless this is in progress.
+
+        Parameters
+        ----------
+        has_minion_ended : bool
+            Whether the minion has ended for certain.
+        """
         if node in self._calls:
             return
-        call = asyncio.create_task(void_report(self._store, worker))
+        call = asyncio.create_task(
+            void_report(self._store, worker, has_minion_ended=has_minion_ended)
+        )
         call.add_done_callback(lambda _: self._on_done())
         self._calls[node] = (worker, call)
 
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -18,6 +18,7 @@
     UncertainWriteError,
 )
 from dragonflynotch.observability.decisions import decision_log
+from dragonflynotch.workflows.crash_records import confirm_crashes
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Report, encode_row
 
@@ -45,12 +46,20 @@
     return True
 
 
-async def void_report(store: RowStore, worker: Worker) -> bool:
+async def void_report(
+    store: RowStore, worker: Worker, *, has_minion_ended: bool = False
+) -> bool:
     """Replace the report of a guard whose authority or minion has ended.
 
     The write is conditional on the version of the report. If the guard writes
     a report at the same time, only one of the two writes takes effect.
 
+    Parameters
+    ----------
+    has_minion_ended : bool
+        Whether the minion has ended for certain. A crash of it that its guard
+        suspects then counts.
+
     Returns
     -------
     bool
@@ -60,6 +69,9 @@
     node = worker.node
     name = RowName(REPORTS.name, shard_of(node), node)
     # The next process of the guard may still confirm a suspected crash.
+    crashes = worker.report.crashes
+    if has_minion_ended:
+        crashes = confirm_crashes(crashes, worker.minion_id)
     empty = Report(
         '',
         '',
@@ -67,7 +79,7 @@
         is_live=False,
         authority_end_ms=0,
         token=worker.report.token,
-        crashes=worker.report.crashes,
+        crashes=crashes,
     )
     try:
         outcome = await store.commit(
--- a/dragonflynotch/workflows/crash_records.py
+++ b/dragonflynotch/workflows/crash_records.py
@@ -1,12 +1,20 @@
 """Stored records of crashed minions and of the runs that were on them."""
 
+from collections.abc import Iterable
 from enum import StrEnum
 
 import msgspec
+from msgspec.structs import replace
 
 from dragonflynotch.records.bounds import Count, MinionId, TimeMs
 
-__all__ = ('CrashEvidence', 'MinionCrash', 'RunAtCrash', 'TaskCrash')
+__all__ = (
+    'CrashEvidence',
+    'MinionCrash',
+    'RunAtCrash',
+    'TaskCrash',
+    'confirm_crashes',
+)
 
 
 class CrashEvidence(StrEnum):
@@ -82,3 +90,15 @@
     run: Count
     at_ms: TimeMs
     evidence: CrashEvidence
+
+
+def confirm_crashes(
+    crashes: Iterable[MinionCrash], minion_id: str
+) -> list[MinionCrash]:
+    """Return crashes with that of an incarnation as certain, if it is there."""
+    return [
+        replace(crash, is_certain=True)
+        if crash.minion_id == minion_id
+        else crash
+        for crash in crashes
+    ]
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 
+from dragonflynotch.workflows.crash_records import confirm_crashes
 from dragonflynotch.workflows.decision_log_buffer import (
     DecisionLogBuffer,
     DecisionLogEntry,
@@ -264,13 +265,30 @@
         if worker is not None and worker.report.capacity != report.capacity:
             self._room_refusals.clear(report.minion_id)
 
-    def remove_lost_node(self, node: str, reason: str = 'guard_lost') -> None:
+    def remove_lost_node(
+        self,
+        node: str,
+        reason: str = 'guard_lost',
+        *,
+        has_minion_ended: bool = False,
+    ) -> None:
         """Remove a node whose guard has lost its authority or its minion.
 
         Its runs are recorded as lost, with ``reason`` in the log.
+
+        Parameters
+        ----------
+        has_minion_ended : bool
+            Whether the minion has ended for certain. A crash of it that its
+            guard suspects then counts for its runs.
         """
         worker = self._workers.pop(node, None)
         if worker is not None and worker.minion_id:
+            if has_minion_ended:
+                self._crash_tracker.apply(
+                    node,
+                    confirm_crashes(worker.report.crashes, worker.minion_id),
+                )
             self._tracker.mark_lost(worker.minion_id, reason)
 
     def remove_unknown_orders(self) -> None:
--- a/tests/control/test_loss_detector.py
+++ b/tests/control/test_loss_detector.py
@@ -124,13 +124,15 @@
     assert await scene.look_up() == []
 
 
-async def test_minion_that_may_have_crashed_is_not_looked_up(scene):
-    """A guard without the orders would blame no task for the crash."""
+async def test_minion_that_may_have_crashed_is_found_lost(scene):
+    """Its runs were held until the authority of the guard had ended."""
     crash = MinionCrash('m0', 0, [], is_certain=False)
     scene.report('n0', 'm0', is_reachable=False, crashes=[crash])
-    scene.directory.power_off('n0')
     scene.silence('n0')
     assert await scene.look_up() == []
+    scene.directory.power_off('n0')
+    scene.silence('n0')
+    assert await scene.look_up() == ['m0']
 
 
 async def test_minion_that_was_unreachable_before_is_found_lost(scene):
--- a/tests/control/test_lost_machines.py
+++ b/tests/control/test_lost_machines.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dragonflynotch.control.crash_status import read_suspected_tasks
 from dragonflynotch.control.guard import GuardLimits
 from dragonflynotch.control.row_cleanup import void_report
 from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
@@ -16,6 +17,8 @@
 # As in the deployment, where the rule allows 3 s without a run.
 LIMITS = GuardLimits(minion_lease_ms=5700, authority_ms=15_000)
 MAX_IDLE_S = 3
+# From the crash of a minion to the report of its guard, at most.
+REPORT_DELAY_S = 0.8
 
 
 @pytest.fixture
@@ -76,6 +79,19 @@
     assert len(cluster.log.starts) == 2
 
 
+async def test_suspected_crash_counts_once_the_machine_is_lost(cluster):
+    """A task must not crash minions uncounted, nor wait for the authority."""
+    node, minion_id = await _start_on_one_machine(cluster)
+    cluster.models[minion_id].crash()
+    await asyncio.sleep(REPORT_DELAY_S)
+    await cluster.power_off(node, minion_id)
+    await cluster.wait_for_starts(4, limit_s=MAX_IDLE_S)
+    suspects = await read_suspected_tasks(cluster.store)
+    assert [
+        [crash.minion_id for crash in suspect.crashes] for suspect in suspects
+    ] == [[minion_id], [minion_id]]
+
+
 async def test_failing_list_changes_nothing(cluster):
     """A list that cannot be read must not make a minion seem absent."""
     cluster.machines.is_available = False
@@ -120,3 +136,19 @@
     row = await store.read_row(name)
     voided = decode_row(row.content, Report)
     assert (voided.minion_id, voided.crashes) == ('', [crash])
+
+
+async def test_voided_report_confirms_the_crash_of_an_ended_minion(store):
+    """The next leader must count a crash whose orders are removed already."""
+    crashes = [
+        MinionCrash(minion_id, 5, [], is_certain=False)
+        for minion_id in ('m0', 'other')
+    ]
+    report = Report('m0', 'planner', True, True, 9, 3, crashes=crashes)
+    name = RowName(REPORTS.name, shard_of('n0'), 'n0')
+    written = await store.commit([RowWrite(name, encode_row(report))], [])
+    worker = Worker('n0', report, written.version, 0)
+    assert await void_report(store, worker, has_minion_ended=True)
+    row = await store.read_row(name)
+    voided = decode_row(row.content, Report)
+    assert [crash.is_certain for crash in voided.crashes] == [True, False]
