Reject expired orders without waiting for an unanswered stop

A guard that cannot tell whether a start took effect sent a stop, waited 0.6 s for its response, then polled, and polled once more before it rejected the order. Stop and poll are now sent at the same time, and a poll after the start window, which alone proves that the run neither started nor can start, rejects the order at once. What counts as proof is the same.

Test: test_order_is_rejected_while_stops_are_not_answered fails without the change (no rejection within 0.7 s).

--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -171,14 +171,22 @@
     async def _reject_when_safe(self, entry: OrderEntry, reason: str) -> None:
         """Reject an order once no earlier start call can take effect."""
         while self._must_prevent_start(entry):
-            outcome = await self.send_stop(entry.task, entry.order.run)
+            # Either response is enough, and a minion may answer few calls.
+            stop = asyncio.create_task(
+                self.send_stop(entry.task, entry.order.run)
+            )
+            try:
+                if await self._have_starts_expired(entry):
+                    self._reject(entry, reason)
+                    return
+                outcome = await stop
+            finally:
+                stop.cancel()
             if isinstance(outcome, OtherIncarnation):
                 return
             if isinstance(outcome, Stopped):
                 entry.is_start_uncertain = False
                 break
-            if await self._have_starts_expired(entry):
-                break
             await asyncio.sleep(_RETRY_DELAY_S)
         if not entry.is_start_uncertain:
             await self._reject_unless_running(entry, reason)
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -6,7 +6,12 @@
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.guard import Guard, GuardLimits
-from dragonflynotch.control.minions import Heartbeat, Stopped, Unhealthy
+from dragonflynotch.control.minions import (
+    Heartbeat,
+    NoAnswer,
+    Stopped,
+    Unhealthy,
+)
 from dragonflynotch.control.rows import (
     REPORTS,
     RowName,
@@ -206,6 +211,24 @@
     assert not harness.log.starts
 
 
+async def test_order_is_rejected_while_stops_are_not_answered(
+    harness, minion, monkeypatch
+):
+    """Each stop without a response delayed the poll that would be enough."""
+
+    async def stay_silent(*_):
+        await asyncio.sleep(0.6)
+        return NoAnswer('no response')
+
+    monkeypatch.setattr(ModelMinionClient, 'stop', stay_silent)
+    minion.fault = MinionFault.late_starts
+    await harness.order('m1', window_ms=200)
+    report = await harness.wait_for(lambda report: report.rejected, 0.7)
+    assert report.rejected[0].reason == 'expired'
+    minion.apply_deferred_starts()
+    assert not harness.log.starts
+
+
 async def test_order_is_not_rejected_while_an_earlier_guard_may_start_it(
     harness, minion, monkeypatch
 ):
