Limit repeated deliveries of ends and reads of relay addresses

Guards read the addresses of the fronts after 1, 4 and 16 s and then once a minute, before seven times in the first minute.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -49,8 +49,9 @@
 _MAX_ORDERS_AGE_MS = 3000
 
 
-async def _deliver_nothing(_: bytes) -> None:
+async def _deliver_nothing(_: bytes) -> bool:
     """Leave the ends to the next report; used without peers."""
+    return False
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +91,8 @@
     limits : GuardLimits
         Lease durations.
     deliver_report : callable, optional
-        Delivers the ends in an encoded report that could not be written.
+        Delivers the ends in an encoded report that could not be written, and
+        returns whether they were accepted.
     """
 
     def __init__(
@@ -101,7 +103,7 @@
         clock: SteadyClock,
         connect: Callable[[Heartbeat], MinionClient],
         limits: GuardLimits,
-        deliver_report: Callable[[bytes], Awaitable[None]] = _deliver_nothing,
+        deliver_report: Callable[[bytes], Awaitable[bool]] = _deliver_nothing,
     ) -> None:
         """Create the guard; ``run`` starts it."""
         self._store_clock = store_clock
--- a/dragonflynotch/control/relayed_store.py
+++ b/dragonflynotch/control/relayed_store.py
@@ -40,8 +40,9 @@
 # How often the store is called directly while calls are relayed.
 _PROBE_INTERVAL_S = 1
 # Interval at which the addresses of the peers are read while they are not
-# needed. It doubles from the start on, since all processes may start at once.
-_MIN_REFRESH_INTERVAL_S = 0.5
+# needed. It grows from the start on, since all processes may start at once.
+_MIN_REFRESH_INTERVAL_S = 1
+_REFRESH_INTERVAL_GROWTH = 4
 _MAX_REFRESH_INTERVAL_S = 60
 # Interval by which the calls of several guards are spread, as a fraction.
 _JITTER = 0.3
@@ -158,7 +159,7 @@
         """Return changes after a version; wait up to ``wait`` for the first."""
         return await self._call(lambda store: store.changes(table, after, wait))
 
-    async def deliver_report(self, content: bytes) -> None:
+    async def deliver_report(self, content: bytes) -> bool:
         """Deliver the ends in an encoded report to the peer that schedules.
 
         For a report that cannot be written, also not through a peer, since the
@@ -166,7 +167,7 @@
         peer has accepted a report.
         """
         if not self._delivery_backoff.is_over:
-            return
+            return False
         for peer in self._possible_receivers():
             try:
                 await peer.store.deliver_report(content)
@@ -176,8 +177,9 @@
             self._last_receiver = peer.node
             self._delivered_reports += 1
             decision_log.record('report_delivered', peer=peer.node)
-            return
+            return True
         self._delivery_backoff.record_failure()
+        return False
 
     def _possible_receivers(self) -> list[RelayPeer]:
         peers = sorted(
@@ -252,6 +254,6 @@
         if not self._is_relaying:
             interval_s = self._refresh_interval_s
             self._refresh_interval_s = min(
-                2 * interval_s, _MAX_REFRESH_INTERVAL_S
+                _REFRESH_INTERVAL_GROWTH * interval_s, _MAX_REFRESH_INTERVAL_S
             )
         return interval_s * self._random.uniform(1 - _JITTER, 1 + _JITTER)
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
+from dragonflynotch.control.end_delivery import EndDelivery
 from dragonflynotch.control.end_log import EndLog
 from dragonflynotch.control.rows import (
     REPORTS,
@@ -60,7 +61,8 @@
         Returns the report for an end of the authority in store time, or
         ``None`` while there is nothing to report.
     deliver : callable
-        Delivers the ends in an encoded report that could not be written.
+        Delivers the ends in an encoded report that could not be written, and
+        returns whether they were accepted.
     on_previous : callable
         Receives the report of an earlier guard process, if there is one, once.
     """
@@ -73,7 +75,7 @@
         clock: SteadyClock,
         authority_ms: int,
         build_report: Callable[[int], Report | None],
-        deliver: Callable[[bytes], Awaitable[None]],
+        deliver: Callable[[bytes], Awaitable[bool]],
         on_previous: Callable[[Report], None],
     ) -> None:
         """Create the writer; ``run`` starts it."""
@@ -83,7 +85,7 @@
         self._clock = clock
         self._authority_ms = authority_ms
         self._build_report = build_report
-        self._deliver = deliver
+        self._end_delivery = EndDelivery(deliver, clock)
         self._on_previous = on_previous
         self._write_interval_s = (
             min(_MAX_WRITE_INTERVAL_MS, authority_ms // _WRITES_PER_AUTHORITY)
@@ -209,8 +211,8 @@
         if not self._token:
             return
         report = self._build_report(self._authority_end_ms)
-        if report is not None and (report.ended or report.earlier_ends):
-            await self._deliver(encode_row(report))
+        if report is not None:
+            await self._end_delivery.deliver(report)
 
     async def _read_row(self) -> None:
         row = await self._store.read_row(self._name)
