--- a/benchmarks/idle_search/oracle.py
+++ b/benchmarks/idle_search/oracle.py
@@ -4,94 +4,27 @@
 the capacity is in use, something of the job runs, but for a short wait.
 """
 
-from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import StrEnum
+from dataclasses import dataclass
 
+from benchmarks.idle_search.end_audit import EndAudit
 from benchmarks.idle_search.fleet import Fleet, Machine
 from benchmarks.idle_search.guards import AUTHORITY_MS, LEASE_MS
 from benchmarks.idle_search.job_mix import Arrival
 from benchmarks.idle_search.minions import RunBook
 from benchmarks.idle_search.store import Store
+from benchmarks.idle_search.waits import Wait, WaitClass
 from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.records import EndKind
 from dragonflynotch.workflows.resources import Resources
 
-__all__ = ('Oracle', 'Wait', 'WaitClass')
+__all__ = ('Oracle',)
 
 _MAX_SHARE_IN_USE = 0.5
 # How many times a step has to fit.
 _TIMES = 2
 
 
-class WaitClass(StrEnum):
-    """What a job waits for at a moment."""
-
-    # Nothing but a decision of the leader, or an order that is on its way.
-    placement = 'placement'
-    # All that the job could run is ordered on guards that are not heard.
-    unheard_guard = 'unheard_guard'
-    # All that the job could run is ordered on minions that crashed less than
-    # their lease ago and have not been replaced.
-    crashed_minion = 'crashed_minion'
-    # There is room for it twice only where no start would be answered.
-    no_start = 'no_start'
-    # All that the job could run is ordered on machines that were lost less
-    # than the authority of their guards ago.
-    lost_machine = 'lost_machine'
-
-
-@dataclass(slots=True)
-class Wait:
-    """A stretch of time in which the rule holds nothing of a job at work.
-
-    Parameters
-    ----------
-    times_ms : Counter
-        Duration by class, without the time in which no leader is there.
-    share_in_use : float
-        Largest share of a resource in use, at any of its moments.
-    fit_count : int
-        How many tasks fit at each of its moments, of ``wanted``.
-    idle_cause : str
-        Last cause that the leader has logged for the job.
-    """
-
-    job_id: str
-    step: int
-    since_ms: int
-    end_ms: int = 0
-    times_ms: Counter[WaitClass] = field(default_factory=Counter)
-    share_in_use: float = 0
-    fit_count: int = 0
-    wanted: int = 0
-    idle_cause: str = ''
-
-    @property
-    def counted_ms(self) -> int:
-        """Duration without the stated hold of runs on lost machines."""
-        held_ms = self.times_ms[WaitClass.lost_machine]
-        return self.times_ms.total() - held_ms
-
-    @property
-    def main_class(self) -> WaitClass:
-        """Class of most of the time."""
-        return self.times_ms.most_common(1)[0][0]
-
-    def describe(self) -> str:
-        """Return the wait in one line."""
-        times = ' '.join(
-            f'{name.value}={duration_ms}'
-            for name, duration_ms in self.times_ms.most_common()
-        )
-        return (
-            f'job={self.job_id}.{self.step} from={self.since_ms} '
-            f'to={self.end_ms} {times} share={self.share_in_use:.2f} '
-            f'fit={self.fit_count}/{self.wanted} cause={self.idle_cause}'
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class _Room:
     """Room of a machine by fact."""
@@ -140,6 +73,7 @@
         self._waits: dict[str, Wait] = {}
         self._idle_causes: dict[str, str] = {}
         self.waits: list[Wait] = []
+        self.audit = EndAudit(fleet, store)
 
     def add(self, arrival: Arrival) -> None:
         """Watch an accepted job."""
@@ -162,13 +96,14 @@
 
     def judge(self, now_ms: int, elapsed_ms: int, *, has_leader: bool) -> None:
         """Judge a moment, which lasts since the one before."""
+        self.audit.review(now_ms, elapsed_ms)
         self._close_ended()
         rooms, share = self._measure()
         is_idle = share < _MAX_SHARE_IN_USE
         done = self._done_tasks() if is_idle else set()
         for job_id, arrival in self._open.items():
             wait = None
-            if is_idle and not self._book.runs_by_job[job_id]:
+            if is_idle and not self._has_run(job_id):
                 wait = self._find_wait(arrival, done, rooms, now_ms)
             if wait is None:
                 self._finish(job_id)
@@ -191,6 +126,11 @@
         done = self._done_tasks()
         return all(self._is_done(job_id, number, done) for number in spec.after)
 
+    def _has_run(self, job_id: str) -> bool:
+        """Return whether a run of a job is at work, but for repeats."""
+        repeats = self.audit.repeats_by_job[job_id]
+        return self._book.runs_by_job[job_id] > repeats
+
     def _close_ended(self) -> None:
         ended = [
             job_id
@@ -217,8 +157,8 @@
         return rooms, used.dominant_share_of(capacity)
 
     def _done_tasks(self) -> set[str]:
-        """Return the tasks whose end a minion lists, or that is recorded."""
-        done = set(self._store.done_tasks)
+        """Return the tasks of which a run has ended as done, or recorded."""
+        done = self._store.done_tasks | self.audit.done_tasks
         for machine in self._fleet.machines:
             if machine.is_up:
                 done.update(
@@ -276,6 +216,8 @@
     def _classify(
         self, step: _DueStep, done: set[str], now_ms: int
     ) -> WaitClass:
+        if self._is_held_up_by_lost_end(step):
+            return WaitClass.lost_end
         if not self._is_turn_recorded(step):
             return WaitClass.unheard_guard
         minions = {
@@ -296,6 +238,17 @@
             return WaitClass.placement
         return WaitClass.unheard_guard
 
+    def _is_held_up_by_lost_end(self, step: _DueStep) -> bool:
+        recorded = self._store.done_tasks
+        unrecorded = self.audit.lost_tasks - recorded
+        for earlier in step.spec.after:
+            spec = self._store.jobs[step.job_id].steps[earlier]
+            tasks = _DueStep(step.job_id, earlier, spec).tasks
+            is_recorded = self._is_done(step.job_id, earlier, recorded)
+            if not is_recorded and not unrecorded.isdisjoint(tasks):
+                return True
+        return False
+
     def _is_turn_recorded(self, step: _DueStep) -> bool:
         """Return whether the leader can know that the turn has come."""
         recorded = self._store.done_tasks
