Log the last ends of a minion that left as reported

Ends that the last poll of a departing minion returned are written among the earlier ends, so ends_reported did not name them and the log read as if the guard had not been able to write them.

Failed before: test_last_end_of_a_departing_minion_is_logged_as_reported.

--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -196,7 +196,7 @@
         # Without an answer, the write is repeated with the same condition. If
         # the first one has taken effect, the conflict tells the new version.
         expected = self._version or 0
-        self._end_log.record_attempt(report.ended)
+        self._end_log.record_attempt(report.all_ends)
         outcome = await self._commit(
             RowWrite(self._name, encode_row(report)), expected
         )
@@ -211,7 +211,7 @@
             return False
         self._version = outcome.version
         self._authority_end_ms = end_ms
-        self._end_log.record_written(report.ended, outcome.version)
+        self._end_log.record_written(report.all_ends, outcome.version)
         return True
 
     async def _commit(
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -313,6 +313,11 @@
         """Whether new runs can be started."""
         return self.is_ready and self.is_reachable
 
+    @property
+    def all_ends(self) -> list[RunEnd]:
+        """Ends of runs of this and of earlier incarnations."""
+        return [*self.ended, *(earlier.end for earlier in self.earlier_ends)]
+
     @property
     def resources(self) -> Resources:
         """Capacity of the worker."""
--- a/tests/control/test_earlier_ends.py
+++ b/tests/control/test_earlier_ends.py
@@ -7,6 +7,7 @@
 from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
 from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing import minion_model
 from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import MemoryRowStore
@@ -149,6 +150,23 @@
     assert listed_ends(report) == {('m1', TASK, 1), ('m1', OTHER_TASK, 1)}
 
 
+async def test_last_end_of_a_departing_minion_is_logged_as_reported(
+    harness, minion, monkeypatch
+):
+    """The log said that its guard could not write it."""
+    logged = []
+    monkeypatch.setattr(
+        decision_log,
+        'record',
+        lambda event, **fields: logged.append((event, fields)),
+    )
+    minion.finish(TASK, EndKind.done)
+    await harness.guard.on_departure('m1')
+    await harness.wait_for(lambda report: not report.minion_id)
+    [fields] = [fields for event, fields in logged if event == 'ends_reported']
+    assert [end['task'] for end in fields['ends']] == [TASK]
+
+
 async def test_departure_of_a_silent_minion_is_reported_soon(harness, minion):
     """The runs of a minion that left can start elsewhere at once."""
     minion.fault = MinionFault.cut
