--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -1,7 +1,7 @@
 """Writes the report of a guard and tracks its authority to extend leases."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.end_log import EndLog
@@ -35,9 +35,7 @@
 # A write without an answer within this time, or within a multiple of the time
 # that the last one took, is sent again. Only one of them can take effect.
 _MIN_ANSWER_TIMEOUT_S = 0.3
-_MAX_ANSWER_TIMEOUT_S = 2.0
 _ANSWER_TIMEOUT_FACTOR = 3
-_BACKOFF_FACTOR = 2
 # Changes within this time are reported in one write.
 _BATCH_WINDOW_S = 0.01
 _RETRY_DELAY_S = 0.2
@@ -71,6 +69,8 @@
     build_report : callable
         Returns the report for an end of the authority in store time, or
         ``None`` while there is nothing to report.
+    deliver : callable
+        Delivers the ends in an encoded report that could not be written.
     on_previous : callable
         Receives the report of an earlier guard process, if there is one. A
         write of that process may take effect late, so that there is another.
@@ -84,6 +84,7 @@
         clock: SteadyClock,
         authority_ms: int,
         build_report: Callable[[int], Report | None],
+        deliver: Callable[[bytes], Awaitable[None]],
         on_previous: Callable[[Report], None],
     ) -> None:
         """Create the writer; ``run`` starts it."""
@@ -93,6 +94,7 @@
         self._clock = clock
         self._authority_ms = authority_ms
         self._build_report = build_report
+        self._deliver = deliver
         self._on_previous = on_previous
         self._write_interval_s = (
             min(_MAX_WRITE_INTERVAL_MS, authority_ms // _WRITES_PER_AUTHORITY)
@@ -103,7 +105,7 @@
         self._version: int | None = None
         self._authority_end_ms = 0
         self._max_authority_end_ms: int | None = None
-        self._answer_timeout_s = _MAX_ANSWER_TIMEOUT_S
+        self._answer_timeout_s: float | None = None
         self._write_requested = asyncio.Event()
         self._last_error = ''
 
@@ -138,16 +140,14 @@
                 InvalidInputError,
             ) as error:
                 self._record_error(shorten(str(error)))
-                if not isinstance(error, _LateAnswerError):
-                    await asyncio.sleep(_RETRY_DELAY_S)
+                if isinstance(error, _LateAnswerError):
+                    continue
+                self._write_requested.clear()
+                await self._deliver_ends()
+                await self._wait_for_request(_RETRY_DELAY_S)
                 continue
             self._record_error('')
-            try:
-                async with asyncio.timeout(self._write_interval_s):
-                    await self._write_requested.wait()
-            except TimeoutError:
-                continue
-            await asyncio.sleep(_BATCH_WINDOW_S)
+            await self._wait_for_request(self._write_interval_s)
 
     async def relinquish_authority(self, local_end_ms: int) -> None:
         """Report that the authority ends earlier; call after ``run`` ended.
@@ -180,6 +180,14 @@
             left_ms=remaining_ms,
         )
 
+    async def _wait_for_request(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._write_requested.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(_BATCH_WINDOW_S)
+
     async def _write(self) -> bool:
         """Write the report; return whether it was written."""
         if self._version is None:
@@ -218,9 +226,8 @@
         self, write: RowWrite, expected: int
     ) -> Committed | Conflict:
         timeout_s = self._answer_timeout_s
-        self._answer_timeout_s = min(
-            timeout_s * _BACKOFF_FACTOR, _MAX_ANSWER_TIMEOUT_S
-        )
+        # The second call has the time to find another way to the store.
+        self._answer_timeout_s = None
         sent_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(timeout_s):
@@ -232,12 +239,19 @@
                 f'no answer within {timeout_s} s', step='commit'
             ) from error
         answer_s = (self._clock.now_ms() - sent_ms) / _MS_PER_S
-        self._answer_timeout_s = min(
-            max(_MIN_ANSWER_TIMEOUT_S, answer_s * _ANSWER_TIMEOUT_FACTOR),
-            _MAX_ANSWER_TIMEOUT_S,
+        self._answer_timeout_s = max(
+            _MIN_ANSWER_TIMEOUT_S, answer_s * _ANSWER_TIMEOUT_FACTOR
         )
         return outcome
 
+    async def _deliver_ends(self) -> None:
+        """Deliver ends that cannot be written; the authority is as before."""
+        if not self._token:
+            return
+        report = self._build_report(self._authority_end_ms)
+        if report is not None and (report.ended or report.earlier_ends):
+            await self._deliver(encode_row(report))
+
     async def _read_row(self) -> None:
         row = await self._store.read_row(self._name)
         if row is None:
