--- a/benchmarks/end_delay.py
+++ b/benchmarks/end_delay.py
@@ -78,6 +78,10 @@
                 self.delays_ms.append(self._own_clock.now_ms() - ended_ms)
 
 
+async def _deliver_nothing(_: bytes) -> None:
+    pass
+
+
 async def _run_guard(store: _FaultyStore, clock: BootClock, node: str) -> None:
     ended: list[RunEnd] = []
     writer = ReportWriter(
@@ -89,6 +93,7 @@
         lambda end_ms: Report(
             node, 's', True, True, end_ms, writer.token, ended=ended[-20:]
         ),
+        _deliver_nothing,
         lambda report: None,
     )
     task = asyncio.create_task(writer.run())
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -36,9 +36,7 @@
 # A write without an answer within this time, or within a multiple of the time
 # that the last one took, is sent again. Only one of them can take effect.
 _MIN_ANSWER_TIMEOUT_S = 0.3
-_MAX_ANSWER_TIMEOUT_S = 2.0
 _ANSWER_TIMEOUT_FACTOR = 3
-_BACKOFF_FACTOR = 2
 # Changes within this time are reported in one write.
 _BATCH_WINDOW_S = 0.01
 _RETRY_DELAY_S = 0.2
@@ -109,7 +107,7 @@
         self._version: int | None = None
         self._authority_end_ms = 0
         self._max_authority_end_ms: int | None = None
-        self._answer_timeout_s = _MAX_ANSWER_TIMEOUT_S
+        self._answer_timeout_s: float | None = None
         self._write_requested = asyncio.Event()
         self._last_error = ''
 
@@ -207,7 +205,7 @@
         # Without an answer, the write is repeated with the same condition. If
         # the first one has taken effect, the conflict tells the new version.
         expected = self._version or 0
-        self._end_log.record_attempt(report.ended)
+        self._end_log.record_attempt(report.all_ends)
         outcome = await self._commit(
             RowWrite(self._name, encode_row(report)), expected
         )
@@ -222,7 +220,7 @@
             return False
         self._version = outcome.version
         self._authority_end_ms = end_ms
-        self._end_log.record_written(report.ended, outcome.version)
+        self._end_log.record_written(report.all_ends, outcome.version)
         return True
 
     async def _deliver_ends(self) -> None:
@@ -237,9 +235,8 @@
         self, write: RowWrite, expected: int
     ) -> Committed | Conflict:
         timeout_s = self._answer_timeout_s
-        self._answer_timeout_s = min(
-            timeout_s * _BACKOFF_FACTOR, _MAX_ANSWER_TIMEOUT_S
-        )
+        # The second call has the time to find another way to the store.
+        self._answer_timeout_s = None
         sent_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(timeout_s):
@@ -251,9 +248,8 @@
                 f'no answer within {timeout_s} s', step='commit'
             ) from error
         answer_s = (self._clock.now_ms() - sent_ms) / _MS_PER_S
-        self._answer_timeout_s = min(
-            max(_MIN_ANSWER_TIMEOUT_S, answer_s * _ANSWER_TIMEOUT_FACTOR),
-            _MAX_ANSWER_TIMEOUT_S,
+        self._answer_timeout_s = max(
+            _MIN_ANSWER_TIMEOUT_S, answer_s * _ANSWER_TIMEOUT_FACTOR
         )
         return outcome
 
