Place repeats that hold up the next step first in their priority

Cause: the order within a priority is by the work left of the whole job, so nothing distinguished a lost run that is among the last of its step. Ruled out: reservations (cause "full" or "reserved" by the jobs that came first) and exclusions of workers (none).

Guaranteed and overdue work and more urgent queues keep their place. A new leader finds the lost runs itself, so nothing is stored. Switch: prefers_repeats.

--- a/dragonflynotch/workflows/mechanisms.py
+++ b/dragonflynotch/workflows/mechanisms.py
@@ -23,6 +23,9 @@
     orders_by_work_left : bool
         Within a priority, the job with the least work left comes first; by the
         latest start otherwise.
+    prefers_repeats : bool
+        Within a priority, repeats of lost runs that keep the next step of
+        their job from starting come first.
     reserves : bool
         Steps that do not fit reserve resources; shorter runs may use them.
     backfills : bool
@@ -46,6 +49,7 @@
     preempts_for_objectives: bool = True
     prefers_overdue: bool = True
     orders_by_work_left: bool = True
+    prefers_repeats: bool = True
     reserves: bool = True
     backfills: bool = True
     bounds_waits: bool = True
--- a/dragonflynotch/workflows/ordering/ranking.py
+++ b/dragonflynotch/workflows/ordering/ranking.py
@@ -49,6 +49,9 @@
         time.
     priority : int
         Priority of the queue in tiers 2 and 3; 0 in the others.
+    follows_repeats : bool
+        Whether blocking repeats of lost runs come before the step; True in
+        tiers 0 and 1.
     work_left : float
         Estimated work of the steps that are not done in tiers 2 and 3, in
         core seconds; 0 in the others.
@@ -59,6 +62,7 @@
 
     tier: int
     priority: int
+    follows_repeats: bool
     work_left: float
     last_start_ms: int
     job_id: str
@@ -92,6 +96,7 @@
     *,
     is_guaranteed: bool,
     is_overdue: bool,
+    is_blocking_repeat: bool = False,
     by_work_left: bool = True,
 ) -> Urgency:
     """Return the urgency of a step.
@@ -107,6 +112,9 @@
         Whether the guarantee of its workspace covers the job.
     is_overdue : bool
         Whether this is an overdue job that comes before other work.
+    is_blocking_repeat : bool
+        Whether the step comes first within its tier and priority, unless it
+        is guaranteed or overdue.
     by_work_left : bool
         Whether work left counts within a priority.
     """
@@ -129,6 +137,7 @@
     return Urgency(
         tier,
         queue.priority if is_useful else 0,
+        not is_blocking_repeat or tier < _TIER_ON_TIME,
         _work_left(job) if is_useful and by_work_left else 0,
         last_start_ms,
         job.job_id,
--- a/dragonflynotch/workflows/ordering/step_ranking.py
+++ b/dragonflynotch/workflows/ordering/step_ranking.py
@@ -2,6 +2,7 @@
 
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
+from dragonflynotch.workflows.ordering.blocking_repeats import BlockingRepeats
 from dragonflynotch.workflows.ordering.overdue import find_overdue_jobs
 from dragonflynotch.workflows.ordering.ranking import Urgency, compute_urgency
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
@@ -17,16 +18,23 @@
     ----------
     pool : WorkerPool
         Workers of the round.
+    repeats : BlockingRepeats
+        Steps whose repeats of lost runs come first.
     mechanisms : Mechanisms
         Parts of the policy to use.
     """
 
     def __init__(
-        self, jobs: JobRegistry, pool: WorkerPool, mechanisms: Mechanisms
+        self,
+        jobs: JobRegistry,
+        pool: WorkerPool,
+        repeats: BlockingRepeats,
+        mechanisms: Mechanisms,
     ) -> None:
         """Find the overdue jobs and the demand of the urgent queues."""
         self._jobs = jobs
         self._now_ms = pool.now_ms
+        self._repeats = repeats
         self._mechanisms = mechanisms
         self._urgent_demand = jobs.urgent_accelerator_demand()
         self._overdue_jobs: set[str] = set()
@@ -42,6 +50,7 @@
             self._now_ms,
             is_guaranteed=self._is_guaranteed(job),
             is_overdue=job.job_id in self._overdue_jobs,
+            is_blocking_repeat=step.step_id in self._repeats,
             by_work_left=self._mechanisms.orders_by_work_left,
         )
 
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -5,6 +5,7 @@
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.mechanisms import Mechanisms
+from dragonflynotch.workflows.ordering.blocking_repeats import BlockingRepeats
 from dragonflynotch.workflows.ordering.idle_jobs import IdleJobs
 from dragonflynotch.workflows.ordering.idle_log import IdleLog
 from dragonflynotch.workflows.ordering.ranking import Urgency
@@ -88,6 +89,7 @@
         self._wait_bound = WaitBound(self._run_orderer, decision_log)
         self._idle_jobs = IdleJobs()
         self._start_claims = StartClaims()
+        self._repeats = BlockingRepeats(jobs, decision_log)
 
     def apply_stop_ms(self, stop_ms: int) -> None:
         """Use this bound on the time from the order to stop to the end."""
@@ -132,7 +134,9 @@
         pool.recent_starts = find_recent_starts(
             self._jobs, self._orders, pool.now_ms
         )
-        ranking = StepRanking(self._jobs, pool, self._mechanisms)
+        if self._mechanisms.prefers_repeats:
+            self._repeats.update()
+        ranking = StepRanking(self._jobs, pool, self._repeats, self._mechanisms)
         backfilled = find_backfilled_runs(self._jobs, allocations, ranking)
         self._room_maker.backfilled = backfilled
         waiting_steps = self._waiting_steps(ranking, wall_ms)
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -89,6 +89,9 @@
         Last run that was counted as a failure; 0 if there is none.
     crashes : list of TaskCrash
         Crashes of minions that the task may have caused.
+    is_lost : bool
+        Whether the last run to end was lost with its minion. Not stored: a
+        new leader finds the runs that were lost before it by itself.
     """
 
     task_id: TaskId
@@ -100,6 +103,7 @@
     failed_on: dict[str, int] = field(default_factory=dict)
     last_failed_run: int = 0
     crashes: list[TaskCrash] = field(default_factory=list)
+    is_lost: bool = False
 
     @property
     def label(self) -> str:
@@ -304,6 +308,7 @@
         """Record the end of the active run of a task."""
         run = task.active.run if task.active else task.run
         task.active = None
+        task.is_lost = kind is EndKind.lapsed
         if step.spec.has_checkpoints and checkpoint:
             self.save_checkpoint(step, task, checkpoint)
         if kind is EndKind.done:
