Prefer workers on the rack of a task's data for repeats too

A task whose job has waited for longer than its estimate may leave the rack of its data, which holds for every repeat of a run that was lost late. It was then placed on the fullest worker of any rack, also while a worker on the data's rack had room, and took three times as long there.

Among workers that start runs and have not failed, those on the data's rack now come before the one that is filled best. Waits for the rack are unchanged.

The new test fails without the change (the repeat starts on the other rack).

--- a/dragonflynotch/workflows/placement/best_fit.py
+++ b/dragonflynotch/workflows/placement/best_fit.py
@@ -53,7 +53,7 @@
     ]
     if not fitting:
         return None
-    preference = WorkerPreference(pool, spec.needs, [task])
+    preference = WorkerPreference(pool, spec, [task])
     worker, _ = min(fitting, key=lambda pair: preference.rank(*pair))
     return worker
 
@@ -184,7 +184,7 @@
 ) -> list[Worker] | None:
     spec = demand.step.spec
     count = len(demand.step.tasks)
-    preference = WorkerPreference(pool, spec.needs, demand.step.tasks)
+    preference = WorkerPreference(pool, spec, demand.step.tasks)
     ordered = sorted(
         workers,
         key=lambda worker: preference.rank(worker, available[worker.minion_id]),
--- a/dragonflynotch/workflows/placement/worker_preference.py
+++ b/dragonflynotch/workflows/placement/worker_preference.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from dragonflynotch.workflows.jobs import StepSpec
 from dragonflynotch.workflows.placement.worker_pool import WorkerPool
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Task
@@ -11,14 +12,15 @@
 
 # Number of start risks, and whether the tasks crashed the node or failed there.
 _Distrust = tuple[int, bool, bool]
-_Rank = tuple[_Distrust, int, float, str]
+_Rank = tuple[_Distrust, int, bool, float, str]
 
 
 class WorkerPreference:
     """Ranks workers for tasks that start together.
 
     Workers that might not start a run come last. Of the others, those on which
-    the tasks did not fail come first, then the one that is filled best.
+    the tasks did not fail come first, then those on the rack of the data, then
+    the one that is filled best.
     Suspected tasks instead prefer other workers than those that they may have
     crashed, and the emptiest, where a crash ends fewest runs.
 
@@ -29,11 +31,11 @@
     """
 
     def __init__(
-        self, pool: WorkerPool, needs: Resources, tasks: Sequence[Task]
+        self, pool: WorkerPool, spec: StepSpec, tasks: Sequence[Task]
     ) -> None:
         """Collect where the tasks failed and which minions they crashed."""
         self._pool = pool
-        self._needs = needs
+        self._spec = spec
         self._failed_on = _union(task.failed_on for task in tasks)
         self._crashed_nodes = {
             crash.node for task in tasks for crash in task.crashes
@@ -48,12 +50,14 @@
             Resources of the worker that the tasks may use.
         """
         minion_id = worker.minion_id
-        leftover = (free - self._needs).dominant_share_of(
+        leftover = (free - self._spec.needs).dominant_share_of(
             worker.report.resources
         )
         return (
             self._distrust(worker),
             self._pool.failed_job_counts.get(minion_id, 0),
+            bool(self._spec.data_rack)
+            and worker.report.rack != self._spec.data_rack,
             -leftover if self._crashed_nodes else leftover,
             minion_id,
         )
--- a/tests/workflows/placement/test_retry_placement.py
+++ b/tests/workflows/placement/test_retry_placement.py
@@ -157,3 +157,20 @@
     site.end('a.0.0.1', EndKind.stopped)
     assert 'a.0.0.0' not in site.ordered_tasks()
     assert site.minion_of('a.0.0.1') == 'm0'
+
+
+def test_repeat_starts_on_the_rack_of_its_data_if_there_is_room():
+    """A repeat took three times as long, on the fullest worker of any rack.
+
+    A job that has waited for longer than its estimate may leave the rack of
+    its data, also if that rack has room.
+    """
+    site = Site(racks=('r1', 'r1', 'r2'))
+    site.submit('a', 'normal', StepSpec(1, 1000, 1000, 1, 500, data_rack='r1'))
+    site.submit(
+        'x', 'normal', StepSpec(1, 1000, 1000, 4, 60_000, (), data_rack='r2')
+    )
+    site.decide()
+    site.incarnations[site.node_of('a.0.0.0')] = ('new', 'r1', 8)
+    site.decide(advance_ms=1_000)
+    assert site.node_of('a.0.0.0') in {'n0', 'n1'}
