Move runs that have become slow to sound workers

Callers waited for the one task of a step that ran on a worker that had become slow: only a run that stands still for five seconds or more is stopped.

Starts prefer workers on which runs are not slow. Switch: moves_stragglers.

Ruled out as evidence: the estimate and the siblings. The run time belongs to the task, and a long task would be stopped on each sound worker in vain.

--- a/dragonflynotch/workflows/mechanisms.py
+++ b/dragonflynotch/workflows/mechanisms.py
@@ -43,6 +43,9 @@
         Runs on leaving workers are saved or moved.
     stops_stalled : bool
         Runs without progress are stopped and started elsewhere.
+    moves_stragglers : bool
+        Runs that have become slow are stopped and started elsewhere, where
+        they are expected to end clearly earlier.
     """
 
     preempts_for_guarantees: bool = True
@@ -57,3 +60,4 @@
     prefers_sound_workers: bool = True
     moves_departing: bool = True
     stops_stalled: bool = True
+    moves_stragglers: bool = True
--- a/dragonflynotch/workflows/placement/worker_pool.py
+++ b/dragonflynotch/workflows/placement/worker_pool.py
@@ -139,6 +139,8 @@
     start_risks : mapping
         Signs that a worker might not start a run, by minion; workers with
         fewer are preferred.
+    slow_minions : frozenset of str
+        Minions on which runs have become slow; others are preferred.
     reservations : list of Reservation
         Resources kept for steps that come earlier in the round.
     recent_starts : RecentStarts
@@ -159,6 +161,7 @@
         default_factory=dict
     )
     start_risks: Mapping[str, Sequence[StartRisk]] = field(default_factory=dict)
+    slow_minions: frozenset[str] = frozenset()
     reservations: list[Reservation] = field(default_factory=list)
     recent_starts: RecentStarts = field(default_factory=RecentStarts)
     excluded: Mapping[str, Worker] = field(default_factory=dict)
--- a/dragonflynotch/workflows/placement/worker_preference.py
+++ b/dragonflynotch/workflows/placement/worker_preference.py
@@ -12,14 +12,17 @@
 
 # Number of start risks, and whether the tasks crashed the node or failed there.
 _Distrust = tuple[int, bool, bool]
-_Rank = tuple[_Distrust, int, bool, float, str]
+# Whether runs are slow on the worker, and whether the data is elsewhere.
+_Slowness = tuple[bool, bool]
+_Rank = tuple[_Distrust, int, _Slowness, float, str]
 
 
 class WorkerPreference:
     """Ranks workers for tasks that start together.
 
     Workers that might not start a run come last. Of the others, those on which
-    the tasks did not fail come first, then those on the rack of the data, then
+    the tasks did not fail come first, then those that are not slow,
+    then those on the rack of the data, then
     the one that is filled best.
     Suspected tasks instead prefer other workers than those that they may have
     crashed, and the emptiest, where a crash ends fewest runs.
@@ -56,12 +59,18 @@
         return (
             self._distrust(worker),
             self._pool.failed_job_counts.get(minion_id, 0),
-            bool(self._spec.data_rack)
-            and worker.report.rack != self._spec.data_rack,
+            self._slowness(worker),
             -leftover if self._crashed_nodes else leftover,
             minion_id,
         )
 
+    def _slowness(self, worker: Worker) -> _Slowness:
+        data_rack = self._spec.data_rack
+        return (
+            worker.minion_id in self._pool.slow_minions,
+            bool(data_rack) and worker.report.rack != data_rack,
+        )
+
     def _distrust(self, worker: Worker) -> _Distrust:
         return (
             len(self._pool.start_risks.get(worker.minion_id, ())),
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -18,6 +18,7 @@
     TaskRow,
 )
 from dragonflynotch.workflows.runs.crash_budget import is_given_up
+from dragonflynotch.workflows.runs.run_pace import RunPace
 from dragonflynotch.workflows.runs.worker_health import FAILURE_WINDOW_MS
 
 __all__ = ('ActiveRun', 'Job', 'Step', 'Task')
@@ -92,6 +93,8 @@
     is_lost : bool
         Whether the last run to end was lost with its minion. Not stored: a
         new leader finds the runs that were lost before it by itself.
+    pace : RunPace
+        Pace of the active run, beside the best of all runs. Not stored.
     """
 
     task_id: TaskId
@@ -104,6 +107,7 @@
     last_failed_run: int = 0
     crashes: list[TaskCrash] = field(default_factory=list)
     is_lost: bool = False
+    pace: RunPace = field(default_factory=RunPace)
 
     @property
     def label(self) -> str:
@@ -308,6 +312,7 @@
         """Record the end of the active run of a task."""
         run = task.active.run if task.active else task.run
         task.active = None
+        task.pace = RunPace(task.pace.best_ms)
         task.is_lost = kind is EndKind.lapsed
         if step.spec.has_checkpoints and checkpoint:
             self.save_checkpoint(step, task, checkpoint)
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -271,5 +271,6 @@
                 active.first_percent = running.percent
                 active.first_percent_ms = read_ms
         active.progress_read_ms = read_ms
+        task.pace.add(read_ms, running.percent)
         if step.spec.has_checkpoints and running.checkpoint:
             job.save_checkpoint(step, task, running.checkpoint)
