Remember slow workers, and count the stop before a run moves

A worker from which all runs had moved counted as sound at once, so the next run started there, and having no earlier pace it was never moved. And a run moved as soon as it had lost the time of the work that is thrown away, without the time of the stop.

The wait before a move includes the stop and the restart.

Three load patterns replay the mechanisms: all workers lost at once, and a third of the workers ten times slower for 6 s or to the end, with jobs of two steps. The test of the ablation leaves the two switches out on the load without occasion for them, as it does for others, and tests them on these patterns.

test_worker_stays_slow_after_its_runs_have_moved fails without the change.

--- a/benchmarks/workflows/loads.py
+++ b/benchmarks/workflows/loads.py
@@ -1,9 +1,11 @@
 """Seeded arrivals of jobs, by load pattern."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
+import msgspec
+
 from dragonflynotch.workflows.deployment import Deployment, Queue, Workspace
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 
@@ -14,6 +16,7 @@
     'Departures',
     'JobClass',
     'LoadPattern',
+    'SlowWorkers',
     'generate_arrivals',
     'rack_names',
 )
@@ -48,6 +51,8 @@
         Largest relative error of the caller's estimate of the run time.
     checkpoint_share : float
         Share of the jobs that can resume from a checkpoint.
+    steps : int
+        Number of equal steps that follow one another.
     """
 
     queue: str
@@ -59,6 +64,7 @@
     is_gang: bool
     estimate_error: float
     checkpoint_share: float
+    steps: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +93,26 @@
     absence_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class SlowWorkers:
+    """Workers that become slow at the same time.
+
+    Parameters
+    ----------
+    share : float
+        Share of the workers.
+    factor : float
+        How many times longer runs take there.
+    start_ms, duration_ms : int
+        Time at which they become slow, and for how long.
+    """
+
+    share: float
+    factor: float
+    start_ms: int
+    duration_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadPattern:
     """A fleet of equal workers and the jobs that arrive at it.
@@ -107,6 +133,8 @@
         Factor of the burst.
     departures : Departures or None
         Workers that leave, if any.
+    slow_workers : SlowWorkers or None
+        Workers that become slow, if any.
     """
 
     classes: tuple[JobClass, ...]
@@ -117,6 +145,7 @@
     burst_queue: str = ''
     burst_factor: float = 1
     departures: Departures | None = None
+    slow_workers: SlowWorkers | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +158,8 @@
         Time of the submission.
     run_ms : int
         Run time of each task on a sound worker.
+    path_ms : int
+        Run time of all steps, one after another.
     value, late_value : float
         What the job is worth on time, and late.
     """
@@ -137,6 +168,7 @@
     job_id: str
     spec: JobSpec
     run_ms: int
+    path_ms: int
     value: float
     late_value: float
 
@@ -169,6 +201,10 @@
     JobClass('normal', 3, 0.9, 13, 52, 17_000, True, 0.9, 0.45),
     JobClass('batch', 1, 0.3, 38, 11, 12_000, False, 0.9, 0.45),
 )
+# Jobs of two steps, of which the second waits for each task of the first.
+_TWO_STEPS = tuple(
+    replace(job_class, is_gang=False, steps=2) for job_class in _NARROW
+)
 # Gangs that need most of a few workers, beside small deferrable tasks.
 _WIDE_ON_FEW_WORKERS = (
     JobClass('normal', 3, 0.9, 9, 30, 8_000, True, 0.9, 0.45),
@@ -230,6 +266,33 @@
     'idle reservations': LoadPattern(
         _WIDE_ON_FEW_WORKERS, 11, 32, 3, {'normal': 0.1, 'batch': 0.3}
     ),
+    # All workers lose their runs at once, in the middle of the load.
+    'all workers lost': LoadPattern(
+        _TWO_STEPS,
+        11,
+        32,
+        3,
+        {'urgent': 0.25, 'normal': 0.35, 'batch': 0.25},
+        departures=Departures(1, 25_000, 0, 0, 0, 1_500),
+    ),
+    # A third of the workers is ten times slower, for a short time.
+    'slow for 6 s': LoadPattern(
+        _TWO_STEPS,
+        11,
+        32,
+        3,
+        {'urgent': 0.15, 'normal': 0.1, 'batch': 0.05},
+        slow_workers=SlowWorkers(0.3, 10, 20_000, 6_000),
+    ),
+    # The same, and the workers stay slow.
+    'slow to the end': LoadPattern(
+        _TWO_STEPS,
+        11,
+        32,
+        3,
+        {'urgent': 0.15, 'normal': 0.1, 'batch': 0.05},
+        slow_workers=SlowWorkers(0.3, 10, 20_000, 60_000),
+    ),
 }
 
 _ARRIVALS_START_MS = 0
@@ -294,10 +357,17 @@
             f'team-{random.randrange(4)}',
             _SERVICE,
             'text',
-            (step,),
+            (
+                step,
+                *(
+                    msgspec.structs.replace(step, after=(number - 1,))
+                    for number in range(1, job_class.steps)
+                ),
+            ),
             accepted_ms=at_ms,
         ),
         int(run_ms),
+        int(run_ms) * job_class.steps,
         job_class.value * scale,
         job_class.late_value * scale,
     )
--- a/benchmarks/workflows/replay.py
+++ b/benchmarks/workflows/replay.py
@@ -12,6 +12,7 @@
     Arrival,
     Departures,
     LoadPattern,
+    SlowWorkers,
     rack_names,
 )
 from dragonflynotch.workflows.jobs import StepSpec, parse_task_id
@@ -60,6 +61,8 @@
     started_ms: int
     saved_ms: int
     work_started_ms: int | None = None
+    # Work that was done before ``work_started_ms``.
+    done_before_ms: int = 0
     slowdown: float = 1
 
     def done_ms(self, now_ms: int) -> int:
@@ -67,7 +70,19 @@
         if self.work_started_ms is None:
             return self.saved_ms
         elapsed = (now_ms - self.work_started_ms) / self.slowdown
-        return min(self.work_ms, self.saved_ms + int(max(0, elapsed)))
+        return min(self.work_ms, self.done_before_ms + int(max(0, elapsed)))
+
+    def change_slowdown(self, factor: float, now_ms: int) -> None:
+        """Work ``factor`` times slower from now on."""
+        self.done_before_ms = self.done_ms(now_ms)
+        self.work_started_ms = max(now_ms, self.work_started_ms or 0)
+        self.slowdown *= factor
+
+    @property
+    def end_ms(self) -> int:
+        """Time at which all work is done."""
+        remaining_ms = (self.work_ms - self.done_before_ms) * self.slowdown
+        return int((self.work_started_ms or 0) + remaining_ms)
 
     def last_checkpoint_ms(self, now_ms: int) -> int:
         """Return the work that is saved while the run continues."""
@@ -85,6 +100,7 @@
     end_count: int = 0
     leaves_at_ms: int | None = None
     has_left: bool = False
+    slowdown: float = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +174,8 @@
 
         if load.departures is not None:
             self._schedule_departures(load.departures)
+        if load.slow_workers is not None:
+            self._schedule_slow_workers(load.slow_workers)
 
     def run(self) -> ReplayResult:
         self._at(0, self._run_round)
@@ -252,6 +270,29 @@
         self._workers[replacement.minion_id] = replacement
         self._report_regularly(replacement)
 
+    # ---- slow workers ------------------------------------------------------
+
+    def _schedule_slow_workers(self, slow: SlowWorkers) -> None:
+        workers = Random(len(self._arrivals)).sample(
+            list(self._workers.values()),
+            int(len(self._workers) * slow.share),
+        )
+        for worker in workers:
+            self._at(
+                slow.start_ms, partial(self._slow_down, worker, slow.factor)
+            )
+            self._at(
+                slow.start_ms + slow.duration_ms,
+                partial(self._slow_down, worker, 1 / slow.factor),
+            )
+
+    def _slow_down(self, worker: _Worker, factor: float) -> None:
+        worker.slowdown *= factor
+        for run in worker.runs.values():
+            if run.work_started_ms is not None:
+                run.change_slowdown(factor, self._now_ms)
+                self._schedule_end(worker, run)
+
     # ---- workers -----------------------------------------------------------
 
     def _apply(self, key: OrderKey, order: Order) -> None:
@@ -293,13 +334,19 @@
 
     def _begin(self, worker: _Worker, run: _Run, *, is_off_rack: bool) -> None:
         run.slowdown = _OFF_RACK_SLOWDOWN if is_off_rack else 1
+        run.slowdown *= worker.slowdown
         restore_ms = _RESTORE_MS if run.saved_ms else 0
         run.work_started_ms = self._now_ms + restore_ms
-        remaining_ms = (run.work_ms - run.saved_ms) * run.slowdown
-        self._at(
-            int(run.work_started_ms + remaining_ms),
-            partial(self._end, worker, run.task, run.order.run, EndKind.done),
-        )
+        run.done_before_ms = run.saved_ms
+        self._schedule_end(worker, run)
+
+    def _schedule_end(self, worker: _Worker, run: _Run) -> None:
+        self._at(run.end_ms, partial(self._end_if_done, worker, run))
+
+    def _end_if_done(self, worker: _Worker, run: _Run) -> None:
+        # The pace of the run may have changed since this was scheduled.
+        if run.end_ms <= self._now_ms:
+            self._end(worker, run.task, run.order.run, EndKind.done)
 
     def _members(self, task: str) -> list[tuple[_Worker, _Run]]:
         prefix = task.rpartition('.')[0]
@@ -405,7 +452,7 @@
     def _outcome(self, arrival: Arrival) -> JobOutcome:
         queue = DEPLOYMENT.queues[arrival.spec.queue]
         completed_ms = self._completed_ms.get(arrival.job_id)
-        objective_ms = queue.stretch * arrival.run_ms + queue.target_latency_ms
+        objective_ms = queue.stretch * arrival.path_ms + queue.target_latency_ms
         took_ms = (completed_ms or _END_MS * 2) - arrival.at_ms
         is_on_time = took_ms <= objective_ms
         is_useful = took_ms <= _USEFUL_OBJECTIVE_MULTIPLE * objective_ms
--- a/dragonflynotch/workflows/runs/stragglers.py
+++ b/dragonflynotch/workflows/runs/stragglers.py
@@ -3,19 +3,16 @@
 A run is stopped only if a worker has room for it that nothing else could use in
 the round, and if it is expected to end clearly earlier there, its lost work and
 the stop included. A fault of a worker may pass at any time, so a run has to be
-slow for as long as the work takes that the stop would throw away.
+slow for as long as the move takes, with the work that it throws away.
 """
 
-from collections import defaultdict
-from collections.abc import Iterator
-
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.placement.allocations import is_preemptible
 from dragonflynotch.workflows.placement.worker_pool import Demand, WorkerPool
 from dragonflynotch.workflows.progress import ActiveRun, Job, Step, Task
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 
-__all__ = ('StragglerMover', 'find_slow_minions')
+__all__ = ('StragglerMover',)
 
 _PERCENT = 100
 # From the report of the end to the work of the next run, beside the stop.
@@ -72,14 +69,14 @@
         ):
             return False
         kept_percent = run.percent if step.spec.has_checkpoints else 0
-        lost_ms = (run.percent - kept_percent) * pace.best_ms
-        slow_ms = run.progress_read_ms - pace.slow_since_ms
-        here_ms = (_PERCENT - run.percent) * pace.current_ms
-        elsewhere_ms = (
-            (_PERCENT - kept_percent) * pace.best_ms
+        lost_ms = (
+            (run.percent - kept_percent) * pace.best_ms
             + self.stop_ms
             + _RESTART_MS
         )
+        slow_ms = run.progress_read_ms - pace.slow_since_ms
+        here_ms = (_PERCENT - run.percent) * pace.current_ms
+        elsewhere_ms = (_PERCENT - run.percent) * pace.best_ms + lost_ms
         if (
             slow_ms < lost_ms
             or here_ms < elsewhere_ms + _MIN_GAIN_MS
@@ -117,28 +114,6 @@
         )
 
 
-def find_slow_minions(jobs: JobRegistry) -> frozenset[str]:
-    """Return the minions on which at least half of the judged runs are slow."""
-    slow: dict[str, list[bool]] = defaultdict(list)
-    for task in _running_tasks(jobs):
-        if task.active is not None and task.pace.current_ms:
-            slow[task.active.minion_id].append(
-                task.pace.slow_since_ms is not None
-            )
-    return frozenset(
-        minion_id
-        for minion_id, runs in slow.items()
-        if sum(runs) * 2 >= len(runs)
-    )
-
-
-def _running_tasks(jobs: JobRegistry) -> Iterator[Task]:
-    for job in jobs.open_jobs():
-        for step in job.steps:
-            if step.has_active_runs:
-                yield from step.tasks
-
-
 def _slow_tasks(step: Step, now_ms: int) -> list[Task]:
     """Return the tasks with slow runs that may be stopped to move.
 
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -28,11 +28,9 @@
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
 from dragonflynotch.workflows.runs.run_activity import RunActivity
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
+from dragonflynotch.workflows.runs.slow_workers import SlowWorkers
 from dragonflynotch.workflows.runs.start_failures import StartFailures
-from dragonflynotch.workflows.runs.stragglers import (
-    StragglerMover,
-    find_slow_minions,
-)
+from dragonflynotch.workflows.runs.stragglers import StragglerMover
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 from dragonflynotch.workflows.scheduler_status import SchedulerStatus
@@ -158,6 +156,7 @@
             settings.stop_ms,
             mechanisms,
         )
+        self._slow_workers = SlowWorkers(self._jobs)
         self._straggler_mover = StragglerMover(
             self._jobs, self._tracker, settings.stop_ms
         )
@@ -306,7 +305,7 @@
             self._workers.values(), self._settings.max_report_age_ms, now_ms
         )
         if self._mechanisms.moves_stragglers:
-            pool.slow_minions = find_slow_minions(self._jobs)
+            pool.slow_minions = self._slow_workers.update(now_ms)
         self._supervisor.review(now_ms, set(pool.free))
         # Listed after the review, which may order runs to stop. Such runs
         # keep their resources until their end is reported.
--- a/tests/benchmarks/workflows/test_ablation.py
+++ b/tests/benchmarks/workflows/test_ablation.py
@@ -10,8 +10,8 @@
 
 LOAD = LOADS['overload']
 NAMES = [field.name for field in fields(Mechanisms)]
-# The load has no guarantee, no worker that fails, stalls or leaves, no job that
-# waits long enough to be overdue, and no room that stays idle.
+# The load has no guarantee, no worker that fails, stalls, slows down, is lost or
+# leaves, no job that waits long enough to be overdue, and no idle room.
 _WITHOUT_OCCASION = {
     'backfills',
     'bounds_waits',
@@ -20,6 +20,8 @@
     'prefers_sound_workers',
     'moves_departing',
     'stops_stalled',
+    'prefers_repeats',
+    'moves_stragglers',
 }
 
 
@@ -63,6 +65,23 @@
     assert replay(load, arrivals) != replay(load, arrivals, without)
 
 
+@pytest.mark.parametrize(
+    ('name', 'load'),
+    [
+        ('prefers_repeats', 'all workers lost'),
+        ('moves_stragglers', 'slow to the end'),
+    ],
+)
+def test_mechanism_for_faults_can_be_left_out(name, load):
+    """Guards against a switch that does nothing on the load made for it."""
+    arrivals = generate_arrivals(LOADS[load], 1)
+    without = replace(Mechanisms(), **{name: False})
+
+    assert replay(LOADS[load], arrivals) != replay(
+        LOADS[load], arrivals, without
+    )
+
+
 def _earned(result):
     return sum(outcome.value for outcome in result.outcomes)
 
--- a/tests/workflows/runs/test_stragglers.py
+++ b/tests/workflows/runs/test_stragglers.py
@@ -112,3 +112,15 @@
     site.submit('b', 'normal', small)
     site.decide()
     assert site.minion_of('b.0.0.0') != site.minion_of(TASK)
+
+
+def test_worker_stays_slow_after_its_runs_have_moved():
+    """The next run started on the worker from which one had just moved."""
+    small = StepSpec(1, 1000, 1000, 1, 20_000, has_checkpoints=True)
+    site = _run(small, BEFORE + SLOW[:8])
+    slow = site.minion_of(TASK)
+    site.end(TASK, EndKind.stopped)
+    _work(site, range(25, 100, 5))
+    site.submit('b', 'normal', StepSpec(8, 1000, 1000, 1, 20_000))
+    site.decide()
+    assert [minion for minion, _ in site.orders].count(slow) == 1
