--- a/dragonflynotch/workflows/runs/stragglers.py
+++ b/dragonflynotch/workflows/runs/stragglers.py
@@ -1,9 +1,9 @@
 """Moves runs that have become slow to workers that are sound.
 
-A run is stopped only if a worker has room for it that nothing else could use in
-the round, and if it is expected to end clearly earlier there, its lost work and
-the stop included. A fault of a worker may pass at any time, so a run has to be
-slow for as long as the move takes, with the work that it throws away.
+A run is stopped only if it resumes from a checkpoint, if a worker has room for
+it that nothing else could use in the round, and if it is expected to end
+clearly earlier there. A fault of a worker may pass at any time, so a run has to
+be slow for as long as the move takes.
 """
 
 from dragonflynotch.workflows.job_registry import JobRegistry
@@ -68,17 +68,12 @@
             or any(_is_stopping(other) for other in job.tasks())
         ):
             return False
-        kept_percent = run.percent if step.spec.has_checkpoints else 0
-        lost_ms = (
-            (run.percent - kept_percent) * pace.best_ms
-            + self.stop_ms
-            + _RESTART_MS
-        )
+        move_ms = self.stop_ms + _RESTART_MS
         slow_ms = run.progress_read_ms - pace.slow_since_ms
         here_ms = (_PERCENT - run.percent) * pace.current_ms
-        elsewhere_ms = (_PERCENT - run.percent) * pace.best_ms + lost_ms
+        elsewhere_ms = (_PERCENT - run.percent) * pace.best_ms + move_ms
         if (
-            slow_ms < lost_ms
+            slow_ms < move_ms
             or here_ms < elsewhere_ms + _MIN_GAIN_MS
             or here_ms < elsewhere_ms * _MIN_GAIN_FACTOR
             or not self._has_sound_room(pool, job, step)
@@ -96,7 +91,7 @@
             percent_ms=round(pace.current_ms),
             best_percent_ms=round(pace.best_ms),
             slow_ms=slow_ms,
-            lost_ms=round(lost_ms),
+            move_ms=move_ms,
             expected_here_ms=round(here_ms),
             expected_elsewhere_ms=round(elsewhere_ms),
         )
@@ -117,11 +112,12 @@
 def _slow_tasks(step: Step, now_ms: int) -> list[Task]:
     """Return the tasks with slow runs that may be stopped to move.
 
-    Not a member of a gang, which would break it, nor tasks of a service, nor
-    those that were stopped or failed a short time ago.
+    Not a member of a gang, which would break it, nor tasks that would lose
+    their work, nor those of a service, nor those that were stopped or failed a
+    short time ago.
     """
     spec = step.spec
-    if spec.is_gang or not is_preemptible(spec) or not step.has_active_runs:
+    if spec.is_gang or not spec.has_checkpoints or not is_preemptible(spec):
         return []
     return [
         task
