--- a/dragonflynotch/workflows/mechanisms.py
+++ b/dragonflynotch/workflows/mechanisms.py
@@ -43,9 +43,8 @@
         Runs on leaving workers are saved or moved.
     stops_stalled : bool
         Runs without progress are stopped and started elsewhere.
-    moves_stragglers : bool
-        Runs that have become slow are stopped and started elsewhere, where
-        they are expected to end clearly earlier.
+    avoids_slow_workers : bool
+        Workers on which runs have become slow come last.
     """
 
     preempts_for_guarantees: bool = True
@@ -60,4 +59,4 @@
     prefers_sound_workers: bool = True
     moves_departing: bool = True
     stops_stalled: bool = True
-    moves_stragglers: bool = True
+    avoids_slow_workers: bool = True
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -30,7 +30,6 @@
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
 from dragonflynotch.workflows.runs.slow_workers import SlowWorkers
 from dragonflynotch.workflows.runs.start_failures import StartFailures
-from dragonflynotch.workflows.runs.stragglers import StragglerMover
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 from dragonflynotch.workflows.scheduler_status import SchedulerStatus
@@ -157,9 +156,6 @@
             mechanisms,
         )
         self._slow_workers = SlowWorkers(self._jobs)
-        self._straggler_mover = StragglerMover(
-            self._jobs, self._tracker, settings.stop_ms
-        )
         self._departures = Departures(
             self._jobs,
             self._orders,
@@ -200,7 +196,6 @@
         self._placer.apply_stop_ms(settings.stop_ms)
         self._evacuation.bound_ms = settings.evacuation_bound_ms
         self._departures.stop_ms = settings.stop_ms
-        self._straggler_mover.stop_ms = settings.stop_ms
 
     def apply_evacuations(self, requests: EvacuationRequests) -> None:
         """Use these requests of the operator from now on."""
@@ -304,7 +299,7 @@
         pool = self._pool_builder.build(
             self._workers.values(), self._settings.max_report_age_ms, now_ms
         )
-        if self._mechanisms.moves_stragglers:
+        if self._mechanisms.avoids_slow_workers:
             pool.slow_minions = self._slow_workers.update(now_ms)
         self._supervisor.review(now_ms, set(pool.free))
         # Listed after the review, which may order runs to stop. Such runs
@@ -327,9 +322,6 @@
             write_ms,
             latest_start_ms,
         )
-        may_start = latest_start_ms is not None and latest_start_ms > now_ms
-        if self._mechanisms.moves_stragglers and may_start:
-            self._straggler_mover.review(pool)
         for minion_id in pool.trials.started:
             self._worker_health.record_trial(minion_id, now_ms)
         if self._mechanisms.moves_departing:
@@ -345,7 +337,9 @@
                 self._workers.values(),
                 wall_ms,
                 self._settings.max_report_age_ms,
-                may_start=may_start,
+                may_start=(
+                    latest_start_ms is not None and latest_start_ms > now_ms
+                ),
             )
         )
         return Decisions(
