--- a/dragonflynotch/workflows/mechanisms.py
+++ b/dragonflynotch/workflows/mechanisms.py
@@ -23,6 +23,9 @@
     orders_by_work_left : bool
         Within a priority, the job with the least work left comes first; by the
         latest start otherwise.
+    prefers_repeats : bool
+        Within a priority, repeats of lost runs that keep the next step of
+        their job from starting come first.
     reserves : bool
         Steps that do not fit reserve resources; shorter runs may use them.
     backfills : bool
@@ -40,12 +43,15 @@
         Runs on leaving workers are saved or moved.
     stops_stalled : bool
         Runs without progress are stopped and started elsewhere.
+    avoids_slow_workers : bool
+        Workers on which runs have become slow come last.
     """
 
     preempts_for_guarantees: bool = True
     preempts_for_objectives: bool = True
     prefers_overdue: bool = True
     orders_by_work_left: bool = True
+    prefers_repeats: bool = True
     reserves: bool = True
     backfills: bool = True
     bounds_waits: bool = True
@@ -53,3 +59,4 @@
     prefers_sound_workers: bool = True
     moves_departing: bool = True
     stops_stalled: bool = True
+    avoids_slow_workers: bool = True
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -29,6 +29,7 @@
 from dragonflynotch.workflows.runs.room_refusals import RoomRefusals
 from dragonflynotch.workflows.runs.run_activity import RunActivity
 from dragonflynotch.workflows.runs.run_tracker import RunTracker
+from dragonflynotch.workflows.runs.slow_workers import SlowWorkers
 from dragonflynotch.workflows.runs.start_failures import StartFailures
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
@@ -155,6 +156,7 @@
             settings.stop_ms,
             mechanisms,
         )
+        self._slow_workers = SlowWorkers(self._jobs)
         self._departures = Departures(
             self._jobs,
             self._orders,
@@ -324,6 +326,8 @@
         pool = self._pool_builder.build(
             self._workers.values(), self._settings.max_report_age_ms, now_ms
         )
+        if self._mechanisms.avoids_slow_workers:
+            pool.slow_minions = self._slow_workers.update(now_ms)
         self._supervisor.review(now_ms, set(pool.free))
         # Listed after the review, which may order runs to stop. Such runs
         # keep their resources until their end is reported.
