Repeat a start that has no response within 0.15 s

A start is idempotent, so the guard now repeats it each 0.15 s, with at most four calls at a time, and uses the first response. While other calls are open, the start counts as uncertain unless the run has started, so an order is rejected by the same proof as before.

Test: test_start_is_repeated_before_its_call_times_out fails without the change (no run within the window of 0.5 s).

--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -17,6 +17,10 @@
     Unhealthy,
 )
 from dragonflynotch.control.order_book import OrderEntry, Phase
+from dragonflynotch.control.repeated_start import (
+    StartOutcome,
+    start_repeatedly,
+)
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.records import STOPPED
@@ -25,8 +29,6 @@
 
 _RETRY_DELAY_S = 0.1
 
-StartOutcome = Started | StartRefused | OtherIncarnation | Unhealthy | NoAnswer
-
 
 class OrderRunner:
     """Starts and stops runs on one incarnation of a minion.
@@ -125,16 +127,18 @@
         if entry.first_sent_ms is None:
             entry.first_sent_ms = self._clock.now_ms()
         entry.sent_lease_end_ms = max(entry.sent_lease_end_ms, end_ms)
-        outcome = await self._session.minion.start(
-            StartRequest(
-                entry.task,
-                entry.order.run,
-                entry.order.payload,
-                entry.order.checkpoint,
-                end_ms,
-            ),
-            self._writer.token,
+        request = StartRequest(
+            entry.task,
+            entry.order.run,
+            entry.order.payload,
+            entry.order.checkpoint,
+            end_ms,
+        )
+        repeated = await start_repeatedly(
+            lambda: self._session.minion.start(request, self._writer.token)
         )
+        outcome = repeated.first
+        entry.is_start_uncertain |= repeated.has_open_calls
         if _had_no_effect(outcome) and not entry.is_start_uncertain:
             entry.first_sent_ms = None
         return outcome
--- a/tests/control/test_guard.py
+++ b/tests/control/test_guard.py
@@ -211,6 +211,28 @@
     assert not harness.log.starts
 
 
+async def test_start_is_repeated_before_its_call_times_out(
+    harness, minion, monkeypatch
+):
+    """An order expired after two or three calls without a response."""
+    start = ModelMinionClient.start
+    calls = []
+
+    async def lose_first(client, request, token):
+        calls.append(request)
+        if len(calls) == 1:
+            await asyncio.sleep(0.6)
+            return NoAnswer('no response')
+        return await start(client, request, token)
+
+    monkeypatch.setattr(ModelMinionClient, 'start', lose_first)
+    await harness.order('m1', window_ms=500)
+    await harness.wait_for(is_task_running)
+    await asyncio.sleep(0.7)
+    assert harness.log.starts == [(TASK, 1, 'm1')]
+    assert not (await harness.report()).rejected
+
+
 async def test_order_is_rejected_while_stops_are_not_answered(
     harness, minion, monkeypatch
 ):
