Keep rejections across a restart of the guard

Callers saw a task run twice at once: a guard rejected run 1, wrote the report and restarted; its next process found the order and started run 1, and the leader, which read the rejection later, ordered run 2 elsewhere.

A rejection without an uncertain start sends no stop, so the minion does not refuse the run, and the next process of the guard ignored `rejected` in the row that it found. A stop for each rejection was ruled out: it fails when the minion does not respond, and the row has the fact already.

The next process now takes the rejections over for the same minion, also from a late write of an earlier process, and repeats them until their orders are gone. It starts nothing before its first report is written, so no such write can come after a start. The same process keeps them when a session of the same minion begins again.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -216,7 +216,7 @@
         The minion's lease could expire before its next heartbeat arrives.
         """
         if self._session is not None:
-            self._reports.restore_ends(report)
+            self._reports.restore_outcomes(report)
             return
         self._reports.restore(report)
         heartbeat = previous_heartbeat(report, self._store_clock.latest_ms())
--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -1,5 +1,6 @@
 """Orders of one minion and the state of their runs; makes no calls."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -105,6 +106,10 @@
     _unordered_needs: dict[tuple[str, int], Resources] = field(
         default_factory=dict
     )
+    # Reasons of rejections that an earlier book has reported, by task and run.
+    _earlier_rejections: dict[tuple[str, int], str] = field(
+        default_factory=dict
+    )
 
     def put(self, task: str, order: Order) -> OrderEntry:
         """Add an order, or update it if its run is known."""
@@ -113,6 +118,7 @@
             self._keep_needs(entry)
             entry = OrderEntry(task, order)
             self.entries[task] = entry
+            self._apply_earlier_rejection(entry)
             if self.state is not None:
                 self._update_phase(entry, self.state)
         else:
@@ -228,12 +234,37 @@
             if entry.phase is Phase.rejected
         ]
 
+    def unmatched_rejections(self) -> list[Rejection]:
+        """Return the earlier rejections whose orders are not known."""
+        return [
+            Rejection(task, run, reason)
+            for (task, run), reason in self._earlier_rejections.items()
+            if not self._is_ordered(task, run)
+        ]
+
+    def restore_rejections(self, rejections: Iterable[Rejection]) -> None:
+        """Never start the runs of these orders.
+
+        Their rejections have been reported, so the scheduler may have ordered
+        the tasks elsewhere.
+        """
+        for rejection in rejections:
+            run = (rejection.task, rejection.run)
+            self._earlier_rejections[run] = rejection.reason
+        for entry in self.entries.values():
+            self._apply_earlier_rejection(entry)
+
     def reject(self, entry: OrderEntry, reason: str) -> None:
         """Reject an order whose run can certainly not start any more."""
         if entry.phase is Phase.new:
             entry.phase = Phase.rejected
             entry.reason = reason
 
+    def _apply_earlier_rejection(self, entry: OrderEntry) -> None:
+        reason = self._earlier_rejections.get((entry.task, entry.order.run))
+        if reason is not None:
+            self.reject(entry, reason)
+
     def _keep_needs(self, entry: OrderEntry | None) -> None:
         if entry is not None and entry.holds_resources:
             run = (entry.task, entry.order.run)
--- a/dragonflynotch/control/report_builder.py
+++ b/dragonflynotch/control/report_builder.py
@@ -7,7 +7,7 @@
 from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.minion_session import MinionSession
 from dragonflynotch.control.order_feed import OrderFeed
-from dragonflynotch.workflows.records import Report, RunningTask
+from dragonflynotch.workflows.records import Rejection, Report, RunningTask
 
 __all__ = ('ReportBuilder',)
 
@@ -42,6 +42,7 @@
         self._last_report: Report | None = None
         self._crashes = CrashHistory()
         self._earlier_ends = EarlierEnds()
+        self._earlier_rejections: dict[str, list[Rejection]] = {}
 
     @property
     def minion_crashes(self) -> int:
@@ -54,10 +55,11 @@
         self._crashes.restore(report.crashes)
         for crash in report.crashes:
             self._orders.follow(crash.minion_id)
-        self.restore_ends(report)
+        self.restore_outcomes(report)
 
-    def restore_ends(self, report: Report) -> None:
-        """Keep the ends that an earlier guard process reported."""
+    def restore_outcomes(self, report: Report) -> None:
+        """Keep the ends and rejections that an earlier process reported."""
+        self._restore_rejections(report)
         self._earlier_ends.restore(report.earlier_ends)
         self._earlier_ends.add(report.minion_id, report.ended)
         for minion_id in self._earlier_ends.minion_ids:
@@ -67,6 +69,10 @@
         """Report about this incarnation from now on."""
         self._has_minion_left = False
         self._session = session
+        minion_id = session.heartbeat.minion_id
+        session.orders.restore_rejections(
+            self._earlier_rejections.pop(minion_id, [])
+        )
 
     def mark_replaced(self, minion_id: str) -> None:
         """Record that this incarnation responds in place of the last one."""
@@ -79,10 +85,13 @@
         """Keep the unrecorded ends of the current incarnation."""
         self._keep_unmatched_ends()
         if self._session is not None:
-            self._earlier_ends.add(
-                self._session.heartbeat.minion_id,
-                self._session.orders.unrecorded_ends(),
-            )
+            minion_id = self._session.heartbeat.minion_id
+            orders = self._session.orders
+            self._earlier_ends.add(minion_id, orders.unrecorded_ends())
+            # The orders of all other incarnations are gone or soon removed.
+            self._earlier_rejections = {
+                minion_id: orders.rejections() + orders.unmatched_rejections()
+            }
         self._session = None
 
     def mark_departed(self) -> None:
@@ -107,8 +116,16 @@
         report = self._build_current(authority_end_ms)
         if report is not None:
             self._add_earlier_ends(report)
+            self._add_earlier_rejections(report)
         return report
 
+    def _restore_rejections(self, report: Report) -> None:
+        session = self._session
+        if session is None:
+            self._earlier_rejections[report.minion_id] = report.rejected
+        elif session.heartbeat.minion_id == report.minion_id:
+            session.orders.restore_rejections(report.rejected)
+
     def _add_earlier_ends(self, report: Report) -> None:
         self._keep_unmatched_ends()
         # Before its first response a session knows no ends, but an earlier
@@ -123,6 +140,12 @@
             or (earlier.end.task, earlier.end.run) not in listed
         ]
 
+    def _add_earlier_rejections(self, report: Report) -> None:
+        """Repeat the rejections of orders that are not read yet."""
+        session = self._session
+        if session is not None and not self._orders.is_loaded(report.minion_id):
+            report.rejected.extend(session.orders.unmatched_rejections())
+
     def _keep_unmatched_ends(self) -> None:
         """Keep all ends while the orders that they belong to are not read."""
         if self._session is None:
