Keep checkpoints until a leader has read them

Callers saw tasks start from an older checkpoint, or from none, after the loss of a machine: the report that a minion is lost, and the first ones of a restarted guard, list no runs, and they replace a row that the leader may not have read. The next incarnation and the report with which the leader replaces that of a lost guard then find no checkpoint either.

Listing the runs as running was ruled out, since a leader would take them for present. They are listed as `abandoned`, of which a leader uses only the checkpoints of runs that it still expects: the last known runs once a minion is lost, and the runs in the row that a guard process finds until a poll lists them, for the same minion too. A run that the minion lists is dropped from `abandoned`, so an old checkpoint replaces no later one.

On the code without the change these tests fail: test_checkpoints_outlast_the_report_that_a_minion_is_lost (both cases), test_first_report_of_a_restarted_guard_lists_the_known_runs and test_restart_keeps_the_checkpoints_of_an_earlier_minion. test_checkpoint_of_an_earlier_process_is_not_repeated fails on the change without the step that drops listed runs.

--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -254,7 +254,7 @@
             self._clock,
             self._store_clock,
             self._limits.minion_lease_ms,
-            self._reports.abandoned_runs(heartbeat.minion_id),
+            self._reports.abandoned_runs(),
             self._reconcile,
         )
         for task, order in self._orders.orders_of(heartbeat.minion_id).items():
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -46,7 +46,8 @@
     lease_ms : int
         Duration of the minion's lease.
     abandoned : sequence of RunningTask
-        Last known runs of the incarnation before this one.
+        Runs in the last report, of the incarnation before this one or as an
+        earlier guard process knew those of this one.
     on_state : callable
         Called after each successful poll.
     """
@@ -250,7 +251,7 @@
             running=list(state.running) if state and self._is_live else [],
             ended=self.orders.unrecorded_ends(),
             rejected=self.orders.rejections(),
-            abandoned=self._abandoned,
+            abandoned=self._abandoned_runs(),
             runs_age_ms=self._clock.now_ms() - self._runs_read_ms,
             data_centre=heartbeat.data_centre,
             leaves_at_ms=self._notice.leaves_at_ms(),
@@ -262,6 +263,22 @@
     def _is_reachable(self) -> bool:
         return self._failed_polls < _MAX_FAILED_POLLS
 
+    def _abandoned_runs(self) -> list[RunningTask]:
+        state = self.orders.state
+        if self._is_live or state is None:
+            return self._abandoned
+        # No leader may have read the last report that lists them as running.
+        return list(state.running) or self._abandoned
+
+    def _forget_abandoned(self, state: MinionState) -> None:
+        """Forget the runs that the minion lists, with newer checkpoints."""
+        present = {(running.task, running.run) for running in state.running}
+        self._abandoned = [
+            running
+            for running in self._abandoned
+            if (running.task, running.run) not in present
+        ]
+
     def _apply_state(self, state: MinionState, started_ms: int) -> None:
         known_numbers = {end.number for end in self.orders.unrecorded_ends()}
         if not self._is_reachable:
@@ -274,6 +291,7 @@
         self._lease.observe(state.clock_ms)
         found_runs = self.orders.find_unknown_runs(state)
         self.orders.update_state(state)
+        self._forget_abandoned(state)
         for task, run in found_runs:
             decision_log.record('run_found', task=task, run=run)
         unrecorded = self.orders.unrecorded_ends()
--- a/dragonflynotch/control/report_builder.py
+++ b/dragonflynotch/control/report_builder.py
@@ -98,12 +98,10 @@
         """Report from now on that the minion has left."""
         self._has_minion_left = True
 
-    def abandoned_runs(self, minion_id: str) -> list[RunningTask]:
-        """Return the last reported runs of an earlier incarnation, if any."""
+    def abandoned_runs(self) -> list[RunningTask]:
+        """Return the last reported runs, whose checkpoints may be unread."""
         last = self._last_report
-        if last is None or last.minion_id == minion_id:
-            return []
-        return last.running or last.abandoned
+        return [] if last is None else last.running or last.abandoned
 
     def build(self, authority_end_ms: int) -> Report | None:
         """Return the report, or ``None`` while there is nothing to report.
@@ -178,6 +176,6 @@
             False,
             authority_end_ms,
             self._token(),
-            abandoned=self.abandoned_runs(''),
+            abandoned=self.abandoned_runs(),
             crashes=crashes,
         )
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -268,7 +268,9 @@
         Address at which the minion accepts calls. A restarted guard reads it
         from here.
     abandoned : list of RunningTask
-        Runs of the previous incarnation, with their checkpoints.
+        Runs with checkpoints that no leader may have read: those of the
+        previous incarnation, those of a lost one, and those that an earlier
+        guard process knew. They do not count as running.
     runs_age_ms : int
         How long before this report the minion last told its runs. 0 in rows
         of releases that did not store it.
--- a/tests/control/test_unread_reports.py
+++ b/tests/control/test_unread_reports.py
@@ -6,12 +6,15 @@
 
 from dragonflynotch.control.minions import RefusalReason, StartRefused, Stopped
 from dragonflynotch.control.rows import REPORTS, RowWrite
+from dragonflynotch.testing import minion_model
+from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.workflows.records import EndKind, Rejection, encode_row
 from tests.control.cluster import Cluster, tasks
 from tests.control.test_earlier_ends import NAME, RecordingStore
 from tests.control.test_guard import TASK, GuardHarness, is_task_running
 
 OTHER = 'k.0.0.0'
+CHECKPOINT = 'c1'
 
 
 async def _start_minion(harness):
@@ -93,6 +96,28 @@
     assert not report.rejected
 
 
+@pytest.mark.parametrize('is_other_minion', [False, True])
+async def test_checkpoints_outlast_the_report_that_a_minion_is_lost(
+    harness, is_other_minion
+):
+    """No leader may have read the report before that one."""
+    minion = await _start_minion(harness)
+    await harness.order('m1', checkpoint=CHECKPOINT)
+    await harness.wait_for(
+        lambda report: (
+            [run.checkpoint for run in report.running] == [CHECKPOINT]
+        )
+    )
+    minion.fault = MinionFault.cut
+    report = await harness.wait_for(lambda report: not report.is_live)
+    if is_other_minion:
+        harness.add_minion('m2')
+        harness.send_heartbeat('m2')
+        report = await harness.wait_for(lambda report: report.minion_id == 'm2')
+    kept = [*report.running, *report.abandoned]
+    assert [run.checkpoint for run in kept] == [CHECKPOINT]
+
+
 class LateReports:
     """Store whose feed of reports reaches a scheduler late."""
 
@@ -145,3 +170,53 @@
     await asyncio.sleep(2)
     await cluster.stop()
     assert not cluster.log.overlapping_tasks, cluster.log.starts
+
+
+async def test_first_report_of_a_restarted_guard_lists_the_known_runs(
+    monkeypatch,
+):
+    """Their checkpoints were missing in the row until the first poll."""
+    harness = GuardHarness()
+    harness.start_guard()
+    await _start_minion(harness)
+    await harness.order('m1', checkpoint=CHECKPOINT)
+    await harness.wait_for(is_task_running)
+    await harness.stop_guard()
+    monkeypatch.setattr(minion_model, '_POLL_S', 0.1)
+    harness.start_guard()
+    missing = 0
+    for _ in range(60):
+        await asyncio.sleep(0.01)
+        report = await harness.report()
+        if not [*report.running, *report.abandoned]:
+            missing += 1
+    await harness.stop_guard()
+    assert not missing
+
+
+async def test_checkpoint_of_an_earlier_process_is_not_repeated(harness):
+    """It replaced a later checkpoint of the same run."""
+    minion = await _start_minion(harness)
+    await harness.order('m1', checkpoint=CHECKPOINT)
+    await harness.wait_for(is_task_running)
+    await harness.stop_guard()
+    harness.start_guard()
+    await harness.wait_for(lambda report: report.token == 2 and report.running)
+    minion.finish(TASK, EndKind.failed)
+    report = await harness.wait_for(lambda report: report.ended)
+    assert not report.abandoned
+
+
+async def test_restart_keeps_the_checkpoints_of_an_earlier_minion(harness):
+    """A process that found the report of the next minion dropped them."""
+    minion = await _start_minion(harness)
+    await harness.order('m1', checkpoint=CHECKPOINT)
+    await harness.wait_for(is_task_running)
+    minion.crash()
+    harness.add_minion('m2')
+    harness.send_heartbeat('m2')
+    before = await harness.wait_for(lambda report: report.minion_id == 'm2')
+    await harness.stop_guard()
+    harness.start_guard()
+    report = await harness.wait_for(lambda report: report.token > before.token)
+    assert [run.checkpoint for run in report.abandoned] == [CHECKPOINT]
