Say that ends over the size limit of a report are lost

The page said that they follow once the first ones are recorded. The leader records all other runs of the previous incarnation as lost when it reads the first report of the next one, which removes their orders, so the guard forgets these ends. Documentation only; found by reading.

--- a/dragonflynotch/control/earlier_ends.py
+++ b/dragonflynotch/control/earlier_ends.py
@@ -59,8 +59,7 @@
         Returns
         -------
         list of EarlierEnd
-            The oldest first, as many as fit into a report. The others follow
-            once these are recorded.
+            The oldest first, as many as fit into a report.
         """
         self._ends = {
             key: earlier
