--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -216,7 +216,7 @@
         The minion's lease could expire before its next heartbeat arrives.
         """
         if self._session is not None:
-            self._reports.restore_ends(report)
+            self._reports.restore_outcomes(report)
             return
         self._reports.restore(report)
         heartbeat = previous_heartbeat(report, self._store_clock.latest_ms())
@@ -254,7 +254,7 @@
             self._clock,
             self._store_clock,
             self._limits.minion_lease_ms,
-            self._reports.abandoned_runs(heartbeat.minion_id),
+            self._reports.abandoned_runs(),
             self._reconcile,
         )
         for task, order in self._orders.orders_of(heartbeat.minion_id).items():
