Deliver ends beside the writes of the report

After an outage of the store a guard tried no write for 2.4 s with four silent fronts (4.8 s with eight), and each delivery began with the same silent ones.

Cause: the loop that writes the report awaited the delivery, which calls up to eight peers in turn for 0.6 s each, and a silent peer was not remembered there.

Change: a delivery is a task of its own. A peer that does not answer is tried last from then on; one that answers that it does not schedule keeps its rank.

--- a/dragonflynotch/control/relay_peer.py
+++ b/dragonflynotch/control/relay_peer.py
@@ -3,8 +3,13 @@
 from abc import abstractmethod
 
 from dragonflynotch.control.rows import RowStore
+from dragonflynotch.core.errors import PlatformUnavailableError
 
-__all__ = ('PeerStore',)
+__all__ = ('PeerStore', 'SilentPeerError')
+
+
+class SilentPeerError(PlatformUnavailableError):
+    """A peer did not answer, so other peers should be tried before it."""
 
 
 class PeerStore(RowStore):
@@ -19,8 +24,10 @@
 
         Raises
         ------
+        SilentPeerError
+            If the process did not answer.
         PlatformUnavailableError
-            If the process does not schedule or did not answer.
+            If the process does not schedule.
         InvalidInputError
             If the report is malformed.
         """
--- a/dragonflynotch/control/relayed_store.py
+++ b/dragonflynotch/control/relayed_store.py
@@ -9,6 +9,7 @@
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.relay_backoff import RelayBackoff
 from dragonflynotch.control.relay_directory import RelayDirectory, RelayPeer
+from dragonflynotch.control.relay_peer import SilentPeerError
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -171,6 +172,9 @@
         for peer in self._possible_receivers():
             try:
                 await peer.store.deliver_report(content)
+            except SilentPeerError:
+                self._directory.record_failure(peer)
+                continue
             except (PlatformUnavailableError, InvalidInputError):
                 continue
             self._delivery_backoff.record_success()
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -132,23 +132,10 @@
 
     async def run(self) -> None:
         """Write on request and periodically until cancelled."""
-        while True:
-            try:
-                await self._write()
-            except (
-                PlatformUnavailableError,
-                UncertainWriteError,
-                # The store refuses the row, for example for its size.
-                InvalidInputError,
-            ) as error:
-                self._record_error(shorten(str(error)))
-                if not isinstance(error, _LateAnswerError):
-                    self._write_requested.clear()
-                    await self._deliver_ends()
-                    await self._wait_for_request(_RETRY_DELAY_S)
-                continue
-            self._record_error('')
-            await self._wait_for_request(self._write_interval_s)
+        try:
+            await self._write_forever()
+        finally:
+            self._end_delivery.cancel()
 
     async def relinquish_authority(self, local_end_ms: int) -> None:
         """Report that the authority ends earlier; call after ``run`` ended.
@@ -181,6 +168,25 @@
             left_ms=remaining_ms,
         )
 
+    async def _write_forever(self) -> None:
+        while True:
+            try:
+                await self._write()
+            except (
+                PlatformUnavailableError,
+                UncertainWriteError,
+                # The store refuses the row, for example for its size.
+                InvalidInputError,
+            ) as error:
+                self._record_error(shorten(str(error)))
+                if not isinstance(error, _LateAnswerError):
+                    self._write_requested.clear()
+                    self._deliver_ends()
+                    await self._wait_for_request(_RETRY_DELAY_S)
+                continue
+            self._record_error('')
+            await self._wait_for_request(self._write_interval_s)
+
     async def _wait_for_request(self, timeout_s: float) -> None:
         try:
             async with asyncio.timeout(timeout_s):
@@ -223,13 +229,13 @@
         self._end_log.record_written(report.all_ends, outcome.version)
         return True
 
-    async def _deliver_ends(self) -> None:
+    def _deliver_ends(self) -> None:
         """Deliver ends that cannot be written; the authority is as before."""
         if not self._token:
             return
         report = self._build_report(self._authority_end_ms)
         if report is not None:
-            await self._end_delivery.deliver(report)
+            self._end_delivery.start(report)
 
     async def _commit(
         self, write: RowWrite, expected: int
--- a/dragonflynotch/links/relay_link.py
+++ b/dragonflynotch/links/relay_link.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
-from dragonflynotch.control.relay_peer import PeerStore
+from dragonflynotch.control.relay_peer import PeerStore, SilentPeerError
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -154,7 +154,14 @@
 
     async def deliver_report(self, content: bytes) -> None:
         """Deliver the ends in an encoded report that could not be written."""
-        reply = await self._read(DeliverCall(content), _CALL_TIMEOUT)
+        try:
+            reply = await self._exchange(DeliverCall(content), _CALL_TIMEOUT)
+        except LinkError as error:
+            raise SilentPeerError(
+                f'no answer of the peer: {error}',
+                step='deliver',
+                peer=self._peer,
+            ) from error
         if not isinstance(reply, AcceptedReply):
             raise self._unavailable('deliver', reply)
 
--- a/tests/control/test_relayed_store.py
+++ b/tests/control/test_relayed_store.py
@@ -11,6 +11,7 @@
     RelayAnnouncement,
     RelayDirectory,
 )
+from dragonflynotch.control.relay_peer import SilentPeerError
 from dragonflynotch.control.relay_service import RelayLimits, RelayService
 from dragonflynotch.control.relayed_store import RelayedRowStore
 from dragonflynotch.control.rows import (
@@ -282,6 +283,23 @@
     assert site.relayed.delivered_reports == 1
 
 
+async def test_delivery_tries_silent_peers_last(site, monkeypatch):
+    """Each delivery waited for the same silent peer before any other."""
+    first = site.directory.peers[0]
+
+    async def deliver_report(_):
+        raise SilentPeerError('no answer')
+
+    monkeypatch.setattr(first.store, 'deliver_report', deliver_report)
+    site.receive_report = lambda _: True
+    await site.relayed.deliver_report(report())
+    assert site.directory.peers[-1] is first
+    # One that does not schedule is not silent, so its rank stays.
+    site.receive_report = lambda _: False
+    await site.relayed.deliver_report(report())
+    assert site.directory.peers[0].failed_ms is None
+
+
 @pytest.mark.parametrize('has_leader_died', [False, True])
 async def test_end_whose_report_row_is_refused_to_all_is_recorded(
     has_leader_died,
