Relay no outdated bounds on the time of the store

A front to which the store had not responded for long still sent bounds on the store's time with each response, and the guard stamped them as new, so the drift of the clocks since then was not bounded.

Change: the bounds are sent only if the store has responded to the front within the age at which a reading is replaced (10 s).

test_peer_sends_no_outdated_bounds_on_the_store_time failed for an age of 11 s on the code without the change and passes now; it also checks that bounds of an age of 9 s are sent.

--- a/dragonflynotch/control/clocks.py
+++ b/dragonflynotch/control/clocks.py
@@ -121,6 +121,11 @@
         """Milliseconds since the last response of the store."""
         return self._clock.now_ms() - (self._responded_ms or 0)
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the last response is recent enough to pass the bounds on."""
+        return self.is_known and self.age_ms <= _MAX_READING_AGE_MS
+
     def observe(self, store_ms: int, sent_ms: int) -> None:
         """Update the bounds from the response to a request.
 
--- a/dragonflynotch/links/relay_messages.py
+++ b/dragonflynotch/links/relay_messages.py
@@ -144,7 +144,7 @@
 class RelayResponse(msgspec.Struct):
     """A reply with bounds on the time of the store after the call.
 
-    The bounds are 0 if the store has not responded to the peer yet.
+    The bounds are 0 if the store has not responded to the peer recently.
     """
 
     reply: RelayReply
--- a/dragonflynotch/links/relay_server.py
+++ b/dragonflynotch/links/relay_server.py
@@ -74,7 +74,8 @@
             unreadable_entries.record('relay_call_unreadable', relayed)
             return Reply(_BAD_REQUEST)
         response = RelayResponse(await self._reply(relayed))
-        if self._store_clock.is_known:
+        # The receiver cannot tell how old the bounds are.
+        if self._store_clock.is_fresh:
             response.earliest_ms = self._store_clock.earliest_ms()
             response.latest_ms = self._store_clock.latest_ms()
         return Reply(_OK, msgspec.msgpack.encode(response), _HEADERS)
