Try other peers after those that did not accept a report

With 9 to 16 known fronts some guards never asked the one that schedules: the order by hash is fixed, and a delivery tries the first eight.

Change: peers that were tried since the last accepted report come after the others, until all were tried.

test_report_reaches_the_scheduler_among_many_peers failed on the code without the change and passes now.

--- a/dragonflynotch/control/relayed_store.py
+++ b/dragonflynotch/control/relayed_store.py
@@ -86,6 +86,8 @@
         self._relay_backoff = RelayBackoff(clock, random)
         self._delivery_backoff = RelayBackoff(clock, random)
         self._last_receiver = ''
+        # Peers that were tried since one accepted a report.
+        self._asked: set[str] = set()
         self._delivered_reports = 0
         self._refresh_interval_s: float = _MIN_REFRESH_INTERVAL_S
         self._relayed_calls = 0
@@ -170,6 +172,7 @@
         if not self._delivery_backoff.is_over:
             return False
         for peer in self._possible_receivers():
+            self._asked.add(peer.node)
             try:
                 await peer.store.deliver_report(content)
             except SilentPeerError:
@@ -178,6 +181,7 @@
             except (PlatformUnavailableError, InvalidInputError):
                 continue
             self._delivery_backoff.record_success()
+            self._asked.clear()
             self._last_receiver = peer.node
             self._delivered_reports += 1
             decision_log.record('report_delivered', peer=peer.node)
@@ -186,9 +190,14 @@
         return False
 
     def _possible_receivers(self) -> list[RelayPeer]:
-        peers = sorted(
-            self._directory.peers,
-            key=lambda peer: peer.node != self._last_receiver,
+        peers = self._directory.peers
+        if self._asked.issuperset(peer.node for peer in peers):
+            self._asked.clear()
+        peers.sort(
+            key=lambda peer: (
+                peer.node != self._last_receiver,
+                peer.node in self._asked,
+            )
         )
         return peers[:_MAX_PEERS_PER_DELIVERY]
 
--- a/tests/control/test_relayed_store.py
+++ b/tests/control/test_relayed_store.py
@@ -300,6 +300,20 @@
     assert site.directory.peers[0].failed_ms is None
 
 
+async def test_report_reaches_the_scheduler_among_many_peers(site, clock):
+    """Guards asked the same eight peers each time, and never the leader."""
+    for port in range(3, 17):
+        await RelayAnnouncement(
+            f'front-{port}', ('10.0.0.1', port), site.store
+        ).publish()
+    await site.directory.refresh()
+    leader = site.services[site.directory.peers[-1].address]
+    leader._receive_report = lambda _: True
+    assert not await site.relayed.deliver_report(report())
+    clock.advance(1000)
+    assert await site.relayed.deliver_report(report())
+
+
 @pytest.mark.parametrize('has_leader_died', [False, True])
 async def test_end_whose_report_row_is_refused_to_all_is_recorded(
     has_leader_died,
