Deliver ends to the successor of a leader that cannot write

A leader that was cut off from the store went on accepting ends, and guards kept to it as the last receiver, so the ends never reached its successor.

Ruled out: refusing ends while the store does not respond. While the whole store is down only the leader can keep them, and it writes them when the store is back.

Change: such a leader applies the ends, but replies that it holds them (EndsHeldError). The guard delivers to the holder each time and also asks the others, under the delay between attempts that fail. The search for the receiver moves to a module of its own.

--- a/dragonflynotch/control/relay_service.py
+++ b/dragonflynotch/control/relay_service.py
@@ -6,7 +6,7 @@
 from datetime import UTC, datetime, timedelta
 
 from dragonflynotch.control.clocks import SteadyClock
-from dragonflynotch.control.relay_peer import PeerStore
+from dragonflynotch.control.relay_peer import EndsHeldError, PeerStore
 from dragonflynotch.control.rows import (
     ORDER_TABLES,
     REPORTS,
@@ -163,6 +163,8 @@
             raise PlatformUnavailableError(
                 'not_scheduling', step='deliver', peer=_PEER
             )
+        if not self._is_reachable():
+            raise EndsHeldError('store_unreachable', step='deliver', peer=_PEER)
         self._served += 1
 
     def _check_report(
--- a/dragonflynotch/control/relayed_store.py
+++ b/dragonflynotch/control/relayed_store.py
@@ -8,8 +8,8 @@
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.relay_backoff import RelayBackoff
-from dragonflynotch.control.relay_directory import RelayDirectory, RelayPeer
-from dragonflynotch.control.relay_peer import SilentPeerError
+from dragonflynotch.control.relay_directory import RelayDirectory
+from dragonflynotch.control.report_delivery import ReportDelivery
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -22,7 +22,6 @@
     Snapshot,
 )
 from dragonflynotch.core.errors import (
-    InvalidInputError,
     PlatformUnavailableError,
     UncertainWriteError,
 )
@@ -36,8 +35,6 @@
 
 # Further peers would hardly reach a store that refuses all of these.
 _MAX_PEERS_PER_CALL = 3
-# Any of the peers may be the one that schedules.
-_MAX_PEERS_PER_DELIVERY = 8
 # How often the store is called directly while calls are relayed.
 _PROBE_INTERVAL_S = 1
 # Interval at which the addresses of the peers are read while they are not
@@ -84,11 +81,7 @@
         self._relaying_changed = asyncio.Event()
         self._last_error = ''
         self._relay_backoff = RelayBackoff(clock, random)
-        self._delivery_backoff = RelayBackoff(clock, random)
-        self._last_receiver = ''
-        # Peers that were tried since one accepted a report.
-        self._asked: set[str] = set()
-        self._delivered_reports = 0
+        self._delivery = ReportDelivery(directory, clock, random)
         self._refresh_interval_s: float = _MIN_REFRESH_INTERVAL_S
         self._relayed_calls = 0
         self._failed_relays = 0
@@ -111,7 +104,7 @@
     @property
     def delivered_reports(self) -> int:
         """Reports of which the scheduler has received the ends directly."""
-        return self._delivered_reports
+        return self._delivery.delivered_reports
 
     async def run(self) -> None:
         """Keep the addresses of the peers, and probe the store, for ever."""
@@ -169,37 +162,7 @@
         store serves only a part of the rows. Does nothing for a time after no
         peer has accepted a report.
         """
-        if not self._delivery_backoff.is_over:
-            return False
-        for peer in self._possible_receivers():
-            self._asked.add(peer.node)
-            try:
-                await peer.store.deliver_report(content)
-            except SilentPeerError:
-                self._directory.record_failure(peer)
-                continue
-            except (PlatformUnavailableError, InvalidInputError):
-                continue
-            self._delivery_backoff.record_success()
-            self._asked.clear()
-            self._last_receiver = peer.node
-            self._delivered_reports += 1
-            decision_log.record('report_delivered', peer=peer.node)
-            return True
-        self._delivery_backoff.record_failure()
-        return False
-
-    def _possible_receivers(self) -> list[RelayPeer]:
-        peers = self._directory.peers
-        if self._asked.issuperset(peer.node for peer in peers):
-            self._asked.clear()
-        peers.sort(
-            key=lambda peer: (
-                peer.node != self._last_receiver,
-                peer.node in self._asked,
-            )
-        )
-        return peers[:_MAX_PEERS_PER_DELIVERY]
+        return await self._delivery.deliver(content)
 
     async def _call(self, call: _Call[_OutcomeT]) -> _OutcomeT:
         if self._prefers_peers:
--- a/dragonflynotch/links/relay_link.py
+++ b/dragonflynotch/links/relay_link.py
@@ -6,7 +6,11 @@
 import msgspec
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
-from dragonflynotch.control.relay_peer import PeerStore, SilentPeerError
+from dragonflynotch.control.relay_peer import (
+    EndsHeldError,
+    PeerStore,
+    SilentPeerError,
+)
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -36,6 +40,7 @@
     ConflictReply,
     DeliverCall,
     FeedCall,
+    HeldReply,
     HistoryLostReply,
     InvalidReply,
     PageReply,
@@ -162,6 +167,10 @@
                 step='deliver',
                 peer=self._peer,
             ) from error
+        if isinstance(reply, HeldReply):
+            raise EndsHeldError(
+                'store_unreachable', step='deliver', peer=self._peer
+            )
         if not isinstance(reply, AcceptedReply):
             raise self._unavailable('deliver', reply)
 
--- a/dragonflynotch/links/relay_messages.py
+++ b/dragonflynotch/links/relay_messages.py
@@ -16,6 +16,7 @@
     'ConflictReply',
     'DeliverCall',
     'FeedCall',
+    'HeldReply',
     'HistoryLostReply',
     'InvalidReply',
     'PageReply',
@@ -88,6 +89,10 @@
     page: Page
 
 
+class HeldReply(msgspec.Struct, tag='held'):
+    """The ends were taken, but the store does not respond to the peer."""
+
+
 class CommittedReply(msgspec.Struct, tag='committed'):
     """The write took effect."""
 
@@ -130,6 +135,7 @@
 
 RelayReply = (
     AcceptedReply
+    | HeldReply
     | PageReply
     | CommittedReply
     | ConflictReply
--- a/dragonflynotch/links/relay_server.py
+++ b/dragonflynotch/links/relay_server.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from dragonflynotch.control.clocks import StoreClock
-from dragonflynotch.control.relay_peer import PeerStore
+from dragonflynotch.control.relay_peer import EndsHeldError, PeerStore
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -28,6 +28,7 @@
     ConflictReply,
     DeliverCall,
     FeedCall,
+    HeldReply,
     HistoryLostReply,
     InvalidReply,
     PageReply,
@@ -125,6 +126,8 @@
 
 def _failure_reply(error: DragonflynotchError) -> RelayReply:
     match error:
+        case EndsHeldError():
+            return HeldReply()
         case PlatformUnavailableError():
             return UnavailableReply(str(error))
         case InvalidInputError():
--- a/tests/control/test_relayed_store.py
+++ b/tests/control/test_relayed_store.py
@@ -300,6 +300,51 @@
     assert site.directory.peers[0].failed_ms is None
 
 
+async def test_front_that_cannot_reach_the_store_takes_no_ends(store, clock):
+    """A leader that is cut off kept the ends that its successor could write.
+
+    It keeps a copy for the case that no other process schedules, but must not
+    confirm it.
+    """
+    taken = []
+    service = RelayService(
+        store, lambda: False, clock, lambda ends: taken.append(ends) or True
+    )
+    with pytest.raises(PlatformUnavailableError):
+        await service.deliver_report(report())
+    assert taken
+
+
+@pytest.mark.parametrize('is_cut_off', [False, True])
+async def test_ends_that_their_receiver_does_not_record_reach_its_successor(
+    site, clock, is_cut_off
+):
+    """The guard delivered to the former leader only, and never to the next.
+
+    The former one gets each delivery nevertheless: it may be the last leader
+    while the whole store is down.
+    """
+    former, successor = (
+        site.services[peer.address] for peer in site.directory.peers
+    )
+    former.taken, successor.taken = [], []
+    former._receive_report = lambda ends: former.taken.append(ends) or True
+    if is_cut_off:
+        site.first_view().fault = StoreFault.down
+    for _ in range(5):
+        assert await site.relayed.deliver_report(report())
+        clock.advance(1000)
+    assert len(former.taken) == 5
+    successor._receive_report = lambda ends: (
+        successor.taken.append(ends) or True
+    )
+    clock.advance(1000)
+    for _ in range(9):
+        assert await site.relayed.deliver_report(report())
+        clock.advance(1000)
+    assert successor.taken
+
+
 async def test_report_reaches_the_scheduler_among_many_peers(site, clock):
     """Guards asked the same eight peers each time, and never the leader."""
     for port in range(3, 17):
