--- a/dragonflynotch/control/relay_peer.py
+++ b/dragonflynotch/control/relay_peer.py
@@ -3,8 +3,20 @@
 from abc import abstractmethod
 
 from dragonflynotch.control.rows import RowStore
+from dragonflynotch.core.errors import PlatformUnavailableError
 
-__all__ = ('PeerStore',)
+__all__ = ('EndsHeldError', 'PeerStore', 'SilentPeerError')
+
+
+class SilentPeerError(PlatformUnavailableError):
+    """A peer did not answer, so other peers should be tried before it."""
+
+
+class EndsHeldError(PlatformUnavailableError):
+    """A peer schedules and has the ends, but the store does not respond to it.
+
+    It records them if it still schedules when the store responds again.
+    """
 
 
 class PeerStore(RowStore):
@@ -19,8 +31,12 @@
 
         Raises
         ------
+        SilentPeerError
+            If the process did not answer.
+        EndsHeldError
+            If another process may already schedule instead of this one.
         PlatformUnavailableError
-            If the process does not schedule or did not answer.
+            If the process does not schedule.
         InvalidInputError
             If the report is malformed.
         """
--- a/dragonflynotch/links/relay_server.py
+++ b/dragonflynotch/links/relay_server.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from dragonflynotch.control.clocks import StoreClock
-from dragonflynotch.control.relay_peer import PeerStore
+from dragonflynotch.control.relay_peer import EndsHeldError, PeerStore
 from dragonflynotch.control.rows import (
     Changes,
     Committed,
@@ -28,6 +28,7 @@
     ConflictReply,
     DeliverCall,
     FeedCall,
+    HeldReply,
     HistoryLostReply,
     InvalidReply,
     PageReply,
@@ -74,7 +75,8 @@
             unreadable_entries.record('relay_call_unreadable', relayed)
             return Reply(_BAD_REQUEST)
         response = RelayResponse(await self._reply(relayed))
-        if self._store_clock.is_known:
+        # The receiver cannot tell how old the bounds are.
+        if self._store_clock.is_fresh:
             response.earliest_ms = self._store_clock.earliest_ms()
             response.latest_ms = self._store_clock.latest_ms()
         return Reply(_OK, msgspec.msgpack.encode(response), _HEADERS)
@@ -124,6 +126,8 @@
 
 def _failure_reply(error: DragonflynotchError) -> RelayReply:
     match error:
+        case EndsHeldError():
+            return HeldReply()
         case PlatformUnavailableError():
             return UnavailableReply(str(error))
         case InvalidInputError():
--- a/tests/control/test_relayed_store.py
+++ b/tests/control/test_relayed_store.py
@@ -11,6 +11,7 @@
     RelayAnnouncement,
     RelayDirectory,
 )
+from dragonflynotch.control.relay_peer import SilentPeerError
 from dragonflynotch.control.relay_service import RelayLimits, RelayService
 from dragonflynotch.control.relayed_store import RelayedRowStore
 from dragonflynotch.control.rows import (
@@ -282,6 +283,82 @@
     assert site.relayed.delivered_reports == 1
 
 
+async def test_delivery_tries_silent_peers_last(site, monkeypatch):
+    """Each delivery waited for the same silent peer before any other."""
+    first = site.directory.peers[0]
+
+    async def deliver_report(_):
+        raise SilentPeerError('no answer')
+
+    monkeypatch.setattr(first.store, 'deliver_report', deliver_report)
+    site.receive_report = lambda _: True
+    await site.relayed.deliver_report(report())
+    assert site.directory.peers[-1] is first
+    # One that does not schedule is not silent, so its rank stays.
+    site.receive_report = lambda _: False
+    await site.relayed.deliver_report(report())
+    assert site.directory.peers[0].failed_ms is None
+
+
+async def test_front_that_cannot_reach_the_store_takes_no_ends(store, clock):
+    """A leader that is cut off kept the ends that its successor could write.
+
+    It keeps a copy for the case that no other process schedules, but must not
+    confirm it.
+    """
+    taken = []
+    service = RelayService(
+        store, lambda: False, clock, lambda ends: taken.append(ends) or True
+    )
+    with pytest.raises(PlatformUnavailableError):
+        await service.deliver_report(report())
+    assert taken
+
+
+@pytest.mark.parametrize('is_cut_off', [False, True])
+async def test_ends_that_their_receiver_does_not_record_reach_its_successor(
+    site, clock, is_cut_off
+):
+    """The guard delivered to the former leader only, and never to the next.
+
+    The former one gets each delivery nevertheless: it may be the last leader
+    while the whole store is down.
+    """
+    former, successor = (
+        site.services[peer.address] for peer in site.directory.peers
+    )
+    former.taken, successor.taken = [], []
+    former._receive_report = lambda ends: former.taken.append(ends) or True
+    if is_cut_off:
+        site.first_view().fault = StoreFault.down
+    for _ in range(5):
+        assert await site.relayed.deliver_report(report())
+        clock.advance(1000)
+    assert len(former.taken) == 5
+    successor._receive_report = lambda ends: (
+        successor.taken.append(ends) or True
+    )
+    clock.advance(1000)
+    for _ in range(9):
+        assert await site.relayed.deliver_report(report())
+        clock.advance(1000)
+    assert successor.taken
+
+
+async def test_report_reaches_the_scheduler_among_many_peers(site, clock):
+    """Guards asked the same eight peers each time, and never the leader."""
+    for port in range(3, 17):
+        await RelayAnnouncement(
+            f'front-{port}', ('10.0.0.1', port), site.store
+        ).publish()
+    await site.directory.refresh()
+    leader = site.services[site.directory.peers[-1].address]
+    leader._receive_report = lambda _: True
+    assert not await site.relayed.deliver_report(report())
+    clock.advance(1000)
+    assert await site.relayed.deliver_report(report())
+
+
 @pytest.mark.parametrize('has_leader_died', [False, True])
 async def test_end_whose_report_row_is_refused_to_all_is_recorded(
     has_leader_died,
