--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,8 +14,8 @@
     run_case,
 )
 
-# Two steps of 200 subtasks, six times: the largest jobs of the site files have
-# up to three steps of up to 230 subtasks, up to eight times.
+# Two steps of 200 subtasks, six times. The largest shape in a site file
+# (grown/tks-suva-grown.toml): three steps of up to 230 subtasks, six times.
 _WIDTH = 200
 _TIMES = 6
 _MILLICORES = 500
@@ -67,5 +67,5 @@
 
 if __name__ == '__main__':
     folder = Path(__file__).parent
-    site = Deployment(folder, 4, lambda _: _DURATION_MS, lambda _: False)
+    site = Deployment(folder, 4, lambda _: _DURATION_MS)
     sys.exit(run_case(site, _case))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -53,5 +53,5 @@
 
 if __name__ == '__main__':
     folder = Path(__file__).parent
-    site = Deployment(folder, 4, lambda _: _DURATION_MS)
+    site = Deployment(folder, 7, lambda _: _DURATION_MS)
     sys.exit(run_case(site, _case))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,8 +11,10 @@
 
 from dragonflynotch.core.errors import LinkError
 from dragonflynotch.links.http_pool import HttpPool
+from dragonflynotch.workflows.jobs import StepSpec
 from review.stand_ins.deployment import (
     BATCH,
+    URGENT,
     CaseFailedError,
     Deployment,
     has_trouble,
@@ -31,10 +33,15 @@
 _CANCEL_S = 3.0
 _STOP_S = 0.9
 _SLACK_S = 0.2
+_OTHERS = 4
+_SMALL = [StepSpec(count=1, millicores=3_700, estimated_ms=2_500)]
 _ACKNOWLEDGED = frozenset((200, 202, 204, 410))
 
 
 async def _case(deployment: Deployment) -> bool:
+    # Consumers that stay: one of five leaves, and one of six writes is lost.
+    for number in range(_OTHERS):
+        await deployment.submit(URGENT, 'text', _SMALL, f'other job {number}')
     job_id = f'{SystemRandom().getrandbits(64):016x}'
     if has_trouble():
         deployment.site.late_s = _LATE_S
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import signal
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
@@ -72,33 +73,26 @@
     ----------
     note : callable
         Receives a line for the record.
-    is_logged : callable
-        Whether the runs of a task are written to the record.
     """
 
-    def __init__(
-        self, note: Callable[[str], None], is_logged: Callable[[str], bool]
-    ) -> None:
+    def __init__(self, note: Callable[[str], None]) -> None:
         """Create an empty log."""
         super().__init__()
         self.times: dict[tuple[str, int, str], float] = {}
         self._note = note
-        self._is_logged = is_logged
 
     def record_start(self, task: str, run: int, minion_id: str) -> None:
         """Record the start of a run."""
         super().record_start(task, run, minion_id)
         self.times[(task, run, minion_id)] = time.monotonic()
-        if self._is_logged(task):
-            self._note(f'ran      start of {task} run {run} on {minion_id}')
+        self._note(f'ran      start of {task} run {run} on {minion_id}')
 
     def record_end(
         self, task: str, run: int, minion_id: str, kind: str
     ) -> None:
         """Record the end of a run."""
         super().record_end(task, run, minion_id, kind)
-        if self._is_logged(task):
-            self._note(f'ran      {kind} of {task} run {run} on {minion_id}')
+        self._note(f'ran      {kind} of {task} run {run} on {minion_id}')
 
     def is_running(self, job_id: str) -> bool:
         """Return whether any minion runs a subtask of a job."""
@@ -123,8 +117,6 @@
         Machines with a minion.
     duration_ms : callable
         Returns the running time of a task.
-    is_logged : callable
-        Whether the runs of a task are written to the record.
     """
 
     def __init__(
@@ -132,12 +124,11 @@
         folder: Path,
         sides: int,
         duration_ms: Callable[[str], int],
-        is_logged: Callable[[str], bool] = lambda _: True,
     ) -> None:
         """Create the deployment; ``start`` starts it."""
         self._record = (folder / 'record.txt').open('w')
         self._started_s = time.monotonic()
-        self.runs = TaskLog(self.note, is_logged)
+        self.runs = TaskLog(self.note)
         self.site = LimitedSite(_free_address(), self.runs)
         self.fronts: list[SiteProcess] = []
         self.sides: list[SiteProcess] = []
@@ -157,6 +148,8 @@
         self.folder = Path(self._work.name)
         self._advancing: asyncio.Task[None] | None = None
         self._next = 0
+        # Last answered state of each job; the record has the changes.
+        self._states: dict[str, str] = {}
 
     def note(self, line: str) -> None:
         """Write a line to the record, with the time since the start."""
@@ -167,7 +160,7 @@
     async def start(self) -> None:
         """Start everything and wait until the fronts accept jobs."""
         await self.site.start()
-        await self.site.put_queues(1, SERVICE, [URGENT, BATCH], guaranteed=0)
+        await self.site.put_config(1, SERVICE, [URGENT, BATCH])
         self._advancing = asyncio.create_task(self._advance())
         for number in range(3):
             address = _free_address()
@@ -287,7 +280,11 @@
         answer = await self.call(
             lambda caller: caller.state(queue.name, job_id)
         )
-        return answer.state or f'status {answer.status}'
+        state = answer.state or f'status {answer.status}'
+        if self._states.get(job_id) != state:
+            self._states[job_id] = state
+            self.note(f'answered GET /{queue.name}/{job_id}: {state}')
+        return state
 
     async def call(
         self, call: Callable[[ReviewCaller], Awaitable[Answer]]
@@ -414,7 +411,7 @@
 def run_case(
     deployment: Deployment,
     case: Callable[[Deployment], Awaitable[bool]],
-    limit_s: float = 112,
+    limit_s: float = 105,
 ) -> int:
     """Run a case and return its exit status.
 
@@ -430,6 +427,12 @@
     limit_s: float,
 ) -> int:
     status = 2
+    # A script that is ended early still ends what it started.
+    task = asyncio.current_task()
+    if task is not None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
     deployment.note(f'trouble  {has_trouble()}')
     try:
         async with asyncio.timeout(limit_s):
--- a/review/stand_ins/store.py
+++ b/review/stand_ins/store.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import base64
+from collections.abc import Sequence
 
 import msgspec
 
 from dragonflynotch.control.rows import RowName, RowWrite
 from dragonflynotch.links.asgi import HttpCall, Reply
-from dragonflynotch.testing.platform_site import PlatformSite
+from dragonflynotch.testing.platform_site import PlatformSite, SiteQueue
 
 # ``platform.row_bytes`` of the settings: a row's value is base64 of at most
 # this many bytes.
@@ -17,7 +18,8 @@
 CALL_BYTES = 1_048_576
 # "4 ms an answer", of the sheets of the sites.
 _ANSWER_S = 0.004
-# The client of a lost answer has long given up.
+# The client of a lost answer has closed the channel by then (after 1.3 s), so
+# nothing further is delivered on it.
 _SILENCE_S = 5
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
@@ -43,27 +45,38 @@
         self._late: set[asyncio.Task[Reply]] = set()
 
     async def put_config(
-        self, version: int, service: str, routes: list[str], keys: list[str]
+        self,
+        version: int,
+        service: str,
+        queues: Sequence[SiteQueue],
+        keys: Sequence[str] = ('key',),
     ) -> None:
-        """Write a config with one tenant; it is acknowledged on return."""
+        """Write a valid config with one tenant; acknowledged on return."""
         config = {
             'version': version,
             'routes': [
                 {
-                    'name': name,
+                    'name': queue.name,
                     'host': 'site.example',
-                    'prefix': f'/{name}/',
+                    'prefix': f'/{queue.name}/',
+                    'kind': 'unsafe',
+                    'timeout_ms': 3000,
                     'service': service,
-                    'priority': 1,
-                    'max_attempts': 2,
-                    'stretch': 3,
+                    'priority': queue.priority,
+                    'max_attempts': queue.max_attempts,
+                    'stretch': 3.0,
                     'target_latency_ms': 1000,
+                    'public': False,
                 }
-                for name in routes
+                for queue in queues
             ],
-            'services': [{'name': service}],
+            'services': [{'name': service, 'admission_check': True}],
             'tenants': [
-                {'name': 'team', 'api_keys': keys, 'guaranteed': {'gpu': 0}}
+                {
+                    'name': 'team',
+                    'api_keys': list(keys),
+                    'guaranteed': {'gpu': 8},
+                }
             ],
         }
         await self.store.commit(
