Tell the lives of a minion apart by the time of its start

Cause: a new life under the same identifier was taken for the one before. The field born, which tells them apart, was read nowhere, although guards, leader and rows speak of incarnations throughout. The session went on, heartbeats with a lower seq were dropped, and the order stayed started without a run.

Ruled out: the expiry of the lease, which each poll extends; the leader, which starts lost runs again once a changed incarnation is reported.

The adapter now decodes identifier and start into the identifier of an incarnation, so that what exists for a changed identifier holds. Delayed calls can reach the next life, so the guard raises its token and clears what they started before it reports the earlier life as ended. As a second bound that needs no identity, a started run that a later list lacks is stopped and rejected.

--- a/dragonflynotch/control/end_detector.py
+++ b/dragonflynotch/control/end_detector.py
@@ -7,6 +7,7 @@
     MinionOutcome,
     NoAnswer,
     NotListening,
+    Restarted,
     Unhealthy,
 )
 from dragonflynotch.control.order_book import OrderBook, OrderEntry, Phase
@@ -86,7 +87,7 @@
             return
         self._lost_ms = now_ms
         self._became_silent = isinstance(outcome, NoAnswer) and not isinstance(
-            outcome, ConnectionClosed | NotListening
+            outcome, ConnectionClosed | NotListening | Restarted
         )
 
     def find_crash(
--- a/dragonflynotch/control/guard.py
+++ b/dragonflynotch/control/guard.py
@@ -1,16 +1,18 @@
 """Guard of one minion: carries out its orders and reports its state."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.end_log import EndBacklog
+from dragonflynotch.control.incarnations import is_same_life
 from dragonflynotch.control.minion_identity import (
     MinionIdentifier,
     previous_heartbeat,
 )
+from dragonflynotch.control.minion_restarts import MinionRestarts
 from dragonflynotch.control.minion_session import MinionSession
 from dragonflynotch.control.minions import (
     Heartbeat,
@@ -123,6 +125,7 @@
             deliver_report,
             self._on_previous_report,
         )
+        self._restarts = MinionRestarts(self._reports, self._writer)
         self._identifier = MinionIdentifier(
             connect, lambda: self._writer.token, clock
         )
@@ -179,18 +182,21 @@
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Process a heartbeat of the minion on this machine."""
         session = self._session
-        if session is None or (
-            session.heartbeat.minion_id != heartbeat.minion_id
-        ):
+        if session is None or not session.is_about(heartbeat.minion_id):
             self._start_identification(heartbeat)
             return
         if heartbeat.sequence >= session.heartbeat.sequence:
             session.update_heartbeat(heartbeat)
 
     async def on_departure(self, minion_id: str) -> None:
-        """Process the message of a minion that it is shutting down."""
+        """Process the message of a minion that it is shutting down.
+
+        It may not tell which incarnation it is.
+        """
         session = self._session
-        if session is None or session.heartbeat.minion_id != minion_id:
+        if session is None or not is_same_life(
+            session.heartbeat.minion_id, minion_id
+        ):
             return
         decision_log.record('minion_left', minion=minion_id)
         # The minion may close the connection of its message meanwhile.
@@ -232,16 +238,28 @@
         found = await self._identifier.identify(heartbeat)
         if found is None:
             return
+        prepared = await self._restarts.prepare(
+            found, self._session, self._suspend_calls
+        )
+        if prepared is None:
+            found.minion.close()
+            return
+        found = prepared
         self._begin_session(found.heartbeat, found.minion)
         decision_log.record(
             'minion_registered',
-            minion=heartbeat.minion_id,
-            running=found.running,
+            minion=found.heartbeat.minion_id,
+            running=len(found.state.running),
             capacity=found.heartbeat.capacity,
             labels=found.heartbeat.labels,
             rack=found.heartbeat.rack,
         )
 
+    def _suspend_calls(self) -> None:
+        """End all calls that carry out orders, until the next session."""
+        _cancel_others(self._running_calls)
+        self._runner = None
+
     def _begin_session(
         self, heartbeat: Heartbeat, minion: MinionClient
     ) -> None:
@@ -257,6 +275,7 @@
             self._reports.abandoned_runs(),
             self._reconcile,
         )
+        self._orders.follow(heartbeat.minion_id)
         for task, order in self._orders.orders_of(heartbeat.minion_id).items():
             session.orders.put(task, order)
         self._session = session
@@ -272,9 +291,7 @@
         self._spawn(self._poll())
 
     def _end_session(self) -> None:
-        for call in self._running_calls:
-            if call is not asyncio.current_task():
-                call.cancel()
+        _cancel_others(self._running_calls)
         self._identifier.forget_pending()
         self._stopping_unordered.clear()
         self._reports.end_session()
@@ -309,7 +326,9 @@
             # state of the minion must be known first.
             return
         for entry in self._session.orders.open_entries():
-            if entry.needs_stop:
+            if entry.needs_removal:
+                self._spawn_for_entry(entry, self._runner.remove_missing(entry))
+            elif entry.needs_stop:
                 self._spawn_for_entry(entry, self._runner.stop(entry))
             elif entry.needs_start:
                 self._spawn_for_entry(entry, self._runner.start(entry))
@@ -386,3 +405,10 @@
                 self._session.heartbeat.minion_id
             ),
         )
+
+
+def _cancel_others(calls: Iterable[asyncio.Task[object]]) -> None:
+    """Cancel all calls but the one that is being carried out."""
+    for call in calls:
+        if call is not asyncio.current_task():
+            call.cancel()
--- a/dragonflynotch/control/loss_detector.py
+++ b/dragonflynotch/control/loss_detector.py
@@ -216,8 +216,10 @@
                 continue
             if self._has_reported(worker, answer.sent_ms):
                 service = worker.report.service
-                listed = answer.machines.minions_of(service)
-                balance = 1 if worker.minion_id in listed else -1
+                is_listed = answer.machines.has_minion_of(
+                    service, worker.minion_id
+                )
+                balance = 1 if is_listed else -1
                 balances[service] = balances.get(service, 0) + balance
         return {service for service, balance in balances.items() if balance > 0}
 
--- a/dragonflynotch/control/machines.py
+++ b/dragonflynotch/control/machines.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from dragonflynotch.control.incarnations import Incarnation
+
 __all__ = ('MachineDirectory', 'MachineList', 'NoMachineDirectory')
 
 
@@ -14,15 +16,23 @@
     Parameters
     ----------
     minions : mapping of str to frozenset of str
-        Identifiers of the minions by service. A service whose machines are all
-        without a minion has an empty set.
+        Identifiers of the minions by service, without their incarnations. A
+        service whose machines are all without a minion has an empty set.
     """
 
     minions: Mapping[str, frozenset[str]] = field(default_factory=dict)
 
-    def has_minion(self, minion_id: str) -> bool:
-        """Return whether a minion is listed for any service."""
-        return any(minion_id in listed for listed in self.minions.values())
+    def has_minion(self, incarnation_id: str) -> bool:
+        """Return whether the minion is listed for any service."""
+        return any(
+            self.has_minion_of(service, incarnation_id)
+            for service in self.minions
+        )
+
+    def has_minion_of(self, service: str, incarnation_id: str) -> bool:
+        """Return whether the minion is listed for a service."""
+        minion_id = Incarnation.parse(incarnation_id).minion_id
+        return minion_id in self.minions_of(service)
 
     def minions_of(self, service: str) -> frozenset[str]:
         """Return the listed minions of a service."""
--- a/dragonflynotch/control/minion_identity.py
+++ b/dragonflynotch/control/minion_identity.py
@@ -27,13 +27,13 @@
         Its heartbeat, with the remaining time as of the response.
     minion : MinionClient
         Its client.
-    running : int
-        Number of its runs.
+    state : MinionState
+        Its runs.
     """
 
     heartbeat: Heartbeat
     minion: MinionClient
-    running: int
+    state: MinionState
 
 
 class MinionIdentifier:
@@ -97,13 +97,16 @@
             )
             minion.close()
             return None
+        heartbeat = replace(
+            heartbeat, minion_id=minion.known_id or heartbeat.minion_id
+        )
         if heartbeat.remaining_ms is not None:
             elapsed_ms = self._clock.now_ms() - received_ms
             heartbeat = replace(
                 heartbeat,
                 remaining_ms=max(0, heartbeat.remaining_ms - elapsed_ms),
             )
-        return Identified(heartbeat, minion, len(outcome.running))
+        return Identified(heartbeat, minion, outcome)
 
 
 def previous_heartbeat(report: Report, now_ms: int) -> Heartbeat | None:
--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -1,6 +1,7 @@
 """State of one minion incarnation: its lease, its runs and its orders."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.departure_notice import DepartureNotice
@@ -118,6 +119,15 @@
         """Local time at which every lease of the minion has expired."""
         return self._lease.expired_at_ms
 
+    def is_about(self, incarnation_id: str) -> bool:
+        """Return whether this is the session of an incarnation."""
+        return incarnation_id in {self.heartbeat.minion_id, self.known_id}
+
+    @property
+    def known_id(self) -> str:
+        """Identifier by the responses, see ``MinionClient.known_id``."""
+        return self.minion.known_id
+
     def has_room_for(self, entry: OrderEntry) -> bool:
         """Return whether a run fits into the last reported capacity.
 
@@ -139,6 +149,7 @@
     def update_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Use a newer heartbeat of the incarnation."""
         previous = self.heartbeat
+        heartbeat = replace(heartbeat, minion_id=previous.minion_id)
         self.heartbeat = heartbeat
         has_changed = previous.is_draining != heartbeat.is_draining
         # A repeated heartbeat would seem to extend the notice.
@@ -290,7 +301,7 @@
         self._runs_read_ms = now_ms
         self._lease.observe(state.clock_ms)
         found_runs = self.orders.find_unknown_runs(state)
-        self.orders.update_state(state)
+        self.orders.update_state(state, started_ms, now_ms)
         self._forget_abandoned(state)
         for task, run in found_runs:
             decision_log.record('run_found', task=task, run=run)
--- a/dragonflynotch/control/minions.py
+++ b/dragonflynotch/control/minions.py
@@ -21,6 +21,7 @@
     'NotListening',
     'OtherIncarnation',
     'RefusalReason',
+    'Restarted',
     'StartRefused',
     'StartRequest',
     'Started',
@@ -84,11 +85,24 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionState:
-    """Runs of a minion; ``clock_ms`` is the time of its monotonic clock."""
+    """Runs of a minion.
+
+    Parameters
+    ----------
+    clock_ms : int
+        Time of its monotonic clock.
+    running : tuple of RunningTask
+        All runs.
+    ended : tuple of RunEnd
+        Ends that it has not been told to delete.
+    has_all_ends : bool
+        Whether ``ended`` is complete.
+    """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[RunEnd, ...]
+    has_all_ends: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +148,14 @@
     """No process listens at the minion's address; the call had no effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class Restarted(NoAnswer):
+    """A later incarnation responded that has the identifier of this one.
+
+    Calls to this incarnation that were delayed may still start runs on it.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionClosed(NoAnswer):
     """The peer closed the connection; the call may have taken effect."""
@@ -188,6 +210,15 @@
     ) -> Stopped | StartRefused | OtherIncarnation | Unhealthy | NoAnswer:
         """Stop a run; later calls to start it are refused."""
 
+    @property
+    def known_id(self) -> str:
+        """Identifier of the incarnation by its responses.
+
+        It differs from that in the heartbeat if only the responses tell when
+        the minion started; ``''`` if they say nothing about it.
+        """
+        return ''
+
     @abstractmethod
     def close(self) -> None:
         """Close the connections to the minion."""
--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -46,6 +46,10 @@
     sent_lease_end_ms : int
         Latest lease end in a start call, on the minion's clock. The minion
         refuses a start that arrives after the lease end in it.
+    started_ms : int or None
+        Local time at which the run was first known to have started.
+    is_missing : bool
+        Whether the minion has neither the run, which was there, nor its end.
     """
 
     task: str
@@ -57,6 +61,8 @@
     is_stop_confirmed: bool = False
     first_sent_ms: int | None = None
     sent_lease_end_ms: int = 0
+    started_ms: int | None = None
+    is_missing: bool = False
 
     @property
     def holds_resources(self) -> bool:
@@ -83,6 +89,26 @@
             and not self.is_busy
         )
 
+    @property
+    def needs_removal(self) -> bool:
+        """Whether the run is gone and has to be kept from starting again."""
+        return (
+            self.phase is Phase.started and self.is_missing and not self.is_busy
+        )
+
+    def mark_started(self, now_ms: int) -> None:
+        """Record that the run is at the minion.
+
+        Parameters
+        ----------
+        now_ms : int
+            Local time.
+        """
+        self.phase = Phase.started
+        self.is_missing = False
+        if self.started_ms is None:
+            self.started_ms = now_ms
+
     def mark_idle(self) -> None:
         """Record that no call is in progress."""
         self.is_busy = False
@@ -102,6 +128,8 @@
 
     entries: dict[str, OrderEntry] = field(default_factory=dict)
     state: MinionState | None = None
+    # Local time of the last known state.
+    _state_ms: int = 0
     # What runs hold whose orders are gone, by task and run.
     _unordered_needs: dict[tuple[str, int], Resources] = field(
         default_factory=dict
@@ -158,9 +186,18 @@
             if entry.phase in {Phase.new, Phase.started}
         ]
 
-    def update_state(self, state: MinionState) -> None:
-        """Update all orders from the runs and ends at the minion."""
+    def update_state(
+        self, state: MinionState, asked_ms: int, now_ms: int
+    ) -> None:
+        """Update all orders from the runs and ends at the minion.
+
+        Parameters
+        ----------
+        asked_ms, now_ms : int
+            Local times of the call and of its response.
+        """
         self.state = state
+        self._state_ms = now_ms
         present = {(running.task, running.run) for running in state.running}
         self._unordered_needs = {
             run: needs
@@ -169,6 +206,7 @@
         }
         for entry in self.entries.values():
             self._update_phase(entry, state)
+            entry.is_missing = self._is_missing(entry, state, asked_ms)
 
     def find_unknown_runs(self, state: MinionState) -> list[tuple[str, int]]:
         """Return task and run number of the runs that are new in a state.
@@ -260,6 +298,12 @@
             entry.phase = Phase.rejected
             entry.reason = reason
 
+    def reject_missing(self, entry: OrderEntry, reason: str) -> None:
+        """Reject an order whose run is gone and can not start any more."""
+        if entry.phase is Phase.started and entry.is_missing:
+            entry.phase = Phase.rejected
+            entry.reason = reason
+
     def _apply_earlier_rejection(self, entry: OrderEntry) -> None:
         reason = self._earlier_rejections.get((entry.task, entry.order.run))
         if reason is not None:
@@ -284,4 +328,18 @@
         if run in {(end.task, end.run) for end in state.ended}:
             entry.phase = Phase.ended
         elif run in {(running.task, running.run) for running in state.running}:
-            entry.phase = Phase.started
+            entry.mark_started(self._state_ms)
+
+    def _is_missing(
+        self, entry: OrderEntry, state: MinionState, asked_ms: int
+    ) -> bool:
+        """Return whether a run is gone that was there before the call."""
+        if entry.phase is not Phase.started or entry.started_ms is None:
+            return False
+        run = (entry.task, entry.order.run)
+        return (
+            state.has_all_ends
+            and entry.started_ms < asked_ms
+            and run
+            not in {(running.task, running.run) for running in state.running}
+        )
--- a/dragonflynotch/control/order_runner.py
+++ b/dragonflynotch/control/order_runner.py
@@ -23,7 +23,7 @@
 )
 from dragonflynotch.control.report_writer import ReportWriter
 from dragonflynotch.observability.decisions import decision_log
-from dragonflynotch.workflows.records import STOPPED
+from dragonflynotch.workflows.records import MISSING, STOPPED
 
 __all__ = ('OrderRunner',)
 
@@ -96,6 +96,31 @@
             return
         await self._reject_unless_running(entry, STOPPED)
 
+    async def remove_missing(self, entry: OrderEntry) -> None:
+        """Reject the order of a run that the minion no longer has.
+
+        An earlier start call may still be carried out, so the run is stopped
+        first.
+        """
+        outcome = await self.send_stop(entry.task, entry.order.run)
+        is_gone = (
+            isinstance(outcome, Stopped)
+            and await self._session.poll()
+            and entry.is_missing
+        )
+        decision_log.record(
+            'run_missing',
+            task=entry.task,
+            run=entry.order.run,
+            outcome=describe_outcome(outcome),
+            is_gone=is_gone,
+        )
+        if is_gone:
+            self._session.orders.reject_missing(entry, MISSING)
+            self._writer.request_write()
+            return
+        await asyncio.sleep(_RETRY_DELAY_S)
+
     async def send_stop(
         self, task: str, run: int
     ) -> Stopped | StartRefused | OtherIncarnation | Unhealthy | NoAnswer:
@@ -149,7 +174,7 @@
         """Apply an outcome; return whether no further start call is needed."""
         match outcome:
             case Started():
-                entry.phase = Phase.started
+                entry.mark_started(self._clock.now_ms())
                 entry.is_start_uncertain = False
             case OtherIncarnation():
                 return True
--- a/dragonflynotch/control/report_builder.py
+++ b/dragonflynotch/control/report_builder.py
@@ -1,13 +1,18 @@
 """Builds the reports of a guard, with what outlasts an incarnation."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from dragonflynotch.control.clocks import StoreClock
 from dragonflynotch.control.crash_history import CrashHistory
 from dragonflynotch.control.earlier_ends import EarlierEnds
 from dragonflynotch.control.minion_session import MinionSession
 from dragonflynotch.control.order_feed import OrderFeed
-from dragonflynotch.workflows.records import Rejection, Report, RunningTask
+from dragonflynotch.workflows.records import (
+    Rejection,
+    Report,
+    RunEnd,
+    RunningTask,
+)
 
 __all__ = ('ReportBuilder',)
 
@@ -44,6 +49,11 @@
         self._earlier_ends = EarlierEnds()
         self._earlier_rejections: dict[str, list[Rejection]] = {}
 
+    @property
+    def last_incarnation_id(self) -> str:
+        """Incarnation of the last report; ``''`` if there is none."""
+        return '' if self._last_report is None else self._last_report.minion_id
+
     @property
     def minion_crashes(self) -> int:
         """Crashes of the minion that this process has observed."""
@@ -65,6 +75,10 @@
         for minion_id in self._earlier_ends.minion_ids:
             self._orders.follow(minion_id)
 
+    def add_ends(self, incarnation_id: str, ends: Iterable[RunEnd]) -> None:
+        """Keep ends of runs that were ordered from an earlier incarnation."""
+        self._earlier_ends.add(incarnation_id, ends)
+
     def begin_session(self, session: MinionSession) -> None:
         """Report about this incarnation from now on."""
         self._has_minion_left = False
--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -126,6 +126,15 @@
         remaining_ms = self._authority_end_ms - self._store_clock.latest_ms()
         return self._clock.now_ms() + remaining_ms
 
+    def raise_token(self) -> None:
+        """Let minions refuse the calls that were sent until now.
+
+        The next process reads the token from the report, which is written
+        before any order can be carried out with it.
+        """
+        self._token += 1
+        self.request_write()
+
     def request_write(self) -> None:
         """Request a write before the next periodic one."""
         self._write_requested.set()
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -1,11 +1,13 @@
 """HTTP client of the platform's minions and decoder of their heartbeats."""
 
 import re
+from dataclasses import replace
 from datetime import timedelta
 from typing import Annotated, Any, Literal
 
 import msgspec
 
+from dragonflynotch.control.incarnations import Incarnation
 from dragonflynotch.control.minions import (
     ConnectionClosed,
     Heartbeat,
@@ -15,6 +17,7 @@
     NotListening,
     OtherIncarnation,
     RefusalReason,
+    Restarted,
     Started,
     StartRefused,
     StartRequest,
@@ -45,7 +48,7 @@
 )
 from dragonflynotch.workflows.records import RunEnd, RunningTask
 
-__all__ = ('HttpMinionClient', 'decode_heartbeat')
+__all__ = ('HttpMinionClient', 'decode_departure', 'decode_heartbeat')
 
 _OK = 200
 _BAD_REQUEST = 400
@@ -60,6 +63,8 @@
 # One day; a longer notice is taken as unreadable.
 _MAX_REMAINING_MS = 86_400_000
 _MAX_LABELS = 16
+# A minion returns at most this many ends in one response.
+_MAX_LISTED_ENDS = 500
 
 _Labels = Annotated[list[Label], msgspec.Meta(max_length=_MAX_LABELS)]
 _MINION_ID = re.compile(MINION_ID_PATTERN)
@@ -88,6 +93,14 @@
     labels: _Labels = []
     remaining_ms: object = None
     zone: object = ''
+    # Unix time of the start of the minion; some minions do not tell it.
+    born: Count | None = None
+
+
+class _WireDeparture(msgspec.Struct):
+    """Message of a minion that shuts down."""
+
+    born: Count | None = None
 
 
 class _WireAnswer(msgspec.Struct):
@@ -101,9 +114,12 @@
     reason: str = ''
     running_count: list[list[Any]] = []
     ended: list[list[Any]] = []
+    # Absent in responses without the lists.
+    born: Count | None = None
 
 
 _heartbeat_decoder = msgspec.json.Decoder(_WireHeartbeat)
+_departure_decoder = msgspec.json.Decoder(_WireDeparture)
 
 
 def decode_heartbeat(minion_id: str, body: bytes) -> Heartbeat | Unreadable:
@@ -121,7 +137,7 @@
     if address is None:
         return Unreadable('malformed address')
     return Heartbeat(
-        minion_id=minion_id,
+        minion_id=str(Incarnation(minion_id, heartbeat.born)),
         service=heartbeat.service,
         address=address,
         sequence=heartbeat.seq,
@@ -138,6 +154,16 @@
     )
 
 
+def decode_departure(minion_id: str, body: bytes) -> Incarnation | Unreadable:
+    """Return which incarnation shuts down, or why that is unreadable."""
+    if not body:
+        return Incarnation(minion_id)
+    departure = decode_untrusted(_departure_decoder.decode, body)
+    if isinstance(departure, Unreadable):
+        return departure
+    return Incarnation(minion_id, departure.born)
+
+
 def _is_minion_id(text: str) -> bool:
     return bool(text) and _MINION_ID.fullmatch(text) is not None
 
@@ -163,7 +189,15 @@
     def __init__(self, heartbeat: Heartbeat) -> None:
         """Create the client; no connection is opened yet."""
         self._pool = HttpPool(heartbeat.address)
-        self._headers = ((_EXPECTED_INSTANCE_HEADER, heartbeat.minion_id),)
+        self._incarnation = Incarnation.parse(heartbeat.minion_id)
+        self._headers = (
+            (_EXPECTED_INSTANCE_HEADER, self._incarnation.minion_id),
+        )
+
+    @property
+    def known_id(self) -> str:
+        """Identifier of the incarnation by its heartbeat and responses."""
+        return str(self._incarnation)
 
     async def poll(
         self, token: int, recorded_up_to: int, lease_end_ms: int, wait_ms: int
@@ -184,9 +218,13 @@
             return NoAnswer(f'refused: {outcome.reason.value}')
         if not isinstance(outcome, _WireAnswer):
             return outcome
+        if not self._incarnation.may_be(outcome.born):
+            return Restarted(f'started again at {outcome.born}')
         state = decode_untrusted(_minion_state, outcome)
         if isinstance(state, Unreadable):
             return NoAnswer(f'malformed response: {state.reason}')
+        if outcome.born is not None:
+            self._incarnation = replace(self._incarnation, born_ms=outcome.born)
         return state
 
     async def start(
@@ -249,6 +287,7 @@
             for entry in answer.running_count
         ),
         tuple(msgspec.convert(entry[:5], RunEnd) for entry in answer.ended),
+        has_all_ends=len(answer.ended) < _MAX_LISTED_ENDS,
     )
 
 
--- a/dragonflynotch/platform/side.py
+++ b/dragonflynotch/platform/side.py
@@ -6,7 +6,7 @@
 from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.links.asgi import HttpCall, Reply
 from dragonflynotch.observability.unreadable import unreadable_entries
-from dragonflynotch.platform.minion import decode_heartbeat
+from dragonflynotch.platform.minion import decode_departure, decode_heartbeat
 
 __all__ = ('HeartbeatApi',)
 
@@ -32,8 +32,7 @@
             return Reply(_NOT_FOUND)
         minion_id = match['id']
         if match['call'] == 'Deregister':
-            await self._guard.on_departure(minion_id)
-            return Reply(_OK, b'{}')
+            return await self._depart(minion_id, call.body)
         heartbeat = decode_heartbeat(minion_id, call.body)
         if isinstance(heartbeat, Unreadable):
             unreadable_entries.record(
@@ -42,3 +41,13 @@
             return Reply(_BAD_REQUEST)
         self._guard.on_heartbeat(heartbeat)
         return Reply(_OK, b'{}', {'Content-Type': 'application/json'})
+
+    async def _depart(self, minion_id: str, body: bytes) -> Reply:
+        departure = decode_departure(minion_id, body)
+        if isinstance(departure, Unreadable):
+            unreadable_entries.record(
+                'departure_unreadable', departure, minion=minion_id
+            )
+            return Reply(_BAD_REQUEST)
+        await self._guard.on_departure(str(departure))
+        return Reply(_OK, b'{}')
--- a/dragonflynotch/records/bounds.py
+++ b/dragonflynotch/records/bounds.py
@@ -17,6 +17,7 @@
     'DurationMs',
     'Factor',
     'FloatDurationMs',
+    'IncarnationId',
     'Label',
     'Megabytes',
     'Millicores',
@@ -40,6 +41,8 @@
 # Printable ASCII without the slash, which separates the parts of a row key. The
 # key of an order also contains the task, and is limited to 200 bytes.
 MINION_ID_PATTERN = r'^[!-.0-~]{0,100}\Z'
+# The identifier of a minion, and the time of its start.
+_INCARNATION_ID_PATTERN = r'^[!-.0-~]{0,115}\Z'
 
 Accelerators = Annotated[int, Meta(ge=0, le=_MAX_ACCELERATORS)]
 Count = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
@@ -50,6 +53,7 @@
 Label = Annotated[str, Meta(max_length=MAX_LABEL_CHARACTERS)]
 Megabytes = Annotated[int, Meta(ge=0, le=_MAX_MEMORY_MB)]
 Millicores = Annotated[int, Meta(ge=0, le=_MAX_MILLICORES)]
+IncarnationId = Annotated[str, Meta(pattern=_INCARNATION_ID_PATTERN)]
 MinionId = Annotated[str, Meta(pattern=MINION_ID_PATTERN)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 SchemaVersion = Annotated[int, Meta(ge=0, le=65_535)]
--- a/dragonflynotch/testing/site_minion.py
+++ b/dragonflynotch/testing/site_minion.py
@@ -74,6 +74,8 @@
             site.runs,
             duration_ms if callable(duration_ms) else lambda _: duration_ms,
         )
+        # Unix time of its start, told in heartbeats and lists of runs if set.
+        self.start_ms: int | None = None
         self._answer_delay_s = answer_delay_s
         self._service = service
         self._machines = site.machines
@@ -105,6 +107,10 @@
         self._tasks[1].cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @property
+    def _start_fields(self) -> dict[str, int]:
+        return {} if self.start_ms is None else {'born': self.start_ms}
+
     async def _send_heartbeats(self) -> None:
         while not self.model.is_crashed:
             self._heartbeat_number += 1
@@ -118,6 +124,7 @@
                 'capacity': {'cpu': 8000, 'mem_mb': 8000, 'gpu': 8},
                 'labels': ['a', 'r1'],
                 'seq': self._heartbeat_number,
+                **self._start_fields,
             }
             try:
                 await exchange(
@@ -168,6 +175,7 @@
                 fields = {
                     'running_count': outcome.running,
                     'ended': outcome.ended,
+                    **self._start_fields,
                 }
                 return self._reply(outcome, fields)
             await asyncio.sleep(_POLL_S)
--- a/dragonflynotch/workflows/crash_records.py
+++ b/dragonflynotch/workflows/crash_records.py
@@ -6,7 +6,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from dragonflynotch.records.bounds import Count, MinionId, TimeMs
+from dragonflynotch.records.bounds import Count, IncarnationId, TimeMs
 
 __all__ = (
     'CrashEvidence',
@@ -62,7 +62,7 @@
         respond again.
     """
 
-    minion_id: MinionId
+    minion_id: IncarnationId
     at_ms: TimeMs
     runs: list[RunAtCrash]
     is_certain: bool = True
@@ -86,7 +86,7 @@
     """
 
     node: str
-    minion_id: MinionId
+    minion_id: IncarnationId
     run: Count
     at_ms: TimeMs
     evidence: CrashEvidence
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -10,10 +10,10 @@
 from dragonflynotch.records.bounds import (
     Accelerators,
     Count,
+    IncarnationId,
     Label,
     Megabytes,
     Millicores,
-    MinionId,
     TimeMs,
 )
 from dragonflynotch.workflows.crash_records import MinionCrash, TaskCrash
@@ -21,6 +21,7 @@
 
 __all__ = (
     'INVALID',
+    'MISSING',
     'NO_ROOM',
     'STOPPED',
     'EarlierEnd',
@@ -44,6 +45,8 @@
 INVALID = 'invalid'
 # Reason of the rejection of an order that was stopped before its start.
 STOPPED = 'stopped'
+# Reason of the rejection of an order whose run its minion has lost.
+MISSING = 'missing'
 
 _RowT = TypeVar('_RowT')
 # Millicores, megabytes and accelerators.
@@ -222,12 +225,12 @@
 class EarlierEnd(msgspec.Struct, array_like=True):
     """The end of a run of an earlier incarnation."""
 
-    minion_id: MinionId
+    minion_id: IncarnationId
     end: RunEnd
 
 
 class Rejection(msgspec.Struct, array_like=True):
-    """An ordered run that was not started and never will be."""
+    """An ordered run that is not at work and will not start any more."""
 
     task: str
     run: Count
@@ -288,7 +291,7 @@
         rows of releases that did not store them.
     """
 
-    minion_id: MinionId
+    minion_id: IncarnationId
     service: Label
     is_ready: bool
     is_live: bool
--- a/tests/platform/test_odd_heartbeats.py
+++ b/tests/platform/test_odd_heartbeats.py
@@ -67,6 +67,10 @@
     with_field(BEAT, 'labels', b'["' + b'x' * 1_000_000 + b'"]'),
     with_field(BEAT, 'labels', b'[' + b'"x",' * 10_000 + b'"x"]'),
     with_field(BEAT, 'labels', b'["\\ud800"]'),
+    *(
+        with_field(BEAT, 'born', born)
+        for born in (b'"1"', b'1.5', b'-1', b'true', b'9007199254740994')
+    ),
 ]
 
 
