Name the start of an incarnation by the field's usual word

The identifier of an incarnation held the wire name of the start. Outside the adapter it is now the time at which the minion started. No change of behaviour; tests/control/test_incarnations.py passes.

--- a/dragonflynotch/control/incarnations.py
+++ b/dragonflynotch/control/incarnations.py
@@ -9,7 +9,7 @@
 
 __all__ = ('Incarnation', 'is_restart', 'is_same_life')
 
-_INCARNATION_ID = re.compile(r'(?P<minion>.+)@(?P<born>[0-9a-f]{0,14})')
+_INCARNATION_ID = re.compile(r'(?P<minion>.+)@(?P<start>[0-9a-f]{0,14})')
 _HEXADECIMAL = 16
 
 
@@ -21,20 +21,20 @@
     ----------
     minion_id : str
         Identifier of the minion on the platform.
-    born_ms : int or None
+    started_ms : int or None
         Unix time of its start. ``None`` if the minion does not tell it, so
         that its lives can be told apart by ``minion_id`` only.
     """
 
     minion_id: str
-    born_ms: int | None = None
+    started_ms: int | None = None
 
     def __str__(self) -> str:
         """Return the identifier of the incarnation."""
-        if self.born_ms is None:
+        if self.started_ms is None:
             is_ambiguous = _INCARNATION_ID.fullmatch(self.minion_id)
             return f'{self.minion_id}@' if is_ambiguous else self.minion_id
-        return f'{self.minion_id}@{self.born_ms:x}'
+        return f'{self.minion_id}@{self.started_ms:x}'
 
     @classmethod
     def parse(cls, incarnation_id: str) -> 'Incarnation':
@@ -42,12 +42,12 @@
         match = _INCARNATION_ID.fullmatch(incarnation_id)
         if match is None:
             return cls(incarnation_id)
-        born = match['born']
-        return cls(match['minion'], int(born, _HEXADECIMAL) if born else None)
+        start = match['start']
+        return cls(match['minion'], int(start, _HEXADECIMAL) if start else None)
 
-    def may_be(self, born_ms: int | None) -> bool:
+    def may_be(self, started_ms: int | None) -> bool:
         """Return whether a minion with this start time may be this one."""
-        return born_ms is None or self.born_ms in {None, born_ms}
+        return started_ms is None or self.started_ms in {None, started_ms}
 
 
 def is_same_life(incarnation_id: str, other_id: str) -> bool:
@@ -55,7 +55,7 @@
     incarnation = Incarnation.parse(incarnation_id)
     other = Incarnation.parse(other_id)
     return incarnation.minion_id == other.minion_id and incarnation.may_be(
-        other.born_ms
+        other.started_ms
     )
 
 
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -224,7 +224,9 @@
         if isinstance(state, Unreadable):
             return NoAnswer(f'malformed response: {state.reason}')
         if outcome.born is not None:
-            self._incarnation = replace(self._incarnation, born_ms=outcome.born)
+            self._incarnation = replace(
+                self._incarnation, started_ms=outcome.born
+            )
         return state
 
     async def start(
--- a/tests/control/test_incarnations.py
+++ b/tests/control/test_incarnations.py
@@ -20,9 +20,9 @@
 
 
 @given(MINION_IDS, st.none() | st.integers(0, 2**53))
-def test_identifier_tells_minion_and_start(minion_id, born_ms):
+def test_identifier_tells_minion_and_start(minion_id, started_ms):
     """A minion whose identifier looks like an incarnation is not reached."""
-    incarnation = Incarnation(minion_id, born_ms)
+    incarnation = Incarnation(minion_id, started_ms)
     assert Incarnation.parse(str(incarnation)) == incarnation
 
 
