Cut transactions by their encoded size

Cause: the decisions of a round were cut into transactions of 90 rows whatever their size. As JSON a control character takes six bytes, and contents travel as base64: 32 KB an order, 1.6 MB a call. The store refuses the call, the term ends, and the next front makes the same decision.

Transactions are cut by rows and by an upper bound on their encoded size (control/transactions.py), with room for the lease row, whose counts of waiting jobs are bounded too. The client sends nothing beyond them, so what the store answers then no longer matters; the stand-in in memory enforces them.

--- a/dragonflynotch/control/decision_writer.py
+++ b/dragonflynotch/control/decision_writer.py
@@ -13,14 +13,12 @@
     RowWrite,
     order_row,
 )
+from dragonflynotch.control.transactions import cut_transactions
 from dragonflynotch.workflows.records import encode_row
 from dragonflynotch.workflows.scheduler import Decisions
 
 __all__ = ('DecisionWriter',)
 
-# Leaves room in a transaction for conditions and the lease row.
-_MAX_ROWS_PER_WRITE = 90
-
 
 class DecisionWriter:
     """Writes decisions, and the lease row with each of them.
@@ -78,12 +76,12 @@
     async def _commit(
         self, writes: list[RowWrite], waiting_by_queue: dict[str, int]
     ) -> None:
-        for start in range(0, max(1, len(writes)), _MAX_ROWS_PER_WRITE):
-            await self._leadership.commit(
-                writes[start : start + _MAX_ROWS_PER_WRITE],
-                [],
-                waiting_by_queue,
-            )
+        transactions = cut_transactions(
+            writes, self._store.limits, self._leadership.lease_write
+        )
+        # Without writes, the lease is renewed.
+        for transaction in list(transactions) or [[]]:
+            await self._leadership.commit(transaction, [], waiting_by_queue)
         self._written_ms = self._clock.now_ms()
 
     async def _delete_submissions(self, job_ids: list[str]) -> list[RowWrite]:
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Sequence
 from datetime import timedelta
+from operator import itemgetter
+
+import msgspec
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.rows import (
@@ -42,6 +45,10 @@
 _RELEASE_TIMEOUT_S = 1
 # Covers a whole call, since the next holder has to learn of the hand-over.
 _HANDOVER_TIMEOUT_S = 1.5
+# Names and numbers of the lease row without the waiting jobs.
+_LEASE_OVERHEAD_BYTES = 200
+# The waiting jobs leave room in the row and in each transaction.
+_LEASE_ROWS_PER_LIMIT = 2
 _RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 0.5
 
@@ -110,6 +117,18 @@
         """How often this node released the lease because it was too slow."""
         return self._own_handovers
 
+    @property
+    def lease_write(self) -> RowWrite:
+        """Write of the lease row that each transaction contains.
+
+        The number of the transaction and of waiting jobs may differ.
+        """
+        return RowWrite(LEASE_NAME, bytes(self._max_lease_bytes))
+
+    @property
+    def _max_lease_bytes(self) -> int:
+        return self._store.limits.row_bytes // _LEASE_ROWS_PER_LIMIT
+
     async def read_lease(self) -> LeaseRow:
         """Read the lease row.
 
@@ -190,11 +209,28 @@
             self._row.holder,
             self._row.epoch,
             self._row.sequence + 1,
-            self._row.waiting if waiting is None else waiting,
+            self._row.waiting if waiting is None else self._fit(waiting),
             self._row.handovers,
         )
         return await self._commit_lease(row, writes, conditions)
 
+    def _fit(self, waiting: dict[str, int]) -> dict[str, int]:
+        """Return as many of the counts as fit into the row, largest first."""
+        largest = sorted(waiting.items(), key=itemgetter(1), reverse=True)
+        fitting: dict[str, int] = {}
+        size = _LEASE_OVERHEAD_BYTES + len(msgspec.json.encode(self._node))
+        for queue, count in largest:
+            size += len(msgspec.json.encode({queue: count}))
+            if size > self._max_lease_bytes:
+                decision_log.record(
+                    'waiting_counts_cut',
+                    queues=len(waiting),
+                    written=len(fitting),
+                )
+                break
+            fitting[queue] = count
+        return fitting
+
     async def release(self) -> None:
         """Release the lease so that a candidate can claim it at once."""
         await self._release(self._row.handovers, _RELEASE_TIMEOUT_S)
--- a/dragonflynotch/control/relayed_store.py
+++ b/dragonflynotch/control/relayed_store.py
@@ -20,6 +20,7 @@
     RowStore,
     RowWrite,
     Snapshot,
+    StoreLimits,
 )
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
@@ -86,6 +87,11 @@
         self._relayed_calls = 0
         self._failed_relays = 0
 
+    @property
+    def limits(self) -> StoreLimits:
+        """What the store accepts in one transaction."""
+        return self._store.limits
+
     @property
     def is_relaying(self) -> bool:
         """Whether calls go through a peer at present."""
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -26,6 +26,7 @@
     'RowStore',
     'RowWrite',
     'Snapshot',
+    'StoreLimits',
     'Table',
     'order_row',
     'orders_table',
@@ -159,6 +160,28 @@
     """The store no longer has the requested changes; read the table again."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What the store accepts in one transaction.
+
+    Parameters
+    ----------
+    row_bytes : int
+        Longest content of a row.
+    call_bytes : int
+        Longest encoded transaction.
+    call_rows : int
+        Most conditions and writes together.
+    """
+
+    row_bytes: int = 65_536
+    call_bytes: int = 1_000_000
+    call_rows: int = 100
+
+
+_DEFAULT_LIMITS = StoreLimits()
+
+
 @dataclass(frozen=True, slots=True)
 class Committed:
     """All writes took effect at ``version``."""
@@ -180,9 +203,14 @@
     nothing. ``commit`` raises ``UncertainWriteError`` if the response was lost:
     the writes may have taken effect, or may do so seconds later if their
     conditions still hold. ``InvalidInputError`` means that the call itself is
-    wrong.
+    wrong, for example that a row is too long, and had no effect.
     """
 
+    @property
+    def limits(self) -> StoreLimits:
+        """What the store accepts in one transaction."""
+        return _DEFAULT_LIMITS
+
     @abstractmethod
     async def read(
         self, table: str, part: str, first: str = '', last: str = ''
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -63,7 +63,9 @@
         """Create the program from checked settings."""
         clock = BootClock()
         self._settings = settings
-        self._store = HttpRowStore(settings.store_address, clock)
+        self._store = HttpRowStore(
+            settings.store_address, clock, settings.store_limits
+        )
         self._configuration = ConfigurationWatch(
             self._store,
             OPERATOR_TABLE,
@@ -245,7 +247,9 @@
     def __init__(self, settings: PlatformSettings) -> None:
         """Create the program from checked settings."""
         clock = BootClock()
-        self._store = HttpRowStore(settings.store_address, clock)
+        self._store = HttpRowStore(
+            settings.store_address, clock, settings.store_limits
+        )
         self._relayed = relayed_store(settings.node, self._store, clock)
         self._guard = Guard(
             settings.node,
--- a/dragonflynotch/platform/row_store.py
+++ b/dragonflynotch/platform/row_store.py
@@ -20,9 +20,11 @@
     RowStore,
     RowWrite,
     Snapshot,
+    StoreLimits,
     read_pages,
 )
 from dragonflynotch.control.store_health import StoreHealth
+from dragonflynotch.control.transactions import check_rows
 from dragonflynotch.core.errors import (
     InvalidInputError,
     LinkError,
@@ -54,6 +56,7 @@
 # Added to the idle limit of a read. A page of 1 MB takes 1.6 s over a free link
 # of 5 Mbit/s, and several reads share the link.
 _MAX_TRANSFER = timedelta(seconds=8)
+_DEFAULT_LIMITS = StoreLimits()
 
 
 class _WireRow(msgspec.Struct, omit_defaults=True):
@@ -99,6 +102,8 @@
         IP address and port of the store.
     clock : SteadyClock
         Takes the time at which a request is sent.
+    limits : StoreLimits, optional
+        What the store accepts in one transaction.
 
     Attributes
     ----------
@@ -110,8 +115,14 @@
         Requests sent so far.
     """
 
-    def __init__(self, address: tuple[str, int], clock: SteadyClock) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        clock: SteadyClock,
+        limits: StoreLimits = _DEFAULT_LIMITS,
+    ) -> None:
         """Create the client; no connection is opened yet."""
+        self._limits = limits
         self._pool = HttpPool(address, max_idle=6)
         self._page_size = PageSize()
         self._clock = clock
@@ -119,6 +130,11 @@
         self.health = StoreHealth(clock)
         self.call_count = 0
 
+    @property
+    def limits(self) -> StoreLimits:
+        """What the store accepts in one transaction."""
+        return self._limits
+
     async def read(
         self, table: str, part: str, first: str = '', last: str = ''
     ) -> Snapshot:
@@ -162,31 +178,20 @@
         writes: Sequence[RowWrite],
         conditions: Sequence[tuple[RowName, int]],
     ) -> Committed | Conflict:
-        """Apply all writes if each row has its expected version, else none."""
-        body = _WireTransaction(
-            expected_rev=[
-                _wire_row(name, ver=version) for name, version in conditions
-            ],
-            puts=[
-                _wire_row(
-                    write.name, value=base64.b64encode(write.content).decode()
-                )
-                for write in writes
-                if write.content is not None
-            ],
-            remove=[
-                _wire_row(write.name)
-                for write in writes
-                if write.content is None
-            ],
-        )
+        """Apply all writes if each row has its expected version, else none.
+
+        A transaction beyond the limits of the store is not sent.
+        """
+        check_rows(writes, self._limits)
+        body = _encode_transaction(writes, conditions)
+        self._check_call(body)
         sent_ms = self._clock.now_ms()
         self.call_count += 1
         try:
             reply = await self._pool.exchange(
                 'POST',
                 '/dragonflynotch/rows-tx',
-                body=msgspec.json.encode(body),
+                body=body,
                 timeout=_CALL_TIMEOUT,
             )
         except NotSentError as error:
@@ -246,6 +251,14 @@
             answer.ver,
         )
 
+    def _check_call(self, body: bytes) -> None:
+        if len(body) > self._limits.call_bytes:
+            raise InvalidInputError(
+                'rows-tx',
+                f'{len(body)} bytes',
+                f'at most {self._limits.call_bytes} bytes',
+            )
+
     async def _get(
         self, path: str, query: dict[str, str]
     ) -> tuple[_WireAnswer, float]:
@@ -308,6 +321,27 @@
         )
 
 
+def _encode_transaction(
+    writes: Sequence[RowWrite], conditions: Sequence[tuple[RowName, int]]
+) -> bytes:
+    transaction = _WireTransaction(
+        expected_rev=[
+            _wire_row(name, ver=version) for name, version in conditions
+        ],
+        puts=[
+            _wire_row(
+                write.name, value=base64.b64encode(write.content).decode()
+            )
+            for write in writes
+            if write.content is not None
+        ],
+        remove=[
+            _wire_row(write.name) for write in writes if write.content is None
+        ],
+    )
+    return msgspec.json.encode(transaction)
+
+
 def _wire_row(
     name: RowName, value: str | None = None, ver: int | None = None
 ) -> _WireRow:
--- a/dragonflynotch/platform/settings.py
+++ b/dragonflynotch/platform/settings.py
@@ -4,6 +4,7 @@
 from math import isfinite
 from pathlib import Path
 
+from dragonflynotch.control.rows import StoreLimits
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.core.untrusted import (
     Unreadable,
@@ -21,6 +22,7 @@
 )
 
 Address = tuple[str, int]
+_DEFAULT_STORE_LIMITS = StoreLimits()
 SETTINGS_VARIABLE = 'DRAGONFLYNOTCH_SETTINGS'
 _MS_PER_S = 1000
 # About 30 years, in milliseconds.
@@ -93,6 +95,8 @@
     machine_reads_per_s : float or None
         Pages of that list that the platform returns per second to all nodes
         together (``cloud.rate_per_s``), if they are limited.
+    store_limits : StoreLimits
+        What the metadata store accepts (``platform.row_bytes``).
     """
 
     node: str
@@ -108,6 +112,7 @@
     link_mbps: float | None = None
     machines_address: Address | None = None
     machine_reads_per_s: float | None = None
+    store_limits: StoreLimits = _DEFAULT_STORE_LIMITS
 
 
 def load_settings(path: Path) -> PlatformSettings:
@@ -159,6 +164,11 @@
             link_mbps=self._limit('limits.link_mbps'),
             machines_address=self._address('cloud.address'),
             machine_reads_per_s=self._limit('cloud.rate_per_s'),
+            store_limits=StoreLimits(
+                row_bytes=self._number(
+                    'platform.row_bytes', _DEFAULT_STORE_LIMITS.row_bytes
+                )
+            ),
         )
 
     def _cores(self) -> float | None:
--- a/dragonflynotch/testing/row_store.py
+++ b/dragonflynotch/testing/row_store.py
@@ -20,8 +20,10 @@
     RowStore,
     RowWrite,
     Snapshot,
+    StoreLimits,
 )
 from dragonflynotch.control.store_health import StoreHealth
+from dragonflynotch.control.transactions import check_rows, encoded_bytes
 from dragonflynotch.core.errors import (
     InvalidInputError,
     PlatformUnavailableError,
@@ -59,6 +61,7 @@
 
     ``fault`` selects the injected fault, ``apply_deferred_commits`` applies the
     deferred writes, and ``truncate_history`` makes feeds lose their position.
+    Transactions beyond the limits ``accepted`` are refused.
 
     Parameters
     ----------
@@ -69,6 +72,7 @@
     def __init__(self, clock: SteadyClock) -> None:
         """Create an empty store."""
         self.fault = StoreFault.none
+        self.accepted = StoreLimits()
         self.store_clock = StoreClock(clock)
         self.health = StoreHealth(clock)
         self.call_count = 0
@@ -83,6 +87,11 @@
             tuple[tuple[RowWrite, ...], tuple[tuple[RowName, int], ...]]
         ] = []
 
+    @property
+    def limits(self) -> StoreLimits:
+        """What the store accepts in one transaction."""
+        return self.accepted
+
     async def read(
         self, table: str, part: str, first: str = '', last: str = ''
     ) -> Snapshot:
@@ -113,6 +122,7 @@
         parts.update(name.part for name, _ in conditions)
         if len(parts) > 1:
             raise InvalidInputError('commit', parts, 'rows of one part')
+        self._check_limits(writes, conditions)
         if self.fault in {StoreFault.late, StoreFault.silent}:
             self._deferred_commits.append((tuple(writes), tuple(conditions)))
             self.health.record_failure()
@@ -152,6 +162,19 @@
         self._history_start = self._version
         self._notify_feeds()
 
+    def _check_limits(
+        self,
+        writes: Sequence[RowWrite],
+        conditions: Sequence[tuple[RowName, int]],
+    ) -> None:
+        check_rows(writes, self.accepted)
+        rows = len(writes) + len(conditions)
+        size = sum(encoded_bytes(write) for write in writes)
+        if rows > self.accepted.call_rows or size > self.accepted.call_bytes:
+            raise InvalidInputError(
+                'commit', f'{rows} rows, {size} bytes', f'{self.accepted}'
+            )
+
     def _apply(
         self,
         writes: Sequence[RowWrite],
