Divide the progress of large jobs among rows

Cause: the progress of a job was one row with an entry for each task that has ever started. Beyond row_bytes the store refuses it, the term ends, and the next front makes the same decision.

A row that grows beyond a quarter of row_bytes is divided at a position among the tasks of its job (workflows/progress_segments.py). Only changed rows are written, the later ones first, so that a front that ends between the writes of a division loses nothing. Jobs that fit keep their one row, and the row of an earlier release is read and divided. Histories of failures and crashes in an entry are bounded: the latest count.

Ruled out: a compressed row, since checkpoints do not compress and 20,000 of them exceed a row in any form.

--- a/dragonflynotch/control/crash_status.py
+++ b/dragonflynotch/control/crash_status.py
@@ -5,6 +5,7 @@
 from dragonflynotch.control.rows import PROGRESS, RowStore
 from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.workflows.crash_records import TaskCrash
+from dragonflynotch.workflows.progress_segments import split_progress_key
 from dragonflynotch.workflows.records import (
     JobState,
     ProgressRow,
@@ -43,16 +44,26 @@
     PlatformUnavailableError
         If the store does not respond.
     """
-    suspected: list[SuspectedTask] = []
+    states: dict[str, JobState] = {}
+    suspected: dict[str, SuspectedTask] = {}
     for row in await store.read_table(PROGRESS):
         progress = decode_row(row.content, ProgressRow)
-        if isinstance(progress, Unreadable):
+        job_and_start = split_progress_key(row.key)
+        if isinstance(progress, Unreadable) or job_and_start is None:
             continue
-        suspected.extend(
-            SuspectedTask(
-                f'{row.key}.{task.name}', progress.state, tuple(task.crashes)
-            )
-            for task in progress.tasks
-            if task.crashes
+        # The first row of a job comes before its others and has the state.
+        job_id, start = job_and_start
+        if not start:
+            states[job_id] = progress.state
+        suspected.update(
+            {
+                f'{job_id}.{task.name}': SuspectedTask(
+                    f'{job_id}.{task.name}',
+                    states.get(job_id, progress.state),
+                    tuple(task.crashes),
+                )
+                for task in progress.tasks
+                if task.crashes
+            }
         )
-    return sorted(suspected, key=lambda entry: entry.task)
+    return sorted(suspected.values(), key=lambda entry: entry.task)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -327,6 +327,7 @@
         evacuation_bound_ms=bounds.evacuation_bound_ms,
     )
 
+        max_row_bytes=settings.store_limits.row_bytes,
 
 def _guard_limits(settings: PlatformSettings) -> GuardLimits:
     max_lease_ms = min(
--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -23,6 +23,8 @@
         self._open: dict[str, Job] = {}
         self._cancelled: set[str] = set()
         self._changed: set[str] = set()
+        # Rows of jobs that are no longer in ``_changed``.
+        self._changed_rows: dict[str, ProgressRow] = {}
 
     def put(self, job_id: str, spec: JobSpec) -> None:
         """Add an accepted job."""
@@ -31,12 +33,12 @@
             self._jobs[job_id] = job
             self._open[job_id] = job
 
-    def restore(self, job_id: str, row: ProgressRow) -> None:
-        """Restore the stored progress of a job."""
+    def restore(self, job_id: str, row: ProgressRow, start: int = 0) -> None:
+        """Restore a row of the stored progress, see ``Job.restore``."""
         job = self._jobs.get(job_id)
         if job is None:
             return
-        job.restore(row)
+        job.restore(row, start)
         if job.state.is_final:
             self._open.pop(job_id, None)
 
@@ -140,8 +142,8 @@
                 )
         return demand
 
-    def remove_expired(self, before_ms: int) -> list[str]:
-        """Remove jobs that ended before a time and return their identifiers.
+    def remove_expired(self, before_ms: int) -> dict[str, list[str]]:
+        """Remove jobs that ended before a time.
 
         Jobs with active runs are kept.
         """
@@ -155,14 +157,22 @@
         for job_id in expired:
             del self._jobs[job_id]
             self._cancelled.discard(job_id)
-        return expired
-
-    def take_changes(self) -> dict[str, ProgressRow]:
-        """Return the progress that changed since the last call."""
-        rows = {
-            job_id: self._jobs[job_id].progress_row()
-            for job_id in self._changed
-            if job_id in self._jobs
-        }
-        self._changed.clear()
+        return keys
+
+    def take_changes(self, max_row_bytes: int) -> dict[str, ProgressRow]:
+        """Return the rows of progress that changed since the last call.
+
+        Parameters
+        ----------
+        max_row_bytes : int
+            Longest row that the store accepts.
+        """
+        for job_id in list(self._changed):
+            job = self._jobs.get(job_id)
+            if job is not None:
+                self._changed_rows.update(job.take_progress(max_row_bytes))
+            self._changed.discard(job_id)
+        rows = self._changed_rows
+        self._changed_rows = {}
         return rows
+        keys = {job_id: self._jobs[job_id].progress_keys for job_id in expired}
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from operator import itemgetter
 
 from dragonflynotch.workflows.crash_records import TaskCrash
 from dragonflynotch.workflows.jobs import (
@@ -11,6 +12,10 @@
     TaskId,
     parse_task_id,
 )
+from dragonflynotch.workflows.progress_segments import (
+    ProgressSegments,
+    progress_key,
+)
 from dragonflynotch.workflows.records import (
     EndKind,
     JobState,
@@ -23,6 +28,9 @@
 
 __all__ = ('ActiveRun', 'Job', 'Step', 'Task')
 
+_MAX_STORED_CRASHES = 20
+_MAX_STORED_FAILURES = 50
+
 
 @dataclass(slots=True)
 class ActiveRun:
@@ -238,11 +246,18 @@
         ]
         # Whether any task may have crashed a minion.
         self.has_suspects = False
+        # Whether the store refuses the progress of the tasks.
+        self.is_unstorable = False
         self._by_task_id = {
             task.task_id: (step, task)
             for step in self.steps
             for task in step.tasks
         }
+        self._tasks = list(self.tasks())
+        self._positions = {
+            task.task_id: position for position, task in enumerate(self._tasks)
+        }
+        self.segments = ProgressSegments(len(self._tasks))
 
     def find(self, task_id: TaskId) -> tuple[Step, Task] | None:
         """Return the task with its step, or ``None``."""
@@ -261,17 +276,28 @@
             for number in step.spec.after
         )
 
-    def restore(self, row: ProgressRow) -> None:
-        """Restore the stored progress."""
-        self.state = row.state
-        self.ended_ms = row.ended_ms
-        self.reason = row.reason
+    def restore(self, row: ProgressRow, start: int = 0) -> None:
+        """Restore a row of the stored progress.
+
+        Parameters
+        ----------
+        start : int
+            Position of the first task for which the row is decisive.
+        """
+        if start:
+            self.segments.add(start)
+        else:
+            self.state = row.state
+            self.ended_ms = row.ended_ms
+            self.reason = row.reason if row.state.is_final else ''
         for stored in row.tasks:
             task_id = parse_task_id(f'{self.job_id}.{stored.name}')
-            found = None if task_id is None else self.find(task_id)
-            if found is None:
+            position = self._positions.get(task_id) if task_id else None
+            if position is None or not self.segments.is_decisive(
+                start, position
+            ):
                 continue
-            task = found[1]
+            task = self._tasks[position]
             task.run = stored.run
             task.failures = stored.failures
             task.is_done = stored.is_done
@@ -282,28 +308,43 @@
             self.has_suspects |= bool(task.crashes)
 
     def progress_row(self) -> ProgressRow:
-        """Return the progress to store."""
+        """Return the progress of a small job, in one row."""
+        row = self._first_row()
+        row.tasks = self._task_rows(0, len(self._tasks))
+        return row
+
+    def take_progress(self, max_row_bytes: int) -> dict[str, ProgressRow]:
+        """Return the changed rows of the progress, by key.
+
+        Parameters
+        ----------
+        max_row_bytes : int
+            Longest row that the store accepts.
+        """
+        changes = self.segments.take_changes(
+            self._first_row(), self._task_rows, max_row_bytes
+        )
+        return {progress_key(self.job_id, start): row for start, row in changes}
+
+    @property
+    def progress_keys(self) -> list[str]:
+        """Keys of the rows of the progress, the first row last."""
+        starts = [*reversed(self.segments.further_starts), 0]
+        return [progress_key(self.job_id, start) for start in starts]
+
+    def _first_row(self) -> ProgressRow:
         return ProgressRow(
             state=self.state,
-            tasks=[
-                TaskRow(
-                    str(task.task_id).partition('.')[2],
-                    task.run,
-                    task.failures,
-                    task.is_done,
-                    task.checkpoint,
-                    task.failed_on,
-                    task.last_failed_run,
-                    task.crashes,
-                )
-                for task in self.tasks()
-                if task.run
-            ],
             ended_ms=self.ended_ms,
             workspace=self.spec.workspace,
             reason=self.reason,
         )
 
+    def _task_rows(self, start: int, end: int) -> list[TaskRow]:
+        if self.is_unstorable:
+            return []
+        return [_task_row(task) for task in self._tasks[start:end] if task.run]
+
     def record_crash(self, task: Task, crash: TaskCrash) -> None:
         """Record that a task may have crashed a minion."""
         task.crashes.append(crash)
@@ -353,3 +394,21 @@
                 for index in range(step.count)
             ],
         )
+
+
+def _task_row(task: Task) -> TaskRow:
+    """Return the stored form of a task; old entries of long lists are left out.
+
+    A task is given up after fewer crashes.
+    """
+    latest = sorted(task.failed_on.items(), key=itemgetter(1))
+    return TaskRow(
+        str(task.task_id).partition('.')[2],
+        task.run,
+        task.failures,
+        task.is_done,
+        task.checkpoint,
+        dict(latest[-_MAX_STORED_FAILURES:]),
+        task.last_failed_run,
+        task.crashes[-_MAX_STORED_CRASHES:],
+    )
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -23,6 +23,7 @@
 from dragonflynotch.workflows.placement.pool_builder import PoolBuilder
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import Order, ProgressRow, Report
+from dragonflynotch.workflows.progress_segments import split_progress_key
 from dragonflynotch.workflows.runs.crash_tracker import CrashTracker
 from dragonflynotch.workflows.runs.departures import Departures
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
@@ -64,6 +65,8 @@
         start in the data centre; ``None`` does not limit them.
     """
 
+    max_row_bytes : int
+        Longest row that the store accepts.
     start_timeout_ms: int = 1500
     max_report_age_ms: int = 4000
     stop_ms: int = 400
@@ -72,16 +75,20 @@
     evacuation_bound_ms: int | None = None
 
 
+    max_row_bytes: int = 65_536
 @dataclass(frozen=True, slots=True)
 class Decisions:
     """Rows to write, and entries to log once they are written."""
 
     progress: dict[str, ProgressRow] = field(default_factory=dict)
     # ``None`` deletes the row of an order.
+    # By key, which is that of the job for the first row of its progress.
     orders: dict[OrderKey, Order | None] = field(default_factory=dict)
     expired_jobs: list[str] = field(default_factory=list)
     log_entries: list[DecisionLogEntry] = field(default_factory=list)
 
+    # Keys of the rows of their progress, of jobs that have several.
+    expired_rows: dict[str, list[str]] = field(default_factory=dict)
     @property
     def is_empty(self) -> bool:
         """Whether there are no rows to write."""
@@ -207,9 +214,16 @@
         """Add an accepted job."""
         self._jobs.put(job_id, spec)
 
-    def restore_progress(self, job_id: str, row: ProgressRow) -> None:
-        """Restore the stored progress of a job after a takeover."""
-        self._jobs.restore(job_id, row)
+    def restore_progress(self, key: str, row: ProgressRow) -> None:
+        """Restore a stored row of progress after a takeover.
+
+        The rows of a job may come in any order.
+        """
+        job_and_start = split_progress_key(key)
+        if job_and_start is None:
+            return
+        job_id, start = job_and_start
+        self._jobs.restore(job_id, row, start)
         for task in row.tasks:
             for minion_id, at_ms in task.failed_on.items():
                 self._worker_health.restore_failure(minion_id, job_id, at_ms)
@@ -370,14 +384,16 @@
             )
         )
         return Decisions(
-            self._jobs.take_changes(),
+            self._jobs.take_changes(self._settings.max_row_bytes),
             self._orders.take_changes(),
-            self._jobs.remove_expired(
-                now_ms - self._settings.ended_job_retention_ms
-            ),
+            list(expired),
+            {job_id: keys for job_id, keys in expired.items() if len(keys) > 1},
             self._decision_log.take(),
         )
 
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         return self._jobs.waiting_by_queue()
+        expired = self._jobs.remove_expired(
+            now_ms - self._settings.ended_job_retention_ms
+        )
