Let a job that cannot be stored or decided cost only itself

Cause: a round is one unit. The writer raised, the term failed, and the next holder decided the same from the same rows.

A refused transaction is committed again job by job. If the store still takes the lease row alone, the job whose rows it refuses ends as failed, with the row as the reason its callers read; that state is stored without the progress of its tasks, so no other front tries again. An error in the decisions sets the job aside that the failing call was about, until its cancellation or the next term, and the round is decided without it; its callers read why. Both are logged (job_write_refused, job_unstorable, job_set_aside) and counted (unstorable_jobs, jobs_set_aside). An error about no job ends the term as before, and so does a store that refuses everything.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -355,9 +355,13 @@
             > _RENEWAL_INTERVAL_MS
         )
         if not decisions.is_empty or is_renewal_due:
-            await self._writer.write(
+            refused = await self._writer.write(
                 decisions, self._scheduler.waiting_by_queue()
             )
+            for job in refused:
+                self._scheduler.fail_unstorable(
+                    job.job_id, job.row, self._store_now_ms()
+                )
         for entry in decisions.log_entries:
             decision_log.record(
                 entry.event, epoch=self._leadership.epoch, **entry.fields
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -16,6 +16,7 @@
 )
 from dragonflynotch.core.errors import (
     PlatformUnavailableError,
+    InvalidInputError,
     UncertainWriteError,
 )
 from dragonflynotch.observability.decisions import decision_log
@@ -41,7 +42,11 @@
     ]
     try:
         await store.commit([RowWrite(name, None) for name in names], [])
-    except (PlatformUnavailableError, UncertainWriteError) as error:
+    except (
+        PlatformUnavailableError,
+        UncertainWriteError,
+        InvalidInputError,
+    ) as error:
         decision_log.record('submission_kept', job=job_id, reason=str(error))
         return False
     return True
@@ -90,7 +95,11 @@
         outcome = await store.commit(
             [RowWrite(name, encode_row(empty))], [(name, worker.version)]
         )
-    except (PlatformUnavailableError, UncertainWriteError) as error:
+    except (
+        PlatformUnavailableError,
+        UncertainWriteError,
+        InvalidInputError,
+    ) as error:
         decision_log.record('guard_not_voided', guard=node, reason=str(error))
         return False
     return isinstance(outcome, Committed)
--- a/dragonflynotch/platform/programs.py
+++ b/dragonflynotch/platform/programs.py
@@ -208,6 +208,8 @@
             'departure_stops': scheduler.departure_stops,
             'suspected_tasks': scheduler.suspected_tasks,
             'lost_runs': scheduler.lost_runs,
+            'unstorable_jobs': scheduler.unstorable_jobs,
+            'jobs_set_aside': scheduler.jobs_set_aside,
             'machines_lost': self._losses.machines_lost,
             'failed_machine_lookups': self._losses.failed_lookups,
             'store_calls': self._store.call_count,
@@ -325,9 +327,9 @@
         off_rack_slowdown=bounds.off_rack_slowdown,
         ended_job_retention_ms=bounds.ended_state_ms * 2,
         evacuation_bound_ms=bounds.evacuation_bound_ms,
+        max_row_bytes=settings.store_limits.row_bytes,
     )
 
-        max_row_bytes=settings.store_limits.row_bytes,
 
 def _guard_limits(settings: PlatformSettings) -> GuardLimits:
     max_lease_ms = min(
--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -42,6 +42,10 @@
         if job.state.is_final:
             self._open.pop(job_id, None)
 
+    def get(self, job_id: str) -> Job | None:
+        """Return a job, or ``None`` if it is not known."""
+        return self._jobs.get(job_id)
+
     def cancel(self, job_id: str) -> bool:
         """Mark a job as cancelled.
 
@@ -55,6 +59,10 @@
         """
         is_new = job_id not in self._cancelled
         self._cancelled.add(job_id)
+        job = self._jobs.get(job_id)
+        if job is not None and not job.state.is_final:
+            # It may have been set aside.
+            self._open[job_id] = job
         return is_new and job_id in self._open
 
     def is_cancelled(self, job: Job) -> bool:
@@ -93,6 +101,21 @@
         """Mark the progress of the job to be written."""
         self._changed.add(job.job_id)
 
+    def set_aside(self, job: Job, reason: str) -> bool:
+        """Decide nothing more about an open job; its callers are told why.
+
+        Returns
+        -------
+        bool
+            Whether the job was open.
+        """
+        was_open = self._open.pop(job.job_id, None) is not None
+        job.reason = reason
+        self._changed.discard(job.job_id)
+        if was_open:
+            self.mark_changed(job)
+        return was_open
+
     def end(
         self, job: Job, state: JobState, now_ms: int, reason: str = ''
     ) -> None:
@@ -146,6 +169,11 @@
         """Remove jobs that ended before a time.
 
         Jobs with active runs are kept.
+
+        Returns
+        -------
+        dict of str to list of str
+            Keys of the rows of their progress, by job.
         """
         expired = [
             job_id
@@ -154,6 +182,7 @@
             and job.ended_ms < before_ms
             and not any(task.active for task in job.tasks())
         ]
+        keys = {job_id: self._jobs[job_id].progress_keys for job_id in expired}
         for job_id in expired:
             del self._jobs[job_id]
             self._cancelled.discard(job_id)
@@ -175,4 +204,3 @@
         rows = self._changed_rows
         self._changed_rows = {}
         return rows
-        keys = {job_id: self._jobs[job_id].progress_keys for job_id in expired}
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -14,6 +14,7 @@
 )
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.evacuation import Evacuation, EvacuationRequests
+from dragonflynotch.workflows.job_faults import JobFaults
 from dragonflynotch.workflows.job_registry import JobRegistry
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.mechanisms import Mechanisms
@@ -22,8 +23,8 @@
 from dragonflynotch.workflows.placement.placer import Placer
 from dragonflynotch.workflows.placement.pool_builder import PoolBuilder
 from dragonflynotch.workflows.placement.workers import Worker
-from dragonflynotch.workflows.records import Order, ProgressRow, Report
 from dragonflynotch.workflows.progress_segments import split_progress_key
+from dragonflynotch.workflows.records import Order, ProgressRow, Report
 from dragonflynotch.workflows.runs.crash_tracker import CrashTracker
 from dragonflynotch.workflows.runs.departures import Departures
 from dragonflynotch.workflows.runs.order_registry import OrderKey, OrderRegistry
@@ -35,6 +36,7 @@
 from dragonflynotch.workflows.runs.supervision import Supervisor
 from dragonflynotch.workflows.runs.worker_health import WorkerHealth
 from dragonflynotch.workflows.scheduler_status import SchedulerStatus
+from dragonflynotch.workflows.unstorable_jobs import UnstorableJobs
 
 __all__ = ('Decisions', 'Scheduler', 'SchedulerSettings')
 
@@ -63,32 +65,32 @@
     evacuation_bound_ms : int or None
         How long after the acknowledgement of an evacuation runs may still
         start in the data centre; ``None`` does not limit them.
-    """
-
     max_row_bytes : int
         Longest row that the store accepts.
+    """
+
     start_timeout_ms: int = 1500
     max_report_age_ms: int = 4000
     stop_ms: int = 400
     off_rack_slowdown: float = 3
     ended_job_retention_ms: int = 240_000
     evacuation_bound_ms: int | None = None
+    max_row_bytes: int = 65_536
 
 
-    max_row_bytes: int = 65_536
 @dataclass(frozen=True, slots=True)
 class Decisions:
     """Rows to write, and entries to log once they are written."""
 
+    # By key, which is that of the job for the first row of its progress.
     progress: dict[str, ProgressRow] = field(default_factory=dict)
     # ``None`` deletes the row of an order.
-    # By key, which is that of the job for the first row of its progress.
     orders: dict[OrderKey, Order | None] = field(default_factory=dict)
     expired_jobs: list[str] = field(default_factory=list)
-    log_entries: list[DecisionLogEntry] = field(default_factory=list)
-
     # Keys of the rows of their progress, of jobs that have several.
     expired_rows: dict[str, list[str]] = field(default_factory=dict)
+    log_entries: list[DecisionLogEntry] = field(default_factory=list)
+
     @property
     def is_empty(self) -> bool:
         """Whether there are no rows to write."""
@@ -130,6 +132,7 @@
             self._decision_log,
         )
         self._crash_tracker = CrashTracker(self._jobs, self._decision_log)
+        self._faults = JobFaults(self._jobs, self._decision_log)
         self._supervisor = Supervisor(
             self._jobs,
             self._tracker,
@@ -163,6 +166,9 @@
             settings.stop_ms,
             mechanisms,
         )
+        self._unstorable = UnstorableJobs(
+            self._jobs, self._orders, self._tracker, self._decision_log
+        )
         self._slow_workers = SlowWorkers(self._jobs)
         self._departures = Departures(
             self._jobs,
@@ -191,6 +197,8 @@
             self._tracker.lost_runs,
             self._idle_log.idle_counts,
             self._idle_log.capacity_use,
+            self._unstorable.failed_jobs,
+            self._faults.count,
         )
 
     def apply_deployment(self, deployment: Deployment) -> None:
@@ -245,6 +253,18 @@
         if self._jobs.cancel(job_id):
             self._decision_log.record('job_cancelled', job=job_id)
 
+    def fail_unstorable(self, job_id: str, row: str, now_ms: int) -> None:
+        """End a job of which the store refuses a row for good.
+
+        Its new orders have not been written.
+
+        Parameters
+        ----------
+        row : str
+            Key of the row.
+        """
+        self._unstorable.fail(job_id, row, now_ms)
+
     def apply_report(
         self, node: str, report: Report, version: int, now_ms: int
     ) -> None:
@@ -335,6 +355,15 @@
             How long the last write to the store took. With a slow store,
             orders get more time before they expire.
         """
+        while True:
+            try:
+                return self._decide(now_ms, wall_ms, write_ms)
+            except Exception as error:
+                # Each error sets one more job aside.
+                if not self._faults.set_aside_cause(error):
+                    raise
+
+    def _decide(self, now_ms: int, wall_ms: int, write_ms: int) -> Decisions:
         self._crash_tracker.review()
         self._evacuation.review(self._workers.values(), now_ms)
         pool = self._pool_builder.build(
@@ -383,6 +412,9 @@
                 ),
             )
         )
+        expired = self._jobs.remove_expired(
+            now_ms - self._settings.ended_job_retention_ms
+        )
         return Decisions(
             self._jobs.take_changes(self._settings.max_row_bytes),
             self._orders.take_changes(),
@@ -394,6 +426,3 @@
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         return self._jobs.waiting_by_queue()
-        expired = self._jobs.remove_expired(
-            now_ms - self._settings.ended_job_retention_ms
-        )
--- a/dragonflynotch/workflows/scheduler_status.py
+++ b/dragonflynotch/workflows/scheduler_status.py
@@ -28,6 +28,10 @@
         Open jobs of which nothing runs although it could, by cause.
     capacity_use : mapping of str to CapacityUse
         Use of the capacity by service.
+    unstorable_jobs : int
+        Jobs that ended in this term because the store refuses their rows.
+    jobs_set_aside : int
+        Times that a job was set aside in this term after an error.
     """
 
     evacuation_run_counts: Mapping[str, int] = field(default_factory=dict)
@@ -37,3 +41,5 @@
     lost_runs: int = 0
     idle_jobs: Mapping[str, int] = field(default_factory=dict)
     capacity_use: Mapping[str, CapacityUse] = field(default_factory=dict)
+    unstorable_jobs: int = 0
+    jobs_set_aside: int = 0
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -5,15 +5,25 @@
 
 import pytest
 
-from dragonflynotch.control.rows import REPORTS, RowName, RowWrite, shard_of
+from dragonflynotch.control.rows import (
+    REPORTS,
+    RowName,
+    RowWrite,
+    StoreLimits,
+    shard_of,
+)
 from dragonflynotch.control.submissions import Accepted
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import StoreFault
+from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import JobState
-from dragonflynotch.workflows.scheduler import Scheduler
+from dragonflynotch.workflows.scheduler import Scheduler, SchedulerSettings
 from tests.control.cluster import Cluster, tasks
 
+# Progress of about 120 tasks that have started.
+SMALL_ROW_BYTES = 4000
+
 
 @pytest.fixture
 async def cluster():
@@ -197,6 +207,46 @@
     assert not cluster.log.overlapping_tasks
 
 
+@pytest.fixture
+async def small_rows():
+    """Return a cluster on a store with rows that are soon too long."""
+    settings = SchedulerSettings(max_row_bytes=SMALL_ROW_BYTES)
+    cluster = Cluster(duration_ms=20, settings=settings)
+    cluster.store.accepted = StoreLimits(row_bytes=SMALL_ROW_BYTES)
+    cluster.start()
+    yield cluster
+    await cluster.stop()
+
+
+async def test_large_job_is_completed_beside_others(small_rows):
+    """The row of progress of one large job stopped all scheduling."""
+    await small_rows.submit('large', tasks(300, accelerators=0))
+    await small_rows.submit('a', tasks(1))
+    await small_rows.wait_for_state('large', JobState.completed)
+    await small_rows.wait_for_state('a', JobState.completed)
+    assert len(small_rows.log.starts) == 301
+
+
+async def test_next_leader_knows_the_progress_of_a_large_job(small_rows):
+    """Tasks that are done must not run again after a takeover."""
+    await small_rows.submit('large', tasks(300, accelerators=0))
+    await small_rows.wait_for_starts(200)
+    await small_rows.kill(small_rows.current_leader())
+    await small_rows.wait_for_state('large', JobState.completed)
+    assert len(small_rows.log.starts) == 300
+
+
+async def test_round_with_long_texts_does_not_stop_scheduling(cluster):
+    """Orders that fit alone and not together ended the term on each front."""
+    cluster.store.accepted = StoreLimits(call_bytes=150_000)
+    steps = (tasks(24, accelerators=0),)
+    spec = JobSpec('q', 'team', 'planner', '\x1c' * 4000, steps)
+    await cluster.submissions.submit('long', spec, timedelta(seconds=1))
+    await cluster.submit('a', tasks(1))
+    await cluster.wait_for_state('long', JobState.completed)
+    await cluster.wait_for_state('a', JobState.completed)
+
+
 async def _advance_until(cluster, starts):
     """Advance the minion models until there were ``starts`` starts.
 
