Refuse a job at submission whose rows could never be stored

A job whose description fits into a row, but whose orders do not with a checkpoint beside its text, was accepted and would end later by a refused row.

The sizes of the description and of an order are checked as they are stored before anything is written. The caller gets 400 with the sizes as the reason. A text of 4,000 control characters, the longest that the page allows, is accepted. test_job_that_cannot_be_stored_is_refused: the case of 60,000 letters was accepted before.

--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from dragonflynotch.control.clocks import Deadline, SteadyClock, StoreClock
+from dragonflynotch.control.job_sizes import check_storable
 from dragonflynotch.control.leadership import LEASE_NAME
 from dragonflynotch.control.rows import (
     ABSENT,
@@ -154,11 +155,17 @@
             Description of the job.
         limit : timedelta
             Time until the caller stops waiting.
+
+        Raises
+        ------
+        InvalidInputError
+            If the store would refuse a row of the job; nothing is stored.
         """
         row = msgspec.structs.replace(
             spec, accepted_ms=self._store_clock.earliest_ms()
         )
         name = _submission_row(job_id, 'spec')
+        check_storable(job_id, row, self._store.limits)
         deadline = Deadline(self._clock, limit)
         return await self._write_with_retries(name, encode_row(row), deadline)
 
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -245,4 +245,8 @@
     headers = dict(_JSON_HEADERS)
     if refusal.status == _UNAVAILABLE:
         headers.update(_RETRY_AFTER_HEADERS)
-    return Reply(refusal.status, b'{}', headers)
+    body = b'{}'
+    if refusal.status == _BAD_REQUEST:
+        # The caller can do something about it.
+        body = msgspec.json.encode({'reason': refusal.reason})
+    return Reply(refusal.status, body, headers)
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import pytest
+from msgspec.structs import replace
 
 from dragonflynotch.control.rows import (
     PROGRESS,
@@ -19,7 +20,10 @@
     Unavailable,
     Unknown,
 )
-from dragonflynotch.core.errors import PlatformUnavailableError
+from dragonflynotch.core.errors import (
+    InvalidInputError,
+    PlatformUnavailableError,
+)
 from dragonflynotch.testing.row_store import StoreFault
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 from dragonflynotch.workflows.progress import Job
@@ -29,6 +33,8 @@
     encode_row,
 )
 
+# As JSON, a control character takes six bytes.
+LONG_TEXT = '\x1c' * 4000
 SPEC = JobSpec('queue', 'team', 'planner', 'text', (StepSpec(1),))
 LIMIT = timedelta(milliseconds=250)
 
@@ -296,3 +302,25 @@
     await store.commit([RowWrite(name, encode_row(row))], [])
     assert await submissions.cancel('a', LIMIT) == Accepted()
     assert await submissions.state('a', LIMIT) is JobState.completed
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        replace(SPEC, payload='\x1c' * 10_000),
+        # The description fits, and an order with a checkpoint does not.
+        replace(SPEC, payload='x' * 60_000),
+        replace(SPEC, steps=(StepSpec(1, constraint='x' * 100),) * 600),
+    ],
+)
+async def test_job_that_cannot_be_stored_is_refused(submissions, store, spec):
+    """A job that was accepted and can never run would wait for ever."""
+    with pytest.raises(InvalidInputError, match='at most'):
+        await submissions.submit('a', spec, LIMIT)
+    assert await submissions.state('a', LIMIT) == NotFound()
+
+
+async def test_longest_text_of_the_pages_is_accepted(submissions):
+    """Control characters must not make a text too long."""
+    spec = replace(SPEC, payload=LONG_TEXT)
+    assert await submissions.submit('a', spec, LIMIT) == Accepted()
