Keep reports and checkpoints within the rows of the store

A report that is too long keeps its ends first, in order, then rejections, crashes and runs; each report begins with other runs, and what is left out follows once entries before it are recorded (control/report_size.py, logged as report_cut). A checkpoint of more than 4 KiB as it is stored is left out. test_report_of_a_worker_with_many_runs_can_be_written: 3,000 runs made a row of more than 65,536 bytes before.

--- a/dragonflynotch/control/report_writer.py
+++ b/dragonflynotch/control/report_writer.py
@@ -6,6 +6,7 @@
 from dragonflynotch.control.clocks import SteadyClock, StoreClock
 from dragonflynotch.control.end_delivery import EndDelivery
 from dragonflynotch.control.end_log import EndLog
+from dragonflynotch.control.report_size import fit_report
 from dragonflynotch.control.rows import (
     REPORTS,
     Committed,
@@ -217,6 +218,7 @@
         if report is None:
             return False
         report.built_ms = now_ms
+        report = fit_report(report, self._store.limits.row_bytes)
         # Without an answer, the write is repeated with the same condition. If
         # the first one has taken effect, the conflict tells the new version.
         expected = self._version or 0
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -5,6 +5,7 @@
 """
 
 from dragonflynotch.control.earlier_ends import take_fitting
+from dragonflynotch.control.report_size import fit_report
 from dragonflynotch.control.rows import (
     REPORTS,
     SUBMISSIONS,
@@ -15,8 +16,8 @@
     shard_of,
 )
 from dragonflynotch.core.errors import (
-    PlatformUnavailableError,
     InvalidInputError,
+    PlatformUnavailableError,
     UncertainWriteError,
 )
 from dragonflynotch.observability.decisions import decision_log
@@ -91,9 +92,10 @@
         crashes=crashes,
         earlier_ends=list(take_fitting([*worker.report.earlier_ends, *ends])),
     )
+    content = encode_row(fit_report(empty, store.limits.row_bytes))
     try:
         outcome = await store.commit(
-            [RowWrite(name, encode_row(empty))], [(name, worker.version)]
+            [RowWrite(name, content)], [(name, worker.version)]
         )
     except (
         PlatformUnavailableError,
--- a/dragonflynotch/platform/minion.py
+++ b/dragonflynotch/platform/minion.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import replace
 from datetime import timedelta
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 
@@ -36,6 +36,7 @@
 )
 from dragonflynotch.links.http11 import HttpReply
 from dragonflynotch.links.http_pool import HttpPool
+from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.records.bounds import (
     MAX_LABEL_CHARACTERS,
     MINION_ID_PATTERN,
@@ -65,6 +66,9 @@
 _MAX_LABELS = 16
 # A minion returns at most this many ends in one response.
 _MAX_LISTED_ENDS = 500
+# As it is stored. An order and the progress of a job also hold it.
+_MAX_CHECKPOINT_BYTES = 4096
+_RunT = TypeVar('_RunT', RunningTask, RunEnd)
 
 _Labels = Annotated[list[Label], msgspec.Meta(max_length=_MAX_LABELS)]
 _MINION_ID = re.compile(MINION_ID_PATTERN)
@@ -285,14 +289,30 @@
     return MinionState(
         answer.clock_ms,
         tuple(
-            msgspec.convert(entry[:4], RunningTask)
+            _without_long_checkpoint(msgspec.convert(entry[:4], RunningTask))
             for entry in answer.running_count
         ),
-        tuple(msgspec.convert(entry[:5], RunEnd) for entry in answer.ended),
+        tuple(
+            _without_long_checkpoint(msgspec.convert(entry[:5], RunEnd))
+            for entry in answer.ended
+        ),
         has_all_ends=len(answer.ended) < _MAX_LISTED_ENDS,
     )
 
 
+def _without_long_checkpoint(entry: _RunT) -> _RunT:
+    """Return an entry without a checkpoint that no row has room for."""
+    size = len(msgspec.json.encode(entry.checkpoint))
+    if size <= _MAX_CHECKPOINT_BYTES:
+        return entry
+    unreadable_entries.record(
+        'checkpoint_dropped',
+        Unreadable(f'checkpoint of {size} bytes'),
+        task=entry.task,
+    )
+    return msgspec.structs.replace(entry, checkpoint='')
+
+
 def _describe_failure(error: LinkError) -> NoAnswer:
     if isinstance(error.__cause__, ConnectionRefusedError):
         return NotListening(str(error))
