Store the cancellation of a job that is not there yet

Cause: DELETE wrote nothing while there was no row of the job, although a write of it may still be carried out seconds later, by the store or by the front that repeats it. The scheduler was ready for the opposite order of events.

The cancellation is stored as a row of the caller's workspace (or, without a key, of the queue), so that a DELETE decides only over jobs that its caller may cancel. Then the state is read again: 410 only if there still is no job, 2xx if one arrived meanwhile. A job that arrives later is shown as cancelled and never starts, on each holder of the lease.

Weighed against a row in place of the submission, on which a late submission would fail: an entry takes that conflict for its own earlier write and answers 200, any workspace could occupy any identifier, and entries of an earlier release could not read the row.

--- a/dragonflynotch/control/decision_writer.py
+++ b/dragonflynotch/control/decision_writer.py
@@ -7,7 +7,10 @@
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.leadership import Leadership
-from dragonflynotch.control.row_cleanup import delete_submission
+from dragonflynotch.control.row_cleanup import (
+    delete_cancellation,
+    delete_submission,
+)
 from dragonflynotch.control.rows import (
     PROGRESS,
     SCHEDULER_PART,
@@ -114,6 +117,12 @@
         if decisions.expired_jobs:
             deletions = await self._delete_submissions(decisions)
             refused.extend(await self._commit(deletions, waiting_by_queue))
+        await asyncio.gather(
+            *(
+                delete_cancellation(self._store, cancellation)
+                for cancellation in decisions.expired_cancellations
+            )
+        )
         return refused
 
     async def _commit(
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -26,6 +26,7 @@
     are_operator_rows_recent,
 )
 from dragonflynotch.control.rows import (
+    EARLY_CANCELLATION_PREFIX,
     ORDER_TABLES,
     PROGRESS,
     REPORTS,
@@ -39,10 +40,12 @@
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.deployment import Deployment
+from dragonflynotch.workflows.early_cancellations import EarlyCancellation
 from dragonflynotch.workflows.evacuation import EvacuationRequests
 from dragonflynotch.workflows.jobs import decode_job_spec
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import (
+    CancellationRow,
     Order,
     ProgressRow,
     Report,
@@ -285,10 +288,27 @@
                 continue
             if kind == 'cancel':
                 self._scheduler.cancel(job_id)
+            elif kind.startswith(EARLY_CANCELLATION_PREFIX):
+                self._cancel_early(change.key, change.content)
             elif kind == 'spec':
                 self._put_job(job_id, change.content)
         self._rows_changed.set()
 
+    def _cancel_early(self, key: str, content: bytes) -> None:
+        row = decode_row(content, CancellationRow)
+        if isinstance(row, Unreadable):
+            unreadable_entries.record('cancellation_unreadable', row, row=key)
+            return
+        self._scheduler.cancel_early(
+            EarlyCancellation(
+                key.partition('/')[0],
+                key,
+                row.workspace,
+                row.queue,
+                row.cancelled_ms,
+            )
+        )
+
     def _put_job(self, job_id: str, content: bytes) -> None:
         spec = decode_job_spec(job_id, content)
         if isinstance(spec, Unreadable):
--- a/dragonflynotch/control/row_cleanup.py
+++ b/dragonflynotch/control/row_cleanup.py
@@ -7,6 +7,7 @@
 from dragonflynotch.control.earlier_ends import take_fitting
 from dragonflynotch.control.report_size import fit_report
 from dragonflynotch.control.rows import (
+    ABSENT,
     REPORTS,
     SUBMISSIONS,
     Committed,
@@ -22,10 +23,11 @@
 )
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.workflows.crash_records import confirm_crashes
+from dragonflynotch.workflows.early_cancellations import EarlyCancellation
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import EarlierEnd, Report, encode_row
 
-__all__ = ('delete_submission', 'void_report')
+__all__ = ('delete_cancellation', 'delete_submission', 'void_report')
 
 
 async def delete_submission(store: RowStore, job_id: str) -> bool:
@@ -53,6 +55,28 @@
     return True
 
 
+async def delete_cancellation(
+    store: RowStore, cancellation: EarlyCancellation
+) -> None:
+    """Delete the cancellation of a job that has not arrived.
+
+    If the job arrives at the same time, the cancellation is kept.
+    """
+    part = shard_of(cancellation.job_id)
+    name = RowName(SUBMISSIONS.name, part, cancellation.key)
+    spec = RowName(SUBMISSIONS.name, part, f'{cancellation.job_id}/spec')
+    try:
+        await store.commit([RowWrite(name, None)], [(spec, ABSENT)])
+    except (
+        PlatformUnavailableError,
+        UncertainWriteError,
+        InvalidInputError,
+    ) as error:
+        decision_log.record(
+            'cancellation_kept', row=cancellation.key, reason=str(error)
+        )
+
+
 async def void_report(
     store: RowStore, worker: Worker, *, has_minion_ended: bool = False
 ) -> bool:
--- a/dragonflynotch/control/rows.py
+++ b/dragonflynotch/control/rows.py
@@ -8,6 +8,7 @@
 
 __all__ = (
     'ABSENT',
+    'EARLY_CANCELLATION_PREFIX',
     'LEASE',
     'ORDER_TABLES',
     'PROGRESS',
@@ -61,8 +62,10 @@
 
 
 _SHARD_PARTS = tuple(f'shard-{number}' for number in range(_SHARD_COUNT))
-# Rows JOB/spec and JOB/cancel, written once by entries.
+# Rows JOB/spec and JOB/cancel, written once by entries, and a row of each
+# workspace that cancels a job before it is there.
 SUBMISSIONS = Table('submissions', _SHARD_PARTS)
+EARLY_CANCELLATION_PREFIX = 'cancel-'
 # One row for each guard, written by the guard.
 REPORTS = Table('reports', _SHARD_PARTS)
 # One row for each job, written by the scheduler.
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 from datetime import timedelta
+from hashlib import sha256
 from typing import TypeVar
 
 import msgspec
@@ -12,6 +13,7 @@
 from dragonflynotch.control.leadership import LEASE_NAME
 from dragonflynotch.control.rows import (
     ABSENT,
+    EARLY_CANCELLATION_PREFIX,
     PROGRESS,
     SCHEDULER_PART,
     SUBMISSIONS,
@@ -34,6 +36,7 @@
 from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import (
+    CancellationRow,
     JobState,
     LeaseRow,
     ProgressRow,
@@ -170,10 +173,18 @@
         return await self._write_with_retries(name, encode_row(row), deadline)
 
     async def cancel(
-        self, job_id: str, limit: timedelta, *, workspace: str | None = None
+        self,
+        job_id: str,
+        limit: timedelta,
+        *,
+        workspace: str | None = None,
+        queue: str = '',
     ) -> Accepted | NotFound | NotAccepted | Unknown:
         """Store the cancellation of a job.
 
+        A submission of the job may still be under way, so the cancellation is
+        also stored if there is no such job.
+
         Parameters
         ----------
         job_id : str
@@ -183,11 +194,17 @@
         workspace : str, optional
             Workspace of the caller. The jobs of other workspaces do not exist
             for it. By default, the caller may cancel any job.
+        queue : str, optional
+            Queue of the call. A job that is not there yet is cancelled only if
+            it is in this queue; by default, in any.
         """
         deadline = Deadline(self._clock, limit)
         state = await self.state(job_id, limit, workspace=workspace)
         if isinstance(state, NotFound):
-            return state
+            early = CancellationRow(
+                workspace, queue, self._store_clock.earliest_ms()
+            )
+            return await self._cancel_early(job_id, early, deadline)
         if isinstance(state, Unavailable):
             return NotAccepted(state.reason)
         if state.is_final:
@@ -239,6 +256,24 @@
         lease = _decode(row, LeaseRow)
         return 0 if lease is None else lease.waiting.get(queue, 0)
 
+    async def _cancel_early(
+        self, job_id: str, row: CancellationRow, deadline: Deadline
+    ) -> Accepted | NotFound | NotAccepted | Unknown:
+        """Store the cancellation of a job that is not there.
+
+        It applies to a job of the caller that arrives before or after it.
+        """
+        name = _submission_row(job_id, _early_kind(row))
+        outcome = await self._write_with_retries(
+            name, encode_row(row), deadline
+        )
+        if not isinstance(outcome, Accepted):
+            return outcome
+        # The job may have arrived since its state was read.
+        limit = timedelta(seconds=deadline.remaining_s)
+        state = await self.state(job_id, limit, workspace=row.workspace)
+        return state if isinstance(state, NotFound) else Accepted()
+
     async def _read_status(
         self, job_id: str, workspace: str | None
     ) -> JobStatus | NotFound:
@@ -332,6 +367,15 @@
             await self._store.read_row(LEASE_NAME)
 
 
+def _early_kind(row: CancellationRow) -> str:
+    """Return the key of a cancellation within its job.
+
+    Callers who may not cancel each other's jobs have rows of their own.
+    """
+    caller = msgspec.json.encode((row.workspace, row.queue))
+    return f'{EARLY_CANCELLATION_PREFIX}{sha256(caller).hexdigest()[:16]}'
+
+
 def _submission_row(job_id: str, kind: str) -> RowName:
     return RowName(SUBMISSIONS.name, shard_of(job_id), f'{job_id}/{kind}')
 
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -134,7 +134,7 @@
             case 'GET':
                 return await self._read_state(call, job_id, job_owner)
             case 'DELETE':
-                return await self._cancel(call, job_id, job_owner)
+                return await self._cancel(call, queue, job_id, job_owner)
             case _:
                 return _Refusal(_METHOD_NOT_ALLOWED, 'method not allowed')
 
@@ -185,10 +185,18 @@
         return Reply(_OK, msgspec.json.encode(body), _JSON_HEADERS)
 
     async def _cancel(
-        self, call: HttpCall, job_id: str, workspace: str | None
+        self,
+        call: HttpCall,
+        queue: Queue,
+        job_id: str,
+        workspace: str | None,
     ) -> Reply | _Refusal:
         outcome = await self._submissions.cancel(
-            job_id, _remaining_time(call), workspace=workspace
+            job_id,
+            _remaining_time(call),
+            workspace=workspace,
+            # Without a key, a call is about the jobs of its queue only.
+            queue=queue.name if workspace is None else '',
         )
         match outcome:
             case Accepted():
--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -3,6 +3,10 @@
 from collections import Counter
 
 from dragonflynotch.workflows.deployment import Deployment, Queue
+from dragonflynotch.workflows.early_cancellations import (
+    EarlyCancellation,
+    EarlyCancellations,
+)
 from dragonflynotch.workflows.jobs import JobSpec, parse_task_id
 from dragonflynotch.workflows.progress import Job, Step, Task
 from dragonflynotch.workflows.records import JobState, ProgressRow
@@ -22,6 +26,7 @@
         self._jobs: dict[str, Job] = {}
         self._open: dict[str, Job] = {}
         self._cancelled: set[str] = set()
+        self._early_cancellations = EarlyCancellations()
         self._changed: set[str] = set()
         # Rows of jobs that are no longer in ``_changed``.
         self._changed_rows: dict[str, ProgressRow] = {}
@@ -32,6 +37,8 @@
             job = Job(job_id, spec)
             self._jobs[job_id] = job
             self._open[job_id] = job
+            if self._early_cancellations.apply_to(job_id, spec):
+                self.cancel(job_id)
 
     def restore(self, job_id: str, row: ProgressRow, start: int = 0) -> None:
         """Restore a row of the stored progress, see ``Job.restore``."""
@@ -65,6 +72,28 @@
             self._open[job_id] = job
         return is_new and job_id in self._open
 
+    def cancel_early(self, cancellation: EarlyCancellation) -> bool:
+        """Cancel a job that may arrive later, if its caller may do so.
+
+        Returns
+        -------
+        bool
+            Whether the job is there, is open and was not cancelled before.
+        """
+        self._early_cancellations.add(cancellation)
+        job = self._jobs.get(cancellation.job_id)
+        if job is None or not cancellation.applies_to(job.spec):
+            return False
+        return self.cancel(job.job_id)
+
+    def take_expired_cancellations(
+        self, now_ms: int, retention_ms: int
+    ) -> list[EarlyCancellation]:
+        """Return the early cancellations whose rows are to be deleted."""
+        return self._early_cancellations.take_expired(
+            now_ms, retention_ms, self._jobs
+        )
+
     def is_cancelled(self, job: Job) -> bool:
         """Return whether a caller cancelled the job."""
         return job.job_id in self._cancelled
--- a/dragonflynotch/workflows/progress_segments.py
+++ b/dragonflynotch/workflows/progress_segments.py
@@ -90,10 +90,9 @@
             Longest row that the store accepts.
         """
         rows = self._divide(first_row, list_tasks, max_row_bytes)
-        for start, row in reversed(rows):
+        for start, row, digest in reversed(rows):
             if start and not row.tasks and start not in self._taken:
                 continue
-            digest = hash(encode_row(row))
             if self._taken.get(start) != digest:
                 self._taken[start] = digest
                 yield start, row
@@ -103,19 +102,20 @@
         first_row: ProgressRow,
         list_tasks: Callable[[int, int], Sequence[TaskRow]],
         max_row_bytes: int,
-    ) -> list[tuple[int, ProgressRow]]:
-        """Divide the rows that are too long; return all, in order."""
+    ) -> list[tuple[int, ProgressRow, int]]:
+        """Divide the rows that are too long; return all with their hashes."""
         rows = []
         index = 0
         while index < len(self._starts):
             start = self._starts[index]
             end = self._end_of(index)
             row = _create_row(first_row, start, list_tasks(start, end))
-            is_long = len(encode_row(row)) > max_row_bytes // _ROWS_PER_LIMIT
+            content = encode_row(row)
+            is_long = len(content) > max_row_bytes // _ROWS_PER_LIMIT
             if is_long and end - start > 1:
                 self._starts.insert(index + 1, (start + end) // 2)
                 continue
-            rows.append((start, row))
+            rows.append((start, row, hash(content)))
             index += 1
         return rows
 
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -24,6 +24,7 @@
     'MISSING',
     'NO_ROOM',
     'STOPPED',
+    'CancellationRow',
     'EarlierEnd',
     'EndKind',
     'JobState',
@@ -142,6 +143,24 @@
     reason: str = ''
 
 
+class CancellationRow(msgspec.Struct, omit_defaults=True):
+    """Cancellation of a job that was not there; see ``EarlyCancellation``.
+
+    Parameters
+    ----------
+    workspace : str or None
+        Workspace of the caller; ``None`` if any caller may cancel the job.
+    queue : str
+        Queue of the call; ``''`` if the job may be in any queue.
+    cancelled_ms : int
+        Store time of the cancellation.
+    """
+
+    workspace: str | None = None
+    queue: str = ''
+    cancelled_ms: TimeMs = 0
+
+
 class LeaseRow(msgspec.Struct, omit_defaults=True):
     """Scheduling lease; each transaction of the holder rewrites this row.
 
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -13,6 +13,7 @@
     DecisionLogEntry,
 )
 from dragonflynotch.workflows.deployment import Deployment
+from dragonflynotch.workflows.early_cancellations import EarlyCancellation
 from dragonflynotch.workflows.evacuation import Evacuation, EvacuationRequests
 from dragonflynotch.workflows.job_faults import JobFaults
 from dragonflynotch.workflows.job_registry import JobRegistry
@@ -89,12 +90,18 @@
     expired_jobs: list[str] = field(default_factory=list)
     # Keys of the rows of their progress, of jobs that have several.
     expired_rows: dict[str, list[str]] = field(default_factory=dict)
+    expired_cancellations: list[EarlyCancellation] = field(default_factory=list)
     log_entries: list[DecisionLogEntry] = field(default_factory=list)
 
     @property
     def is_empty(self) -> bool:
         """Whether there are no rows to write."""
-        return not (self.progress or self.orders or self.expired_jobs)
+        return not (
+            self.progress
+            or self.orders
+            or self.expired_jobs
+            or self.expired_cancellations
+        )
 
 
 class Scheduler:
@@ -253,6 +260,13 @@
         if self._jobs.cancel(job_id):
             self._decision_log.record('job_cancelled', job=job_id)
 
+    def cancel_early(self, cancellation: EarlyCancellation) -> None:
+        """Cancel a job whose submission may still be under way."""
+        if self._jobs.cancel_early(cancellation):
+            self._decision_log.record(
+                'job_cancelled', job=cancellation.job_id, is_early=True
+            )
+
     def fail_unstorable(self, job_id: str, row: str, now_ms: int) -> None:
         """End a job of which the store refuses a row for good.
 
@@ -420,6 +434,9 @@
             self._orders.take_changes(),
             list(expired),
             {job_id: keys for job_id, keys in expired.items() if len(keys) > 1},
+            self._jobs.take_expired_cancellations(
+                now_ms, self._settings.ended_job_retention_ms
+            ),
             self._decision_log.take(),
         )
 
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -7,12 +7,13 @@
 
 from dragonflynotch.control.rows import (
     REPORTS,
+    SUBMISSIONS,
     RowName,
     RowWrite,
     StoreLimits,
     shard_of,
 )
-from dragonflynotch.control.submissions import Accepted
+from dragonflynotch.control.submissions import Accepted, NotFound
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import StoreFault
@@ -207,6 +208,44 @@
     assert not cluster.log.overlapping_tasks
 
 
+@pytest.mark.parametrize('is_leader_replaced', [False, True])
+async def test_job_that_arrives_after_its_cancellation_does_not_run(
+    cluster, is_leader_replaced
+):
+    """A submission without an answer was carried out after its cancelling."""
+    await cluster.submissions.cancel('a', _cancel_timeout(), workspace='team')
+    if is_leader_replaced:
+        await cluster.submit('b', tasks(1))
+        await cluster.wait_for_starts(1)
+        await cluster.kill(cluster.current_leader())
+    assert await cluster.submit('a', tasks(1)) == Accepted()
+    await cluster.wait_for_state('a', JobState.cancelled)
+    assert 'a.0.0.0' not in {task for task, _, _ in cluster.log.starts}
+
+
+async def test_cancellation_of_another_workspace_does_not_count(cluster):
+    """A caller could keep jobs of others from running by their identifiers."""
+    cancel = cluster.submissions.cancel
+    assert await cancel('a', _cancel_timeout(), workspace='x') == NotFound()
+    assert await cancel('a', _cancel_timeout(), queue='x') == NotFound()
+    await cluster.submit('a', tasks(1))
+    await cluster.wait_for_state('a', JobState.completed)
+
+
+async def test_rows_of_early_cancellations_are_deleted():
+    """Identifiers are any text, so the rows would fill the store."""
+    settings = SchedulerSettings(ended_job_retention_ms=300)
+    cluster = Cluster(settings=settings)
+    cluster.start()
+    await cluster.submissions.cancel('a', _cancel_timeout())
+    await cluster.submit('b', tasks(1))
+    await cluster.wait_for_state('b', JobState.completed)
+    async with asyncio.timeout(3):
+        while await cluster.store.read_table(SUBMISSIONS):
+            await asyncio.sleep(0.02)
+    await cluster.stop()
+
+
 @pytest.fixture
 async def small_rows():
     """Return a cluster on a store with rows that are soon too long."""
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -9,6 +9,7 @@
 from dragonflynotch.control.rows import (
     PROGRESS,
     SCHEDULER_PART,
+    SUBMISSIONS,
     RowName,
     RowWrite,
 )
@@ -324,3 +325,44 @@
     """Control characters must not make a text too long."""
     spec = replace(SPEC, payload=LONG_TEXT)
     assert await submissions.submit('a', spec, LIMIT) == Accepted()
+
+
+@pytest.mark.parametrize('workspace', [None, 'team'])
+async def test_cancellation_is_stored_before_its_job(
+    submissions, store, workspace
+):
+    """A DELETE was answered with 410, and the job then ran to its end."""
+    scope = {'workspace': workspace}
+    assert await submissions.cancel('a', LIMIT, **scope) == NotFound()
+    rows = await store.read_table(SUBMISSIONS)
+    assert [row.key.partition('-')[0] for row in rows] == ['a/cancel']
+    # A repeated call, for example after a lost answer, adds nothing.
+    assert await submissions.cancel('a', LIMIT, **scope) == NotFound()
+    assert len(await store.read_table(SUBMISSIONS)) == 1
+
+
+async def test_job_that_arrives_during_its_cancellation_is_cancelled(
+    submissions, store
+):
+    """410 says that there is no such job, so it must not be there."""
+
+    async def submit_first(writes, conditions):
+        monkeypatched.undo()
+        await submissions.submit('a', SPEC, LIMIT)
+        return await store.commit(writes, conditions)
+
+    monkeypatched = pytest.MonkeyPatch()
+    monkeypatched.setattr(store, 'commit', submit_first)
+    assert await submissions.cancel('a', LIMIT) == Accepted()
+
+
+@pytest.mark.parametrize('fault', [StoreFault.late, StoreFault.lose_answers])
+async def test_cancellation_without_an_answer_is_not_acknowledged(
+    submissions, store, fault
+):
+    """Nothing may be said about a cancellation that is under way."""
+    store.fault = fault
+    cancelling = asyncio.create_task(submissions.cancel('a', LIMIT))
+    await asyncio.sleep(0.05)
+    store.fault = StoreFault.down
+    assert isinstance(await cancelling, Unknown | NotAccepted)
