Hide the jobs of private queues from public ones

Cause: a call on a public queue dropped the workspace of its caller, and jobs are looked up by the identifier alone.

The rights of a caller are one type (workflows/job_access.py): on a public queue the jobs of that queue, those without a workspace and those of the caller's own workspace; elsewhere those of its workspace. Stored cancellations of jobs that are not there yet use the same rights. The first row of progress has the queue, so that no further read is needed; rows of earlier releases lead to the row of the job.

The tests of access pass the rights in place of the workspace.

--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -42,6 +42,7 @@
 from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.early_cancellations import EarlyCancellation
 from dragonflynotch.workflows.evacuation import EvacuationRequests
+from dragonflynotch.workflows.job_access import JobAccess
 from dragonflynotch.workflows.jobs import decode_job_spec
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.records import (
@@ -303,8 +304,7 @@
             EarlyCancellation(
                 key.partition('/')[0],
                 key,
-                row.workspace,
-                row.queue,
+                JobAccess(row.workspace, row.public_queue),
                 row.cancelled_ms,
             )
         )
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -34,6 +34,7 @@
 from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.observability.unreadable import unreadable_entries
+from dragonflynotch.workflows.job_access import JobAccess
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import (
     CancellationRow,
@@ -71,6 +72,7 @@
 _NO_RESPONSE = 'no response of the row store before the deadline of the caller'
 
 _RowT = TypeVar('_RowT')
+_FULL_ACCESS = JobAccess()
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,12 +175,7 @@
         return await self._write_with_retries(name, encode_row(row), deadline)
 
     async def cancel(
-        self,
-        job_id: str,
-        limit: timedelta,
-        *,
-        workspace: str | None = None,
-        queue: str = '',
+        self, job_id: str, limit: timedelta, access: JobAccess = _FULL_ACCESS
     ) -> Accepted | NotFound | NotAccepted | Unknown:
         """Store the cancellation of a job.
 
@@ -191,20 +188,14 @@
             Identifier of the job.
         limit : timedelta
             Time until the caller stops waiting.
-        workspace : str, optional
-            Workspace of the caller. The jobs of other workspaces do not exist
-            for it. By default, the caller may cancel any job.
-        queue : str, optional
-            Queue of the call. A job that is not there yet is cancelled only if
-            it is in this queue; by default, in any.
+        access : JobAccess, optional
+            Rights of the caller. Other jobs do not exist for it. By default,
+            the caller may cancel any job.
         """
         deadline = Deadline(self._clock, limit)
-        state = await self.state(job_id, limit, workspace=workspace)
+        state = await self.state(job_id, limit, access)
         if isinstance(state, NotFound):
-            early = CancellationRow(
-                workspace, queue, self._store_clock.earliest_ms()
-            )
-            return await self._cancel_early(job_id, early, deadline)
+            return await self._cancel_early(job_id, access, deadline)
         if isinstance(state, Unavailable):
             return NotAccepted(state.reason)
         if state.is_final:
@@ -213,14 +204,14 @@
         return await self._write_with_retries(name, b'{}', deadline)
 
     async def state(
-        self, job_id: str, limit: timedelta, *, workspace: str | None = None
+        self, job_id: str, limit: timedelta, access: JobAccess = _FULL_ACCESS
     ) -> JobState | NotFound | Unavailable:
         """Return the state of a job; see ``status``."""
-        status = await self.status(job_id, limit, workspace=workspace)
+        status = await self.status(job_id, limit, access)
         return status.state if isinstance(status, JobStatus) else status
 
     async def status(
-        self, job_id: str, limit: timedelta, *, workspace: str | None = None
+        self, job_id: str, limit: timedelta, access: JobAccess = _FULL_ACCESS
     ) -> JobStatus | NotFound | Unavailable:
         """Return the status of a job, within the time limit of the caller.
 
@@ -230,13 +221,13 @@
             Identifier of the job.
         limit : timedelta
             Time until the caller stops waiting.
-        workspace : str, optional
-            Workspace of the caller. The jobs of other workspaces do not exist
-            for it. By default, the caller may read any job.
+        access : JobAccess, optional
+            Rights of the caller. Other jobs do not exist for it. By default,
+            the caller may read any job.
         """
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                return await self._read_status(job_id, workspace)
+                return await self._read_status(job_id, access)
         except PlatformUnavailableError as error:
             return Unavailable(str(error))
         except TimeoutError:
@@ -257,12 +248,17 @@
         return 0 if lease is None else lease.waiting.get(queue, 0)
 
     async def _cancel_early(
-        self, job_id: str, row: CancellationRow, deadline: Deadline
+        self, job_id: str, access: JobAccess, deadline: Deadline
     ) -> Accepted | NotFound | NotAccepted | Unknown:
         """Store the cancellation of a job that is not there.
 
         It applies to a job of the caller that arrives before or after it.
         """
+        row = CancellationRow(
+            access.workspace,
+            access.public_queue,
+            self._store_clock.earliest_ms(),
+        )
         name = _submission_row(job_id, _early_kind(row))
         outcome = await self._write_with_retries(
             name, encode_row(row), deadline
@@ -271,11 +267,11 @@
             return outcome
         # The job may have arrived since its state was read.
         limit = timedelta(seconds=deadline.remaining_s)
-        state = await self.state(job_id, limit, workspace=row.workspace)
+        state = await self.state(job_id, limit, access)
         return state if isinstance(state, NotFound) else Accepted()
 
     async def _read_status(
-        self, job_id: str, workspace: str | None
+        self, job_id: str, access: JobAccess
     ) -> JobStatus | NotFound:
         # Most jobs have started when their state is read, so their progress
         # is read first.
@@ -283,15 +279,20 @@
             RowName(PROGRESS.name, SCHEDULER_PART, job_id)
         )
         progress = _decode(row, ProgressRow)
-        if progress is not None and progress.workspace is not None:
-            if workspace in {None, progress.workspace}:
+        if progress is not None and progress.queue:
+            if access.covers(progress.workspace or '', progress.queue):
                 return JobStatus(progress.state, progress.reason)
             return NotFound()
         row = await self._store.read_row(_submission_row(job_id, 'spec'))
         spec = _decode(row, JobSpec)
-        if spec is not None and workspace not in {None, spec.workspace}:
+        if spec is not None and not access.covers(spec.workspace, spec.queue):
             return NotFound()
         if progress is not None:
+            # The description of an ended job is deleted before its progress.
+            owner = progress.workspace
+            is_hidden = owner is not None and not access.covers(owner, '')
+            if spec is None and is_hidden:
+                return NotFound()
             return JobStatus(progress.state, progress.reason)
         return NotFound() if row is None else JobStatus(JobState.queued)
 
@@ -372,7 +373,7 @@
 
     Callers who may not cancel each other's jobs have rows of their own.
     """
-    caller = msgspec.json.encode((row.workspace, row.queue))
+    caller = msgspec.json.encode((row.workspace, row.public_queue))
     return f'{EARLY_CANCELLATION_PREFIX}{sha256(caller).hexdigest()[:16]}'
 
 
--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -24,6 +24,7 @@
 from dragonflynotch.observability.job_metrics import JobMetrics
 from dragonflynotch.platform.jobs import decode_job, is_job_id
 from dragonflynotch.workflows.deployment import Deployment, Queue
+from dragonflynotch.workflows.job_access import JobAccess
 from dragonflynotch.workflows.jobs import JobSpec
 
 __all__ = ('JobApi',)
@@ -119,8 +120,7 @@
                 _UNAUTHORIZED,
                 f'unknown credential at configuration {deployment.version}',
             )
-        # The jobs of a public queue may be read and cancelled by anyone.
-        job_owner = None if queue.is_public else workspace
+        access = JobAccess(workspace, queue.name if queue.is_public else '')
         job_id = call.path.removeprefix(queue.prefix)
         if not job_id:
             return await self._count_waiting(call, queue)
@@ -132,9 +132,9 @@
             case 'POST':
                 return await self._submit(call, queue, workspace or '', job_id)
             case 'GET':
-                return await self._read_state(call, job_id, job_owner)
+                return await self._read_state(call, job_id, access)
             case 'DELETE':
-                return await self._cancel(call, queue, job_id, job_owner)
+                return await self._cancel(call, job_id, access)
             case _:
                 return _Refusal(_METHOD_NOT_ALLOWED, 'method not allowed')
 
@@ -170,10 +170,10 @@
                 return _Refusal(_GATEWAY_TIMEOUT, reason)
 
     async def _read_state(
-        self, call: HttpCall, job_id: str, workspace: str | None
+        self, call: HttpCall, job_id: str, access: JobAccess
     ) -> Reply | _Refusal:
         status = await self._submissions.status(
-            job_id, _remaining_time(call), workspace=workspace
+            job_id, _remaining_time(call), access
         )
         if isinstance(status, NotFound):
             return _Refusal(_GONE, 'no such job')
@@ -185,18 +185,10 @@
         return Reply(_OK, msgspec.json.encode(body), _JSON_HEADERS)
 
     async def _cancel(
-        self,
-        call: HttpCall,
-        queue: Queue,
-        job_id: str,
-        workspace: str | None,
+        self, call: HttpCall, job_id: str, access: JobAccess
     ) -> Reply | _Refusal:
         outcome = await self._submissions.cancel(
-            job_id,
-            _remaining_time(call),
-            workspace=workspace,
-            # Without a key, a call is about the jobs of its queue only.
-            queue=queue.name if workspace is None else '',
+            job_id, _remaining_time(call), access
         )
         match outcome:
             case Accepted():
--- a/dragonflynotch/workflows/early_cancellations.py
+++ b/dragonflynotch/workflows/early_cancellations.py
@@ -4,6 +4,7 @@
 from collections.abc import Container
 from dataclasses import dataclass
 
+from dragonflynotch.workflows.job_access import JobAccess
 from dragonflynotch.workflows.jobs import JobSpec
 
 __all__ = ('EarlyCancellation', 'EarlyCancellations')
@@ -25,26 +26,20 @@
         Identifier of the job.
     key : str
         Key of the stored row.
-    workspace : str or None
-        Only a job of this workspace is cancelled; ``None`` for any.
-    queue : str
-        Only a job of this queue is cancelled; ``''`` for any.
+    access : JobAccess
+        Rights of the caller; only a job that they cover is cancelled.
     cancelled_ms : int
         Store time of the cancellation.
     """
 
     job_id: str
     key: str
-    workspace: str | None
-    queue: str
+    access: JobAccess
     cancelled_ms: int
 
     def applies_to(self, spec: JobSpec) -> bool:
         """Return whether a job is one that its caller may cancel."""
-        return self.workspace in {None, spec.workspace} and self.queue in {
-            '',
-            spec.queue,
-        }
+        return self.access.covers(spec.workspace, spec.queue)
 
 
 class EarlyCancellations:
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -212,6 +212,7 @@
             ended_ms=self.ended_ms,
             workspace=self.spec.workspace,
             reason=self.reason,
+            queue=self.spec.queue,
         )
 
     def _task_rows(self, start: int, end: int) -> list[TaskRow]:
--- a/dragonflynotch/workflows/progress_segments.py
+++ b/dragonflynotch/workflows/progress_segments.py
@@ -135,4 +135,5 @@
         first_row.ended_ms,
         first_row.workspace,
         first_row.reason,
+        first_row.queue,
     )
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -133,7 +133,9 @@
         Workspace of the job. ``None`` in rows of releases that did not store
         it.
     reason : str
-        Why the job failed, for its caller; ``''`` if it did not fail.
+        Why the job failed or was set aside, for its caller; ``''`` if neither.
+    queue : str
+        Queue of the job. ``''`` in rows of releases that did not store it.
     """
 
     state: JobState
@@ -141,6 +143,7 @@
     ended_ms: TimeMs = 0
     workspace: str | None = None
     reason: str = ''
+    queue: str = ''
 
 
 class CancellationRow(msgspec.Struct, omit_defaults=True):
@@ -148,16 +151,14 @@
 
     Parameters
     ----------
-    workspace : str or None
-        Workspace of the caller; ``None`` if any caller may cancel the job.
-    queue : str
-        Queue of the call; ``''`` if the job may be in any queue.
+    workspace, public_queue
+        Rights of the caller, see ``JobAccess``.
     cancelled_ms : int
         Store time of the cancellation.
     """
 
     workspace: str | None = None
-    queue: str = ''
+    public_queue: str = ''
     cancelled_ms: TimeMs = 0
 
 
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -17,6 +17,7 @@
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import StoreFault
+from dragonflynotch.workflows.job_access import JobAccess
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import JobState
 from dragonflynotch.workflows.scheduler import Scheduler, SchedulerSettings
@@ -213,7 +214,7 @@
     cluster, is_leader_replaced
 ):
     """A submission without an answer was carried out after its cancelling."""
-    await cluster.submissions.cancel('a', _cancel_timeout(), workspace='team')
+    await cluster.submissions.cancel('a', _cancel_timeout(), JobAccess('team'))
     if is_leader_replaced:
         await cluster.submit('b', tasks(1))
         await cluster.wait_for_starts(1)
@@ -226,8 +227,9 @@
 async def test_cancellation_of_another_workspace_does_not_count(cluster):
     """A caller could keep jobs of others from running by their identifiers."""
     cancel = cluster.submissions.cancel
-    assert await cancel('a', _cancel_timeout(), workspace='x') == NotFound()
-    assert await cancel('a', _cancel_timeout(), queue='x') == NotFound()
+    assert await cancel('a', _cancel_timeout(), JobAccess('x')) == NotFound()
+    public = JobAccess(public_queue='x')
+    assert await cancel('a', _cancel_timeout(), public) == NotFound()
     await cluster.submit('a', tasks(1))
     await cluster.wait_for_state('a', JobState.completed)
 
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -26,6 +26,7 @@
     PlatformUnavailableError,
 )
 from dragonflynotch.testing.row_store import StoreFault
+from dragonflynotch.workflows.job_access import JobAccess
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 from dragonflynotch.workflows.progress import Job
 from dragonflynotch.workflows.records import (
@@ -260,10 +261,10 @@
         name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
         row = Job('a', SPEC).progress_row()
         await store.commit([RowWrite(name, encode_row(row))], [])
-    other = {'workspace': 'other'}
+    other = {'access': JobAccess('other')}
     assert await submissions.state('a', LIMIT, **other) == NotFound()
     assert await submissions.cancel('a', LIMIT, **other) == NotFound()
-    own = {'workspace': SPEC.workspace}
+    own = {'access': JobAccess(SPEC.workspace)}
     assert await submissions.state('a', LIMIT, **own) is JobState.queued
     assert await submissions.cancel('a', LIMIT, **own) == Accepted()
 
@@ -276,9 +277,11 @@
     name = RowName(PROGRESS.name, SCHEDULER_PART, 'a')
     row = ProgressRow(JobState.running)
     await store.commit([RowWrite(name, encode_row(row))], [])
-    outcome = await submissions.state('a', LIMIT, workspace='other')
+    outcome = await submissions.state('a', LIMIT, access=JobAccess('other'))
     assert outcome == NotFound()
-    outcome = await submissions.state('a', LIMIT, workspace=SPEC.workspace)
+    outcome = await submissions.state(
+        'a', LIMIT, access=JobAccess(SPEC.workspace)
+    )
     assert outcome is JobState.running
 
 
@@ -332,7 +335,7 @@
     submissions, store, workspace
 ):
     """A DELETE was answered with 410, and the job then ran to its end."""
-    scope = {'workspace': workspace}
+    scope = {'access': JobAccess(workspace)}
     assert await submissions.cancel('a', LIMIT, **scope) == NotFound()
     rows = await store.read_table(SUBMISSIONS)
     assert [row.key.partition('-')[0] for row in rows] == ['a/cancel']
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -23,12 +23,17 @@
 BODY = msgspec.json.encode({'spec': 'text', 'steps': [{'count': 1}]})
 
 
-def deployment(*, is_public=False):
+def deployment(*, is_public=False, has_public_queue=False):
     return Deployment(
         1,
         queues={
             'queue': Queue('queue', 'h', '/q/', 'planner', is_public=is_public)
-        },
+        }
+        | (
+            {'open': Queue('open', 'h', '/open/', 'planner', is_public=True)}
+            if has_public_queue
+            else {}
+        ),
         workspaces={
             name: Workspace(name, (f'{name}-key',)) for name in ('own', 'other')
         },
@@ -36,20 +41,22 @@
     )
 
 
-def create_api(*, is_public=False, store=None):
+def create_api(*, is_public=False, store=None, has_public_queue=False):
     clock = ManualSteadyClock(1_000_000)
     store = store or MemoryRowStore(clock)
     return JobApi(
         SubmissionService(store, store.store_clock, store.health, clock),
-        lambda: deployment(is_public=is_public),
+        lambda: deployment(
+            is_public=is_public, has_public_queue=has_public_queue
+        ),
         store.health,
         JobMetrics('front', dict),
     )
 
 
-async def send(api, method, key, body=b''):
+async def send(api, method, key, body=b'', path=PATH):
     headers = {'host': 'h', 'dragonflynotch-credential': key}
-    return (await api(HttpCall(method, PATH, {}, headers, body))).status
+    return (await api(HttpCall(method, path, {}, headers, body))).status
 
 
 @pytest.mark.parametrize('method', ['GET', 'DELETE'])
@@ -84,3 +91,23 @@
     api = create_api(is_public=True)
     assert await send(api, 'POST', '', BODY) == 200
     assert await send(api, method, 'other-key') == 200
+
+
+@pytest.mark.parametrize('has_started', [False, True])
+@pytest.mark.parametrize('method', ['GET', 'DELETE'])
+async def test_private_job_is_hidden_from_a_public_queue(method, has_started):
+    """A public queue let callers without a key read and cancel any job."""
+    clock = ManualSteadyClock(1_000_000)
+    store = MemoryRowStore(clock)
+    api = create_api(store=store, has_public_queue=True)
+    await send(api, 'POST', 'own-key', BODY)
+    if has_started:
+        row = ProgressRow(JobState.running, workspace='own', queue='queue')
+        name = RowName(PROGRESS.name, SCHEDULER_PART, JOB_ID)
+        await store.commit([RowWrite(name, encode_row(row))], [])
+    public_path = f'/open/{JOB_ID}'
+    assert await send(api, method, '', path=public_path) == 410
+    assert await send(api, method, 'other-key', path=public_path) == 410
+    # Its owner may use any way to it.
+    assert await send(api, method, 'own-key', path=public_path) == 200
+    assert await send(api, method, 'own-key') == 200
--- a/tests/workflows/test_early_cancellations.py
+++ b/tests/workflows/test_early_cancellations.py
@@ -7,15 +7,17 @@
     EarlyCancellation,
     EarlyCancellations,
 )
+from dragonflynotch.workflows.job_access import JobAccess
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
 
 RETENTION_MS = 1000
+FULL_ACCESS = JobAccess()
 SPEC = JobSpec('q', 'team', 'planner', 'text', (StepSpec(1),))
 
 
-def cancellation(number, cancelled_ms=0, workspace=None, queue=''):
+def cancellation(number, cancelled_ms=0, access=FULL_ACCESS):
     return EarlyCancellation(
-        f'j{number}', f'j{number}/cancel-x', workspace, queue, cancelled_ms
+        f'j{number}', f'j{number}/cancel-x', access, cancelled_ms
     )
 
 
@@ -27,6 +29,7 @@
         ('other', '', False),
         (None, 'q', True),
         (None, 'other', False),
+        ('team', 'other', True),
     ],
 )
 def test_only_a_caller_who_may_cancel_the_job_decides(
@@ -34,7 +37,7 @@
 ):
     """A caller could keep jobs of others from running by their identifiers."""
     kept = EarlyCancellations()
-    kept.add(cancellation(1, 0, workspace, queue))
+    kept.add(cancellation(1, 0, JobAccess(workspace, queue)))
     assert kept.apply_to('j1', SPEC) is applies
     assert not kept.apply_to('j2', SPEC)
 
