--- a/dragonflynotch/testing/row_store.py
+++ b/dragonflynotch/testing/row_store.py
@@ -61,7 +61,7 @@
 
     ``fault`` selects the injected fault, ``apply_deferred_commits`` applies the
     deferred writes, and ``truncate_history`` makes feeds lose their position.
-    Transactions beyond the limits ``accepted`` are refused.
+    If ``enforced_limits`` is set, transactions beyond them are refused.
 
     Parameters
     ----------
@@ -72,7 +72,7 @@
     def __init__(self, clock: SteadyClock) -> None:
         """Create an empty store."""
         self.fault = StoreFault.none
-        self.accepted = StoreLimits()
+        self.enforced_limits: StoreLimits | None = None
         self.store_clock = StoreClock(clock)
         self.health = StoreHealth(clock)
         self.call_count = 0
@@ -90,7 +90,7 @@
     @property
     def limits(self) -> StoreLimits:
         """What the store accepts in one transaction."""
-        return self.accepted
+        return self.enforced_limits or super().limits
 
     async def read(
         self, table: str, part: str, first: str = '', last: str = ''
@@ -167,12 +167,15 @@
         writes: Sequence[RowWrite],
         conditions: Sequence[tuple[RowName, int]],
     ) -> None:
-        check_rows(writes, self.accepted)
+        limits = self.enforced_limits
+        if limits is None:
+            return
+        check_rows(writes, limits)
         rows = len(writes) + len(conditions)
         size = sum(encoded_bytes(write) for write in writes)
-        if rows > self.accepted.call_rows or size > self.accepted.call_bytes:
+        if rows > limits.call_rows or size > limits.call_bytes:
             raise InvalidInputError(
-                'commit', f'{rows} rows, {size} bytes', f'{self.accepted}'
+                'commit', f'{rows} rows, {size} bytes', f'{limits}'
             )
 
     def _apply(
