--- a/review/parts_2/minion.py
+++ b/review/parts_2/minion.py
@@ -17,7 +17,7 @@
 __all__ = ('Minion',)
 
 _PREFIX = '/dragonflynotch/Instances'
-_HEARTBEAT_S = 0.5
+_HEARTBEAT_S = 1.5
 # A status report is acknowledged if the answer arrives within this time.
 _ACK_TIMEOUT = timedelta(seconds=1)
 _MAX_ANSWER_BYTES = 65_536
--- a/review/parts_2/site.py
+++ b/review/parts_2/site.py
@@ -25,6 +25,7 @@
     'BROKEN',
     'HELD',
     'NOT_RUN',
+    'SERVICE',
     'Caller',
     'CaseError',
     'Host',
@@ -41,6 +42,7 @@
 _LIMIT_S = 110
 # Bounds of the site tks-suva.
 _BOUNDS = {
+    'heartbeat_ms': '1500',
     'bounds.contact_ms': '3000',
     'bounds.ack_timeout_ms': '4000',
     'bounds.drain_ms': '2000',
@@ -170,23 +172,29 @@
                     },
                 )
             )
-        for number in range(self._sides):
-            host = Host(number, SiteProcess('', Path(), Path()), self)
-            host.guard = await self._start_program(
-                f'side-{number}',
-                {
-                    'listen.control': _text(host.guard_address),
-                    'app': _text(host.link.address),
-                    'service': SERVICE,
-                },
-            )
-            self.hosts.append(host)
+        for _ in range(self._sides):
+            await self.add_host()
         self._tasks.append(asyncio.create_task(self._advance()))
         for host in self.hosts:
             await host.boot()
         # The programs import their packages and read the store first.
         await asyncio.sleep(6)
 
+    async def add_host(self) -> Host:
+        """Start the guard of another side machine, without a minion."""
+        number = len(self.hosts)
+        host = Host(number, SiteProcess('', Path(), Path()), self)
+        host.guard = await self._start_program(
+            f'side-{number}',
+            {
+                'listen.control': _text(host.guard_address),
+                'app': _text(host.link.address),
+                'service': SERVICE,
+            },
+        )
+        self.hosts.append(host)
+        return host
+
     async def stop(self) -> None:
         """End all processes that were started."""
         for task in self._tasks:
@@ -255,6 +263,7 @@
     case: Callable[[Site, bool], Awaitable[bool]],
     queues: list[SiteQueue],
     sides: int,
+    record_name: str = 'record.txt',
 ) -> None:
     """Run a case, write its record and exit with its result.
 
@@ -292,5 +301,5 @@
             for log in Path(directory).glob('*.log'):
                 (Path(logs) / log.name).write_bytes(log.read_bytes())
     record(f'trouble: {has_trouble}; exit status {status}')
-    (folder / 'record.txt').write_text('\n'.join(lines) + '\n')
+    (folder / record_name).write_text('\n'.join(lines) + '\n')
     sys.exit(status)
