--- /dev/null
+++ b/review/tries_2/__init__.py
@@ -0,0 +1,1 @@
+"""Tries at entries of KNOWN-RED.txt that are no cases."""
