--- a/review/parts_2/minion.py
+++ b/review/parts_2/minion.py
@@ -11,6 +11,7 @@
 
 from dragonflynotch.core.errors import DragonflynotchError
 from dragonflynotch.links.http11 import exchange
+from dragonflynotch.testing.minion_model import MinionModel, _Run
 from dragonflynotch.testing.platform_site import PlatformSite
 from dragonflynotch.testing.site_minion import SiteMinion
 
@@ -23,6 +24,24 @@
 _MAX_ANSWER_BYTES = 65_536
 
 
+_STARTUP_MS = 500
+_AT_WORK_PERCENT = 100
+
+
+class _Model(MinionModel):
+    """Model whose subtasks that last are at work after a short startup."""
+
+    lasts: Callable[[str], bool]
+
+    def _progress_percent(self, task: str, run: _Run) -> int:
+        if not self.lasts(task):
+            return super()._progress_percent(task, run)
+        elapsed_ms = self.clock_ms - run.started_ms
+        return min(
+            _AT_WORK_PERCENT, elapsed_ms * _AT_WORK_PERCENT // _STARTUP_MS
+        )
+
+
 class Minion(SiteMinion):
     """Minion that can drain, deregister and end."""
 
@@ -35,6 +54,7 @@
         guard: tuple[str, int],
         duration_ms: Callable[[str], int],
         announced_address: tuple[str, int],
+        lasts: Callable[[str], bool],
     ) -> None:
         """Create the minion; ``start`` begins to serve calls."""
         super().__init__(
@@ -46,6 +66,8 @@
             duration_ms,
             announced_address=announced_address,
         )
+        self.model = _Model(minion_id, site.clock, site.runs, duration_ms)
+        self.model.lasts = lasts
         self._guard_address = guard
         self._announced = announced_address
         self._service_name = service
--- a/review/parts_2/site.py
+++ b/review/parts_2/site.py
@@ -6,20 +6,23 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 
 from dragonflynotch.testing.loopback_proxy import LoopbackProxy
 from dragonflynotch.testing.minion_model import RunLog
-from dragonflynotch.testing.platform_site import PlatformSite, SiteQueue
+from dragonflynotch.testing.platform_site import SiteQueue
 from dragonflynotch.testing.ports import free_ports
 from dragonflynotch.testing.site_caller import Answer, SiteCaller
 from dragonflynotch.testing.site_process import SiteProcess
 from review.parts_2.minion import Minion
+from review.parts_2.platform import Platform
 
 __all__ = (
     'BROKEN',
@@ -39,7 +42,7 @@
 SERVICE = 'planner'
 _HOST = '127.0.0.1'
 _ADVANCE_S = 0.01
-_LIMIT_S = 110
+_LIMIT_S = 95
 # Bounds of the site tks-suva.
 _BOUNDS = {
     'heartbeat_ms': '1500',
@@ -101,6 +104,7 @@
             self.guard_address,
             self._site.duration_ms,
             self.link.address,
+            self._site.lasts,
         )
         await self.link.start()
         await self.minion.start()
@@ -127,8 +131,11 @@
         """Create the site; ``start`` starts it."""
         self._folder = folder
         self.record = record
-        self.platform = PlatformSite((_HOST, free_ports(1)[0]), RunLog())
+        self.platform = Platform((_HOST, free_ports(1)[0]), RunLog())
         self.durations: dict[str, int] = {}
+        # Jobs whose subtasks last.
+        self.lasting: set[str] = set()
+        self._processes: list[SiteProcess] = []
         self.fronts: list[SiteProcess] = []
         self.front_addresses: list[tuple[str, int]] = []
         self.hosts: list[Host] = []
@@ -146,6 +153,10 @@
         """Return the work of a subtask of a job."""
         return self.durations[task.partition('.')[0]]
 
+    def lasts(self, task: str) -> bool:
+        """Return whether a subtask lasts."""
+        return task.partition('.')[0] in self.lasting
+
     def callers(self) -> list[Caller]:
         """Return a caller for each front."""
         return [Caller(address) for address in self.front_addresses]
@@ -199,11 +210,13 @@
         """End all processes that were started."""
         for task in self._tasks:
             task.cancel()
-        for process in (*self.fronts, *(host.guard for host in self.hosts)):
-            with suppress(ProcessLookupError):
-                await process.kill()
-        for host in self.hosts:
-            await host.crash()
+        await asyncio.gather(
+            *(process.kill() for process in self._processes),
+            return_exceptions=True,
+        )
+        await asyncio.gather(
+            *(host.crash() for host in self.hosts), return_exceptions=True
+        )
         await self.platform.stop()
 
     async def until(
@@ -250,6 +263,7 @@
             {**_BOUNDS, 'port_range': f'{port},{port}', **fields},
         )
         process = SiteProcess(name, settings, self._folder / f'{name}.log')
+        self._processes.append(process)
         await process.start()
         return process
 
@@ -281,6 +295,13 @@
         lines.append(f'{time.monotonic() - started_s:8.3f} {text}')
 
     async def play(directory: Path) -> bool:
+        task = asyncio.current_task()
+        if task is not None:
+            # The programs are ended also if the script is told to end.
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(
+                    number, task.cancel
+                )
         site = Site(directory, record, sides)
         try:
             async with asyncio.timeout(_LIMIT_S):
@@ -293,8 +314,11 @@
         try:
             is_broken = asyncio.run(play(Path(directory)))
             status = BROKEN if is_broken else HELD
-        except (CaseError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # An error of the script says nothing about the rule.
             record(f'the case could not run: {error!r}')
+            if not isinstance(error, CaseError):
+                traceback.print_exc()
             status = NOT_RUN
         logs = os.environ.get('LOGS')
         if logs:
--- a/review/tries_2/born.py
+++ b/review/tries_2/born.py
@@ -50,6 +50,7 @@
         host.guard_address,
         site.duration_ms,
         host.link.address,
+        site.lasts,
     )
     minion.start_ms = int(time.time() * 1000)
     host.minion = minion
--- a/review/tries_2/may_miss.py
+++ b/review/tries_2/may_miss.py
@@ -33,6 +33,7 @@
     """Return whether the lasting job had nothing running all the while."""
     caller = site.callers()[0]
     site.durations.update({LONG: LONG_MS, GANG: 10_000, LASTING: 1_000_000})
+    site.lasting.add(LASTING)
     await _post(site, caller, 'batch', LONG, _step(1, 8, LONG_MS))
     await site.until(lambda: len(site.runs.starts) == 1, 10, 'long run')
     await asyncio.sleep(2)
