--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -1,6 +1,7 @@
 """Registry of jobs and of their changes since the last write."""
 
 from collections import Counter
+from itertools import chain
 
 from dragonflynotch.workflows.deployment import Deployment, Queue
 from dragonflynotch.workflows.early_cancellations import (
@@ -26,6 +27,8 @@
         self.deployment = Deployment(0)
         self._jobs: dict[str, Job] = {}
         self._open: dict[str, Job] = {}
+        # Open jobs about which nothing more is decided.
+        self._set_aside: dict[str, Job] = {}
         self._cancelled: set[str] = set()
         self._early_cancellations = EarlyCancellations()
         self._changed: set[str] = set()
@@ -69,7 +72,7 @@
         self._cancelled.add(job_id)
         job = self._jobs.get(job_id)
         if job is not None and not job.state.is_final:
-            # It may have been set aside.
+            self._set_aside.pop(job_id, None)
             self._open[job_id] = job
         return is_new and job_id in self._open
 
@@ -143,6 +146,7 @@
         job.reason = reason
         self._changed.discard(job.job_id)
         if was_open:
+            self._set_aside[job.job_id] = job
             self.mark_changed(job)
         return was_open
 
@@ -151,9 +155,8 @@
     ) -> None:
         """Record the end of a job, with the reason if it failed."""
         self._open.pop(job.job_id, None)
-        job.state = state
-        job.reason = reason
-        job.ended_ms = now_ms
+        self._set_aside.pop(job.job_id, None)
+        job.end(state, now_ms, reason)
         self.mark_changed(job)
 
     def queue(self, job: Job) -> Queue:
@@ -172,13 +175,13 @@
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue.
 
-        Jobs with repetitions are not counted.
+        Jobs that are set aside are counted, and jobs with repetitions are not.
         """
         return dict(
             Counter(
                 job.spec.queue
-                for job in self._open.values()
-                if job.state is JobState.queued and not job.spec.repetitions
+                for job in chain(self._open.values(), self._set_aside.values())
+                if not job.has_started and not job.spec.repetitions
             )
         )
 
--- a/dragonflynotch/workflows/placement/run_orderer.py
+++ b/dragonflynotch/workflows/placement/run_orderer.py
@@ -15,7 +15,7 @@
 )
 from dragonflynotch.workflows.placement.workers import Worker
 from dragonflynotch.workflows.progress import Job, Step
-from dragonflynotch.workflows.records import JobState, Order
+from dragonflynotch.workflows.records import Order
 from dragonflynotch.workflows.runs.order_registry import OrderRegistry
 from dragonflynotch.workflows.tasks import ActiveRun, Task
 
@@ -139,7 +139,6 @@
                 is_backfill=is_backfill,
             ),
         )
-        job.state = JobState.running
         self._jobs.mark_changed(job)
         self._decision_log.record(
             'run_ordered',
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -109,7 +109,11 @@
         """Create a job without any runs."""
         self.job_id = job_id
         self.spec = spec
-        self.state = JobState.queued
+        # How the job ended; ``None`` while it is open.
+        self._end_state: JobState | None = None
+        # Whether a minion is known to have begun any run of the job, which is
+        # never taken back.
+        self._has_started = False
         self.ended_ms = 0
         # Why the job failed, for its caller.
         self.reason = ''
@@ -133,6 +137,45 @@
         }
         self.segments = ProgressSegments(len(self._tasks))
 
+    @property
+    def state(self) -> JobState:
+        """State of the job, which follows from its runs until it ends.
+
+        An order is not a start: its run may never begin.
+        """
+        if self._end_state is not None:
+            return self._end_state
+        return JobState.running if self._has_started else JobState.queued
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a minion is known to have begun any run of the job."""
+        return self._has_started
+
+    def record_start(self) -> bool:
+        """Record that a minion has begun a run of the job.
+
+        Returns
+        -------
+        bool
+            Whether this changes the state of the job.
+        """
+        previous = self.state
+        self._has_started = True
+        return self.state is not previous
+
+    def end(self, state: JobState, now_ms: int, reason: str) -> None:
+        """Record how the job ended, and why if it failed.
+
+        Parameters
+        ----------
+        now_ms : int
+            Store time.
+        """
+        self._end_state = state
+        self.ended_ms = now_ms
+        self.reason = reason
+
     def find(self, task_id: TaskId) -> tuple[Step, Task] | None:
         """Return the task with its step, or ``None``."""
         return self._by_task_id.get(task_id)
@@ -161,9 +204,7 @@
         if start:
             self.segments.add(start)
         else:
-            self.state = row.state
-            self.ended_ms = row.ended_ms
-            self.reason = row.reason if row.state.is_final else ''
+            self._restore_state(row)
         for stored in row.tasks:
             task_id = parse_task_id(f'{self.job_id}.{stored.name}')
             position = self._positions.get(task_id) if task_id else None
@@ -180,6 +221,15 @@
             task.last_failed_run = stored.last_failed_run
             task.crashes = list(stored.crashes)
             self.has_suspects |= bool(task.crashes)
+            self._has_started |= task.shows_start
+
+    def _restore_state(self, row: ProgressRow) -> None:
+        # Rows of releases that did not store ``has_started`` have the state
+        # ``running`` from the order on, so it tells nothing about a start.
+        self._has_started |= row.has_started
+        self.ended_ms = row.ended_ms
+        self._end_state = row.state if row.state.is_final else None
+        self.reason = row.reason if row.state.is_final else ''
 
     def progress_row(self) -> ProgressRow:
         """Return the progress of a small job, in one row."""
@@ -213,6 +263,7 @@
             workspace=self.spec.workspace,
             reason=self.reason,
             queue=self.spec.queue,
+            has_started=self._has_started,
         )
 
     def _task_rows(self, start: int, end: int) -> list[TaskRow]:
--- a/dragonflynotch/workflows/progress_segments.py
+++ b/dragonflynotch/workflows/progress_segments.py
@@ -136,4 +136,5 @@
         first_row.workspace,
         first_row.reason,
         first_row.queue,
+        first_row.has_started,
     )
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -136,6 +136,9 @@
         Why the job failed or was set aside, for its caller; ``''`` if neither.
     queue : str
         Queue of the job. ``''`` in rows of releases that did not store it.
+    has_started : bool
+        Whether a minion is known to have begun any run of the job. ``False`` in
+        rows of releases that did not store it.
     """
 
     state: JobState
@@ -144,6 +147,7 @@
     workspace: str | None = None
     reason: str = ''
     queue: str = ''
+    has_started: bool = False
 
 
 class CancellationRow(msgspec.Struct, omit_defaults=True):
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -4,8 +4,10 @@
 
 from dragonflynotch.workflows.decision_log_buffer import DecisionLogBuffer
 from dragonflynotch.workflows.job_registry import JobRegistry
+from dragonflynotch.workflows.progress import Job
 from dragonflynotch.workflows.records import (
     INVALID,
+    MISSING,
     NO_ROOM,
     STOPPED,
     EarlierEnd,
@@ -109,11 +111,13 @@
         """Save the checkpoints of runs of a previous incarnation."""
         for running in abandoned:
             found = self._jobs.find(running.task)
-            if found is None or not running.checkpoint:
+            if found is None:
                 continue
             job, step, task = found
+            self._record_start(job, running.task, running.run)
             if (
-                step.spec.has_checkpoints
+                running.checkpoint
+                and step.spec.has_checkpoints
                 and task.active is not None
                 and task.active.run == running.run
             ):
@@ -207,15 +211,29 @@
                 **inputs,
             )
 
+    def _record_start(self, job: Job, task: str, run: int) -> None:
+        """Record that a report shows a run, whether it is still ordered or not.
+
+        An order is no start: a job whose orders expire, are rejected or are
+        lost with their worker has not started.
+        """
+        if job.record_start():
+            self._jobs.mark_changed(job)
+            self._decision_log.record(
+                'job_started', job=job.job_id, task=task, run=run
+            )
+
     def _apply_end(
         self, minion_id: str, end: RunEnd, now_ms: int, reported_ms: int
     ) -> None:
+        found = self._jobs.find(end.task)
+        if found is not None:
+            self._record_start(found[0], end.task, end.run)
         key = (minion_id, end.task)
         if self._orders.find(key, end.run) is None:
             return
         self._orders.remove(key)
         self._room_refusals.clear(minion_id)
-        found = self._jobs.find(end.task)
         if found is None:
             return
         job, step, task = found
@@ -293,6 +311,8 @@
         if found is None:
             return
         job, _, task = found
+        if rejection.reason == MISSING:
+            self._record_start(job, rejection.task, rejection.run)
         if task.active is not None and task.active.run == rejection.run:
             task.active = None
             task.failed_starts += is_fault
@@ -312,6 +332,7 @@
         if found is None:
             return
         job, step, task = found
+        self._record_start(job, running.task, running.run)
         active = task.active
         if active is None or not active.matches(minion_id, running.run):
             return
--- a/dragonflynotch/workflows/tasks.py
+++ b/dragonflynotch/workflows/tasks.py
@@ -119,6 +119,19 @@
         """Whether no earlier run limits the workers that the task may use."""
         return not self.failed_on and not self.crashes
 
+    @property
+    def shows_start(self) -> bool:
+        """Whether what is stored of the task shows that a run has begun.
+
+        A crash does not: the run may only have been ordered from the minion.
+        """
+        return (
+            self.is_done
+            or self.failures > 0
+            or bool(self.checkpoint)
+            or bool(self.failed_on)
+        )
+
     def record_failure(self, minion_id: str, now_ms: int) -> None:
         """Record that a run failed or stalled on a minion."""
         recent = self.recent_failures(now_ms)
--- a/tests/workflows/runs/test_crash_budget.py
+++ b/tests/workflows/runs/test_crash_budget.py
@@ -96,6 +96,7 @@
     node = site.node_of('good.0.0.0')
     site.submit('bad')
     site.decide()
+    site.report_running('good.0.0.0')
     site.crash(node, ages={'good.0.0.0': OLD_MS})
     assert not crashes_of(site, 'good.0.0.0')
     assert site.progress['good'].state is JobState.running
--- a/tests/workflows/site.py
+++ b/tests/workflows/site.py
@@ -3,7 +3,12 @@
 from dragonflynotch.workflows.crash_records import MinionCrash, RunAtCrash
 from dragonflynotch.workflows.deployment import Deployment, Queue, Workspace
 from dragonflynotch.workflows.jobs import JobSpec, StepSpec
-from dragonflynotch.workflows.records import EndKind, Report, RunEnd
+from dragonflynotch.workflows.records import (
+    EndKind,
+    Report,
+    RunEnd,
+    RunningTask,
+)
 from dragonflynotch.workflows.scheduler import Scheduler, SchedulerSettings
 
 SERVICE = 'planner'
@@ -93,6 +98,18 @@
             self.now_ms,
         )
 
+    def report_running(self, *tasks, **fields):
+        """Report that the minion of these tasks has begun their runs."""
+        [minion] = {self.minion_of(task) for task in tasks}
+        self.report(
+            self.node_of(tasks[0]),
+            running=[
+                RunningTask(task, self.orders[minion, task].run, '', 1)
+                for task in tasks
+            ],
+            **fields,
+        )
+
     def report_all(self):
         for node in self.incarnations:
             self.report(node)
--- a/tests/workflows/test_progress_segments.py
+++ b/tests/workflows/test_progress_segments.py
@@ -30,7 +30,7 @@
     for task in list(job.tasks())[start:end]:
         task.run = run
         task.checkpoint = checkpoint
-    job.state = JobState.running
+    job.record_start()
 
 
 def restore(count, rows):
--- a/tests/workflows/test_scheduler.py
+++ b/tests/workflows/test_scheduler.py
@@ -457,4 +457,5 @@
     site.submit('a', 'normal', StepSpec(1, 1000, 1000, 9, 500))
     site.submit('b')
     site.decide()
+    site.report_running('b.0.0.0')
     assert site.scheduler.waiting_by_queue() == {'normal': 1}
