--- a/dragonflynotch/control/minion_session.py
+++ b/dragonflynotch/control/minion_session.py
@@ -268,6 +268,7 @@
             leaves_at_ms=self._notice.leaves_at_ms(),
             crashes=crashes,
             is_reachable=self._is_reachable,
+            started=self.orders.unlisted_starts(),
         )
 
     @property
--- a/dragonflynotch/control/order_book.py
+++ b/dragonflynotch/control/order_book.py
@@ -5,7 +5,12 @@
 from enum import StrEnum
 
 from dragonflynotch.control.minions import MinionState
-from dragonflynotch.workflows.records import Order, Rejection, RunEnd
+from dragonflynotch.workflows.records import (
+    Order,
+    Rejection,
+    RunEnd,
+    StartedRun,
+)
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = ('OrderBook', 'OrderEntry', 'Phase')
@@ -230,6 +235,23 @@
             if (running.task, running.run) not in known
         ]
 
+    def unlisted_starts(self) -> list[StartedRun]:
+        """Return the runs that have started and that no state has listed.
+
+        A minion may tell its runs a second after a start, or end before.
+        """
+        listed = (
+            set()
+            if self.state is None
+            else {(running.task, running.run) for running in self.state.running}
+        )
+        return [
+            StartedRun(entry.task, entry.order.run)
+            for entry in self.entries.values()
+            if entry.phase is Phase.started
+            and (entry.task, entry.order.run) not in listed
+        ]
+
     def unordered_runs(self) -> list[tuple[str, int]]:
         """Return task and run number of each run without an order.
 
--- a/dragonflynotch/control/report_size.py
+++ b/dragonflynotch/control/report_size.py
@@ -17,6 +17,7 @@
     'earlier_ends',
     'rejected',
     'crashes',
+    'started',
     'running',
     'abandoned',
 )
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -35,6 +35,7 @@
     'Report',
     'RunEnd',
     'RunningTask',
+    'StartedRun',
     'TaskRow',
     'decode_row',
     'encode_row',
@@ -236,6 +237,13 @@
     percent: Count
 
 
+class StartedRun(msgspec.Struct, array_like=True):
+    """A run whose start its minion has confirmed."""
+
+    task: str
+    run: Count
+
+
 class RunEnd(msgspec.Struct, array_like=True):
     """The end of a run; ``number`` increases within one incarnation."""
 
@@ -313,6 +321,10 @@
     earlier_ends : list of EarlierEnd
         Ends of runs of earlier incarnations whose orders still exist. Empty in
         rows of releases that did not store them.
+    started : list of StartedRun
+        Runs that have started and that ``running`` does not list, since the
+        minion has not told its runs after the start, or has ended. Empty in
+        rows of releases that did not store them.
     """
 
     minion_id: IncarnationId
@@ -336,6 +348,7 @@
     is_reachable: bool = True
     built_ms: TimeMs = 0
     earlier_ends: list[EarlierEnd] = []
+    started: list[StartedRun] = []
 
     @property
     def accepts_runs(self) -> bool:
--- a/dragonflynotch/workflows/runs/run_tracker.py
+++ b/dragonflynotch/workflows/runs/run_tracker.py
@@ -76,6 +76,10 @@
         self.apply_ends(report, now_ms, reported_ms)
         for rejection in report.rejected:
             self._apply_rejection(report.minion_id, rejection, now_ms)
+        for started in report.started:
+            found = self._jobs.find(started.task)
+            if found is not None:
+                self._record_start(found[0], started.task, started.run)
         read_ms = reported_ms - report.runs_age_ms
         for running in report.running:
             self._apply_running(report.minion_id, running, read_ms)
--- a/tests/control/test_odd_rows.py
+++ b/tests/control/test_odd_rows.py
@@ -44,6 +44,7 @@
     Report,
     RunEnd,
     RunningTask,
+    StartedRun,
     TaskRow,
     decode_row,
     encode_row,
@@ -103,6 +104,7 @@
                 is_ready=False,
                 running=[RunningTask(task, 1, 'c', 1)],
                 abandoned=[RunningTask(task, 1, 'c', 1)],
+                started=[StartedRun(task, 1)],
                 ended=[RunEnd(1, task, 1, EndKind.done, '')],
                 rejected=[Rejection(task, 1, 'room')],
                 crashes=[
--- a/tests/control/test_order_book.py
+++ b/tests/control/test_order_book.py
@@ -4,7 +4,13 @@
 
 from dragonflynotch.control.minions import MinionState
 from dragonflynotch.control.order_book import OrderBook, Phase
-from dragonflynotch.workflows.records import EndKind, Order, RunEnd, RunningTask
+from dragonflynotch.workflows.records import (
+    EndKind,
+    Order,
+    RunEnd,
+    RunningTask,
+    StartedRun,
+)
 
 _STATE = MinionState(0, (RunningTask('job.0.0.0', 1, '', 0),), ())
 
@@ -67,3 +73,19 @@
     book.update_state(_STATE, 300, 305)
     book.reject_missing(entry, 'missing')
     assert entry.phase is Phase.started
+
+
+def test_confirmed_start_is_told_until_a_list_has_it(book):
+    """A job that had begun was counted as waiting for over two seconds."""
+    entry = book.put('job.0.0.0', Order('text', 1, 0))
+    assert not book.unlisted_starts()
+    entry.mark_started(100)
+    assert book.unlisted_starts() == [StartedRun('job.0.0.0', 1)]
+    book.update_state(_STATE, 200, 205)
+    assert not book.unlisted_starts()
+
+
+def test_confirmed_start_of_an_ended_run_is_not_told(book):
+    """The end tells of the start already."""
+    list_run(book, [RunEnd(1, 'job.0.0.0', 1, EndKind.done, '')])
+    assert not book.unlisted_starts()
--- a/tests/workflows/test_job_starts.py
+++ b/tests/workflows/test_job_starts.py
@@ -17,6 +17,7 @@
     Rejection,
     RunEnd,
     RunningTask,
+    StartedRun,
     TaskRow,
     decode_row,
     encode_row,
@@ -159,6 +160,14 @@
     assert len(entries(site, 'job_started')) == 1
 
 
+def test_confirmed_start_without_a_list_is_a_start(site):
+    """A minion may tell its runs a second later, or end before that."""
+    node = site.node_of(TASK)
+    site.report(node, is_live=False, started=[StartedRun(TASK, 1)])
+    site.decide()
+    assert_has_started(site)
+
+
 def test_first_member_of_a_gang_is_a_start():
     """One begun task is enough, though the others are still to come."""
     site = Site()
