--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -6,6 +6,7 @@
 from operator import itemgetter
 
 import msgspec
+from msgspec.structs import replace
 
 from dragonflynotch.control.clocks import SteadyClock
 from dragonflynotch.control.rows import (
@@ -89,7 +90,7 @@
         self._node = node
         self._store = store
         self._clock = clock
-        self._row = LeaseRow('', 0)
+        self._row = _unknown_lease()
         self._version = ABSENT
         self._row_changed_ms = clock.now_ms()
         self._is_holder = False
@@ -154,12 +155,8 @@
             return False
         if not await self._wait_for_others(lease):
             return False
-        row = LeaseRow(
-            self._node,
-            lease.epoch + 1,
-            sequence=1,
-            waiting=lease.waiting,
-            handovers=lease.handovers,
+        row = replace(
+            lease, holder=self._node, epoch=lease.epoch + 1, sequence=1
         )
         previous = lease.holder
         try:
@@ -205,13 +202,10 @@
         LeaseLostError
             If another node holds the lease; nothing was written.
         """
-        row = LeaseRow(
-            self._row.holder,
-            self._row.epoch,
-            self._row.sequence + 1,
-            self._row.waiting if waiting is None else self._fit(waiting),
-            self._row.handovers,
-        )
+        row = replace(self._row, sequence=self._row.sequence + 1)
+        if waiting is not None:
+            row.waiting = self._fit(waiting)
+            row.omits_counts = len(row.waiting) < len(waiting)
         return await self._commit_lease(row, writes, conditions)
 
     def _fit(self, waiting: dict[str, int]) -> dict[str, int]:
@@ -257,12 +251,12 @@
     async def _release(self, handovers: int, timeout_s: float) -> None:
         if not self._is_holder:
             return
-        row = LeaseRow(
-            '',
-            self._row.epoch + 1,
-            self._row.sequence + 1,
-            self._row.waiting,
-            handovers,
+        row = replace(
+            self._row,
+            holder='',
+            epoch=self._row.epoch + 1,
+            sequence=self._row.sequence + 1,
+            handovers=handovers,
         )
         try:
             async with asyncio.timeout(timeout_s):
@@ -358,13 +352,17 @@
     return ABSENT if row is None else row.version
 
 
+def _unknown_lease() -> LeaseRow:
+    return LeaseRow('', 0, omits_counts=True)
+
+
 def _decode(row: Row | None) -> LeaseRow:
     if row is None:
-        return LeaseRow('', 0)
+        return _unknown_lease()
     lease = decode_row(row.content, LeaseRow)
     if isinstance(lease, Unreadable):
         unreadable_entries.record('lease_unreadable', lease, key=row.key)
-        return LeaseRow('', 0)
+        return _unknown_lease()
     return lease
 
 
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -69,6 +69,7 @@
 # time. Several such attempts fit into the deadline of a caller, and by the last
 # ones the load balancer has removed this entry.
 _SETTLE_PERIOD = timedelta(milliseconds=700)
+_NO_COUNT = 'no scheduler has told the count of this queue'
 _NO_RESPONSE = 'no response of the row store before the deadline of the caller'
 
 _RowT = TypeVar('_RowT')
@@ -236,7 +237,10 @@
     async def waiting_jobs(
         self, queue: str, limit: timedelta
     ) -> int | Unavailable:
-        """Return how many accepted jobs of a queue have no started task."""
+        """Return how many accepted jobs of a queue have no started task.
+
+        A count that is not known is ``Unavailable``, not 0.
+        """
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 row = await self._store.read_row(LEASE_NAME)
@@ -245,7 +249,8 @@
         except TimeoutError:
             return Unavailable(_NO_RESPONSE)
         lease = _decode(row, LeaseRow)
-        return 0 if lease is None else lease.waiting.get(queue, 0)
+        count = None if lease is None else lease.count_waiting(queue)
+        return Unavailable(_NO_COUNT) if count is None else count
 
     async def _cancel_early(
         self, job_id: str, access: JobAccess, deadline: Deadline
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -182,6 +182,9 @@
         Number of accepted jobs without a started task, by queue.
     handovers : int
         How many holders in a row released the lease because they were too slow.
+    omits_counts : bool
+        Whether queues that ``waiting`` lacks may have such jobs. ``False`` in
+        rows of releases that did not store it.
     """
 
     holder: str
@@ -189,6 +192,12 @@
     sequence: Count = 0
     waiting: dict[str, Count] = {}
     handovers: Count = 0
+    omits_counts: bool = False
+
+    def count_waiting(self, queue: str) -> int | None:
+        """Return how many jobs of a queue wait; ``None`` if not known."""
+        missing = None if self.omits_counts else 0
+        return self.waiting.get(queue, missing)
 
 
 class Order(msgspec.Struct, omit_defaults=True):
--- a/tests/control/test_decision_writer.py
+++ b/tests/control/test_decision_writer.py
@@ -107,6 +107,12 @@
     # The largest counts are kept.
     assert max(lease.waiting.values()) == 1999
     assert len(lease.waiting) > 100
+    assert lease.count_waiting(f'{"q" * 150}1999') == 1999
+    # A front answered 0 for queues that have jobs.
+    assert lease.count_waiting(f'{"q" * 150}1') is None
+    await writer.write(Decisions(), {'q': 1})
+    lease = decode_row((await store.read_row(LEASE_NAME)).content, LeaseRow)
+    assert (lease.count_waiting('q'), lease.count_waiting('other')) == (1, 0)
 
 
 async def test_refused_row_costs_only_its_job():
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -72,6 +72,20 @@
     assert second.epoch > epoch
 
 
+async def test_counts_are_unknown_until_a_holder_has_counted(
+    first, second, store
+):
+    """Fronts answered 0 while the first holder loaded the jobs."""
+    await first.try_claim()
+    lease = await second.read_lease()
+    assert lease.count_waiting('q') is None
+    await first.commit([], [], {})
+    await first.release()
+    await second.try_claim()
+    lease = await first.read_lease()
+    assert lease.count_waiting('q') == 0
+
+
 async def test_commit_with_lost_response_succeeds(first, store):
     """A repeated transaction must not be mistaken for a lost lease.
 
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -6,6 +6,7 @@
 import pytest
 from msgspec.structs import replace
 
+from dragonflynotch.control.leadership import LEASE_NAME
 from dragonflynotch.control.rows import (
     PROGRESS,
     SCHEDULER_PART,
@@ -31,6 +32,7 @@
 from dragonflynotch.workflows.progress import Job
 from dragonflynotch.workflows.records import (
     JobState,
+    LeaseRow,
     ProgressRow,
     encode_row,
 )
@@ -214,6 +216,30 @@
         assert isinstance(await submissions.cancel('a', LIMIT), NotAccepted)
 
 
+@pytest.mark.parametrize(
+    ('content', 'expected'),
+    [
+        (None, None),
+        (b'odd', None),
+        (encode_row(LeaseRow('a', 1, waiting={'queue': 3})), 3),
+        (encode_row(LeaseRow('a', 1, waiting={'other': 3})), 0),
+        (encode_row(LeaseRow('a', 1, omits_counts=True)), None),
+    ],
+    ids=['absent', 'unreadable', 'known', 'no-jobs', 'left-out'],
+)
+async def test_count_that_is_not_known_is_not_zero(
+    submissions, store, content, expected
+):
+    """Callers were told that no job waits although nobody knew."""
+    if content is not None:
+        await store.commit([RowWrite(LEASE_NAME, content)], [])
+    count = await submissions.waiting_jobs('queue', LIMIT)
+    if expected is None:
+        assert isinstance(count, Unavailable)
+    else:
+        assert count == expected
+
+
 async def test_write_without_response_is_unknown_at_the_deadline(
     submissions, store, monkeypatch
 ):
