--- a/dragonflynotch/platform/front.py
+++ b/dragonflynotch/platform/front.py
@@ -130,7 +130,10 @@
             )
         match call.method:
             case 'POST':
-                return await self._submit(call, queue, workspace or '', job_id)
+                spec = decode_job(
+                    call.body, queue, workspace or '', deployment.version
+                )
+                return await self._submit(call, spec, job_id)
             case 'GET':
                 return await self._read_state(call, job_id, access)
             case 'DELETE':
@@ -139,9 +142,8 @@
                 return _Refusal(_METHOD_NOT_ALLOWED, 'method not allowed')
 
     async def _submit(
-        self, call: HttpCall, queue: Queue, workspace: str, job_id: str
+        self, call: HttpCall, spec: JobSpec | Unreadable, job_id: str
     ) -> Reply | _Refusal:
-        spec = decode_job(call.body, queue, workspace)
         if isinstance(spec, Unreadable):
             return _Refusal(
                 _BAD_REQUEST, f'body is not a valid job: {spec.reason}'
@@ -159,8 +161,8 @@
                 decision_log.record(
                     'job_accepted',
                     job=job_id,
-                    queue=queue.name,
-                    workspace=workspace,
+                    queue=spec.queue,
+                    workspace=spec.workspace,
                     steps=_logged_steps(spec),
                 )
                 return Reply(_OK, b'{}', _JSON_HEADERS)
--- a/dragonflynotch/platform/jobs.py
+++ b/dragonflynotch/platform/jobs.py
@@ -75,9 +75,15 @@
 
 
 def decode_job(
-    body: bytes, queue: Queue, workspace: str
+    body: bytes, queue: Queue, workspace: str, version: int = 0
 ) -> JobSpec | Unreadable:
-    """Return the job, or why the body is malformed or inconsistent."""
+    """Return the job, or why the body is malformed or inconsistent.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration with the queue.
+    """
     job = decode_untrusted(_job_decoder.decode, body)
     if isinstance(job, Unreadable):
         return job
@@ -91,6 +97,7 @@
         repetitions=job.repetitions,
         first_due_ms=job.first_run_ms,
         interval_ms=job.interval_ms,
+        policy=queue.policy(version),
     )
     return spec if spec.is_valid else Unreadable('inconsistent job')
 
--- a/dragonflynotch/workflows/deployment.py
+++ b/dragonflynotch/workflows/deployment.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from dragonflynotch.workflows.queue_policy import QueuePolicy
+
 __all__ = ('Deployment', 'Queue', 'Service', 'Workspace')
 
 
@@ -37,6 +39,23 @@
     target_latency_ms: int = 0
     is_public: bool = False
 
+    def policy(self, version: int) -> QueuePolicy:
+        """Return what the queue sets for its jobs.
+
+        Parameters
+        ----------
+        version : int
+            Version of the configuration with the queue.
+        """
+        return QueuePolicy(
+            self.service,
+            version,
+            max(1, self.max_attempts),
+            self.priority,
+            self.stretch,
+            self.target_latency_ms,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
--- a/dragonflynotch/workflows/job_registry.py
+++ b/dragonflynotch/workflows/job_registry.py
@@ -3,20 +3,20 @@
 from collections import Counter
 from itertools import chain
 
-from dragonflynotch.workflows.deployment import Deployment, Queue
+from dragonflynotch.workflows.deployment import Deployment
 from dragonflynotch.workflows.early_cancellations import (
     EarlyCancellation,
     EarlyCancellations,
 )
 from dragonflynotch.workflows.jobs import JobSpec, parse_task_id
 from dragonflynotch.workflows.progress import Job, Step
+from dragonflynotch.workflows.queue_policy import QueuePolicy
 from dragonflynotch.workflows.records import JobState, ProgressRow
 from dragonflynotch.workflows.tasks import Task
 
 __all__ = ('FoundTask', 'JobRegistry')
 
 FoundTask = tuple[Job, Step, Task]
-_DEFAULT_QUEUE = Queue('', '', '', '')
 
 
 class JobRegistry:
@@ -24,7 +24,9 @@
 
     def __init__(self) -> None:
         """Create an empty registry."""
-        self.deployment = Deployment(0)
+        self._deployment = Deployment(0)
+        # By the name of the queue.
+        self._policies: dict[str, QueuePolicy] = {}
         self._jobs: dict[str, Job] = {}
         self._open: dict[str, Job] = {}
         # Open jobs about which nothing more is decided.
@@ -35,10 +37,48 @@
         # Rows of jobs that are no longer in ``_changed``.
         self._changed_rows: dict[str, ProgressRow] = {}
 
+    @property
+    def deployment(self) -> Deployment:
+        """Configuration in force."""
+        return self._deployment
+
+    def apply_deployment(self, deployment: Deployment) -> int:
+        """Use this version of the configuration from now on.
+
+        Jobs whose queue it lacks keep what the queue has set for them.
+
+        Returns
+        -------
+        int
+            Number of open jobs for which the values of their queue changed.
+        """
+        if deployment is self._deployment:
+            return 0
+        self._deployment = deployment
+        self._policies = {
+            name: queue.policy(deployment.version)
+            for name, queue in deployment.queues.items()
+        }
+        return sum(self._update_policy(job) for job in self._open.values())
+
+    def missing_queues(self) -> list[str]:
+        """Return the queues of open jobs that the configuration lacks."""
+        used = {job.spec.queue for job in self._open.values()}
+        return sorted(used - self._policies.keys())
+
+    def _update_policy(self, job: Job) -> bool:
+        policy = self._policies.get(job.spec.queue)
+        if policy is None or not job.apply_policy(policy):
+            return False
+        # A holder that takes over may find a configuration without the queue.
+        self.mark_changed(job)
+        return True
+
     def put(self, job_id: str, spec: JobSpec) -> None:
         """Add an accepted job."""
         if job_id not in self._jobs:
             job = Job(job_id, spec)
+            self._update_policy(job)
             self._jobs[job_id] = job
             self._open[job_id] = job
             if self._early_cancellations.apply_to(job_id, spec):
@@ -52,6 +92,8 @@
         job.restore(row, start)
         if job.state.is_final:
             self._open.pop(job_id, None)
+        elif not start:
+            self._update_policy(job)
 
     def get(self, job_id: str) -> Job | None:
         """Return a job, or ``None`` if it is not known."""
@@ -159,19 +201,6 @@
         job.end(state, now_ms, reason)
         self.mark_changed(job)
 
-    def queue(self, job: Job) -> Queue:
-        """Return the queue of a job, or default values if it was removed."""
-        return self.deployment.queues.get(job.spec.queue, _DEFAULT_QUEUE)
-
-    def service(self, job: Job) -> str:
-        """Return the service that runs the job.
-
-        That is the current service of the queue or, if the queue was removed,
-        its service at the time the job was accepted.
-        """
-        queue = self.deployment.queues.get(job.spec.queue)
-        return job.spec.service if queue is None else queue.service
-
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue.
 
@@ -192,7 +221,7 @@
         """
         demand: Counter[str] = Counter()
         for job in self._open.values():
-            if self.queue(job).priority == 0:
+            if job.policy.priority == 0:
                 demand[job.spec.workspace] += max(
                     step.accelerators * step.count for step in job.spec.steps
                 )
--- a/dragonflynotch/workflows/jobs.py
+++ b/dragonflynotch/workflows/jobs.py
@@ -14,6 +14,7 @@
     Millicores,
     TimeMs,
 )
+from dragonflynotch.workflows.queue_policy import QueuePolicy
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = (
@@ -175,6 +176,9 @@
     first_due_ms, interval_ms : int
         Unix time of the first occurrence, and the time between two
         occurrences.
+    policy : QueuePolicy or None
+        What the queue set for its jobs when the job was accepted. ``None`` in
+        rows of releases that did not store it.
     """
 
     queue: str
@@ -186,6 +190,7 @@
     repetitions: Count = 0
     first_due_ms: TimeMs = 0
     interval_ms: TimeMs = 0
+    policy: QueuePolicy | None = None
 
     @property
     def is_valid(self) -> bool:
--- a/dragonflynotch/workflows/ordering/idle_log.py
+++ b/dragonflynotch/workflows/ordering/idle_log.py
@@ -219,7 +219,7 @@
         idle = self._idle_jobs[job.job_id]
         idle.logged_ms = now_ms
         idle.cause = steps[0].cause
-        use = self._capacity_use.get(self._jobs.service(job), CapacityUse())
+        use = self._capacity_use.get(job.policy.service, CapacityUse())
         self._decision_log.record(
             'job_idle',
             job=job.job_id,
--- a/dragonflynotch/workflows/ordering/overdue.py
+++ b/dragonflynotch/workflows/ordering/overdue.py
@@ -27,21 +27,21 @@
     that fit nowhere are left out, and those that do not end: jobs with
     repetitions or long-running tasks.
     """
-    overdue = [job for job in jobs.open_jobs() if _is_overdue(jobs, pool, job)]
+    overdue = [job for job in jobs.open_jobs() if _is_overdue(pool, job)]
     overdue.sort(key=lambda job: job.spec.accepted_ms)
     chosen: set[str] = set()
     taken: set[str] = set()
     for job in overdue:
-        usable = _usable_minions(jobs, pool, job)
+        usable = _usable_minions(pool, job)
         if not usable <= taken:
             chosen.add(job.job_id)
             taken |= usable
     return chosen
 
 
-def _usable_minions(jobs: JobRegistry, pool: WorkerPool, job: Job) -> set[str]:
+def _usable_minions(pool: WorkerPool, job: Job) -> set[str]:
     """Return the minions that may run the next steps of a job."""
-    service = jobs.service(job)
+    service = job.policy.service
     return {
         worker.minion_id
         for step in job.steps
@@ -52,19 +52,18 @@
     }
 
 
-def _is_overdue(jobs: JobRegistry, pool: WorkerPool, job: Job) -> bool:
+def _is_overdue(pool: WorkerPool, job: Job) -> bool:
     if job.spec.repetitions or any(
         step.spec.is_long_running for step in job.steps
     ):
         return False
     max_wait_ms = max(
         _MIN_OVERDUE_WAIT_MS,
-        _MAX_WAIT_OBJECTIVE_MULTIPLE
-        * compute_objective_ms(job, jobs.queue(job)),
+        _MAX_WAIT_OBJECTIVE_MULTIPLE * compute_objective_ms(job),
     )
     if pool.now_ms - job.spec.accepted_ms <= max_wait_ms:
         return False
-    service = jobs.service(job)
+    service = job.policy.service
     return all(
         step.is_done or pool.could_run(step, service, frozenset())
         for step in job.steps
--- a/dragonflynotch/workflows/ordering/ranking.py
+++ b/dragonflynotch/workflows/ordering/ranking.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass
 
-from dragonflynotch.workflows.deployment import Queue
 from dragonflynotch.workflows.placement.allocations import (
     estimated_core_seconds,
 )
@@ -91,7 +90,6 @@
 def compute_urgency(
     job: Job,
     step: Step,
-    queue: Queue,
     now_ms: int,
     *,
     is_guaranteed: bool,
@@ -118,14 +116,15 @@
     by_work_left : bool
         Whether work left counts within a priority.
     """
-    objective_ms = compute_objective_ms(job, queue)
+    priority = job.policy.priority
+    objective_ms = compute_objective_ms(job)
     slack_ms = objective_ms - critical_path_ms(job)
     on_time_ms = int(job.spec.accepted_ms + slack_ms)
     late_ms = int(on_time_ms + (_USEFUL_OBJECTIVE_MULTIPLE - 1) * objective_ms)
     tier, last_start_ms = _TIER_EXPIRED, late_ms
     # Deferrable work loses little by being late. It is put in the late tier at
     # once, where late urgent work, which has less time left, comes before it.
-    if now_ms <= on_time_ms and queue.priority < _DEFERRABLE_PRIORITY:
+    if now_ms <= on_time_ms and priority < _DEFERRABLE_PRIORITY:
         tier, last_start_ms = _TIER_ON_TIME, on_time_ms
     elif now_ms <= late_ms:
         tier = _TIER_LATE
@@ -136,7 +135,7 @@
     is_useful = tier in {_TIER_ON_TIME, _TIER_LATE}
     return Urgency(
         tier,
-        queue.priority if is_useful else 0,
+        priority if is_useful else 0,
         not is_blocking_repeat or tier < _TIER_ON_TIME,
         _work_left(job) if is_useful and by_work_left else 0,
         last_start_ms,
@@ -146,9 +145,10 @@
     )
 
 
-def compute_objective_ms(job: Job, queue: Queue) -> float:
+def compute_objective_ms(job: Job) -> float:
     """Return the time objective of a job, counted from its acceptance."""
-    return queue.stretch * critical_path_ms(job) + queue.target_latency_ms
+    policy = job.policy
+    return policy.stretch * critical_path_ms(job) + policy.target_latency_ms
 
 
 def critical_path_ms(job: Job) -> int:
--- a/dragonflynotch/workflows/ordering/step_ranking.py
+++ b/dragonflynotch/workflows/ordering/step_ranking.py
@@ -46,7 +46,6 @@
         return compute_urgency(
             job,
             step,
-            self._jobs.queue(job),
             self._now_ms,
             is_guaranteed=self._is_guaranteed(job),
             is_overdue=job.job_id in self._overdue_jobs,
@@ -64,6 +63,6 @@
         workspace = self._jobs.deployment.workspaces.get(name)
         return (
             workspace is not None
-            and self._jobs.queue(job).priority == 0
+            and job.policy.priority == 0
             and self._urgent_demand[name] <= workspace.guaranteed_accelerators
         )
--- a/dragonflynotch/workflows/placement/allocations.py
+++ b/dragonflynotch/workflows/placement/allocations.py
@@ -44,7 +44,7 @@
         found = jobs.find(name)
         if found is not None:
             allocations[minion_id].append(
-                _allocation(jobs, found, order, now_ms, stop_ms)
+                _allocation(found, order, now_ms, stop_ms)
             )
     return allocations
 
@@ -83,7 +83,7 @@
 
 
 def _allocation(
-    jobs: JobRegistry, found: FoundTask, order: Order, now_ms: int, stop_ms: int
+    found: FoundTask, order: Order, now_ms: int, stop_ms: int
 ) -> Allocation:
     job, step, task = found
     spec = step.spec
@@ -109,7 +109,7 @@
         is_stopping=order.is_stopped,
         is_stop_late=_is_stop_late(task, order, now_ms, stop_ms),
         is_resumable=spec.has_checkpoints,
-        priority=jobs.queue(job).priority,
+        priority=job.policy.priority,
         is_preemptible=is_preemptible(spec),
         is_past_estimate=elapsed_ms > spec.estimated_ms,
         is_backfill=task.active is not None and task.active.is_backfill,
--- a/dragonflynotch/workflows/placement/backfilled_runs.py
+++ b/dragonflynotch/workflows/placement/backfilled_runs.py
@@ -112,7 +112,7 @@
                 _BackfilledRun(
                     name,
                     ranking.urgency(job, step),
-                    jobs.service(job),
+                    job.policy.service,
                     task,
                     allocation.needs,
                 )
--- a/dragonflynotch/workflows/placement/placer.py
+++ b/dragonflynotch/workflows/placement/placer.py
@@ -191,7 +191,7 @@
                 continue
             if not waiting.step.waiting_tasks:
                 continue
-            first = stopping.get(self._jobs.service(waiting.job))
+            first = stopping.get(waiting.job.policy.service)
             steps.append(
                 BoundedStep(
                     waiting,
@@ -212,7 +212,7 @@
         reserving_steps: Counter[str] = Counter()
         unplaced = []
         for waiting in waiting_steps:
-            service = self._jobs.service(waiting.job)
+            service = waiting.job.policy.service
             may_reserve = reserving_steps[service] < _MAX_RESERVING_STEPS
             if not may_reserve and self._must_only_wait(pool, waiting):
                 continue
@@ -299,6 +299,7 @@
             if step.waiting_tasks
             and job.spec.due_ms(step.occurrence) <= wall_ms
             and job.is_unblocked(step)
+            and job.may_start(step)
         ]
         waiting.sort(key=lambda entry: entry.urgency)
         return waiting
@@ -315,7 +316,7 @@
             not self._mechanisms.waits_for_rack
             or pool.now_ms - job.spec.accepted_ms > rack_wait_ms
         )
-        service = self._jobs.service(job)
+        service = job.policy.service
         return Demand(
             step,
             service,
@@ -329,7 +330,7 @@
             avoided_minions=avoided_by_step(pool, step, service),
             may_try_excluded=self._may_try_excluded(pool, waiting),
             may_join_suspects=waiting.urgency.is_guaranteed,
-            max_attempts=self._jobs.queue(job).max_attempts,
+            max_attempts=job.policy.max_attempts or 1,
         )
 
     def _may_try_excluded(self, pool: WorkerPool, waiting: WaitingStep) -> bool:
--- a/dragonflynotch/workflows/placement/room_maker.py
+++ b/dragonflynotch/workflows/placement/room_maker.py
@@ -101,7 +101,7 @@
         urgent steps, and those about to be late, the work lost may not exceed
         the work of the step itself.
         """
-        priority = self._jobs.queue(waiting.job).priority
+        priority = waiting.job.policy.priority
         if waiting.urgency.is_guaranteed:
             if not self._mechanisms.preempts_for_guarantees:
                 return None
--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -15,6 +15,7 @@
     ProgressSegments,
     progress_key,
 )
+from dragonflynotch.workflows.queue_policy import QueuePolicy
 from dragonflynotch.workflows.records import (
     EndKind,
     JobState,
@@ -57,19 +58,20 @@
         """Whether any task has an active run."""
         return any(task.active is not None for task in self.tasks)
 
-    def failure_reason(self, max_attempts: int) -> str:
+    def failure_reason(self, max_attempts: int | None) -> str:
         """Return why a task may not start again, or ``''``.
 
         Parameters
         ----------
-        max_attempts : int
-            How many runs of a task may end as failed.
+        max_attempts : int or None
+            How many runs of a task may end as failed; ``None`` if not known.
         """
         is_long_running = self.spec.is_long_running
+        has_limit = max_attempts is not None and not is_long_running
         for task in self.tasks:
             if task.is_done:
                 continue
-            if task.failures >= max_attempts and not is_long_running:
+            if has_limit and task.failures >= (max_attempts or 1):
                 return f'{task.label} failed {task.failures} times'
             if task.crashes and is_given_up(
                 task.crashes, is_long_running=is_long_running
@@ -109,6 +111,7 @@
         """Create a job without any runs."""
         self.job_id = job_id
         self.spec = spec
+        self.policy = spec.policy or QueuePolicy(spec.service)
         # How the job ended; ``None`` while it is open.
         self._end_state: JobState | None = None
         # Whether a minion is known to have begun any run of the job, which is
@@ -164,6 +167,24 @@
         self._has_started = True
         return self.state is not previous
 
+    def apply_policy(self, policy: QueuePolicy) -> bool:
+        """Use what the queue sets in a configuration; return if it differs."""
+        has_changed = policy.replaces(self.policy)
+        if has_changed:
+            self.policy = policy
+        return has_changed
+
+    def may_start(self, step: Step) -> bool:
+        """Return whether the attempts of the waiting tasks allow a run.
+
+        While their number is not known, a task that has failed can neither
+        start again nor be given up. Where it is known, a job with a task that
+        has used them up has ended.
+        """
+        if self.policy.max_attempts is not None or step.spec.is_long_running:
+            return True
+        return not any(task.failures for task in step.waiting_tasks)
+
     def end(self, state: JobState, now_ms: int, reason: str) -> None:
         """Record how the job ended, and why if it failed.
 
@@ -227,6 +248,7 @@
         # Rows of releases that did not store ``has_started`` have the state
         # ``running`` from the order on, so it tells nothing about a start.
         self._has_started |= row.has_started
+        self.policy = row.policy or self.policy
         self.ended_ms = row.ended_ms
         self._end_state = row.state if row.state.is_final else None
         self.reason = row.reason if row.state.is_final else ''
@@ -264,6 +286,7 @@
             reason=self.reason,
             queue=self.spec.queue,
             has_started=self._has_started,
+            policy=None if self.policy == self.spec.policy else self.policy,
         )
 
     def _task_rows(self, start: int, end: int) -> list[TaskRow]:
--- a/dragonflynotch/workflows/progress_segments.py
+++ b/dragonflynotch/workflows/progress_segments.py
@@ -137,4 +137,5 @@
         first_row.reason,
         first_row.queue,
         first_row.has_started,
+        first_row.policy,
     )
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -17,6 +17,7 @@
     TimeMs,
 )
 from dragonflynotch.workflows.crash_records import MinionCrash, TaskCrash
+from dragonflynotch.workflows.queue_policy import QueuePolicy
 from dragonflynotch.workflows.resources import Resources
 
 __all__ = (
@@ -140,6 +141,9 @@
     has_started : bool
         Whether a minion is known to have begun any run of the job. ``False`` in
         rows of releases that did not store it.
+    policy : QueuePolicy or None
+        What the queue sets for the job, if that has changed since the job was
+        accepted.
     """
 
     state: JobState
@@ -149,6 +153,7 @@
     reason: str = ''
     queue: str = ''
     has_started: bool = False
+    policy: QueuePolicy | None = None
 
 
 class CancellationRow(msgspec.Struct, omit_defaults=True):
--- a/dragonflynotch/workflows/runs/departures.py
+++ b/dragonflynotch/workflows/runs/departures.py
@@ -259,7 +259,7 @@
         return end_by_progress(run, now_ms, is_resumed=is_resumed)
 
     def _demand(self, pool: WorkerPool, job: Job, step: Step) -> Demand:
-        service = self._jobs.service(job)
+        service = job.policy.service
         estimated_ms = step.spec.estimated_ms
         has_waited = pool.now_ms - job.spec.accepted_ms > estimated_ms
         return Demand(
--- a/dragonflynotch/workflows/runs/supervision.py
+++ b/dragonflynotch/workflows/runs/supervision.py
@@ -78,9 +78,8 @@
         return None
 
     def _failure_reason(self, job: Job) -> str:
-        limit = max(1, self._jobs.queue(job).max_attempts)
         for step in job.steps:
-            reason = step.failure_reason(limit)
+            reason = step.failure_reason(job.policy.max_attempts)
             if reason:
                 return reason
         return ''
--- a/dragonflynotch/workflows/scheduler.py
+++ b/dragonflynotch/workflows/scheduler.py
@@ -210,7 +210,15 @@
 
     def apply_deployment(self, deployment: Deployment) -> None:
         """Use this version of the configuration from now on."""
-        self._jobs.deployment = deployment
+        is_new = deployment.version != self._jobs.deployment.version
+        changed = self._jobs.apply_deployment(deployment)
+        if is_new:
+            self._decision_log.record(
+                'queues_applied',
+                version=deployment.version,
+                changed_jobs=changed,
+                missing_queues=self._jobs.missing_queues(),
+            )
 
     def apply_settings(self, settings: SchedulerSettings) -> None:
         """Use these settings from now on."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -11,6 +11,7 @@
 from dragonflynotch.platform.minion import decode_heartbeat
 from dragonflynotch.platform.settings import load_settings
 from dragonflynotch.workflows.deployment import Queue
+from dragonflynotch.workflows.queue_policy import QueuePolicy
 from dragonflynotch.workflows.resources import Resources
 
 QUEUE = Queue('queue', 'h', '/q/', 'planner')
@@ -56,6 +57,14 @@
     assert second.max_per_worker == 3
 
 
+def test_job_keeps_what_its_queue_sets():
+    """A later version without the queue left its jobs without attempts."""
+    queue = Queue('queue', 'h', '/q/', 'planner', 0, 4, 1.5, 200)
+    body = encode({'spec': 'text', 'steps': [{}]})
+    job = decode_job(body, queue, 'team', version=7)
+    assert job.policy == QueuePolicy('planner', 7, 4, 0, 1.5, 200)
+
+
 @pytest.mark.parametrize(
     'body',
     [
