--- a/dragonflynotch/control/decision_writer.py
+++ b/dragonflynotch/control/decision_writer.py
@@ -26,6 +26,7 @@
 from dragonflynotch.workflows.jobs import parse_task_id
 from dragonflynotch.workflows.records import encode_row
 from dragonflynotch.workflows.scheduler import Decisions
+from dragonflynotch.workflows.waiting_counts import WaitingCounts
 
 __all__ = ('DecisionWriter', 'RefusedJob')
 
@@ -94,13 +95,18 @@
         return self._duration_ms
 
     async def write(
-        self, decisions: Decisions, waiting_by_queue: dict[str, int]
+        self, decisions: Decisions, counts: WaitingCounts | None
     ) -> list[RefusedJob]:
         """Write the progress of jobs before the orders that result from it.
 
         The rows of expired jobs are deleted last, so that orders don't wait
         for it.
 
+        Parameters
+        ----------
+        counts : WaitingCounts or None
+            Waiting jobs; ``None`` if they could not be counted anew.
+
         Returns
         -------
         list of RefusedJob
@@ -112,11 +118,11 @@
             If another node holds the lease.
         """
         started_ms = self._clock.now_ms()
-        refused = await self._commit(_job_writes(decisions), waiting_by_queue)
+        refused = await self._commit(_job_writes(decisions), counts)
         self._duration_ms = self._written_ms - started_ms
         if decisions.expired_jobs:
             deletions = await self._delete_submissions(decisions)
-            refused.extend(await self._commit(deletions, waiting_by_queue))
+            refused.extend(await self._commit(deletions, counts))
         await asyncio.gather(
             *(
                 delete_cancellation(self._store, cancellation)
@@ -126,13 +132,11 @@
         return refused
 
     async def _commit(
-        self, job_writes: list[_JobWrite], waiting_by_queue: dict[str, int]
+        self, job_writes: list[_JobWrite], counts: WaitingCounts | None
     ) -> list[RefusedJob]:
         refused: list[RefusedJob] = []
         for transaction in self._cut(job_writes):
-            refused.extend(
-                await self._commit_transaction(transaction, waiting_by_queue)
-            )
+            refused.extend(await self._commit_transaction(transaction, counts))
         self._written_ms = self._clock.now_ms()
         return refused
 
@@ -152,14 +156,14 @@
         ]
 
     async def _commit_transaction(
-        self, transaction: list[_JobWrite], waiting_by_queue: dict[str, int]
+        self, transaction: list[_JobWrite], counts: WaitingCounts | None
     ) -> list[RefusedJob]:
         """Commit writes, those of each job on its own if they are refused."""
         try:
             await self._leadership.commit(
                 [job_write.write for job_write in transaction],
                 [],
-                waiting_by_queue,
+                counts,
             )
         except InvalidInputError as error:
             jobs = _by_job(transaction)
@@ -167,12 +171,12 @@
                 raise
             if len(jobs) == 1:
                 # A store that refuses each write says nothing about the job.
-                await self._leadership.commit([], [], waiting_by_queue)
+                await self._leadership.commit([], [], counts)
                 return [_refuse(transaction, error)]
             refused: list[RefusedJob] = []
             for job_writes in jobs:
                 refused.extend(
-                    await self._commit_transaction(job_writes, waiting_by_queue)
+                    await self._commit_transaction(job_writes, counts)
                 )
             return refused
         return []
--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -58,6 +58,7 @@
     SchedulerSettings,
 )
 from dragonflynotch.workflows.scheduler_status import SchedulerStatus
+from dragonflynotch.workflows.waiting_counts import WaitingCounts
 
 __all__ = ('LeaderContext', 'LeaderTerm')
 
@@ -376,7 +377,7 @@
         )
         if not decisions.is_empty or is_renewal_due:
             refused = await self._writer.write(
-                decisions, self._scheduler.waiting_by_queue()
+                decisions, self._count_waiting() if are_fresh else None
             )
             for job in refused:
                 self._scheduler.fail_unstorable(
@@ -387,6 +388,11 @@
                 entry.event, epoch=self._leadership.epoch, **entry.fields
             )
 
+    def _count_waiting(self) -> WaitingCounts:
+        return WaitingCounts(
+            self._store_now_ms(), self._scheduler.waiting_by_queue()
+        )
+
     def _decide(self) -> Decisions:
         started_ms = self._clock.now_ms()
         decisions = self._scheduler.decide(
--- a/dragonflynotch/control/leadership.py
+++ b/dragonflynotch/control/leadership.py
@@ -31,6 +31,7 @@
     decode_row,
     encode_row,
 )
+from dragonflynotch.workflows.waiting_counts import WaitingCounts
 
 __all__ = ('LEASE_NAME', 'LeaseLostError', 'Leadership')
 
@@ -177,7 +178,7 @@
         self,
         writes: Sequence[RowWrite],
         conditions: Sequence[tuple[RowName, int]],
-        waiting: dict[str, int] | None = None,
+        counts: WaitingCounts | None = None,
     ) -> bool:
         """Write as the holder of the lease.
 
@@ -189,8 +190,8 @@
             Rows to write together with the lease row.
         conditions : sequence of (RowName, int)
             Rows with the versions that they must have.
-        waiting : dict of str to int, optional
-            New number of waiting jobs by queue for the lease row.
+        counts : WaitingCounts, optional
+            Waiting jobs for the lease row, if they have been counted anew.
 
         Returns
         -------
@@ -203,9 +204,10 @@
             If another node holds the lease; nothing was written.
         """
         row = replace(self._row, sequence=self._row.sequence + 1)
-        if waiting is not None:
-            row.waiting = self._fit(waiting)
-            row.omits_counts = len(row.waiting) < len(waiting)
+        if counts is not None:
+            row.waiting = self._fit(counts.by_queue)
+            row.omits_counts = len(row.waiting) < len(counts.by_queue)
+            row.counted_ms = counts.counted_ms
         return await self._commit_lease(row, writes, conditions)
 
     def _fit(self, waiting: dict[str, int]) -> dict[str, int]:
--- a/dragonflynotch/control/submissions.py
+++ b/dragonflynotch/control/submissions.py
@@ -69,6 +69,8 @@
 # time. Several such attempts fit into the deadline of a caller, and by the last
 # ones the load balancer has removed this entry.
 _SETTLE_PERIOD = timedelta(milliseconds=700)
+# An older count of waiting jobs is not told to callers.
+_MAX_COUNT_AGE_MS = 2000
 _NO_COUNT = 'no scheduler has told the count of this queue'
 _NO_RESPONSE = 'no response of the row store before the deadline of the caller'
 
@@ -239,7 +241,7 @@
     ) -> int | Unavailable:
         """Return how many accepted jobs of a queue have no started task.
 
-        A count that is not known is ``Unavailable``, not 0.
+        A count that is not known, or too old, is ``Unavailable``.
         """
         try:
             async with asyncio.timeout(limit.total_seconds()):
@@ -250,7 +252,14 @@
             return Unavailable(_NO_RESPONSE)
         lease = _decode(row, LeaseRow)
         count = None if lease is None else lease.count_waiting(queue)
-        return Unavailable(_NO_COUNT) if count is None else count
+        if lease is None or count is None:
+            return Unavailable(_NO_COUNT)
+        # Rows of earlier releases do not tell the age.
+        counted_ms = lease.counted_ms or self._store_clock.earliest_ms()
+        age_ms = self._store_clock.earliest_ms() - counted_ms
+        if age_ms > _MAX_COUNT_AGE_MS:
+            return Unavailable(f'the jobs were counted {age_ms} ms ago')
+        return count
 
     async def _cancel_early(
         self, job_id: str, access: JobAccess, deadline: Deadline
--- a/dragonflynotch/workflows/records.py
+++ b/dragonflynotch/workflows/records.py
@@ -190,6 +190,9 @@
     omits_counts : bool
         Whether queues that ``waiting`` lacks may have such jobs. ``False`` in
         rows of releases that did not store it.
+    counted_ms : int
+        Store time at which the jobs were counted. 0 in rows of releases that
+        did not store it.
     """
 
     holder: str
@@ -198,6 +201,7 @@
     waiting: dict[str, Count] = {}
     handovers: Count = 0
     omits_counts: bool = False
+    counted_ms: TimeMs = 0
 
     def count_waiting(self, queue: str) -> int | None:
         """Return how many jobs of a queue wait; ``None`` if not known."""
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -13,7 +13,11 @@
     StoreLimits,
     shard_of,
 )
-from dragonflynotch.control.submissions import Accepted, NotFound
+from dragonflynotch.control.submissions import (
+    Accepted,
+    NotFound,
+    Unavailable,
+)
 from dragonflynotch.observability.decisions import decision_log
 from dragonflynotch.testing.minion_model import MinionFault
 from dragonflynotch.testing.row_store import StoreFault
@@ -21,7 +25,7 @@
 from dragonflynotch.workflows.jobs import JobSpec
 from dragonflynotch.workflows.records import JobState
 from dragonflynotch.workflows.scheduler import Scheduler, SchedulerSettings
-from tests.control.cluster import Cluster, tasks
+from tests.control.cluster import CALL_TIMEOUT, Cluster, tasks
 
 # Progress of about 120 tasks that have started.
 SMALL_ROW_BYTES = 4000
@@ -112,6 +116,32 @@
     await cluster.wait_for_starts(2, limit_s=4)
 
 
+async def test_jobs_that_no_minion_has_begun_are_counted(cluster):
+    """Jobs ordered on lost machines were left out of the count (review/10)."""
+    await cluster.submit('a', tasks(1))
+    await cluster.wait_for_state('a', JobState.completed)
+    for number in range(3):
+        await cluster.power_off(f'n{number}', f'm{number}')
+    for job_id in ('b', 'c'):
+        await cluster.submit(job_id, tasks(1))
+    await asyncio.sleep(0.7)
+    assert await cluster.submissions.waiting_jobs('q', CALL_TIMEOUT) == 2
+    assert await cluster.submissions.state('b', CALL_TIMEOUT) is JobState.queued
+
+
+async def test_count_of_a_lost_holder_is_not_told_for_long(cluster):
+    """A front answered with the last count for as long as no one scheduled."""
+    await cluster.submit('a', tasks(1))
+    await cluster.wait_for_state('a', JobState.completed)
+    assert await cluster.submissions.waiting_jobs('q', CALL_TIMEOUT) == 0
+    await cluster.kill('a')
+    await cluster.kill('b')
+    await cluster.submit('b', tasks(1))
+    await asyncio.sleep(2.2)
+    count = await cluster.submissions.waiting_jobs('q', CALL_TIMEOUT)
+    assert isinstance(count, Unavailable)
+
+
 async def test_lost_guard_frees_its_tasks_after_its_authority(cluster):
     """Tasks of a lost machine start elsewhere once their lease has expired.
 
--- a/tests/control/test_decision_writer.py
+++ b/tests/control/test_decision_writer.py
@@ -26,8 +26,11 @@
     decode_row,
 )
 from dragonflynotch.workflows.scheduler import Decisions
+from dragonflynotch.workflows.waiting_counts import WaitingCounts
 from tests.control.cluster import LoopClock
 
+COUNTS = WaitingCounts(1)
+
 EXPIRED_JOBS = [f'old{number}' for number in range(5)]
 
 
@@ -62,7 +65,7 @@
         expired_jobs=EXPIRED_JOBS,
     )
     writer = DecisionWriter(store, leadership, clock)
-    writing = asyncio.create_task(writer.write(decisions, {}))
+    writing = asyncio.create_task(writer.write(decisions, COUNTS))
     await asyncio.sleep(0.1)
     assert await store.read_row(order_row('m0', 'a.0.0.0'))
     # The submissions are deleted side by side.
@@ -89,7 +92,7 @@
         (f'm{number}', f'a.0.0.{number}'): Order('\x1c' * 4000, 1, 1500)
         for number in range(50)
     }
-    assert not await writer.write(Decisions(orders=orders), {})
+    assert not await writer.write(Decisions(orders=orders), COUNTS)
     for minion_id, task in orders:
         assert await store.read_row(order_row(minion_id, task))
 
@@ -102,7 +105,9 @@
         for number in range(200)
     }
     waiting = {f'{"q" * 150}{number}': number for number in range(2000)}
-    assert not await writer.write(Decisions(orders=orders), waiting)
+    assert not await writer.write(
+        Decisions(orders=orders), WaitingCounts(1, waiting)
+    )
     lease = decode_row((await store.read_row(LEASE_NAME)).content, LeaseRow)
     # The largest counts are kept.
     assert max(lease.waiting.values()) == 1999
@@ -110,7 +115,7 @@
     assert lease.count_waiting(f'{"q" * 150}1999') == 1999
     # A front answered 0 for queues that have jobs.
     assert lease.count_waiting(f'{"q" * 150}1') is None
-    await writer.write(Decisions(), {'q': 1})
+    await writer.write(Decisions(), WaitingCounts(1, {'q': 1}))
     lease = decode_row((await store.read_row(LEASE_NAME)).content, LeaseRow)
     assert (lease.count_waiting('q'), lease.count_waiting('other')) == (1, 0)
 
@@ -126,7 +131,7 @@
     progress = {
         job_id: ProgressRow(JobState.running) for job_id in ('a', 'b', 'bad')
     }
-    [refused] = await writer.write(Decisions(progress, orders), {})
+    [refused] = await writer.write(Decisions(progress, orders), COUNTS)
     assert (refused.job_id, refused.row) == ('bad', 'm1/bad.0.0.0')
     assert refused.row_bytes > 65_536
     for job_id in ('a', 'b'):
@@ -140,7 +145,9 @@
     store, writer = await create_writer()
     store.enforced_limits = StoreLimits(row_bytes=10)
     with pytest.raises(InvalidInputError):
-        await writer.write(Decisions({'a': ProgressRow(JobState.running)}), {})
+        await writer.write(
+            Decisions({'a': ProgressRow(JobState.running)}), COUNTS
+        )
 
 
 async def test_all_rows_of_an_expired_job_are_deleted():
@@ -152,6 +159,6 @@
     decisions = Decisions(
         expired_jobs=['a'], expired_rows={'a': ['a/400', 'a']}
     )
-    assert not await writer.write(decisions, {})
+    assert not await writer.write(decisions, COUNTS)
     for key in ('a', 'a/400'):
         assert await store.read_row(progress_row(key)) is None
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -18,6 +18,7 @@
 from dragonflynotch.core.errors import InvalidInputError
 from dragonflynotch.testing.row_store import StoreFault
 from dragonflynotch.workflows.records import encode_row
+from dragonflynotch.workflows.waiting_counts import WaitingCounts
 
 ORDER = order_row('m', 't')
 TAKEOVER_MS = 2200
@@ -79,7 +80,7 @@
     await first.try_claim()
     lease = await second.read_lease()
     assert lease.count_waiting('q') is None
-    await first.commit([], [], {})
+    await first.commit([], [], WaitingCounts(1))
     await first.release()
     await second.try_claim()
     lease = await first.read_lease()
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -240,6 +240,17 @@
         assert count == expected
 
 
+@pytest.mark.parametrize(('age_ms', 'is_told'), [(1900, True), (2100, False)])
+async def test_old_count_is_not_told(submissions, store, age_ms, is_told):
+    """Callers got counts of a holder that was gone, however old."""
+    await store.read_row(LEASE_NAME)
+    counted_ms = store.store_clock.earliest_ms() - age_ms
+    row = LeaseRow('a', 1, waiting={'queue': 3}, counted_ms=counted_ms)
+    await store.commit([RowWrite(LEASE_NAME, encode_row(row))], [])
+    count = await submissions.waiting_jobs('queue', LIMIT)
+    assert isinstance(count, int) == is_told
+
+
 async def test_write_without_response_is_unknown_at_the_deadline(
     submissions, store, monkeypatch
 ):
