--- a/dragonflynotch/control/leader_term.py
+++ b/dragonflynotch/control/leader_term.py
@@ -26,7 +26,6 @@
     are_operator_rows_recent,
 )
 from dragonflynotch.control.rows import (
-    EARLY_CANCELLATION_PREFIX,
     ORDER_TABLES,
     PROGRESS,
     REPORTS,
@@ -34,24 +33,14 @@
     RowChange,
     RowStore,
 )
+from dragonflynotch.control.scheduler_rows import SchedulerRows
 from dragonflynotch.control.table_reader import TableReader
 from dragonflynotch.control.watch import TableWatch
-from dragonflynotch.core.untrusted import Unreadable
 from dragonflynotch.observability.decisions import decision_log
-from dragonflynotch.observability.unreadable import unreadable_entries
 from dragonflynotch.workflows.deployment import Deployment
-from dragonflynotch.workflows.early_cancellations import EarlyCancellation
 from dragonflynotch.workflows.evacuation import EvacuationRequests
-from dragonflynotch.workflows.job_access import JobAccess
-from dragonflynotch.workflows.jobs import decode_job_spec
 from dragonflynotch.workflows.placement.workers import Worker
-from dragonflynotch.workflows.records import (
-    CancellationRow,
-    Order,
-    ProgressRow,
-    Report,
-    decode_row,
-)
+from dragonflynotch.workflows.records import Report
 from dragonflynotch.workflows.scheduler import (
     Decisions,
     Scheduler,
@@ -148,6 +137,7 @@
         self._evacuations = context.evacuations
         self._record_load = context.record_load
         self._scheduler = Scheduler(settings)
+        self._rows = SchedulerRows(self._scheduler, self._store_now_ms)
         self._evacuation_bound_ms = settings.evacuation_bound_ms
         self._submissions = TableWatch(
             context.store,
@@ -173,9 +163,7 @@
         self._pace = RoundPace(context.leadership.handovers)
         # End of the last round that was judged, without its writes.
         self._paced_ms = context.clock.now_ms()
-        self._is_loading = True
         self._freshness = ReplicaFreshness(self._submissions, self._reports)
-        self._loaded_reports: dict[str, tuple[Report, int]] = {}
         self._loss_detector = LossDetector(
             context.machines,
             context.clock,
@@ -202,7 +190,7 @@
             ``False`` while the rows are being loaded. The guard repeats the
             ends until their orders are gone.
         """
-        if self._is_loading:
+        if self._rows.is_loading:
             return False
         self._scheduler.apply_ends(report, self._store_now_ms())
         self._rows_changed.set()
@@ -248,34 +236,12 @@
         # All pages are there, so these calls return without a request.
         progress = await progress_reader.read()
         orders = await orders_reader.read()
-        for row in progress.rows:
-            stored = decode_row(row.content, ProgressRow)
-            if isinstance(stored, Unreadable):
-                unreadable_entries.record(
-                    'progress_unreadable', stored, job=row.key
-                )
-            else:
-                self._scheduler.restore_progress(row.key, stored)
-        for row in orders.rows:
-            order = decode_row(row.content, Order)
-            minion_id, _, task = row.key.partition('/')
-            if isinstance(order, Unreadable):
-                unreadable_entries.record(
-                    'order_unreadable', order, key=row.key
-                )
-                continue
-            self._scheduler.restore_order(minion_id, task, order)
-        self._is_loading = False
-        for node, (report, version) in self._loaded_reports.items():
-            self._scheduler.restore_report(
-                node, report, version, self._store_now_ms()
-            )
-        self._scheduler.remove_unknown_orders()
+        reports = self._rows.finish_loading(progress.rows, orders.rows)
         decision_log.record(
             'scheduling_started',
             epoch=self._leadership.epoch,
             orders=len(orders.rows),
-            reports=len(self._loaded_reports),
+            reports=reports,
         )
 
     def _store_now_ms(self) -> int:
@@ -284,55 +250,14 @@
     # ---- changes of rows -------------------------------------------------
 
     def _on_submissions(self, changes: tuple[RowChange, ...]) -> None:
-        for change in changes:
-            job_id, _, kind = change.key.partition('/')
-            if change.content is None:
-                continue
-            if kind == 'cancel':
-                self._scheduler.cancel(job_id)
-            elif kind.startswith(EARLY_CANCELLATION_PREFIX):
-                self._cancel_early(change.key, change.content)
-            elif kind == 'spec':
-                self._put_job(job_id, change.content)
+        self._rows.apply_submissions(changes)
         self._rows_changed.set()
 
-    def _cancel_early(self, key: str, content: bytes) -> None:
-        row = decode_row(content, CancellationRow)
-        if isinstance(row, Unreadable):
-            unreadable_entries.record('cancellation_unreadable', row, row=key)
-            return
-        self._scheduler.cancel_early(
-            EarlyCancellation(
-                key.partition('/')[0],
-                key,
-                JobAccess(row.workspace, row.public_queue),
-                row.cancelled_ms,
-            )
-        )
-
-    def _put_job(self, job_id: str, content: bytes) -> None:
-        spec = decode_job_spec(job_id, content)
-        if isinstance(spec, Unreadable):
-            unreadable_entries.record('job_unreadable', spec, job=job_id)
-        else:
-            self._scheduler.put_job(job_id, spec)
-
     def _on_reports(self, changes: tuple[RowChange, ...]) -> None:
         for change in changes:
-            if change.content is None:
-                continue
-            self._loss_detector.record_report(change.key)
-            report = decode_row(change.content, Report)
-            if isinstance(report, Unreadable):
-                unreadable_entries.record(
-                    'report_unreadable', report, node=change.key
-                )
-            elif self._is_loading:
-                self._loaded_reports[change.key] = (report, change.version)
-            else:
-                self._scheduler.apply_report(
-                    change.key, report, change.version, self._store_now_ms()
-                )
+            if change.content is not None:
+                self._loss_detector.record_report(change.key)
+            self._rows.apply_report(change)
         self._rows_changed.set()
 
     # ---- scheduling rounds -----------------------------------------------
