--- a/dragonflynotch/workflows/runs/run_pace.py
+++ b/dragonflynotch/workflows/runs/run_pace.py
@@ -60,6 +60,9 @@
             return
         if recent and read_ms <= recent[-1].read_ms:
             return
+        if recent and percent < recent[-1].percent:
+            # Not the progress of one run; a pace cannot be told from both.
+            recent.clear()
         recent.append(_Progress(read_ms, percent))
         while len(recent) > 2 and read_ms - recent[1].read_ms >= _WINDOW_MS:
             recent.popleft()
