--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -163,9 +163,10 @@
         bool
             Whether this changes the state of the job.
         """
-        previous = self.state
+        if self._has_started:
+            return False
         self._has_started = True
-        return self.state is not previous
+        return self._end_state is None
 
     def apply_policy(self, policy: QueuePolicy) -> bool:
         """Use what the queue sets in a configuration; return if it differs."""
