--- a/dragonflynotch/workflows/progress.py
+++ b/dragonflynotch/workflows/progress.py
@@ -1,5 +1,6 @@
 """State of jobs while they run: their steps and stored progress."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -67,11 +68,13 @@
             How many runs of a task may end as failed; ``None`` if not known.
         """
         is_long_running = self.spec.is_long_running
-        has_limit = max_attempts is not None and not is_long_running
+        limit: float = math.inf
+        if max_attempts is not None and not is_long_running:
+            limit = max(1, max_attempts)
         for task in self.tasks:
             if task.is_done:
                 continue
-            if has_limit and task.failures >= (max_attempts or 1):
+            if task.failures >= limit:
                 return f'{task.label} failed {task.failures} times'
             if task.crashes and is_given_up(
                 task.crashes, is_long_running=is_long_running
--- a/tests/control/test_odd_rows.py
+++ b/tests/control/test_odd_rows.py
@@ -120,6 +120,7 @@
     for number in ODD_NUMBERS:
         yield with_fields(SPEC, steps=b'[{"count":%s}]' % number)
         yield with_fields(SPEC, steps=b'[{"count":1,"millicores":%s}]' % number)
+        yield with_fields(SPEC, policy=b'["planner",1,%s]' % number)
         yield with_fields(
             SPEC, steps=b'[{"count":1,"estimated_ms":%s}]' % number
         )
